--- /dev/null
+++ b/crates/hatchrudder/src/main.rs
@@ -0,0 +1,2 @@
+//! Thin shell.
+fn main() {}
--- /dev/null
+++ b/crates/rudder-ledger/src/apply.rs
@@ -0,0 +1,36 @@
+//! The state machine as a whole.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Answer, Claims, Command, Config, Stamped};
+
+/// Everything the voters agree on, but for their own membership.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Log index of the last command applied.
+    pub index: u64,
+    /// Latest time stamp applied; it never goes back.
+    pub time: Duration,
+    /// The configuration.
+    pub config: Config,
+    /// The claims.
+    pub claims: Claims,
+}
+
+impl Ledger {
+    /// Applies the command at log index `index`.
+    pub fn apply(&mut self, index: u64, stamped: Stamped) -> Answer {
+        self.index = index;
+        self.time = self.time.max(stamped.time);
+        match stamped.command {
+            Command::Change(change) => Answer::Changed(self.config.apply(index, change)),
+            Command::Claim(claim) => Answer::Claimed(self.claims.claim(self.time, claim)),
+            Command::Release { key, attempt } => Answer::Claimed(self.claims.release(self.time, &key, &attempt)),
+            Command::Finish { key, attempt, outcome } => {
+                Answer::Claimed(self.claims.finish(self.time, &key, &attempt, outcome))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-ledger/src/command.rs
@@ -0,0 +1,53 @@
+//! Commands that voters agree on, and their answers.
+
+use std::time::Duration;
+
+use rudder_model::InstanceId;
+use serde::{Deserialize, Serialize};
+
+use crate::{Attempt, Change, Changed, Claim, Outcome, Standing};
+
+/// One command of the replicated log.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    /// Replaces or deletes one configuration object.
+    Change(Change),
+    /// Claims a key for one attempt.
+    Claim(Claim),
+    /// The owner gives a claim back: the attempt did not run and never will.
+    Release {
+        /// The key claimed.
+        key: String,
+        /// The attempt that holds it.
+        attempt: Attempt,
+    },
+    /// The owner reports how the attempt ended.
+    Finish {
+        /// The key claimed.
+        key: String,
+        /// The attempt that holds it.
+        attempt: Attempt,
+        /// How it ended.
+        outcome: Outcome,
+    },
+}
+
+/// A command with the time at which its leader took it in.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamped {
+    /// Wall-clock time since the Unix epoch, by the leader's clock.
+    pub time: Duration,
+    /// The instance that proposed it.
+    pub proposer: InstanceId,
+    /// The command.
+    pub command: Command,
+}
+
+/// What a command led to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Answer to [`Command::Change`].
+    Changed(Changed),
+    /// Answer to the three claim commands: how the key stands now.
+    Claimed(Standing),
+}
--- /dev/null
+++ b/crates/rudder-ledger/src/lib.rs
@@ -0,0 +1,14 @@
+//! The replicated state machine. Every voter applies the same commands in the same order, so a
+//! command's answer depends on nothing but the commands before it: no clock, no random source.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod apply;
+pub mod claim;
+pub mod command;
+pub mod config;
+pub mod snapshot;
+
+pub use apply::Ledger;
+pub use claim::{Attempt, Claim, Claims, Outcome, Standing};
+pub use command::{Answer, Command, Stamped};
+pub use config::{Change, Changed, Config, Delta, Held, Number};
--- /dev/null
+++ b/crates/rudder-model/src/id.rs
@@ -0,0 +1,58 @@
+//! Type aliases for ids, and the two hashes the product uses.
+
+use std::sync::Arc;
+
+use sha2::{Digest as _, Sha256};
+
+/// Name of one process of the system, from its settings.
+pub type InstanceId = Arc<str>;
+/// Name of one site.
+pub type HallId = Arc<str>;
+/// Name of a model engine or plain service replica.
+pub type EndpointId = Arc<str>;
+/// Name of a class of requests.
+pub type ClassId = Arc<str>;
+/// Name of a customer.
+pub type OrgId = Arc<str>;
+/// Name of a model, or of a plain service with the prefix [`SERVICE_PREFIX`].
+pub type ModelId = Arc<str>;
+/// One request: the start number of the instance in the upper half, a counter in the lower.
+pub type RequestId = u128;
+/// Number of one start of a process; differs between any two starts of the same instance.
+pub type Start = u64;
+/// SHA-256 of a key or a request body.
+pub type Digest = [u8; 32];
+
+/// Marks the name of a plain service where models and services share a name space.
+pub const SERVICE_PREFIX: &str = "service/";
+
+/// Builds the id of the `count`-th request of a process start.
+pub fn request_id(start: Start, count: u64) -> RequestId {
+    (RequestId::from(start) << 64) | RequestId::from(count)
+}
+
+/// Returns the process start a request id belongs to.
+pub fn start_of(id: RequestId) -> Start {
+    (id >> 64) as Start
+}
+
+/// SHA-256 of `bytes`, for keys at rest and for telling request bodies apart.
+pub fn digest(bytes: &[u8]) -> Digest {
+    Sha256::digest(bytes).into()
+}
+
+/// Lower-case hexadecimal form of a digest, as it stands in configuration files.
+pub fn hex(digest: &Digest) -> String {
+    use std::fmt::Write as _;
+    let mut text = String::with_capacity(digest.len() * 2);
+    for byte in digest {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text
+}
+
+/// Rendezvous weight of `node` for `key`: the live node with the largest weight owns the key.
+pub fn rendezvous(key: &str, node: &str) -> u64 {
+    let seed = xxhash_rust::xxh3::xxh3_64(key.as_bytes());
+    xxhash_rust::xxh3::xxh3_64_with_seed(node.as_bytes(), seed)
+}
--- /dev/null
+++ b/crates/rudder-model/src/lib.rs
@@ -0,0 +1,17 @@
+//! The words every other crate speaks: ids, configuration objects with labels and selectors,
+//! refusals, and the counters that check the promises at run time.
+//!
+//! Nothing here does I/O or keeps time; every type can be sent between processes with `serde`.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod id;
+pub mod label;
+pub mod object;
+pub mod promise;
+pub mod refusal;
+
+pub use id::{ClassId, Digest, EndpointId, HallId, InstanceId, ModelId, OrgId, RequestId, Start};
+pub use label::{Labels, Match};
+pub use object::{Class, Endpoint, EndpointKind, Instance, Kind, Limits, Mark, Object, Organisation, Selector};
+pub use promise::{Promise, Promises};
+pub use refusal::{Ran, Refusal, RefusalCode};
--- /dev/null
+++ b/crates/rudder-node/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
