--- /dev/null
+++ b/crates/hatchrudder/src/help.rs
@@ -0,0 +1,99 @@
+//! Help texts.
+
+const ALL: &str = "hatchrudder: a router for language-model traffic with service levels and priorities
+
+usage: hatchrudder COMMAND [OPTIONS]
+
+  demo       a whole deployment in one process, with promises checked
+  check      validates settings
+  run        runs one instance
+  stand-in   a small stand-in engine or plain service
+  get        shows configuration objects or an instance's status
+  apply      puts the objects of a file in force
+  label      sets labels of an object
+  mark       marks an endpoint or instance leaving or stopping
+  timeline   merges event logs into one time line
+  explain    tells what happened to one request
+
+hatchrudder COMMAND --help tells more. --version shows the version.
+Exit codes: 0 done, 1 failed or a promise broke, 2 wrong use or refused settings.";
+
+const DEMO: &str = "usage: hatchrudder demo [--seconds N] [--seed N]
+
+Runs nine instances in three halls, nine stand-in engines and three replicas of a plain service in
+this process, on loopback only: a burst past capacity, a slow engine, an endpoint marked leaving and
+an instance stopped. Ends by itself and prints attainment by class, goodput, wasted work and each
+promise with the times it was tested. Exit code 1 if one broke.
+
+  --seconds N   seconds of arrivals (14)
+  --seed N      seed of the arrivals (1)";
+
+const CHECK: &str = "usage: hatchrudder check --settings FILE
+
+Reads settings and says what is wrong with them, by file, line and key. Exit code 2 if refused.";
+
+const RUN: &str = "usage: hatchrudder run --settings FILE
+
+Runs one instance until SIGTERM or SIGINT begins a planned stop: it goes off the lists at once,
+serves callers that hold an old list, finishes what is in flight, then ends with exit code 0.";
+
+const STAND_IN: &str = "usage: hatchrudder stand-in --listen ADDR [--service] [--slots N] [--pace TIME]
+                            [--prefill TIME] [--tokens N] [--time TIME] [--unchecked]
+
+Serves a stand-in engine, or with --service a plain service, until ended. Faults are set with
+POST /standin/faults, for instance {\"slow\": 5.0} or {\"hang\": true}; counts are at
+/standin/counts (engine) and /standin/runs (service).
+
+  --slots N        requests worked on at the same time (8)
+  --pace TIME      time between tokens (20ms)
+  --prefill TIME   time before the first token (80ms)
+  --tokens N       mean output length (40)
+  --time TIME      time of a service call (20ms)
+  --unchecked      takes orders without checking their fence";
+
+const GET: &str = "usage: hatchrudder get KIND [NAME] --entry URL [--key KEY]
+       hatchrudder get status --entry URL [--key KEY]
+
+Shows objects of a kind (class, endpoint, organisation, selector, instance) with their numbers, or how
+the instance is, as JSON. The operators' key may also stand in HATCHRUDDER_KEY.";
+
+const APPLY: &str = "usage: hatchrudder apply FILE --entry URL [--key KEY]
+
+Puts the objects of a TOML file in force, each in place of what stands, and prints each number.
+Tables are [class.NAME], [endpoint.NAME], [organisation.NAME], [selector.NAME]. An organisation's
+keys are SHA-256 digests in hexadecimal. Stops at the first change that is refused, exit code 1.";
+
+const LABEL: &str = "usage: hatchrudder label KIND NAME LABEL=VALUE... --entry URL [--key KEY]
+
+Sets labels of an object and prints its new number; an empty VALUE takes the label off.";
+
+const MARK: &str = "usage: hatchrudder mark KIND NAME leaving|stopping|none --entry URL [--key KEY]
+
+Marks an endpoint or instance and prints its new number. A leaving endpoint gets no new work within
+three seconds. A stopping instance ends once nothing is in flight.";
+
+const TIMELINE: &str = "usage: hatchrudder timeline FILE...
+
+Merges the event logs of all processes by time, one JSON object a line.";
+
+const EXPLAIN: &str = "usage: hatchrudder explain REQUEST FILE...
+
+Tells from the event logs of all processes why a request went where it went, waited or was refused.
+REQUEST is the id in the answer's header x-request-id.";
+
+/// The help of a command; that of all commands for an unknown one.
+pub(crate) fn of(name: &str) -> &'static str {
+    match name {
+        "demo" => DEMO,
+        "check" => CHECK,
+        "run" => RUN,
+        "stand-in" => STAND_IN,
+        "get" => GET,
+        "apply" => APPLY,
+        "label" => LABEL,
+        "mark" => MARK,
+        "timeline" => TIMELINE,
+        "explain" => EXPLAIN,
+        _ => ALL,
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/control.rs
@@ -0,0 +1,322 @@
+//! Shared state at an instance with a disk: replica, state machine, and the leader's duties.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use rudder_events::What;
+use rudder_ledger::{Answer, Command, Ledger, Stamped};
+use rudder_model::{InstanceId, Start};
+use rudder_replica::{Durable, Entry, Envelope, Member, Members, Output, Payload, Replica, ReplicaId, Role, Spare};
+
+use crate::{Effect, Listing, Me, Options, PeerMessage, view::View};
+
+/// Deltas in one answer to a watcher.
+const DELTAS: usize = 200;
+/// Time between questions of founders to each other.
+const FOUNDING_RETRY: Duration = Duration::from_millis(300);
+
+/// Who waits for a proposal to be applied.
+#[derive(Clone, Debug)]
+struct Proposer {
+    name: InstanceId,
+    start: Start,
+    ticket: u64,
+    term: u64,
+}
+
+/// Shared state at an instance with a disk.
+#[derive(Debug)]
+pub struct Control {
+    /// The replicated log.
+    pub replica: Replica,
+    /// The state machine, applied up to what is committed here.
+    pub ledger: Ledger,
+    waiting: BTreeMap<u64, Proposer>,
+    live: BTreeMap<InstanceId, (Listing, Duration)>,
+    version: u64,
+    led_since: Option<Duration>,
+    founders: BTreeMap<InstanceId, ReplicaId>,
+    foreign: bool,
+    founding_at: Option<Duration>,
+}
+
+impl Control {
+    /// Shared state as the data folder held it.
+    ///
+    /// # Panics
+    /// When the snapshot, whose checksum was right, cannot be decoded: another version wrote it.
+    pub fn new(id: ReplicaId, me: &Me, options: &Options, durable: Durable, now: Duration) -> Control {
+        let data = &durable.snapshot.data;
+        let ledger = if data.is_empty() {
+            Ledger::default()
+        } else {
+            Ledger::try_from_bytes(data).expect("the snapshot was written by this version")
+        };
+        Control {
+            replica: Replica::new(id, me.name.clone(), options.replica.clone(), durable, now),
+            ledger,
+            waiting: BTreeMap::new(),
+            live: BTreeMap::new(),
+            version: 0,
+            led_since: None,
+            founders: BTreeMap::new(),
+            foreign: false,
+            founding_at: None,
+        }
+    }
+
+    /// Since when this instance leads without a break, if it holds its lease.
+    pub fn leads_since(&self, now: Duration) -> Option<Duration> {
+        self.led_since.filter(|_| self.replica.leads(now))
+    }
+
+    /// Advances time: elections, heartbeats, founding, the directory, repair, snapshots.
+    pub(crate) fn tick(&mut self, now: Duration, me: &Me, view: &View, options: &Options, out: &mut Vec<Effect>) {
+        let mut outputs = Vec::new();
+        self.replica.tick(now, &mut outputs);
+        self.found(now, me, options, &mut outputs, out);
+        self.note_role(now, view, out);
+        if self.replica.leads(now) {
+            self.prune(now, options);
+            let spares = self.to_spares();
+            self.replica.repair(now, &spares, &mut outputs);
+        }
+        self.take(outputs, options, out);
+    }
+
+    /// Takes in a message of another replica.
+    pub(crate) fn on_replica(&mut self, now: Duration, envelope: Envelope, options: &Options, out: &mut Vec<Effect>) {
+        let mut outputs = Vec::new();
+        self.replica.receive(now, envelope, &mut outputs);
+        self.take(outputs, options, out);
+    }
+
+    pub(crate) fn on_saved(&mut self, now: Duration, number: u64, options: &Options, out: &mut Vec<Effect>) {
+        let mut outputs = Vec::new();
+        self.replica.on_saved(now, number, &mut outputs);
+        self.take(outputs, options, out);
+    }
+
+    /// Appends a proposal, or says who leads.
+    pub(crate) fn on_propose(
+        &mut self,
+        now: Duration,
+        me: &Me,
+        from: InstanceId,
+        proposal: (u64, Start, Command),
+        options: &Options,
+        out: &mut Vec<Effect>,
+    ) {
+        let (ticket, start, command) = proposal;
+        let stamped = Stamped { time: me.epoch + now, proposer: from.clone(), command };
+        let bytes = rmp_serde::to_vec(&stamped).expect("commands hold only plain data");
+        let mut outputs = Vec::new();
+        let Some(index) = self.replica.propose(now, bytes, &mut outputs) else {
+            self.send_elsewhere(from, out);
+            return;
+        };
+        let term = self.replica.term();
+        self.waiting.insert(index, Proposer { name: from, start, ticket, term });
+        self.take(outputs, options, out);
+    }
+
+    /// Answers a watcher, if the lease allows to.
+    pub(crate) fn on_watch(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        watch: (u64, Listing, u64, u64),
+        out: &mut Vec<Effect>,
+    ) {
+        let (round, listing, index, directory) = watch;
+        if !self.replica.leads(now) {
+            self.send_elsewhere(from, out);
+            return;
+        }
+        self.list(now, listing);
+        let config = &self.ledger.config;
+        let deltas = config.deltas_after(index, DELTAS);
+        let complete = deltas.len() < DELTAS;
+        let reached = if complete { config.index } else { deltas.last().map_or(index, |delta| delta.held.index) };
+        let newer = (directory != self.version).then(|| (self.version, self.to_directory()));
+        let message = PeerMessage::Watched { round, asked: index, index: reached, complete, deltas, directory: newer };
+        out.push(Effect::Send { to: from, message });
+    }
+
+    /// Takes in what another founder says, and answers it.
+    pub(crate) fn on_founding(
+        &mut self,
+        from: InstanceId,
+        replica: ReplicaId,
+        members: Option<&Members>,
+        ask: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        if members.is_some() {
+            self.foreign = true;
+        }
+        self.founders.insert(from.clone(), replica);
+        if !ask {
+            return;
+        }
+        let members = self.is_founded().then(|| self.replica.members().clone());
+        let message = PeerMessage::Founding { replica: self.replica.id(), members, ask: false };
+        out.push(Effect::Send { to: from, message });
+    }
+
+    fn send_elsewhere(&self, to: InstanceId, out: &mut Vec<Effect>) {
+        let leader = self.replica.leader().cloned();
+        out.push(Effect::Send { to, message: PeerMessage::Elsewhere { leader } });
+    }
+
+    fn is_founded(&self) -> bool {
+        self.replica.last_index() > 0
+    }
+
+    /// The founder with the lowest name starts the log once every founder has said that its folder is
+    /// empty. A founder that lost its folder hears from the others that the log exists, and waits to
+    /// be taken in as a new replica.
+    fn found(&mut self, now: Duration, me: &Me, options: &Options, outputs: &mut Vec<Output>, out: &mut Vec<Effect>) {
+        let first = options.founders.iter().min() == Some(&me.name);
+        if !first || self.is_founded() || self.foreign {
+            return;
+        }
+        self.founders.insert(me.name.clone(), self.replica.id());
+        let known =
+            |name: &InstanceId| self.founders.get(name).map(|id| (*id, Member { name: name.clone(), voter: true }));
+        let members: Option<Members> = options.founders.iter().map(known).collect();
+        if let Some(members) = members {
+            let data = Ledger::default().try_to_bytes().expect("an empty state can be encoded");
+            self.replica.found(members, data, outputs);
+            return;
+        }
+        if self.founding_at.is_some_and(|at| now < at + FOUNDING_RETRY) {
+            return;
+        }
+        self.founding_at = Some(now);
+        for founder in options.founders.iter().filter(|name| **name != me.name) {
+            let message = PeerMessage::Founding { replica: self.replica.id(), members: None, ask: true };
+            out.push(Effect::Send { to: founder.clone(), message });
+        }
+    }
+
+    fn note_role(&mut self, now: Duration, view: &View, out: &mut Vec<Effect>) {
+        let leads = self.replica.role() == Role::Leader;
+        if leads == self.led_since.is_some() {
+            return;
+        }
+        self.led_since = leads.then_some(now);
+        self.waiting.clear();
+        out.push(Effect::Log(What::Leads { leads, term: self.replica.term() }));
+        if leads {
+            // A new leader starts from the directory it last saw, so that none is taken off for its sake.
+            self.live = view.directory.values().map(|listing| (listing.name.clone(), (listing.clone(), now))).collect();
+            self.bump();
+        }
+    }
+
+    fn list(&mut self, now: Duration, listing: Listing) {
+        let known = self.live.get(&listing.name);
+        let newer = known.is_none_or(|(held, _)| *held != listing);
+        self.live.insert(listing.name.clone(), (listing, now));
+        if newer {
+            self.bump();
+        }
+    }
+
+    fn prune(&mut self, now: Duration, options: &Options) {
+        let before = self.live.len();
+        self.live.retain(|_, (_, seen)| now < *seen + options.gone);
+        if self.live.len() != before {
+            self.bump();
+        }
+    }
+
+    /// Makes a version that no other leader has used: the term in the upper half.
+    fn bump(&mut self) {
+        let count = (self.version & u64::from(u32::MAX)) + 1;
+        self.version = (self.replica.term() << 32) | count;
+    }
+
+    fn to_directory(&self) -> Vec<Listing> {
+        self.live.values().map(|(listing, _)| listing.clone()).collect()
+    }
+
+    fn to_spares(&self) -> Vec<Spare> {
+        let listings = self.live.values().map(|(listing, _)| listing).filter(|listing| !listing.stopping);
+        let spare = |listing: &Listing| {
+            Some(Spare { id: listing.replica?, name: listing.name.clone(), hall: listing.hall.clone() })
+        };
+        listings.filter_map(spare).collect()
+    }
+
+    /// Turns a replica's outputs into effects, applying what is committed.
+    fn take(&mut self, outputs: Vec<Output>, options: &Options, out: &mut Vec<Effect>) {
+        for output in outputs {
+            match output {
+                Output::Save { number, records } => out.push(Effect::Save { number, records }),
+                Output::SaveSnapshot { number, snapshot, records } => {
+                    out.push(Effect::SaveSnapshot { number, snapshot, records });
+                }
+                Output::Send { to, envelope } => {
+                    out.push(Effect::Send { to, message: PeerMessage::Replica(envelope) });
+                }
+                Output::Apply(entry) => self.apply(entry, out),
+                Output::Restore(snapshot) => {
+                    self.ledger = Ledger::try_from_bytes(&snapshot.data).expect("the leader runs this version");
+                    self.waiting.clear();
+                }
+            }
+        }
+        self.compact(options, out);
+    }
+
+    fn apply(&mut self, entry: Entry, out: &mut Vec<Effect>) {
+        let answer = match entry.payload {
+            Payload::Noop => None,
+            Payload::Members(members) => {
+                log_members(&members, out);
+                None
+            }
+            Payload::Command(bytes) => {
+                let stamped: Stamped = rmp_serde::from_slice(&bytes).expect("the leader runs this version");
+                Some(self.ledger.apply(entry.index, stamped))
+            }
+        };
+        let Some(proposer) = self.waiting.remove(&entry.index) else { return };
+        // Another leader's entry may stand where ours was.
+        if let Some(answer) = answer.filter(|_| proposer.term == entry.term) {
+            send_answer(proposer, answer, out);
+        }
+    }
+
+    fn compact(&mut self, options: &Options, out: &mut Vec<Effect>) {
+        if self.ledger.index < self.replica.snapshot_index() + options.snapshot_every {
+            return;
+        }
+        let data = self.ledger.try_to_bytes().expect("the state holds only plain data");
+        let mut outputs = Vec::new();
+        self.replica.compact(data, &mut outputs);
+        for output in outputs {
+            if let Output::SaveSnapshot { number, snapshot, records } = output {
+                out.push(Effect::SaveSnapshot { number, snapshot, records });
+            }
+        }
+    }
+}
+
+fn send_answer(proposer: Proposer, answer: Answer, out: &mut Vec<Effect>) {
+    let message = PeerMessage::Proposed { ticket: proposer.ticket, start: proposer.start, answer };
+    out.push(Effect::Send { to: proposer.name, message });
+}
+
+fn log_members(members: &Members, out: &mut Vec<Effect>) {
+    let names = |voter: bool| {
+        let chosen = members.values().filter(|member| member.voter == voter);
+        let names: BTreeSet<InstanceId> = chosen.map(|member| member.name.clone()).collect();
+        names.into_iter().collect()
+    };
+    out.push(Effect::Log(What::Voters { voters: names(true), learners: names(false) }));
+}
--- /dev/null
+++ b/crates/rudder-core/src/homes.rs
@@ -0,0 +1,193 @@
+//! The pools this instance decides for. Their state is soft: entries repeat what they hold.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rudder_events::What;
+use rudder_ledger::Config;
+use rudder_model::{EndpointId, EndpointKind, InstanceId, Mark, Promises};
+use rudder_route::{Decision, Pool, Spec};
+
+use crate::{
+    Effect, Me, Options, PeerMessage,
+    calls::to_hex,
+    event::Report,
+    peer::{FromPool, ToPool},
+    reach::{self, PoolId},
+    view::View,
+};
+
+/// What polling knows of an endpoint.
+#[derive(Clone, Debug, Default)]
+struct Polled {
+    at: Option<Duration>,
+    next_event: u64,
+}
+
+/// The pools this instance decides for.
+#[derive(Debug, Default)]
+pub struct Homes {
+    pools: BTreeMap<PoolId, Pool>,
+    polls: BTreeMap<EndpointId, Polled>,
+    retired: Promises,
+}
+
+impl Homes {
+    /// Requests that wait in all pools.
+    pub fn waiting(&self) -> usize {
+        self.pools.values().map(Pool::waiting).sum()
+    }
+
+    /// Requests that run, over all pools.
+    pub fn running(&self) -> usize {
+        self.pools.values().map(Pool::running).sum()
+    }
+
+    /// Promises checked by all pools.
+    pub fn to_promises(&self) -> Promises {
+        let mut promises = self.retired.clone();
+        for pool in self.pools.values() {
+            promises.merge(&pool.promises);
+        }
+        promises
+    }
+
+    /// Takes in a message for a pool. A pool asked of this instance is served even when the own view
+    /// names another home: two homes for a moment fill an engine's own queue, they break no promise.
+    pub(crate) fn on_message(
+        &mut self,
+        now: Duration,
+        from: &InstanceId,
+        id: &PoolId,
+        message: ToPool,
+        context: (&View, &Options),
+        out: &mut Vec<Effect>,
+    ) {
+        let (view, options) = context;
+        let pool = self.pools.entry(id.clone()).or_insert_with(|| to_pool(&view.config, id, options));
+        let mut decisions = Vec::new();
+        match message {
+            ToPool::Ask(ask) => pool.ask(now, ask, &mut decisions),
+            ToPool::Withdraw(request) => pool.withdraw(now, request, &mut decisions),
+            ToPool::First(request, after) => pool.first_token(request, after, &mut decisions),
+            ToPool::End(request, ending) => pool.end(now, request, &ending, &mut decisions),
+            ToPool::Sync(holdings) => pool.sync(now, from, holdings, &mut decisions),
+        }
+        send(decisions, out);
+    }
+
+    /// Advances time.
+    pub(crate) fn tick(&mut self, now: Duration, me: &Me, view: &View, options: &Options, out: &mut Vec<Effect>) {
+        let mut decisions = Vec::new();
+        for pool in self.pools.values_mut() {
+            pool.tick(now, &mut decisions);
+        }
+        send(decisions, out);
+        self.poll(now, me, view, options, out);
+    }
+
+    /// Brings all pools in line with a changed view.
+    pub(crate) fn on_view(&mut self, now: Duration, me: &Me, view: &View, out: &mut Vec<Effect>) {
+        let mut decisions = Vec::new();
+        let lost: Vec<PoolId> = self
+            .pools
+            .keys()
+            .filter(|(hall, model)| view.home(hall, model).is_some_and(|home| home != me.name))
+            .cloned()
+            .collect();
+        for id in lost {
+            // Entries see the same change and ask the new home.
+            let Some(pool) = self.pools.remove(&id) else { continue };
+            self.retired.merge(&pool.promises);
+        }
+        for (id, pool) in &mut self.pools {
+            pool.configure(&to_specs(&view.config, id));
+            pool.set_reach(|ask| reach::in_pool(&view.config, &ask.class, &ask.org, &ask.model, id));
+            pool.drop_entry(now, |ask| view.holds(&ask.entry, ask.request), &mut decisions);
+        }
+        send(decisions, out);
+    }
+
+    /// Takes in what an endpoint said of itself.
+    pub(crate) fn on_polled(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        report: Option<&Report>,
+        view: &View,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(id) = reach::endpoint(&view.config, endpoint).and_then(reach::pool_of) else { return };
+        let Some(pool) = self.pools.get_mut(&id) else { return };
+        let polled = self.polls.entry(endpoint.clone()).or_default();
+        let mut decisions = Vec::new();
+        match report {
+            None => pool.missed(now, endpoint, &mut decisions),
+            Some(report) => {
+                pool.report(endpoint, report.load);
+                let gap = report.first_event != polled.next_event;
+                pool.evicted(endpoint, if gap { None } else { Some(&report.evicted) });
+                polled.next_event = report.first_event + report.evicted.len() as u64;
+            }
+        }
+        send(decisions, out);
+    }
+
+    fn poll(&mut self, now: Duration, me: &Me, view: &View, options: &Options, out: &mut Vec<Effect>) {
+        let due = |polled: &Polled| polled.at.is_none_or(|at| now >= at + options.poll);
+        for (name, endpoint) in reach::iter_endpoints(&view.config) {
+            let Some((hall, model)) = reach::pool_of(endpoint) else { continue };
+            let mine = self.pools.contains_key(&(hall.clone(), model.clone()))
+                && view.home(&hall, &model).as_ref() == Some(&me.name);
+            if !mine || endpoint.kind != EndpointKind::Engine {
+                continue;
+            }
+            let polled = self.polls.entry(EndpointId::from(name)).or_default();
+            if !due(polled) {
+                continue;
+            }
+            polled.at = Some(now);
+            let (endpoint_id, address) = (EndpointId::from(name), endpoint.address.clone());
+            out.push(Effect::Poll { endpoint: endpoint_id, address, after: polled.next_event });
+        }
+    }
+}
+
+fn to_pool(config: &Config, id: &PoolId, options: &Options) -> Pool {
+    let mut pool = Pool::new(options.route.clone());
+    pool.configure(&to_specs(config, id));
+    pool
+}
+
+fn to_specs(config: &Config, id: &PoolId) -> Vec<Spec> {
+    let endpoints = reach::iter_endpoints(config).filter(|(_, endpoint)| reach::pool_of(endpoint).as_ref() == Some(id));
+    let spec = |(name, endpoint): (&str, &rudder_model::Endpoint)| Spec {
+        id: EndpointId::from(name),
+        slots: endpoint.slots,
+        engine: endpoint.kind == EndpointKind::Engine,
+        leaving: endpoint.mark != Mark::None,
+    };
+    endpoints.map(spec).collect()
+}
+
+fn send(decisions: Vec<Decision>, out: &mut Vec<Effect>) {
+    for decision in decisions {
+        match decision {
+            Decision::Grant { request, entry, endpoint, waited } => {
+                send_to(entry, request, FromPool::Grant(endpoint, waited), out);
+            }
+            Decision::Refuse { request, entry, refusal } => send_to(entry, request, FromPool::Refuse(refusal), out),
+            Decision::Recall { request, entry, cause } => {
+                out.push(Effect::Log(What::Recalled { request: to_hex(request), cause: to_hex(cause) }));
+                send_to(entry, request, FromPool::Recall(cause), out);
+            }
+            Decision::Eject { endpoint, why, pause } => {
+                out.push(Effect::Log(What::Ejected { endpoint, why: why.to_owned(), pause }));
+            }
+            Decision::Restore { endpoint } => out.push(Effect::Log(What::Restored { endpoint })),
+        }
+    }
+}
+
+fn send_to(to: InstanceId, request: rudder_model::RequestId, message: FromPool, out: &mut Vec<Effect>) {
+    out.push(Effect::Send { to, message: PeerMessage::FromPool { request, message } });
+}
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -1,1 +1,33 @@
-//! Placeholder.
+//! The one reducer of an instance: [`State::reduce`] takes an event and the time, changes the state
+//! and pushes effects. It reads no clock, no random source and no socket, so the same code runs in
+//! instances, in randomised runs and in the fault matrix.
+//!
+//! Its parts, each with a narrow face of its own:
+//!
+//! - [`control`]: the replicated log, the leader's directory of live instances, answers to watchers;
+//! - [`view`]: the configuration and directory in force here, and whether they are fresh;
+//! - [`propose`]: commands on their way to the leader;
+//! - [`calls`]: the requests whose callers are connected here;
+//! - [`homes`]: the pools that this instance decides for;
+//! - [`orders`]: fenced orders to endpoints, sent by the leader only.
+#![deny(missing_docs, unsafe_code)]
+
+pub mod calls;
+pub mod control;
+pub mod effect;
+pub mod event;
+pub mod homes;
+pub mod keyed;
+pub mod options;
+pub mod orders;
+pub mod peer;
+pub mod propose;
+pub mod reach;
+pub mod reduce;
+pub mod view;
+
+pub use effect::{Dispatch, Effect, Stored, Verdict};
+pub use event::{Arrival, Ended, Event, Key};
+pub use options::{Me, Options};
+pub use peer::{Listing, PeerMessage};
+pub use reduce::State;
--- /dev/null
+++ b/crates/rudder-core/src/options.rs
@@ -0,0 +1,71 @@
+//! Who this instance is, and its settings as the reducer needs them.
+
+use std::time::Duration;
+
+use rudder_model::{HallId, InstanceId, Start};
+
+/// Who this instance is.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// Its name.
+    pub name: InstanceId,
+    /// Its hall.
+    pub hall: HallId,
+    /// Number of this start.
+    pub start: Start,
+    /// Where callers reach it.
+    pub address: String,
+    /// Wall-clock time since the Unix epoch at which the instance's own time was zero.
+    pub epoch: Duration,
+}
+
+/// Settings of the reducer.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Instances that may lead: those with a disk.
+    pub seats: Vec<InstanceId>,
+    /// Instances that found the log together.
+    pub founders: Vec<InstanceId>,
+    /// Halls, nearest first.
+    pub nearest: Vec<HallId>,
+    /// Time between questions for newer configuration.
+    pub watch: Duration,
+    /// No new work is started without proof this young.
+    pub fresh: Duration,
+    /// An instance silent for this long is taken off the directory.
+    pub gone: Duration,
+    /// How long callers may keep the list of entries.
+    pub keep: Duration,
+    /// Time between looks at an endpoint.
+    pub poll: Duration,
+    /// Time between two loads ordered, over all endpoints.
+    pub load_interval: Duration,
+    /// An order is given up after this long.
+    pub order_timeout: Duration,
+    /// Entries in the log that make a snapshot due.
+    pub snapshot_every: u64,
+    /// The replicated log.
+    pub replica: rudder_replica::Options,
+    /// The policy.
+    pub route: rudder_route::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options {
+            seats: Vec::new(),
+            founders: Vec::new(),
+            nearest: Vec::new(),
+            watch: Duration::from_millis(400),
+            fresh: Duration::from_secs(3),
+            gone: Duration::from_secs(2),
+            keep: Duration::from_secs(10),
+            poll: Duration::from_secs(1),
+            load_interval: Duration::from_secs(2),
+            order_timeout: Duration::from_secs(2),
+            snapshot_every: 5000,
+            replica: rudder_replica::Options::default(),
+            route: rudder_route::Options::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/peer.rs
@@ -0,0 +1,140 @@
+//! Messages between instances. Any of them may be lost, doubled, late or out of order.
+
+use std::time::Duration;
+
+use rudder_ledger::{Answer, Attempt, Command, Delta};
+use rudder_model::{EndpointId, HallId, InstanceId, ModelId, Refusal, RequestId, Start};
+use rudder_replica::{Envelope, Members, ReplicaId};
+use rudder_route::{Ask, Ending, Holding};
+use serde::{Deserialize, Serialize};
+
+/// A live instance, as the leader lists it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listing {
+    /// Its name.
+    pub name: InstanceId,
+    /// Its hall.
+    pub hall: HallId,
+    /// Where callers reach it.
+    pub address: String,
+    /// Number of its start.
+    pub start: Start,
+    /// It is in a planned stop.
+    pub stopping: bool,
+    /// Its replica's id, where it has a disk.
+    pub replica: Option<ReplicaId>,
+}
+
+/// A message between instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Between replicas.
+    Replica(Envelope),
+    /// Asks whether the receiver knows a log already founded.
+    Founding {
+        /// The sender's replica id.
+        replica: ReplicaId,
+        /// The founding members, where the sender knows them.
+        members: Option<Members>,
+        /// The sender wants an answer.
+        ask: bool,
+    },
+    /// Reports that the sender lives, and asks for newer configuration.
+    Watch {
+        /// Counts the sender's questions.
+        round: u64,
+        /// Who asks.
+        listing: Listing,
+        /// Configuration index it holds.
+        index: u64,
+        /// Directory version it holds.
+        directory: u64,
+    },
+    /// Answers [`PeerMessage::Watch`], from a leader with a valid lease.
+    Watched {
+        /// The round answered.
+        round: u64,
+        /// Configuration index in the question.
+        asked: u64,
+        /// Configuration index that the deltas lead to.
+        index: u64,
+        /// The deltas lead to all there is.
+        complete: bool,
+        /// Objects changed since.
+        deltas: Vec<Delta>,
+        /// The directory with its version, where it is a newer one.
+        directory: Option<(u64, Vec<Listing>)>,
+    },
+    /// Answers a question or proposal that only the leader can answer.
+    Elsewhere {
+        /// The leader, where one is known.
+        leader: Option<InstanceId>,
+    },
+    /// Proposes a command.
+    Propose {
+        /// Counts the sender's proposals.
+        ticket: u64,
+        /// The sender's start.
+        start: Start,
+        /// The command.
+        command: Command,
+    },
+    /// Answers a proposal, once it is committed and applied.
+    Proposed {
+        /// The ticket.
+        ticket: u64,
+        /// The start of the proposer.
+        start: Start,
+        /// The answer.
+        answer: Answer,
+    },
+    /// Asks whether an attempt that holds a claim still lives.
+    Attempt {
+        /// The key claimed.
+        key: String,
+        /// The attempt.
+        attempt: Attempt,
+    },
+    /// To the home of a pool.
+    ToPool {
+        /// The pool's hall.
+        hall: HallId,
+        /// The pool's model or service.
+        model: ModelId,
+        /// The message.
+        message: ToPool,
+    },
+    /// From the home of a pool to the entry of a request.
+    FromPool {
+        /// The request.
+        request: RequestId,
+        /// The message.
+        message: FromPool,
+    },
+}
+
+/// From an entry to the home of a pool.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ToPool {
+    /// Wants a slot.
+    Ask(Ask),
+    /// The caller left, or another pool serves the request.
+    Withdraw(RequestId),
+    /// The first token came.
+    First(RequestId, Duration),
+    /// A grant ended.
+    End(RequestId, Ending),
+    /// All grants that the entry holds in this pool.
+    Sync(Vec<Holding>),
+}
+
+/// From the home of a pool to an entry.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FromPool {
+    /// A slot at this endpoint.
+    Grant(EndpointId, Duration),
+    /// Refused.
+    Refuse(Refusal),
+    /// Stop it, to make room for this request.
+    Recall(RequestId),
+}
--- /dev/null
+++ b/crates/rudder-core/src/propose.rs
@@ -0,0 +1,99 @@
+//! Commands on their way to the leader: sent again until answered or given up.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rudder_ledger::{Answer, Attempt, Command};
+use rudder_model::RequestId;
+
+use crate::{Effect, Me, Options, PeerMessage, view::View};
+
+/// A proposal without an answer is sent again after this long.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// Whom the answer is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum For {
+    /// An operator's connection.
+    Admin(u64),
+    /// A request that claims its key.
+    Claim(RequestId),
+    /// A request whose answer waits until its end is recorded.
+    Finish(RequestId),
+    /// Nobody waits.
+    Record,
+}
+
+#[derive(Clone, Debug)]
+struct Proposal {
+    purpose: For,
+    command: Command,
+    sent: Option<Duration>,
+    deadline: Duration,
+}
+
+/// All proposals under way.
+#[derive(Debug, Default)]
+pub(crate) struct Proposals {
+    count: u64,
+    open: BTreeMap<u64, Proposal>,
+}
+
+impl Proposals {
+    /// Starts a proposal; it is sent at once and again until `deadline`.
+    pub(crate) fn start(&mut self, purpose: For, command: Command, deadline: Duration) {
+        self.count += 1;
+        self.open.insert(self.count, Proposal { purpose, command, sent: None, deadline });
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Sends what is new or has waited long. Returns the purposes given up.
+    pub(crate) fn send(
+        &mut self,
+        now: Duration,
+        me: &Me,
+        view: &View,
+        options: &Options,
+        out: &mut Vec<Effect>,
+    ) -> Vec<For> {
+        let mut ended = Vec::new();
+        for (ticket, proposal) in &mut self.open {
+            if now >= proposal.deadline {
+                ended.push(*ticket);
+                continue;
+            }
+            if proposal.sent.is_some_and(|sent| now < sent + RETRY) {
+                continue;
+            }
+            let Some(to) = view.to_leader(options) else { continue };
+            proposal.sent = Some(now);
+            let message = PeerMessage::Propose { ticket: *ticket, start: me.start, command: proposal.command.clone() };
+            out.push(Effect::Send { to, message });
+        }
+        ended.into_iter().filter_map(|ticket| self.open.remove(&ticket)).map(|proposal| proposal.purpose).collect()
+    }
+
+    /// True when a release or an end of this attempt is on its way.
+    pub(crate) fn names(&self, key: &str, attempt: &Attempt) -> bool {
+        self.open.values().any(|proposal| match &proposal.command {
+            Command::Release { key: held, attempt: of } | Command::Finish { key: held, attempt: of, .. } => {
+                held == key && of == attempt
+            }
+            _ => false,
+        })
+    }
+
+    /// Sends all again soon, because the leader is another than thought.
+    pub(crate) fn hurry(&mut self) {
+        for proposal in self.open.values_mut() {
+            proposal.sent = None;
+        }
+    }
+
+    /// Takes in an answer; `None` for one that came twice or too late.
+    pub(crate) fn end(&mut self, ticket: u64, answer: Answer) -> Option<(For, Answer)> {
+        self.open.remove(&ticket).map(|proposal| (proposal.purpose, answer))
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/src/reach.rs
@@ -0,0 +1,101 @@
+//! Selectors: which endpoints a class of an organisation reaches, and the class of a call that names none.
+
+use std::sync::Arc;
+
+use rudder_ledger::Config;
+use rudder_model::{Class, ClassId, Endpoint, EndpointId, HallId, Kind, Labels, ModelId, Object, OrgId, Selector};
+
+/// A pool: its hall and the first model or service of its endpoints.
+pub type PoolId = (HallId, ModelId);
+
+/// The class called `name`.
+pub fn class<'a>(config: &'a Config, name: &str) -> Option<&'a Class> {
+    match config.get(Kind::Class, name)?.object.as_ref()? {
+        Object::Class(class) => Some(class),
+        _ => None,
+    }
+}
+
+/// The endpoint called `name`.
+pub fn endpoint<'a>(config: &'a Config, name: &str) -> Option<&'a Endpoint> {
+    match config.get(Kind::Endpoint, name)?.object.as_ref()? {
+        Object::Endpoint(endpoint) => Some(endpoint),
+        _ => None,
+    }
+}
+
+/// All endpoints, by name.
+pub fn iter_endpoints(config: &Config) -> impl Iterator<Item = (&str, &Endpoint)> {
+    config.iter_kind(Kind::Endpoint).filter_map(|(name, held)| match held.object.as_ref()? {
+        Object::Endpoint(endpoint) => Some((name, endpoint)),
+        _ => None,
+    })
+}
+
+fn iter_selectors(config: &Config) -> impl Iterator<Item = &Selector> {
+    config.iter_kind(Kind::Selector).filter_map(|(_, held)| match held.object.as_ref()? {
+        Object::Selector(selector) => Some(selector),
+        _ => None,
+    })
+}
+
+fn org_labels<'a>(config: &'a Config, org: &str) -> Option<&'a Labels> {
+    match config.get(Kind::Organisation, org)?.object.as_ref()? {
+        Object::Organisation(organisation) => Some(&organisation.labels),
+        _ => None,
+    }
+}
+
+/// True when any endpoint serves `model`.
+pub fn is_served(config: &Config, model: &ModelId) -> bool {
+    iter_endpoints(config).any(|(_, endpoint)| endpoint.serves.contains(model))
+}
+
+/// The organisation that has this key digest, in hexadecimal.
+pub fn org_of_key(config: &Config, bearer: &str) -> Option<OrgId> {
+    let holds = |object: &Object| match object {
+        Object::Organisation(organisation) => organisation.keys.iter().any(|key| key == bearer),
+        _ => false,
+    };
+    let mut orgs = config.iter_kind(Kind::Organisation);
+    orgs.find(|(_, held)| held.object.as_ref().is_some_and(holds)).map(|(name, _)| OrgId::from(name))
+}
+
+/// The class assigned to calls of `org` that name none: that of the first selector, by name.
+pub fn assigned(config: &Config, org: &str) -> Option<ClassId> {
+    let labels = org_labels(config, org)?;
+    let meant = |selector: &&Selector| selector.organisations.accepts(org, labels);
+    iter_selectors(config).filter(meant).find_map(|selector| selector.assign.clone())
+}
+
+/// The pool an endpoint belongs to: its hall and the first of what it serves. An endpoint is in one
+/// pool only, so that one home knows all that runs there.
+pub fn pool_of(endpoint: &Endpoint) -> Option<PoolId> {
+    Some((endpoint.hall.clone(), endpoint.serves.first()?.clone()))
+}
+
+/// Endpoints of any pool that serve `model` and that some selector lets the class of the organisation
+/// reach. Leaving ones are included: the pool passes them over.
+pub fn endpoints(config: &Config, class_id: &ClassId, org: &OrgId, model: &ModelId) -> Vec<(PoolId, EndpointId)> {
+    let (Some(class), Some(labels)) = (class(config, class_id), org_labels(config, org)) else {
+        return Vec::new();
+    };
+    let meant = |selector: &&Selector| {
+        selector.classes.accepts(class_id, &class.labels) && selector.organisations.accepts(org, labels)
+    };
+    let selectors: Vec<&Selector> = iter_selectors(config).filter(meant).collect();
+    let serving = iter_endpoints(config).filter(|(_, endpoint)| endpoint.serves.contains(model));
+    let reached = serving.filter(|(name, endpoint)| {
+        selectors.iter().any(|selector| {
+            let here = selector.halls.is_empty() || selector.halls.contains(&endpoint.hall);
+            here && selector.endpoints.accepts(name, &endpoint.labels)
+        })
+    });
+    reached.filter_map(|(name, endpoint)| Some((pool_of(endpoint)?, EndpointId::from(name)))).collect()
+}
+
+/// Of [`endpoints`], those of one pool.
+pub fn in_pool(config: &Config, class_id: &ClassId, org: &OrgId, model: &ModelId, pool: &PoolId) -> Arc<[EndpointId]> {
+    let all = endpoints(config, class_id, org, model);
+    all.into_iter().filter(|(held, _)| held == pool).map(|(_, id)| id).collect()
+}
--- /dev/null
+++ b/crates/rudder-core/src/reduce.rs
@@ -0,0 +1,273 @@
+//! The state of an instance and the reducer over all events.
+
+use std::{collections::VecDeque, time::Duration};
+
+use rudder_events::What;
+use rudder_ledger::Answer;
+use rudder_model::{InstanceId, Mark, Promise, Promises};
+use rudder_replica::{Durable, ReplicaId};
+
+use crate::{
+    Effect, Event, Me, Options, PeerMessage,
+    calls::{Calls, Context},
+    control::Control,
+    homes::Homes,
+    keyed,
+    orders::Orders,
+    peer::FromPool,
+    propose::{For, Proposals},
+    view::{View, Watched},
+};
+
+/// How long an operator's change is tried before its outcome is called unknown.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The whole state of one instance.
+#[derive(Debug)]
+pub struct State {
+    /// Who it is.
+    pub me: Me,
+    /// Its settings.
+    pub options: Options,
+    /// Configuration and directory in force here.
+    pub view: View,
+    /// Shared state, where it has a disk.
+    pub control: Option<Control>,
+    /// The requests of its callers.
+    pub calls: Calls,
+    /// The pools it decides for.
+    pub homes: Homes,
+    orders: Orders,
+    proposals: Proposals,
+    promises: Promises,
+    stopping: Option<Duration>,
+    exited: bool,
+}
+
+impl State {
+    /// The state of an instance that starts at `now`; `disk` is what its data folder held.
+    pub fn new(now: Duration, me: Me, options: Options, disk: Option<(ReplicaId, Durable)>) -> State {
+        let control = disk.map(|(id, durable)| Control::new(id, &me, &options, durable, now));
+        State {
+            me,
+            options,
+            view: View::default(),
+            control,
+            calls: Calls::default(),
+            homes: Homes::default(),
+            orders: Orders::default(),
+            proposals: Proposals::default(),
+            promises: Promises::default(),
+            stopping: None,
+            exited: false,
+        }
+    }
+
+    /// Promises checked by this instance so far.
+    pub fn to_promises(&self) -> Promises {
+        let mut promises = self.promises.clone();
+        promises.merge(&self.homes.to_promises());
+        promises
+    }
+
+    /// True while this instance may start new work.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        self.view.is_fresh(now, self.options.fresh) && self.stopping.is_none()
+    }
+
+    /// Commands on their way to the leader.
+    pub fn proposals(&self) -> usize {
+        self.proposals.len()
+    }
+
+    /// Takes in one event. Messages of the instance to itself are handled before it returns.
+    pub fn reduce(&mut self, now: Duration, event: Event, out: &mut Vec<Effect>) {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut effects = Vec::new();
+            self.step(now, event, &mut effects);
+            for effect in effects {
+                match effect {
+                    Effect::Send { to, message } if to == self.me.name => {
+                        events.push_back(Event::Peer { from: to, message });
+                    }
+                    other => out.push(other),
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, now: Duration, event: Event, out: &mut Vec<Effect>) {
+        match event {
+            Event::Tick => self.tick(now, out),
+            Event::Peer { from, message } => self.on_peer(now, from, message, out),
+            Event::Saved { number } => {
+                if let Some(control) = &mut self.control {
+                    control.on_saved(now, number, &self.options, out);
+                }
+            }
+            Event::DiskFull => {
+                if let Some(control) = &mut self.control {
+                    control.replica.on_disk_full(now);
+                    out.push(Effect::Log(What::DiskFull));
+                }
+            }
+            Event::Arrive(arrival) => self.with_calls(now, out, |calls, context| calls.arrive(context, *arrival)),
+            Event::First { request, after } => {
+                self.with_calls(now, out, |calls, context| calls.on_first(context, request, after));
+            }
+            Event::Ended { request, ended } => {
+                self.with_calls(now, out, |calls, context| calls.on_ended(context, request, ended));
+            }
+            Event::Admin { ticket, change } => {
+                let command = rudder_ledger::Command::Change(change);
+                self.proposals.start(For::Admin(ticket), command, now + ADMIN_TIMEOUT);
+            }
+            Event::Polled { endpoint, report } => {
+                self.orders.on_polled(&endpoint, report.as_ref());
+                self.homes.on_polled(now, &endpoint, report.as_ref(), &self.view, out);
+            }
+            Event::Ordered { endpoint, taken } => self.orders.on_ordered(&endpoint, taken),
+            Event::Stop => self.stop(now, out),
+        }
+        self.send_proposals(now, out);
+    }
+
+    fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if let Some(control) = &mut self.control {
+            control.tick(now, &self.me, &self.view, &self.options, out);
+            self.orders.tick(now, control, &self.options, out);
+        }
+        let replica = self.control.as_ref().map(|control| control.replica.id());
+        let stopping = self.stopping.is_some();
+        self.view.ask(now, &self.me, replica, stopping, &self.options, out);
+        self.homes.tick(now, &self.me, &self.view, &self.options, out);
+        self.with_calls(now, out, Calls::tick);
+        if self.view.mark_of(&self.me.name) == Mark::Stopping {
+            self.stop(now, out);
+        }
+        self.end_stop(now, out);
+    }
+
+    /// Begins a planned stop: off the lists at once, still serving callers that hold an old list.
+    fn stop(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        if self.stopping.is_none() {
+            self.stopping = Some(now);
+            out.push(Effect::Log(What::Stopping));
+        }
+    }
+
+    /// Ends a planned stop once the callers' lists have expired and nothing is in flight.
+    fn end_stop(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let Some(since) = self.stopping else { return };
+        // A list handed out just before others learned of the stop is kept for as long again.
+        let expired = now >= since + self.options.keep + self.options.fresh;
+        let idle = self.calls.is_empty() && self.proposals.len() == 0;
+        if !expired || !idle || self.exited {
+            return;
+        }
+        self.exited = true;
+        self.promises.check(Promise::PlannedStop, self.calls.is_empty());
+        out.push(Effect::Log(What::Stopped));
+        out.push(Effect::Exit);
+    }
+
+    fn on_peer(&mut self, now: Duration, from: InstanceId, message: PeerMessage, out: &mut Vec<Effect>) {
+        match message {
+            PeerMessage::Watched { round, asked, index, complete, deltas, directory } => {
+                let watched = Watched { round, asked, index, complete, deltas, directory };
+                if self.view.on_watched(from, watched, &mut self.promises, out) {
+                    self.homes.on_view(now, &self.me, &self.view, out);
+                }
+            }
+            PeerMessage::Elsewhere { leader } => {
+                self.view.on_elsewhere(leader, &self.options);
+                self.proposals.hurry();
+            }
+            PeerMessage::Proposed { ticket, start, answer } => {
+                if start == self.me.start {
+                    self.on_proposed(now, ticket, answer, out);
+                }
+            }
+            PeerMessage::Attempt { key, attempt } => {
+                self.with_calls(now, out, |calls, context| keyed::on_attempt(calls, context, key, attempt));
+            }
+            PeerMessage::ToPool { hall, model, message } => {
+                let context = (&self.view, &self.options);
+                self.homes.on_message(now, &from, &(hall, model), message, context, out);
+            }
+            PeerMessage::FromPool { request, message } => self.on_pool(now, &from, request, message, out),
+            message => self.on_control(now, from, message, out),
+        }
+    }
+
+    fn on_pool(
+        &mut self,
+        now: Duration,
+        from: &InstanceId,
+        request: rudder_model::RequestId,
+        message: FromPool,
+        out: &mut Vec<Effect>,
+    ) {
+        self.with_calls(now, out, |calls, context| calls.on_pool(context, from, request, message));
+    }
+
+    /// Messages that only an instance with a disk can answer.
+    fn on_control(&mut self, now: Duration, from: InstanceId, message: PeerMessage, out: &mut Vec<Effect>) {
+        let Some(control) = &mut self.control else {
+            if matches!(message, PeerMessage::Watch { .. } | PeerMessage::Propose { .. }) {
+                out.push(Effect::Send { to: from, message: PeerMessage::Elsewhere { leader: None } });
+            }
+            return;
+        };
+        match message {
+            PeerMessage::Replica(envelope) => control.on_replica(now, envelope, &self.options, out),
+            PeerMessage::Founding { replica, members, ask } => {
+                control.on_founding(from, replica, members.as_ref(), ask, out);
+            }
+            PeerMessage::Watch { round, listing, index, directory } => {
+                control.on_watch(now, from, (round, listing, index, directory), out);
+            }
+            PeerMessage::Propose { ticket, start, command } => {
+                control.on_propose(now, &self.me, from, (ticket, start, command), &self.options, out);
+            }
+            _ => {}
+        }
+    }
+
+    fn on_proposed(&mut self, now: Duration, ticket: u64, answer: Answer, out: &mut Vec<Effect>) {
+        let Some((purpose, answer)) = self.proposals.end(ticket, answer) else { return };
+        match (purpose, answer) {
+            (For::Admin(ticket), Answer::Changed(changed)) => {
+                out.push(Effect::Admin { ticket, answer: Some(changed) });
+            }
+            (purpose, Answer::Claimed(standing)) => {
+                self.with_calls(now, out, |calls, context| calls.on_answer(context, &purpose, Some(standing)));
+            }
+            _ => {}
+        }
+    }
+
+    fn send_proposals(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let ended = self.proposals.send(now, &self.me, &self.view, &self.options, out);
+        for purpose in ended {
+            match purpose {
+                For::Admin(ticket) => out.push(Effect::Admin { ticket, answer: None }),
+                purpose => self.with_calls(now, out, |calls, context| calls.on_answer(context, &purpose, None)),
+            }
+        }
+    }
+
+    fn with_calls(&mut self, now: Duration, out: &mut Vec<Effect>, act: impl FnOnce(&mut Calls, &mut Context)) {
+        let mut context = Context {
+            now,
+            me: &self.me,
+            options: &self.options,
+            view: &self.view,
+            proposals: &mut self.proposals,
+            promises: &mut self.promises,
+            out,
+        };
+        act(&mut self.calls, &mut context);
+    }
+}
--- /dev/null
+++ b/crates/rudder-events/src/event.rs
@@ -0,0 +1,196 @@
+//! Events: changes of state, and the decisions taken for single requests.
+
+use std::time::Duration;
+
+use rudder_model::{ClassId, EndpointId, HallId, InstanceId, ModelId, OrgId, Ran, RefusalCode};
+use serde::{Deserialize, Serialize};
+
+/// One line of the event log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Line {
+    /// Wall-clock time since the Unix epoch, in microseconds.
+    pub at: u64,
+    /// The process that wrote it.
+    pub instance: InstanceId,
+    /// What happened.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What happened. Request ids are written in hexadecimal, as callers see them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum What {
+    /// The process started.
+    Started {
+        /// Its hall.
+        hall: HallId,
+        /// Its start number.
+        start: u64,
+    },
+    /// The process can prove its configuration fresh, or no longer can.
+    Fresh {
+        /// Which of both.
+        fresh: bool,
+        /// Configuration index it holds.
+        index: u64,
+    },
+    /// This instance leads, or no longer does.
+    Leads {
+        /// Which of both.
+        leads: bool,
+        /// In this term.
+        term: u64,
+    },
+    /// The membership of the log changed.
+    Voters {
+        /// Names of the voters.
+        voters: Vec<InstanceId>,
+        /// Names of the learners.
+        learners: Vec<InstanceId>,
+    },
+    /// A newer configuration is in force here.
+    Configured {
+        /// Its index.
+        index: u64,
+    },
+    /// The directory of live instances changed.
+    Directory {
+        /// Names of the live instances.
+        live: Vec<InstanceId>,
+    },
+    /// A planned stop began.
+    Stopping,
+    /// The process ended as planned.
+    Stopped,
+    /// The disk refuses writes.
+    DiskFull,
+    /// A request was taken in.
+    Arrived {
+        /// The request.
+        request: String,
+        /// Its class.
+        class: ClassId,
+        /// Its organisation.
+        org: OrgId,
+        /// Model or service.
+        model: ModelId,
+    },
+    /// A request was asked of a pool.
+    Asked {
+        /// The request.
+        request: String,
+        /// The pool's hall.
+        hall: HallId,
+        /// The instance that decides for the pool.
+        home: InstanceId,
+    },
+    /// A pool granted a request a slot.
+    Granted {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How long it waited in the pool.
+        waited: Duration,
+    },
+    /// A request went out to an endpoint.
+    Dispatched {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Counts the times it was sent.
+        attempt: u32,
+        /// Output events that the caller already has.
+        resume: u32,
+    },
+    /// An attempt at an endpoint failed.
+    Failed {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Whether the attempt ran.
+        ran: Ran,
+        /// It is tried again.
+        again: bool,
+    },
+    /// A request was recalled to make room for one of a higher tier.
+    Recalled {
+        /// The request.
+        request: String,
+        /// The request it makes room for.
+        cause: String,
+    },
+    /// A request was answered whole.
+    Done {
+        /// The request.
+        request: String,
+        /// The endpoint; empty for a stored answer.
+        endpoint: EndpointId,
+        /// Tokens, for engines.
+        tokens: u32,
+        /// From arrival to the first token or answer.
+        first: Duration,
+        /// From arrival to the end.
+        total: Duration,
+    },
+    /// A request was refused.
+    Refused {
+        /// The request.
+        request: String,
+        /// Why.
+        code: RefusalCode,
+        /// In words.
+        text: String,
+        /// Whether it ran.
+        ran: Ran,
+    },
+    /// The caller left.
+    Left {
+        /// The request.
+        request: String,
+    },
+    /// An endpoint gets no work for a while.
+    Ejected {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Why.
+        why: String,
+        /// How long.
+        pause: Duration,
+    },
+    /// An ejected endpoint is back.
+    Restored {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// An order went out to an endpoint.
+    Ordered {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// What it was told to load.
+        load: String,
+        /// The fence: term and count.
+        fence: (u64, u64),
+    },
+}
+
+impl What {
+    /// The request this event is about, if it is about one.
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            What::Arrived { request, .. }
+            | What::Asked { request, .. }
+            | What::Granted { request, .. }
+            | What::Dispatched { request, .. }
+            | What::Failed { request, .. }
+            | What::Recalled { request, .. }
+            | What::Done { request, .. }
+            | What::Refused { request, .. }
+            | What::Left { request } => Some(request),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-node/src/link.rs
@@ -0,0 +1,91 @@
+//! Sending to other instances: one thread and one connection for each, many messages in one request.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use rudder_core::PeerMessage;
+use rudder_model::InstanceId;
+use ureq::Agent;
+
+use crate::peer::{FROM_HEADER, KEY_HEADER, PATH};
+
+/// Messages that wait for one instance; more are dropped, as the protocols repeat what matters.
+const WAITING: usize = 4096;
+/// Messages in one request.
+const BATCH: usize = 256;
+/// An instance that does not take a request within this time has lost it.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Bytes exchanged with other instances, bodies only.
+#[derive(Debug, Default)]
+pub(crate) struct Traffic {
+    pub(crate) requests: AtomicU64,
+    pub(crate) sent: AtomicU64,
+    pub(crate) received: AtomicU64,
+}
+
+/// Links to all other instances.
+pub(crate) struct Links {
+    links: BTreeMap<InstanceId, Sender<PeerMessage>>,
+}
+
+impl Links {
+    /// Starts one thread for each of `peers`.
+    pub(crate) fn start(
+        me: &InstanceId,
+        key: &str,
+        peers: &[(InstanceId, SocketAddr)],
+        traffic: &Arc<Traffic>,
+    ) -> Links {
+        let mut links = BTreeMap::new();
+        for (name, address) in peers {
+            let (sender, receiver) = bounded(WAITING);
+            let url = format!("http://{address}{PATH}");
+            let (me, key, traffic) = (me.to_string(), key.to_owned(), traffic.clone());
+            thread::spawn(move || run(&url, &me, &key, &receiver, &traffic));
+            links.insert(name.clone(), sender);
+        }
+        Links { links }
+    }
+
+    /// Sends a message, or drops it where the link is full or unknown.
+    pub(crate) fn send(&self, to: &InstanceId, message: PeerMessage) {
+        let Some(link) = self.links.get(to) else { return };
+        if let Err(TrySendError::Full(_)) = link.try_send(message) {
+            // The receiver is slow or gone; a message later is worth more than this one.
+        }
+    }
+}
+
+fn run(url: &str, me: &str, key: &str, messages: &Receiver<PeerMessage>, traffic: &Traffic) {
+    let config = Agent::config_builder()
+        .timeout_global(Some(TIMEOUT))
+        .timeout_connect(Some(TIMEOUT / 4))
+        .max_idle_connections_per_host(1)
+        .user_agent("")
+        .accept("")
+        .accept_encoding("")
+        .build();
+    let agent: Agent = config.into();
+    while let Ok(first) = messages.recv() {
+        let mut batch = vec![first];
+        batch.extend(messages.try_iter().take(BATCH - 1));
+        let body = rmp_serde::to_vec(&batch).expect("messages hold only plain data");
+        traffic.requests.fetch_add(1, Ordering::Relaxed);
+        traffic.sent.fetch_add(body.len() as u64, Ordering::Relaxed);
+        let sent = agent.post(url).header(KEY_HEADER, key).header(FROM_HEADER, me).send(&body[..]);
+        // What is lost is sent again by those who need it.
+        if let Ok(mut answer) = sent {
+            let _ = answer.body_mut().read_to_vec();
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-route/src/pool.rs
@@ -0,0 +1,322 @@
+//! The pool: its state and the events that drive it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use rudder_model::{ClassId, EndpointId, InstanceId, OrgId, Promises, Refusal, RefusalCode, RequestId};
+
+use crate::{
+    Ask, Decision, Ending, Holding, Options, Site, Spec,
+    estimate::Estimates,
+    limit::Usage,
+    queue::{Queue, Waiting},
+    site::Running,
+};
+
+/// Retries that may be saved up.
+const RETRY_CEILING: f64 = 10.0;
+/// A grant that its entry does not report is taken back after this long.
+const GRANT_GRACE: Duration = Duration::from_secs(2);
+
+/// The slots of one model or plain service in one hall, and the requests that wait for them.
+#[derive(Debug)]
+pub struct Pool {
+    pub(crate) options: Options,
+    pub(crate) sites: BTreeMap<EndpointId, Site>,
+    pub(crate) queue: Queue,
+    pub(crate) granted: BTreeMap<RequestId, EndpointId>,
+    pub(crate) estimates: Estimates,
+    pub(crate) usage: BTreeMap<(ClassId, OrgId), Usage>,
+    pub(crate) retries: f64,
+    /// Promises checked by this pool.
+    pub promises: Promises,
+}
+
+impl Pool {
+    /// A pool without endpoints.
+    pub fn new(options: Options) -> Pool {
+        Pool {
+            options,
+            sites: BTreeMap::new(),
+            queue: Queue::default(),
+            granted: BTreeMap::new(),
+            estimates: Estimates::default(),
+            usage: BTreeMap::new(),
+            retries: RETRY_CEILING,
+            promises: Promises::default(),
+        }
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Requests that run.
+    pub fn running(&self) -> usize {
+        self.granted.len()
+    }
+
+    /// The endpoint as the pool sees it.
+    pub fn site(&self, id: &str) -> Option<&Site> {
+        self.sites.get(id)
+    }
+
+    /// Brings the endpoints in line with configuration; what runs at a removed one is let go.
+    pub fn configure(&mut self, specs: &[Spec]) {
+        let kept: BTreeSet<&EndpointId> = specs.iter().map(|spec| &spec.id).collect();
+        self.sites.retain(|id, _| kept.contains(id));
+        self.granted.retain(|_, id| kept.contains(id));
+        for spec in specs {
+            let site = self.sites.entry(spec.id.clone()).or_insert_with(|| Site::new(spec.slots, spec.engine));
+            site.slots = spec.slots;
+            site.engine = spec.engine;
+            site.leaving = spec.leaving;
+        }
+    }
+
+    /// Gives every waiting request the reach that configuration now allows it.
+    pub fn set_reach(&mut self, reach: impl Fn(&Ask) -> Arc<[EndpointId]>) {
+        self.queue.for_each_ask(|ask| ask.reach = reach(ask));
+    }
+
+    /// Takes in a request. Asking again repeats the grant, in case it was lost on the way.
+    pub fn ask(&mut self, now: Duration, ask: Ask, out: &mut Vec<Decision>) {
+        if let Some(endpoint) = self.granted.get(&ask.request) {
+            let (request, entry, endpoint) = (ask.request, ask.entry, endpoint.clone());
+            out.push(Decision::Grant { request, entry, endpoint, waited: Duration::ZERO });
+            return;
+        }
+        if self.queue.get(ask.request).is_some() {
+            return;
+        }
+        if let Some(refusal) = self.refusal_of(now, &ask) {
+            out.push(Decision::Refuse { request: ask.request, entry: ask.entry, refusal });
+            return;
+        }
+        self.retries = (self.retries + self.options.retries).min(RETRY_CEILING);
+        let until = now + ask.patience;
+        self.queue.push(now, Waiting { ask, arrived: now, until, preempted: 0, avoid: None }, false);
+        self.serve(now, out);
+    }
+
+    /// Takes in that the caller of a waiting or running request left.
+    pub fn withdraw(&mut self, now: Duration, request: RequestId, out: &mut Vec<Decision>) {
+        if let Some(waiting) = self.queue.remove(request) {
+            self.close_usage(&waiting.ask);
+            return;
+        }
+        self.end(now, request, &Ending::Dropped, out);
+    }
+
+    /// Takes in that the first token of a request came, `after` its dispatch.
+    pub fn first_token(&mut self, request: RequestId, after: Duration, out: &mut Vec<Decision>) {
+        let Some(endpoint) = self.granted.get(&request).cloned() else { return };
+        let Some(site) = self.sites.get_mut(&endpoint) else { return };
+        let Some(running) = site.running.get_mut(&request) else { return };
+        if running.first {
+            return;
+        }
+        running.first = true;
+        site.health.note_first(after);
+        site.health.note_success();
+        self.end_probe(&endpoint, after, out);
+    }
+
+    /// Takes in how a granted request ended.
+    pub fn end(&mut self, now: Duration, request: RequestId, ending: &Ending, out: &mut Vec<Decision>) {
+        let Some(endpoint) = self.granted.remove(&request) else { return };
+        let Some(site) = self.sites.get_mut(&endpoint) else { return };
+        let Some(running) = site.running.remove(&request) else { return };
+        match *ending {
+            Ending::Done { tokens, first, total } => {
+                self.end_done(now, &endpoint, &running, (tokens, first, total), out);
+            }
+            Ending::Failed { again } => self.end_failed(now, &endpoint, running, again, out),
+            Ending::Preempted => self.requeue(now, running, None, true),
+            Ending::Dropped => self.close_usage(&running.ask),
+        }
+        self.check_health(now, out);
+        self.free_probe(&endpoint);
+        self.serve(now, out);
+    }
+
+    /// A probe that ended without a verdict leaves the endpoint open for the next one.
+    fn free_probe(&mut self, endpoint: &EndpointId) {
+        let Some(site) = self.sites.get_mut(endpoint) else { return };
+        if site.running.is_empty() {
+            site.health.probing = false;
+        }
+    }
+
+    fn end_done(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        running: &Running,
+        figures: (u32, Duration, Duration),
+        out: &mut Vec<Decision>,
+    ) {
+        let (tokens, first, total) = figures;
+        let ask = &running.ask;
+        self.estimates.add(&ask.class, &ask.org, tokens, now.saturating_sub(running.since));
+        let correction = f64::from(tokens) - running.charged;
+        if let Some(queue) = self.queue.classes.get_mut(&ask.class) {
+            queue.charge(&ask.org, correction);
+        }
+        if let Some(usage) = self.usage.get_mut(&(ask.class.clone(), ask.org.clone())) {
+            usage.charge(&ask.limits, correction);
+        }
+        self.close_usage(ask);
+        let Some(site) = self.sites.get_mut(endpoint) else { return };
+        site.note_prefix(ask.prefix);
+        site.health.note_success();
+        if !running.first {
+            site.health.note_first(first);
+        }
+        if tokens > 1 {
+            site.health.pace.add(total.saturating_sub(first).as_secs_f64() / f64::from(tokens - 1));
+        }
+        self.end_probe(endpoint, first, out);
+    }
+
+    fn end_failed(
+        &mut self,
+        now: Duration,
+        endpoint: &EndpointId,
+        running: Running,
+        again: bool,
+        out: &mut Vec<Decision>,
+    ) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.health.note_failure();
+        }
+        if again && self.retries >= 1.0 {
+            self.retries -= 1.0;
+            self.requeue(now, running, Some(endpoint.clone()), false);
+            return;
+        }
+        self.close_usage(&running.ask);
+        if !again {
+            return;
+        }
+        let (request, entry) = (running.ask.request, running.ask.entry);
+        // Only the entry knows what it sent; it states whether the request ran.
+        let refusal =
+            Refusal::unknown(RefusalCode::EndpointFailed, "the endpoint failed and the retry budget is spent");
+        out.push(Decision::Refuse { request, entry, refusal });
+    }
+
+    fn requeue(&mut self, now: Duration, running: Running, avoid: Option<EndpointId>, preempted: bool) {
+        let Running { ask, arrived, .. } = running;
+        let count = running.preempted + u8::from(preempted);
+        // Time spent running is not time spent waiting.
+        let until = now + ask.patience;
+        self.queue.push(now, Waiting { ask, arrived, until, preempted: count, avoid }, true);
+    }
+
+    /// Takes in an endpoint's own report, which lags: requests it works on or holds.
+    pub fn report(&mut self, endpoint: &str, load: u32) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.reported = load;
+            site.health.unreachable = false;
+        }
+    }
+
+    /// Takes in that an endpoint did not answer a look at its load.
+    pub fn missed(&mut self, now: Duration, endpoint: &str, out: &mut Vec<Decision>) {
+        let Some(site) = self.sites.get_mut(endpoint) else { return };
+        site.health.note_failure();
+        site.health.unreachable = true;
+        self.check_health(now, out);
+    }
+
+    /// Takes in what an endpoint says of its prefix cache: evictions, or `None` after a gap.
+    pub fn evicted(&mut self, endpoint: &str, prefixes: Option<&[u64]>) {
+        if let Some(site) = self.sites.get_mut(endpoint) {
+            site.forget_prefixes(prefixes);
+        }
+    }
+
+    /// Takes in all grants that `entry` holds: unknown ones are added, missing ones taken back.
+    pub fn sync(&mut self, now: Duration, entry: &InstanceId, holdings: Vec<Holding>, out: &mut Vec<Decision>) {
+        let held: BTreeSet<RequestId> = holdings.iter().map(|holding| holding.ask.request).collect();
+        for holding in holdings {
+            if self.granted.contains_key(&holding.ask.request) || !self.sites.contains_key(&holding.endpoint) {
+                continue;
+            }
+            self.queue.remove(holding.ask.request);
+            self.adopt(now, holding);
+        }
+        let mut lost = Vec::new();
+        for site in self.sites.values() {
+            for (request, running) in &site.running {
+                let old = running.since + GRANT_GRACE < now;
+                if running.ask.entry == *entry && old && !held.contains(request) {
+                    lost.push(*request);
+                }
+            }
+        }
+        for request in lost {
+            self.end(now, request, &Ending::Dropped, out);
+        }
+    }
+
+    /// Lets go of all that an entry had, once it is gone.
+    pub fn drop_entry(&mut self, now: Duration, is_live: impl Fn(&Ask) -> bool, out: &mut Vec<Decision>) {
+        let waiting = self.queue.iter().map(|waiting| &waiting.ask);
+        let running = self.sites.values().flat_map(|site| site.running.values().map(|running| &running.ask));
+        let gone = waiting.chain(running).filter(|ask| !is_live(ask));
+        let requests: Vec<RequestId> = gone.map(|ask| ask.request).collect();
+        for request in requests {
+            self.withdraw(now, request, out);
+        }
+    }
+
+    /// Advances time: refuses what waited out, ejects, preempts, grants.
+    pub fn tick(&mut self, now: Duration, out: &mut Vec<Decision>) {
+        self.check_health(now, out);
+        self.shed(now, out);
+        self.repeat_recalls(now, out);
+        self.serve(now, out);
+    }
+
+    pub(crate) fn start(&mut self, now: Duration, waiting: Waiting, endpoint: &EndpointId) {
+        let tokens = self.estimates.tokens(&waiting.ask.class, &waiting.ask.org);
+        if let Some(queue) = self.queue.classes.get_mut(&waiting.ask.class) {
+            queue.charge(&waiting.ask.org, tokens);
+        }
+        let Some(site) = self.sites.get_mut(endpoint) else { return };
+        if !site.health.is_well() {
+            site.health.probing = true;
+        }
+        self.granted.insert(waiting.ask.request, endpoint.clone());
+        let running = Running {
+            since: now,
+            arrived: waiting.arrived,
+            preempted: waiting.preempted,
+            recalled: None,
+            first: false,
+            charged: tokens,
+            ask: waiting.ask,
+        };
+        site.running.insert(running.ask.request, running);
+    }
+
+    fn adopt(&mut self, now: Duration, holding: Holding) {
+        let usage = self.usage.entry((holding.ask.class.clone(), holding.ask.org.clone())).or_default();
+        usage.open += 1;
+        let until = now + holding.ask.patience;
+        let waiting = Waiting { ask: holding.ask, arrived: now, until, preempted: 0, avoid: None };
+        self.start(now, waiting, &holding.endpoint);
+    }
+
+    pub(crate) fn close_usage(&mut self, ask: &Ask) {
+        if let Some(usage) = self.usage.get_mut(&(ask.class.clone(), ask.org.clone())) {
+            usage.open = usage.open.saturating_sub(1);
+        }
+    }
+}
