fix(core): the verdict of a refusal goes out before its log line

Cause: the control thread forgets a caller's channel when it sees the end of a request in the log; the log line came first, so every refusal reached its caller as 'this instance is ending'. Ruled out: early exit of the stopped instance (its callers were spread over all entries). Before: 50 refusals of the demo, all with code 'stopping'.

--- a/crates/rudder-core/src/calls.rs
+++ b/crates/rudder-core/src/calls.rs
@@ -537,6 +537,7 @@
 
 fn send_refusal(context: &mut Context, request: RequestId, refusal: Refusal) {
     let (code, text, ran) = (refusal.code, refusal.text.clone(), refusal.ran);
-    context.log(What::Refused { request: to_hex(request), code, text, ran });
+    // The verdict goes first: once the end is logged, nobody is taken to listen any more.
     context.verdict(request, Verdict::Refuse(refusal));
+    context.log(What::Refused { request: to_hex(request), code, text, ran });
 }
--- a/crates/rudder-demo/src/demo.rs
+++ b/crates/rudder-demo/src/demo.rs
@@ -202,6 +202,11 @@
             p95.as_millis()
         );
     }
+    for (class, figures) in classes {
+        if !figures.codes.is_empty() {
+            let _ = writeln!(text, "{class}, not answered whole: {:?}", figures.codes);
+        }
+    }
     let wasted = inside.wasted as f64 * 100.0 / (inside.tokens.max(1)) as f64;
     let _ = writeln!(
         text,
--- a/crates/rudder-demo/src/tally.rs
+++ b/crates/rudder-demo/src/tally.rs
@@ -31,6 +31,8 @@
     pub unknown: u32,
     /// Neither whole nor refused.
     pub broken: u32,
+    /// Refusals by code.
+    pub codes: BTreeMap<String, u32>,
     /// Tokens of answers within the target.
     pub useful: u64,
     /// Times to the first token, sorted once all are in.
@@ -53,6 +55,7 @@
             }
             continue;
         }
+        *figures.codes.entry(reply.code.clone()).or_default() += 1;
         match reply.ran {
             Some(Ran::No) => figures.refused += 1,
             Some(_) => figures.unknown += 1,
