fix(demo): wait until the newest accepted index is in force everywhere

Cause: the demo compared instances with each other, and they agreed on index 0 before anything had reached them, so the first calls met 'wrong key'. Ruled out by the time line: the instances had learned nothing wrong.

--- a/crates/hatchrudder/src/command/instance.rs
+++ b/crates/hatchrudder/src/command/instance.rs
@@ -19,9 +19,10 @@
     let default = rudder_demo::Options::default();
     let seconds = option_or(&mut arguments, "--seconds", default.seconds)?;
     let seed = option_or(&mut arguments, "--seed", default.seed)?;
+    let folder = arguments.opt_value_from_str("--folder")?;
     no_more(arguments)?;
     spdlog::default_logger().set_level_filter(spdlog::LevelFilter::MoreSevereEqual(spdlog::Level::Warn));
-    let report = rudder_demo::demo(rudder_demo::Options { seconds, seed })?;
+    let report = rudder_demo::demo(&rudder_demo::Options { seconds, seed, folder })?;
     println!("{}", report.text);
     println!("{}", if report.held { "all promises held" } else { "A PROMISE BROKE" });
     Ok(report.held)
--- a/crates/hatchrudder/src/help.rs
+++ b/crates/hatchrudder/src/help.rs
@@ -18,7 +18,7 @@
 hatchrudder COMMAND --help tells more. --version shows the version.
 Exit codes: 0 done, 1 failed or a promise broke, 2 wrong use or refused settings.";
 
-const DEMO: &str = "usage: hatchrudder demo [--seconds N] [--seed N]
+const DEMO: &str = "usage: hatchrudder demo [--seconds N] [--seed N] [--folder DIR]
 
 Runs nine instances in three halls, nine stand-in engines and three replicas of a plain service in
 this process, on loopback only: a burst past capacity, a slow engine, an endpoint marked leaving and
@@ -26,7 +26,8 @@
 promise with the times it was tested. Exit code 1 if one broke.
 
   --seconds N   seconds of arrivals (14)
-  --seed N      seed of the arrivals (1)";
+  --seed N      seed of the arrivals (1)
+  --folder DIR  keeps settings, data folders and event logs there";
 
 const CHECK: &str = "usage: hatchrudder check --settings FILE
 
--- a/crates/rudder-demo/src/demo.rs
+++ b/crates/rudder-demo/src/demo.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     fmt::Write as _,
+    path::PathBuf,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -35,17 +36,19 @@
 const STOPPED: &str = "boi-3";
 
 /// Settings of the demo.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Options {
     /// Seconds of arrivals.
     pub seconds: u64,
     /// Seed of the arrivals.
     pub seed: u64,
+    /// Where settings, data folders and event logs go; a temporary folder where none is named.
+    pub folder: Option<PathBuf>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { seconds: 14, seed: 1 }
+        Options { seconds: 14, seed: 1, folder: None }
     }
 }
 
@@ -62,9 +65,11 @@
 ///
 /// # Errors
 /// When the deployment cannot be started or changed.
-pub fn demo(options: Options) -> Result<Report> {
-    let folder = tempfile::tempdir()?;
-    let mut deployment = deploy(folder.path(), KEEP)?;
+pub fn demo(options: &Options) -> Result<Report> {
+    let temporary = tempfile::tempdir()?;
+    let folder = options.folder.as_deref().unwrap_or(temporary.path());
+    std::fs::create_dir_all(folder)?;
+    let mut deployment = deploy(folder, KEEP)?;
     let mut promises = Promises::default();
     let calls = run(&mut deployment, options, &mut promises)?;
     tally::check_answers(&calls, &deployment.runs, &mut promises);
@@ -100,7 +105,7 @@
     ]
 }
 
-fn run(deployment: &mut Deployment, options: Options, promises: &mut Promises) -> Result<Vec<Call>> {
+fn run(deployment: &mut Deployment, options: &Options, promises: &mut Promises) -> Result<Vec<Call>> {
     let length = Duration::from_secs(options.seconds.max(4));
     let plan = Plan { length, burst: length / 4, burst_length: length / 4, seed: options.seed };
     let entries = deployment.to_addresses();
--- a/crates/rudder-demo/src/deploy.rs
+++ b/crates/rudder-demo/src/deploy.rs
@@ -10,8 +10,8 @@
 };
 
 use eyre::{Context as _, Result, bail};
-use rudder_client::Operator;
-use rudder_model::{Class, Endpoint, EndpointKind, Kind, Match, Object, Organisation, Selector, id};
+use rudder_client::{Changed, Operator};
+use rudder_model::{Class, Endpoint, EndpointKind, Match, Object, Organisation, Selector, id};
 use rudder_node::{Listeners, Node, listen::listen};
 use rudder_standin::{Engine, EngineOptions, Service, ServiceOptions, service::Runs};
 
@@ -71,8 +71,8 @@
     wait_ready(&deployment)?;
     let operator = deployment.operator()?;
     configure(&operator)?;
-    start_endpoints(&mut deployment, &operator)?;
-    settle(&deployment)?;
+    let index = start_endpoints(&mut deployment, &operator)?;
+    settle(&deployment, index)?;
     Ok(deployment)
 }
 
@@ -166,12 +166,20 @@
     }
 }
 
-/// Waits until every instance holds the newest configuration.
-fn settle(deployment: &Deployment) -> Result<()> {
+/// Puts an object in force; returns the index from which it is.
+fn put(operator: &Operator, name: &str, object: Object) -> Result<u64> {
+    match operator.put_over(name, object)? {
+        Changed::Accepted { index, .. } => Ok(index),
+        other => bail!("{name} was not accepted: {other:?}"),
+    }
+}
+
+/// Waits until every instance holds the configuration of `index`.
+fn settle(deployment: &Deployment, index: u64) -> Result<()> {
     let start = Instant::now();
     loop {
         let indexes: Vec<u64> = deployment.nodes.values().filter_map(Node::status).map(|status| status.index).collect();
-        if indexes.iter().min() == indexes.iter().max() {
+        if indexes.iter().all(|held| *held >= index) {
             return Ok(());
         }
         if start.elapsed() > READY {
@@ -216,21 +224,23 @@
         ..Class::default()
     };
     for (name, class) in [("lock", lock), ("rules", rules), ("recap", recap)] {
-        operator.put_over(name, Object::Class(class))?;
+        put(operator, name, Object::Class(class))?;
     }
     for org in ORGS {
         let keys = vec![id::hex(&id::digest(key_of(org).as_bytes()))];
-        operator.put_over(org, Object::Organisation(Organisation { keys, ..Organisation::default() }))?;
+        put(operator, org, Object::Organisation(Organisation { keys, ..Organisation::default() }))?;
     }
     for (name, kind) in [("models", "model"), ("services", "service")] {
         let selector =
             Selector { classes: matching("kind", kind), endpoints: matching("kind", kind), ..Selector::default() };
-        operator.put_over(name, Object::Selector(selector))?;
+        put(operator, name, Object::Selector(selector))?;
     }
     Ok(())
 }
 
-fn start_endpoints(deployment: &mut Deployment, operator: &Operator) -> Result<()> {
+/// Starts engines and services and lists them; returns the index from which all are listed.
+fn start_endpoints(deployment: &mut Deployment, operator: &Operator) -> Result<u64> {
+    let mut index = 0;
     for hall in HALLS {
         let short = hall.trim_start_matches("pnw-");
         for number in 1..=3 {
@@ -248,7 +258,7 @@
                 labels: labelled("kind", "model"),
                 ..Endpoint::default()
             };
-            operator.put_over(&name, Object::Endpoint(endpoint))?;
+            index = put(operator, &name, Object::Endpoint(endpoint))?;
             deployment.engines.insert(name, engine);
         }
         let name = format!("league-{short}");
@@ -262,12 +272,8 @@
             labels: labelled("kind", "service"),
             ..Endpoint::default()
         };
-        operator.put_over(&name, Object::Endpoint(endpoint))?;
+        index = index.max(put(operator, &name, Object::Endpoint(endpoint))?);
         deployment.services.insert(name, service);
     }
-    let listed = operator.objects(Kind::Endpoint)?.len();
-    if listed > deployment.engines.len() + deployment.services.len() {
-        bail!("{listed} endpoints are listed, more than were started");
-    }
-    Ok(())
+    Ok(index)
 }
