fix(core): a leader without its lease no longer asks itself for ever

Cause: a proposal sent to oneself came back as 'elsewhere: me', and news of a leader sent it again at once; the reducer never returned. Change: a leader never names itself as elsewhere, and such news hurries proposals by 50 ms, not to now.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -33,6 +33,7 @@
     pub replica: Replica,
     /// The state machine, applied up to what is committed here.
     pub ledger: Ledger,
+    name: InstanceId,
     waiting: BTreeMap<u64, Proposer>,
     live: BTreeMap<InstanceId, (Listing, Duration)>,
     version: u64,
@@ -57,6 +58,7 @@
         Control {
             replica: Replica::new(id, me.name.clone(), options.replica.clone(), durable, now),
             ledger,
+            name: me.name.clone(),
             waiting: BTreeMap::new(),
             live: BTreeMap::new(),
             version: 0,
@@ -167,7 +169,8 @@
     }
 
     fn send_elsewhere(&self, to: InstanceId, out: &mut Vec<Effect>) {
-        let leader = self.replica.leader().cloned();
+        // A leader without its lease must not send askers back to itself.
+        let leader = self.replica.leader().filter(|name| **name != self.name).cloned();
         out.push(Effect::Send { to, message: PeerMessage::Elsewhere { leader } });
     }
 
--- a/crates/rudder-core/src/propose.rs
+++ b/crates/rudder-core/src/propose.rs
@@ -10,6 +10,9 @@
 /// A proposal without an answer is sent again after this long.
 const RETRY: Duration = Duration::from_millis(400);
 
+/// After news of another leader, it is sent again after this long.
+const HURRY: Duration = Duration::from_millis(50);
+
 /// Whom the answer is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum For {
@@ -85,10 +88,12 @@
         })
     }
 
-    /// Sends all again soon, because the leader is another than thought.
-    pub(crate) fn hurry(&mut self) {
+    /// Sends all again soon, because the leader is another than thought. Not at once: an instance that
+    /// takes itself for the leader would ask itself for ever.
+    pub(crate) fn hurry(&mut self, now: Duration) {
+        let early = now.saturating_sub(RETRY.saturating_sub(HURRY));
         for proposal in self.open.values_mut() {
-            proposal.sent = None;
+            proposal.sent = proposal.sent.map(|sent| sent.min(early));
         }
     }
 
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -182,7 +182,7 @@
             }
             PeerMessage::Elsewhere { leader } => {
                 self.view.on_elsewhere(leader, &self.options);
-                self.proposals.hurry();
+                self.proposals.hurry(now);
             }
             PeerMessage::Proposed { ticket, start, answer } => {
                 if start == self.me.start {
