feat(route): endpoints that cannot be reached are ejected at once and past the ceiling

Cause: with all engines of a hall lost, half of them stayed in use under the ejection ceiling; each failed connect drew on the retry budget, and the rest of the hall's calls were refused instead of going on to the next hall. Ruled out: spilling itself (calls refused as overloaded did move on). Change: a failed connect ejects at once, past the ceiling, and draws on no budget; a pool without a usable endpoint refuses what waits at once, so its entry asks the next hall; health is looked at on ticks and failures, not at each end.

--- a/crates/rudder-core/src/calls.rs
+++ b/crates/rudder-core/src/calls.rs
@@ -346,7 +346,7 @@
             call.ran = Ran::Unknown;
         }
         context.log(What::Failed { request: to_hex(request), endpoint: endpoint.clone(), ran, again });
-        self.tell_home(context, request, ToPool::End(request, Ending::Failed { again }));
+        self.tell_home(context, request, ToPool::End(request, Ending::Failed { again, unsent: !sent }));
         if again {
             self.wait_again(context, request, produced);
             return;
--- a/crates/rudder-measure/src/run.rs
+++ b/crates/rudder-measure/src/run.rs
@@ -166,7 +166,7 @@
         };
         self.at.remove(&request);
         let mut out = Vec::new();
-        self.pools[pool].end(self.now, request, &Ending::Failed { again: !once }, &mut out);
+        self.pools[pool].end(self.now, request, &Ending::Failed { again: !once, unsent: false }, &mut out);
         if once {
             self.calls[request as usize].refused = Some(RefusalCode::EndpointFailed);
         }
@@ -234,7 +234,7 @@
             // The connection is refused: known not to have run.
             let pool = call.pool;
             let mut out = Vec::new();
-            self.pools[pool].end(self.now, request, &Ending::Failed { again: true }, &mut out);
+            self.pools[pool].end(self.now, request, &Ending::Failed { again: true, unsent: true }, &mut out);
             self.obey(out);
             return;
         }
--- a/crates/rudder-route/src/admit.rs
+++ b/crates/rudder-route/src/admit.rs
@@ -88,7 +88,11 @@
         for request in late {
             let Some(waiting) = self.queue.remove(request) else { continue };
             self.close_usage(&waiting.ask);
-            let refusal = self.waited_out(now, &waiting);
+            let refusal = if waiting.until <= now {
+                self.waited_out(now, &waiting)
+            } else {
+                self.overloaded(self.expected_wait(now, &waiting.ask), waiting.until.saturating_sub(now))
+            };
             out.push(Decision::Refuse { request, entry: waiting.ask.entry, refusal });
         }
     }
@@ -99,6 +103,11 @@
         for (class, queue) in &self.queue.classes {
             let Some(head) = queue.iter().next() else { continue };
             let slots: u32 = self.usable(now, &head.ask).map(|site| site.slots).sum();
+            if slots == 0 && self.reachable(&head.ask).all(|site| !site.health.probing) {
+                // Nothing here will serve it; its entry may find another hall.
+                late.extend(queue.iter().map(|waiting| waiting.ask.request));
+                continue;
+            }
             let higher = self.queue.classes.values().filter(|other| other.tier < queue.tier);
             let mut ahead: f64 = higher.map(|other| other.count as f64).sum::<f64>() * self.estimates.hold(class);
             let hold = self.estimates.hold(class);
--- a/crates/rudder-route/src/ask.rs
+++ b/crates/rudder-route/src/ask.rs
@@ -101,6 +101,8 @@
         /// The request may be sent again: it is known not to have run, or may be repeated and the
         /// caller has seen nothing that cannot be continued.
         again: bool,
+        /// No connection could be made, so nothing was sent.
+        unsent: bool,
     },
     /// Stopped on the engine because the pool recalled it.
     Preempted,
--- a/crates/rudder-route/src/health.rs
+++ b/crates/rudder-route/src/health.rs
@@ -28,7 +28,7 @@
     /// Ejected until then; afterwards on probation.
     until: Option<Duration>,
     pub(crate) probing: bool,
-    /// Does not even answer a look at its load, so a probe would be lost.
+    /// No connection could be made, or a look at its load went unanswered, since it was last ejected.
     pub(crate) unreachable: bool,
 }
 
@@ -40,7 +40,7 @@
 
     /// May take one probe.
     pub(crate) fn wants_probe(&self, now: Duration) -> bool {
-        self.until.is_some_and(|until| now >= until) && !self.probing && !self.unreachable
+        self.until.is_some_and(|until| now >= until) && !self.probing
     }
 
     pub(crate) fn note_first(&mut self, first: Duration) {
@@ -61,6 +61,7 @@
         self.ejections += 1;
         self.until = Some(now + pause);
         self.probing = false;
+        self.unreachable = false;
         pause
     }
 
@@ -104,15 +105,26 @@
         let allowed = (self.sites.len() as f64 * self.options.ceiling) as usize;
         let pause = self.options.pause;
         let Some(site) = self.sites.get_mut(id) else { return };
-        if site.health.is_well() && ejected >= allowed {
+        // The ceiling guards against mistaken suspicion; that no connection can be made is no suspicion.
+        if site.health.is_well() && ejected >= allowed && !site.health.unreachable {
             return;
         }
         let pause = site.health.eject(now, pause);
         out.push(Decision::Eject { endpoint: id.clone(), why, pause });
     }
 
+    /// Puts off the next probe while an ejected endpoint does not even answer a look at its load.
+    pub(crate) fn put_off(&mut self, now: Duration, id: &str) {
+        let pause = self.options.pause;
+        let Some(site) = self.sites.get_mut(id) else { return };
+        site.health.until = site.health.until.map(|until| until.max(now + pause));
+    }
+
     fn fault_of(&self, now: Duration, id: &EndpointId, first: f64, pace: f64) -> Option<&'static str> {
         let site = self.sites.get(id)?;
+        if site.health.unreachable && site.health.is_well() {
+            return Some("unreachable");
+        }
         if site.health.failures >= FAILURES || (site.health.probing && site.health.failures > 0) {
             return Some("failing");
         }
--- a/crates/rudder-route/src/pool.rs
+++ b/crates/rudder-route/src/pool.rs
@@ -135,11 +135,13 @@
             Ending::Done { tokens, first, total } => {
                 self.end_done(now, &endpoint, &running, (tokens, first, total), out);
             }
-            Ending::Failed { again } => self.end_failed(now, &endpoint, running, again, out),
+            Ending::Failed { again, unsent } => self.end_failed(now, &endpoint, running, (again, unsent), out),
             Ending::Preempted => self.requeue(now, running, None, true),
             Ending::Dropped => self.close_usage(&running.ask),
         }
-        self.check_health(now, out);
+        if matches!(ending, Ending::Failed { .. }) {
+            self.check_health(now, out);
+        }
         self.free_probe(&endpoint);
         self.serve(now, out);
     }
@@ -188,14 +190,19 @@
         now: Duration,
         endpoint: &EndpointId,
         running: Running,
-        again: bool,
+        how: (bool, bool),
         out: &mut Vec<Decision>,
     ) {
+        let (again, unsent) = how;
         if let Some(site) = self.sites.get_mut(endpoint) {
             site.health.note_failure();
+            site.health.unreachable |= unsent;
         }
-        if again && self.retries >= 1.0 {
-            self.retries -= 1.0;
+        // What was never sent costs no endpoint anything, so it draws on no budget; the ejection that
+        // follows keeps it from going round in circles.
+        let free = unsent && self.options.eject;
+        if again && (free || self.retries >= 1.0) {
+            self.retries -= if free { 0.0 } else { 1.0 };
             self.requeue(now, running, Some(endpoint.clone()), false);
             return;
         }
@@ -222,7 +229,6 @@
     pub fn report(&mut self, endpoint: &str, load: u32) {
         if let Some(site) = self.sites.get_mut(endpoint) {
             site.reported = load;
-            site.health.unreachable = false;
         }
     }
 
@@ -230,8 +236,8 @@
     pub fn missed(&mut self, now: Duration, endpoint: &str, out: &mut Vec<Decision>) {
         let Some(site) = self.sites.get_mut(endpoint) else { return };
         site.health.note_failure();
-        site.health.unreachable = true;
         self.check_health(now, out);
+        self.put_off(now, endpoint);
     }
 
     /// Takes in what an endpoint says of its prefix cache: evictions, or `None` after a gap.
--- a/crates/rudder-route/src/preempt.rs
+++ b/crates/rudder-route/src/preempt.rs
@@ -18,6 +18,9 @@
 
     /// Recalls one running request of a lower tier for each waiting one that found no slot.
     pub(crate) fn preempt(&mut self, now: Duration, out: &mut Vec<Decision>) {
+        if self.queue.len() == 0 {
+            return;
+        }
         let mut wanting: Vec<&Waiting> = self.queue.iter().collect();
         wanting.sort_by_key(|waiting| (waiting.ask.tier, waiting.arrived));
         let lowest = self.sites.values().flat_map(|site| site.running.values()).map(|run| run.ask.tier).max();
