feat(route): one request may be preempted eight times, not two

Cause: under long bursts the slots filled with requests that had been preempted twice and could not be moved again, so the top tier waited for them.

--- a/crates/rudder-route/src/options.rs
+++ b/crates/rudder-route/src/options.rs
@@ -52,7 +52,7 @@
             refuse: true,
             reports: false,
             preempt: true,
-            preemptions: 2,
+            preemptions: 8,
             reserve: 0.0,
             trickle: 32,
             starve: Duration::from_secs(30),
