feat(route): within a class, what can still be in time goes before what is late

Ruled out: lost capacity (slots were busy) and waste (0.00%). Change: a request carries its slack to the first-token target; late ones are served after those in time, by their class's trickle, or refused at the end of their patience.

--- a/crates/rudder-core/src/calls.rs
+++ b/crates/rudder-core/src/calls.rs
@@ -138,6 +138,7 @@
             prefix: self.arrival.prefix,
             once: self.class.once || self.attempt.is_some(),
             resumable: self.arrival.resumable,
+            slack: (self.arrived + self.class.target).saturating_sub(context.now),
             patience: self.until.saturating_sub(context.now),
             reach,
         })
--- a/crates/rudder-measure/src/cost.rs
+++ b/crates/rudder-measure/src/cost.rs
@@ -52,6 +52,7 @@
         prefix: request as u64 % 97,
         once: false,
         resumable: true,
+        slack: Duration::from_secs(1),
         patience: Duration::from_secs(10),
         reach: reach.clone(),
     }
--- a/crates/rudder-measure/src/run.rs
+++ b/crates/rudder-measure/src/run.rs
@@ -205,6 +205,7 @@
             prefix: call.prefix,
             once: stream.once,
             resumable: !stream.once,
+            slack: stream.target.saturating_sub(waited),
             patience: stream.patience.saturating_sub(waited),
             reach,
         };
--- a/crates/rudder-measure/src/variant.rs
+++ b/crates/rudder-measure/src/variant.rs
@@ -31,7 +31,8 @@
         let homes = Options { reports: false, ..refuse.clone() };
         let preempt = Options { preempt: true, ..homes.clone() };
         let eject = Options { eject: true, ..preempt.clone() };
-        let affinity = Options { affinity: Options::default().affinity, ..eject.clone() };
+        let in_time = Options { in_time: true, ..eject.clone() };
+        let affinity = Options { affinity: Options::default().affinity, ..in_time.clone() };
         vec![
             Variant::baseline(),
             Variant { name: "+tiers", options: tiers, homes: false },
@@ -39,6 +40,7 @@
             Variant { name: "+homes", options: homes, homes: true },
             Variant { name: "+preemption", options: preempt, homes: true },
             Variant { name: "+ejection", options: eject, homes: true },
+            Variant { name: "+in time", options: in_time, homes: true },
             Variant { name: "+affinity", options: affinity, homes: true },
         ]
     }
--- a/crates/rudder-route/src/ask.rs
+++ b/crates/rudder-route/src/ask.rs
@@ -30,6 +30,8 @@
     pub once: bool,
     /// Its answer can be stopped and go on later, so it may be preempted.
     pub resumable: bool,
+    /// How much longer it may wait and still get its first token in time; zero once it is late.
+    pub slack: Duration,
     /// How much longer it may wait.
     pub patience: Duration,
     /// Endpoints that its class and organisation reach.
--- a/crates/rudder-route/src/choose.rs
+++ b/crates/rudder-route/src/choose.rs
@@ -1,6 +1,6 @@
 //! Choice: which waiting request is next, and which endpoint takes it.
 
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 use rudder_model::{ClassId, EndpointId, OrgId, Promise, RequestId};
 
@@ -77,11 +77,16 @@
         })
     }
 
+    /// Requests that can still be in time go before late ones: serving a late one first would make the
+    /// next one late too. A class that is due its trickle serves its oldest.
     fn place_class(&self, now: Duration, class: &ClassId) -> Option<(RequestId, EndpointId)> {
         let queue = &self.queue.classes[class];
         let orgs: Vec<&OrgId> = queue.to_order();
-        let heads = orgs.into_iter().filter_map(|org| queue.orgs[org].front());
-        heads.into_iter().find_map(|waiting| self.place(now, waiting))
+        let oldest = || orgs.iter().filter_map(|org| queue.orgs[*org].front());
+        let in_time = || orgs.iter().filter_map(|org| first_in_time(now, &queue.orgs[*org]));
+        let in_time_first = self.options.in_time && !self.is_due(now, class);
+        let found = in_time_first.then(|| in_time().find_map(|waiting| self.place(now, waiting))).flatten();
+        found.or_else(|| oldest().find_map(|waiting| self.place(now, waiting)))
     }
 
     /// Finds the best endpoint with a free slot for a request.
@@ -177,3 +182,14 @@
         })
     }
 }
+
+/// The oldest request whose first token can still be in time. Lines are ordered by arrival, but for
+/// preempted requests at their front, which are never late.
+fn first_in_time(now: Duration, line: &VecDeque<Waiting>) -> Option<&Waiting> {
+    let front = line.front()?;
+    if front.late > now {
+        return Some(front);
+    }
+    let at = line.partition_point(|waiting| waiting.late <= now);
+    line.get(at)
+}
--- a/crates/rudder-route/src/options.rs
+++ b/crates/rudder-route/src/options.rs
@@ -17,6 +17,8 @@
 pub struct Options {
     /// Order of service.
     pub order: Order,
+    /// Within a class, serve what can still be in time before what is late.
+    pub in_time: bool,
     /// Refuse at once what would wait past its patience.
     pub refuse: bool,
     /// Count the endpoint's own lagged load report as well, for pools that share endpoints.
@@ -49,6 +51,7 @@
     fn default() -> Self {
         Options {
             order: Order::Tiered,
+            in_time: true,
             refuse: true,
             reports: false,
             preempt: true,
@@ -71,6 +74,7 @@
     pub fn baseline() -> Self {
         Options {
             order: Order::Arrival,
+            in_time: false,
             refuse: false,
             reports: true,
             preempt: false,
--- a/crates/rudder-route/src/pool.rs
+++ b/crates/rudder-route/src/pool.rs
@@ -98,8 +98,8 @@
             return;
         }
         self.retries = (self.retries + self.options.retries).min(RETRY_CEILING);
-        let until = now + ask.patience;
-        self.queue.push(now, Waiting { ask, arrived: now, until, preempted: 0, avoid: None }, false);
+        let (until, late) = (now + ask.patience, now + ask.slack);
+        self.queue.push(now, Waiting { ask, arrived: now, until, late, preempted: 0, avoid: None }, false);
         self.serve(now, out);
     }
 
@@ -220,9 +220,9 @@
     fn requeue(&mut self, now: Duration, running: Running, avoid: Option<EndpointId>, preempted: bool) {
         let Running { ask, arrived, .. } = running;
         let count = running.preempted + u8::from(preempted);
-        // Time spent running is not time spent waiting.
+        // Time spent running is not time spent waiting. What has begun is never late: its first token is out.
         let until = now + ask.patience;
-        self.queue.push(now, Waiting { ask, arrived, until, preempted: count, avoid }, true);
+        self.queue.push(now, Waiting { ask, arrived, until, late: Duration::MAX, preempted: count, avoid }, true);
     }
 
     /// Takes in an endpoint's own report, which lags: requests it works on or holds.
@@ -315,8 +315,8 @@
     fn adopt(&mut self, now: Duration, holding: Holding) {
         let usage = self.usage.entry((holding.ask.class.clone(), holding.ask.org.clone())).or_default();
         usage.open += 1;
-        let until = now + holding.ask.patience;
-        let waiting = Waiting { ask: holding.ask, arrived: now, until, preempted: 0, avoid: None };
+        let (until, late) = (now + holding.ask.patience, Duration::MAX);
+        let waiting = Waiting { ask: holding.ask, arrived: now, until, late, preempted: 0, avoid: None };
         self.start(now, waiting, &holding.endpoint);
     }
 
--- a/crates/rudder-route/src/queue.rs
+++ b/crates/rudder-route/src/queue.rs
@@ -15,6 +15,8 @@
     pub(crate) ask: Ask,
     pub(crate) arrived: Duration,
     pub(crate) until: Duration,
+    /// From then on its first token comes late.
+    pub(crate) late: Duration,
     pub(crate) preempted: u8,
     pub(crate) avoid: Option<EndpointId>,
 }
