--- a/crates/rudder-client/src/caller.rs
+++ b/crates/rudder-client/src/caller.rs
@@ -86,6 +86,12 @@
         Caller { agent: config.into(), known: known.to_vec(), key: key.to_owned(), until: None, next: 0 }
     }
 
+    /// A caller that keeps to one entry and never asks for the list.
+    pub fn at(entry: &str, key: &str) -> Caller {
+        let far = Instant::now() + Duration::from_secs(24 * 60 * 60);
+        Caller { until: Some(far), ..Caller::new(&[entry.to_owned()], key) }
+    }
+
     /// Starts the round over the entries at this one, so that callers spread.
     pub fn start_at(&mut self, next: usize) {
         self.next = next;
--- a/crates/rudder-node/src/upstream.rs
+++ b/crates/rudder-node/src/upstream.rs
@@ -210,7 +210,9 @@
             builder = builder.header("idempotency-key", key);
         }
         let agent = if dispatch.once { &self.shared.agents.fresh } else { &self.shared.agents.pooled };
-        if self.body.is_empty() {
+        // These methods must carry a body, if only an empty one; the others go without where there is none.
+        let carries = matches!(self.target.method.as_str(), "POST" | "PUT" | "PATCH");
+        if self.body.is_empty() && !carries {
             return agent.run(builder.body(()).map_err(ureq::Error::Http)?);
         }
         agent.run(builder.body(&self.body[..]).map_err(ureq::Error::Http)?)
