--- a/crates/rudder-route/src/pool.rs
+++ b/crates/rudder-route/src/pool.rs
@@ -60,6 +60,11 @@
         self.granted.len()
     }
 
+    /// The endpoint that a request was granted.
+    pub fn place_of(&self, request: RequestId) -> Option<&str> {
+        self.granted.get(&request).map(|id| &**id)
+    }
+
     /// The endpoint as the pool sees it.
     pub fn site(&self, id: &str) -> Option<&Site> {
         self.sites.get(id)
--- a/crates/rudder-store/src/write.rs
+++ b/crates/rudder-store/src/write.rs
@@ -57,6 +57,16 @@
 }
 
 impl<M: Medium> Store<M> {
+    /// A folder whose file is `file`, empty so far; for media other than the file system.
+    pub fn on(folder: &Path, id: ReplicaId, name: &str, file: M) -> Store<M> {
+        Store { folder: folder.to_owned(), id, name: name.to_owned(), generation: 1, file, length: 0 }
+    }
+
+    /// What it writes to.
+    pub fn medium(&self) -> &M {
+        &self.file
+    }
+
     /// Bytes in the file.
     pub fn length(&self) -> u64 {
         self.length
