--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
 use rudder_core::{Arrival, Effect, Ended, Event, Key, Me, Options, PeerMessage, State, Stored, Verdict};
+use rudder_events::What;
 use rudder_ledger::{Change, Changed};
 use rudder_model::{
     Class, Endpoint, EndpointKind, InstanceId, Kind, Mark, Match, Object, Organisation, Ran, RequestId, Selector, id,
@@ -43,6 +44,45 @@
     Refuses,
 }
 
+/// A step of the system's work, seen by the effect that ends it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A claim or change is on its way to the leader.
+    Proposed,
+    /// The leader has handed it to its disk.
+    Saving,
+    /// The leader has answered it.
+    Answered,
+    /// A slot was asked for.
+    Asked,
+    /// A slot was granted.
+    Granted,
+    /// The request was sent to an endpoint.
+    Dispatched,
+    /// The end of a request is on its way to the leader.
+    Finishing,
+    /// A watcher got newer configuration.
+    Distributed,
+}
+
+/// Something that breaks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    CrashActor,
+    CrashLeader,
+    WipeLeader,
+    PauseActor,
+    PauseLeader,
+    CutActor,
+    CutLeader,
+    LoseMessages,
+    FullDisks,
+    EndpointDown,
+    EndpointSilent,
+    StopActor,
+    TwoAtOnce,
+}
+
 enum Save {
     Append(Vec<Record>),
     Replace(Snapshot, Vec<Record>),
@@ -103,6 +143,9 @@
     seen: BTreeMap<(InstanceId, u64), u64>,
     pub steps: u64,
     start: u64,
+    /// A fault that strikes at the first effect of a step, once.
+    pub trap: Option<(Step, Fault)>,
+    pub sprung: bool,
 }
 
 impl World {
@@ -129,6 +172,8 @@
             seen: BTreeMap::new(),
             steps: 0,
             start: 0,
+            trap: None,
+            sprung: false,
         };
         for index in 0..9 {
             let disk = (index < 5).then(|| Disk::new(1000 + index as u64));
@@ -292,6 +337,50 @@
     }
 
     fn perform(&mut self, node: usize, start: u64, effect: Effect) {
+        let struck = self.trap.filter(|(step, _)| is_step(&effect, *step));
+        self.carry_out(node, start, effect);
+        if let Some((_, fault)) = struck {
+            self.trap = None;
+            self.sprung = true;
+            self.strike(node, fault);
+        }
+    }
+
+    /// Lets a fault happen at `node`, whose effect ended the step.
+    fn strike(&mut self, node: usize, fault: Fault) {
+        let leader = self.leader().unwrap_or(0);
+        let pause = self.now + Duration::from_secs(6);
+        match fault {
+            Fault::CrashActor => self.crash(node),
+            Fault::CrashLeader => self.crash(leader),
+            Fault::WipeLeader => self.wipe(leader),
+            Fault::PauseActor => self.seats[node].paused = pause,
+            Fault::PauseLeader => self.seats[leader].paused = pause,
+            Fault::CutActor => drop(self.cut.insert(node)),
+            Fault::CutLeader => drop(self.cut.insert(leader)),
+            Fault::LoseMessages => self.loss = 1.0,
+            Fault::FullDisks => {
+                for disk in self.seats.iter_mut().filter_map(|seat| seat.disk.as_mut()) {
+                    disk.full = true;
+                }
+            }
+            Fault::EndpointDown => self.set_endpoints(Behaviour::Down),
+            Fault::EndpointSilent => self.set_endpoints(Behaviour::LosesAnswers),
+            Fault::StopActor => self.give(node, Event::Stop),
+            Fault::TwoAtOnce => {
+                self.crash(leader);
+                self.seats[(node + 1) % 9].paused = pause;
+            }
+        }
+    }
+
+    fn set_endpoints(&mut self, behaviour: Behaviour) {
+        for name in ENDPOINTS {
+            self.behaviour.insert(name.to_owned(), behaviour);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, start: u64, effect: Effect) {
         match effect {
             Effect::Send { to, message } => self.send(node, &to, message),
             Effect::Save { number, records } => self.queue_save(node, start, number, Save::Append(records)),
@@ -527,6 +616,26 @@
     }
 }
 
+fn is_step(effect: &Effect, step: Step) -> bool {
+    use rudder_ledger::Command;
+    match effect {
+        Effect::Send { message: PeerMessage::Propose { command, .. }, .. } => match command {
+            Command::Finish { .. } => step == Step::Finishing,
+            _ => step == Step::Proposed,
+        },
+        Effect::Save { .. } => step == Step::Saving,
+        Effect::Send { message: PeerMessage::Proposed { .. }, .. } => step == Step::Answered,
+        // An instance that is the pool's home sends no message for these two.
+        Effect::Log(What::Asked { .. }) => step == Step::Asked,
+        Effect::Log(What::Granted { .. }) => step == Step::Granted,
+        Effect::Verdict { verdict: Verdict::Dispatch(_), .. } => step == Step::Dispatched,
+        Effect::Send { message: PeerMessage::Watched { deltas, .. }, .. } => {
+            step == Step::Distributed && !deltas.is_empty()
+        }
+        _ => false,
+    }
+}
+
 fn apply_save(durable: &mut Durable, save: Save) {
     let records = match save {
         Save::Append(records) => records,
