--- a/crates/hatchrudder/src/command/mod.rs
+++ b/crates/hatchrudder/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 mod events;
 mod instance;
+mod load;
 mod measure;
 mod operate;
 
@@ -41,6 +42,7 @@
         "label" => operate::label(arguments),
         "mark" => operate::mark(arguments),
         "measure" => measure::measure(arguments),
+        "load" => load::load(arguments),
         "timeline" => events::timeline(arguments),
         "explain" => events::explain(arguments),
         _ => Err(Error::Usage(format!("there is no command {name}"))),
--- a/crates/hatchrudder/src/help.rs
+++ b/crates/hatchrudder/src/help.rs
@@ -13,6 +13,7 @@
   label      sets labels of an object
   mark       marks an endpoint or instance leaving or stopping
   measure    the policy on fakes in virtual time, baseline beside present
+  load       latency, throughput, streams, changes against running processes
   timeline   merges event logs into one time line
   explain    tells what happened to one request
 
@@ -86,6 +87,17 @@
   --load FACTOR   multiplies all demand
   --json          prints the figures as JSON";
 
+const LOAD: &str = "usage: hatchrudder load EXPERIMENT --entry ADDR... --key KEY [OPTIONS]
+
+  added      pairs of short calls: directly to the endpoint at --direct, and through the entry
+  calls      short calls by --threads callers for --seconds; --keyed gives each its own key
+  streams    --count streams open at the same time
+  in-force   --count changes: time until every --entry holds each (KEY is the operators')
+  changes    changes by --threads operators for --seconds (KEY is the operators')
+
+  --class C (read)  --service S (lasku)  --model M (model)  --threads N (32)  --count N (1000)
+  --seconds N (5)";
+
 const TIMELINE: &str = "usage: hatchrudder timeline FILE...
 
 Merges the event logs of all processes by time, one JSON object a line.";
@@ -107,6 +119,7 @@
         "label" => LABEL,
         "mark" => MARK,
         "measure" => MEASURE,
+        "load" => LOAD,
         "timeline" => TIMELINE,
         "explain" => EXPLAIN,
         _ => ALL,
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -7,10 +7,10 @@
 };
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
-use rudder_core::{Effect, Event, State, Verdict, calls};
+use rudder_core::{Effect, Event, PeerMessage, State, Verdict, calls};
 use rudder_events::What;
 use rudder_ledger::Changed;
-use rudder_model::RequestId;
+use rudder_model::{InstanceId, RequestId};
 
 use crate::{
     Input, Query, QueryReply, Status, disk::Job, endpoint::Errand, events::Log, link::Links, metrics::Metrics,
@@ -42,6 +42,8 @@
     outcomes: BTreeMap<RequestId, Arc<str>>,
     ended: VecDeque<RequestId>,
     running: bool,
+    /// Whose request is being answered, and the answers so far.
+    riding: Option<(InstanceId, Vec<PeerMessage>)>,
 }
 
 impl Control {
@@ -57,6 +59,7 @@
             outcomes: BTreeMap::new(),
             ended: VecDeque::new(),
             running: true,
+            riding: None,
         }
     }
 
@@ -83,6 +86,7 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Event(event) => self.reduce(event),
+            Input::Peer(from, messages, answers) => self.take_messages(&from, messages, &answers),
             Input::Call(request, event, verdicts) => {
                 self.calls.insert(request, verdicts);
                 self.reduce(event);
@@ -100,6 +104,23 @@
         }
     }
 
+    /// What the sender gets in answer rides on its own request's response, which saves a request.
+    fn take_messages(&mut self, from: &InstanceId, messages: Vec<PeerMessage>, answers: &Sender<Vec<PeerMessage>>) {
+        self.riding = Some((from.clone(), Vec::new()));
+        for message in messages {
+            self.reduce(Event::Peer { from: from.clone(), message });
+        }
+        let riding = self.riding.take().map(|(_, riding)| riding).unwrap_or_default();
+        let _ = answers.send(riding);
+    }
+
+    fn send(&mut self, to: &InstanceId, message: PeerMessage) {
+        match &mut self.riding {
+            Some((from, riding)) if from == to => riding.push(message),
+            _ => self.outlets.links.send(to, message),
+        }
+    }
+
     fn reduce(&mut self, event: Event) {
         let now = self.epoch.elapsed();
         let mut effects = Vec::new();
@@ -111,7 +132,7 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Send { to, message } => self.outlets.links.send(&to, message),
+            Effect::Send { to, message } => self.send(&to, message),
             Effect::Save { number, records } => self.save(Job::Append(number, records)),
             Effect::SaveSnapshot { number, snapshot, records } => {
                 self.save(Job::Replace(number, snapshot, records));
--- a/crates/rudder-node/src/input.rs
+++ b/crates/rudder-node/src/input.rs
@@ -3,15 +3,17 @@
 use std::{sync::Arc, time::Duration};
 
 use crossbeam_channel::Sender;
-use rudder_core::{Event, Listing, Verdict};
+use rudder_core::{Event, Listing, PeerMessage, Verdict};
 use rudder_ledger::{Changed, Held};
-use rudder_model::{Kind, ModelId, Promises, RequestId};
+use rudder_model::{InstanceId, Kind, ModelId, Promises, RequestId};
 
 /// Something for the control thread.
 #[derive(Debug)]
 pub enum Input {
     /// An event that nobody waits for.
     Event(Event),
+    /// Messages of another instance, and where the answers to it go that are ready at once.
+    Peer(InstanceId, Vec<PeerMessage>, Sender<Vec<PeerMessage>>),
     /// A caller's request, and where its verdicts go.
     Call(RequestId, Event, Sender<Verdict>),
     /// An operator's change, and where its answer goes.
--- a/crates/rudder-node/src/link.rs
+++ b/crates/rudder-node/src/link.rs
@@ -12,11 +12,14 @@
 };
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
-use rudder_core::PeerMessage;
+use rudder_core::{Event, PeerMessage};
 use rudder_model::InstanceId;
 use ureq::Agent;
 
-use crate::peer::{FROM_HEADER, KEY_HEADER, PATH};
+use crate::{
+    Input,
+    peer::{FROM_HEADER, KEY_HEADER, PATH},
+};
 
 /// Messages that wait for one instance; more are dropped, as the protocols repeat what matters.
 const WAITING: usize = 4096;
@@ -25,6 +28,9 @@
 /// An instance that does not take a request within this time has lost it.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Largest answer; a snapshot travels in one.
+const ANSWER: u64 = 256 << 20;
+
 /// Bytes exchanged with other instances, bodies only.
 #[derive(Debug, Default)]
 pub(crate) struct Traffic {
@@ -44,6 +50,7 @@
         me: &InstanceId,
         key: &str,
         peers: &[(InstanceId, SocketAddr)],
+        inputs: &Sender<Input>,
         traffic: &Arc<Traffic>,
     ) -> Links {
         let mut links = BTreeMap::new();
@@ -51,7 +58,15 @@
             let (sender, receiver) = bounded(WAITING);
             let url = format!("http://{address}{PATH}");
             let (me, key, traffic) = (me.to_string(), key.to_owned(), traffic.clone());
-            thread::spawn(move || run(&url, &me, &key, &receiver, &traffic));
+            let (peer, inputs) = (name.clone(), inputs.clone());
+            thread::spawn(move || {
+                let answered = |messages: Vec<PeerMessage>| {
+                    for message in messages {
+                        let _ = inputs.send(Input::Event(Event::Peer { from: peer.clone(), message }));
+                    }
+                };
+                run(&url, &me, &key, &receiver, &traffic, answered);
+            });
             links.insert(name.clone(), sender);
         }
         Links { links }
@@ -66,7 +81,14 @@
     }
 }
 
-fn run(url: &str, me: &str, key: &str, messages: &Receiver<PeerMessage>, traffic: &Traffic) {
+fn run(
+    url: &str,
+    me: &str,
+    key: &str,
+    messages: &Receiver<PeerMessage>,
+    traffic: &Traffic,
+    answered: impl Fn(Vec<PeerMessage>),
+) {
     let config = Agent::config_builder()
         .timeout_global(Some(TIMEOUT))
         .timeout_connect(Some(TIMEOUT / 4))
@@ -84,8 +106,11 @@
         traffic.sent.fetch_add(body.len() as u64, Ordering::Relaxed);
         let sent = agent.post(url).header(KEY_HEADER, key).header(FROM_HEADER, me).send(&body[..]);
         // What is lost is sent again by those who need it.
-        if let Ok(mut answer) = sent {
-            let _ = answer.body_mut().read_to_vec();
+        let Ok(mut answer) = sent else { continue };
+        let Ok(body) = answer.body_mut().with_config().limit(ANSWER).read_to_vec() else { continue };
+        traffic.received.fetch_add(body.len() as u64, Ordering::Relaxed);
+        if let Ok(messages) = rmp_serde::from_slice(&body) {
+            answered(messages);
         }
     }
 }
--- a/crates/rudder-node/src/peer.rs
+++ b/crates/rudder-node/src/peer.rs
@@ -5,8 +5,8 @@
     thread,
 };
 
-use crossbeam_channel::Sender;
-use rudder_core::{Event, PeerMessage};
+use crossbeam_channel::{Sender, bounded};
+use rudder_core::PeerMessage;
 use rudder_model::InstanceId;
 use tiny_http::{Request, Response, Server};
 
@@ -54,8 +54,14 @@
         return;
     };
     let from = InstanceId::from(from);
-    for message in messages {
-        let _ = inputs.send(Input::Event(Event::Peer { from: from.clone(), message }));
+    let (sender, receiver) = bounded(1);
+    let _ = inputs.send(Input::Peer(from, messages, sender));
+    let answers = receiver.recv().unwrap_or_default();
+    if answers.is_empty() {
+        let _ = request.respond(Response::empty(204));
+        return;
     }
-    let _ = request.respond(Response::empty(204));
+    let body = rmp_serde::to_vec(&answers).expect("messages hold only plain data");
+    traffic.sent.fetch_add(body.len() as u64, Ordering::Relaxed);
+    let _ = request.respond(Response::from_data(body));
 }
--- a/crates/rudder-node/src/start.rs
+++ b/crates/rudder-node/src/start.rs
@@ -15,7 +15,6 @@
 use rudder_replica::{Durable, ReplicaId};
 use rudder_settings::Settings;
 use rudder_store::Store;
-use tiny_http::Server;
 
 use crate::{
     Input, Query, QueryReply, Status, admin,
@@ -24,7 +23,7 @@
     entry::Shared,
     events::Log,
     link::{Links, Traffic},
-    listen::listen,
+    listen::{listen, serve},
     metrics::Metrics,
     peer,
     upstream::Agents,
@@ -117,7 +116,7 @@
     let log = Log::open(me.name.clone(), settings.events.as_deref()).wrap_err("open the event log")?;
     log.write(What::Started { hall: me.hall.clone(), start });
     let outlets = Outlets {
-        links: Links::start(&me.name, settings.peer_key.get_ref(), &others(settings), &traffic),
+        links: Links::start(&me.name, settings.peer_key.get_ref(), &others(settings), &inputs, &traffic),
         disk,
         errands: errands.clone(),
         log,
@@ -142,11 +141,6 @@
     Ok(Node { inputs, control })
 }
 
-fn serve(listener: TcpListener) -> Result<Arc<Server>> {
-    let server = Server::from_listener(listener, None).map_err(|error| eyre!("serve: {error}"))?;
-    Ok(Arc::new(server))
-}
-
 type Disk = (Option<Sender<disk::Job>>, Option<(ReplicaId, Durable)>);
 
 fn open_disk(settings: &Settings, inputs: &Sender<Input>) -> Result<Disk> {
--- a/crates/rudder-settings/src/settings.rs
+++ b/crates/rudder-settings/src/settings.rs
@@ -85,9 +85,9 @@
     fn default() -> Self {
         Control {
             voters: 3,
-            heartbeat: Duration::from_millis(200),
+            heartbeat: Duration::from_millis(250),
             election: Duration::from_millis(800),
-            watch: Duration::from_millis(400),
+            watch: Duration::from_millis(600),
             fresh: Duration::from_secs(3),
             replace: Duration::from_secs(10),
             load_interval: Duration::from_secs(2),
--- a/crates/rudder-standin/src/http.rs
+++ b/crates/rudder-standin/src/http.rs
@@ -7,8 +7,8 @@
     thread,
 };
 
-use eyre::{Result, eyre};
-use tiny_http::{Header, Request, Response, Server};
+use eyre::Result;
+use tiny_http::{Header, Request, Response};
 
 /// Stack of a thread that serves one request.
 const STACK: usize = 128 * 1024;
@@ -19,7 +19,7 @@
 /// When the socket cannot be served.
 pub fn serve(listener: TcpListener, handle: impl Fn(Request) + Send + Sync + 'static) -> Result<SocketAddr> {
     let address = listener.local_addr()?;
-    let server = Server::from_listener(listener, None).map_err(|error| eyre!("serve {address}: {error}"))?;
+    let server = rudder_node::listen::serve(listener)?;
     let handle = Arc::new(handle);
     thread::spawn(move || {
         while let Ok(request) = server.recv() {
