perf(node): a link to another instance starts with its first message

Cause: every instance kept a thread and a connection to every other, 0.8 MB each, though most talk to few. Conclusion: memory no longer grows with the number of instances, but at the leader and at homes that are asked.

--- a/crates/rudder-node/src/link.rs
+++ b/crates/rudder-node/src/link.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use crossbeam_channel::{Receiver, Sender, bounded};
 use rudder_core::{Event, PeerMessage};
 use rudder_model::InstanceId;
 use ureq::Agent;
@@ -39,45 +39,63 @@
     pub(crate) received: AtomicU64,
 }
 
-/// Links to all other instances.
+/// Links to other instances. Each starts with its first message: most instances talk to few others.
 pub(crate) struct Links {
-    links: BTreeMap<InstanceId, Sender<PeerMessage>>,
+    me: InstanceId,
+    key: String,
+    addresses: BTreeMap<InstanceId, SocketAddr>,
+    open: BTreeMap<InstanceId, Sender<PeerMessage>>,
+    inputs: Sender<Input>,
+    traffic: Arc<Traffic>,
 }
 
 impl Links {
-    /// Starts one thread for each of `peers`.
-    pub(crate) fn start(
+    /// Links from `me` to the instances at `addresses`.
+    pub(crate) fn new(
         me: &InstanceId,
         key: &str,
-        peers: &[(InstanceId, SocketAddr)],
+        addresses: BTreeMap<InstanceId, SocketAddr>,
         inputs: &Sender<Input>,
         traffic: &Arc<Traffic>,
     ) -> Links {
-        let mut links = BTreeMap::new();
-        for (name, address) in peers {
-            let (sender, receiver) = bounded(WAITING);
-            let url = format!("http://{address}{PATH}");
-            let (me, key, traffic) = (me.to_string(), key.to_owned(), traffic.clone());
-            let (peer, inputs) = (name.clone(), inputs.clone());
-            thread::spawn(move || {
-                let answered = |messages: Vec<PeerMessage>| {
-                    for message in messages {
-                        let _ = inputs.send(Input::Event(Event::Peer { from: peer.clone(), message }));
-                    }
-                };
-                run(&url, &me, &key, &receiver, &traffic, answered);
-            });
-            links.insert(name.clone(), sender);
+        Links {
+            me: me.clone(),
+            key: key.to_owned(),
+            addresses,
+            open: BTreeMap::new(),
+            inputs: inputs.clone(),
+            traffic: traffic.clone(),
         }
-        Links { links }
     }
 
     /// Sends a message, or drops it where the link is full or unknown.
-    pub(crate) fn send(&self, to: &InstanceId, message: PeerMessage) {
-        let Some(link) = self.links.get(to) else { return };
-        if let Err(TrySendError::Full(_)) = link.try_send(message) {
-            // The receiver is slow or gone; a message later is worth more than this one.
+    pub(crate) fn send(&mut self, to: &InstanceId, message: PeerMessage) {
+        let Some(address) = self.addresses.get(to).copied() else { return };
+        if !self.open.contains_key(to) {
+            let link = self.start(to, address);
+            self.open.insert(to.clone(), link);
         }
+        if let Some(link) = self.open.get(to) {
+            // With a full link the receiver is slow or gone; a later message is worth more than this one.
+            let _ = link.try_send(message);
+        }
+    }
+
+    /// Starts the thread of one link.
+    fn start(&self, to: &InstanceId, address: SocketAddr) -> Sender<PeerMessage> {
+        let (sender, receiver) = bounded(WAITING);
+        let url = format!("http://{address}{PATH}");
+        let (me, key, traffic) = (self.me.to_string(), self.key.clone(), self.traffic.clone());
+        let (peer, inputs) = (to.clone(), self.inputs.clone());
+        thread::spawn(move || {
+            let answered = |messages: Vec<PeerMessage>| {
+                for message in messages {
+                    let _ = inputs.send(Input::Event(Event::Peer { from: peer.clone(), message }));
+                }
+            };
+            run(&url, &me, &key, &receiver, &traffic, answered);
+        });
+        sender
     }
 }
 
--- a/crates/rudder-node/src/start.rs
+++ b/crates/rudder-node/src/start.rs
@@ -1,6 +1,7 @@
 //! Starting an instance from its settings.
 
 use std::{
+    collections::BTreeMap,
     net::{SocketAddr, TcpListener},
     sync::{Arc, atomic::AtomicU64},
     thread::{self, JoinHandle},
@@ -116,7 +117,7 @@
     let log = Log::open(me.name.clone(), settings.events.as_deref()).wrap_err("open the event log")?;
     log.write(What::Started { hall: me.hall.clone(), start });
     let outlets = Outlets {
-        links: Links::start(&me.name, settings.peer_key.get_ref(), &others(settings), &inputs, &traffic),
+        links: Links::new(&me.name, settings.peer_key.get_ref(), others(settings), &inputs, &traffic),
         disk,
         errands: errands.clone(),
         log,
@@ -155,7 +156,7 @@
     Ok((Some(sender), Some((outcome.id, outcome.durable))))
 }
 
-fn others(settings: &Settings) -> Vec<(InstanceId, SocketAddr)> {
+fn others(settings: &Settings) -> BTreeMap<InstanceId, SocketAddr> {
     let others = settings.peers.iter().filter(|peer| peer.name.get_ref() != settings.name.get_ref());
     others.map(|peer| (peer.name.get_ref().clone(), *peer.peer.get_ref())).collect()
 }
