--- a/crates/rudder-measure/src/run.rs
+++ b/crates/rudder-measure/src/run.rs
@@ -1,10 +1,6 @@
 //! One run of one variant: arrivals, pools, engines, in steps of virtual time.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
@@ -74,7 +70,7 @@
     pools: Vec<Pool>,
     calls: Vec<Call>,
     /// Where each granted call runs.
-    at: HashMap<RequestId, usize>,
+    at: BTreeMap<RequestId, usize>,
     rng: Pcg32,
     recalls: u32,
 }
@@ -92,7 +88,7 @@
         names,
         pools: Vec::new(),
         calls: Vec::new(),
-        at: HashMap::new(),
+        at: BTreeMap::new(),
         rng: Pcg32::seed_from_u64(seed ^ 0x5eed),
         recalls: 0,
     };
