fix(core): a request stopped half way is never called 'not run'

Found by reading; the pool's own word ('yes') was overwritten. Also: one function reads a body or refuses it, where two copies stood.

--- a/crates/rudder-core/src/calls/end.rs
+++ b/crates/rudder-core/src/calls/end.rs
@@ -38,6 +38,10 @@
             }
             Ended::Recalled { produced } => {
                 self.tell_home(context, request, ToPool::End(request, Ending::Preempted));
+                // It has run in part; should it never go on, its caller must not hear "not run".
+                if let Some(call) = self.open.get_mut(&request) {
+                    call.ran = Ran::Yes;
+                }
                 self.wait_again(context, request, produced);
             }
             Ended::Left => {
@@ -74,7 +78,7 @@
         let once = call.class.once || call.attempt.is_some();
         let repeatable = !once && (produced == 0 || call.arrival.resumable);
         let again = ran == Ran::No || repeatable;
-        if ran == Ran::Unknown {
+        if ran == Ran::Unknown && call.ran == Ran::No {
             call.ran = Ran::Unknown;
         }
         context.log(What::Failed { request: to_hex(request), endpoint: endpoint.clone(), ran, again });
--- a/crates/rudder-node/src/entry.rs
+++ b/crates/rudder-node/src/entry.rs
@@ -155,21 +155,14 @@
     prompt: Option<&'a RawValue>,
 }
 
-fn complete(shared: &Shared, mut request: Request, path: &str) {
+fn complete(shared: &Shared, request: Request, path: &str) {
     let id = shared.next_id();
     if *request.method() != Method::Post {
         let refusal = Refusal::not_run(RefusalCode::BadRequest, "use POST", None);
         let _ = reply::refuse(request, id, &refusal);
         return;
     }
-    let Some(body) = body_or_refuse(shared, &mut request) else {
-        let _ = reply::refuse(request, id, &too_large(shared));
-        return;
-    };
-    let body = match body {
-        Ok(body) => body,
-        Err(refusal) => return drop(reply::refuse(request, id, &refusal)),
-    };
+    let Some((request, body)) = read_or_refuse(shared, request, id) else { return };
     let parsed: Completion = match serde_json::from_slice(&body) {
         Ok(parsed) => parsed,
         Err(error) => {
@@ -189,37 +182,30 @@
     run(shared, request, arrival, target, body);
 }
 
-fn service(shared: &Shared, mut request: Request, path: &str) {
+fn service(shared: &Shared, request: Request, path: &str) {
     let id = shared.next_id();
     let rest = path.trim_start_matches("/services/");
     let (name, rest) = rest.split_once('/').unwrap_or((rest, ""));
     let query = request.url().split_once('?').map(|(_, query)| format!("?{query}")).unwrap_or_default();
     let target =
         Target { method: request.method().to_string(), path: format!("/{rest}{query}"), stream: false, engine: false };
-    let Some(body) = body_or_refuse(shared, &mut request) else {
-        let _ = reply::refuse(request, id, &too_large(shared));
-        return;
-    };
-    let body = match body {
-        Ok(body) => body,
-        Err(refusal) => return drop(reply::refuse(request, id, &refusal)),
-    };
+    let Some((request, body)) = read_or_refuse(shared, request, id) else { return };
     let model = ModelId::from(format!("{}{name}", id::SERVICE_PREFIX));
     let arrival = to_arrival(&request, id, model, &body);
     run(shared, request, arrival, target, body);
 }
 
-/// Reads the body: `None` when it exceeds the bound.
-fn body_or_refuse(shared: &Shared, request: &mut Request) -> Option<Result<Vec<u8>, Refusal>> {
-    match reply::read_body(request, shared.body) {
-        Ok(body) => Some(Ok(body)),
-        Err(BodyError::TooLarge) => None,
-        Err(BodyError::Broken) => Some(Err(Refusal::not_run(RefusalCode::BadRequest, "the body broke off", None))),
-    }
-}
-
-fn too_large(shared: &Shared) -> Refusal {
-    Refusal::not_run(RefusalCode::TooLarge, format!("the body exceeds {} bytes", shared.body), None)
+/// Reads the body; a request whose body cannot be taken is refused here.
+fn read_or_refuse(shared: &Shared, mut request: Request, id: RequestId) -> Option<(Request, Vec<u8>)> {
+    let refusal = match reply::read_body(&mut request, shared.body) {
+        Ok(body) => return Some((request, body)),
+        Err(BodyError::TooLarge) => {
+            Refusal::not_run(RefusalCode::TooLarge, format!("the body exceeds {} bytes", shared.body), None)
+        }
+        Err(BodyError::Broken) => Refusal::not_run(RefusalCode::BadRequest, "the body broke off", None),
+    };
+    let _ = reply::refuse(request, id, &refusal);
+    None
 }
 
 fn to_arrival(request: &Request, id: RequestId, model: ModelId, body: &[u8]) -> Arrival {
