fix(demo): wasted work counts what nobody received, not every recalled attempt

Cause: the stand-ins count a stream that was stopped as wasted although it went on elsewhere and arrived whole. Change: tokens generated less tokens of answers received whole, from outside.

--- a/crates/rudder-demo/src/demo.rs
+++ b/crates/rudder-demo/src/demo.rs
@@ -85,7 +85,6 @@
 struct Inside {
     promises: Promises,
     tokens: u64,
-    wasted: u64,
 }
 
 fn target(class: &str) -> Target {
@@ -173,13 +172,12 @@
 
 /// Reads the deployment's own counts and ends it.
 fn end(deployment: &Deployment) -> Inside {
-    let mut inside = Inside { promises: Promises::default(), tokens: 0, wasted: 0 };
+    let mut inside = Inside { promises: Promises::default(), tokens: 0 };
     for status in deployment.nodes.values().filter_map(Node::status) {
         inside.promises.merge(&status.promises);
     }
     for engine in deployment.engines.values() {
         inside.tokens += engine.counts.tokens.load(Ordering::Relaxed);
-        inside.wasted += engine.counts.wasted.load(Ordering::Relaxed);
     }
     for node in deployment.nodes.values() {
         node.halt();
@@ -212,7 +210,10 @@
             let _ = writeln!(text, "{class}, not answered whole: {:?}", figures.codes);
         }
     }
-    let wasted = inside.wasted as f64 * 100.0 / (inside.tokens.max(1)) as f64;
+    // A stream that was recalled and went on elsewhere was received, so the engines' own counts of
+    // broken-off work would say too much.
+    let received: u64 = classes.values().map(|figures| figures.received).sum();
+    let wasted = inside.tokens.saturating_sub(received) as f64 * 100.0 / inside.tokens.max(1) as f64;
     let _ = writeln!(
         text,
         "\ngoodput: {useful} useful tokens and answers; wasted work: {wasted:.2}% of {} tokens",
--- a/crates/rudder-demo/src/tally.rs
+++ b/crates/rudder-demo/src/tally.rs
@@ -31,6 +31,8 @@
     pub unknown: u32,
     /// Neither whole nor refused.
     pub broken: u32,
+    /// Tokens of answers received whole, late ones included.
+    pub received: u64,
     /// Refusals by code.
     pub codes: BTreeMap<String, u32>,
     /// Tokens of answers within the target.
@@ -48,6 +50,7 @@
         let reply = &call.reply;
         if reply.whole {
             figures.whole += 1;
+            figures.received += u64::from(reply.tokens);
             figures.first.push(reply.first);
             if attains(call, target(call.class)) {
                 figures.attained += 1;
