test(core): one scaffold for single-instance tests; the lying disk must be caught as P8

Cause: two test files had written the same instance; the check of the lying disk took any failure for a catch.

--- /dev/null
+++ b/crates/rudder-core/tests/alone/mod.rs
@@ -0,0 +1,97 @@
+//! One instance that is its own quorum: saves are durable at once, time is virtual.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::time::Duration;
+
+use rudder_core::{Effect, Event, Me, Options, State, Verdict, event::Report};
+use rudder_ledger::Change;
+use rudder_model::{Endpoint, Object, RequestId};
+use rudder_replica::Durable;
+
+pub const LOADS: Duration = Duration::from_secs(2);
+
+/// An order with the time at which it was given.
+#[derive(Debug)]
+pub struct Order {
+    pub at: Duration,
+    pub fence: (u64, u64),
+    pub until: Duration,
+}
+
+pub struct Alone {
+    pub state: State,
+    pub now: Duration,
+    pub verdicts: Vec<(RequestId, Verdict)>,
+    pub orders: Vec<Order>,
+    /// When it began to lead.
+    pub led: Duration,
+    /// What every endpoint says it has loaded.
+    pub loaded: &'static str,
+}
+
+impl Alone {
+    /// An instance that leads.
+    pub fn new() -> Alone {
+        let me = Me { name: "a".into(), hall: "h".into(), start: 1, address: "a".to_owned(), epoch: Duration::ZERO };
+        let options = Options {
+            seats: vec!["a".into()],
+            founders: vec!["a".into()],
+            nearest: vec!["h".into()],
+            load_interval: LOADS,
+            replica: rudder_replica::Options { voters: 1, ..Default::default() },
+            ..Options::default()
+        };
+        let now = Duration::from_secs(1);
+        let state = State::new(now, me, options, Some((1, Durable::default())));
+        let mut alone =
+            Alone { state, now, verdicts: Vec::new(), orders: Vec::new(), led: Duration::ZERO, loaded: "m:v1" };
+        while alone.led.is_zero() {
+            alone.tick();
+        }
+        alone
+    }
+
+    pub fn put(&mut self, name: &str, object: Object) {
+        let (kind, name) = (object.kind(), name.to_owned());
+        let change = Change { id: name.clone(), kind, name, replaces: 0, object: Some(object) };
+        self.give(Event::Admin { ticket: 1, change });
+    }
+
+    fn tick(&mut self) {
+        self.now += Duration::from_millis(50);
+        self.give(Event::Tick);
+        let leads = self.state.control.as_ref().is_some_and(|control| control.replica.leads(self.now));
+        if leads && self.led.is_zero() {
+            self.led = self.now;
+        }
+    }
+
+    pub fn give(&mut self, event: Event) {
+        let mut effects = Vec::new();
+        self.state.reduce(self.now, event, &mut effects);
+        for effect in effects {
+            match effect {
+                Effect::Save { number, .. } | Effect::SaveSnapshot { number, .. } => self.give(Event::Saved { number }),
+                Effect::Verdict { request, verdict } => self.verdicts.push((request, verdict)),
+                Effect::Poll { endpoint, .. } => {
+                    let report = Report { loaded: self.loaded.to_owned(), ..Report::default() };
+                    self.give(Event::Polled { endpoint, report: Some(report) });
+                }
+                Effect::Order { fence, until, .. } => self.orders.push(Order { at: self.now, fence, until }),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + Duration::from_millis(millis);
+        while self.now < end {
+            self.tick();
+        }
+    }
+}
+
+/// An engine of the one hall, with nothing behind its address.
+pub fn engine() -> Endpoint {
+    Endpoint { hall: "h".into(), address: "127.0.0.1:9".to_owned(), serves: vec!["m".into()], ..Endpoint::default() }
+}
--- a/crates/rudder-core/tests/random.rs
+++ b/crates/rudder-core/tests/random.rs
@@ -246,7 +246,7 @@
 }
 
 sabotages! {
-    a_disk_that_lies_is_caught: LyingDisk breaks "";
+    a_disk_that_lies_is_caught: LyingDisk breaks "P8";
     a_failure_reported_as_never_sent_is_caught: LyingFailure breaks "P";
     answers_that_look_newer_are_caught: OldAnswers breaks "P";
 }
