fix(settings,standin,node): faults name the key's own line; cache events come late; unknown paths say 'not run'

Cause: faults of control and traffic settings named line 1; the stand-in's cache events had gaps but no lag.

--- a/crates/rudder-node/src/entry.rs
+++ b/crates/rudder-node/src/entry.rs
@@ -76,7 +76,11 @@
         path if path.starts_with(admin::PREFIX) => operate(shared, request),
         path if path.starts_with("/v1/requests/") && is_get => outcome(shared, request, path),
         path if path.starts_with("/services/") => service(shared, request, path),
-        _ => drop(reply::json(request, 404, &json!({"error": {"message": "no such path", "code": "unknown_path"}}))),
+        _ => drop(reply::json(
+            request,
+            404,
+            &json!({"error": {"message": "no such path", "code": "unknown_path", "ran": "no"}}),
+        )),
     }
 }
 
--- a/crates/rudder-settings/src/check.rs
+++ b/crates/rudder-settings/src/check.rs
@@ -110,8 +110,7 @@
         let text = "must be at least two elections and two watches, or a lost leader stops all work";
         return fault(&settings.name, "control.fresh", text);
     }
-    if traffic.body == 0 || traffic.open == 0 {
-        return fault(&settings.name, "traffic.body, traffic.open", "must be at least 1");
-    }
-    None
+    let counts = [("traffic.body", traffic.body), ("traffic.open", traffic.open)];
+    let zero = counts.into_iter().find(|(_, count)| *count == 0);
+    zero.and_then(|(key, _)| fault(&settings.name, key, "must be at least 1"))
 }
--- a/crates/rudder-settings/src/read.rs
+++ b/crates/rudder-settings/src/read.rs
@@ -50,7 +50,7 @@
 pub fn read(path: &Path) -> Result<Settings, Error> {
     let (settings, text): (Settings, String) = read_text(path)?;
     if let Some(fault) = check::fault_of(&settings) {
-        let line = line_of(&text, fault.span.start);
+        let line = line_of_key(&text, &fault.key).unwrap_or_else(|| line_of(&text, fault.span.start));
         return Err(Error::Refused { path: path.to_owned(), line, key: fault.key, text: fault.text });
     }
     Ok(settings)
@@ -87,3 +87,13 @@
     let before = text.get(..at).unwrap_or(text);
     before.matches('\n').count() + 1
 }
+
+/// The line that sets a key of a table, such as `control.fresh`, or a key at the top. Keys of peers
+/// stand many times; their faults carry their place with them.
+fn line_of_key(text: &str, key: &str) -> Option<usize> {
+    let key = key.strip_prefix("control.").or_else(|| key.strip_prefix("traffic.")).unwrap_or(key);
+    let sets = |line: &str| line.split_once('=').is_some_and(|(name, _)| name.trim() == key);
+    let at_peer = key.starts_with("peers.") || key == "name";
+    let at = if at_peer { None } else { text.lines().position(sets) };
+    at.map(|line| line + 1)
+}
--- a/crates/rudder-standin/src/engine.rs
+++ b/crates/rudder-standin/src/engine.rs
@@ -37,7 +37,7 @@
     pub prefill: Duration,
     /// Mean output length, in tokens.
     pub tokens: u32,
-    /// Load reports are this old.
+    /// Load reports and cache events are this old.
     pub lag: Duration,
     /// Prefixes that the cache holds.
     pub room: usize,
@@ -313,7 +313,8 @@
             }
             old
         };
-        let (first_event, evicted) = self.cache.lock().unwrap_or_else(PoisonError::into_inner).events(after);
+        let (first_event, evicted) =
+            self.cache.lock().unwrap_or_else(PoisonError::into_inner).events(after, self.options.lag);
         let loaded = self.loaded.lock().unwrap_or_else(PoisonError::into_inner).name.clone();
         let report = LoadReport { load, loaded, first_event, evicted };
         http::json(request, 200, "", json!(report).to_string());
