perf(core): the organisation of a key is looked up, not searched for

Cause: found on re-reading: each call went through all organisations and their keys in the control thread. Ruled out as visible before: the measured key belonged to the first organisation by name.

--- a/crates/rudder-core/src/calls/admit.rs
+++ b/crates/rudder-core/src/calls/admit.rs
@@ -1,12 +1,12 @@
 //! Admission: what a call is refused for before anything is asked of a pool.
 
-use rudder_ledger::Config;
 use rudder_model::{ClassId, Kind, ModelId, OrgId, Ran, Refusal, RefusalCode};
 
 use super::{Call, Context, Phase};
 use crate::{
     Arrival, Options,
     reach::{self, PoolId},
+    view::View,
 };
 
 pub(super) fn admit(context: &Context, arrival: Arrival) -> Result<Call, Refusal> {
@@ -14,7 +14,7 @@
         return Err(stale(context.options));
     }
     let config = &context.view.config;
-    let Some(org) = reach::org_of_key(config, &arrival.bearer) else {
+    let Some(org) = context.view.org_of_key(&arrival.bearer) else {
         return Err(Refusal::not_run(RefusalCode::WrongKey, "no organisation has this key", None));
     };
     let Some(class_id) = arrival.class.clone().or_else(|| reach::assigned(config, &org)) else {
@@ -74,8 +74,9 @@
 }
 
 /// Models and services that some class of the key's organisation reaches; `None` for a wrong key.
-pub fn to_models(config: &Config, bearer: &str) -> Option<Vec<ModelId>> {
-    let org = reach::org_of_key(config, bearer)?;
+pub fn to_models(view: &View, bearer: &str) -> Option<Vec<ModelId>> {
+    let config = &view.config;
+    let org = view.org_of_key(bearer)?;
     let classes: Vec<ClassId> = config.iter_kind(Kind::Class).map(|(name, _)| ClassId::from(name)).collect();
     let served = reach::iter_endpoints(config).flat_map(|(_, endpoint)| endpoint.serves.iter().cloned());
     let models: std::collections::BTreeSet<ModelId> = served.collect();
--- a/crates/rudder-core/src/reach.rs
+++ b/crates/rudder-core/src/reach.rs
@@ -51,16 +51,6 @@
     iter_endpoints(config).any(|(_, endpoint)| endpoint.serves.contains(model))
 }
 
-/// The organisation that has this key digest, in hexadecimal.
-pub fn org_of_key(config: &Config, bearer: &str) -> Option<OrgId> {
-    let holds = |object: &Object| match object {
-        Object::Organisation(organisation) => organisation.keys.iter().any(|key| key == bearer),
-        _ => false,
-    };
-    let mut orgs = config.iter_kind(Kind::Organisation);
-    orgs.find(|(_, held)| held.object.as_ref().is_some_and(holds)).map(|(name, _)| OrgId::from(name))
-}
-
 /// The class assigned to calls of `org` that name none: that of the first selector, by name.
 pub fn assigned(config: &Config, org: &str) -> Option<ClassId> {
     let labels = org_labels(config, org)?;
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -11,7 +11,7 @@
 
 use rudder_events::What;
 use rudder_ledger::{Config, Delta};
-use rudder_model::{HallId, InstanceId, Kind, Mark, Object, Promise, Promises, RequestId, id};
+use rudder_model::{HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id};
 
 use crate::{Effect, Listing, Me, Options, PeerMessage};
 
@@ -25,6 +25,8 @@
 pub struct View {
     /// The configuration.
     pub config: Config,
+    /// Key digests with the organisations that hold them, so that a call does not look through all.
+    keys: BTreeSet<(String, OrgId)>,
     /// Live instances, by name.
     pub directory: BTreeMap<InstanceId, Listing>,
     version: u64,
@@ -170,7 +172,7 @@
         let before = self.config.index;
         let mut changed = false;
         for delta in watched.deltas {
-            changed |= self.config.take_delta(delta);
+            changed |= self.take_delta(delta);
         }
         assert!(self.config.index >= before, "the configuration index went back");
         if changed {
@@ -191,6 +193,33 @@
         changed
     }
 
+    fn take_delta(&mut self, delta: Delta) -> bool {
+        let (kind, name) = (delta.kind, delta.name.clone());
+        let before = self.keys_of(kind, &name);
+        if !self.config.take_delta(delta) {
+            return false;
+        }
+        for entry in before {
+            self.keys.remove(&entry);
+        }
+        let now = self.keys_of(kind, &name);
+        self.keys.extend(now);
+        true
+    }
+
+    fn keys_of(&self, kind: Kind, name: &str) -> Vec<(String, OrgId)> {
+        match self.config.get(kind, name).and_then(|held| held.object.as_ref()) {
+            Some(Object::Organisation(org)) => org.keys.iter().map(|key| (key.clone(), name.into())).collect(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// The organisation that has this key digest, in hexadecimal; the first by name if several do.
+    pub fn org_of_key(&self, bearer: &str) -> Option<OrgId> {
+        let (key, org) = self.keys.range((bearer.to_owned(), OrgId::from(""))..).next()?;
+        (key == bearer).then(|| org.clone())
+    }
+
     fn take_directory(&mut self, version: u64, listings: Vec<Listing>, out: &mut Vec<Effect>) -> bool {
         self.version = version;
         let next: BTreeMap<InstanceId, Listing> =
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -202,7 +202,7 @@
             Query::Entries => {
                 QueryReply::Entries(view.to_entries(&self.state.options.nearest), self.state.options.keep)
             }
-            Query::Models { bearer } => QueryReply::Models(calls::to_models(&view.config, &bearer)),
+            Query::Models { bearer } => QueryReply::Models(calls::to_models(view, &bearer)),
             Query::Objects(kind, None) => {
                 let objects = view.config.iter_kind(kind).map(|(name, held)| (name.to_owned(), held.clone()));
                 QueryReply::Objects(objects.collect(), view.config.index)
