refactor(node,route): drop what nothing reads and a copy of each answer

The prompt length travelled with every ask and no decision used it; two one-line wrappers stood for functions that exist; the body of each whole answer was copied once for nothing. Behaviour and tests' assertions are unchanged.

--- a/crates/rudder-core/src/calls/mod.rs
+++ b/crates/rudder-core/src/calls/mod.rs
@@ -118,7 +118,6 @@
             org: self.org.clone(),
             model: self.arrival.model.clone(),
             limits: self.class.limits,
-            prompt: self.arrival.prompt,
             prefix: self.arrival.prefix,
             once: self.class.once || self.attempt.is_some(),
             resumable: self.arrival.resumable,
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -102,8 +102,6 @@
     pub model: ModelId,
     /// Key of work that may not be repeated.
     pub key: Option<Key>,
-    /// Prompt length in tokens, estimated.
-    pub prompt: u32,
     /// Hash of the prompt's beginning; 0 for none.
     pub prefix: u64,
     /// The answer is streamed and can go on where it stopped.
--- a/crates/rudder-core/tests/effects.rs
+++ b/crates/rudder-core/tests/effects.rs
@@ -17,7 +17,6 @@
         class: None,
         model: "m".into(),
         key: None,
-        prompt: 0,
         prefix: 0,
         resumable: false,
         patience: None,
--- a/crates/rudder-core/tests/recall.rs
+++ b/crates/rudder-core/tests/recall.rs
@@ -30,7 +30,6 @@
         class: Some(class.into()),
         model: "m".into(),
         key: None,
-        prompt: 1,
         prefix: 0,
         resumable: true,
         patience: None,
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -576,7 +576,6 @@
             class: Some(if key.is_some() { "claim".into() } else { "read".into() }),
             model: SERVICE.into(),
             key: key.map(|name| Key { name, digest }),
-            prompt: 0,
             prefix: 0,
             resumable: false,
             patience: None,
--- a/crates/rudder-measure/src/cost.rs
+++ b/crates/rudder-measure/src/cost.rs
@@ -48,7 +48,6 @@
         org: "org".into(),
         model: "model".into(),
         limits: Limits::default(),
-        prompt: 100,
         prefix: request as u64 % 97,
         once: false,
         resumable: true,
--- a/crates/rudder-measure/src/run.rs
+++ b/crates/rudder-measure/src/run.rs
@@ -197,7 +197,6 @@
             org: OrgId::from(format!("org-{}", call.org)),
             model: "model".into(),
             limits: Limits::default(),
-            prompt: 0,
             prefix: call.prefix,
             once: stream.once,
             resumable: !stream.once,
--- a/crates/rudder-node/src/entry.rs
+++ b/crates/rudder-node/src/entry.rs
@@ -10,7 +10,7 @@
 };
 
 use crossbeam_channel::{Receiver, Sender, unbounded};
-use rudder_core::{Arrival, Event, Key, Stored, Verdict, calls::to_hex};
+use rudder_core::{Arrival, Event, Key, Verdict};
 use rudder_model::{ClassId, ModelId, Ran, Refusal, RefusalCode, RequestId, Start, id};
 use serde::Deserialize;
 use serde_json::{json, value::RawValue};
@@ -28,8 +28,6 @@
 
 /// Bytes of a prompt's beginning that make its prefix.
 const PREFIX_BYTES: usize = 256;
-/// Bytes that count as one token of a prompt.
-const TOKEN_BYTES: usize = 4;
 
 /// What all traffic threads share.
 pub(crate) struct Shared {
@@ -177,7 +175,6 @@
     let prompt = parsed.messages.or(parsed.prompt).map(RawValue::get).unwrap_or_default();
     let model = ModelId::from(parsed.model.as_str());
     let arrival = Arrival {
-        prompt: (prompt.len() / TOKEN_BYTES) as u32,
         prefix: to_prefix(&model, prompt),
         resumable: parsed.stream,
         ..to_arrival(&request, id, model, &body)
@@ -225,7 +222,6 @@
         class: reply::header(request, "x-class").map(ClassId::from),
         model,
         key,
-        prompt: 0,
         prefix: 0,
         resumable: false,
         patience: patience.map(Duration::from_millis),
@@ -278,13 +274,3 @@
     let text = "this instance is ending; use another entry";
     Refusal { code: RefusalCode::Stopping, text: text.to_owned(), retry: Some(Duration::from_secs(1)), ran }
 }
-
-/// The id of a request, for logs.
-pub(crate) fn name(id: RequestId) -> String {
-    to_hex(id)
-}
-
-/// An answer kept for a key, without its body where that is too large to hand on.
-pub(crate) fn to_stored(status: u16, content: &str, body: &[u8]) -> Stored {
-    Stored { status, content: content.to_owned(), body: body.to_vec() }
-}
--- a/crates/rudder-node/src/upstream.rs
+++ b/crates/rudder-node/src/upstream.rs
@@ -6,7 +6,7 @@
 };
 
 use crossbeam_channel::Receiver;
-use rudder_core::{Dispatch, Ended, Event, Stored, Verdict};
+use rudder_core::{Dispatch, Ended, Event, Stored, Verdict, calls::to_hex};
 use rudder_model::{Refusal, RequestId};
 use serde::Deserialize;
 use tiny_http::{Request, Response};
@@ -18,7 +18,7 @@
 use crate::{
     Input,
     endpoint::Errand,
-    entry::{Shared, name, to_stored},
+    entry::Shared,
     reply::{self, REQUEST_HEADER},
 };
 
@@ -169,7 +169,7 @@
         let response = Response::from_data(stored.body)
             .with_status_code(stored.status)
             .with_header(reply::to_header("content-type", &stored.content))
-            .with_header(reply::to_header(REQUEST_HEADER, &name(self.id)));
+            .with_header(reply::to_header(REQUEST_HEADER, &to_hex(self.id)));
         let _ = request.respond(response);
     }
 
@@ -189,7 +189,7 @@
         };
         let stopped = matches!(ended, Ended::Recalled { .. } | Ended::Left);
         if stopped && self.target.engine {
-            let (address, request) = (dispatch.address.clone(), name(self.id));
+            let (address, request) = (dispatch.address.clone(), to_hex(self.id));
             let _ = self.shared.errands.send(Errand::Cancel { address, request });
         }
         let goes_on = match &ended {
@@ -206,7 +206,7 @@
         let mut builder = http::Request::builder()
             .method(self.target.method.as_str())
             .uri(uri)
-            .header(REQUEST_HEADER, name(self.id))
+            .header(REQUEST_HEADER, to_hex(self.id))
             .header("x-priority", dispatch.tier.to_string());
         if dispatch.resume > 0 {
             builder = builder.header("x-resume-offset", dispatch.resume.to_string());
@@ -252,7 +252,7 @@
 
     /// An endpoint that names a request in its answer must name this one.
     fn is_own(&self, headers: &HeaderMap) -> bool {
-        headers.get(REQUEST_HEADER).is_none_or(|held| held.as_bytes() == name(self.id).as_bytes())
+        headers.get(REQUEST_HEADER).is_none_or(|held| held.as_bytes() == to_hex(self.id).as_bytes())
     }
 
     fn whole(&mut self, response: http::Response<Body>, keyed: bool, start: Instant) -> Ended {
@@ -264,7 +264,7 @@
         };
         let total = start.elapsed();
         let tokens = serde_json::from_slice::<WithUsage>(&body).map_or(0, |with| with.usage.completion_tokens);
-        let stored = to_stored(status, &content, &body);
+        let stored = Stored { status, content, body };
         let Answer::Untouched(request) = std::mem::replace(&mut self.answer, Answer::Ended) else {
             return Ended::Left;
         };
@@ -308,7 +308,8 @@
             Stop::Whole => {
                 let (total, tokens) = (start.elapsed(), produced - before);
                 let first = first.unwrap_or(total);
-                let stored = keyed.then(|| to_stored(200, "text/event-stream", &self.kept));
+                let content = || "text/event-stream".to_owned();
+                let stored = keyed.then(|| Stored { status: 200, content: content(), body: self.kept.clone() });
                 if !keyed && !self.end_whole() {
                     return Ended::Left;
                 }
@@ -398,7 +399,7 @@
         writer,
         "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-cache\r\n\
          transfer-encoding: chunked\r\n{REQUEST_HEADER}: {}\r\n\r\n",
-        name(id)
+        to_hex(id)
     )?;
     Ok(writer)
 }
--- a/crates/rudder-route/src/ask.rs
+++ b/crates/rudder-route/src/ask.rs
@@ -22,8 +22,6 @@
     pub model: ModelId,
     /// Bounds of the organisation within the class.
     pub limits: Limits,
-    /// Prompt length in tokens, as estimated from its bytes.
-    pub prompt: u32,
     /// Hash of the prompt's beginning; 0 for none.
     pub prefix: u64,
     /// Once sent it may not be sent again, so it is never preempted or retried.
--- a/crates/rudder-route/tests/pool.rs
+++ b/crates/rudder-route/tests/pool.rs
@@ -41,7 +41,6 @@
             org: "org".into(),
             model: "m".into(),
             limits: Limits::default(),
-            prompt: 10,
             prefix: 0,
             once: false,
             resumable: true,
