--- a/crates/rudder-core/tests/keys.rs
+++ b/crates/rudder-core/tests/keys.rs
@@ -10,9 +10,9 @@
     id::hex(&id::digest(key.as_bytes()))
 }
 
-fn org(keys: &[&str]) -> Option<Object> {
+fn org(keys: &[&str]) -> Object {
     let keys = keys.iter().map(|key| digest(key)).collect();
-    Some(Object::Organisation(Organisation { keys, ..Organisation::default() }))
+    Object::Organisation(Organisation { keys, ..Organisation::default() })
 }
 
 /// Replaces number `replaces` of an organisation and waits until it is in force.
@@ -30,12 +30,12 @@
 #[test]
 fn keys_follow_their_organisations() {
     let mut alone = Alone::new();
-    change(&mut alone, "north", 0, org(&["old", "shared"]));
-    change(&mut alone, "east", 0, org(&["shared"]));
+    change(&mut alone, "north", 0, Some(org(&["old", "shared"])));
+    change(&mut alone, "east", 0, Some(org(&["shared"])));
     assert_eq!(holder(&alone, "old").as_deref(), Some("north"));
     assert_eq!(holder(&alone, "shared").as_deref(), Some("east"), "the first by name");
     assert_eq!(holder(&alone, "never"), None);
-    change(&mut alone, "north", 1, org(&["new", "shared"]));
+    change(&mut alone, "north", 1, Some(org(&["new", "shared"])));
     assert_eq!((holder(&alone, "old"), holder(&alone, "new").as_deref()), (None, Some("north")));
     change(&mut alone, "east", 1, None);
     assert_eq!(holder(&alone, "shared").as_deref(), Some("north"), "the other organisation still holds it");
