--- a/crates/hatchrudder/src/command/instance.rs
+++ b/crates/hatchrudder/src/command/instance.rs
@@ -51,6 +51,19 @@
     Ok(true)
 }
 
+/// Runs one instance on the users' platform.
+pub(super) fn platform(mut arguments: Arguments) -> Result<bool, Error> {
+    let given: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
+    no_more(arguments)?;
+    let variable = hatchrudder_platform::SETTINGS_VARIABLE;
+    let path = given.or_else(|| std::env::var_os(variable).map(PathBuf::from));
+    let path = path.ok_or_else(|| Error::Usage(format!("neither --settings nor {variable} is given")))?;
+    let settings = hatchrudder_platform::settings::read(&path).map_err(|error| Error::Usage(error.to_string()))?;
+    settings.to_options().map_err(|error| Error::Usage(error.to_string()))?;
+    hatchrudder_platform::run(&path)?;
+    Ok(true)
+}
+
 fn read(mut arguments: Arguments) -> Result<Settings, Error> {
     let path: PathBuf = arguments.value_from_str("--settings")?;
     no_more(arguments)?;
--- a/crates/hatchrudder/src/command/mod.rs
+++ b/crates/hatchrudder/src/command/mod.rs
@@ -36,6 +36,7 @@
         "demo" => instance::demo(arguments),
         "check" => instance::check(arguments),
         "run" => instance::run(arguments),
+        "platform" => instance::platform(arguments),
         "stand-in" => instance::stand_in(arguments),
         "get" => operate::get(arguments),
         "apply" => operate::apply(arguments),
--- a/crates/hatchrudder/src/help.rs
+++ b/crates/hatchrudder/src/help.rs
@@ -7,6 +7,7 @@
   demo       a whole deployment in one process, with promises checked
   check      validates settings
   run        runs one instance
+  platform   runs one instance on the users' platform
   stand-in   a small stand-in engine or plain service
   get        shows configuration objects or an instance's status
   apply      puts the objects of a file in force
@@ -40,6 +41,12 @@
 Runs one instance until SIGTERM or SIGINT begins a planned stop: it goes off the lists at once,
 serves callers that hold an old list, finishes what is in flight, then ends with exit code 0.";
 
+const PLATFORM: &str = "usage: hatchrudder platform [--settings FILE]
+
+Runs one instance on the users' platform, from the settings file that the platform places (its path
+stands in HATCHRUDDER_NODE_FILE). SIGTERM begins a planned stop, SIGHUP reads the settings anew.
+Logs are JSON lines on standard output.";
+
 const STAND_IN: &str = "usage: hatchrudder stand-in --listen ADDR [--service] [--slots N] [--pace TIME]
                             [--prefill TIME] [--tokens N] [--time TIME] [--unchecked]
 
@@ -113,6 +120,7 @@
         "demo" => DEMO,
         "check" => CHECK,
         "run" => RUN,
+        "platform" => PLATFORM,
         "stand-in" => STAND_IN,
         "get" => GET,
         "apply" => APPLY,
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -7,16 +7,24 @@
 
 use rudder_events::What;
 use rudder_ledger::{Answer, Command, Ledger, Stamped};
-use rudder_model::{InstanceId, Start};
+use rudder_model::{EndpointId, InstanceId, Start};
 use rudder_replica::{Durable, Entry, Envelope, Member, Members, Output, Payload, Replica, ReplicaId, Role, Spare};
 
-use crate::{Effect, Listing, Me, Options, PeerMessage, view::View};
+use crate::{
+    Effect, Listing, Me, Options, PeerMessage, Watch, Watched,
+    peer::Load,
+    registry::{Registration, Registry},
+    view::View,
+};
 
 /// Deltas in one answer to a watcher.
 const DELTAS: usize = 200;
 /// Time between questions of founders to each other.
 const FOUNDING_RETRY: Duration = Duration::from_millis(300);
 
+/// What an instance said of its work counts for this long.
+const LOAD_MEMORY: Duration = Duration::from_millis(1500);
+
 /// Who waits for a proposal to be applied.
 #[derive(Clone, Debug)]
 struct Proposer {
@@ -41,6 +49,9 @@
     founders: BTreeMap<InstanceId, ReplicaId>,
     foreign: bool,
     founding_at: Option<Duration>,
+    registry: Registry,
+    loads: BTreeMap<InstanceId, (Vec<Load>, Duration)>,
+    unsnapped: u64,
 }
 
 impl Control {
@@ -66,6 +77,9 @@
             founders: BTreeMap::new(),
             foreign: false,
             founding_at: None,
+            registry: Registry::default(),
+            loads: BTreeMap::new(),
+            unsnapped: 0,
         }
     }
 
@@ -81,7 +95,7 @@
         self.found(now, me, options, &mut outputs, out);
         self.note_role(now, view, out);
         if self.replica.leads(now) {
-            self.prune(now, options);
+            self.prune(now, options, out);
             let spares = self.to_spares();
             self.replica.repair(now, &spares, &mut outputs);
         }
@@ -125,26 +139,72 @@
     }
 
     /// Answers a watcher, if the lease allows to.
-    pub(crate) fn on_watch(
-        &mut self,
-        now: Duration,
-        from: InstanceId,
-        watch: (u64, Listing, u64, u64),
-        out: &mut Vec<Effect>,
-    ) {
-        let (round, listing, index, directory) = watch;
+    pub(crate) fn on_watch(&mut self, now: Duration, from: InstanceId, watch: Watch, out: &mut Vec<Effect>) {
+        let Watch { round, listing, index, directory, .. } = watch;
         if !self.replica.leads(now) {
             self.send_elsewhere(from, out);
             return;
         }
         self.list(now, listing);
+        self.hear(now, &from, &watch.heard, out);
+        self.loads.insert(from.clone(), (watch.loads, now));
         let config = &self.ledger.config;
         let deltas = config.deltas_after(index, DELTAS);
         let complete = deltas.len() < DELTAS;
         let reached = if complete { config.index } else { deltas.last().map_or(index, |delta| delta.held.index) };
         let newer = (directory != self.version).then(|| (self.version, self.to_directory()));
-        let message = PeerMessage::Watched { round, asked: index, index: reached, complete, deltas, directory: newer };
-        out.push(Effect::Send { to: from, message });
+        let held = self.ledger.document.as_ref();
+        let watched = Watched {
+            round,
+            asked: index,
+            index: reached,
+            complete,
+            deltas,
+            directory: newer,
+            document: held.filter(|held| held.version > watch.document).cloned(),
+            registry: self.registry.news_after(watch.registry),
+            loads: self.to_loads(now, &from),
+        };
+        out.push(Effect::Send { to: from, message: PeerMessage::Watched(Box::new(watched)) });
+    }
+
+    /// Takes in heartbeats that a watcher heard; what changes an endpoint's standing is spread at once.
+    fn hear(&mut self, now: Duration, from: &InstanceId, heard: &[Registration], out: &mut Vec<Effect>) {
+        let mut changed = false;
+        for registration in heard {
+            if self.registry.hear(now, registration) {
+                self.registry.mark_changed(&registration.endpoint);
+                changed = true;
+            }
+        }
+        if changed {
+            self.nudge(Some(from), out);
+        }
+    }
+
+    /// Tells all live instances but `except` to ask for news now.
+    fn nudge(&self, except: Option<&InstanceId>, out: &mut Vec<Effect>) {
+        for name in self.live.keys().filter(|name| Some(*name) != except) {
+            out.push(Effect::Send { to: name.clone(), message: PeerMessage::Nudge });
+        }
+    }
+
+    /// Work under way at endpoints, summed over all instances but `asker`.
+    fn to_loads(&self, now: Duration, asker: &InstanceId) -> Vec<Load> {
+        let mut sums: BTreeMap<&EndpointId, Load> = BTreeMap::new();
+        for (name, (loads, told)) in &self.loads {
+            if name == asker || now > *told + LOAD_MEMORY {
+                continue;
+            }
+            for load in loads {
+                let empty = || Load { endpoint: load.endpoint.clone(), calls: 0, unread: 0, held: 0 };
+                let sum = sums.entry(&load.endpoint).or_insert_with(empty);
+                sum.calls = sum.calls.saturating_add(load.calls);
+                sum.unread = sum.unread.saturating_add(load.unread);
+                sum.held = sum.held.saturating_add(load.held);
+            }
+        }
+        sums.into_values().collect()
     }
 
     /// Takes in what another founder says, and answers it.
@@ -217,6 +277,9 @@
             // A new leader starts from the directory it last saw, so that none is taken off for its sake.
             self.live = view.directory.values().map(|listing| (listing.name.clone(), (listing.clone(), now))).collect();
             self.bump();
+            self.registry = view.registry.clone();
+            self.registry.lead(now, self.replica.term());
+            self.loads.clear();
         }
     }
 
@@ -229,7 +292,10 @@
         }
     }
 
-    fn prune(&mut self, now: Duration, options: &Options) {
+    fn prune(&mut self, now: Duration, options: &Options, out: &mut Vec<Effect>) {
+        if self.registry.age(now) {
+            self.nudge(None, out);
+        }
         let before = self.live.len();
         self.live.retain(|_, (_, seen)| now < *seen + options.gone);
         if self.live.len() != before {
@@ -284,8 +350,14 @@
                 None
             }
             Payload::Command(bytes) => {
+                self.unsnapped += bytes.len() as u64;
                 let stamped: Stamped = rmp_serde::from_slice(&bytes).expect("the leader runs this version");
-                Some(self.ledger.apply(entry.index, stamped))
+                let configures = matches!(stamped.command, Command::Change(_) | Command::Document(_));
+                let answer = self.ledger.apply(entry.index, stamped);
+                if configures && self.led_since.is_some() {
+                    self.nudge(None, out);
+                }
+                Some(answer)
             }
         };
         let Some(proposer) = self.waiting.remove(&entry.index) else { return };
@@ -296,9 +368,11 @@
     }
 
     fn compact(&mut self, options: &Options, out: &mut Vec<Effect>) {
-        if self.ledger.index < self.replica.snapshot_index() + options.snapshot_every {
+        let many = self.ledger.index >= self.replica.snapshot_index() + options.snapshot_every;
+        if !many && self.unsnapped < options.snapshot_bytes {
             return;
         }
+        self.unsnapped = 0;
         let data = self.ledger.try_to_bytes().expect("the state holds only plain data");
         let mut outputs = Vec::new();
         self.replica.compact(data, &mut outputs);
--- a/crates/rudder-core/src/effect.rs
+++ b/crates/rudder-core/src/effect.rs
@@ -49,6 +49,20 @@
         /// The answer; `None` when the outcome is unknown and the change must be sent again.
         answer: Option<Changed>,
     },
+    /// Answer the operator who sent a document.
+    Documented {
+        /// Identifies the waiting connection.
+        ticket: u64,
+        /// The version held now; `None` when the outcome is unknown.
+        version: Option<u64>,
+    },
+    /// Answer an endpoint's heartbeat.
+    Registered {
+        /// Identifies the waiting connection.
+        ticket: u64,
+        /// Taken in, and where it says that the endpoint leaves, known to the leader.
+        taken: bool,
+    },
     /// Look at an endpoint's load and cache events.
     Poll {
         /// The endpoint.
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use rudder_ledger::Change;
+use rudder_ledger::{Change, Document};
 use rudder_model::{ClassId, Digest, EndpointId, InstanceId, ModelId, RequestId};
 
-use crate::{PeerMessage, Stored};
+use crate::{PeerMessage, Stored, peer::Load, registry::Registration};
 
 /// Anything that happens to an instance.
 #[derive(Clone, Debug)]
@@ -63,6 +63,26 @@
         /// It took the order.
         taken: bool,
     },
+    /// A whole configuration, checked, from an operator.
+    PutDocument {
+        /// Identifies the waiting connection.
+        ticket: u64,
+        /// The document.
+        document: Document,
+    },
+    /// An endpoint's heartbeat or its word that it ends.
+    Register {
+        /// Identifies the waiting connection.
+        ticket: u64,
+        /// What it said.
+        registration: Registration,
+    },
+    /// The work that this instance has under way at endpoints.
+    Loads(Vec<Load>),
+    /// Somebody waits for a proof of freshness: ask the leader now.
+    Hurry,
+    /// The settings name other instances to start from.
+    Seeds(Vec<InstanceId>),
     /// A planned stop was asked for.
     Stop,
 }
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`propose`]: commands on their way to the leader;
 //! - [`calls`]: the requests whose callers are connected here;
 //! - [`homes`]: the pools that this instance decides for;
+//! - [`registry`]: endpoints that register themselves by heartbeats;
 //! - [`orders`]: fenced orders to endpoints, sent by the leader only.
 #![deny(missing_docs, unsafe_code)]
 
@@ -24,10 +25,12 @@
 pub mod propose;
 pub mod reach;
 pub mod reduce;
+pub mod registry;
 pub mod view;
 
 pub use effect::{Dispatch, Effect, Stored, Verdict};
 pub use event::{Arrival, Ended, Event, Key};
 pub use options::{Me, Options};
-pub use peer::{Listing, PeerMessage};
+pub use peer::{Listing, PeerMessage, Watch, Watched};
 pub use reduce::State;
+pub use registry::{Phase, Registration, Registry};
--- a/crates/rudder-core/src/options.rs
+++ b/crates/rudder-core/src/options.rs
@@ -44,6 +44,12 @@
     pub order_timeout: Duration,
     /// Entries in the log that make a snapshot due.
     pub snapshot_every: u64,
+    /// Bytes of commands in the log that make a snapshot due.
+    pub snapshot_bytes: u64,
+    /// An endpoint's word that it leaves is acknowledged within this or not at all.
+    pub leave_timeout: Duration,
+    /// A planned stop ends at the latest after this long, whatever is still in flight.
+    pub grace: Duration,
     /// The replicated log.
     pub replica: rudder_replica::Options,
     /// The policy.
@@ -64,6 +70,9 @@
             load_interval: Duration::from_secs(2),
             order_timeout: Duration::from_secs(2),
             snapshot_every: 5000,
+            snapshot_bytes: 64 << 20,
+            leave_timeout: Duration::from_millis(800),
+            grace: Duration::MAX,
             replica: rudder_replica::Options::default(),
             route: rudder_route::Options::default(),
         }
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
-use rudder_ledger::{Answer, Attempt, Command, Delta};
+use rudder_ledger::{Answer, Attempt, Command, Delta, Document};
 use rudder_model::{EndpointId, HallId, InstanceId, ModelId, Refusal, RequestId, Start};
 use rudder_replica::{Envelope, Members, ReplicaId};
 use rudder_route::{Ask, Ending, Holding};
 use serde::{Deserialize, Serialize};
 
+use crate::registry::{Registration, RegistryNews};
+
 /// A live instance, as the leader lists it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Listing {
@@ -25,6 +27,63 @@
     pub replica: Option<ReplicaId>,
 }
 
+/// A question to the leader.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Watch {
+    /// Counts the sender's questions.
+    pub round: u64,
+    /// Who asks.
+    pub listing: Listing,
+    /// Configuration index it holds.
+    pub index: u64,
+    /// Directory version it holds.
+    pub directory: u64,
+    /// Version of the configuration document it holds; 0 for none.
+    pub document: u64,
+    /// Registry version it holds.
+    pub registry: u64,
+    /// Heartbeats of endpoints that it heard and the leader has not yet confirmed.
+    pub heard: Vec<Registration>,
+    /// Work it has under way at endpoints, where it is not nothing.
+    pub loads: Vec<Load>,
+}
+
+/// The answer of a leader with a valid lease.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Watched {
+    /// The round answered.
+    pub round: u64,
+    /// Configuration index in the question.
+    pub asked: u64,
+    /// Configuration index that the deltas lead to.
+    pub index: u64,
+    /// The deltas lead to all there is.
+    pub complete: bool,
+    /// Objects changed since.
+    pub deltas: Vec<Delta>,
+    /// The directory with its version, where it is a newer one.
+    pub directory: Option<(u64, Vec<Listing>)>,
+    /// The configuration document, where it is a newer one.
+    pub document: Option<Document>,
+    /// What the asker lacks of the registry.
+    pub registry: Option<RegistryNews>,
+    /// Work under way at endpoints by all other instances together.
+    pub loads: Vec<Load>,
+}
+
+/// Work under way at one endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Requests sent and not yet ended.
+    pub calls: u32,
+    /// Prompt tokens sent whose first output has not come.
+    pub unread: u32,
+    /// Tokens of memory that its requests may need, prompts and answers together.
+    pub held: u32,
+}
+
 /// A message between instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -40,31 +99,11 @@
         ask: bool,
     },
     /// Reports that the sender lives, and asks for newer configuration.
-    Watch {
-        /// Counts the sender's questions.
-        round: u64,
-        /// Who asks.
-        listing: Listing,
-        /// Configuration index it holds.
-        index: u64,
-        /// Directory version it holds.
-        directory: u64,
-    },
+    Watch(Box<Watch>),
     /// Answers [`PeerMessage::Watch`], from a leader with a valid lease.
-    Watched {
-        /// The round answered.
-        round: u64,
-        /// Configuration index in the question.
-        asked: u64,
-        /// Configuration index that the deltas lead to.
-        index: u64,
-        /// The deltas lead to all there is.
-        complete: bool,
-        /// Objects changed since.
-        deltas: Vec<Delta>,
-        /// The directory with its version, where it is a newer one.
-        directory: Option<(u64, Vec<Listing>)>,
-    },
+    Watched(Box<Watched>),
+    /// From the leader: there is news, ask now rather than at the next turn.
+    Nudge,
     /// Answers a question or proposal that only the leader can answer.
     Elsewhere {
         /// The leader, where one is known.
--- a/crates/rudder-core/src/propose.rs
+++ b/crates/rudder-core/src/propose.rs
@@ -5,7 +5,7 @@
 use rudder_ledger::{Answer, Attempt, Command};
 use rudder_model::RequestId;
 
-use crate::{Effect, Me, Options, PeerMessage, view::View};
+use crate::{Effect, Me, PeerMessage, view::View};
 
 /// A proposal without an answer is sent again after this long.
 const RETRY: Duration = Duration::from_millis(400);
@@ -18,6 +18,8 @@
 pub(crate) enum For {
     /// An operator's connection.
     Admin(u64),
+    /// An operator's connection that sent a document.
+    Document(u64),
     /// A request that claims its key.
     Claim(RequestId),
     /// A request whose answer waits until its end is recorded.
@@ -53,14 +55,7 @@
     }
 
     /// Sends what is new or has waited long. Returns the purposes given up.
-    pub(crate) fn send(
-        &mut self,
-        now: Duration,
-        me: &Me,
-        view: &View,
-        options: &Options,
-        out: &mut Vec<Effect>,
-    ) -> Vec<For> {
+    pub(crate) fn send(&mut self, now: Duration, me: &Me, view: &View, out: &mut Vec<Effect>) -> Vec<For> {
         let mut ended = Vec::new();
         for (ticket, proposal) in &mut self.open {
             if now >= proposal.deadline {
@@ -70,7 +65,7 @@
             if proposal.sent.is_some_and(|sent| now < sent + RETRY) {
                 continue;
             }
-            let Some(to) = view.to_leader(options) else { continue };
+            let Some(to) = view.to_leader() else { continue };
             proposal.sent = Some(now);
             let message = PeerMessage::Propose { ticket: *ticket, start: me.start, command: proposal.command.clone() };
             out.push(Effect::Send { to, message });
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -4,7 +4,7 @@
 
 use rudder_events::What;
 use rudder_ledger::Answer;
-use rudder_model::{InstanceId, Mark, Promise, Promises};
+use rudder_model::{EndpointId, InstanceId, Mark, Promise, Promises};
 use rudder_replica::{Durable, ReplicaId};
 
 use crate::{
@@ -16,11 +16,14 @@
     orders::Orders,
     peer::FromPool,
     propose::{For, Proposals},
-    view::{View, Watched},
+    registry::{Phase, Registration},
+    view::View,
 };
 
 /// How long an operator's change is tried before its outcome is called unknown.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a document is tried before its outcome is called unknown; its sender waits no longer.
+const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// The whole state of one instance.
 #[derive(Debug)]
@@ -42,16 +45,27 @@
     promises: Promises,
     stopping: Option<Duration>,
     exited: bool,
+    leaves: Vec<Leave>,
+}
+
+/// An endpoint that waits for the acknowledgement of its leave.
+#[derive(Debug)]
+struct Leave {
+    ticket: u64,
+    endpoint: EndpointId,
+    until: Duration,
 }
 
 impl State {
     /// The state of an instance that starts at `now`; `disk` is what its data folder held.
     pub fn new(now: Duration, me: Me, options: Options, disk: Option<(ReplicaId, Durable)>) -> State {
         let control = disk.map(|(id, durable)| Control::new(id, &me, &options, durable, now));
+        let mut view = View::default();
+        view.set_seeds(options.seats.clone());
         State {
             me,
             options,
-            view: View::default(),
+            view,
             control,
             calls: Calls::default(),
             homes: Homes::default(),
@@ -60,6 +74,7 @@
             promises: Promises::default(),
             stopping: None,
             exited: false,
+            leaves: Vec::new(),
         }
     }
 
@@ -128,6 +143,14 @@
                 self.homes.on_polled(now, &endpoint, report.as_ref(), &self.view, out);
             }
             Event::Ordered { endpoint, taken } => self.orders.on_ordered(&endpoint, taken),
+            Event::PutDocument { ticket, document } => {
+                let command = rudder_ledger::Command::Document(document);
+                self.proposals.start(For::Document(ticket), command, now + DOCUMENT_TIMEOUT);
+            }
+            Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
+            Event::Loads(loads) => self.view.set_loads(loads),
+            Event::Hurry => self.ask_now(now, out),
+            Event::Seeds(seeds) => self.view.set_seeds(seeds),
             Event::Stop => self.stop(now, out),
         }
         self.send_proposals(now, out);
@@ -138,9 +161,9 @@
             control.tick(now, &self.me, &self.view, &self.options, out);
             self.orders.tick(now, control, &self.options, out);
         }
-        let replica = self.control.as_ref().map(|control| control.replica.id());
-        let stopping = self.stopping.is_some();
-        self.view.ask(now, &self.me, replica, stopping, &self.options, out);
+        self.ask(now, out);
+        self.end_leaves(now, out);
+        self.view.registry.forget_gone(now);
         self.homes.tick(now, &self.me, &self.view, &self.options, out);
         self.with_calls(now, out, Calls::tick);
         if self.view.mark_of(&self.me.name) == Mark::Stopping {
@@ -149,11 +172,53 @@
         self.end_stop(now, out);
     }
 
+    /// Asks the leader for news when it is time to.
+    fn ask(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let replica = self.control.as_ref().map(|control| control.replica.id());
+        let stopping = self.stopping.is_some();
+        self.view.ask(now, &self.me, replica, stopping, &self.options, out);
+    }
+
+    /// Asks the leader for news whether it is time to or not.
+    fn ask_now(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        self.view.hurry();
+        self.ask(now, out);
+    }
+
+    /// Takes in a heartbeat. That an endpoint leaves is acknowledged only once the leader knows it: the
+    /// instances it tells then use it no more, and a lost instance cannot take the word with it.
+    fn register(&mut self, now: Duration, ticket: u64, registration: Registration, out: &mut Vec<Effect>) {
+        let leaves = registration.phase >= Phase::Leaving;
+        let endpoint = registration.endpoint.clone();
+        self.view.hear(now, registration);
+        if !leaves {
+            let taken = self.view.is_fresh(now, self.options.fresh);
+            out.push(Effect::Registered { ticket, taken });
+            return;
+        }
+        self.leaves.push(Leave { ticket, endpoint, until: now + self.options.leave_timeout });
+        self.ask_now(now, out);
+    }
+
+    /// Answers the endpoints whose leave the leader has confirmed, or did not in time.
+    fn end_leaves(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let view = &self.view;
+        self.leaves.retain(|leave| {
+            let taken = view.is_confirmed(&leave.endpoint);
+            if taken || now >= leave.until {
+                out.push(Effect::Registered { ticket: leave.ticket, taken });
+                return false;
+            }
+            true
+        });
+    }
+
     /// Begins a planned stop: off the lists at once, still serving callers that hold an old list.
     fn stop(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.stopping.is_none() {
             self.stopping = Some(now);
             out.push(Effect::Log(What::Stopping));
+            self.ask_now(now, out);
         }
     }
 
@@ -174,14 +239,15 @@
 
     fn on_peer(&mut self, now: Duration, from: InstanceId, message: PeerMessage, out: &mut Vec<Effect>) {
         match message {
-            PeerMessage::Watched { round, asked, index, complete, deltas, directory } => {
-                let watched = Watched { round, asked, index, complete, deltas, directory };
-                if self.view.on_watched(from, watched, &mut self.promises, out) {
+            PeerMessage::Watched(watched) => {
+                if self.view.on_watched(now, from, *watched, &mut self.promises, out) {
                     self.homes.on_view(now, &self.me, &self.view, out);
                 }
+                self.end_leaves(now, out);
             }
+            PeerMessage::Nudge => self.ask_now(now, out),
             PeerMessage::Elsewhere { leader } => {
-                self.view.on_elsewhere(leader, &self.options);
+                self.view.on_elsewhere(leader);
                 self.proposals.hurry(now);
             }
             PeerMessage::Proposed { ticket, start, answer } => {
@@ -218,8 +284,10 @@
     /// Messages that only an instance with a disk can answer.
     fn on_control(&mut self, now: Duration, from: InstanceId, message: PeerMessage, out: &mut Vec<Effect>) {
         let Some(control) = &mut self.control else {
-            if matches!(message, PeerMessage::Watch { .. } | PeerMessage::Propose { .. }) {
-                out.push(Effect::Send { to: from, message: PeerMessage::Elsewhere { leader: None } });
+            if matches!(message, PeerMessage::Watch(_) | PeerMessage::Propose { .. }) {
+                // Seeds may name an instance without a disk; it passes on whom it asks itself.
+                let leader = self.view.leader().filter(|leader| **leader != from).cloned();
+                out.push(Effect::Send { to: from, message: PeerMessage::Elsewhere { leader } });
             }
             return;
         };
@@ -228,9 +296,7 @@
             PeerMessage::Founding { replica, members, ask } => {
                 control.on_founding(from, replica, members.as_ref(), ask, out);
             }
-            PeerMessage::Watch { round, listing, index, directory } => {
-                control.on_watch(now, from, (round, listing, index, directory), out);
-            }
+            PeerMessage::Watch(watch) => control.on_watch(now, from, *watch, out),
             PeerMessage::Propose { ticket, start, command } => {
                 control.on_propose(now, &self.me, from, (ticket, start, command), &self.options, out);
             }
@@ -241,6 +307,9 @@
     fn on_proposed(&mut self, now: Duration, ticket: u64, answer: Answer, out: &mut Vec<Effect>) {
         let Some((purpose, answer)) = self.proposals.end(ticket, answer) else { return };
         match (purpose, answer) {
+            (For::Document(ticket), Answer::Documented(version)) => {
+                out.push(Effect::Documented { ticket, version: Some(version) });
+            }
             (For::Admin(ticket), Answer::Changed(changed)) => {
                 out.push(Effect::Admin { ticket, answer: Some(changed) });
             }
@@ -252,10 +321,11 @@
     }
 
     fn send_proposals(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        let ended = self.proposals.send(now, &self.me, &self.view, &self.options, out);
+        let ended = self.proposals.send(now, &self.me, &self.view, out);
         for purpose in ended {
             match purpose {
                 For::Admin(ticket) => out.push(Effect::Admin { ticket, answer: None }),
+                For::Document(ticket) => out.push(Effect::Documented { ticket, version: None }),
                 purpose => self.with_calls(now, out, |calls, context| calls.on_answer(context, &purpose, None)),
             }
         }
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -10,10 +10,14 @@
 };
 
 use rudder_events::What;
-use rudder_ledger::{Config, Delta};
-use rudder_model::{HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id};
+use rudder_ledger::{Config, Delta, Document};
+use rudder_model::{EndpointId, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id};
 
-use crate::{Effect, Listing, Me, Options, PeerMessage};
+use crate::{
+    Effect, Listing, Me, Options, PeerMessage, Watch, Watched,
+    peer::Load,
+    registry::{Registration, Registry},
+};
 
 /// Questions without an answer that are remembered.
 const ROUNDS: u64 = 64;
@@ -39,17 +43,25 @@
     target: usize,
     leader: Option<InstanceId>,
     was_fresh: bool,
+    /// The configuration document in force here.
+    pub document: Option<Document>,
+    /// Endpoints that registered themselves.
+    pub registry: Registry,
+    /// Work of all other instances at endpoints, and when the question was sent that it answers.
+    pub others: (Vec<Load>, Duration),
+    /// Counts the changes of what traffic needs: directory, document, registry, loads.
+    pub edition: u64,
+    seeds: Vec<InstanceId>,
+    unconfirmed: BTreeMap<EndpointId, Unconfirmed>,
+    loads: Vec<Load>,
 }
 
-/// An answer to a question, without its envelope.
+/// A heartbeat heard here that the leader has not confirmed.
 #[derive(Debug)]
-pub(crate) struct Watched {
-    pub(crate) round: u64,
-    pub(crate) asked: u64,
-    pub(crate) index: u64,
-    pub(crate) complete: bool,
-    pub(crate) deltas: Vec<Delta>,
-    pub(crate) directory: Option<(u64, Vec<Listing>)>,
+struct Unconfirmed {
+    registration: Registration,
+    /// First round that carried it.
+    round: Option<u64>,
 }
 
 impl View {
@@ -59,8 +71,62 @@
     }
 
     /// Where to send what only the leader can answer.
-    pub fn to_leader(&self, options: &Options) -> Option<InstanceId> {
-        self.leader.clone().or_else(|| options.seats.get(self.target % options.seats.len().max(1)).cloned())
+    pub fn to_leader(&self) -> Option<InstanceId> {
+        if self.leader.is_some() {
+            return self.leader.clone();
+        }
+        let seats = self.to_seats();
+        seats.get(self.target % seats.len().max(1)).cloned()
+    }
+
+    /// Who leads, as far as is known here.
+    pub fn leader(&self) -> Option<&InstanceId> {
+        self.leader.as_ref()
+    }
+
+    /// When the question was sent whose answer proves the configuration.
+    pub fn proved(&self) -> Option<Duration> {
+        self.proved
+    }
+
+    /// Sets where to start from: the instances that the settings name.
+    pub fn set_seeds(&mut self, seeds: Vec<InstanceId>) {
+        self.seeds = seeds;
+    }
+
+    /// Instances that may know the leader: those of the settings, then those known to have a disk.
+    fn to_seats(&self) -> Vec<InstanceId> {
+        let mut seats = self.seeds.clone();
+        for listing in self.directory.values().filter(|listing| listing.replica.is_some()) {
+            if !seats.contains(&listing.name) {
+                seats.push(listing.name.clone());
+            }
+        }
+        seats
+    }
+
+    /// Asks again at the next chance rather than at the next turn.
+    pub(crate) fn hurry(&mut self) {
+        self.asked_at = None;
+    }
+
+    /// Takes in an endpoint's heartbeat heard here.
+    pub(crate) fn hear(&mut self, now: Duration, registration: Registration) {
+        if self.registry.hear(now, &registration) {
+            self.edition += 1;
+            self.hurry();
+        }
+        self.unconfirmed.insert(registration.endpoint.clone(), Unconfirmed { registration, round: None });
+    }
+
+    /// True once the leader has confirmed all that was heard here of `endpoint`.
+    pub(crate) fn is_confirmed(&self, endpoint: &EndpointId) -> bool {
+        !self.unconfirmed.contains_key(endpoint)
+    }
+
+    /// Sets the work under way here.
+    pub(crate) fn set_loads(&mut self, loads: Vec<Load>) {
+        self.loads = loads;
     }
 
     /// The instance that decides for the pool of `model` in `hall`: by rendezvous hashing over the
@@ -115,18 +181,18 @@
         out: &mut Vec<Effect>,
     ) {
         self.log_freshness(now, options.fresh, out);
-        if self.asked_at.is_some_and(|asked| now < asked + options.watch) || options.seats.is_empty() {
+        if self.asked_at.is_some_and(|asked| now < asked + options.watch) {
             return;
         }
         self.asked_at = Some(now);
         if self.round - self.answered >= SILENCE {
             self.leader = None;
-            self.target = (self.target + 1) % options.seats.len();
+            self.target += 1;
         }
         self.round += 1;
         self.sent.insert(self.round, now);
         self.sent.retain(|round, _| round + ROUNDS > self.round);
-        let Some(to) = self.to_leader(options) else { return };
+        let Some(to) = self.to_leader() else { return };
         let listing = Listing {
             name: me.name.clone(),
             hall: me.hall.clone(),
@@ -135,9 +201,28 @@
             stopping,
             replica,
         };
-        let message =
-            PeerMessage::Watch { round: self.round, listing, index: self.config.index, directory: self.version };
-        out.push(Effect::Send { to, message });
+        let heard = self.carry_unconfirmed();
+        let watch = Watch {
+            round: self.round,
+            listing,
+            index: self.config.index,
+            directory: self.version,
+            document: self.document.as_ref().map_or(0, |document| document.version),
+            registry: self.registry.version(),
+            heard,
+            loads: self.loads.clone(),
+        };
+        out.push(Effect::Send { to, message: PeerMessage::Watch(Box::new(watch)) });
+    }
+
+    /// Heartbeats for the next question, which is noted for each as the first that carries it.
+    fn carry_unconfirmed(&mut self) -> Vec<Registration> {
+        let mut heard = Vec::with_capacity(self.unconfirmed.len());
+        for unconfirmed in self.unconfirmed.values_mut() {
+            unconfirmed.round.get_or_insert(self.round);
+            heard.push(unconfirmed.registration.clone());
+        }
+        heard
     }
 
     fn log_freshness(&mut self, now: Duration, bound: Duration, out: &mut Vec<Effect>) {
@@ -150,8 +235,8 @@
 
     /// Takes in who leads, from an instance that does not. An answer without a leader counts as
     /// silence, so that another instance is asked next.
-    pub(crate) fn on_elsewhere(&mut self, leader: Option<InstanceId>, options: &Options) {
-        if let Some(leader) = leader.filter(|leader| options.seats.contains(leader)) {
+    pub(crate) fn on_elsewhere(&mut self, leader: Option<InstanceId>) {
+        if let Some(leader) = leader {
             self.answered = self.round;
             self.leader = Some(leader);
             self.asked_at = None;
@@ -161,6 +246,7 @@
     /// Takes in an answer. Returns whether configuration or directory changed.
     pub(crate) fn on_watched(
         &mut self,
+        now: Duration,
         from: InstanceId,
         watched: Watched,
         promises: &mut Promises,
@@ -178,6 +264,8 @@
         if changed {
             out.push(Effect::Log(What::Configured { index: self.config.index }));
         }
+        self.take_document(watched.document, promises, out);
+        self.unconfirmed.retain(|_, held| held.round.is_none_or(|round| round > watched.round));
         if watched.complete {
             self.proved = self.proved.max(Some(sent));
         } else {
@@ -186,6 +274,14 @@
         if watched.round >= self.answered {
             self.answered = watched.round;
             self.leader = Some(from);
+            if let Some(news) = watched.registry {
+                self.registry.take_news(now, news);
+                self.edition += 1;
+            }
+            if self.others.0 != watched.loads {
+                self.edition += 1;
+            }
+            self.others = (watched.loads, sent);
             if let Some((version, listings)) = watched.directory {
                 changed |= self.take_directory(version, listings, out);
             }
@@ -193,6 +289,20 @@
         changed
     }
 
+    /// Takes in a document that is above the one in force; the version here only grows.
+    fn take_document(&mut self, document: Option<Document>, promises: &mut Promises, out: &mut Vec<Effect>) {
+        let Some(document) = document else { return };
+        let held = self.document.as_ref().map_or(0, |held| held.version);
+        if document.version <= held {
+            // An answer to an older question that came late.
+            return;
+        }
+        promises.check(Promise::NoRevert, document.version > held);
+        out.push(Effect::Log(What::Documented { version: document.version, before: held }));
+        self.document = Some(document);
+        self.edition += 1;
+    }
+
     fn take_delta(&mut self, delta: Delta) -> bool {
         let (kind, name) = (delta.kind, delta.name.clone());
         let before = self.keys_of(kind, &name);
@@ -233,6 +343,7 @@
             out.push(Effect::Log(What::Directory { live: names }));
         }
         self.directory = next;
+        self.edition += 1;
         true
     }
 }
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -9,7 +9,7 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
-use rudder_core::{Arrival, Effect, Ended, Event, Key, Me, Options, PeerMessage, State, Stored, Verdict};
+use rudder_core::{Arrival, Effect, Ended, Event, Key, Me, Options, PeerMessage, State, Stored, Verdict, Watched};
 use rudder_events::What;
 use rudder_ledger::{Change, Changed};
 use rudder_model::{
@@ -393,7 +393,11 @@
                 self.seats[node].state = None;
                 self.seats[node].clean_exit = true;
             }
-            Effect::Poll { .. } | Effect::Order { .. } | Effect::Log(_) => {}
+            Effect::Poll { .. }
+            | Effect::Order { .. }
+            | Effect::Log(_)
+            | Effect::Documented { .. }
+            | Effect::Registered { .. } => {}
         }
     }
 
@@ -424,21 +428,15 @@
 
     /// Sabotage: an answer is told as the answer to the questions of the next minute too.
     fn tamper(&mut self, target: usize, message: PeerMessage) -> PeerMessage {
-        let PeerMessage::Watched { round, asked, index, complete, deltas, directory } = &message else {
+        let PeerMessage::Watched(watched) = &message else {
             return message;
         };
         if self.sabotage != Sabotage::OldAnswers {
             return message;
         }
         for later in 1..60 {
-            let message = PeerMessage::Watched {
-                round: round + later,
-                asked: *asked,
-                index: *index,
-                complete: *complete,
-                deltas: deltas.clone(),
-                directory: directory.clone(),
-            };
+            let told = Watched { round: watched.round + later, ..(**watched).clone() };
+            let message = PeerMessage::Watched(Box::new(told));
             let event = Event::Peer { from: self.seats[0].name.clone(), message };
             self.schedule(400 * later + 30, Delivery::Node(target, event));
         }
@@ -628,8 +626,8 @@
         Effect::Log(What::Asked { .. }) => step == Step::Asked,
         Effect::Log(What::Granted { .. }) => step == Step::Granted,
         Effect::Verdict { verdict: Verdict::Dispatch(_), .. } => step == Step::Dispatched,
-        Effect::Send { message: PeerMessage::Watched { deltas, .. }, .. } => {
-            step == Step::Distributed && !deltas.is_empty()
+        Effect::Send { message: PeerMessage::Watched(watched), .. } => {
+            step == Step::Distributed && !watched.deltas.is_empty()
         }
         _ => false,
     }
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -1,6 +1,6 @@
 //! Events: changes of state, and the decisions taken for single requests.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rudder_model::{ClassId, EndpointId, HallId, InstanceId, ModelId, OrgId, Ran, RefusalCode};
 use serde::{Deserialize, Serialize};
@@ -12,6 +12,10 @@
     pub at: u64,
     /// The process that wrote it.
     pub instance: InstanceId,
+    /// Microseconds since the process started, by its steady clock; orders its lines when its
+    /// wall clock jumps.
+    #[serde(default)]
+    pub uptime: u64,
     /// What happened.
     #[serde(flatten)]
     pub what: What,
@@ -54,6 +58,13 @@
         /// Its index.
         index: u64,
     },
+    /// A newer configuration document is in force here.
+    Documented {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: u64,
+    },
     /// The directory of live instances changed.
     Directory {
         /// Names of the live instances.
@@ -166,6 +177,122 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// A caller's request was read and its route found.
+    CallTaken {
+        /// The caller's id of the request.
+        request: String,
+        /// Its route.
+        route: Arc<str>,
+        /// The organisation that holds its key.
+        org: Option<Arc<str>>,
+        /// Version of the configuration document that decided.
+        version: u64,
+        /// Age of the proof that it is the newest, in milliseconds.
+        proof_ms: u64,
+        /// Time that the caller and the route allow, in milliseconds.
+        left_ms: u64,
+    },
+    /// A request went out to an endpoint.
+    CallSent {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Counts the endpoints it was sent to.
+        attempt: u32,
+        /// Requests known to be there, its own not counted.
+        calls: u32,
+        /// Age of the others' part of that count, in milliseconds.
+        others_ms: u64,
+        /// The connection had carried requests before.
+        reused: bool,
+        /// Time left, in milliseconds.
+        left_ms: u64,
+    },
+    /// An attempt at an endpoint failed.
+    CallFailed {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Counts the endpoints it was sent to.
+        attempt: u32,
+        /// Why.
+        why: String,
+        /// Whether the attempt ran.
+        ran: Ran,
+    },
+    /// An endpoint's answer went to the caller, whole.
+    CallAnswered {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// HTTP status.
+        status: u16,
+        /// From arrival to the first byte, in milliseconds.
+        first_ms: u64,
+        /// From arrival to the end, in milliseconds.
+        total_ms: u64,
+    },
+    /// The instance answered a request itself.
+    CallRefused {
+        /// The request.
+        request: String,
+        /// HTTP status.
+        status: u16,
+        /// Why.
+        why: String,
+        /// Whether the request ran.
+        ran: Ran,
+        /// When the caller was told to come back, in milliseconds.
+        retry_ms: Option<u64>,
+    },
+    /// An answer under way was broken off, or its caller left.
+    CallCut {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Why.
+        why: String,
+        /// Events that the caller has.
+        events: u64,
+    },
+    /// An endpoint joined, changed its standing, or was taken off.
+    Endpoint {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Its service.
+        service: Arc<str>,
+        /// Where it stands.
+        phase: String,
+        /// Sequence number of the heartbeat that said so.
+        sequence: u64,
+    },
+    /// A configuration document came from an operator.
+    DocumentPut {
+        /// Its version; 0 where it could not be read.
+        version: u64,
+        /// HTTP status of the answer.
+        status: u16,
+        /// Version held then.
+        held: u64,
+        /// Why, where it was refused.
+        why: String,
+    },
+    /// Settings were read anew.
+    Reloaded {
+        /// What came of it.
+        outcome: String,
+    },
+    /// Lines left out of the log in the last second.
+    Dropped {
+        /// Lines beyond the budget.
+        budget: u64,
+        /// Lines that the writer could not take in time.
+        blocked: u64,
+    },
     /// An order went out to an endpoint.
     Ordered {
         /// The endpoint.
@@ -189,6 +316,12 @@
             | What::Recalled { request, .. }
             | What::Done { request, .. }
             | What::Refused { request, .. }
+            | What::CallTaken { request, .. }
+            | What::CallSent { request, .. }
+            | What::CallFailed { request, .. }
+            | What::CallAnswered { request, .. }
+            | What::CallRefused { request, .. }
+            | What::CallCut { request, .. }
             | What::Left { request } => Some(request),
             _ => None,
         }
--- /dev/null
+++ b/crates/rudder-gateway/src/balance.rs
@@ -0,0 +1,102 @@
+//! Work under way at endpoints: what this instance has sent, and what the others told of theirs.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use rudder_core::peer::Load;
+use rudder_model::EndpointId;
+
+/// Work of this instance at all endpoints, and the last word of the others.
+#[derive(Debug, Default)]
+pub struct Balance {
+    own: HashMap<EndpointId, Load>,
+    others: HashMap<EndpointId, Load>,
+}
+
+/// Work at one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Requests sent and not yet ended.
+    pub calls: u32,
+    /// Prompt tokens whose first output has not come.
+    pub unread: u32,
+    /// Tokens of memory that the requests may need.
+    pub held: u32,
+}
+
+impl Balance {
+    /// All work at `endpoint`, as far as is known here.
+    pub fn at(&self, endpoint: &str) -> Work {
+        let mut work = Work::default();
+        for load in [self.own.get(endpoint), self.others.get(endpoint)].into_iter().flatten() {
+            work.calls += load.calls;
+            work.unread += load.unread;
+            work.held += load.held;
+        }
+        work
+    }
+
+    /// Requests of this instance at `endpoint`.
+    pub fn own_calls(&self, endpoint: &str) -> u32 {
+        self.own.get(endpoint).map_or(0, |load| load.calls)
+    }
+
+    /// Takes in what all other instances together have under way.
+    pub fn set_others(&mut self, loads: &[Load]) {
+        self.others = loads.iter().map(|load| (load.endpoint.clone(), load.clone())).collect();
+    }
+
+    /// This instance's work, to tell the others.
+    pub fn to_loads(&self) -> Vec<Load> {
+        self.own.values().filter(|load| load.calls > 0).cloned().collect()
+    }
+
+    /// Drops endpoints that are no longer known and have no work.
+    pub fn retain(&mut self, known: impl Fn(&EndpointId) -> bool) {
+        self.own.retain(|endpoint, load| load.calls > 0 || known(endpoint));
+    }
+
+    fn entry(&mut self, endpoint: &EndpointId) -> &mut Load {
+        let empty = || Load { endpoint: endpoint.clone(), calls: 0, unread: 0, held: 0 };
+        self.own.entry(endpoint.clone()).or_insert_with(empty)
+    }
+}
+
+/// One request under way at an endpoint; its end, however it comes, takes it off the balance.
+#[derive(Debug)]
+pub struct Flight {
+    balance: Rc<RefCell<Balance>>,
+    endpoint: EndpointId,
+    unread: u32,
+    held: u32,
+}
+
+impl Flight {
+    /// Counts a request of `unread` prompt tokens that needs up to `held` tokens of memory.
+    pub fn start(balance: &Rc<RefCell<Balance>>, endpoint: &EndpointId, unread: u32, held: u32) -> Flight {
+        let mut borrowed = balance.borrow_mut();
+        let load = borrowed.entry(endpoint);
+        load.calls += 1;
+        load.unread += unread;
+        load.held += held;
+        drop(borrowed);
+        Flight { balance: balance.clone(), endpoint: endpoint.clone(), unread, held }
+    }
+
+    /// Takes in that the first output came, so the prompt has been read.
+    pub fn note_read(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        let mut balance = self.balance.borrow_mut();
+        let load = balance.entry(&self.endpoint);
+        load.unread = load.unread.saturating_sub(unread);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.note_read();
+        let mut balance = self.balance.borrow_mut();
+        let load = balance.entry(&self.endpoint);
+        load.calls = load.calls.saturating_sub(1);
+        load.held = load.held.saturating_sub(self.held);
+    }
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/body.rs
@@ -0,0 +1,55 @@
+//! Bodies of answers to callers.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::mpsc;
+
+/// The answer broke off: its connection ends so that it cannot look complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the answer broke off")]
+pub struct Broken;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// All of it, once.
+    Whole(Option<Bytes>),
+    /// Parts as they come.
+    Parts(mpsc::Receiver<Result<Bytes, Broken>>),
+}
+
+impl AnswerBody {
+    /// A whole body.
+    pub fn whole(bytes: impl Into<Bytes>) -> AnswerBody {
+        let bytes = bytes.into();
+        AnswerBody::Whole((!bytes.is_empty()).then_some(bytes))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Parts(parts) => parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, AnswerBody::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            AnswerBody::Parts(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -0,0 +1,139 @@
+//! What callers, operators and endpoints speak, as the entry sees it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri, request, response};
+use rudder_core::Registration;
+
+use crate::{Plan, plan::Fault};
+
+/// Why a configuration document is refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum DocumentFault {
+    /// It cannot be read.
+    #[error("cannot be read: {0}")]
+    Unreadable(String),
+    /// Its parts do not fit together.
+    #[error(transparent)]
+    Invalid(#[from] Fault),
+}
+
+/// One part of a prompt that requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Identifies its content.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What a request says of the work it asks of an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Prompt {
+    /// Tokens of the prompt.
+    pub tokens: u32,
+    /// Tokens generated at most.
+    pub answer: u32,
+    /// The caller's guess of the tokens generated.
+    pub guess: Option<u32>,
+    /// Its parts in order; the last one is the request's own or its session's.
+    pub parts: Vec<PromptPart>,
+}
+
+/// What a caller's head says.
+#[derive(Clone, Debug, Default)]
+pub struct CallHead {
+    /// Identifies the request; empty where the caller gave none.
+    pub id: String,
+    /// How long the caller waits.
+    pub deadline: Option<Duration>,
+    /// Its key.
+    pub key: Option<String>,
+    /// The engine's work, where it names any.
+    pub prompt: Option<Prompt>,
+    /// Last event that the caller has of a stream it takes up.
+    pub last_event: Option<u64>,
+}
+
+/// What the entry tells an endpoint beside the caller's own head.
+#[derive(Clone, Debug)]
+pub struct Forward<'a> {
+    /// The endpoint meant; any other refuses.
+    pub endpoint: &'a str,
+    /// How long the answer is waited for.
+    pub left: Duration,
+    /// The organisation that holds the caller's key.
+    pub organisation: Option<&'a str>,
+    /// Rank among the engine's requests; 0 is the highest.
+    pub tier: Option<u8>,
+    /// Last event that the caller has already.
+    pub last_event: Option<u64>,
+}
+
+/// What an endpoint's answer says beside its content.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerHead {
+    /// It answers the request whose id was sent.
+    pub own: bool,
+    /// The endpoint says that it did not run the request.
+    pub not_run: bool,
+    /// It was meant for another endpoint.
+    pub misdirected: bool,
+    /// Requests running and waiting there, where told.
+    pub load: Option<(u32, u32)>,
+    /// How long the connection may rest.
+    pub keep: Option<Duration>,
+}
+
+/// What a request at one of the other doors asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    /// Whether this instance takes callers.
+    Ready,
+    /// Which instances to use, for a caller in this hall.
+    Entries(Option<String>),
+    /// Replace the configuration document.
+    Replace,
+    /// Read the configuration document.
+    Read,
+    /// A heartbeat of this endpoint.
+    Heartbeat(String),
+    /// This endpoint ends.
+    Leave(String),
+    /// Nothing that is known.
+    Unknown,
+}
+
+/// Turns heads and bodies into typed calls and back.
+pub trait Dialect: Clone + 'static {
+    /// Reads a configuration document whole.
+    ///
+    /// # Errors
+    /// When it cannot be read, or could not be put in force.
+    fn read_document(&self, body: &[u8]) -> Result<Plan, DocumentFault>;
+
+    /// Reads a caller's head.
+    fn read_call(&self, head: &request::Parts) -> CallHead;
+
+    /// Makes a caller's headers those that an endpoint gets.
+    fn write_forward(&self, headers: &mut HeaderMap, forward: &Forward);
+
+    /// Reads the head of an endpoint's answer to the request `id`.
+    fn read_answer(&self, id: &str, head: &response::Parts) -> AnswerHead;
+
+    /// What a request at another door than the callers' asks for.
+    fn read_operation(&self, method: &Method, uri: &Uri) -> Operation;
+
+    /// Reads a heartbeat.
+    ///
+    /// # Errors
+    /// When it cannot be read; the text says why.
+    fn read_heartbeat(&self, endpoint: &str, body: &[u8]) -> Result<Registration, String>;
+
+    /// The answer to [`Operation::Entries`].
+    fn write_entries(&self, addresses: &[Arc<str>], keep: Duration) -> Bytes;
+
+    /// The answer to a heartbeat.
+    fn write_heartbeat(&self) -> Bytes;
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/driver.rs
@@ -0,0 +1,224 @@
+//! The control thread: it owns the reducer, and turns its effects into notices for traffic.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use eyre::{Context as _, Result};
+use rudder_core::{Effect, Event, Me, PeerMessage, Registration, State};
+use rudder_events::What;
+use rudder_model::{EndpointId, InstanceId};
+use rudder_replica::{Durable, ReplicaId};
+use rudder_store::disk::{self, Job, Report};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::{
+    Options,
+    logging::Log,
+    shared::{Published, Reply},
+};
+
+/// Time between ticks of the reducer.
+const TICK: Duration = Duration::from_millis(50);
+/// Saves that wait for the disk.
+const SAVES: usize = 65_536;
+/// Bytes of commands in the log that make a snapshot due.
+const SNAPSHOT: u64 = 512 << 10;
+/// Entries kept before the snapshot for followers that lag a little.
+const KEEP: u64 = 4;
+
+/// Something for the traffic thread.
+#[derive(Debug)]
+pub enum Notice {
+    /// Send a message to another instance.
+    Send(InstanceId, PeerMessage),
+    /// The view changed.
+    Published(Box<Published>),
+    /// The view is proved the newest as of this time.
+    Proved(Instant),
+    /// Somebody's ticket is answered.
+    Reply(u64, Reply),
+}
+
+/// The control thread's state around the reducer's.
+pub struct Driver {
+    state: State,
+    epoch: Instant,
+    notices: UnboundedSender<Vec<Notice>>,
+    disk: Option<Sender<Job>>,
+    log: Log,
+    edition: u64,
+    proved: Option<Duration>,
+    endpoints: Vec<Registration>,
+    batch: Vec<Notice>,
+}
+
+/// Opens the disk and prepares the reducer.
+///
+/// # Errors
+/// When the data folder cannot be opened or its thread not be started.
+pub fn prepare(
+    options: &Options,
+    inputs: &Sender<Event>,
+    notices: UnboundedSender<Vec<Notice>>,
+    log: Log,
+) -> Result<Driver> {
+    let epoch = Instant::now();
+    let name = options.name();
+    let me = Me {
+        name: name.clone(),
+        hall: options.hall.clone(),
+        start: rand::random(),
+        address: options.doors.callers.to_string(),
+        epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+    };
+    let (disk, durable) = open_disk(options, &name, inputs)?;
+    log.write(What::Started { hall: me.hall.clone(), start: me.start });
+    let state = State::new(epoch.elapsed(), me, to_core(options), durable);
+    let endpoints = Vec::new();
+    Ok(Driver { state, epoch, notices, disk, log, edition: 0, proved: None, endpoints, batch: Vec::new() })
+}
+
+type Disk = (Option<Sender<Job>>, Option<(ReplicaId, Durable)>);
+
+fn open_disk(options: &Options, name: &str, inputs: &Sender<Event>) -> Result<Disk> {
+    let Some(folder) = &options.data else { return Ok((None, None)) };
+    let outcome = rudder_store::open(folder, name, rand::random()).wrap_err("open the data folder")?;
+    let (sender, jobs) = bounded(SAVES);
+    let (store, inputs) = (outcome.store, inputs.clone());
+    let run = move || {
+        disk::run(store, &jobs, |report| {
+            let event = match report {
+                Report::Saved(number) => Event::Saved { number },
+                Report::Full => Event::DiskFull,
+            };
+            inputs.send(event).is_ok()
+        });
+    };
+    std::thread::Builder::new().name("disk".to_owned()).spawn(run).wrap_err("start the disk thread")?;
+    Ok((Some(sender), Some((outcome.id, outcome.durable))))
+}
+
+fn to_core(options: &Options) -> rudder_core::Options {
+    rudder_core::Options {
+        seats: options.seeds.clone(),
+        founders: if options.found { options.seeds.clone() } else { Vec::new() },
+        watch: options.watch,
+        fresh: options.fresh,
+        gone: Duration::from_millis(1500),
+        keep: options.keep,
+        snapshot_bytes: SNAPSHOT,
+        replica: rudder_replica::Options {
+            heartbeat: Duration::from_millis(100),
+            election: Duration::from_millis(600),
+            lease: Duration::from_millis(450),
+            replace: Duration::from_millis(1500),
+            voters: options.voters,
+            keep: KEEP,
+            seed: rand::random(),
+            ..rudder_replica::Options::default()
+        },
+        ..rudder_core::Options::default()
+    }
+}
+
+impl Driver {
+    /// Runs until the instance ends.
+    pub fn run(mut self, inputs: &Receiver<Event>) {
+        let mut next = Instant::now();
+        loop {
+            match inputs.recv_deadline(next) {
+                Ok(event) => self.reduce(event),
+                Err(RecvTimeoutError::Disconnected) => return,
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            // A flood of inputs must not keep time from advancing.
+            if Instant::now() >= next {
+                self.reduce(Event::Tick);
+                next = Instant::now() + TICK;
+            }
+        }
+    }
+
+    fn reduce(&mut self, event: Event) {
+        let now = self.epoch.elapsed();
+        let mut effects = Vec::new();
+        self.state.reduce(now, event, &mut effects);
+        self.publish();
+        for effect in effects {
+            self.perform(effect);
+        }
+        if !self.batch.is_empty() {
+            let _ = self.notices.send(std::mem::take(&mut self.batch));
+        }
+    }
+
+    /// Tells traffic of a newer view first and of its proof after it.
+    fn publish(&mut self) {
+        let view = &self.state.view;
+        if view.edition != self.edition {
+            self.edition = view.edition;
+            let endpoints: Vec<Registration> = view.registry.iter().cloned().collect();
+            let published = Published {
+                document: view.document.clone(),
+                endpoints: endpoints.clone(),
+                entries: view.directory.values().cloned().collect(),
+                others: view.others.0.clone(),
+                others_at: Some(self.epoch + view.others.1),
+            };
+            log_endpoints(&self.log, &self.endpoints, &endpoints);
+            self.endpoints = endpoints;
+            self.batch.push(Notice::Published(Box::new(published)));
+        }
+        let view = &self.state.view;
+        if view.proved() != self.proved {
+            self.proved = view.proved();
+            self.batch.extend(self.proved.map(|proved| Notice::Proved(self.epoch + proved)));
+        }
+    }
+
+    fn perform(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.batch.push(Notice::Send(to, message)),
+            Effect::Save { number, records } => self.save(Job::Append(number, records)),
+            Effect::SaveSnapshot { number, snapshot, records } => {
+                self.save(Job::Replace(number, snapshot, records));
+            }
+            Effect::Documented { ticket, version } => {
+                self.batch.push(Notice::Reply(ticket, Reply::Documented(version)));
+            }
+            Effect::Registered { ticket, taken } => self.batch.push(Notice::Reply(ticket, Reply::Registered(taken))),
+            Effect::Log(what) => self.log.write(what),
+            // Requests are decided on the traffic thread, which also says when a planned stop is complete.
+            Effect::Verdict { .. }
+            | Effect::Admin { .. }
+            | Effect::Poll { .. }
+            | Effect::Order { .. }
+            | Effect::Exit => {}
+        }
+    }
+
+    fn save(&self, job: Job) {
+        if let Some(disk) = &self.disk {
+            let _ = disk.send(job);
+        }
+    }
+}
+
+fn log_endpoints(log: &Log, before: &[Registration], after: &[Registration]) {
+    let line = |registration: &Registration, phase: String| What::Endpoint {
+        endpoint: registration.endpoint.clone(),
+        service: registration.service.clone(),
+        phase,
+        sequence: registration.sequence,
+    };
+    for registration in after {
+        let held = before.iter().find(|held| held.endpoint == registration.endpoint);
+        if held.is_none_or(|held| held.phase != registration.phase) {
+            log.write(line(registration, format!("{:?}", registration.phase).to_lowercase()));
+        }
+    }
+    let known = |endpoint: &EndpointId| after.iter().any(|registration| registration.endpoint == *endpoint);
+    for registration in before.iter().filter(|registration| !known(&registration.endpoint)) {
+        log.write(line(registration, "forgotten".to_owned()));
+    }
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/options.rs
@@ -0,0 +1,105 @@
+//! Settings of the entry.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use rudder_model::{HallId, InstanceId};
+
+/// Where an instance listens.
+#[derive(Clone, Debug)]
+pub struct Doors {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For questions whether it takes callers.
+    pub ready: SocketAddr,
+    /// For operators and endpoints.
+    pub operators: SocketAddr,
+    /// For callers who ask which instances to use.
+    pub directory: SocketAddr,
+    /// For other instances; its text is the instance's name.
+    pub peers: SocketAddr,
+    /// For metrics, where they are wanted.
+    pub metrics: Option<SocketAddr>,
+}
+
+impl Doors {
+    /// All doors at `address`; for tests and as a base to update.
+    pub fn at(address: SocketAddr) -> Doors {
+        Doors {
+            callers: address,
+            ready: address,
+            operators: address,
+            directory: address,
+            peers: address,
+            metrics: None,
+        }
+    }
+}
+
+/// Settings of one instance.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where it listens.
+    pub doors: Doors,
+    /// Its hall.
+    pub hall: HallId,
+    /// Instances to start from: their addresses for other instances.
+    pub seeds: Vec<InstanceId>,
+    /// The system starts for the first time, so the seeds found the log.
+    pub found: bool,
+    /// The data folder, where there is a disk.
+    pub data: Option<PathBuf>,
+    /// Voters wanted.
+    pub voters: usize,
+    /// No keyed request starts without proof of the configuration this young.
+    pub fresh: Duration,
+    /// A request is told that its route or key does not exist only with proof this young.
+    pub fresh_denial: Duration,
+    /// How long callers may keep the list of entries.
+    pub keep: Duration,
+    /// Callers may keep it this many times as long.
+    pub keep_stretch: u32,
+    /// From the signal to stop to the kill.
+    pub grace: Duration,
+    /// Requests sent again, as a share of the requests.
+    pub retry_ratio: f64,
+    /// Time over which that share counts.
+    pub retry_window: Duration,
+    /// Requests sent again beyond the share, in one window, over all instances.
+    pub retry_extra: u32,
+    /// A request that took no configuration yet is told to come back after this.
+    pub come_back: Duration,
+    /// Time between questions for news.
+    pub watch: Duration,
+    /// Lines logged in a second at most.
+    pub log_lines: u32,
+}
+
+impl Options {
+    /// The usual settings for the given place.
+    pub fn new(doors: Doors, hall: HallId) -> Options {
+        Options {
+            doors,
+            hall,
+            seeds: Vec::new(),
+            found: false,
+            data: None,
+            voters: 3,
+            fresh: Duration::from_millis(4500),
+            fresh_denial: Duration::from_millis(1500),
+            keep: Duration::from_secs(1),
+            keep_stretch: 3,
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_window: Duration::from_secs(10),
+            retry_extra: 50,
+            come_back: Duration::from_millis(300),
+            watch: Duration::from_millis(250),
+            log_lines: 200,
+        }
+    }
+
+    /// Its name among the instances: where others reach it.
+    pub fn name(&self) -> InstanceId {
+        InstanceId::from(self.doors.peers.to_string())
+    }
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/run.rs
@@ -0,0 +1,138 @@
+//! One instance, from its settings to its planned end.
+
+use std::{
+    rc::Rc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::{Sender, unbounded};
+use eyre::{Context as _, Result};
+use rudder_core::Event;
+use rudder_events::What;
+use rudder_model::InstanceId;
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::mpsc::{UnboundedReceiver, unbounded_channel},
+    task::LocalSet,
+};
+
+use crate::{
+    Dialect, Options, driver,
+    driver::Notice,
+    logging::Log,
+    peers::{self, Links},
+    serve::{self, Door},
+    shared::Shared,
+    stop,
+};
+
+/// Time between looks at idle connections and reports of load.
+const HOUSEKEEPING: Duration = Duration::from_millis(200);
+/// Lines that are still in the log's queue get this long.
+const LAST_LINES: Duration = Duration::from_millis(120);
+
+/// Runs an instance until a signal to stop has been carried out. `reload` reads the settings anew and
+/// tells which instances to start from.
+///
+/// # Errors
+/// When the data folder cannot be opened, an address not be bound, or a thread not be started.
+pub fn run<D: Dialect>(dialect: D, options: Options, reload: impl Fn() -> Result<Vec<InstanceId>>) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().wrap_err("start the runtime")?;
+    let log = Log::start(options.name(), options.log_lines, std::io::stdout());
+    let (inputs, received) = unbounded();
+    let (notices, to_traffic) = unbounded_channel();
+    let driver = driver::prepare(&options, &inputs, notices, log.fork())?;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || driver.run(&received))
+        .wrap_err("start the control thread")?;
+    let shared = Rc::new(Shared::new(dialect, options, inputs, log));
+    let local = LocalSet::new();
+    local.block_on(&runtime, serve_all(shared.clone(), to_traffic, reload))?;
+    thread::sleep(LAST_LINES);
+    Ok(())
+}
+
+async fn serve_all<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    notices: UnboundedReceiver<Vec<Notice>>,
+    reload: impl Fn() -> Result<Vec<InstanceId>>,
+) -> Result<()> {
+    let doors = shared.options.doors.clone();
+    let inputs: Rc<Sender<Event>> = Rc::new(shared.inputs.clone());
+    tokio::task::spawn_local(peers::accept(serve::listen(doors.peers)?, inputs));
+    let mut others = vec![doors.ready, doors.operators, doors.directory];
+    others.sort_unstable();
+    others.dedup();
+    for address in others {
+        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Others));
+    }
+    tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(doors.callers)?, Door::Callers));
+    tokio::task::spawn_local(take_notices(shared.clone(), notices));
+    tokio::task::spawn_local(keep_house(shared.clone()));
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("listen for signals")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("listen for signals")?;
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("listen for signals")?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => take_settings(&shared, reload()),
+        }
+    }
+    tokio::select! {
+        () = stop::stop(&shared) => {}
+        () = ignore(&mut hangup) => {}
+    }
+    Ok(())
+}
+
+/// A reload while the instance stops changes nothing more.
+async fn ignore(hangup: &mut tokio::signal::unix::Signal) {
+    while hangup.recv().await.is_some() {}
+    std::future::pending::<()>().await;
+}
+
+fn take_settings<D: Dialect>(shared: &Shared<D>, seeds: Result<Vec<InstanceId>>) {
+    let outcome = match seeds {
+        Ok(seeds) => {
+            let outcome = format!("starts from {}", seeds.join(", "));
+            shared.tell(Event::Seeds(seeds));
+            outcome
+        }
+        Err(error) => format!("kept what was in force: {error:#}"),
+    };
+    shared.log.write(What::Reloaded { outcome });
+}
+
+async fn take_notices<D: Dialect>(shared: Rc<Shared<D>>, mut notices: UnboundedReceiver<Vec<Notice>>) {
+    let mut links = Links::new(shared.name.clone());
+    while let Some(batch) = notices.recv().await {
+        for notice in batch {
+            match notice {
+                Notice::Send(to, message) => links.send(&to, message),
+                Notice::Published(published) => shared.publish(*published),
+                Notice::Proved(proved) => drop(shared.proof.send_replace(Some(proved))),
+                Notice::Reply(ticket, reply) => shared.tickets.reply(ticket, reply),
+            }
+        }
+    }
+    // The control thread ends only by a failed promise; without it nothing here may go on.
+    spdlog::critical!("the control thread has failed");
+    std::process::exit(4);
+}
+
+/// Closes what has rested too long, and tells the reducer what is under way.
+async fn keep_house<D: Dialect>(shared: Rc<Shared<D>>) {
+    let mut told = Vec::new();
+    loop {
+        tokio::time::sleep(HOUSEKEEPING).await;
+        shared.pool.borrow_mut().age(Instant::now());
+        let loads = shared.balance.borrow().to_loads();
+        if loads != told {
+            told.clone_from(&loads);
+            shared.tell(Event::Loads(loads));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/serve.rs
@@ -0,0 +1,104 @@
+//! Listening: connections of callers, and of those at the other doors.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use eyre::{Context as _, Result};
+use http::{Request, Response, header::CONNECTION};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+use crate::{
+    Dialect,
+    body::AnswerBody,
+    call, operate,
+    plan::Limits,
+    shared::{Shared, Stage},
+    upstream,
+};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// After a failed accept the next one waits this long; descriptors may have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The HTTP library's smallest buffer for a head.
+const HEAD_MIN: usize = 8192;
+
+/// Which door a connection came through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Door {
+    /// Callers.
+    Callers,
+    /// Operators, endpoints, and questions for entries and readiness.
+    Others,
+}
+
+/// Listens at `address`.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub fn listen(address: SocketAddr) -> Result<TcpListener> {
+    let socket = TcpSocket::new_v4().wrap_err("make a socket")?;
+    socket.set_reuseaddr(true).wrap_err("set a socket's options")?;
+    socket.bind(address).wrap_err_with(|| format!("bind {address}"))?;
+    socket.listen(BACKLOG).wrap_err_with(|| format!("listen on {address}"))
+}
+
+/// Accepts connections until the runtime ends.
+pub async fn accept<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener, door: Door) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let shared = shared.clone();
+                tokio::task::spawn_local(async move { serve(shared, stream, door).await });
+            }
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+async fn serve<D: Dialect>(shared: Rc<Shared<D>>, stream: TcpStream, door: Door) {
+    if upstream::tune(&stream).is_err() {
+        // The caller has gone already.
+        return;
+    }
+    let limits = shared.current_plan().map_or_else(Limits::default, |plan| plan.limits);
+    let service = service_fn(|request| answer(shared.clone(), request, door));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.head.max(HEAD_MIN))
+        .pipeline_flush(false)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut stages = shared.stage.subscribe();
+    let closing = stages.wait_for(|stage| *stage == Stage::Closing);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = closing => {}
+    }
+    // What is under way is finished; an idle connection ends now.
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn answer<D: Dialect>(
+    shared: Rc<Shared<D>>,
+    request: Request<Incoming>,
+    door: Door,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let serving = shared.clone();
+    let mut response = match door {
+        Door::Callers => call::handle(shared, request).await,
+        Door::Others => operate::handle(shared, request, Instant::now()).await,
+    };
+    if *serving.stage.borrow() != Stage::Serving {
+        response.headers_mut().insert(CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/shared.rs
@@ -0,0 +1,199 @@
+//! What the tasks of the traffic thread share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use crossbeam_channel::Sender;
+use rudder_core::{Event, Listing, Registration, peer::Load};
+use rudder_ledger::Document;
+use rudder_model::InstanceId;
+use tokio::sync::{oneshot, watch};
+
+use crate::{Dialect, Options, Plan, balance::Balance, budget::Budget, health::Health, logging::Log, upstream::Pool};
+
+/// What the reducer's view says to traffic.
+#[derive(Clone, Debug, Default)]
+pub struct Published {
+    /// The configuration document.
+    pub document: Option<Document>,
+    /// Endpoints that registered themselves.
+    pub endpoints: Vec<Registration>,
+    /// Live instances.
+    pub entries: Vec<Listing>,
+    /// Work of the other instances at endpoints.
+    pub others: Vec<Load>,
+    /// When the question was sent that told their work.
+    pub others_at: Option<Instant>,
+}
+
+/// The answer to something that waits for the reducer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A document was decided on: the version held now, or nothing is known.
+    Documented(Option<u64>),
+    /// A heartbeat was taken in, or was not.
+    Registered(bool),
+}
+
+/// Those who wait for the reducer.
+#[derive(Debug, Default)]
+pub struct Tickets {
+    count: Cell<u64>,
+    waiting: RefCell<HashMap<u64, oneshot::Sender<Reply>>>,
+}
+
+impl Tickets {
+    /// A new ticket and where its reply comes.
+    pub fn draw(&self) -> (u64, oneshot::Receiver<Reply>) {
+        let ticket = self.count.get() + 1;
+        self.count.set(ticket);
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        (ticket, receiver)
+    }
+
+    /// Passes a reply on; one that nobody waits for any more is dropped.
+    pub fn reply(&self, ticket: u64, reply: Reply) {
+        if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
+            let _ = waiting.send(reply);
+        }
+    }
+}
+
+/// Where a planned stop stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// No stop was asked for.
+    Serving,
+    /// Off the lists; each answer closes its connection.
+    Leaving,
+    /// Idle connections are closed too.
+    Closing,
+}
+
+/// State of the traffic thread.
+#[derive(Debug)]
+pub struct Shared<D> {
+    /// What callers speak.
+    pub dialect: D,
+    /// Settings.
+    pub options: Options,
+    /// This instance's name.
+    pub name: InstanceId,
+    /// Events for the reducer.
+    pub inputs: Sender<Event>,
+    /// Those who wait for it.
+    pub tickets: Tickets,
+    /// The latest view.
+    pub view: RefCell<Rc<Published>>,
+    /// The configuration document, read.
+    pub plan: RefCell<Option<Rc<Plan>>>,
+    /// When the question was sent whose answer proves the plan the newest.
+    pub proof: watch::Sender<Option<Instant>>,
+    /// Work under way at endpoints.
+    pub balance: Rc<RefCell<Balance>>,
+    /// Outcomes at endpoints.
+    pub health: RefCell<Health>,
+    /// Requests sent again.
+    pub budget: RefCell<Budget>,
+    /// Idle connections to endpoints.
+    pub pool: RefCell<Pool>,
+    /// Where a planned stop stands.
+    pub stage: watch::Sender<Stage>,
+    /// Requests of callers under way.
+    pub open: Cell<u64>,
+    /// The log.
+    pub log: Log,
+}
+
+impl<D: Dialect> Shared<D> {
+    /// The state of an instance that has just started.
+    pub fn new(dialect: D, options: Options, inputs: Sender<Event>, log: Log) -> Shared<D> {
+        let budget = Budget::new(options.retry_window, options.retry_ratio, options.retry_extra);
+        Shared {
+            dialect,
+            name: options.name(),
+            options,
+            inputs,
+            tickets: Tickets::default(),
+            view: RefCell::default(),
+            plan: RefCell::new(None),
+            proof: watch::Sender::new(None),
+            balance: Rc::default(),
+            health: RefCell::default(),
+            budget: RefCell::new(budget),
+            pool: RefCell::default(),
+            stage: watch::Sender::new(Stage::Serving),
+            open: Cell::new(0),
+            log,
+        }
+    }
+
+    /// Hands an event to the reducer; one that has ended needs none.
+    pub fn tell(&self, event: Event) {
+        let _ = self.inputs.send(event);
+    }
+
+    /// Age of the proof that the plan is the newest; `None` where there never was one.
+    pub fn proof_age(&self) -> Option<Duration> {
+        self.proof.borrow().map(|proof| proof.elapsed())
+    }
+
+    /// True where the plan is proved at most `bound` old.
+    pub fn is_fresh(&self, bound: Duration) -> bool {
+        self.proof_age().is_some_and(|age| age < bound)
+    }
+
+    /// The plan in force, if one is known.
+    pub fn current_plan(&self) -> Option<Rc<Plan>> {
+        self.plan.borrow().clone()
+    }
+
+    /// Waits until the plan is proved the newest as of `since`, at most for `bound`.
+    pub async fn prove(&self, since: Instant, bound: Duration) -> bool {
+        self.tell(Event::Hurry);
+        let mut proofs = self.proof.subscribe();
+        let proved = proofs.wait_for(|proof| proof.is_some_and(|proof| proof >= since));
+        matches!(tokio::time::timeout(bound, proved).await, Ok(Ok(_)))
+    }
+
+    /// Takes in a newer view, reading its document where that is another one.
+    pub fn publish(&self, published: Published) {
+        self.take_document(published.document.as_ref());
+        self.balance.borrow_mut().set_others(&published.others);
+        let known = |endpoint: &rudder_model::EndpointId| {
+            published.endpoints.iter().any(|registration| registration.endpoint == *endpoint)
+        };
+        self.balance.borrow_mut().retain(known);
+        self.health.borrow_mut().retain(known);
+        *self.view.borrow_mut() = Rc::new(published);
+    }
+
+    fn take_document(&self, document: Option<&Document>) {
+        let Some(document) = document else { return };
+        let held = self.plan.borrow().as_ref().map_or(0, |plan| plan.version);
+        if document.version <= held {
+            return;
+        }
+        match self.dialect.read_document(&document.body) {
+            Ok(plan) => *self.plan.borrow_mut() = Some(Rc::new(plan)),
+            // It was read before it was proposed, by an instance that may be of another version.
+            Err(error) => spdlog::error!("document {} cannot be read here: {error}", document.version),
+        }
+    }
+
+    /// Addresses for a caller in `hall`: those of its hall, or all where the hall has fewer than two.
+    pub fn to_entries(&self, hall: Option<&str>) -> Vec<Arc<str>> {
+        let view = self.view.borrow();
+        let live: Vec<&Listing> = view.entries.iter().filter(|listing| !listing.stopping).collect();
+        let near: Vec<&Listing> =
+            live.iter().copied().filter(|listing| hall.is_some_and(|hall| *listing.hall == *hall)).collect();
+        let chosen = if near.len() >= 2 { near } else { live };
+        chosen.into_iter().map(|listing| Arc::from(listing.address.as_str())).collect()
+    }
+}
--- /dev/null
+++ b/crates/rudder-gateway/src/stream.rs
@@ -0,0 +1,230 @@
+//! Streams of events: passed on as they come, taken up at another endpoint where that is allowed.
+//!
+//! Of a stream that can be resumed only whole events are passed on, so that the next endpoint goes on
+//! after the last whole one. A stream that breaks off and cannot be resumed ends its caller's
+//! connection: it must not look complete.
+
+use std::{rc::Rc, time::Instant};
+
+use bytes::{Bytes, BytesMut};
+use http::Response;
+use http_body_util::BodyExt as _;
+use rudder_events::What;
+use rudder_model::Ran;
+use tokio::{
+    sync::mpsc,
+    time::{sleep_until, timeout_at},
+};
+
+use crate::{
+    Dialect,
+    body::{AnswerBody, Broken},
+    call::{self, Call, Leg, Progress},
+    health::Outcome,
+    shared::Shared,
+};
+
+/// Parts of a stream that wait for a slow caller.
+const WAITING: usize = 8;
+/// What ends an event.
+const EVENT_END: &[u8] = b"\n\n";
+
+/// Splits what comes into whole events and counts them.
+#[derive(Debug, Default)]
+pub struct Events {
+    pending: BytesMut,
+    /// Whole events so far, over all endpoints.
+    pub count: u64,
+    /// Id of the last whole event.
+    pub last: Option<u64>,
+}
+
+impl Events {
+    /// Takes in bytes and returns the whole events that they complete.
+    pub fn take(&mut self, bytes: &[u8]) -> Bytes {
+        self.pending.extend_from_slice(bytes);
+        let Some(end) = find_last_end(&self.pending) else { return Bytes::new() };
+        let whole = self.pending.split_to(end).freeze();
+        for event in split_events(&whole) {
+            self.count += 1;
+            self.last = id_of(event).or(self.last);
+        }
+        whole
+    }
+
+    /// Bytes of an event that is not whole.
+    pub fn pending(&self) -> &[u8] {
+        &self.pending
+    }
+
+    /// Forgets an event that will not become whole.
+    pub fn drop_pending(&mut self) {
+        self.pending.clear();
+    }
+}
+
+fn find_last_end(bytes: &[u8]) -> Option<usize> {
+    let at = bytes.windows(EVENT_END.len()).rposition(|window| window == EVENT_END)?;
+    Some(at + EVENT_END.len())
+}
+
+fn split_events(bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut rest = bytes;
+    std::iter::from_fn(move || {
+        let at = rest.windows(EVENT_END.len()).position(|window| window == EVENT_END)?;
+        let (event, after) = rest.split_at(at + EVENT_END.len());
+        rest = after;
+        Some(event)
+    })
+}
+
+/// The id that an event names.
+fn id_of(event: &[u8]) -> Option<u64> {
+    let mut lines = event.split(|byte| *byte == b'\n');
+    let value = lines.find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
+
+/// How one endpoint's part of a stream ended.
+enum End {
+    /// Whole.
+    Whole,
+    /// Broken off by the endpoint.
+    Broken,
+    /// The caller left.
+    Left,
+    /// Time ran out.
+    Late,
+}
+
+/// Starts passing a stream on; the answer keeps the head of its first endpoint.
+pub fn start<D: Dialect>(shared: &Rc<Shared<D>>, call: Call, progress: Progress, leg: Leg) -> Response<AnswerBody> {
+    let (sender, receiver) = mpsc::channel(WAITING);
+    let mut answer = Response::new(AnswerBody::Parts(receiver));
+    *answer.status_mut() = leg.response.status();
+    *answer.headers_mut() = leg.response.headers().clone();
+    call::strip_hop_headers(answer.headers_mut());
+    let shared = shared.clone();
+    shared.open.set(shared.open.get() + 1);
+    tokio::task::spawn_local(async move {
+        let mut pump = Pump { shared: &shared, call, progress, events: Events::default(), sender, first: None };
+        pump.run(leg).await;
+        drop(pump);
+        shared.open.set(shared.open.get() - 1);
+    });
+    answer
+}
+
+struct Pump<'a, D> {
+    shared: &'a Rc<Shared<D>>,
+    call: Call,
+    progress: Progress,
+    events: Events,
+    sender: mpsc::Sender<Result<Bytes, Broken>>,
+    first: Option<Instant>,
+}
+
+impl<D: Dialect> Pump<'_, D> {
+    async fn run(&mut self, leg: Leg) {
+        let mut leg = leg;
+        loop {
+            let endpoint = leg.choice.endpoint.clone();
+            let end = self.pass(leg).await;
+            let why = match end {
+                End::Whole => return self.log_answered(&endpoint),
+                End::Left => return self.log_cut(&endpoint, "the caller left"),
+                End::Late => "time ran out",
+                End::Broken => "the endpoint broke off",
+            };
+            self.log_cut(&endpoint, why);
+            let next = if matches!(end, End::Broken) { self.resume().await } else { None };
+            let Some(next) = next else {
+                let _ = self.sender.send(Err(Broken)).await;
+                return;
+            };
+            leg = next;
+        }
+    }
+
+    /// Passes on what one endpoint sends.
+    async fn pass(&mut self, leg: Leg) -> End {
+        let Leg { choice, response, head, connection, mut flight } = leg;
+        let mut body = response.into_body();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.sender.closed() => return End::Left,
+                () = sleep_until(self.call.until.into()) => return End::Late,
+            };
+            let Some(frame) = frame else { break };
+            let Ok(frame) = frame else {
+                call::note_outcome(self.shared, &choice.endpoint, Outcome::Failed);
+                return End::Broken;
+            };
+            let Ok(bytes) = frame.into_data() else { continue };
+            if self.first.is_none() {
+                self.first = Some(Instant::now());
+            }
+            flight.note_read();
+            let whole = self.events.take(&bytes);
+            let part = if self.call.route.resumable { whole } else { bytes };
+            if part.is_empty() {
+                continue;
+            }
+            if self.sender.send(Ok(part)).await.is_err() {
+                return End::Left;
+            }
+        }
+        if !self.events.pending().is_empty() {
+            call::note_outcome(self.shared, &choice.endpoint, Outcome::Failed);
+            return End::Broken;
+        }
+        call::note_outcome(self.shared, &choice.endpoint, Outcome::Good);
+        call::put_back(self.shared, &choice.endpoint, connection, head.keep);
+        End::Whole
+    }
+
+    /// Takes the stream up at another endpoint, after the last whole event.
+    async fn resume(&mut self) -> Option<Leg> {
+        if !self.call.route.resumable {
+            return None;
+        }
+        loop {
+            self.events.drop_pending();
+            if !call::may_send_again(self.shared, &self.call, &mut self.progress) {
+                return None;
+            }
+            let last = self.events.last.or(self.call.last_event);
+            let attempted = call::attempt(self.shared, &self.call, &mut self.progress, last);
+            let attempted = timeout_at(self.call.until.into(), attempted).await.ok()?;
+            let Ok(Ok(leg)) = attempted else { continue };
+            let taken = leg.response.status().is_success() && !leg.head.not_run && !leg.head.misdirected;
+            if taken {
+                return Some(leg);
+            }
+            call::log_failure(self.shared, &self.call, &self.progress, &leg.choice, "it does not go on", Ran::No);
+            // What did not run needs no new right of the route.
+            self.progress.ran = self.progress.ran.saturating_sub(1);
+        }
+    }
+
+    fn log_answered(&self, endpoint: &rudder_model::EndpointId) {
+        let since = |at: Instant| at.saturating_duration_since(self.call.arrived).as_millis() as u64;
+        self.shared.log.write(What::CallAnswered {
+            request: self.call.id.clone(),
+            endpoint: endpoint.clone(),
+            status: 200,
+            first_ms: self.first.map_or(0, since),
+            total_ms: since(Instant::now()),
+        });
+    }
+
+    fn log_cut(&self, endpoint: &rudder_model::EndpointId, why: &str) {
+        self.shared.log.write(What::CallCut {
+            request: self.call.id.clone(),
+            endpoint: endpoint.clone(),
+            why: why.to_owned(),
+            events: self.events.count,
+        });
+    }
+}
--- a/crates/rudder-ledger/src/apply.rs
+++ b/crates/rudder-ledger/src/apply.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, Claims, Command, Config, Stamped};
+use crate::{Answer, Claims, Command, Config, Document, Stamped, document};
 
 /// Everything the voters agree on, but for their own membership.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,6 +17,8 @@
     pub config: Config,
     /// The claims.
     pub claims: Claims,
+    /// The configuration document, once there is one.
+    pub document: Option<Document>,
 }
 
 impl Ledger {
@@ -26,6 +28,7 @@
         self.time = self.time.max(stamped.time);
         match stamped.command {
             Command::Change(change) => Answer::Changed(self.config.apply(index, change)),
+            Command::Document(document) => Answer::Documented(self.take_document(document)),
             Command::Claim(claim) => Answer::Claimed(self.claims.claim(self.time, claim)),
             Command::Release { key, attempt } => Answer::Claimed(self.claims.release(self.time, &key, &attempt)),
             Command::Finish { key, attempt, outcome } => {
@@ -33,4 +36,12 @@
             }
         }
     }
+
+    /// Holds the document with the highest version; an equal one changes nothing, whatever it contains.
+    fn take_document(&mut self, document: Document) -> u64 {
+        if document::is_newer(self.document.as_ref(), document.version) {
+            self.document = Some(document);
+        }
+        self.document.as_ref().map_or(0, |held| held.version)
+    }
 }
--- a/crates/rudder-ledger/src/command.rs
+++ b/crates/rudder-ledger/src/command.rs
@@ -5,13 +5,15 @@
 use rudder_model::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, Change, Changed, Claim, Outcome, Standing};
+use crate::{Attempt, Change, Changed, Claim, Document, Outcome, Standing};
 
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
     /// Replaces or deletes one configuration object.
     Change(Change),
+    /// Replaces the whole configuration document, if its version is above the one held.
+    Document(Document),
     /// Claims a key for one attempt.
     Claim(Claim),
     /// The owner gives a claim back: the attempt did not run and never will.
@@ -48,6 +50,8 @@
 pub enum Answer {
     /// Answer to [`Command::Change`].
     Changed(Changed),
+    /// Answer to [`Command::Document`]: the version held from here on.
+    Documented(u64),
     /// Answer to the three claim commands: how the key stands now.
     Claimed(Standing),
 }
--- a/crates/rudder-ledger/src/lib.rs
+++ b/crates/rudder-ledger/src/lib.rs
@@ -6,9 +6,11 @@
 pub mod claim;
 pub mod command;
 pub mod config;
+pub mod document;
 pub mod snapshot;
 
 pub use apply::Ledger;
 pub use claim::{Attempt, Claim, Claims, Outcome, Standing};
 pub use command::{Answer, Command, Stamped};
 pub use config::{Change, Changed, Config, Delta, Held, Number};
+pub use document::Document;
--- a/crates/rudder-ledger/tests/ledger.rs
+++ b/crates/rudder-ledger/tests/ledger.rs
@@ -27,14 +27,14 @@
         let change = Change { id: id.to_owned(), kind: Kind::Selector, name: name.to_owned(), replaces, object };
         match self.apply(Command::Change(change)) {
             Answer::Changed(changed) => changed,
-            Answer::Claimed(standing) => panic!("{standing:?}"),
+            other => panic!("{other:?}"),
         }
     }
 
     fn claimed(&mut self, command: Command) -> Standing {
         match self.apply(command) {
             Answer::Claimed(standing) => standing,
-            Answer::Changed(changed) => panic!("{changed:?}"),
+            other => panic!("{other:?}"),
         }
     }
 
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -11,10 +11,9 @@
 use rudder_events::What;
 use rudder_ledger::Changed;
 use rudder_model::{InstanceId, RequestId};
+use rudder_store::disk::Job;
 
-use crate::{
-    Input, Query, QueryReply, Status, disk::Job, endpoint::Errand, events::Log, link::Links, metrics::Metrics,
-};
+use crate::{Input, Query, QueryReply, Status, endpoint::Errand, events::Log, link::Links, metrics::Metrics};
 
 /// Time between ticks of the reducer.
 const TICK: Duration = Duration::from_millis(50);
@@ -155,6 +154,8 @@
                 self.outlets.metrics.count(&what);
                 self.outlets.log.write(what);
             }
+            // Documents and heartbeats come in through the gateway, which drives the reducer itself.
+            Effect::Documented { .. } | Effect::Registered { .. } => {}
             Effect::Exit => self.running = false,
         }
     }
--- a/crates/rudder-node/src/events.rs
+++ b/crates/rudder-node/src/events.rs
@@ -5,7 +5,7 @@
     io::{BufWriter, Write as _},
     path::Path,
     thread,
-    time::{SystemTime, UNIX_EPOCH},
+    time::{Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crossbeam_channel::{Receiver, Sender, bounded};
@@ -18,20 +18,22 @@
 /// The event log of this instance.
 pub(crate) struct Log {
     instance: InstanceId,
+    started: Instant,
     lines: Option<Sender<Line>>,
 }
 
 impl Log {
     /// Opens the file at `path`, or a log that writes nothing.
     pub(crate) fn open(instance: InstanceId, path: Option<&Path>) -> std::io::Result<Log> {
-        let Some(path) = path else { return Ok(Log { instance, lines: None }) };
+        let started = Instant::now();
+        let Some(path) = path else { return Ok(Log { instance, started, lines: None }) };
         if let Some(folder) = path.parent() {
             std::fs::create_dir_all(folder)?;
         }
         let file = OpenOptions::new().create(true).append(true).open(path)?;
         let (sender, receiver) = bounded(WAITING);
         thread::spawn(move || run(file, &receiver));
-        Ok(Log { instance, lines: Some(sender) })
+        Ok(Log { instance, started, lines: Some(sender) })
     }
 
     /// Writes an event; changes of state also go to the program's log.
@@ -40,7 +42,8 @@
             spdlog::info!("{}: {what:?}", self.instance);
         }
         let Some(lines) = &self.lines else { return };
-        let line = Line { at: wall_micros(), instance: self.instance.clone(), what };
+        let uptime = self.started.elapsed().as_micros() as u64;
+        let line = Line { at: wall_micros(), instance: self.instance.clone(), uptime, what };
         let _ = lines.try_send(line);
     }
 }
--- a/crates/rudder-node/src/lib.rs
+++ b/crates/rudder-node/src/lib.rs
@@ -1,14 +1,13 @@
 //! One running instance: the threads, sockets and files around the reducer.
 //!
 //! One thread owns the reducer's state ([`control`]). Traffic threads ([`entry`]) turn callers'
-//! connections into events and verdicts into I/O; further threads save ([`disk`]), send to other
+//! connections into events and verdicts into I/O; further threads save ([`rudder_store::disk`]), send to other
 //! instances ([`link`]), take in their messages ([`peer`]), look at endpoints and order them
 //! ([`endpoint`]) and write events ([`events`]).
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admin;
 pub mod control;
-pub mod disk;
 pub mod endpoint;
 pub mod entry;
 pub mod events;
--- a/crates/rudder-node/src/start.rs
+++ b/crates/rudder-node/src/start.rs
@@ -15,12 +15,15 @@
 use rudder_model::{InstanceId, Start};
 use rudder_replica::{Durable, ReplicaId};
 use rudder_settings::Settings;
-use rudder_store::Store;
+use rudder_store::{
+    Store,
+    disk::{self, Report},
+};
 
 use crate::{
     Input, Query, QueryReply, Status, admin,
     control::{Control, Outlets},
-    disk, endpoint, entry,
+    endpoint, entry,
     entry::Shared,
     events::Log,
     link::{Links, Traffic},
@@ -152,7 +155,15 @@
     }
     let (sender, jobs) = bounded(65_536);
     let (store, inputs): (Store, _) = (outcome.store, inputs.clone());
-    thread::Builder::new().name("disk".to_owned()).spawn(move || disk::run(store, &jobs, &inputs))?;
+    thread::Builder::new().name("disk".to_owned()).spawn(move || {
+        disk::run(store, &jobs, |report| {
+            let event = match report {
+                Report::Saved(number) => Event::Saved { number },
+                Report::Full => Event::DiskFull,
+            };
+            inputs.send(Input::Event(event)).is_ok()
+        });
+    })?;
     Ok((Some(sender), Some((outcome.id, outcome.durable))))
 }
 
--- a/crates/rudder-node/src/disk.rs
+++ b/crates/rudder-store/src/disk.rs
@@ -2,46 +2,53 @@
 
 use std::{thread, time::Duration};
 
-use crossbeam_channel::{Receiver, Sender};
-use rudder_core::Event;
+use crossbeam_channel::Receiver;
 use rudder_replica::{Record, Snapshot};
-use rudder_store::{Store, write};
 
-use crate::Input;
+use crate::{Store, write};
 
 /// A full disk is tried again after this long.
-const FULL_RETRY: Duration = Duration::from_secs(1);
+const FULL_RETRY: Duration = Duration::from_millis(250);
+
+/// What the disk thread reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// All saves up to this number are durable.
+    Saved(u64),
+    /// The disk refuses writes; the save goes on being tried.
+    Full,
+}
 
 /// Something to save.
 #[derive(Debug)]
-pub(crate) enum Job {
+pub enum Job {
     /// Append records.
     Append(u64, Vec<Record>),
     /// Start the file anew.
     Replace(u64, Snapshot, Vec<Record>),
 }
 
-/// Saves until the control thread is gone.
+/// Saves until the sender of jobs is gone or nobody wants its reports any more.
 ///
 /// A failed sync ends the process: what the system holds of the file is not known any more, and a
 /// voter that went on could acknowledge what it would forget.
-pub(crate) fn run(mut store: Store, jobs: &Receiver<Job>, inputs: &Sender<Input>) {
+pub fn run(mut store: Store, jobs: &Receiver<Job>, report: impl Fn(Report) -> bool) {
     while let Ok(first) = jobs.recv() {
         let mut saved = 0;
         for job in std::iter::once(first).chain(jobs.try_iter()) {
-            saved = until_done(&mut store, &job, inputs);
+            saved = until_done(&mut store, &job, &report);
         }
         if let Err(error) = store.sync() {
             die(&error);
         }
-        if inputs.send(Input::Event(Event::Saved { number: saved })).is_err() {
+        if !report(Report::Saved(saved)) {
             return;
         }
     }
 }
 
 /// Tries a job until the disk takes it.
-fn until_done(store: &mut Store, job: &Job, inputs: &Sender<Input>) -> u64 {
+fn until_done(store: &mut Store, job: &Job, report: impl Fn(Report) -> bool) -> u64 {
     let mut told = false;
     loop {
         let (number, result) = match job {
@@ -53,7 +60,7 @@
             Err(write::Error::Full { .. }) => {
                 if !told {
                     told = true;
-                    let _ = inputs.send(Input::Event(Event::DiskFull));
+                    report(Report::Full);
                 }
                 thread::sleep(FULL_RETRY);
             }
--- a/crates/rudder-store/src/lib.rs
+++ b/crates/rudder-store/src/lib.rs
@@ -6,6 +6,7 @@
 //! file and folder are synced.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod disk;
 pub mod frame;
 pub mod medium;
 pub mod open;
