--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -22,6 +22,9 @@
 /// Time between questions of founders to each other.
 const FOUNDING_RETRY: Duration = Duration::from_millis(300);
 
+/// Time between greetings of a leader to seeds that it has not heard.
+const GREETING: Duration = Duration::from_millis(400);
+
 /// What an instance said of its work counts for this long.
 const LOAD_MEMORY: Duration = Duration::from_millis(1500);
 
@@ -52,6 +55,7 @@
     registry: Registry,
     loads: BTreeMap<InstanceId, (Vec<Load>, Duration)>,
     unsnapped: u64,
+    greeted: Option<Duration>,
 }
 
 impl Control {
@@ -80,6 +84,7 @@
             registry: Registry::default(),
             loads: BTreeMap::new(),
             unsnapped: 0,
+            greeted: None,
         }
     }
 
@@ -96,6 +101,7 @@
         self.note_role(now, view, out);
         if self.replica.leads(now) {
             self.prune(now, options, out);
+            self.greet_seeds(now, view, out);
             let spares = self.to_spares();
             self.replica.repair(now, &spares, &mut outputs);
         }
@@ -228,6 +234,19 @@
         out.push(Effect::Send { to: from, message });
     }
 
+    /// The leader tells the instances it starts from of itself while they are not among the live: seeds
+    /// may have been exchanged for instances that know no voter, and those are whom the others ask.
+    fn greet_seeds(&mut self, now: Duration, view: &View, out: &mut Vec<Effect>) {
+        if self.greeted.is_some_and(|greeted| now < greeted + GREETING) {
+            return;
+        }
+        self.greeted = Some(now);
+        for seed in view.seeds().iter().filter(|seed| !self.live.contains_key(*seed)) {
+            let message = PeerMessage::Elsewhere { leader: Some(self.name.clone()) };
+            out.push(Effect::Send { to: seed.clone(), message });
+        }
+    }
+
     fn send_elsewhere(&self, to: InstanceId, out: &mut Vec<Effect>) {
         // A leader without its lease must not send askers back to itself.
         let leader = self.replica.leader().filter(|name| **name != self.name).cloned();
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -176,6 +176,9 @@
     fn ask(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let replica = self.control.as_ref().map(|control| control.replica.id());
         let stopping = self.stopping.is_some();
+        if self.control.as_ref().is_some_and(|control| control.replica.leads(now)) {
+            self.view.note_leads(&self.me.name);
+        }
         self.view.ask(now, &self.me, replica, stopping, &self.options, out);
     }
 
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -94,6 +94,19 @@
         self.seeds = seeds;
     }
 
+    /// The instances that the settings name.
+    pub(crate) fn seeds(&self) -> &[InstanceId] {
+        &self.seeds
+    }
+
+    /// Takes in that this instance leads: it need not ask others who does.
+    pub(crate) fn note_leads(&mut self, me: &InstanceId) {
+        if self.leader.as_ref() != Some(me) {
+            self.leader = Some(me.clone());
+            self.answered = self.round;
+        }
+    }
+
     /// Instances that may know the leader: those of the settings, then those known to have a disk.
     fn to_seats(&self) -> Vec<InstanceId> {
         let mut seats = self.seeds.clone();
--- /dev/null
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -0,0 +1,296 @@
+//! Reducers on a small network in virtual time: every message takes one millisecond, every save two.
+//! Instances can be killed, wiped, cut off and started again with other seeds.
+#![allow(dead_code, reason = "each test uses a part")]
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rudder_core::{Effect, Event, Me, Options, PeerMessage, Phase, Registration, State};
+use rudder_ledger::Document;
+use rudder_model::InstanceId;
+use rudder_replica::{Durable, Record, Snapshot};
+
+/// Time that a message takes.
+const LINK: Duration = Duration::from_millis(1);
+/// Time that a save takes.
+const SYNC: Duration = Duration::from_millis(2);
+/// Time between ticks.
+const TICK: Duration = Duration::from_millis(50);
+
+/// One save that is not yet durable.
+struct Pending {
+    number: u64,
+    snapshot: Option<Snapshot>,
+    records: Vec<Record>,
+}
+
+/// One instance and what its disk holds.
+pub struct Node {
+    /// Its name.
+    pub name: InstanceId,
+    /// Its state, while it runs.
+    pub state: Option<State>,
+    /// Its replica's id and what is durable, where it has a disk.
+    pub disk: Option<(u64, Durable)>,
+    /// Instances it starts from.
+    pub seeds: Vec<InstanceId>,
+    /// Neither sends nor receives.
+    pub cut: bool,
+    /// Its disk answers nothing.
+    pub stalled: bool,
+    starts: u64,
+    saves: Vec<Pending>,
+}
+
+/// What comes in at a time.
+enum Delivery {
+    Message(usize, u64, InstanceId, Box<PeerMessage>),
+    Saved(usize, u64, u64),
+}
+
+/// All instances.
+pub struct Mesh {
+    /// The instances; the first ones have disks.
+    pub nodes: Vec<Node>,
+    /// Virtual time.
+    pub now: Duration,
+    /// Answers to documents, by ticket.
+    pub documented: BTreeMap<u64, Option<u64>>,
+    /// Answers to heartbeats, by ticket.
+    pub registered: BTreeMap<u64, bool>,
+    queue: BTreeMap<(Duration, u64), Delivery>,
+    count: u64,
+    ticked: Duration,
+    founding: bool,
+}
+
+/// Name of the instance with this number.
+pub fn name(number: usize) -> InstanceId {
+    InstanceId::from(format!("10.0.0.{number}:7000"))
+}
+
+impl Mesh {
+    /// Starts `total` instances, the first `disks` of them with a disk and as seeds.
+    pub fn start(total: usize, disks: usize) -> Mesh {
+        let seeds: Vec<InstanceId> = (0..disks.min(3)).map(name).collect();
+        let node = |number: usize| Node {
+            name: name(number),
+            state: None,
+            disk: (number < disks).then(|| (1000 + number as u64, Durable::default())),
+            seeds: seeds.clone(),
+            cut: false,
+            stalled: false,
+            starts: 0,
+            saves: Vec::new(),
+        };
+        let mut mesh = Mesh {
+            nodes: (0..total).map(node).collect(),
+            now: Duration::from_secs(1),
+            documented: BTreeMap::new(),
+            registered: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            count: 0,
+            ticked: Duration::from_secs(1),
+            founding: true,
+        };
+        for number in 0..total {
+            mesh.boot(number);
+        }
+        mesh.founding = false;
+        mesh
+    }
+
+    /// Starts an instance that does not run, with what its disk holds.
+    pub fn boot(&mut self, number: usize) {
+        let (now, founding) = (self.now, self.founding);
+        let node = &mut self.nodes[number];
+        node.starts += 1;
+        let me = Me {
+            name: node.name.clone(),
+            hall: format!("hall-{}", number % 3).as_str().into(),
+            start: node.starts * 1000 + number as u64,
+            address: format!("caller-{number}"),
+            epoch: Duration::from_secs(1_000_000),
+        };
+        let options = Options {
+            seats: node.seeds.clone(),
+            founders: if founding { node.seeds.clone() } else { Vec::new() },
+            watch: Duration::from_millis(250),
+            fresh: Duration::from_millis(4500),
+            gone: Duration::from_millis(1500),
+            replica: rudder_replica::Options {
+                replace: Duration::from_millis(1500),
+                seed: 17 + number as u64,
+                ..rudder_replica::Options::default()
+            },
+            ..Options::default()
+        };
+        node.state = Some(State::new(now, me, options, node.disk.clone()));
+    }
+
+    /// Ends an instance without a word; saves under way are lost.
+    pub fn kill(&mut self, number: usize) {
+        self.nodes[number].state = None;
+        self.nodes[number].saves.clear();
+    }
+
+    /// Empties the disk of an instance that does not run.
+    pub fn wipe(&mut self, number: usize) {
+        let fresh = 5000 + self.count;
+        self.nodes[number].disk = Some((fresh, Durable::default()));
+    }
+
+    /// Gives an event to an instance.
+    pub fn tell(&mut self, number: usize, event: Event) {
+        let Some(state) = &mut self.nodes[number].state else { return };
+        let mut effects = Vec::new();
+        state.reduce(self.now, event, &mut effects);
+        for effect in effects {
+            self.carry_out(number, effect);
+        }
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            let next_tick = self.ticked + TICK;
+            let due = self.queue.first_key_value().map(|((at, _), _)| *at);
+            if let Some(at) = due.filter(|at| *at <= next_tick.min(end)) {
+                self.now = self.now.max(at);
+                if let Some((_, delivery)) = self.queue.pop_first() {
+                    self.deliver(delivery);
+                }
+                continue;
+            }
+            self.now = next_tick.min(end);
+            if self.now == next_tick {
+                self.ticked = next_tick;
+                for number in 0..self.nodes.len() {
+                    self.tell(number, Event::Tick);
+                }
+            }
+        }
+    }
+
+    /// Sends a document to an instance.
+    pub fn put(&mut self, number: usize, ticket: u64, version: u64, body: &str) {
+        let document = Document::new(version, body.as_bytes().to_vec());
+        self.tell(number, Event::PutDocument { ticket, document });
+    }
+
+    /// Version of the document in force at an instance.
+    pub fn version_at(&self, number: usize) -> u64 {
+        let document = self.nodes[number].state.as_ref().and_then(|state| state.view.document.as_ref());
+        document.map_or(0, |document| document.version)
+    }
+
+    /// True where an instance can prove its configuration young.
+    pub fn is_fresh(&self, number: usize, bound: Duration) -> bool {
+        self.nodes[number].state.as_ref().is_some_and(|state| state.view.is_fresh(self.now, bound))
+    }
+
+    /// The instance that leads, if one does.
+    pub fn leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| {
+            let control = node.state.as_ref().and_then(|state| state.control.as_ref());
+            control.is_some_and(|control| control.replica.leads(self.now))
+        })
+    }
+
+    /// A heartbeat of `endpoint` at an instance.
+    pub fn heartbeat(&mut self, number: usize, ticket: u64, endpoint: &str, phase: Phase, sequence: u64) {
+        let registration = Registration {
+            endpoint: endpoint.into(),
+            service: "model".into(),
+            address: "10.9.0.1:80".into(),
+            hall: "hall-0".into(),
+            slots: 8,
+            phase,
+            sequence,
+        };
+        self.tell(number, Event::Register { ticket, registration });
+    }
+
+    /// Where `endpoint` stands at an instance.
+    pub fn phase_at(&self, number: usize, endpoint: &str) -> Option<Phase> {
+        let state = self.nodes[number].state.as_ref()?;
+        state.view.registry.iter().find(|held| *held.endpoint == *endpoint).map(|held| held.phase)
+    }
+
+    fn schedule(&mut self, after: Duration, delivery: Delivery) {
+        self.count += 1;
+        self.queue.insert((self.now + after, self.count), delivery);
+    }
+
+    fn carry_out(&mut self, number: usize, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => {
+                let target = self.nodes.iter().position(|node| node.name == to);
+                let Some(target) = target.filter(|_| !self.nodes[number].cut) else { return };
+                let (starts, from) = (self.nodes[target].starts, self.nodes[number].name.clone());
+                self.schedule(LINK, Delivery::Message(target, starts, from, Box::new(message)));
+            }
+            Effect::Save { number: save, records } => {
+                self.save(number, Pending { number: save, snapshot: None, records });
+            }
+            Effect::SaveSnapshot { number: save, snapshot, records } => {
+                self.save(number, Pending { number: save, snapshot: Some(snapshot), records });
+            }
+            Effect::Documented { ticket, version } => drop(self.documented.insert(ticket, version)),
+            Effect::Registered { ticket, taken } => drop(self.registered.insert(ticket, taken)),
+            _ => {}
+        }
+    }
+
+    fn save(&mut self, number: usize, pending: Pending) {
+        let (starts, save) = (self.nodes[number].starts, pending.number);
+        self.nodes[number].saves.push(pending);
+        if !self.nodes[number].stalled {
+            self.schedule(SYNC, Delivery::Saved(number, starts, save));
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Message(target, starts, from, message) => {
+                let node = &self.nodes[target];
+                if node.starts == starts && !node.cut {
+                    self.tell(target, Event::Peer { from, message: *message });
+                }
+            }
+            Delivery::Saved(number, starts, save) => self.finish_saves(number, starts, save),
+        }
+    }
+
+    fn finish_saves(&mut self, number: usize, starts: u64, save: u64) {
+        let node = &mut self.nodes[number];
+        if node.starts != starts || node.state.is_none() {
+            return;
+        }
+        let Some(at) = node.saves.iter().position(|held| held.number == save) else { return };
+        let done: Vec<Pending> = node.saves.drain(..=at).collect();
+        if let Some((_, durable)) = &mut node.disk {
+            for pending in done {
+                write(durable, pending);
+            }
+        }
+        self.tell(number, Event::Saved { number: save });
+    }
+}
+
+fn write(durable: &mut Durable, pending: Pending) {
+    if let Some(snapshot) = pending.snapshot {
+        durable.snapshot = snapshot;
+        durable.entries.clear();
+    }
+    for record in pending.records {
+        match record {
+            Record::Hard { term, vote } => (durable.term, durable.vote) = (term, vote),
+            Record::Entry(entry) => {
+                let kept = entry.index.saturating_sub(durable.snapshot.index + 1);
+                durable.entries.truncate(kept as usize);
+                durable.entries.push(entry);
+            }
+        }
+    }
+}
