feat(gateway): engines divided into lanes; choice by tokens still to read

Change: routes that allow at most 0.3 of their service's longest pause get engines of their own, the line drawn by a hash all instances share and the known load; the others go where least is left to read.

--- a/crates/rudder-gateway/src/call.rs
+++ b/crates/rudder-gateway/src/call.rs
@@ -494,7 +494,7 @@
     log_sent(shared, call, progress, &choice, connection.carried > 0, left);
     let request = call.to_request(&shared.dialect, &choice.endpoint, left, last_event);
     let prompt = call.prompt.as_ref();
-    let unread = prompt.map_or(0, |prompt| prompt.tokens);
+    let unread = choice.unread;
     let memory = prompt.map_or(0, |prompt| prompt.tokens + prompt.guess.unwrap_or(prompt.answer));
     let flight = Flight::start(&shared.balance, &choice.endpoint, unread, memory);
     let Ok(answered) = timeout_at(call.until.into(), connection.send(request)).await else {
@@ -561,6 +561,7 @@
 }
 
 fn pick<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Option<Choice> {
+    let plan = shared.current_plan()?;
     let view = shared.view.borrow().clone();
     let balance = shared.balance.borrow();
     let health = shared.health.borrow();
@@ -569,13 +570,14 @@
         balance: &balance,
         health: &health,
         hall: &shared.options.hall,
+        plan: &plan,
         now: Instant::now(),
     };
     let first = choose::service_of(&call.route, rand::random())?;
     let by_weight = progress.chosen.as_ref().unwrap_or(first);
     let others = call.route.shares.iter().map(|share| &share.service);
     let mut services = std::iter::once(by_weight).chain(others);
-    services.find_map(|service| choose::choose(&inputs, service, call.prompt.as_ref(), &progress.tried))
+    services.find_map(|service| choose::choose(&inputs, &call.route, service, call.prompt.as_ref(), &progress.tried))
 }
 
 async fn connect<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<Connection, &'static str> {
--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -5,11 +5,19 @@
 use rudder_core::{Phase, Registration};
 use rudder_model::{EndpointId, HallId, id};
 
-use crate::{balance::Balance, dialect::Prompt, health::Health, plan::Route};
+use crate::{
+    Plan,
+    balance::Balance,
+    dialect::Prompt,
+    health::Health,
+    lanes::{self, Lane},
+    plan::{Engine, Route},
+};
 
-/// Requests that an endpoint may have more than the least loaded and still be preferred for the prompt
-/// parts that it keeps.
-const AFFINITY_SLACK: u32 = 1;
+/// Each request under way at an engine counts as this many prompt tokens ahead.
+const CALL_COST: u64 = 50;
+/// An engine whose memory would run out counts as this many prompt tokens behind.
+const MEMORY_COST: u64 = 40_000;
 
 /// What a choice rests on.
 #[derive(Debug)]
@@ -22,6 +30,8 @@
     pub health: &'a Health,
     /// This instance's hall.
     pub hall: &'a HallId,
+    /// The configuration.
+    pub plan: &'a Plan,
     /// Now.
     pub now: Instant,
 }
@@ -37,6 +47,8 @@
     pub service: Arc<str>,
     /// Requests known to be there.
     pub calls: u32,
+    /// Prompt tokens that it will have to read for this request.
+    pub unread: u32,
 }
 
 /// The service that a request goes to first, by weight; `draw` is uniform over all values.
@@ -53,33 +65,83 @@
     None
 }
 
-/// Picks an endpoint of `service` that is not among `tried`.
-pub fn choose(inputs: &Inputs, service: &str, prompt: Option<&Prompt>, tried: &[EndpointId]) -> Option<Choice> {
+/// Picks an endpoint of `service` for a request of `route` that is not among `tried`.
+pub fn choose(
+    inputs: &Inputs,
+    route: &Route,
+    service: &str,
+    prompt: Option<&Prompt>,
+    tried: &[EndpointId],
+) -> Option<Choice> {
+    let candidates = to_candidates(inputs, service, tried);
+    let engine = inputs.plan.services.get(service).and_then(|service| service.engine);
+    match (engine, prompt) {
+        (Some(engine), Some(prompt)) => choose_engine(inputs, route, service, engine, prompt, candidates),
+        _ => choose_plain(inputs, candidates),
+    }
+}
+
+/// Endpoints that are known to be well; where none is, those that have only gone quiet or failed of late.
+fn to_candidates<'a>(inputs: &Inputs<'a>, service: &str, tried: &[EndpointId]) -> Vec<&'a Registration> {
     let fits = |endpoint: &&Registration| *endpoint.service == *service && !tried.contains(&endpoint.endpoint);
     let of_service: Vec<&Registration> = inputs.endpoints.iter().filter(fits).collect();
     let well = |endpoint: &&Registration| {
         endpoint.phase == Phase::Ready && !inputs.health.is_ejected(&endpoint.endpoint, inputs.now)
     };
-    let mut candidates: Vec<&Registration> = of_service.iter().copied().filter(well).collect();
-    if candidates.is_empty() {
-        // None is known to be well: one that has only gone quiet, or failed of late, may still serve.
-        let usable = |endpoint: &&Registration| endpoint.phase <= Phase::Silent;
-        candidates = of_service.into_iter().filter(usable).collect();
+    let candidates: Vec<&Registration> = of_service.iter().copied().filter(well).collect();
+    if !candidates.is_empty() {
+        return candidates;
     }
+    of_service.into_iter().filter(|endpoint| endpoint.phase <= Phase::Silent).collect()
+}
+
+/// The endpoint with the fewest requests; in this hall, where several have as few.
+fn choose_plain(inputs: &Inputs, candidates: Vec<&Registration>) -> Option<Choice> {
     let calls = |endpoint: &Registration| inputs.balance.at(&endpoint.endpoint).calls;
-    let least = candidates.iter().map(|endpoint| calls(endpoint)).min()?;
-    let chosen = if let Some(part) = prompt.and_then(|prompt| prompt.parts.last()) {
-        let key = part.id.to_string();
-        let near = candidates.into_iter().filter(|endpoint| calls(endpoint) <= least + AFFINITY_SLACK);
-        near.max_by_key(|endpoint| id::rendezvous(&key, &endpoint.endpoint))
+    let far = |endpoint: &Registration| endpoint.hall != *inputs.hall;
+    let chosen =
+        candidates.into_iter().min_by_key(|endpoint| (calls(endpoint), far(endpoint), rand::random::<u32>()))?;
+    Some(to_choice(inputs, chosen, 0))
+}
+
+/// The engine that has the least to read before this request's first output. A prompt's shared parts
+/// are taken to be kept at one engine, which the hash of its last shared part names.
+fn choose_engine(
+    inputs: &Inputs,
+    route: &Route,
+    service: &str,
+    engine: Engine,
+    prompt: &Prompt,
+    candidates: Vec<&Registration>,
+) -> Option<Choice> {
+    let lane = if inputs.plan.is_quick(route, service) { Lane::Quick } else { Lane::Bulk };
+    let engines = if inputs.plan.has_lanes(service) {
+        lanes::of_lane(candidates, service, lane, inputs.balance)
     } else {
-        let far = |endpoint: &Registration| endpoint.hall != *inputs.hall;
-        candidates.into_iter().min_by_key(|endpoint| (calls(endpoint), far(endpoint), rand::random::<u32>()))
-    }?;
-    Some(Choice {
+        candidates
+    };
+    let session = prompt.session().map(|part| part.id.to_string());
+    let home = session.and_then(|key| engines.iter().max_by_key(|held| id::rendezvous(&key, &held.endpoint)));
+    let home = home.map(|held| held.endpoint.clone());
+    let unread = |held: &Registration| {
+        if home.as_ref() == Some(&held.endpoint) { prompt.own_tokens() } else { prompt.tokens }
+    };
+    let cost = |held: &Registration| {
+        let work = inputs.balance.at(&held.endpoint);
+        let full = work.held + prompt.tokens > engine.memory;
+        let ahead = u64::from(work.unread) + u64::from(work.calls) * CALL_COST;
+        ahead + u64::from(unread(held)) + if full { MEMORY_COST } else { 0 }
+    };
+    let chosen = engines.into_iter().min_by_key(|held| (cost(held), rand::random::<u32>()))?;
+    Some(to_choice(inputs, chosen, unread(chosen)))
+}
+
+fn to_choice(inputs: &Inputs, chosen: &Registration, unread: u32) -> Choice {
+    Choice {
         endpoint: chosen.endpoint.clone(),
         address: chosen.address.clone(),
         service: chosen.service.clone(),
-        calls: calls(chosen),
-    })
+        calls: inputs.balance.at(&chosen.endpoint).calls,
+        unread,
+    }
 }
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -41,6 +41,19 @@
     pub parts: Vec<PromptPart>,
 }
 
+impl Prompt {
+    /// The last part that other requests share: the one before the request's own.
+    pub fn session(&self) -> Option<&PromptPart> {
+        self.parts.iter().nth_back(1).or(self.parts.last())
+    }
+
+    /// Tokens that no other request shares.
+    pub fn own_tokens(&self) -> u32 {
+        let shared: u32 = self.parts.iter().rev().skip(1).map(|part| part.tokens).sum();
+        self.tokens.saturating_sub(shared)
+    }
+}
+
 /// What a caller's head says.
 #[derive(Clone, Debug, Default)]
 pub struct CallHead {
--- /dev/null
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -0,0 +1,60 @@
+//! Lanes: the engines of one service divided between quick streams and all others.
+//!
+//! All tokens that run beside a long prompt are held up by it, so streams that allow only short pauses
+//! get engines of their own. Every instance ranks the engines by the same hash and sees about the same
+//! load, so all draw the same line without a word between them.
+
+use rudder_core::Registration;
+use rudder_model::id;
+
+use crate::balance::Balance;
+
+/// Part of the quick lane's slots that is used before the lane grows.
+const FILL: f64 = 0.3;
+/// The quick lane never takes more than this part of the engines.
+const LARGEST: f64 = 0.5;
+/// Engines from which on the quick lane has two, so that the loss of one leaves one.
+const TWO_FROM: usize = 6;
+
+/// Which engines a stream may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// Those for streams with short pauses.
+    Quick,
+    /// The others.
+    Bulk,
+}
+
+/// The engines of `lane` among `engines`, in the order of their rank.
+pub fn of_lane<'a>(
+    mut engines: Vec<&'a Registration>,
+    service: &str,
+    lane: Lane,
+    balance: &Balance,
+) -> Vec<&'a Registration> {
+    if engines.len() < 2 {
+        return engines;
+    }
+    engines.sort_by_cached_key(|engine| id::rendezvous(service, &engine.endpoint));
+    let count = quick_count(&engines, balance);
+    match lane {
+        Lane::Quick => engines.truncate(count),
+        Lane::Bulk => drop(engines.drain(..count)),
+    }
+    engines
+}
+
+/// How many of the ranked engines the quick lane has.
+fn quick_count(ranked: &[&Registration], balance: &Balance) -> usize {
+    let largest = ((ranked.len() as f64 * LARGEST) as usize).max(1);
+    let mut count = if ranked.len() >= TWO_FROM { 2 } else { 1 };
+    while count < largest {
+        let calls: u32 = ranked[..count].iter().map(|engine| balance.at(&engine.endpoint).calls).sum();
+        let slots: u32 = ranked[..count].iter().map(|engine| engine.slots).sum();
+        if f64::from(calls) <= f64::from(slots) * FILL {
+            break;
+        }
+        count += 1;
+    }
+    count
+}
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod dialect;
 pub mod driver;
 pub mod health;
+pub mod lanes;
 pub mod logging;
 pub mod operate;
 pub mod options;
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -2,6 +2,9 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+/// A route is quick when it allows at most this part of the longest pause of its service.
+const QUICK: f64 = 0.3;
+
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -122,6 +125,8 @@
     /// Organisations; `None` where the document has none and no key is asked for.
     pub organisations: Option<Vec<Organisation>>,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The longest pause that a route of each service allows.
+    pauses: HashMap<Arc<str>, Duration>,
     keys: HashMap<Arc<str>, usize>,
 }
 
@@ -179,6 +184,12 @@
         if routes.iter().any(|held| held.prefix == route.prefix) {
             return Err(Fault::SamePlace { host: route.host.to_string(), prefix: route.prefix.to_string() });
         }
+        if let Some(pause) = route.pause {
+            for share in &route.shares {
+                let longest = self.pauses.entry(share.service.clone()).or_default();
+                *longest = pause.max(*longest);
+            }
+        }
         // The longest prefix is tried first.
         let at = routes.partition_point(|held| held.prefix.len() >= route.prefix.len());
         routes.insert(at, Arc::new(route));
@@ -208,6 +219,19 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// True where a route's streams allow far shorter pauses than others of the service do, so that the
+    /// others' long prompts would make them late.
+    pub fn is_quick(&self, route: &Route, service: &str) -> bool {
+        let longest = self.pauses.get(service).copied().unwrap_or_default();
+        route.pause.is_some_and(|pause| pause <= longest.mul_f64(QUICK))
+    }
+
+    /// True where the service has quick routes beside others.
+    pub fn has_lanes(&self, service: &str) -> bool {
+        self.routes()
+            .any(|route| self.is_quick(route, service) && route.shares.iter().any(|share| *share.service == *service))
+    }
+
     /// Number of the organisation that holds `key`.
     pub fn organisation_number(&self, key: &str) -> Option<usize> {
         self.keys.get(key).copied()
