feat(gateway): parts expected by rank of engine; loads told every 100 ms

Cause: a request that could not go to its session's engine was taken to read everything anew. Change: the first three engines by hash are taken to lack 0, 0.4 and 0.7 of the session's part, and the parts before it are taken to be kept everywhere; loads travel every 100 ms instead of 250.

--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -1,6 +1,6 @@
 //! Choice of the endpoint for one request.
 
-use std::{sync::Arc, time::Instant};
+use std::{cmp::Reverse, sync::Arc, time::Instant};
 
 use rudder_core::{Phase, Registration};
 use rudder_model::{EndpointId, HallId, id};
@@ -19,6 +19,9 @@
 /// An engine whose memory would run out counts as this many prompt tokens behind.
 const MEMORY_COST: u64 = 40_000;
 
+/// Part of a session's tokens that its first, second and third engine by hash are taken to lack.
+const MISSING: [f64; 3] = [0.0, 0.4, 0.7];
+
 /// What a choice rests on.
 #[derive(Debug)]
 pub struct Inputs<'a> {
@@ -120,11 +123,11 @@
     } else {
         candidates
     };
-    let session = prompt.session().map(|part| part.id.to_string());
-    let home = session.and_then(|key| engines.iter().max_by_key(|held| id::rendezvous(&key, &held.endpoint)));
-    let home = home.map(|held| held.endpoint.clone());
+    let homes = to_homes(prompt, &engines);
     let unread = |held: &Registration| {
-        if home.as_ref() == Some(&held.endpoint) { prompt.own_tokens() } else { prompt.tokens }
+        let rank = homes.iter().position(|home| *home == held.endpoint);
+        let missing = rank.map_or(1.0, |rank| MISSING[rank]);
+        prompt.own_tokens() + (f64::from(prompt.session_tokens()) * missing) as u32
     };
     let cost = |held: &Registration| {
         let work = inputs.balance.at(&held.endpoint);
@@ -136,6 +139,15 @@
     Some(to_choice(inputs, chosen, unread(chosen)))
 }
 
+/// The engines most likely to keep the parts of this prompt's session, the likeliest first.
+fn to_homes(prompt: &Prompt, engines: &[&Registration]) -> Vec<EndpointId> {
+    let Some(session) = prompt.session() else { return Vec::new() };
+    let key = session.id.to_string();
+    let mut ranked: Vec<&Registration> = engines.to_vec();
+    ranked.sort_by_cached_key(|held| Reverse(id::rendezvous(&key, &held.endpoint)));
+    ranked.into_iter().take(MISSING.len()).map(|held| held.endpoint.clone()).collect()
+}
+
 fn to_choice(inputs: &Inputs, chosen: &Registration, unread: u32) -> Choice {
     Choice {
         endpoint: chosen.endpoint.clone(),
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -47,6 +47,12 @@
         self.parts.iter().nth_back(1).or(self.parts.last())
     }
 
+    /// Tokens of the session's part. The parts before it are shared by so many requests that every
+    /// engine keeps them.
+    pub fn session_tokens(&self) -> u32 {
+        if self.parts.len() < 2 { 0 } else { self.session().map_or(0, |part| part.tokens) }
+    }
+
     /// Tokens that no other request shares.
     pub fn own_tokens(&self) -> u32 {
         let shared: u32 = self.parts.iter().rev().skip(1).map(|part| part.tokens).sum();
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -93,7 +93,7 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 50,
             come_back: Duration::from_millis(300),
-            watch: Duration::from_millis(250),
+            watch: Duration::from_millis(100),
             log_lines: 200,
         }
     }
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -28,7 +28,7 @@
 };
 
 /// Time between looks at idle connections and reports of load.
-const HOUSEKEEPING: Duration = Duration::from_millis(200);
+const HOUSEKEEPING: Duration = Duration::from_millis(60);
 /// Lines that are still in the log's queue get this long.
 const LAST_LINES: Duration = Duration::from_millis(120);
 
