feat(gateway): a session strays from its two engines only for much

Ruled out: memory running out (a session returns every few seconds, kept parts last for fifteen). Change: a request goes to the cheaper of its session's two engines, unless another has 8,000 tokens less.

--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -15,12 +15,16 @@
 };
 
 /// Each request under way at an engine counts as this many prompt tokens ahead.
-const CALL_COST: u64 = 50;
+const CALL_COST: u64 = 60;
 /// An engine whose memory would run out counts as this many prompt tokens behind.
 const MEMORY_COST: u64 = 40_000;
 
-/// Part of a session's tokens that its first, second and third engine by hash are taken to lack.
-const MISSING: [f64; 3] = [0.0, 0.4, 0.7];
+/// A session strays from its engines only to one that has this many prompt tokens less ahead: each
+/// stray leaves a copy of its parts that takes others' place.
+const STRAY_COST: u64 = 8_000;
+
+/// Part of a session's tokens that its first and second engine by hash are taken to lack.
+const MISSING: [f64; 2] = [0.0, 0.2];
 
 /// What a choice rests on.
 #[derive(Debug)]
@@ -135,7 +139,13 @@
         let ahead = u64::from(work.unread) + u64::from(work.calls) * CALL_COST;
         ahead + u64::from(unread(held)) + if full { MEMORY_COST } else { 0 }
     };
-    let chosen = engines.into_iter().min_by_key(|held| (cost(held), rand::random::<u32>()))?;
+    let best = |strays: bool| {
+        let held = engines.iter().copied().filter(|held| strays || homes.contains(&held.endpoint));
+        held.min_by_key(|held| (cost(held), rand::random::<u32>()))
+    };
+    let anywhere = best(true)?;
+    let at_home = best(false).filter(|home| cost(home) <= cost(anywhere) + STRAY_COST);
+    let chosen = at_home.unwrap_or(anywhere);
     Some(to_choice(inputs, chosen, unread(chosen)))
 }
 
