feat(gateway): quicker elections, and a later time to come back where proof is lacking

Cause: after power was lost everywhere an election took 0.6-1.2 s and refused callers came back after 0.3 s, which was still too early; 54 of 194 were refused for good in those two seconds. Change: election after 0.4-0.8 s, lease 0.3 s, heartbeat 75 ms; refusals for lack of proof say 1 s.

--- a/crates/rudder-gateway/src/call.rs
+++ b/crates/rudder-gateway/src/call.rs
@@ -183,7 +183,7 @@
     head: CallHead,
     body: Incoming,
 ) -> Result<Call, Refusal> {
-    let come_back = shared.options.come_back;
+    let come_back = shared.options.recover;
     let host = to_host(&parts);
     let path = parts.uri.path();
     let Some(mut plan) = shared.current_plan() else { return Err(not_run("no configuration yet", come_back)) };
@@ -538,7 +538,7 @@
 
 /// The key and the route are looked at again just before a request goes out: it may have waited.
 fn check_still_allowed<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Result<(), Refusal> {
-    let come_back = shared.options.come_back;
+    let come_back = shared.options.recover;
     let refusal = |why| {
         if progress.ran == 0 {
             return not_run(why, come_back);
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -108,9 +108,9 @@
         keep: options.keep,
         snapshot_bytes: SNAPSHOT,
         replica: rudder_replica::Options {
-            heartbeat: Duration::from_millis(100),
-            election: Duration::from_millis(600),
-            lease: Duration::from_millis(450),
+            heartbeat: Duration::from_millis(75),
+            election: Duration::from_millis(400),
+            lease: Duration::from_millis(300),
             replace: Duration::from_millis(1500),
             voters: options.voters,
             keep: KEEP,
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -66,8 +66,11 @@
     pub retry_window: Duration,
     /// Requests sent again beyond the share, in one window, over all instances.
     pub retry_extra: u32,
-    /// A request that took no configuration yet is told to come back after this.
+    /// A request refused because its endpoints are full is told to come back after this.
     pub come_back: Duration,
+    /// A request refused because this instance lacks proof of the configuration is told to come back
+    /// after this: about the time that an election takes.
+    pub recover: Duration,
     /// Time between questions for news.
     pub watch: Duration,
     /// Lines logged in a second at most.
@@ -93,6 +96,7 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 50,
             come_back: Duration::from_millis(300),
+            recover: Duration::from_secs(1),
             watch: Duration::from_millis(100),
             log_lines: 200,
         }
