feat(replica): the first election follows the old lease at once

Cause: after power was lost everywhere each replica waited a whole election time-out before it voted, though only the lease of a leader that may live on stands against a vote.

--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -96,7 +96,7 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 50,
             come_back: Duration::from_millis(300),
-            recover: Duration::from_secs(1),
+            recover: Duration::from_millis(700),
             watch: Duration::from_millis(100),
             log_lines: 200,
         }
--- a/crates/rudder-replica/src/election.rs
+++ b/crates/rudder-replica/src/election.rs
@@ -48,7 +48,7 @@
         pre: bool,
         out: &mut Vec<Output>,
     ) {
-        let led = self.role == Role::Leader || now < self.heard + self.options.election;
+        let led = self.role == Role::Leader || now < self.loyal;
         if led {
             return;
         }
@@ -162,7 +162,7 @@
         assert!(self.role != Role::Leader, "two leaders in term {term}");
         self.role = Role::Follower;
         self.leader = Some(from);
-        self.heard = now;
+        self.loyal = now + self.options.election;
         self.rest(now);
         true
     }
--- a/crates/rudder-replica/src/replica.rs
+++ b/crates/rudder-replica/src/replica.rs
@@ -13,6 +13,9 @@
 
 use crate::{Entry, Envelope, Log, Message, Output, Payload, Record, Snapshot};
 
+/// The first elections after a start are spread over this time.
+const FIRST_SPREAD: Duration = Duration::from_millis(200);
+
 /// Id of one replica; drawn when its data folder is made.
 pub type ReplicaId = u64;
 /// All replicas of the log, by id.
@@ -113,7 +116,8 @@
     pub(crate) applied: u64,
     pub(crate) role: Role,
     pub(crate) leader: Option<(ReplicaId, InstanceId)>,
-    pub(crate) heard: Duration,
+    /// No vote is granted before this: a leader may be alive.
+    pub(crate) loyal: Duration,
     pub(crate) deadline: Duration,
     pub(crate) votes: BTreeSet<ReplicaId>,
     pub(crate) peers: BTreeMap<ReplicaId, Progress>,
@@ -131,7 +135,8 @@
 
 impl Replica {
     /// A replica with what its data folder held. As it may have heard a leader just before it
-    /// stopped, it grants no vote before one election time-out has passed.
+    /// stopped, it grants no vote before that leader's lease is over; then it soon asks for votes itself,
+    /// as all may have stopped together.
     pub fn new(id: ReplicaId, name: InstanceId, options: Options, durable: Durable, now: Duration) -> Replica {
         let mut log = Log::after(&durable.snapshot);
         for entry in durable.entries {
@@ -142,7 +147,6 @@
         let mut replica = Replica {
             id,
             name,
-            options,
             term: durable.term,
             vote: durable.vote,
             saved_index: log.last_index(),
@@ -152,7 +156,7 @@
             applied: index,
             role: Role::Follower,
             leader: None,
-            heard: now,
+            loyal: now + options.lease,
             deadline: now,
             votes: BTreeSet::new(),
             peers: BTreeMap::new(),
@@ -165,8 +169,10 @@
             held: VecDeque::new(),
             muted: false,
             rng,
+            options,
         };
-        replica.rest(now);
+        let extra = replica.rng.random_range(0.0..1.0);
+        replica.deadline = replica.loyal + FIRST_SPREAD.mul_f64(extra);
         replica
     }
 
