feat(gateway): short prompts of brisk routes are guests of idle quick engines

Change: a brisk prompt goes to a quick engine where it and all unread are at most 4,000 tokens. Each send logs the tokens ahead.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -202,6 +202,10 @@
         attempt: u32,
         /// Requests known to be there, its own not counted.
         calls: u32,
+        /// Prompt tokens known to be unread there, its own not counted.
+        ahead: u32,
+        /// Prompt tokens that it is expected to add.
+        unread: u32,
         /// Age of the others' part of that count, in milliseconds.
         others_ms: u64,
         /// The connection had carried requests before.
--- a/crates/rudder-gateway/src/call.rs
+++ b/crates/rudder-gateway/src/call.rs
@@ -530,6 +530,8 @@
         endpoint: choice.endpoint.clone(),
         attempt: progress.sent,
         calls: choice.calls,
+        ahead: choice.ahead,
+        unread: choice.unread,
         others_ms: others.as_millis() as u64,
         reused,
         left_ms: left.as_millis() as u64,
--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -10,8 +10,8 @@
     balance::Balance,
     dialect::Prompt,
     health::Health,
-    lanes::{self, Lane},
-    plan::{Engine, Route},
+    lanes::{self, Lanes},
+    plan::{Engine, Pace, Route},
 };
 
 /// Each request under way at an engine counts as this many prompt tokens ahead.
@@ -23,6 +23,9 @@
 /// stray leaves a copy of its parts that takes others' place.
 const STRAY_COST: u64 = 8_000;
 
+/// A guest of the quick lane and all that is unread there have at most this many prompt tokens.
+const GUEST: u32 = 4_000;
+
 /// Part of a session's tokens that its first and second engine by hash are taken to lack.
 const MISSING: [f64; 2] = [0.0, 0.2];
 
@@ -54,6 +57,8 @@
     pub service: Arc<str>,
     /// Requests known to be there.
     pub calls: u32,
+    /// Prompt tokens known to be unread there.
+    pub ahead: u32,
     /// Prompt tokens that it will have to read for this request.
     pub unread: u32,
 }
@@ -121,13 +126,19 @@
     prompt: &Prompt,
     candidates: Vec<&Registration>,
 ) -> Option<Choice> {
-    let lane = if inputs.plan.is_quick(route, service) { Lane::Quick } else { Lane::Bulk };
-    let engines = if inputs.plan.has_lanes(service) {
-        lanes::of_lane(candidates, service, lane, inputs.balance)
+    let pace = inputs.plan.pace(route, service);
+    let lanes = if inputs.plan.has_lanes(service) {
+        lanes::divide(candidates, service, inputs.balance)
     } else {
-        candidates
+        Lanes { quick: Vec::new(), bulk: candidates }
     };
-    let homes = to_homes(prompt, &engines);
+    let engines = if pace == Pace::Quick && !lanes.quick.is_empty() { &lanes.quick } else { &lanes.bulk };
+    if pace == Pace::Brisk
+        && let Some(guest) = choose_guest(inputs, prompt, &lanes.quick)
+    {
+        return Some(guest);
+    }
+    let homes = to_homes(prompt, engines);
     let unread = |held: &Registration| {
         let rank = homes.iter().position(|home| *home == held.endpoint);
         let missing = rank.map_or(1.0, |rank| MISSING[rank]);
@@ -149,6 +160,14 @@
     Some(to_choice(inputs, chosen, unread(chosen)))
 }
 
+/// A quick engine that has next to nothing to read, for a short prompt of a brisk route.
+fn choose_guest(inputs: &Inputs, prompt: &Prompt, quick: &[&Registration]) -> Option<Choice> {
+    let ahead = |held: &Registration| inputs.balance.at(&held.endpoint).unread;
+    let free = quick.iter().copied().filter(|held| ahead(held) + prompt.tokens <= GUEST);
+    let chosen = free.min_by_key(|held| (ahead(held), rand::random::<u32>()))?;
+    Some(to_choice(inputs, chosen, prompt.tokens))
+}
+
 /// The engines most likely to keep the parts of this prompt's session, the likeliest first.
 fn to_homes(prompt: &Prompt, engines: &[&Registration]) -> Vec<EndpointId> {
     let Some(session) = prompt.session() else { return Vec::new() };
@@ -159,11 +178,13 @@
 }
 
 fn to_choice(inputs: &Inputs, chosen: &Registration, unread: u32) -> Choice {
+    let work = inputs.balance.at(&chosen.endpoint);
     Choice {
         endpoint: chosen.endpoint.clone(),
         address: chosen.address.clone(),
         service: chosen.service.clone(),
-        calls: inputs.balance.at(&chosen.endpoint).calls,
+        calls: work.calls,
+        ahead: work.unread,
         unread,
     }
 }
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -16,32 +16,23 @@
 /// Engines from which on the quick lane has two, so that the loss of one leaves one.
 const TWO_FROM: usize = 6;
 
-/// Which engines a stream may use.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Lane {
-    /// Those for streams with short pauses.
-    Quick,
-    /// The others.
-    Bulk,
+/// The engines of one service, in the order of their rank.
+#[derive(Debug)]
+pub struct Lanes<'a> {
+    /// For streams with short pauses.
+    pub quick: Vec<&'a Registration>,
+    /// For the others.
+    pub bulk: Vec<&'a Registration>,
 }
 
-/// The engines of `lane` among `engines`, in the order of their rank.
-pub fn of_lane<'a>(
-    mut engines: Vec<&'a Registration>,
-    service: &str,
-    lane: Lane,
-    balance: &Balance,
-) -> Vec<&'a Registration> {
+/// Divides the engines of `service`.
+pub fn divide<'a>(mut engines: Vec<&'a Registration>, service: &str, balance: &Balance) -> Lanes<'a> {
     if engines.len() < 2 {
-        return engines;
+        return Lanes { quick: engines.clone(), bulk: engines };
     }
     engines.sort_by_cached_key(|engine| id::rendezvous(service, &engine.endpoint));
-    let count = quick_count(&engines, balance);
-    match lane {
-        Lane::Quick => engines.truncate(count),
-        Lane::Bulk => drop(engines.drain(..count)),
-    }
-    engines
+    let bulk = engines.split_off(quick_count(&engines, balance));
+    Lanes { quick: engines, bulk }
 }
 
 /// How many of the ranked engines the quick lane has.
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -4,6 +4,19 @@
 
 /// A route is quick when it allows at most this part of the longest pause of its service.
 const QUICK: f64 = 0.3;
+/// A route is brisk when it allows at most this part.
+const BRISK: f64 = 0.6;
+
+/// How much a route's streams suffer from long prompts beside them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Pace {
+    /// They become late beside any.
+    Quick,
+    /// They become late behind several.
+    Brisk,
+    /// They are the long prompts, or as patient.
+    Steady,
+}
 
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -219,17 +232,21 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
-    /// True where a route's streams allow far shorter pauses than others of the service do, so that the
-    /// others' long prompts would make them late.
-    pub fn is_quick(&self, route: &Route, service: &str) -> bool {
+    /// The pace of a route's streams at one of its services, by the pauses that they allow.
+    pub fn pace(&self, route: &Route, service: &str) -> Pace {
         let longest = self.pauses.get(service).copied().unwrap_or_default();
-        route.pause.is_some_and(|pause| pause <= longest.mul_f64(QUICK))
+        match route.pause {
+            Some(pause) if pause <= longest.mul_f64(QUICK) => Pace::Quick,
+            Some(pause) if pause <= longest.mul_f64(BRISK) => Pace::Brisk,
+            _ => Pace::Steady,
+        }
     }
 
     /// True where the service has quick routes beside others.
     pub fn has_lanes(&self, service: &str) -> bool {
-        self.routes()
-            .any(|route| self.is_quick(route, service) && route.shares.iter().any(|share| *share.service == *service))
+        self.routes().any(|route| {
+            self.pace(route, service) == Pace::Quick && route.shares.iter().any(|share| *share.service == *service)
+        })
     }
 
     /// Number of the organisation that holds `key`.
