--- a/crates/rudder-gateway/src/call.rs
+++ b/crates/rudder-gateway/src/call.rs
@@ -95,6 +95,8 @@
     pub connection: Connection,
     /// Its count at the endpoint.
     pub flight: Flight,
+    /// When it was sent.
+    pub sent: Instant,
 }
 
 /// How an attempt failed.
@@ -403,7 +405,7 @@
     if misdirected {
         note_outcome(shared, &leg.choice.endpoint, Outcome::Unreachable);
     }
-    let Leg { choice, response, head, connection, flight } = leg;
+    let Leg { choice, response, head, connection, flight, .. } = leg;
     let (_, body) = response.into_parts();
     let drained = timeout_at(call.until.into(), Limited::new(body, WHOLE).collect()).await;
     drop(flight);
@@ -458,6 +460,9 @@
         progress.connects = CONNECTS;
         return Ok(Err(Failure::Unsent("no endpoint of its service is in use")));
     };
+    if progress.sent == 0 {
+        check_not_hopeless(shared, call, &choice)?;
+    }
     progress.tried.push(choice.endpoint.clone());
     let connection = match connect(shared, call, &choice).await {
         Ok(connection) => connection,
@@ -472,6 +477,20 @@
     Ok(send_on(shared, call, progress, choice, connection, last_event).await)
 }
 
+/// Refuses a stream of the lowest rank at once where its engine, the best there is, has so much to read
+/// that it would come late and make the streams behind it late too.
+fn check_not_hopeless<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
+    let Some(plan) = shared.current_plan() else { return Ok(()) };
+    if call.route.kind != RouteKind::Stream || call.prompt.is_none() || !plan.is_lowest(&call.route, &choice.service) {
+        return Ok(());
+    }
+    let wait = shared.reading.borrow().time_for(&choice.service, choice.ahead);
+    if wait <= call.route.target {
+        return Ok(());
+    }
+    Err(not_run("its engines have too much to read", wait.saturating_sub(call.route.target / 2)))
+}
+
 async fn send_on<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: &Call,
@@ -513,7 +532,7 @@
         log_failure(shared, call, progress, &choice, "it answered another request", Ran::Unknown);
         return Err(Failure::Lost("the endpoint answered another request"));
     }
-    Ok(Leg { choice, response: Response::from_parts(parts, body), head, connection, flight })
+    Ok(Leg { choice, response: Response::from_parts(parts, body), head, connection, flight, sent: now })
 }
 
 fn log_sent<D: Dialect>(
@@ -595,7 +614,7 @@
 
 /// Reads an answer whole and makes it the caller's.
 async fn relay<D: Dialect>(shared: &Shared<D>, call: &Call, leg: Leg) -> Result<Response<AnswerBody>, Failure> {
-    let Leg { choice, response, head, connection, flight } = leg;
+    let Leg { choice, response, head, connection, flight, .. } = leg;
     let (mut parts, body) = response.into_parts();
     let collected = timeout_at(call.until.into(), Limited::new(body, WHOLE).collect()).await;
     drop(flight);
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod options;
 pub mod peers;
 pub mod plan;
+pub mod reading;
 pub mod run;
 pub mod serve;
 pub mod shared;
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -138,6 +138,8 @@
     /// Organisations; `None` where the document has none and no key is asked for.
     pub organisations: Option<Vec<Organisation>>,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The lowest rank among the routes of each service.
+    lowest: HashMap<Arc<str>, u8>,
     /// The longest pause that a route of each service allows.
     pauses: HashMap<Arc<str>, Duration>,
     keys: HashMap<Arc<str>, usize>,
@@ -197,6 +199,10 @@
         if routes.iter().any(|held| held.prefix == route.prefix) {
             return Err(Fault::SamePlace { host: route.host.to_string(), prefix: route.prefix.to_string() });
         }
+        for share in &route.shares {
+            let lowest = self.lowest.entry(share.service.clone()).or_default();
+            *lowest = route.tier.max(*lowest);
+        }
         if let Some(pause) = route.pause {
             for share in &route.shares {
                 let longest = self.pauses.entry(share.service.clone()).or_default();
@@ -242,6 +248,11 @@
         }
     }
 
+    /// True for routes that no other route of the service ranks below.
+    pub fn is_lowest(&self, route: &Route, service: &str) -> bool {
+        self.lowest.get(service).is_none_or(|lowest| route.tier >= *lowest)
+    }
+
     /// True where the service has quick routes beside others.
     pub fn has_lanes(&self, service: &str) -> bool {
         self.routes().any(|route| {
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -14,7 +14,10 @@
 use rudder_model::InstanceId;
 use tokio::sync::{oneshot, watch};
 
-use crate::{Dialect, Options, Plan, balance::Balance, budget::Budget, health::Health, logging::Log, upstream::Pool};
+use crate::{
+    Dialect, Options, Plan, balance::Balance, budget::Budget, health::Health, logging::Log, reading::Reading,
+    upstream::Pool,
+};
 
 /// What the reducer's view says to traffic.
 #[derive(Clone, Debug, Default)]
@@ -99,6 +102,8 @@
     pub balance: Rc<RefCell<Balance>>,
     /// Outcomes at endpoints.
     pub health: RefCell<Health>,
+    /// How fast engines read.
+    pub reading: RefCell<Reading>,
     /// Requests sent again.
     pub budget: RefCell<Budget>,
     /// Idle connections to endpoints.
@@ -126,6 +131,7 @@
             proof: watch::Sender::new(None),
             balance: Rc::default(),
             health: RefCell::default(),
+            reading: RefCell::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
             stage: watch::Sender::new(Stage::Serving),
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -148,7 +148,7 @@
 
     /// Passes on what one endpoint sends.
     async fn pass(&mut self, leg: Leg) -> End {
-        let Leg { choice, response, head, connection, mut flight } = leg;
+        let Leg { choice, response, head, connection, mut flight, sent } = leg;
         let mut body = response.into_body();
         loop {
             let frame = tokio::select! {
@@ -163,7 +163,11 @@
             };
             let Ok(bytes) = frame.into_data() else { continue };
             if self.first.is_none() {
-                self.first = Some(Instant::now());
+                let now = Instant::now();
+                self.first = Some(now);
+                let tokens = choice.ahead + choice.unread;
+                let after = now.saturating_duration_since(sent);
+                self.shared.reading.borrow_mut().note(&choice.service, tokens, after);
             }
             flight.note_read();
             let whole = self.events.take(&bytes);
