perf(gateway): queues grow with need; an endpoint whose address was taken is left out at once

Cause: two channels made their buffers ahead (6 MB of 13 MB touched when idle); after a crash requests were told 421 again and again by the newcomer at the old address.

--- a/crates/rudder-gateway/src/call.rs
+++ b/crates/rudder-gateway/src/call.rs
@@ -403,7 +403,7 @@
         Ran::No,
     );
     if misdirected {
-        note_outcome(shared, &leg.choice.endpoint, Outcome::Unreachable);
+        note_outcome(shared, &leg.choice.endpoint, Outcome::Replaced);
     }
     let Leg { choice, response, head, connection, flight, .. } = leg;
     let (_, body) = response.into_parts();
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use eyre::{Context as _, Result};
 use rudder_core::{Effect, Event, Me, PeerMessage, Registration, State};
 use rudder_events::What;
@@ -19,8 +19,6 @@
 
 /// Time between ticks of the reducer.
 const TICK: Duration = Duration::from_millis(50);
-/// Saves that wait for the disk.
-const SAVES: usize = 65_536;
 /// Bytes of commands in the log that make a snapshot due.
 const SNAPSHOT: u64 = 512 << 10;
 /// Entries kept before the snapshot for followers that lag a little.
@@ -83,7 +81,7 @@
 fn open_disk(options: &Options, name: &str, inputs: &Sender<Event>) -> Result<Disk> {
     let Some(folder) = &options.data else { return Ok((None, None)) };
     let outcome = rudder_store::open(folder, name, rand::random()).wrap_err("open the data folder")?;
-    let (sender, jobs) = bounded(SAVES);
+    let (sender, jobs) = unbounded();
     let (store, inputs) = (outcome.store, inputs.clone());
     let run = move || {
         disk::run(store, &jobs, |report| {
--- a/crates/rudder-gateway/src/health.rs
+++ b/crates/rudder-gateway/src/health.rs
@@ -19,6 +19,9 @@
 /// Share of failures that ejects.
 const FAILING: f64 = 0.3;
 
+/// An endpoint whose address another has taken does not come back.
+const GONE: Duration = Duration::from_secs(6);
+
 /// How a request ended, as far as it speaks for or against its endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -26,6 +29,8 @@
     Good,
     /// No connection could be made.
     Unreachable,
+    /// Another has its address.
+    Replaced,
     /// It broke off, answered wrongly or with an error of its own.
     Failed,
 }
@@ -73,6 +78,10 @@
         }
         standing.streak += 1;
         standing.failing = standing.failing * (1.0 - WEIGHT) + WEIGHT;
+        if outcome == Outcome::Replaced {
+            standing.until = Some(now + GONE);
+            return Some(GONE);
+        }
         let ejects = outcome == Outcome::Unreachable || standing.streak >= STREAK || standing.failing > FAILING;
         if !ejects || standing.until.is_some_and(|until| now < until) {
             return None;
--- a/crates/rudder-gateway/src/logging.rs
+++ b/crates/rudder-gateway/src/logging.rs
@@ -20,7 +20,7 @@
 use rudder_model::InstanceId;
 
 /// Lines that wait to be written.
-const WAITING: usize = 2048;
+const WAITING: usize = 256;
 /// Lines are written together this often.
 const GATHER: Duration = Duration::from_millis(50);
 /// Part of the budget that routine lines may use.
