--- /dev/null
+++ b/crates/rudder-core/tests/documents.rs
@@ -0,0 +1,163 @@
+//! Whole documents: the highest version holds, what was acknowledged stays, all learn of it soon.
+
+mod mesh;
+
+use std::time::Duration;
+
+use mesh::Mesh;
+
+fn start() -> Mesh {
+    let mut mesh = Mesh::start(9, 3);
+    mesh.run(Duration::from_secs(4));
+    mesh
+}
+
+#[test]
+fn a_document_is_in_force_everywhere_right_after_its_acknowledgement() {
+    let mut mesh = start();
+    mesh.put(6, 1, 10, "first");
+    mesh.run(Duration::from_millis(60));
+    assert_eq!(mesh.documented.get(&1), Some(&Some(10)));
+    mesh.run(Duration::from_millis(10));
+    for number in 0..9 {
+        assert_eq!(mesh.version_at(number), 10, "instance {number}");
+    }
+}
+
+#[test]
+fn the_first_of_two_with_one_version_holds_and_both_are_acknowledged() {
+    let mut mesh = start();
+    mesh.put(4, 1, 10, "one");
+    mesh.put(5, 2, 10, "two");
+    mesh.run(Duration::from_secs(1));
+    assert_eq!(mesh.documented.get(&1), Some(&Some(10)));
+    assert_eq!(mesh.documented.get(&2), Some(&Some(10)));
+    let body = |number: usize| {
+        let state = mesh.nodes[number].state.as_ref().expect("it runs");
+        state.view.document.as_ref().map(|document| document.body.to_vec())
+    };
+    let first = body(0);
+    assert!((1..9).all(|number| body(number) == first));
+}
+
+#[test]
+fn an_older_document_is_acknowledged_and_changes_nothing() {
+    let mut mesh = start();
+    mesh.put(4, 1, 10, "ten");
+    mesh.run(Duration::from_secs(1));
+    mesh.put(5, 2, 7, "seven");
+    mesh.run(Duration::from_secs(1));
+    assert_eq!(mesh.documented.get(&2), Some(&Some(10)));
+    assert_eq!(mesh.version_at(3), 10);
+}
+
+#[test]
+fn without_a_quorum_nothing_is_acknowledged_and_freshness_ends() {
+    let mut mesh = start();
+    let leader = mesh.leader().expect("one leads");
+    for number in (0..3).filter(|number| *number != leader) {
+        mesh.nodes[number].cut = true;
+    }
+    mesh.put(6, 1, 10, "lost");
+    mesh.run(Duration::from_secs(6));
+    assert_eq!(mesh.documented.get(&1), Some(&None));
+    for number in 3..9 {
+        assert!(!mesh.is_fresh(number, Duration::from_millis(4500)), "instance {number}");
+    }
+}
+
+/// Disks are emptied one after the other, each right after an acknowledgement, four seconds apart; what
+/// was acknowledged must be on two disks again before the next one goes.
+#[test]
+fn disks_lost_in_turn_right_after_acknowledgements_lose_nothing() {
+    let mut mesh = start();
+    let mut version = 10;
+    for round in 0..6 {
+        version += 3;
+        mesh.put(3 + round % 6, round as u64, version, "content");
+        mesh.run(Duration::from_millis(60));
+        assert_eq!(mesh.documented.get(&(round as u64)), Some(&Some(version)), "round {round}");
+        let lost = mesh.leader().expect("one leads");
+        mesh.kill(lost);
+        mesh.wipe(lost);
+        mesh.run(Duration::from_secs(1));
+        mesh.boot(lost);
+        mesh.run(Duration::from_secs(4));
+        for number in 0..9 {
+            assert_eq!(mesh.version_at(number), version, "instance {number} in round {round}");
+        }
+    }
+}
+
+/// A disk is emptied while the other two lose power, right after an acknowledgement; the one that was
+/// behind and the emptied one must not make a quorum.
+#[test]
+fn the_one_behind_and_the_emptied_one_never_make_a_quorum() {
+    let mut mesh = start();
+    let leader = mesh.leader().expect("one leads");
+    let voters: Vec<usize> = (0..3).filter(|number| *number != leader).collect();
+    mesh.nodes[voters[0]].cut = true;
+    mesh.put(6, 1, 10, "acknowledged");
+    mesh.run(Duration::from_millis(100));
+    assert_eq!(mesh.documented.get(&1), Some(&Some(10)));
+    // The one that has it besides the leader goes dark, the leader loses its disk, the cut heals.
+    mesh.kill(voters[1]);
+    mesh.kill(leader);
+    mesh.wipe(leader);
+    mesh.boot(leader);
+    mesh.nodes[voters[0]].cut = false;
+    mesh.run(Duration::from_secs(8));
+    assert_eq!(mesh.leader(), None, "a quorum without the acknowledged document");
+    assert!((0..9).all(|number| !mesh.is_fresh(number, Duration::from_secs(3))));
+    // With the dark one back, all is there.
+    mesh.boot(voters[1]);
+    mesh.run(Duration::from_secs(5));
+    for number in 0..9 {
+        assert_eq!(mesh.version_at(number), 10, "instance {number}");
+    }
+}
+
+#[test]
+fn an_instance_started_anew_learns_the_newest_before_it_serves() {
+    let mut mesh = start();
+    mesh.put(4, 1, 10, "ten");
+    mesh.run(Duration::from_secs(1));
+    mesh.kill(8);
+    mesh.put(4, 2, 11, "eleven");
+    mesh.run(Duration::from_secs(1));
+    mesh.boot(8);
+    mesh.run(Duration::from_millis(1));
+    assert!(!mesh.is_fresh(8, Duration::from_secs(5)));
+    mesh.run(Duration::from_secs(1));
+    assert!(mesh.is_fresh(8, Duration::from_secs(1)));
+    assert_eq!(mesh.version_at(8), 11);
+}
+
+/// A voter whose disk answers nothing must not hold up what the others can save.
+#[test]
+fn a_stalled_disk_holds_nothing_up() {
+    let mut mesh = start();
+    let leader = mesh.leader().expect("one leads");
+    mesh.nodes[leader].stalled = true;
+    mesh.put(6, 1, 10, "ten");
+    mesh.run(Duration::from_millis(500));
+    assert_eq!(mesh.documented.get(&1), Some(&Some(10)));
+}
+
+/// A core machine is replaced for good by an empty one at another address, twice.
+#[test]
+fn lost_voters_are_replaced_by_new_ones() {
+    let mut mesh = Mesh::start(9, 5);
+    mesh.run(Duration::from_secs(4));
+    mesh.put(6, 1, 10, "ten");
+    mesh.run(Duration::from_secs(1));
+    for round in 0..2 {
+        let lost = mesh.leader().expect("one leads");
+        mesh.kill(lost);
+        mesh.run(Duration::from_secs(5));
+        let version = 11 + round;
+        mesh.put(8, 2 + round, version, "next");
+        mesh.run(Duration::from_secs(2));
+        assert_eq!(mesh.documented.get(&(2 + round)), Some(&Some(version)), "round {round}");
+    }
+}
--- /dev/null
+++ b/crates/rudder-core/tests/registry.rs
@@ -0,0 +1,95 @@
+//! Endpoints that register themselves: who knows what, when, and what a late word may change.
+
+mod mesh;
+
+use std::time::Duration;
+
+use mesh::Mesh;
+use rudder_core::Phase;
+
+/// Nine instances that know each other and one ready endpoint.
+fn start() -> Mesh {
+    let mut mesh = Mesh::start(9, 3);
+    mesh.run(Duration::from_secs(4));
+    mesh.heartbeat(4, 1, "e-1", Phase::Ready, 1);
+    mesh.run(Duration::from_millis(600));
+    mesh
+}
+
+fn phases(mesh: &Mesh) -> Vec<Option<Phase>> {
+    (0..9).map(|number| mesh.phase_at(number, "e-1")).collect()
+}
+
+#[test]
+fn one_heartbeat_makes_an_endpoint_known_everywhere() {
+    let mesh = start();
+    assert_eq!(mesh.registered.get(&1), Some(&true));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Ready); 9]);
+}
+
+#[test]
+fn a_leave_is_known_everywhere_right_after_its_acknowledgement() {
+    let mut mesh = start();
+    mesh.heartbeat(7, 2, "e-1", Phase::Leaving, 2);
+    assert_eq!(mesh.registered.get(&2), None, "acknowledged before the leader knows");
+    mesh.run(Duration::from_millis(30));
+    assert_eq!(mesh.registered.get(&2), Some(&true));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Leaving); 9]);
+}
+
+#[test]
+fn a_leave_that_the_leader_cannot_hear_is_not_acknowledged() {
+    let mut mesh = start();
+    mesh.nodes[7].cut = true;
+    mesh.heartbeat(7, 2, "e-1", Phase::Leaving, 2);
+    mesh.run(Duration::from_secs(2));
+    assert_eq!(mesh.registered.get(&2), Some(&false));
+}
+
+#[test]
+fn a_heartbeat_at_an_instance_that_lost_touch_is_not_acknowledged() {
+    let mut mesh = start();
+    mesh.nodes[7].cut = true;
+    mesh.run(Duration::from_secs(6));
+    mesh.heartbeat(7, 2, "e-1", Phase::Ready, 2);
+    assert_eq!(mesh.registered.get(&2), Some(&false));
+}
+
+#[test]
+fn a_late_heartbeat_neither_undoes_a_leave_nor_revives_the_gone() {
+    let mut mesh = start();
+    mesh.heartbeat(7, 2, "e-1", Phase::Leaving, 5);
+    mesh.run(Duration::from_millis(100));
+    mesh.heartbeat(5, 3, "e-1", Phase::Ready, 3);
+    mesh.run(Duration::from_millis(600));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Leaving); 9]);
+    mesh.heartbeat(6, 4, "e-1", Phase::Gone, 0);
+    mesh.run(Duration::from_millis(100));
+    mesh.heartbeat(5, 5, "e-1", Phase::Ready, 9);
+    mesh.run(Duration::from_millis(600));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Gone); 9]);
+}
+
+#[test]
+fn an_endpoint_unheard_is_silent_first_and_forgotten_later() {
+    let mut mesh = start();
+    mesh.run(Duration::from_secs(7));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Silent); 9]);
+    mesh.heartbeat(3, 6, "e-1", Phase::Ready, 2);
+    mesh.run(Duration::from_millis(600));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Ready); 9]);
+}
+
+#[test]
+fn the_next_leader_keeps_what_the_last_one_knew() {
+    let mut mesh = start();
+    mesh.heartbeat(7, 2, "e-1", Phase::Leaving, 2);
+    mesh.run(Duration::from_millis(100));
+    let leader = mesh.leader().expect("one leads");
+    mesh.kill(leader);
+    mesh.run(Duration::from_secs(4));
+    assert!(mesh.leader().is_some_and(|next| next != leader));
+    for number in (0..9).filter(|number| *number != leader) {
+        assert_eq!(mesh.phase_at(number, "e-1"), Some(Phase::Leaving), "instance {number}");
+    }
+}
--- /dev/null
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -0,0 +1,272 @@
+//! The pieces of a decision: budget, health, plan, lanes, choice, events of a stream.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rudder_core::{Phase, Registration, peer::Load};
+use rudder_gateway::{
+    Plan, Route, RouteKind, Service,
+    balance::Balance,
+    budget::Budget,
+    choose::{self, Inputs},
+    dialect::{Prompt, PromptPart},
+    health::{Health, Outcome},
+    lanes,
+    plan::{Engine, Fault, Limits, Organisation, Pace, Share},
+    reading::Reading,
+    stream::Events,
+};
+
+fn route(name: &str, pause: u64, tier: u8) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".into(),
+        prefix: format!("/{name}/").into(),
+        kind: RouteKind::Stream,
+        timeout: Duration::from_secs(5),
+        target: Duration::from_millis(pause),
+        pause: Some(Duration::from_millis(pause)),
+        tier,
+        shares: vec![Share { service: "svc".into(), weight: 1 }],
+        attempts: 1,
+        open: false,
+        resumable: false,
+    }
+}
+
+fn plan() -> Plan {
+    let mut plan = Plan::new(1, Limits::default());
+    let engine = Some(Engine { slots: 64, memory: 300_000 });
+    plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
+    for route in [route("recap", 1000, 2), route("answer", 400, 1), route("grade", 250, 0)] {
+        plan.add_route(route).expect("it fits");
+    }
+    plan
+}
+
+fn engines(count: usize) -> Vec<Registration> {
+    let engine = |number: usize| Registration {
+        endpoint: format!("e-{number}").into(),
+        service: "svc".into(),
+        address: format!("10.0.0.{number}:80").into(),
+        hall: "a".into(),
+        slots: 64,
+        phase: Phase::Ready,
+        sequence: 1,
+    };
+    (0..count).map(engine).collect()
+}
+
+fn prompt(session: u64) -> Prompt {
+    let part = |id, tokens| PromptPart { id, tokens };
+    let parts = vec![part(1, 2500), part(session, 3800), part(session * 1000, 2900)];
+    Prompt { tokens: 9200, answer: 200, guess: None, parts }
+}
+
+fn load(endpoint: &str, calls: u32, unread: u32) -> Load {
+    Load { endpoint: endpoint.into(), calls, unread, held: 0 }
+}
+
+#[test]
+fn repeats_stay_within_a_share_of_the_requests_and_a_part_of_the_extra() {
+    let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50);
+    let (service, now): (Arc<str>, _) = ("svc".into(), Instant::now());
+    for _ in 0..100 {
+        budget.note_request(&service, now);
+    }
+    let taken = (0..100).filter(|_| budget.try_take(&service, now, 10)).count();
+    // (100 x 0.2 + 50 / 10) x 0.7
+    assert_eq!(taken, 17);
+    let later = now + Duration::from_secs(11);
+    let taken = (0..100).filter(|_| budget.try_take(&service, later, 10)).count();
+    assert_eq!(taken, 3);
+}
+
+#[test]
+fn an_endpoint_that_fails_is_left_out_longer_each_time_and_comes_back() {
+    let (mut health, now) = (Health::default(), Instant::now());
+    let endpoint = "e-1".into();
+    assert_eq!(health.note(&endpoint, Outcome::Failed, now), None);
+    let first = health.note(&endpoint, Outcome::Failed, now).expect("two in a row");
+    assert!(health.is_ejected("e-1", now));
+    let after = now + first;
+    assert!(!health.is_ejected("e-1", after));
+    let second = health.note(&endpoint, Outcome::Failed, after).expect("one more is enough then");
+    assert!(second > first);
+    health.note(&endpoint, Outcome::Good, after + second);
+    assert!(!health.is_ejected("e-1", after + second));
+}
+
+#[test]
+fn an_endpoint_out_of_reach_is_left_out_at_once() {
+    let (mut health, now) = (Health::default(), Instant::now());
+    assert!(health.note(&"e-1".into(), Outcome::Unreachable, now).is_some());
+    assert!(health.note(&"e-2".into(), Outcome::Replaced, now).is_some());
+}
+
+#[test]
+fn the_longest_prefix_serves_a_path() {
+    let mut plan = plan();
+    let mut deeper = route("recap", 1000, 2);
+    (deeper.name, deeper.prefix) = ("deeper".into(), "/recap/deep/".into());
+    plan.add_route(deeper).expect("it fits");
+    let name = |path: &str| plan.find("h", path).map(|route| route.name.to_string());
+    assert_eq!(name("/recap/deep/x").as_deref(), Some("deeper"));
+    assert_eq!(name("/recap/x").as_deref(), Some("recap"));
+    assert_eq!(name("/recapx/"), None);
+    assert!(plan.find("other", "/recap/").is_none());
+}
+
+#[test]
+fn what_cannot_stand_together_is_refused() {
+    let mut plan = plan();
+    assert!(matches!(plan.add_route(route("recap", 1, 1)), Err(Fault::SamePlace { .. })));
+    let mut stray = route("stray", 1, 1);
+    stray.shares[0].service = "nobody".into();
+    assert!(matches!(plan.add_route(stray), Err(Fault::UnknownService { .. })));
+    let mut weightless = route("weightless", 1, 1);
+    weightless.shares[0].weight = 0;
+    assert!(matches!(plan.add_route(weightless), Err(Fault::NoWeight(_))));
+    let mut timeless = route("timeless", 1, 1);
+    timeless.timeout = Duration::ZERO;
+    assert!(matches!(plan.add_route(timeless), Err(Fault::NoTimeout(_))));
+    let organisation = |name: &str| Organisation { name: name.into(), tier: None };
+    plan.add_organisation(organisation("one"), vec!["k".into(), "k".into()]).expect("its own key twice");
+    assert!(matches!(plan.add_organisation(organisation("two"), vec!["k".into()]), Err(Fault::SharedKey(..))));
+}
+
+#[test]
+fn lanes_follow_the_pauses_that_routes_allow() {
+    let plan = plan();
+    let pace = |path: &str| plan.pace(plan.find("h", path).expect("a route"), "svc");
+    assert_eq!([pace("/grade/"), pace("/answer/"), pace("/recap/")], [Pace::Quick, Pace::Brisk, Pace::Steady]);
+    assert!(plan.has_lanes("svc"));
+    assert!(plan.is_lowest(plan.find("h", "/recap/").expect("a route"), "svc"));
+}
+
+#[test]
+fn the_quick_lane_grows_with_its_load_and_never_past_half() {
+    let engines = engines(9);
+    let size = |calls: u32| {
+        let mut balance = Balance::default();
+        let loads: Vec<Load> = engines.iter().map(|engine| load(&engine.endpoint, calls, 0)).collect();
+        balance.set_others(&loads);
+        lanes::divide(engines.iter().collect(), "svc", &balance).quick.len()
+    };
+    assert_eq!([size(0), size(64)], [2, 4]);
+}
+
+#[test]
+fn all_instances_draw_the_same_line() {
+    let mut engines = engines(9);
+    let names = |engines: &[Registration]| -> Vec<String> {
+        let lanes = lanes::divide(engines.iter().collect(), "svc", &Balance::default());
+        lanes.quick.iter().map(|engine| engine.endpoint.to_string()).collect()
+    };
+    let first = names(&engines);
+    engines.reverse();
+    assert_eq!(names(&engines), first);
+}
+
+struct Scene {
+    engines: Vec<Registration>,
+    balance: Balance,
+    health: Health,
+    plan: Plan,
+}
+
+impl Scene {
+    fn new() -> Scene {
+        Scene { engines: engines(9), balance: Balance::default(), health: Health::default(), plan: plan() }
+    }
+
+    fn choose(&self, path: &str, prompt: &Prompt, tried: &[Arc<str>]) -> Option<String> {
+        let hall = "a".into();
+        let inputs = Inputs {
+            endpoints: &self.engines,
+            balance: &self.balance,
+            health: &self.health,
+            hall: &hall,
+            plan: &self.plan,
+            now: Instant::now(),
+        };
+        let route = self.plan.find("h", path).expect("a route");
+        choose::choose(&inputs, route, "svc", Some(prompt), tried).map(|choice| choice.endpoint.to_string())
+    }
+}
+
+#[test]
+fn a_session_keeps_its_engine_until_that_has_far_more_to_read() {
+    let mut scene = Scene::new();
+    let prompt = prompt(77);
+    let home = scene.choose("/recap/", &prompt, &[]).expect("a choice");
+    for _ in 0..20 {
+        assert_eq!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some(home.as_str()));
+    }
+    scene.balance.set_others(&[load(&home, 3, 5_000)]);
+    let second = scene.choose("/recap/", &prompt, &[]).expect("a choice");
+    assert_ne!(second, home, "its second engine keeps most of it and has nothing to read");
+    scene.balance.set_others(&[load(&home, 9, 60_000), load(&second, 9, 60_000)]);
+    let third = scene.choose("/recap/", &prompt, &[]).expect("a choice");
+    assert!(third != home && third != second);
+}
+
+#[test]
+fn long_prompts_and_quick_streams_never_meet() {
+    let scene = Scene::new();
+    let mut recaps: Vec<String> = (0..200).filter_map(|s| scene.choose("/recap/", &prompt(s + 2), &[])).collect();
+    let mut grades: Vec<String> = (0..200).filter_map(|s| scene.choose("/grade/", &prompt(s + 2), &[])).collect();
+    recaps.sort_unstable();
+    recaps.dedup();
+    grades.sort_unstable();
+    grades.dedup();
+    assert!(recaps.iter().all(|engine| !grades.contains(engine)), "{recaps:?} {grades:?}");
+    assert_eq!((recaps.len(), grades.len()), (7, 2));
+}
+
+#[test]
+fn the_tried_the_leaving_and_the_failing_get_nothing() {
+    let mut scene = Scene::new();
+    let prompt = prompt(5);
+    let home = scene.choose("/recap/", &prompt, &[]).expect("a choice");
+    assert_ne!(scene.choose("/recap/", &prompt, &[home.as_str().into()]), Some(home.clone()));
+    scene.health.note(&home.as_str().into(), Outcome::Unreachable, Instant::now());
+    assert_ne!(scene.choose("/recap/", &prompt, &[]), Some(home));
+    for engine in &mut scene.engines {
+        engine.phase = Phase::Leaving;
+    }
+    assert_eq!(scene.choose("/recap/", &prompt, &[]), None);
+    scene.engines[4].phase = Phase::Silent;
+    assert_eq!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some("e-4"), "the silent one is better than none");
+}
+
+#[test]
+fn reading_speed_follows_what_is_measured_behind_a_load() {
+    let mut reading = Reading::default();
+    let service: Arc<str> = "svc".into();
+    let before = reading.time_for("svc", 30_000);
+    for _ in 0..200 {
+        reading.note(&service, 20_000, Duration::from_secs(2));
+        reading.note(&service, 100, Duration::from_secs(2));
+    }
+    let after = reading.time_for("svc", 30_000);
+    assert!(after > before * 2, "{before:?} {after:?}");
+    assert!((Duration::from_millis(2900)..Duration::from_millis(3100)).contains(&after), "{after:?}");
+}
+
+#[test]
+fn events_are_whole_whatever_the_pieces() {
+    let text = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 7\ndata: c\n\nid: 8\nda";
+    for size in 1..text.len() {
+        let mut events = Events::default();
+        let mut passed = Vec::new();
+        for piece in text.chunks(size) {
+            passed.extend_from_slice(&events.take(piece));
+        }
+        assert_eq!((events.count, events.last), (3, Some(7)), "pieces of {size}");
+        assert_eq!(passed, &text[..text.len() - 8], "pieces of {size}");
+        assert_eq!(events.pending(), b"id: 8\nda");
+    }
+}
