feat(gateway,events): metrics, stories of requests, another endpoint asked when one is silent

Metrics and stories were missing. Change: after twice its target (150 ms at least; streams three times, 1.2 s at least) a repeatable request goes to another endpoint, within route bound and budget.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -330,4 +330,23 @@
             _ => None,
         }
     }
+
+    /// The endpoint this event is about, if it is about one.
+    pub fn endpoint(&self) -> Option<&str> {
+        match self {
+            What::Granted { endpoint, .. }
+            | What::Dispatched { endpoint, .. }
+            | What::Failed { endpoint, .. }
+            | What::Done { endpoint, .. }
+            | What::CallSent { endpoint, .. }
+            | What::CallFailed { endpoint, .. }
+            | What::CallAnswered { endpoint, .. }
+            | What::CallCut { endpoint, .. }
+            | What::Endpoint { endpoint, .. }
+            | What::Ejected { endpoint, .. }
+            | What::Restored { endpoint }
+            | What::Ordered { endpoint, .. } => Some(endpoint),
+            _ => None,
+        }
+    }
 }
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -1,16 +1,31 @@
 //! Why one request went where it went, waited or was refused.
 
+use std::collections::BTreeSet;
+
 use crate::{Line, What};
 
-/// Tells the story of `request` in sentences, oldest first; empty when no event names it.
+/// Changes of state this long before a request, in microseconds, are told with it.
+const BEFORE: u64 = 5_000_000;
+
+/// Tells the story of `request` in sentences, oldest first; empty when no event names it. What the
+/// instances that took it believed and did shortly before and meanwhile is told with it, where it speaks
+/// of the endpoints that the request went to, or of the instance as a whole.
 pub fn explain(request: &str, lines: &[Line]) -> Vec<String> {
-    let own = lines.iter().filter(|line| line.what.request() == Some(request));
+    let own: Vec<&Line> = lines.iter().filter(|line| line.what.request() == Some(request)).collect();
+    let (Some(first), Some(last)) = (own.first(), own.last()) else { return Vec::new() };
+    let (start, end) = (first.at, last.at);
+    let endpoints: BTreeSet<&str> = own.iter().filter_map(|line| line.what.endpoint()).collect();
     let mut story = Vec::new();
-    let mut began = None;
-    for line in own {
-        let start = *began.get_or_insert(line.at);
-        let offset = line.at.saturating_sub(start) as f64 / 1000.0;
-        story.push(format!("+{offset:.1} ms {}: {}", line.instance, to_sentence(&line.what)));
+    for line in lines.iter().filter(|line| line.at + BEFORE >= start && line.at <= end) {
+        let told = line.what.request() == Some(request)
+            || (line.what.request().is_none()
+                && line.instance == first.instance
+                && line.what.endpoint().is_none_or(|endpoint| endpoints.contains(endpoint)));
+        if !told {
+            continue;
+        }
+        let offset = (line.at as f64 - start as f64) / 1000.0;
+        story.push(format!("{offset:+.1} ms {}: {}", line.instance, to_sentence(&line.what)));
     }
     story
 }
@@ -34,6 +49,49 @@
         }
         What::Refused { code, text, ran, .. } => format!("refused ({code:?}, ran: {ran:?}): {text}"),
         What::Left { .. } => "the caller left".to_owned(),
+        What::CallTaken { route, org, version, proof_ms, left_ms, .. } => {
+            let org = org.as_deref().unwrap_or("nobody");
+            format!(
+                "taken on route {route} for {org}, by configuration {version} (proved {proof_ms} ms ago), \
+                 {left_ms} ms allowed"
+            )
+        }
+        What::CallSent { endpoint, attempt, calls, ahead, unread, others_ms, reused, left_ms, .. } => {
+            let connection = if *reused { "a kept" } else { "a new" };
+            format!(
+                "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
+                 {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left"
+            )
+        }
+        What::CallFailed { endpoint, attempt, why, ran, .. } => {
+            format!("attempt {attempt} at {endpoint} failed: {why}; ran: {ran:?}")
+        }
+        What::CallAnswered { endpoint, status, first_ms, total_ms, .. } => {
+            format!("{endpoint} answered {status}: first byte after {first_ms} ms, all after {total_ms} ms")
+        }
+        What::CallRefused { status, why, ran, retry_ms, .. } => {
+            let back = retry_ms.map_or(String::new(), |retry| format!(", come back in {retry} ms"));
+            format!("the instance itself answered {status}: {why}; ran: {ran:?}{back}")
+        }
+        What::CallCut { endpoint, why, events, .. } => {
+            format!("broken off at {endpoint} after {events} events: {why}")
+        }
+        What::Endpoint { endpoint, phase, sequence, .. } => {
+            format!("learned that {endpoint} is {phase} (heartbeat {sequence})")
+        }
+        What::Ejected { endpoint, why, pause } => format!("leaves {endpoint} out for {pause:?}: {why}"),
+        What::Fresh { fresh: true, .. } => "can prove its configuration the newest again".to_owned(),
+        What::Fresh { fresh: false, .. } => "can no longer prove its configuration the newest".to_owned(),
+        What::Documented { version, before } => format!("configuration {version} is in force, {before} before"),
+        What::Directory { live } => format!("knows {} live instances", live.len()),
+        What::Leads { leads: true, term } => format!("leads in term {term}"),
+        What::Leads { leads: false, term } => format!("leads no more, in term {term}"),
+        What::Started { hall, .. } => format!("started in hall {hall}"),
+        What::Stopping => "began a planned stop".to_owned(),
+        What::Stopped => "ended as planned".to_owned(),
+        What::Dropped { budget, blocked } => {
+            format!("left {budget} log lines out for its budget and {blocked} for a slow reader")
+        }
         other => format!("{other:?}"),
     }
 }
--- a/crates/rudder-events/src/timeline.rs
+++ b/crates/rudder-events/src/timeline.rs
@@ -1,12 +1,15 @@
 //! Merging event files into one time line.
 
 use std::{
+    collections::HashMap,
     fs::File,
     io::{self, BufRead as _, BufReader},
     path::PathBuf,
 };
 
-use crate::Line;
+use rudder_model::InstanceId;
+
+use crate::{Line, What};
 
 /// Why event files could not be merged.
 #[derive(Debug, thiserror::Error)]
@@ -32,7 +35,11 @@
 }
 
 /// Reads all `paths` and orders their events by time; ties keep the order of the files. A last
-/// line cut short by a crash is passed over.
+/// line cut short by a crash is passed over, and so is what stands before a line's object.
+///
+/// Wall clocks jump, steady clocks do not: the lines of one start of a process are placed by its steady
+/// clock, at the median of the differences to its wall clock. A jump that lasts for less than half of the
+/// process's lines moves none of them. Between processes the difference of their clocks remains.
 ///
 /// # Errors
 /// When a file cannot be read, or a line that is not its last is no event.
@@ -41,10 +48,37 @@
     for path in paths {
         read(path, &mut lines)?;
     }
+    place_by_steady_clock(&mut lines);
     lines.sort_by_key(|line| line.at);
     Ok(lines)
 }
 
+/// Sets the time of each line to its steady time after the start of its process.
+fn place_by_steady_clock(lines: &mut [Line]) {
+    let mut starts: HashMap<InstanceId, usize> = HashMap::new();
+    let mut differences: HashMap<(InstanceId, usize), Vec<u64>> = HashMap::new();
+    let mut keys = Vec::with_capacity(lines.len());
+    for line in lines.iter() {
+        let start = starts.entry(line.instance.clone()).or_default();
+        if matches!(line.what, What::Started { .. }) {
+            *start += 1;
+        }
+        let key = (line.instance.clone(), *start);
+        differences.entry(key.clone()).or_default().push(line.at.saturating_sub(line.uptime));
+        keys.push(key);
+    }
+    for values in differences.values_mut() {
+        values.sort_unstable();
+    }
+    for (line, key) in lines.iter_mut().zip(keys) {
+        // Logs of older versions have no steady time.
+        if line.uptime > 0 {
+            let values = &differences[&key];
+            line.at = values[values.len() / 2] + line.uptime;
+        }
+    }
+}
+
 fn read(path: &PathBuf, lines: &mut Vec<Line>) -> Result<(), Error> {
     let to_read = |source| Error::Read { path: path.clone(), source };
     let file = File::open(path).map_err(to_read)?;
@@ -54,7 +88,8 @@
         if let Some((line, source)) = broken.take() {
             return Err(Error::Parse { path: path.clone(), line, source });
         }
-        match serde_json::from_str(&text) {
+        let object = text.find('{').map_or(text.as_str(), |at| &text[at..]);
+        match serde_json::from_str(object) {
             Ok(line) => lines.push(line),
             Err(source) => broken = Some((index + 1, source)),
         }
--- /dev/null
+++ b/crates/rudder-events/tests/merge.rs
@@ -0,0 +1,78 @@
+//! Merging logs whose wall clocks jump, and telling the story of one request.
+
+use rudder_events::{Line, What, explain, timeline};
+use rudder_model::Ran;
+
+fn line(instance: &str, at: u64, uptime: u64, what: What) -> String {
+    serde_json::to_string(&Line { at, instance: instance.into(), uptime, what }).expect("a line")
+}
+
+fn started() -> What {
+    What::Started { hall: "a".into(), start: 1 }
+}
+
+fn refused(request: &str) -> What {
+    let why = "its engines have too much to read".to_owned();
+    What::CallRefused { request: request.to_owned(), status: 503, why, ran: Ran::No, retry_ms: Some(700) }
+}
+
+#[test]
+fn a_jump_of_the_wall_clock_reorders_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (one, two) = (folder.path().join("one"), folder.path().join("two"));
+    // The clock of the first jumps back by two seconds for one line.
+    let first = [
+        line("i-1", 1_000_100, 100, started()),
+        line("i-1", 1_500_000, 500_000, refused("a")),
+        line("i-1", 600_000, 800_000, refused("b")),
+        line("i-1", 2_200_000, 1_200_000, refused("d")),
+    ];
+    let second = [line("i-2", 1_000_050, 50, started()), line("i-2", 2_000_000, 1_000_000, refused("c"))];
+    std::fs::write(&one, first.join("\n")).expect("a file");
+    std::fs::write(&two, second.join("\n")).expect("a file");
+    let lines = timeline(&[one, two]).expect("they are logs");
+    let requests: Vec<&str> = lines.iter().filter_map(|line| line.what.request()).collect();
+    assert_eq!(requests, ["a", "b", "c", "d"]);
+}
+
+#[test]
+fn what_stands_before_a_line_is_passed_over_and_a_cut_last_line_too() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    let whole = line("i-1", 2_000_000, 1_000_000, refused("a"));
+    let text = format!("  12.3400 edge-1 {whole}\n{}", &whole[..40]);
+    std::fs::write(&path, text).expect("a file");
+    assert_eq!(timeline(&[path]).expect("a log").len(), 1);
+}
+
+#[test]
+fn a_story_tells_what_the_instance_learned_of_its_endpoints_before() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    let endpoint = |name: &str| What::Endpoint {
+        endpoint: name.into(),
+        service: "svc".into(),
+        phase: "silent".to_owned(),
+        sequence: 9,
+    };
+    let failed = What::CallFailed {
+        request: "a".to_owned(),
+        endpoint: "e-1".into(),
+        attempt: 1,
+        why: "it cannot be reached".to_owned(),
+        ran: Ran::No,
+    };
+    let text = [
+        line("i-1", 1_000_100, 100, started()),
+        line("i-1", 9_000_000, 8_000_000, endpoint("e-1")),
+        line("i-1", 9_000_001, 8_000_001, endpoint("e-2")),
+        line("i-1", 9_500_000, 8_500_000, failed),
+        line("i-1", 9_500_100, 8_500_100, refused("a")),
+        line("i-1", 9_500_200, 8_500_200, refused("b")),
+    ];
+    std::fs::write(&path, text.join("\n")).expect("a file");
+    let story = explain("a", &timeline(&[path]).expect("a log"));
+    assert_eq!(story.len(), 3, "{story:#?}");
+    assert!(story[0].contains("e-1 is silent"), "{}", story[0]);
+    assert!(story[2].contains("come back in 700 ms"), "{}", story[2]);
+}
--- a/crates/rudder-gateway/src/call.rs
+++ b/crates/rudder-gateway/src/call.rs
@@ -26,6 +26,7 @@
     choose::{self, Choice, Inputs},
     dialect::{AnswerHead, CallHead, Forward, Prompt},
     health::Outcome,
+    metrics::Ending,
     shared::Shared,
     stream,
     upstream::{self, Connection},
@@ -37,6 +38,13 @@
 const CONNECTS: u32 = 3;
 /// Endpoints beyond the route's own bound that a request may go to when it did not run.
 const UNRUN_EXTRA: u32 = 1;
+/// An endpoint may be silent for this many times the target of a route, and at least for this long, before
+/// a request that may be repeated is sent to another.
+const PATIENCE: u32 = 2;
+const LEAST: Duration = Duration::from_millis(150);
+/// The same for streams, whose prompts may have to be read again.
+const STREAM_PATIENCE: u32 = 3;
+const STREAM_LEAST: Duration = Duration::from_millis(1200);
 /// How long a request waits for proof that its route or key does not exist.
 const DENIAL_WAIT: Duration = Duration::from_millis(400);
 /// Largest answer that is held whole before it is passed on.
@@ -106,6 +114,9 @@
     Unsent(&'static str),
     /// It was sent, and what became of it is unknown.
     Lost(&'static str),
+    /// It was sent and nothing came for so long that it was given up for another attempt, whose right is
+    /// already taken.
+    Silent,
     /// Time ran out while it was under way.
     Late,
 }
@@ -131,11 +142,15 @@
         Ok(call) => send(&shared, call).await,
         Err(refusal) => Err(refusal),
     };
-    answer.unwrap_or_else(|refusal| refuse(&shared, &id, &refusal))
+    answer.unwrap_or_else(|refusal| {
+        shared.metrics.note_end(None, Ending::Refused, arrived.elapsed());
+        refuse(&shared, &id, &refusal)
+    })
 }
 
 /// The answer to a refused request.
 fn refuse<D: Dialect>(shared: &Shared<D>, id: &str, refusal: &Refusal) -> Response<AnswerBody> {
+    shared.metrics.note_refusal(refusal.why);
     shared.log.write(What::CallRefused {
         request: id.to_owned(),
         status: refusal.status.as_u16(),
@@ -357,6 +372,7 @@
 fn give_up<D: Dialect>(shared: &Shared<D>, progress: &Progress, failure: &Failure) -> Refusal {
     let why = match failure {
         Failure::Unsent(why) | Failure::Lost(why) => why,
+        Failure::Silent => "the endpoint is silent",
         Failure::Late => "time ran out",
     };
     if progress.ran == 0 {
@@ -373,6 +389,7 @@
 fn may_go_on<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, failure: &Failure) -> bool {
     match failure {
         Failure::Unsent(_) => progress.connects < CONNECTS && Instant::now() < call.until,
+        Failure::Silent => true,
         Failure::Lost(_) => call.route.may_repeat() && may_send_again(shared, call, progress),
         Failure::Late => false,
     }
@@ -423,6 +440,7 @@
 pub fn note_outcome<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, outcome: Outcome) {
     let pause = shared.health.borrow_mut().note(endpoint, outcome, Instant::now());
     if let Some(pause) = pause {
+        shared.metrics.note_ejection();
         let why = format!("{outcome:?}").to_lowercase();
         shared.log.write(What::Ejected { endpoint: endpoint.clone(), why, pause });
     }
@@ -504,6 +522,7 @@
     if left.is_zero() {
         return Err(Failure::Late);
     }
+    shared.metrics.note_attempt(progress.sent > 0);
     progress.sent += 1;
     progress.ran += 1;
     if progress.chosen.is_none() {
@@ -516,15 +535,7 @@
     let unread = choice.unread;
     let memory = prompt.map_or(0, |prompt| prompt.tokens + prompt.guess.unwrap_or(prompt.answer));
     let flight = Flight::start(&shared.balance, &choice.endpoint, unread, memory);
-    let Ok(answered) = timeout_at(call.until.into(), connection.send(request)).await else {
-        log_failure(shared, call, progress, &choice, "time ran out", Ran::Unknown);
-        return Err(Failure::Late);
-    };
-    let Ok(response) = answered else {
-        note_outcome(shared, &choice.endpoint, Outcome::Failed);
-        log_failure(shared, call, progress, &choice, "the connection ended before an answer", Ran::Unknown);
-        return Err(Failure::Lost("the endpoint broke off"));
-    };
+    let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
     let (parts, body) = response.into_parts();
     let head = shared.dialect.read_answer(&call.id, &parts);
     if !head.own {
@@ -535,6 +546,40 @@
     Ok(Leg { choice, response: Response::from_parts(parts, body), head, connection, flight, sent: now })
 }
 
+/// Waits for the head of an answer; where the request may be repeated, no longer than its patience.
+async fn wait_for_head<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    call: &Call,
+    progress: &mut Progress,
+    choice: &Choice,
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, Failure> {
+    let impatient = call.until.min(Instant::now() + call.patience());
+    let mut answer = std::pin::pin!(connection.send(request));
+    let mut answered = timeout_at(impatient.into(), answer.as_mut()).await;
+    if answered.is_err() && call.route.may_repeat() && may_send_again(shared, call, progress) {
+        note_outcome(shared, &choice.endpoint, Outcome::Failed);
+        log_failure(shared, call, progress, choice, "it is silent", Ran::Unknown);
+        return Err(Failure::Silent);
+    }
+    if answered.is_err() {
+        answered = timeout_at(call.until.into(), answer).await;
+    }
+    match answered {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(_)) => {
+            note_outcome(shared, &choice.endpoint, Outcome::Failed);
+            log_failure(shared, call, progress, choice, "the connection ended before an answer", Ran::Unknown);
+            Err(Failure::Lost("the endpoint broke off"))
+        }
+        Err(_) => {
+            log_failure(shared, call, progress, choice, "time ran out", Ran::Unknown);
+            Err(Failure::Late)
+        }
+    }
+}
+
 fn log_sent<D: Dialect>(
     shared: &Shared<D>,
     call: &Call,
@@ -630,7 +675,10 @@
     let good = !parts.status.is_server_error();
     note_outcome(shared, &choice.endpoint, if good { Outcome::Good } else { Outcome::Failed });
     strip_hop_headers(&mut parts.headers);
-    let total_ms = call.arrived.elapsed().as_millis() as u64;
+    let took = call.arrived.elapsed();
+    let total_ms = took.as_millis() as u64;
+    shared.metrics.note_first(&call.route, took);
+    shared.metrics.note_end(Some(&call.route), Ending::Answered, took);
     shared.log.write(What::CallAnswered {
         request: call.id.clone(),
         endpoint: choice.endpoint,
@@ -642,6 +690,13 @@
 }
 
 impl Call {
+    /// How long an endpoint may be silent before another one is tried, where the request may be repeated.
+    pub fn patience(&self) -> Duration {
+        let streams = self.route.kind == RouteKind::Stream;
+        let (factor, least) = if streams { (STREAM_PATIENCE, STREAM_LEAST) } else { (PATIENCE, LEAST) };
+        (self.route.target * factor).max(least)
+    }
+
     fn to_request<D: Dialect>(
         &self,
         dialect: &D,
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -1,6 +1,9 @@
 //! The control thread: it owns the reducer, and turns its effects into notices for traffic.
 
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use eyre::{Context as _, Result};
@@ -14,6 +17,7 @@
 use crate::{
     Options,
     logging::Log,
+    metrics::Standing,
     shared::{Published, Reply},
 };
 
@@ -48,6 +52,7 @@
     proved: Option<Duration>,
     endpoints: Vec<Registration>,
     batch: Vec<Notice>,
+    standing: Arc<Standing>,
 }
 
 /// Opens the disk and prepares the reducer.
@@ -73,7 +78,18 @@
     log.write(What::Started { hall: me.hall.clone(), start: me.start });
     let state = State::new(epoch.elapsed(), me, to_core(options), durable);
     let endpoints = Vec::new();
-    Ok(Driver { state, epoch, notices, disk, log, edition: 0, proved: None, endpoints, batch: Vec::new() })
+    Ok(Driver {
+        state,
+        epoch,
+        notices,
+        disk,
+        log,
+        edition: 0,
+        proved: None,
+        endpoints,
+        batch: Vec::new(),
+        standing: Arc::default(),
+    })
 }
 
 type Disk = (Option<Sender<Job>>, Option<(ReplicaId, Durable)>);
@@ -120,6 +136,20 @@
 }
 
 impl Driver {
+    /// Where the replica stands, for the metrics.
+    pub fn standing(&self) -> Arc<Standing> {
+        self.standing.clone()
+    }
+
+    fn note_standing(&self) {
+        let Some(control) = &self.state.control else { return };
+        let replica = &control.replica;
+        self.standing.term.store(replica.term(), Ordering::Relaxed);
+        self.standing.leads.store(replica.leads(self.epoch.elapsed()), Ordering::Relaxed);
+        self.standing.commit.store(replica.commit(), Ordering::Relaxed);
+        self.standing.last.store(replica.last_index(), Ordering::Relaxed);
+    }
+
     /// Runs until the instance ends.
     pub fn run(mut self, inputs: &Receiver<Event>) {
         let mut next = Instant::now();
@@ -132,6 +162,7 @@
             // A flood of inputs must not keep time from advancing.
             if Instant::now() >= next {
                 self.reduce(Event::Tick);
+                self.note_standing();
                 next = Instant::now() + TICK;
             }
         }
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod health;
 pub mod lanes;
 pub mod logging;
+pub mod metrics;
 pub mod operate;
 pub mod options;
 pub mod peers;
--- /dev/null
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -0,0 +1,273 @@
+//! Counters, gauges and latency histograms, in the usual text form.
+//!
+//! Labels are few and bounded: kinds of route, outcomes, and endpoints that are known now.
+
+use std::{
+    cell::RefCell,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::{Registry, Unit},
+};
+
+use crate::{Dialect, RouteKind, plan::Route, shared::Shared};
+
+/// Bounds of latencies in seconds; the targets of routes lie between them.
+const BOUNDS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.42, 0.8, 1.2, 2.5, 5.0, 15.0];
+/// Bytes of a page, for the figures of the system on memory.
+const PAGE: i64 = 4096;
+
+/// Where the replica of this instance stands; written by the control thread.
+#[derive(Debug, Default)]
+pub struct Standing {
+    /// Its term; 0 without a disk.
+    pub term: AtomicU64,
+    /// It leads.
+    pub leads: AtomicBool,
+    /// Index up to which its log is committed.
+    pub commit: AtomicU64,
+    /// Index of the last entry of its log.
+    pub last: AtomicU64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Ended {
+    kind: &'static str,
+    tier: u8,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Kind {
+    kind: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Why {
+    why: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct At {
+    endpoint: String,
+}
+
+/// How a request ended, for its callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Answered whole.
+    Answered,
+    /// Refused or failed by the instance itself.
+    Refused,
+    /// Broken off on the way.
+    Cut,
+    /// Its caller left.
+    Left,
+}
+
+/// All figures of one instance.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: Family<Ended, Counter>,
+    refusals: Family<Why, Counter>,
+    attempts: Counter,
+    retries: Counter,
+    resumes: Counter,
+    ejections: Counter,
+    first: Family<Kind, Histogram>,
+    total: Family<Kind, Histogram>,
+    pauses: Histogram,
+    state: RefCell<Gauges>,
+}
+
+#[derive(Debug, Default)]
+struct Gauges {
+    open: Gauge,
+    idle: Gauge,
+    ready: Gauge,
+    version: Gauge,
+    proof: Gauge,
+    term: Gauge,
+    leads: Gauge,
+    lag: Gauge,
+    instances: Gauge,
+    memory: Gauge,
+    dropped: Gauge,
+    calls: Family<At, Gauge>,
+    unread: Family<At, Gauge>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histogram: fn() -> Histogram = || Histogram::new(BOUNDS);
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix("hatchrudder"),
+            requests: Family::default(),
+            refusals: Family::default(),
+            attempts: Counter::default(),
+            retries: Counter::default(),
+            resumes: Counter::default(),
+            ejections: Counter::default(),
+            first: Family::new_with_constructor(histogram),
+            total: Family::new_with_constructor(histogram),
+            pauses: histogram(),
+            state: RefCell::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+/// The label of a route's kind.
+fn kind_of(route: &Route) -> &'static str {
+    match route.kind {
+        RouteKind::Repeatable => "repeatable",
+        RouteKind::Once => "once",
+        RouteKind::Stream => "stream",
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("requests", "Requests by kind, tier and outcome", self.requests.clone());
+        registry.register("refusals", "Final answers of the instance itself, by reason", self.refusals.clone());
+        registry.register("attempts", "Requests sent to endpoints", self.attempts.clone());
+        registry.register("retries", "Requests sent to endpoints again", self.retries.clone());
+        registry.register("resumes", "Streams taken up at another endpoint", self.resumes.clone());
+        registry.register("ejections", "Endpoints left out for a while", self.ejections.clone());
+        let seconds = Unit::Seconds;
+        registry.register_with_unit("first", "From arrival to the first byte", seconds.clone(), self.first.clone());
+        registry.register_with_unit("total", "From arrival to the end", seconds.clone(), self.total.clone());
+        registry.register_with_unit("pause", "Between parts of a stream", seconds, self.pauses.clone());
+        let state = self.state.borrow();
+        registry.register("open_requests", "Requests under way", state.open.clone());
+        registry.register("idle_connections", "Idle connections to endpoints", state.idle.clone());
+        registry.register("ready", "Takes callers", state.ready.clone());
+        registry.register("document_version", "Version of the configuration in force", state.version.clone());
+        let help = "Age of the proof that the configuration is the newest, in ms; -1 for none";
+        registry.register("proof_age_milliseconds", help, state.proof.clone());
+        registry.register("term", "Term of the replicated log; 0 without a disk", state.term.clone());
+        registry.register("leads", "Leads the replicated log", state.leads.clone());
+        registry.register("commit_lag", "Entries not known as committed", state.lag.clone());
+        registry.register("instances", "Live instances known", state.instances.clone());
+        registry.register("resident_bytes", "Memory of the process", state.memory.clone());
+        registry.register("log_lines_left_out", "Log lines left out in the last second", state.dropped.clone());
+        registry.register("endpoint_calls", "Requests known to be at an endpoint", state.calls.clone());
+        registry.register("endpoint_unread_tokens", "Prompt tokens unread at an endpoint", state.unread.clone());
+    }
+
+    /// Counts the end of a request; `route` is known once its place was found.
+    pub fn note_end(&self, route: Option<&Route>, ending: Ending, took: Duration) {
+        let kind = route.map_or("none", kind_of);
+        let outcome = match ending {
+            Ending::Answered => "answered",
+            Ending::Refused => "refused",
+            Ending::Cut => "cut",
+            Ending::Left => "left",
+        };
+        let tier = route.map_or(0, |route| route.tier);
+        self.requests.get_or_create(&Ended { kind, tier, outcome }).inc();
+        if ending == Ending::Answered {
+            self.total.get_or_create(&Kind { kind }).observe(took.as_secs_f64());
+        }
+    }
+
+    /// Counts a final answer of the instance itself.
+    pub fn note_refusal(&self, why: &'static str) {
+        self.refusals.get_or_create(&Why { why }).inc();
+    }
+
+    /// Counts a request sent to an endpoint, the first time or again.
+    pub fn note_attempt(&self, again: bool) {
+        self.attempts.inc();
+        if again {
+            self.retries.inc();
+        }
+    }
+
+    /// Counts a stream taken up at another endpoint.
+    pub fn note_resume(&self) {
+        self.resumes.inc();
+    }
+
+    /// Counts an endpoint left out.
+    pub fn note_ejection(&self) {
+        self.ejections.inc();
+    }
+
+    /// Takes in the time to the first byte of an answer.
+    pub fn note_first(&self, route: &Route, after: Duration) {
+        self.first.get_or_create(&Kind { kind: kind_of(route) }).observe(after.as_secs_f64());
+    }
+
+    /// Takes in the time between two parts of a stream.
+    pub fn note_pause(&self, pause: Duration) {
+        self.pauses.observe(pause.as_secs_f64());
+    }
+
+    /// All figures as text.
+    pub fn to_text<D: Dialect>(&self, shared: &Shared<D>) -> String {
+        self.set_gauges(shared);
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = encode(&mut text, &self.registry);
+        text
+    }
+
+    fn set_gauges<D: Dialect>(&self, shared: &Shared<D>) {
+        let state = self.state.borrow();
+        let number = |count: u64| count.cast_signed();
+        state.open.set(number(shared.open.get()));
+        state.idle.set(number(shared.pool.borrow().len() as u64));
+        state.ready.set(i64::from(shared.is_ready()));
+        state.version.set(number(shared.current_plan().map_or(0, |plan| plan.version)));
+        state.proof.set(shared.proof_age().map_or(-1, |age| number(age.as_millis() as u64)));
+        let standing: &Arc<Standing> = &shared.standing;
+        state.term.set(number(standing.term.load(Ordering::Relaxed)));
+        state.leads.set(i64::from(standing.leads.load(Ordering::Relaxed)));
+        let (last, commit) = (standing.last.load(Ordering::Relaxed), standing.commit.load(Ordering::Relaxed));
+        state.lag.set(number(last.saturating_sub(commit)));
+        let view = shared.view.borrow();
+        state.instances.set(number(view.entries.len() as u64));
+        state.memory.set(resident().unwrap_or_default());
+        let (budget, blocked) = shared.log.dropped();
+        state.dropped.set(number(budget + blocked));
+        state.calls.clear();
+        state.unread.clear();
+        let balance = shared.balance.borrow();
+        for registration in &view.endpoints {
+            let work = balance.at(&registration.endpoint);
+            let at = At { endpoint: registration.endpoint.to_string() };
+            state.calls.get_or_create(&at).set(i64::from(work.calls));
+            state.unread.get_or_create(&at).set(i64::from(work.unread));
+        }
+    }
+}
+
+/// Resident memory in bytes, where the system tells it.
+fn resident() -> Option<i64> {
+    let text = std::fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: i64 = text.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE)
+}
+
+/// Measures the pauses between the parts of one stream.
+#[derive(Debug, Default)]
+pub struct PauseMeter(Option<Instant>);
+
+impl PauseMeter {
+    /// Takes in a part; returns the pause before it, but for the first.
+    pub fn note(&mut self, now: Instant) -> Option<Duration> {
+        let before = self.0.replace(now)?;
+        Some(now.saturating_duration_since(before))
+    }
+}
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -16,9 +16,13 @@
 use crate::{
     Dialect, Operation,
     body::AnswerBody,
-    shared::{Reply, Shared, Stage},
+    shared::{Reply, Shared},
 };
 
+/// Path of the figures.
+const METRICS_PATH: &str = "/metrics";
+/// Form of the figures.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Largest configuration document.
 const DOCUMENT: usize = 4 << 20;
 /// Largest heartbeat.
@@ -30,6 +34,16 @@
 /// An endpoint waits this long for its heartbeat to be taken in.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(900);
 
+/// Serves the figures of the instance.
+pub fn metrics<D: Dialect>(shared: &Shared<D>, path: &str) -> Response<AnswerBody> {
+    if path != METRICS_PATH {
+        return empty(StatusCode::NOT_FOUND);
+    }
+    let mut response = Response::new(AnswerBody::whole(shared.metrics.to_text(shared)));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(METRICS_TYPE));
+    response
+}
+
 /// Serves one request.
 pub async fn handle<D: Dialect>(
     shared: Rc<Shared<D>>,
@@ -37,7 +51,7 @@
     arrived: Instant,
 ) -> Response<AnswerBody> {
     match shared.dialect.read_operation(request.method(), request.uri()) {
-        Operation::Ready => empty(if is_ready(&shared) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }),
+        Operation::Ready => empty(if shared.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }),
         Operation::Entries(hall) => entries(&shared, hall.as_deref()),
         Operation::Replace => replace(&shared, request.into_body()).await,
         Operation::Read => read(&shared, arrived).await,
@@ -47,11 +61,6 @@
     }
 }
 
-fn is_ready<D: Dialect>(shared: &Shared<D>) -> bool {
-    let serving = *shared.stage.borrow() == Stage::Serving;
-    serving && shared.current_plan().is_some() && shared.is_fresh(shared.options.fresh)
-}
-
 fn entries<D: Dialect>(shared: &Shared<D>, hall: Option<&str>) -> Response<AnswerBody> {
     let addresses = shared.to_entries(hall);
     if addresses.is_empty() {
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -43,11 +43,12 @@
     let (inputs, received) = unbounded();
     let (notices, to_traffic) = unbounded_channel();
     let driver = driver::prepare(&options, &inputs, notices, log.fork())?;
+    let standing = driver.standing();
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || driver.run(&received))
         .wrap_err("start the control thread")?;
-    let shared = Rc::new(Shared::new(dialect, options, inputs, log));
+    let shared = Rc::new(Shared::new(dialect, options, inputs, log, standing));
     let local = LocalSet::new();
     local.block_on(&runtime, serve_all(shared.clone(), to_traffic, reload))?;
     thread::sleep(LAST_LINES);
@@ -68,6 +69,9 @@
     for address in others {
         tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Others));
     }
+    if let Some(address) = doors.metrics {
+        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Metrics));
+    }
     tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(doors.callers)?, Door::Callers));
     tokio::task::spawn_local(take_notices(shared.clone(), notices));
     tokio::task::spawn_local(keep_house(shared.clone()));
--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -36,6 +36,8 @@
     Callers,
     /// Operators, endpoints, and questions for entries and readiness.
     Others,
+    /// Metrics.
+    Metrics,
 }
 
 /// Listens at `address`.
@@ -95,6 +97,7 @@
     let serving = shared.clone();
     let mut response = match door {
         Door::Callers => call::handle(shared, request).await,
+        Door::Metrics => operate::metrics(&shared, request.uri().path()),
         Door::Others => operate::handle(shared, request, Instant::now()).await,
     };
     if *serving.stage.borrow() != Stage::Serving {
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -15,7 +15,13 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
-    Dialect, Options, Plan, balance::Balance, budget::Budget, health::Health, logging::Log, reading::Reading,
+    Dialect, Options, Plan,
+    balance::Balance,
+    budget::Budget,
+    health::Health,
+    logging::Log,
+    metrics::{Metrics, Standing},
+    reading::Reading,
     upstream::Pool,
 };
 
@@ -114,11 +120,15 @@
     pub open: Cell<u64>,
     /// The log.
     pub log: Log,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Where the replica of this instance stands.
+    pub standing: Arc<Standing>,
 }
 
 impl<D: Dialect> Shared<D> {
     /// The state of an instance that has just started.
-    pub fn new(dialect: D, options: Options, inputs: Sender<Event>, log: Log) -> Shared<D> {
+    pub fn new(dialect: D, options: Options, inputs: Sender<Event>, log: Log, standing: Arc<Standing>) -> Shared<D> {
         let budget = Budget::new(options.retry_window, options.retry_ratio, options.retry_extra);
         Shared {
             dialect,
@@ -137,6 +147,8 @@
             stage: watch::Sender::new(Stage::Serving),
             open: Cell::new(0),
             log,
+            metrics: Metrics::default(),
+            standing,
         }
     }
 
@@ -155,6 +167,12 @@
         self.proof_age().is_some_and(|age| age < bound)
     }
 
+    /// True while this instance takes callers.
+    pub fn is_ready(&self) -> bool {
+        let serving = *self.stage.borrow() == Stage::Serving;
+        serving && self.current_plan().is_some() && self.is_fresh(self.options.fresh)
+    }
+
     /// The plan in force, if one is known.
     pub fn current_plan(&self) -> Option<Rc<Plan>> {
         self.plan.borrow().clone()
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -21,6 +21,7 @@
     body::{AnswerBody, Broken},
     call::{self, Call, Leg, Progress},
     health::Outcome,
+    metrics::{Ending, PauseMeter},
     shared::Shared,
 };
 
@@ -91,6 +92,8 @@
     Whole,
     /// Broken off by the endpoint.
     Broken,
+    /// Nothing came for long; the right to another attempt is taken.
+    Silent,
     /// The caller left.
     Left,
     /// Time ran out.
@@ -107,7 +110,15 @@
     let shared = shared.clone();
     shared.open.set(shared.open.get() + 1);
     tokio::task::spawn_local(async move {
-        let mut pump = Pump { shared: &shared, call, progress, events: Events::default(), sender, first: None };
+        let mut pump = Pump {
+            shared: &shared,
+            call,
+            progress,
+            events: Events::default(),
+            sender,
+            first: None,
+            pauses: PauseMeter::default(),
+        };
         pump.run(leg).await;
         drop(pump);
         shared.open.set(shared.open.get() - 1);
@@ -122,6 +133,7 @@
     events: Events,
     sender: mpsc::Sender<Result<Bytes, Broken>>,
     first: Option<Instant>,
+    pauses: PauseMeter,
 }
 
 impl<D: Dialect> Pump<'_, D> {
@@ -130,15 +142,24 @@
         loop {
             let endpoint = leg.choice.endpoint.clone();
             let end = self.pass(leg).await;
-            let why = match end {
+            let why = match &end {
                 End::Whole => return self.log_answered(&endpoint),
-                End::Left => return self.log_cut(&endpoint, "the caller left"),
+                End::Left => {
+                    self.note_end(Ending::Left);
+                    return self.log_cut(&endpoint, "the caller left");
+                }
                 End::Late => "time ran out",
                 End::Broken => "the endpoint broke off",
+                End::Silent => "the endpoint is silent",
             };
             self.log_cut(&endpoint, why);
-            let next = if matches!(end, End::Broken) { self.resume().await } else { None };
+            let next = match end {
+                End::Broken => self.resume(false).await,
+                End::Silent => self.resume(true).await,
+                _ => None,
+            };
             let Some(next) = next else {
+                self.note_end(Ending::Cut);
                 let _ = self.sender.send(Err(Broken)).await;
                 return;
             };
@@ -150,10 +171,21 @@
     async fn pass(&mut self, leg: Leg) -> End {
         let Leg { choice, response, head, connection, mut flight, sent } = leg;
         let mut body = response.into_body();
+        // A stream that cannot be resumed is waited for to its end.
+        let patience = self.call.route.resumable.then(|| self.call.patience());
+        let mut impatient = patience.map(|patience| Instant::now() + patience);
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.sender.closed() => return End::Left,
+                () = sleep_until(impatient.unwrap_or(self.call.until).into()), if impatient.is_some() => {
+                    impatient = None;
+                    if call::may_send_again(self.shared, &self.call, &mut self.progress) {
+                        call::note_outcome(self.shared, &choice.endpoint, Outcome::Failed);
+                        return End::Silent;
+                    }
+                    continue;
+                }
                 () = sleep_until(self.call.until.into()) => return End::Late,
             };
             let Some(frame) = frame else { break };
@@ -162,13 +194,18 @@
                 return End::Broken;
             };
             let Ok(bytes) = frame.into_data() else { continue };
+            impatient = patience.map(|patience| Instant::now() + patience);
             if self.first.is_none() {
                 let now = Instant::now();
                 self.first = Some(now);
                 let tokens = choice.ahead + choice.unread;
                 let after = now.saturating_duration_since(sent);
+                self.shared.metrics.note_first(&self.call.route, now.saturating_duration_since(self.call.arrived));
                 self.shared.reading.borrow_mut().note(&choice.service, tokens, after);
             }
+            if let Some(pause) = self.pauses.note(Instant::now()) {
+                self.shared.metrics.note_pause(pause);
+            }
             flight.note_read();
             let whole = self.events.take(&bytes);
             let part = if self.call.route.resumable { whole } else { bytes };
@@ -189,21 +226,24 @@
     }
 
     /// Takes the stream up at another endpoint, after the last whole event.
-    async fn resume(&mut self) -> Option<Leg> {
+    async fn resume(&mut self, taken: bool) -> Option<Leg> {
         if !self.call.route.resumable {
             return None;
         }
+        let mut right = taken;
         loop {
             self.events.drop_pending();
-            if !call::may_send_again(self.shared, &self.call, &mut self.progress) {
+            if !right && !call::may_send_again(self.shared, &self.call, &mut self.progress) {
                 return None;
             }
+            right = false;
             let last = self.events.last.or(self.call.last_event);
             let attempted = call::attempt(self.shared, &self.call, &mut self.progress, last);
             let attempted = timeout_at(self.call.until.into(), attempted).await.ok()?;
             let Ok(Ok(leg)) = attempted else { continue };
             let taken = leg.response.status().is_success() && !leg.head.not_run && !leg.head.misdirected;
             if taken {
+                self.shared.metrics.note_resume();
                 return Some(leg);
             }
             call::log_failure(self.shared, &self.call, &self.progress, &leg.choice, "it does not go on", Ran::No);
@@ -212,8 +252,13 @@
         }
     }
 
+    fn note_end(&self, ending: Ending) {
+        self.shared.metrics.note_end(Some(&self.call.route), ending, self.call.arrived.elapsed());
+    }
+
     fn log_answered(&self, endpoint: &rudder_model::EndpointId) {
         let since = |at: Instant| at.saturating_duration_since(self.call.arrived).as_millis() as u64;
+        self.note_end(Ending::Answered);
         self.shared.log.write(What::CallAnswered {
             request: self.call.id.clone(),
             endpoint: endpoint.clone(),
