feat(gateway,events): hopeless requests say their inputs; cut log objects; 600 lines a second

Cause: explaining played requests, an overload refusal lacked its inputs, up to 166 lines a second were left out, and a killed process's half line made the whole file unreadable. Silent instances stayed on lists 1.5 s.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -213,6 +213,19 @@
         /// Time left, in milliseconds.
         left_ms: u64,
     },
+    /// A request would come late at the best endpoint there is, so it is refused.
+    CallHopeless {
+        /// The request.
+        request: String,
+        /// The best endpoint.
+        endpoint: EndpointId,
+        /// Prompt tokens unread there.
+        ahead: u32,
+        /// Expected time to read them, in milliseconds.
+        wait_ms: u64,
+        /// The route's target, in milliseconds.
+        target_ms: u64,
+    },
     /// An attempt at an endpoint failed.
     CallFailed {
         /// The request.
@@ -323,6 +336,7 @@
             | What::CallTaken { request, .. }
             | What::CallSent { request, .. }
             | What::CallFailed { request, .. }
+            | What::CallHopeless { request, .. }
             | What::CallAnswered { request, .. }
             | What::CallRefused { request, .. }
             | What::CallCut { request, .. }
@@ -340,6 +354,7 @@
             | What::Done { endpoint, .. }
             | What::CallSent { endpoint, .. }
             | What::CallFailed { endpoint, .. }
+            | What::CallHopeless { endpoint, .. }
             | What::CallAnswered { endpoint, .. }
             | What::CallCut { endpoint, .. }
             | What::Endpoint { endpoint, .. }
--- a/crates/rudder-events/src/timeline.rs
+++ b/crates/rudder-events/src/timeline.rs
@@ -11,6 +11,9 @@
 
 use crate::{Line, What};
 
+/// How each line's object begins.
+const BEGIN: &str = "{\"at\":";
+
 /// Why event files could not be merged.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -22,7 +25,7 @@
         /// What the system reported.
         source: io::Error,
     },
-    /// A line before the last is no event.
+    /// A line holds no event.
     #[error("{path}:{line}: {source}")]
     Parse {
         /// The file.
@@ -34,15 +37,15 @@
     },
 }
 
-/// Reads all `paths` and orders their events by time; ties keep the order of the files. A last
-/// line cut short by a crash is passed over, and so is what stands before a line's object.
+/// Reads all `paths` and orders their events by time; ties keep the order of the files. An
+/// object cut short by a crash is passed over, and so is what stands before a line's object.
 ///
 /// Wall clocks jump, steady clocks do not: the lines of one start of a process are placed by its steady
 /// clock, at the median of the differences to its wall clock. A jump that lasts for less than half of the
 /// process's lines moves none of them. Between processes the difference of their clocks remains.
 ///
 /// # Errors
-/// When a file cannot be read, or a line that is not its last is no event.
+/// When a file cannot be read, or a line holds not even the beginning of an event.
 pub fn timeline(paths: &[PathBuf]) -> Result<Vec<Line>, Error> {
     let mut lines = Vec::new();
     for path in paths {
@@ -82,16 +85,26 @@
 fn read(path: &PathBuf, lines: &mut Vec<Line>) -> Result<(), Error> {
     let to_read = |source| Error::Read { path: path.clone(), source };
     let file = File::open(path).map_err(to_read)?;
-    let mut broken: Option<(usize, serde_json::Error)> = None;
     for (index, text) in BufReader::new(file).lines().enumerate() {
         let text = text.map_err(to_read)?;
-        if let Some((line, source)) = broken.take() {
-            return Err(Error::Parse { path: path.clone(), line, source });
-        }
-        let object = text.find('{').map_or(text.as_str(), |at| &text[at..]);
-        match serde_json::from_str(object) {
-            Ok(line) => lines.push(line),
-            Err(source) => broken = Some((index + 1, source)),
+        read_objects(&text, lines).map_err(|source| Error::Parse { path: path.clone(), line: index + 1, source })?;
+    }
+    Ok(())
+}
+
+/// Takes the objects of one line. There may be several: a process killed in the middle of one leaves a
+/// part of it, and the next start goes on behind it. Such a part is passed over.
+fn read_objects(text: &str, lines: &mut Vec<Line>) -> Result<(), serde_json::Error> {
+    let begins: Vec<usize> = text.match_indices(BEGIN).map(|(at, _)| at).collect();
+    if begins.is_empty() {
+        return serde_json::from_str(text).map(|line| lines.push(line));
+    }
+    for (number, begin) in begins.iter().enumerate() {
+        let end = begins.get(number + 1).copied().unwrap_or(text.len());
+        // What stands before the next object may be a prefix that whoever collected the lines put there.
+        let mut objects = serde_json::Deserializer::from_str(&text[*begin..end]).into_iter();
+        if let Some(Ok(line)) = objects.next() {
+            lines.push(line);
         }
     }
     Ok(())
--- a/crates/rudder-events/tests/merge.rs
+++ b/crates/rudder-events/tests/merge.rs
@@ -45,6 +45,17 @@
     assert_eq!(timeline(&[path]).expect("a log").len(), 1);
 }
 
+#[test]
+fn an_object_cut_short_by_a_kill_takes_no_other_with_it() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    let (one, two) = (line("i-1", 2_000_000, 1_000_000, refused("a")), line("i-2", 3_000_000, 1_000, refused("b")));
+    std::fs::write(&path, format!("{}  15.5 edge-2 {two}\n{one}\n", &one[..70])).expect("a file");
+    assert_eq!(timeline(std::slice::from_ref(&path)).expect("a log").len(), 2);
+    std::fs::write(&path, "no event at all\n").expect("a file");
+    assert!(timeline(&[path]).is_err());
+}
+
 #[test]
 fn a_story_tells_what_the_instance_learned_of_its_endpoints_before() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/rudder-gateway/src/call.rs
+++ b/crates/rudder-gateway/src/call.rs
@@ -506,6 +506,13 @@
     if wait <= call.route.target {
         return Ok(());
     }
+    shared.log.write(What::CallHopeless {
+        request: call.id.clone(),
+        endpoint: choice.endpoint.clone(),
+        ahead: choice.ahead,
+        wait_ms: wait.as_millis() as u64,
+        target_ms: call.route.target.as_millis() as u64,
+    });
     Err(not_run("its engines have too much to read", wait.saturating_sub(call.route.target / 2)))
 }
 
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -118,7 +118,7 @@
         founders: if options.found { options.seeds.clone() } else { Vec::new() },
         watch: options.watch,
         fresh: options.fresh,
-        gone: Duration::from_millis(1500),
+        gone: Duration::from_millis(800),
         keep: options.keep,
         snapshot_bytes: SNAPSHOT,
         replica: rudder_replica::Options {
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -98,7 +98,7 @@
             come_back: Duration::from_millis(300),
             recover: Duration::from_millis(700),
             watch: Duration::from_millis(100),
-            log_lines: 200,
+            log_lines: 600,
         }
     }
 
