feat(gateway): a fifth of the engines for quick streams, two at least

Change: the lane has a fifth of the engines; at nine and twelve that is two, as before. Test failed first.

--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -13,6 +13,9 @@
 const FILL: f64 = 0.3;
 /// The quick lane never takes more than this part of the engines.
 const LARGEST: f64 = 0.5;
+/// Part of the engines that the quick lane has at least: the loss of one must not take a large part of
+/// the quick streams with it.
+const SMALLEST: f64 = 0.2;
 /// Engines from which on the quick lane has two, so that the loss of one leaves one.
 const TWO_FROM: usize = 6;
 
@@ -38,7 +41,8 @@
 /// How many of the ranked engines the quick lane has.
 fn quick_count(ranked: &[&Registration], balance: &Balance) -> usize {
     let largest = ((ranked.len() as f64 * LARGEST) as usize).max(1);
-    let mut count = if ranked.len() >= TWO_FROM { 2 } else { 1 };
+    let least = if ranked.len() >= TWO_FROM { 2 } else { 1 };
+    let mut count = ((ranked.len() as f64 * SMALLEST).round() as usize).max(least);
     while count < largest {
         let calls: u32 = ranked[..count].iter().map(|engine| balance.at(&engine.endpoint).calls).sum();
         let slots: u32 = ranked[..count].iter().map(|engine| engine.slots).sum();
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -158,6 +158,16 @@
     assert_eq!([size(0), size(64)], [2, 4]);
 }
 
+/// With few engines set apart of many, the loss of one took a sixth of the quick streams.
+#[test]
+fn the_quick_lane_is_a_fifth_of_many_engines() {
+    let size = |count: usize| {
+        let engines = engines(count);
+        lanes::divide(engines.iter().collect(), "svc", &Balance::default()).quick.len()
+    };
+    assert_eq!([size(2), size(6), size(9), size(12), size(90)], [1, 2, 2, 2, 18]);
+}
+
 #[test]
 fn all_instances_draw_the_same_line() {
     let mut engines = engines(9);
