--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -280,17 +280,9 @@
 
 fn write(durable: &mut Durable, pending: Pending) {
     if let Some(snapshot) = pending.snapshot {
-        durable.snapshot = snapshot;
-        durable.entries.clear();
+        durable.replace(snapshot);
     }
     for record in pending.records {
-        match record {
-            Record::Hard { term, vote } => (durable.term, durable.vote) = (term, vote),
-            Record::Entry(entry) => {
-                let kept = entry.index.saturating_sub(durable.snapshot.index + 1);
-                durable.entries.truncate(kept as usize);
-                durable.entries.push(entry);
-            }
-        }
+        durable.take(record);
     }
 }
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -637,20 +637,12 @@
     let records = match save {
         Save::Append(records) => records,
         Save::Replace(snapshot, records) => {
-            durable.snapshot = snapshot;
-            durable.entries.clear();
+            durable.replace(snapshot);
             records
         }
     };
     for record in records {
-        match record {
-            Record::Hard { term, vote } => (durable.term, durable.vote) = (term, vote),
-            Record::Entry(entry) => {
-                let kept = entry.index.saturating_sub(durable.snapshot.index + 1);
-                durable.entries.truncate(kept as usize);
-                durable.entries.push(entry);
-            }
-        }
+        durable.take(record);
     }
 }
 
--- a/crates/rudder-replica/src/replica.rs
+++ b/crates/rudder-replica/src/replica.rs
@@ -79,6 +79,26 @@
     pub entries: Vec<Entry>,
 }
 
+impl Durable {
+    /// Takes in a record that became durable after what is held.
+    pub fn take(&mut self, record: Record) {
+        match record {
+            Record::Hard { term, vote } => (self.term, self.vote) = (term, vote),
+            Record::Entry(entry) => {
+                let kept = entry.index.saturating_sub(self.snapshot.index + 1);
+                self.entries.truncate(kept as usize);
+                self.entries.push(entry);
+            }
+        }
+    }
+
+    /// Takes in a snapshot that replaced all that was held; the records after it follow.
+    pub fn replace(&mut self, snapshot: Snapshot) {
+        self.snapshot = snapshot;
+        self.entries.clear();
+    }
+}
+
 /// Part a replica plays.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
--- a/crates/rudder-store/src/open.rs
+++ b/crates/rudder-store/src/open.rs
@@ -6,7 +6,7 @@
     path::{Path, PathBuf},
 };
 
-use rudder_replica::{Durable, Record, ReplicaId, Snapshot};
+use rudder_replica::{Durable, ReplicaId, Snapshot};
 
 use crate::{
     Medium as _, Store,
@@ -134,15 +134,7 @@
             durable.term = snapshot.term;
             durable.snapshot = snapshot;
         }
-        Item::Record(Record::Hard { term, vote }) => {
-            durable.term = term;
-            durable.vote = vote;
-        }
-        Item::Record(Record::Entry(entry)) => {
-            let kept = entry.index.saturating_sub(durable.snapshot.index + 1);
-            durable.entries.truncate(kept as usize);
-            durable.entries.push(entry);
-        }
+        Item::Record(record) => durable.take(record),
     }
 }
 
