--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -47,8 +47,8 @@
     pub document: Option<Document>,
     /// Endpoints that registered themselves.
     pub registry: Registry,
-    /// Work of all other instances at endpoints, and when the question was sent that it answers.
-    pub others: (Vec<Load>, Duration),
+    /// Work of all other instances at endpoints, as of the question that proves the configuration.
+    pub others: Vec<Load>,
     /// Counts the changes of what traffic needs: directory, document, registry, loads.
     pub edition: u64,
     seeds: Vec<InstanceId>,
@@ -291,10 +291,10 @@
                 self.registry.take_news(now, news);
                 self.edition += 1;
             }
-            if self.others.0 != watched.loads {
+            if self.others != watched.loads {
                 self.edition += 1;
+                self.others = watched.loads;
             }
-            self.others = (watched.loads, sent);
             if let Some((version, listings)) = watched.directory {
                 changed |= self.take_directory(version, listings, out);
             }
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -228,7 +228,8 @@
     reused: bool,
     left: Duration,
 ) {
-    let others = shared.view.borrow().others_at.map_or(Duration::ZERO, |at| at.elapsed());
+    // The answer that proves the configuration also tells the others' work.
+    let others = shared.proof_age().unwrap_or_default();
     shared.log.write(What::CallSent {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -25,6 +25,7 @@
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use rudder_events::What;
 use rudder_model::EndpointId;
 
 pub use admit::strip_hop_headers;
@@ -121,12 +122,22 @@
     chosen: Option<Arc<str>>,
 }
 
-/// Counts a request as open while it lives.
-struct Open<D>(Rc<Shared<D>>);
+/// Counts a request as open while it lives. One that ends without an answer was dropped by the server
+/// library, because its caller left.
+struct Open<D: Dialect> {
+    shared: Rc<Shared<D>>,
+    id: String,
+    arrived: Instant,
+    answered: bool,
+}
 
-impl<D> Drop for Open<D> {
+impl<D: Dialect> Drop for Open<D> {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.shared.open.set(self.shared.open.get() - 1);
+        if !self.answered {
+            self.shared.metrics.note_end(None, Ending::Left, self.arrived.elapsed());
+            self.shared.log.write(What::Left { request: std::mem::take(&mut self.id) });
+        }
     }
 }
 
@@ -134,14 +145,15 @@
 pub async fn handle<D: Dialect>(shared: Rc<Shared<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
     let arrived = Instant::now();
     shared.open.set(shared.open.get() + 1);
-    let _open = Open(shared.clone());
     let (parts, body) = request.into_parts();
     let head = shared.dialect.read_call(&parts);
     let id = head.id.clone();
+    let mut open = Open { shared: shared.clone(), id: id.clone(), arrived, answered: false };
     let answer = match admit::read(&shared, arrived, parts, head, body).await {
         Ok(call) => send::send(&shared, call).await,
         Err(refusal) => Err(refusal),
     };
+    open.answered = true;
     answer.unwrap_or_else(|refusal| {
         shared.metrics.note_end(None, Ending::Refused, arrived.elapsed());
         refusal::refuse(&shared, &id, &refusal)
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -191,8 +191,7 @@
                 document: view.document.clone(),
                 endpoints: endpoints.clone(),
                 entries: view.directory.values().cloned().collect(),
-                others: view.others.0.clone(),
-                others_at: Some(self.epoch + view.others.1),
+                others: view.others.clone(),
             };
             log_endpoints(&self.log, &self.endpoints, &endpoints);
             self.endpoints = endpoints;
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -36,8 +36,6 @@
     pub entries: Vec<Listing>,
     /// Work of the other instances at endpoints.
     pub others: Vec<Load>,
-    /// When the question was sent that told their work.
-    pub others_at: Option<Instant>,
 }
 
 /// The answer to something that waits for the reducer.
