refactor(gateway,core): what nothing reads is gone; lanes are known when the document is read

Found on re-reading the change: each choice of an engine walked all routes of the document to see whether the service has lanes; the shortest and longest pause of each service say the same and are kept when it is read.

--- a/crates/rudder-core/src/options.rs
+++ b/crates/rudder-core/src/options.rs
@@ -48,8 +48,6 @@
     pub snapshot_bytes: u64,
     /// An endpoint's word that it leaves is acknowledged within this or not at all.
     pub leave_timeout: Duration,
-    /// A planned stop ends at the latest after this long, whatever is still in flight.
-    pub grace: Duration,
     /// The replicated log.
     pub replica: rudder_replica::Options,
     /// The policy.
@@ -72,7 +70,6 @@
             snapshot_every: 5000,
             snapshot_bytes: 64 << 20,
             leave_timeout: Duration::from_millis(800),
-            grace: Duration::MAX,
             replica: rudder_replica::Options::default(),
             route: rudder_route::Options::default(),
         }
--- a/crates/rudder-gateway/src/balance.rs
+++ b/crates/rudder-gateway/src/balance.rs
@@ -35,11 +35,6 @@
         work
     }
 
-    /// Requests of this instance at `endpoint`.
-    pub fn own_calls(&self, endpoint: &str) -> u32 {
-        self.own.get(endpoint).map_or(0, |load| load.calls)
-    }
-
     /// Takes in what all other instances together have under way.
     pub fn set_others(&mut self, loads: &[Load]) {
         self.others = loads.iter().map(|load| (load.endpoint.clone(), load.clone())).collect();
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -99,8 +99,6 @@
     pub not_run: bool,
     /// It was meant for another endpoint.
     pub misdirected: bool,
-    /// Requests running and waiting there, where told.
-    pub load: Option<(u32, u32)>,
     /// How long the connection may rest.
     pub keep: Option<Duration>,
 }
--- a/crates/rudder-gateway/src/health.rs
+++ b/crates/rudder-gateway/src/health.rs
@@ -41,7 +41,6 @@
     failing: f64,
     ejections: u32,
     until: Option<Instant>,
-    good: Option<Instant>,
 }
 
 /// Standing of all endpoints.
@@ -57,19 +56,12 @@
         until.is_some_and(|until| now < until)
     }
 
-    /// True where `endpoint` answered a request within `span`.
-    pub fn was_good(&self, endpoint: &str, now: Instant, span: Duration) -> bool {
-        let good = self.standings.get(endpoint).and_then(|standing| standing.good);
-        good.is_some_and(|good| now < good + span)
-    }
-
     /// Takes in an outcome. Returns the pause where the endpoint is left out from now on.
     pub fn note(&mut self, endpoint: &EndpointId, outcome: Outcome, now: Instant) -> Option<Duration> {
         let standing = self.standings.entry(endpoint.clone()).or_default();
         if outcome == Outcome::Good {
             standing.streak = 0;
             standing.failing *= 1.0 - WEIGHT;
-            standing.good = Some(now);
             if standing.until.is_none_or(|until| now >= until) {
                 standing.until = None;
                 standing.ejections = 0;
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -21,20 +21,6 @@
     pub metrics: Option<SocketAddr>,
 }
 
-impl Doors {
-    /// All doors at `address`; for tests and as a base to update.
-    pub fn at(address: SocketAddr) -> Doors {
-        Doors {
-            callers: address,
-            ready: address,
-            operators: address,
-            directory: address,
-            peers: address,
-            metrics: None,
-        }
-    }
-}
-
 /// Settings of one instance.
 #[derive(Clone, Debug)]
 pub struct Options {
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -126,6 +126,13 @@
     pub tier: Option<u8>,
 }
 
+/// The shortest and longest pause that the routes of a service allow.
+#[derive(Clone, Copy, Debug)]
+struct Pauses {
+    shortest: Duration,
+    longest: Duration,
+}
+
 /// A whole configuration document, read.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
@@ -140,8 +147,8 @@
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
     /// The lowest rank among the routes of each service.
     lowest: HashMap<Arc<str>, u8>,
-    /// The longest pause that a route of each service allows.
-    pauses: HashMap<Arc<str>, Duration>,
+    /// The pauses that the routes of each service allow.
+    pauses: HashMap<Arc<str>, Pauses>,
     keys: HashMap<Arc<str>, usize>,
 }
 
@@ -205,8 +212,10 @@
         }
         if let Some(pause) = route.pause {
             for share in &route.shares {
-                let longest = self.pauses.entry(share.service.clone()).or_default();
-                *longest = pause.max(*longest);
+                let pauses = self.pauses.entry(share.service.clone());
+                let pauses = pauses.or_insert(Pauses { shortest: pause, longest: pause });
+                pauses.shortest = pause.min(pauses.shortest);
+                pauses.longest = pause.max(pauses.longest);
             }
         }
         // The longest prefix is tried first.
@@ -240,7 +249,7 @@
 
     /// The pace of a route's streams at one of its services, by the pauses that they allow.
     pub fn pace(&self, route: &Route, service: &str) -> Pace {
-        let longest = self.pauses.get(service).copied().unwrap_or_default();
+        let longest = self.pauses.get(service).map(|pauses| pauses.longest).unwrap_or_default();
         match route.pause {
             Some(pause) if pause <= longest.mul_f64(QUICK) => Pace::Quick,
             Some(pause) if pause <= longest.mul_f64(BRISK) => Pace::Brisk,
@@ -255,9 +264,7 @@
 
     /// True where the service has quick routes beside others.
     pub fn has_lanes(&self, service: &str) -> bool {
-        self.routes().any(|route| {
-            self.pace(route, service) == Pace::Quick && route.shares.iter().any(|share| *share.service == *service)
-        })
+        self.pauses.get(service).is_some_and(|pauses| pauses.shortest <= pauses.longest.mul_f64(QUICK))
     }
 
     /// Number of the organisation that holds `key`.
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -143,6 +143,7 @@
     let pace = |path: &str| plan.pace(plan.find("h", path).expect("a route"), "svc");
     assert_eq!([pace("/grade/"), pace("/answer/"), pace("/recap/")], [Pace::Quick, Pace::Brisk, Pace::Steady]);
     assert!(plan.has_lanes("svc"));
+    assert!(!plan.has_lanes("another"));
     assert!(plan.is_lowest(plan.find("h", "/recap/").expect("a route"), "svc"));
 }
 
