--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -272,10 +272,12 @@
     let view = shared.view.borrow().clone();
     let balance = shared.balance.borrow();
     let health = shared.health.borrow();
+    let reading = shared.reading.borrow();
     let inputs = Inputs {
         endpoints: &view.endpoints,
         balance: &balance,
         health: &health,
+        reading: &reading,
         hall: &shared.options.hall,
         plan: &plan,
         now: Instant::now(),
--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -2,6 +2,7 @@
 
 use std::{cmp::Reverse, sync::Arc, time::Instant};
 
+use rand::seq::IndexedRandom as _;
 use rudder_core::{Phase, Registration};
 use rudder_model::{EndpointId, HallId, id};
 
@@ -12,6 +13,7 @@
     health::Health,
     lanes::{self, Lanes},
     plan::{Engine, Pace, Route},
+    reading::Reading,
 };
 
 /// Each request under way at an engine counts as this many prompt tokens ahead.
@@ -19,15 +21,21 @@
 /// An engine whose memory would run out counts as this many prompt tokens behind.
 const MEMORY_COST: u64 = 40_000;
 
-/// A session strays from its engines only to one that has this many prompt tokens less ahead: each
-/// stray leaves a copy of its parts that takes others' place.
-const STRAY_COST: u64 = 8_000;
+/// Each token of its session's part that an engine lacks counts as this many prompt tokens ahead there: it
+/// is read again, for which the engine's other requests wait as well, and its copy takes others' place.
+const READ_AGAIN: u64 = 5;
+/// What an engine lacks never counts for more than the reading of this part of the route's target, so that a
+/// request leaves its engines before it would come late there.
+const READ_AGAIN_MOST: f64 = 0.5;
 
 /// A guest of the quick lane and all that is unread there have at most this many prompt tokens.
 const GUEST: u32 = 4_000;
 
-/// Part of a session's tokens that its first and second engine by hash are taken to lack.
-const MISSING: [f64; 2] = [0.0, 0.2];
+/// Engines drawn by lot beside those of a request's session.
+const DRAWN: usize = 3;
+
+/// Part of a session's tokens that its first engines by hash are taken to lack; all others lack them whole.
+const MISSING: [f64; 2] = [0.0, 0.5];
 
 /// What a choice rests on.
 #[derive(Debug)]
@@ -38,6 +46,8 @@
     pub balance: &'a Balance,
     /// Outcomes.
     pub health: &'a Health,
+    /// How fast engines read.
+    pub reading: &'a Reading,
     /// This instance's hall.
     pub hall: &'a HallId,
     /// The configuration.
@@ -139,25 +149,31 @@
         return Some(guest);
     }
     let homes = to_homes(prompt, engines);
-    let unread = |held: &Registration| {
+    let lacked = |held: &Registration| {
         let rank = homes.iter().position(|home| *home == held.endpoint);
         let missing = rank.map_or(1.0, |rank| MISSING[rank]);
-        prompt.own_tokens() + (f64::from(prompt.session_tokens()) * missing) as u32
+        (f64::from(prompt.session_tokens()) * missing) as u32
     };
+    let stray_most = inputs.reading.tokens_in(service, route.target.mul_f64(READ_AGAIN_MOST));
     let cost = |held: &Registration| {
         let work = inputs.balance.at(&held.endpoint);
         let full = work.held + prompt.tokens > engine.memory;
         let ahead = u64::from(work.unread) + u64::from(work.calls) * CALL_COST;
-        ahead + u64::from(unread(held)) + if full { MEMORY_COST } else { 0 }
-    };
-    let best = |strays: bool| {
-        let held = engines.iter().copied().filter(|held| strays || homes.contains(&held.endpoint));
-        held.min_by_key(|held| (cost(held), rand::random::<u32>()))
+        let again = (u64::from(lacked(held)) * READ_AGAIN).min(stray_most);
+        ahead + again + if full { MEMORY_COST } else { 0 }
     };
-    let anywhere = best(true)?;
-    let at_home = best(false).filter(|home| cost(home) <= cost(anywhere) + STRAY_COST);
-    let chosen = at_home.unwrap_or(anywhere);
-    Some(to_choice(inputs, chosen, unread(chosen)))
+    let drawn = draw(engines, &homes);
+    let chosen = drawn.into_iter().min_by_key(|held| (cost(held), rand::random::<u32>()))?;
+    Some(to_choice(inputs, chosen, prompt.own_tokens() + lacked(chosen)))
+}
+
+/// The engines that a request is weighed for: those of its session, and a few by lot. Were all weighed, all
+/// instances, whose counts of each other's work are some hundred milliseconds old, would send to the same one.
+fn draw<'a>(engines: &[&'a Registration], homes: &[EndpointId]) -> Vec<&'a Registration> {
+    let mut drawn: Vec<&Registration> =
+        engines.iter().copied().filter(|held| homes.contains(&held.endpoint)).collect();
+    drawn.extend(engines.sample(&mut rand::rng(), DRAWN));
+    drawn
 }
 
 /// A quick engine that has next to nothing to read, for a short prompt of a brisk route.
--- a/crates/rudder-gateway/src/reading.rs
+++ b/crates/rudder-gateway/src/reading.rs
@@ -30,7 +30,16 @@
 
     /// How long an engine of `service` takes to read `tokens`.
     pub fn time_for(&self, service: &str, tokens: u32) -> Duration {
-        let speed = self.speeds.get(service).copied().unwrap_or(FIRST_GUESS);
-        Duration::from_secs_f64(f64::from(tokens) / speed / 1000.0)
+        Duration::from_secs_f64(f64::from(tokens) / self.speed(service) / 1000.0)
+    }
+
+    /// Tokens that an engine of `service` reads within `time`.
+    pub fn tokens_in(&self, service: &str, time: Duration) -> u64 {
+        (time.as_secs_f64() * 1000.0 * self.speed(service)) as u64
+    }
+
+    /// Tokens read in a millisecond.
+    fn speed(&self, service: &str) -> f64 {
+        self.speeds.get(service).copied().unwrap_or(FIRST_GUESS)
     }
 }
