--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -75,7 +75,7 @@
             voters: 3,
             fresh: Duration::from_millis(4500),
             fresh_denial: Duration::from_millis(1500),
-            keep: Duration::from_secs(1),
+            keep: Duration::from_secs(4),
             keep_stretch: 3,
             grace: Duration::from_secs(8),
             retry_ratio: 0.2,
--- a/crates/rudder-gateway/src/stop.rs
+++ b/crates/rudder-gateway/src/stop.rs
@@ -17,6 +17,9 @@
 const LIST_MARGIN: Duration = Duration::from_millis(700);
 /// Idle connections have this long to end before the process does.
 const CLOSE: Duration = Duration::from_millis(300);
+/// Idle connections are closed after this part of the grace at the latest, whatever callers' lists say: a
+/// caller with an older list finds a closed door at once and takes another instance.
+const SERVE: f64 = 0.46;
 /// Part of the grace after which what is still under way is cut off.
 const CUT: f64 = 0.92;
 /// Time between looks at what is under way.
@@ -30,7 +33,7 @@
     let options = &shared.options;
     let lists = options.keep * options.keep_stretch + LIST_MARGIN;
     let last = options.grace.mul_f64(CUT);
-    tokio::time::sleep(lists.min(last)).await;
+    tokio::time::sleep(lists.min(options.grace.mul_f64(SERVE))).await;
     shared.stage.send_replace(Stage::Closing);
     tokio::time::sleep(CLOSE).await;
     while shared.open.get() > 0 && began.elapsed() < last {
