--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -251,6 +251,8 @@
         first_ms: u64,
         /// From arrival to the end, in milliseconds.
         total_ms: u64,
+        /// Longest time between two parts, in milliseconds.
+        pause_ms: u64,
     },
     /// The instance answered a request itself.
     CallRefused {
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -70,9 +70,10 @@
         What::CallFailed { endpoint, attempt, why, ran, .. } => {
             format!("attempt {attempt} at {endpoint} failed: {why}; ran: {ran:?}")
         }
-        What::CallAnswered { endpoint, status, first_ms, total_ms, .. } => {
-            format!("{endpoint} answered {status}: first byte after {first_ms} ms, all after {total_ms} ms")
-        }
+        What::CallAnswered { endpoint, status, first_ms, total_ms, pause_ms, .. } => format!(
+            "{endpoint} answered {status}: first byte after {first_ms} ms, all after {total_ms} ms, \
+             longest pause {pause_ms} ms"
+        ),
         What::CallRefused { status, why, ran, retry_ms, .. } => {
             let back = retry_ms.map_or(String::new(), |retry| format!(", come back in {retry} ms"));
             format!("the instance itself answered {status}: {why}; ran: {ran:?}{back}")
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -23,8 +23,9 @@
     upstream::{self, Connection},
 };
 
-/// Connections that may fail to come up before a request is refused.
-pub(super) const CONNECTS: u32 = 3;
+/// Connections that may fail to come up before a request is refused. An endpoint that has ended refuses at once,
+/// so that many cost next to nothing; a rack of them must not be taken for all.
+pub(super) const CONNECTS: u32 = 12;
 /// Endpoints beyond the route's own bound that a request may go to when it did not run.
 const UNRUN_EXTRA: u32 = 1;
 
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -106,6 +106,7 @@
         status: parts.status.as_u16(),
         first_ms: total_ms,
         total_ms,
+        pause_ms: 0,
     });
     Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
 }
--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -31,6 +31,8 @@
 /// A guest of the quick lane and all that is unread there have at most this many prompt tokens.
 const GUEST: u32 = 4_000;
 
+/// Engines of the quick lane drawn by lot for a guest, the better of which takes it.
+const GUEST_DRAWN: usize = 2;
 /// Engines drawn by lot beside those of a request's session.
 const DRAWN: usize = 3;
 
@@ -170,8 +172,7 @@
 /// The engines that a request is weighed for: those of its session, and a few by lot. Were all weighed, all
 /// instances, whose counts of each other's work are some hundred milliseconds old, would send to the same one.
 fn draw<'a>(engines: &[&'a Registration], homes: &[EndpointId]) -> Vec<&'a Registration> {
-    let mut drawn: Vec<&Registration> =
-        engines.iter().copied().filter(|held| homes.contains(&held.endpoint)).collect();
+    let mut drawn: Vec<&Registration> = engines.iter().copied().filter(|held| homes.contains(&held.endpoint)).collect();
     drawn.extend(engines.sample(&mut rand::rng(), DRAWN));
     drawn
 }
@@ -179,7 +180,8 @@
 /// A quick engine that has next to nothing to read, for a short prompt of a brisk route.
 fn choose_guest(inputs: &Inputs, prompt: &Prompt, quick: &[&Registration]) -> Option<Choice> {
     let ahead = |held: &Registration| inputs.balance.at(&held.endpoint).unread;
-    let free = quick.iter().copied().filter(|held| ahead(held) + prompt.tokens <= GUEST);
+    let drawn = quick.sample(&mut rand::rng(), GUEST_DRAWN).copied();
+    let free = drawn.filter(|held| ahead(held) + prompt.tokens <= GUEST);
     let chosen = free.min_by_key(|held| (ahead(held), rand::random::<u32>()))?;
     Some(to_choice(inputs, chosen, prompt.tokens))
 }
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -262,12 +262,18 @@
 
 /// Measures the pauses between the parts of one stream.
 #[derive(Debug, Default)]
-pub struct PauseMeter(Option<Instant>);
+pub struct PauseMeter {
+    before: Option<Instant>,
+    /// The longest so far.
+    pub longest: Duration,
+}
 
 impl PauseMeter {
     /// Takes in a part; returns the pause before it, but for the first.
     pub fn note(&mut self, now: Instant) -> Option<Duration> {
-        let before = self.0.replace(now)?;
-        Some(now.saturating_duration_since(before))
+        let before = self.before.replace(now)?;
+        let pause = now.saturating_duration_since(before);
+        self.longest = self.longest.max(pause);
+        Some(pause)
     }
 }
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -265,6 +265,7 @@
             status: 200,
             first_ms: self.first.map_or(0, since),
             total_ms: since(Instant::now()),
+            pause_ms: self.pauses.longest.as_millis() as u64,
         });
     }
 
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -15,8 +15,9 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle};
 
-/// A connection to an endpoint is given this long to come up.
-pub const CONNECT: Duration = Duration::from_millis(500);
+/// A connection to an endpoint is given this long to come up. One whose first packet is lost is tried again by
+/// the system after a second only, so another endpoint is the better try.
+pub const CONNECT: Duration = Duration::from_millis(200);
 /// An idle connection whose endpoint told no time is used again within this.
 const REST: Duration = Duration::from_secs(4);
 /// A connection is not used again this shortly before its endpoint closes it.
