--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -13,7 +13,7 @@
 use rudder_model::{EndpointId, Ran};
 use tokio::time::timeout_at;
 
-use super::{Call, Failure, Leg, Progress, Refusal, refusal::not_run, send::WHOLE};
+use super::{Call, Failure, Leg, Progress, Refusal, Resume, refusal::not_run, send::WHOLE};
 use crate::{
     Dialect, RouteKind,
     balance::Flight,
@@ -106,7 +106,7 @@
     shared: &Rc<Shared<D>>,
     call: &Call,
     progress: &mut Progress,
-    last_event: Option<u64>,
+    from: Resume,
 ) -> Result<Result<Leg, Failure>, Refusal> {
     let Some(choice) = pick(shared, call, progress) else {
         progress.connects = CONNECTS;
@@ -126,7 +126,44 @@
         }
     };
     check_still_allowed(shared, call, progress)?;
-    Ok(send_on(shared, call, progress, choice, connection, last_event).await)
+    Ok(send_on(shared, call, progress, choice, connection, from).await)
+}
+
+/// Goes on with a stream whose endpoint has ended, at the endpoint that keeps a copy of its memory. This counts
+/// as the same run, also on routes whose requests run at most once; so the first endpoint must have ended: one
+/// that can still be reached may have only broken off, and may be at work still.
+pub async fn go_on_from_copy<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    call: &Call,
+    progress: &mut Progress,
+    last_event: Option<u64>,
+) -> Option<Leg> {
+    let before = progress.last.take()?;
+    let keeper = before.keeper.as_ref()?;
+    let instances = shared.view.borrow().entries.len();
+    if !upstream::is_gone(&before.address).await
+        || !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances)
+    {
+        return None;
+    }
+    note_outcome(shared, &before.endpoint, Outcome::Unreachable);
+    let choice = Choice {
+        endpoint: keeper.endpoint.clone(),
+        address: keeper.address.clone(),
+        unread: 0,
+        keeper: None,
+        ..before.clone()
+    };
+    let connection = connect(shared, call, &choice).await.ok()?;
+    check_still_allowed(shared, call, progress).ok()?;
+    let from = Resume { last_event: last_event.or(Some(0)), copy: true };
+    let leg = send_on(shared, call, progress, choice, connection, from).await.ok()?;
+    if leg.response.status().is_success() && !leg.head.not_run {
+        shared.metrics.note_resume();
+        return Some(leg);
+    }
+    log_failure(shared, call, progress, &leg.choice, "it keeps no copy", Ran::No);
+    None
 }
 
 /// Refuses a stream of the lowest rank at once where its engine, the best there is, has so much to read
@@ -156,7 +193,7 @@
     progress: &mut Progress,
     choice: Choice,
     mut connection: Connection,
-    last_event: Option<u64>,
+    from: Resume,
 ) -> Result<Leg, Failure> {
     let now = Instant::now();
     let left = call.until.saturating_duration_since(now);
@@ -171,10 +208,11 @@
         progress.chosen = Some(choice.service.clone());
     }
     log_sent(shared, call, progress, &choice, connection.carried > 0, left);
-    let request = call.to_request(&shared.dialect, &choice.endpoint, left, last_event);
+    progress.last = Some(choice.clone());
+    let request = call.to_request(&shared.dialect, &choice, left, from);
     let prompt = call.prompt.as_ref();
     let unread = choice.unread;
-    let memory = prompt.map_or(0, |prompt| prompt.tokens + prompt.guess.unwrap_or(prompt.answer));
+    let memory = prompt.map_or(0, |prompt| prompt.tokens + prompt.expected_answer());
     let flight = Flight::start(&shared.balance, &choice.endpoint, unread, memory);
     let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
     let (parts, body) = response.into_parts();
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -29,7 +29,7 @@
 use rudder_model::EndpointId;
 
 pub use admit::strip_hop_headers;
-pub use attempt::{attempt, log_failure, may_send_again, note_outcome, put_back};
+pub use attempt::{attempt, go_on_from_copy, log_failure, may_send_again, note_outcome, put_back};
 pub use refusal::Refusal;
 
 use crate::{
@@ -109,6 +109,15 @@
     Late,
 }
 
+/// From where an endpoint takes a request up.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Resume {
+    /// After this event, which the caller has.
+    pub last_event: Option<u64>,
+    /// From the copy of the request's memory that the endpoint keeps.
+    pub copy: bool,
+}
+
 /// What has become of a request so far.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -118,6 +127,8 @@
     pub sent: u32,
     /// Of these, the times that it ran or may have run.
     pub ran: u32,
+    /// Where it was sent last.
+    pub last: Option<Choice>,
     connects: u32,
     chosen: Option<Arc<str>>,
 }
@@ -171,14 +182,23 @@
     fn to_request<D: Dialect>(
         &self,
         dialect: &D,
-        endpoint: &str,
+        choice: &Choice,
         left: Duration,
-        last_event: Option<u64>,
+        from: Resume,
     ) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
         let tier = self.prompt.is_some().then_some(self.tier);
         let organisation = self.organisation.as_deref();
-        dialect.write_forward(&mut headers, &Forward { endpoint, left, organisation, tier, last_event });
+        let forward = Forward {
+            endpoint: &choice.endpoint,
+            left,
+            organisation,
+            tier,
+            last_event: from.last_event,
+            copy_at: choice.keeper.as_ref().map(|keeper| &*keeper.address),
+            from_copy: from.copy.then_some(&*choice.address),
+        };
+        dialect.write_forward(&mut headers, &forward);
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = to_origin(&self.uri);
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -9,8 +9,8 @@
 use tokio::time::timeout_at;
 
 use super::{
-    Call, Failure, Leg, Progress, Refusal,
-    attempt::{CONNECTS, attempt, may_send_again, note_not_run, note_outcome, put_back},
+    Call, Failure, Leg, Progress, Refusal, Resume,
+    attempt::{CONNECTS, attempt, go_on_from_copy, may_send_again, note_not_run, note_outcome, put_back},
     refusal::{give_up, is_promise},
     strip_hop_headers,
 };
@@ -22,14 +22,20 @@
 /// Sends a request until it is answered or given up.
 pub(super) async fn send<D: Dialect>(shared: &Rc<Shared<D>>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
     let mut progress = Progress::default();
+    let from = Resume { last_event: call.last_event, copy: false };
     let mut spare: Option<Response<AnswerBody>> = None;
     loop {
-        let leg = match attempt(shared, &call, &mut progress, call.last_event).await? {
+        let leg = match attempt(shared, &call, &mut progress, from).await? {
             Ok(leg) => leg,
             Err(failure) => {
                 if may_go_on(shared, &call, &mut progress, &failure) {
                     continue;
                 }
+                if matches!(failure, Failure::Lost(_))
+                    && let Some(leg) = go_on_from_copy(shared, &call, &mut progress, call.last_event).await
+                {
+                    return Ok(stream::start(shared, call, progress, leg));
+                }
                 return spare.ok_or_else(|| give_up(shared, &progress, &failure));
             }
         };
--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -33,6 +33,9 @@
 
 /// Engines of the quick lane drawn by lot for a guest, the better of which takes it.
 const GUEST_DRAWN: usize = 2;
+/// Quick streams expected to have at least this many tokens, which take about a second, have their memory copied
+/// while they run: the longer one runs, the likelier its engine ends under it, and the more is lost with it.
+const COPIED: u32 = 200;
 /// Engines drawn by lot beside those of a request's session.
 const DRAWN: usize = 3;
 
@@ -58,6 +61,15 @@
     pub now: Instant,
 }
 
+/// An endpoint that keeps a copy of a running request's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keeper {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Where it is.
+    pub address: Arc<str>,
+}
+
 /// A choice.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
@@ -73,6 +85,8 @@
     pub ahead: u32,
     /// Prompt tokens that it will have to read for this request.
     pub unread: u32,
+    /// Who shall keep a copy of the request's memory.
+    pub keeper: Option<Keeper>,
 }
 
 /// The service that a request goes to first, by weight; `draw` is uniform over all values.
@@ -166,7 +180,10 @@
     };
     let drawn = draw(engines, &homes);
     let chosen = drawn.into_iter().min_by_key(|held| (cost(held), rand::random::<u32>()))?;
-    Some(to_choice(inputs, chosen, prompt.own_tokens() + lacked(chosen)))
+    let keepers = if engines.len() > 1 { engines } else { &lanes.bulk };
+    let copied = engine.copies && pace == Pace::Quick && prompt.expected_answer() >= COPIED;
+    let keeper = if copied { draw_keeper(keepers, chosen) } else { None };
+    Some(Choice { keeper, ..to_choice(inputs, chosen, prompt.own_tokens() + lacked(chosen)) })
 }
 
 /// The engines that a request is weighed for: those of its session, and a few by lot. Were all weighed, all
@@ -177,6 +194,13 @@
     drawn
 }
 
+/// Another engine than the chosen one, by lot.
+fn draw_keeper(engines: &[&Registration], chosen: &Registration) -> Option<Keeper> {
+    let others: Vec<&&Registration> = engines.iter().filter(|held| held.endpoint != chosen.endpoint).collect();
+    let drawn = others.choose(&mut rand::rng())?;
+    Some(Keeper { endpoint: drawn.endpoint.clone(), address: drawn.address.clone() })
+}
+
 /// A quick engine that has next to nothing to read, for a short prompt of a brisk route.
 fn choose_guest(inputs: &Inputs, prompt: &Prompt, quick: &[&Registration]) -> Option<Choice> {
     let ahead = |held: &Registration| inputs.balance.at(&held.endpoint).unread;
@@ -204,5 +228,6 @@
         calls: work.calls,
         ahead: work.unread,
         unread,
+        keeper: None,
     }
 }
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -53,6 +53,11 @@
         if self.parts.len() < 2 { 0 } else { self.session().map_or(0, |part| part.tokens) }
     }
 
+    /// Tokens that will be generated, as far as the caller can tell.
+    pub fn expected_answer(&self) -> u32 {
+        self.guess.unwrap_or(self.answer)
+    }
+
     /// Tokens that no other request shares.
     pub fn own_tokens(&self) -> u32 {
         let shared: u32 = self.parts.iter().rev().skip(1).map(|part| part.tokens).sum();
@@ -88,6 +93,10 @@
     pub tier: Option<u8>,
     /// Last event that the caller has already.
     pub last_event: Option<u64>,
+    /// Address of the endpoint that shall keep a copy of the request's memory while it runs.
+    pub copy_at: Option<&'a str>,
+    /// Address under which the endpoint meant keeps the copy that the request goes on from.
+    pub from_copy: Option<&'a str>,
 }
 
 /// What an endpoint's answer says beside its content.
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -96,6 +96,8 @@
     pub slots: u32,
     /// Memory for running requests and kept prompt parts, in tokens.
     pub memory: u32,
+    /// They keep copies of each other's running requests, from which another can go on.
+    pub copies: bool,
 }
 
 /// Bounds on what callers send.
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -1,8 +1,9 @@
 //! Streams of events: passed on as they come, taken up at another endpoint where that is allowed.
 //!
 //! Of a stream that can be resumed only whole events are passed on, so that the next endpoint goes on
-//! after the last whole one. A stream that breaks off and cannot be resumed ends its caller's
-//! connection: it must not look complete.
+//! after the last whole one. Long quick streams have their memory copied to another endpoint while they run,
+//! which goes on when the first one ends, also where the route allows one run: it is the same run. A stream that
+//! breaks off and cannot be resumed ends its caller's connection: it must not look complete.
 
 use std::{rc::Rc, time::Instant};
 
@@ -19,7 +20,7 @@
 use crate::{
     Dialect,
     body::{AnswerBody, Broken},
-    call::{self, Call, Leg, Progress},
+    call::{self, Call, Leg, Progress, Resume},
     health::Outcome,
     metrics::{Ending, PauseMeter},
     shared::Shared,
@@ -154,6 +155,7 @@
             };
             self.log_cut(&endpoint, why);
             let next = match end {
+                End::Broken if self.has_copy() => self.go_on_from_copy().await,
                 End::Broken => self.resume(false).await,
                 End::Silent => self.resume(true).await,
                 _ => None,
@@ -171,6 +173,7 @@
     async fn pass(&mut self, leg: Leg) -> End {
         let Leg { choice, response, head, connection, mut flight, sent } = leg;
         let mut body = response.into_body();
+        let whole_events = self.call.route.resumable || self.has_copy();
         // A stream that cannot be resumed is waited for to its end.
         let patience = self.call.route.resumable.then(|| self.call.patience());
         let mut impatient = patience.map(|patience| Instant::now() + patience);
@@ -208,7 +211,7 @@
             }
             flight.note_read();
             let whole = self.events.take(&bytes);
-            let part = if self.call.route.resumable { whole } else { bytes };
+            let part = if whole_events { whole } else { bytes };
             if part.is_empty() {
                 continue;
             }
@@ -225,6 +228,19 @@
         End::Whole
     }
 
+    /// True where another endpoint keeps a copy of the stream's memory. A resumable stream goes on anywhere.
+    fn has_copy(&self) -> bool {
+        let kept = self.progress.last.as_ref().is_some_and(|last| last.keeper.is_some());
+        kept && !self.call.route.resumable
+    }
+
+    async fn go_on_from_copy(&mut self) -> Option<Leg> {
+        self.events.drop_pending();
+        let last = self.events.last.or(self.call.last_event);
+        let next = call::go_on_from_copy(self.shared, &self.call, &mut self.progress, last);
+        timeout_at(self.call.until.into(), next).await.ok()?
+    }
+
     /// Takes the stream up at another endpoint, after the last whole event.
     async fn resume(&mut self, taken: bool) -> Option<Leg> {
         if !self.call.route.resumable {
@@ -238,7 +254,8 @@
             }
             right = false;
             let last = self.events.last.or(self.call.last_event);
-            let attempted = call::attempt(self.shared, &self.call, &mut self.progress, last);
+            let from = Resume { last_event: last, copy: false };
+            let attempted = call::attempt(self.shared, &self.call, &mut self.progress, from);
             let attempted = timeout_at(self.call.until.into(), attempted).await.ok()?;
             let Ok(Ok(leg)) = attempted else { continue };
             let taken = leg.response.status().is_success() && !leg.head.not_run && !leg.head.misdirected;
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -10,7 +10,7 @@
     Plan, Route, RouteKind, Service,
     balance::Balance,
     budget::Budget,
-    choose::{self, Inputs},
+    choose::{self, Choice, Inputs},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
     lanes,
@@ -38,7 +38,7 @@
 
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
-    let engine = Some(Engine { slots: 64, memory: 300_000 });
+    let engine = Some(Engine { slots: 64, memory: 300_000, copies: true });
     plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
     for route in [route("recap", 1000, 2), route("answer", 400, 1), route("grade", 250, 0)] {
         plan.add_route(route).expect("it fits");
@@ -201,6 +201,10 @@
     }
 
     fn choose(&self, path: &str, prompt: &Prompt, tried: &[Arc<str>]) -> Option<String> {
+        self.choice(path, prompt, tried).map(|choice| choice.endpoint.to_string())
+    }
+
+    fn choice(&self, path: &str, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Choice> {
         let hall = "a".into();
         let inputs = Inputs {
             endpoints: &self.engines,
@@ -212,7 +216,7 @@
             now: Instant::now(),
         };
         let route = self.plan.find("h", path).expect("a route");
-        choose::choose(&inputs, route, "svc", Some(prompt), tried).map(|choice| choice.endpoint.to_string())
+        choose::choose(&inputs, route, "svc", Some(prompt), tried)
     }
 }
 
@@ -258,6 +262,21 @@
     assert_ne!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some(home.as_str()));
 }
 
+/// A copy costs what it copies, and pays for streams that are under way for long.
+#[test]
+fn only_long_quick_streams_have_their_memory_copied() {
+    let scene = Scene::new();
+    let keeper = |path: &str, guess: Option<u32>| {
+        let prompt = Prompt { answer: 2000, guess, ..prompt(5) };
+        let choice = scene.choice(path, &prompt, &[]).expect("a choice");
+        choice.keeper.map(|keeper| (keeper.endpoint != choice.endpoint, keeper.address.to_string()))
+    };
+    assert!(keeper("/grade/", Some(200)).is_some_and(|(another, _)| another));
+    assert!(keeper("/grade/", None).is_some_and(|(another, _)| another));
+    assert_eq!(keeper("/grade/", Some(199)), None);
+    assert_eq!(keeper("/recap/", Some(900)), None);
+}
+
 /// Their sessions are a few dozen tokens: two engines named by a hash took all streams of a busy one.
 #[test]
 fn quick_streams_of_one_session_use_the_whole_lane() {
