--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -7,12 +7,12 @@
 
 use rudder_events::What;
 use rudder_ledger::{Answer, Command, Ledger, Stamped};
-use rudder_model::{EndpointId, InstanceId, Start};
+use rudder_model::{InstanceId, Start};
 use rudder_replica::{Durable, Entry, Envelope, Member, Members, Output, Payload, Replica, ReplicaId, Role, Spare};
 
 use crate::{
     Effect, Listing, Me, Options, PeerMessage, Watch, Watched,
-    peer::Load,
+    loads::Loads,
     registry::{Registration, Registry},
     view::View,
 };
@@ -24,9 +24,19 @@
 
 /// Time between greetings of a leader to seeds that it has not heard.
 const GREETING: Duration = Duration::from_millis(400);
+/// What a watcher lacks is not sent to it again within this time: it is on its way, and in a start of many
+/// instances the copies would hold up each other.
+const RESEND: Duration = Duration::from_millis(400);
 
-/// What an instance said of its work counts for this long.
-const LOAD_MEMORY: Duration = Duration::from_millis(1500);
+/// What a watcher was sent last.
+#[derive(Clone, Debug)]
+struct Sent {
+    start: Start,
+    document: u64,
+    document_at: Duration,
+    directory: u64,
+    directory_at: Duration,
+}
 
 /// Who waits for a proposal to be applied.
 #[derive(Clone, Debug)]
@@ -53,7 +63,9 @@
     foreign: bool,
     founding_at: Option<Duration>,
     registry: Registry,
-    loads: BTreeMap<InstanceId, (Vec<Load>, Duration)>,
+    loads: Loads,
+    /// What each watcher was sent last.
+    sent: BTreeMap<InstanceId, Sent>,
     unsnapped: u64,
     greeted: Option<Duration>,
 }
@@ -82,7 +94,8 @@
             foreign: false,
             founding_at: None,
             registry: Registry::default(),
-            loads: BTreeMap::new(),
+            loads: Loads::default(),
+            sent: BTreeMap::new(),
             unsnapped: 0,
             greeted: None,
         }
@@ -151,15 +164,21 @@
             self.send_elsewhere(from, out);
             return;
         }
+        let start = listing.start;
         self.list(now, listing);
         self.hear(now, &from, &watch.heard, out);
-        self.loads.insert(from.clone(), (watch.loads, now));
+        self.loads.tell(now, &from, watch.loads);
         let config = &self.ledger.config;
         let deltas = config.deltas_after(index, DELTAS);
         let complete = deltas.len() < DELTAS;
         let reached = if complete { config.index } else { deltas.last().map_or(index, |delta| delta.held.index) };
-        let newer = (directory != self.version).then(|| (self.version, self.to_directory()));
-        let held = self.ledger.document.as_ref();
+        let newest = self.ledger.document.as_ref().map_or(0, |document| document.version);
+        let sent = self.sent.get(&from).filter(|sent| sent.start == start);
+        let document_due = sent.is_none_or(|sent| sent.document != newest || now >= sent.document_at + RESEND);
+        let directory_due = sent.is_none_or(|sent| sent.directory == directory || now >= sent.directory_at + RESEND);
+        let document = (newest > watch.document && document_due).then(|| self.ledger.document.clone()).flatten();
+        let newer = (directory != self.version && directory_due).then(|| (self.version, self.to_directory()));
+        self.note_sent(now, &from, start, document.is_some().then_some(newest), newer.is_some());
         let watched = Watched {
             round,
             asked: index,
@@ -167,13 +186,30 @@
             complete,
             deltas,
             directory: newer,
-            document: held.filter(|held| held.version > watch.document).cloned(),
+            newest,
+            document,
             registry: self.registry.news_after(watch.registry),
-            loads: self.to_loads(now, &from),
+            loads: self.loads.without(&from),
         };
         out.push(Effect::Send { to: from, message: PeerMessage::Watched(Box::new(watched)) });
     }
 
+    /// Notes what a watcher is being sent.
+    fn note_sent(&mut self, now: Duration, to: &InstanceId, start: Start, document: Option<u64>, directory: bool) {
+        let version = self.version;
+        let fresh = Sent { start, document: 0, document_at: now, directory: 0, directory_at: now };
+        let sent = self.sent.entry(to.clone()).or_insert_with(|| fresh.clone());
+        if sent.start != start {
+            *sent = fresh;
+        }
+        if let Some(document) = document {
+            (sent.document, sent.document_at) = (document, now);
+        }
+        if directory {
+            (sent.directory, sent.directory_at) = (version, now);
+        }
+    }
+
     /// Takes in heartbeats that a watcher heard; what changes an endpoint's standing is spread at once.
     fn hear(&mut self, now: Duration, from: &InstanceId, heard: &[Registration], out: &mut Vec<Effect>) {
         let mut changed = false;
@@ -195,24 +231,6 @@
         }
     }
 
-    /// Work under way at endpoints, summed over all instances but `asker`.
-    fn to_loads(&self, now: Duration, asker: &InstanceId) -> Vec<Load> {
-        let mut sums: BTreeMap<&EndpointId, Load> = BTreeMap::new();
-        for (name, (loads, told)) in &self.loads {
-            if name == asker || now > *told + LOAD_MEMORY {
-                continue;
-            }
-            for load in loads {
-                let empty = || Load { endpoint: load.endpoint.clone(), calls: 0, unread: 0, held: 0 };
-                let sum = sums.entry(&load.endpoint).or_insert_with(empty);
-                sum.calls = sum.calls.saturating_add(load.calls);
-                sum.unread = sum.unread.saturating_add(load.unread);
-                sum.held = sum.held.saturating_add(load.held);
-            }
-        }
-        sums.into_values().collect()
-    }
-
     /// Takes in what another founder says, and answers it.
     pub(crate) fn on_founding(
         &mut self,
@@ -299,6 +317,7 @@
             self.registry = view.registry.clone();
             self.registry.lead(now, self.replica.term());
             self.loads.clear();
+            self.sent.clear();
         }
     }
 
@@ -315,8 +334,10 @@
         if self.registry.age(now) {
             self.nudge(None, out);
         }
+        self.loads.age(now);
         let before = self.live.len();
         self.live.retain(|_, (_, seen)| now < *seen + options.gone);
+        self.sent.retain(|name, _| self.live.contains_key(name));
         if self.live.len() != before {
             self.bump();
         }
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`calls`]: the requests whose callers are connected here;
 //! - [`homes`]: the pools that this instance decides for;
 //! - [`registry`]: endpoints that register themselves by heartbeats;
+//! - [`loads`]: work under way at endpoints, as all instances tell it;
 //! - [`orders`]: fenced orders to endpoints, sent by the leader only.
 #![deny(missing_docs, unsafe_code)]
 
@@ -19,6 +20,7 @@
 pub mod event;
 pub mod homes;
 pub mod keyed;
+pub mod loads;
 pub mod options;
 pub mod orders;
 pub mod peer;
--- /dev/null
+++ b/crates/rudder-core/src/loads.rs
@@ -0,0 +1,94 @@
+//! Work under way at endpoints, as all instances tell the leader and the leader tells each of the others.
+//!
+//! Every instance asks several times a second, so the totals are kept and only changed by what is told: an
+//! answer costs the endpoints, not the endpoints times the instances.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use rudder_model::{EndpointId, InstanceId};
+
+use crate::peer::Load;
+
+/// What an instance said of its work counts for this long.
+const MEMORY: Duration = Duration::from_millis(1500);
+
+#[derive(Debug)]
+struct Told {
+    loads: Vec<Load>,
+    at: Duration,
+}
+
+/// The work of all instances.
+#[derive(Debug, Default)]
+pub struct Loads {
+    told: BTreeMap<InstanceId, Told>,
+    totals: BTreeMap<EndpointId, Load>,
+}
+
+impl Loads {
+    /// Takes in what `from` has under way; it replaces what it said before.
+    pub fn tell(&mut self, now: Duration, from: &InstanceId, loads: Vec<Load>) {
+        for load in &loads {
+            let empty = || Load { endpoint: load.endpoint.clone(), calls: 0, unread: 0, held: 0 };
+            let total = self.totals.entry(load.endpoint.clone()).or_insert_with(empty);
+            total.calls = total.calls.saturating_add(load.calls);
+            total.unread = total.unread.saturating_add(load.unread);
+            total.held = total.held.saturating_add(load.held);
+        }
+        let before = self.told.insert(from.clone(), Told { loads, at: now });
+        self.take_off(before);
+    }
+
+    /// The work of all instances but `asker`, where there is any.
+    pub fn without(&self, asker: &InstanceId) -> Vec<Load> {
+        let own = self.told.get(asker).map(|told| told.loads.as_slice()).unwrap_or_default();
+        let own: HashMap<&EndpointId, &Load> = own.iter().map(|load| (&load.endpoint, load)).collect();
+        let mut others = Vec::with_capacity(self.totals.len());
+        for total in self.totals.values() {
+            let mut rest = total.clone();
+            if let Some(load) = own.get(&total.endpoint) {
+                subtract(&mut rest, load);
+            }
+            if rest.calls > 0 {
+                others.push(rest);
+            }
+        }
+        others
+    }
+
+    /// Drops what was told too long ago.
+    pub fn age(&mut self, now: Duration) {
+        let old = |told: &Told| now > told.at + MEMORY;
+        let names: Vec<InstanceId> =
+            self.told.iter().filter(|(_, told)| old(told)).map(|(name, _)| name.clone()).collect();
+        for name in names {
+            let before = self.told.remove(&name);
+            self.take_off(before);
+        }
+    }
+
+    /// Forgets all.
+    pub fn clear(&mut self) {
+        self.told.clear();
+        self.totals.clear();
+    }
+
+    fn take_off(&mut self, told: Option<Told>) {
+        for load in told.map(|told| told.loads).unwrap_or_default() {
+            let Some(total) = self.totals.get_mut(&load.endpoint) else { continue };
+            subtract(total, &load);
+            if total.calls == 0 {
+                self.totals.remove(&load.endpoint);
+            }
+        }
+    }
+}
+
+fn subtract(total: &mut Load, load: &Load) {
+    total.calls = total.calls.saturating_sub(load.calls);
+    total.unread = total.unread.saturating_sub(load.unread);
+    total.held = total.held.saturating_sub(load.held);
+}
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -63,7 +63,9 @@
     pub deltas: Vec<Delta>,
     /// The directory with its version, where it is a newer one.
     pub directory: Option<(u64, Vec<Listing>)>,
-    /// The configuration document, where it is a newer one.
+    /// Version of the newest configuration document. An asker that does not hold it has no proof.
+    pub newest: u64,
+    /// The configuration document, where it is a newer one and not on its way already.
     pub document: Option<Document>,
     /// What the asker lacks of the registry.
     pub registry: Option<RegistryNews>,
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -279,9 +279,11 @@
         }
         self.take_document(watched.document, promises, out);
         self.unconfirmed.retain(|_, held| held.round.is_none_or(|round| round > watched.round));
-        if watched.complete {
+        let held = self.document.as_ref().map_or(0, |document| document.version);
+        if watched.complete && held >= watched.newest {
             self.proved = self.proved.max(Some(sent));
-        } else {
+        }
+        if !watched.complete {
             self.asked_at = None;
         }
         if watched.round >= self.answered {
--- /dev/null
+++ b/crates/rudder-core/tests/loads.rs
@@ -0,0 +1,51 @@
+//! Totals of work under way: whatever is told, in whatever order, they are the sum of the latest words.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use quickcheck::quickcheck;
+use rudder_core::{loads::Loads, peer::Load};
+use rudder_model::InstanceId;
+
+fn load(endpoint: u8, calls: u32) -> Load {
+    Load { endpoint: format!("e-{endpoint}").into(), calls, unread: calls * 100, held: calls * 7 }
+}
+
+fn name(instance: u8) -> InstanceId {
+    InstanceId::from(format!("i-{instance}"))
+}
+
+quickcheck! {
+    fn totals_are_the_sum_of_the_latest_words(words: Vec<(u8, Vec<(u8, u8)>)>) -> bool {
+        let mut loads = Loads::default();
+        let mut latest: BTreeMap<u8, BTreeMap<u8, u32>> = BTreeMap::new();
+        for (instance, word) in words {
+            let instance = instance % 5;
+            let word: BTreeMap<u8, u32> = word.into_iter().map(|(e, calls)| (e % 7, u32::from(calls) + 1)).collect();
+            loads.tell(Duration::ZERO, &name(instance), word.iter().map(|(e, calls)| load(*e, *calls)).collect());
+            latest.insert(instance, word);
+        }
+        (0..6_u8).all(|asker| {
+            let mut sums: BTreeMap<u8, u32> = BTreeMap::new();
+            for (_, word) in latest.iter().filter(|(instance, _)| **instance != asker) {
+                for (endpoint, calls) in word {
+                    *sums.entry(*endpoint).or_default() += calls;
+                }
+            }
+            let expected: Vec<Load> = sums.into_iter().map(|(endpoint, calls)| load(endpoint, calls)).collect();
+            loads.without(&name(asker)) == expected
+        })
+    }
+}
+
+#[test]
+fn an_old_word_does_not_count() {
+    let mut loads = Loads::default();
+    loads.tell(Duration::ZERO, &name(1), vec![load(1, 3)]);
+    loads.tell(Duration::from_secs(1), &name(2), vec![load(1, 4)]);
+    loads.age(Duration::from_millis(1400));
+    assert_eq!(loads.without(&name(3)), vec![load(1, 7)]);
+    loads.age(Duration::from_millis(1600));
+    assert_eq!(loads.without(&name(3)), vec![load(1, 4)]);
+    loads.clear();
+    assert!(loads.without(&name(3)).is_empty());
+}
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -43,7 +43,7 @@
     head: CallHead,
     body: Incoming,
 ) -> Result<Call, Refusal> {
-    let come_back = shared.options.recover;
+    let come_back = shared.recovers_in();
     let host = to_host(&parts);
     let path = parts.uri.path();
     let Some(mut plan) = shared.current_plan() else { return Err(not_run("no configuration yet", come_back)) };
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -57,6 +57,9 @@
     /// A request refused because this instance lacks proof of the configuration is told to come back
     /// after this: about the time that an election takes.
     pub recover: Duration,
+    /// Time from a start until the configuration is proved where all instances start at once: an election and
+    /// the spread of the configuration.
+    pub start_up: Duration,
     /// Time between questions for news.
     pub watch: Duration,
     /// Lines logged in a second at most.
@@ -83,6 +86,7 @@
             retry_extra: 50,
             come_back: Duration::from_millis(300),
             recover: Duration::from_millis(700),
+            start_up: Duration::from_secs(1),
             watch: Duration::from_millis(100),
             log_lines: 600,
         }
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -90,6 +90,8 @@
     pub dialect: D,
     /// Settings.
     pub options: Options,
+    /// When the process started.
+    pub started: Instant,
     /// This instance's name.
     pub name: InstanceId,
     /// Events for the reducer.
@@ -132,6 +134,7 @@
             dialect,
             name: options.name(),
             options,
+            started: Instant::now(),
             inputs,
             tickets: Tickets::default(),
             view: RefCell::default(),
@@ -160,6 +163,17 @@
         self.proof.borrow().map(|proof| proof.elapsed())
     }
 
+    /// When a request that lacks proof of the configuration should come back: after the rest of a start, or
+    /// after the time that an election takes.
+    pub fn recovers_in(&self) -> Duration {
+        let recover = self.options.recover;
+        if self.proof_age().is_some() {
+            return recover;
+        }
+        let rest = self.options.start_up.saturating_sub(self.started.elapsed());
+        rest.max(recover / 2)
+    }
+
     /// True where the plan is proved at most `bound` old.
     pub fn is_fresh(&self, bound: Duration) -> bool {
         self.proof_age().is_some_and(|age| age < bound)
