--- a/crates/rudder-core/src/loads.rs
+++ b/crates/rudder-core/src/loads.rs
@@ -32,11 +32,13 @@
     /// Takes in what `from` has under way; it replaces what it said before.
     pub fn tell(&mut self, now: Duration, from: &InstanceId, loads: Vec<Load>) {
         for load in &loads {
-            let empty = || Load { endpoint: load.endpoint.clone(), calls: 0, unread: 0, held: 0 };
-            let total = self.totals.entry(load.endpoint.clone()).or_insert_with(empty);
+            let total = self.totals.entry(load.endpoint.clone());
+            let total = total.or_insert_with(|| Load::none(load.endpoint.clone()));
             total.calls = total.calls.saturating_add(load.calls);
             total.unread = total.unread.saturating_add(load.unread);
             total.held = total.held.saturating_add(load.held);
+            total.ended = total.ended.saturating_add(load.ended);
+            total.failed = total.failed.saturating_add(load.failed);
         }
         let before = self.told.insert(from.clone(), Told { loads, at: now });
         self.take_off(before);
@@ -52,7 +54,7 @@
             if let Some(load) = own.get(&total.endpoint) {
                 subtract(&mut rest, load);
             }
-            if rest.calls > 0 {
+            if !rest.is_none() {
                 others.push(rest);
             }
         }
@@ -80,7 +82,7 @@
         for load in told.map(|told| told.loads).unwrap_or_default() {
             let Some(total) = self.totals.get_mut(&load.endpoint) else { continue };
             subtract(total, &load);
-            if total.calls == 0 {
+            if total.is_none() {
                 self.totals.remove(&load.endpoint);
             }
         }
@@ -91,4 +93,6 @@
     total.calls = total.calls.saturating_sub(load.calls);
     total.unread = total.unread.saturating_sub(load.unread);
     total.held = total.held.saturating_sub(load.held);
+    total.ended = total.ended.saturating_sub(load.ended);
+    total.failed = total.failed.saturating_sub(load.failed);
 }
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -84,6 +84,22 @@
     pub unread: u32,
     /// Tokens of memory that its requests may need, prompts and answers together.
     pub held: u32,
+    /// Requests that ended of late.
+    pub ended: u32,
+    /// Of these, requests that failed by the endpoint.
+    pub failed: u32,
+}
+
+impl Load {
+    /// No work at `endpoint`.
+    pub fn none(endpoint: EndpointId) -> Load {
+        Load { endpoint, calls: 0, unread: 0, held: 0, ended: 0, failed: 0 }
+    }
+
+    /// True where there is nothing to tell.
+    pub fn is_none(&self) -> bool {
+        self.calls == 0 && self.ended == 0
+    }
 }
 
 /// A message between instances.
--- a/crates/rudder-core/tests/loads.rs
+++ b/crates/rudder-core/tests/loads.rs
@@ -7,7 +7,8 @@
 use rudder_model::InstanceId;
 
 fn load(endpoint: u8, calls: u32) -> Load {
-    Load { endpoint: format!("e-{endpoint}").into(), calls, unread: calls * 100, held: calls * 7 }
+    let (ended, failed) = (calls * 3, calls * 2);
+    Load { endpoint: format!("e-{endpoint}").into(), calls, unread: calls * 100, held: calls * 7, ended, failed }
 }
 
 fn name(instance: u8) -> InstanceId {
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -172,6 +172,15 @@
         /// How long.
         pause: Duration,
     },
+    /// The outcomes of all instances together make an endpoint suspect: it gets no work while they do.
+    Suspect {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Requests that ended there of late.
+        ended: u32,
+        /// Of these, requests that failed by it.
+        failed: u32,
+    },
     /// An ejected endpoint is back.
     Restored {
         /// The endpoint.
@@ -361,6 +370,7 @@
             | What::CallCut { endpoint, .. }
             | What::Endpoint { endpoint, .. }
             | What::Ejected { endpoint, .. }
+            | What::Suspect { endpoint, .. }
             | What::Restored { endpoint }
             | What::Ordered { endpoint, .. } => Some(endpoint),
             _ => None,
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -84,6 +84,9 @@
         What::Endpoint { endpoint, phase, sequence, .. } => {
             format!("learned that {endpoint} is {phase} (heartbeat {sequence})")
         }
+        What::Suspect { endpoint, ended, failed } => {
+            format!("leaves {endpoint} out: {failed} of its last {ended} requests failed, over all instances")
+        }
         What::Ejected { endpoint, why, pause } => format!("leaves {endpoint} out for {pause:?}: {why}"),
         What::Fresh { fresh: true, .. } => "can prove its configuration the newest again".to_owned(),
         What::Fresh { fresh: false, .. } => "can no longer prove its configuration the newest".to_owned(),
--- a/crates/rudder-gateway/src/balance.rs
+++ b/crates/rudder-gateway/src/balance.rs
@@ -1,15 +1,23 @@
 //! Work under way at endpoints: what this instance has sent, and what the others told of theirs.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    time::Instant,
+};
 
 use rudder_core::peer::Load;
 use rudder_model::EndpointId;
 
+use crate::recent::{Recent, Tally};
+
 /// Work of this instance at all endpoints, and the last word of the others.
 #[derive(Debug, Default)]
 pub struct Balance {
     own: HashMap<EndpointId, Load>,
     others: HashMap<EndpointId, Load>,
+    recent: Recent,
 }
 
 /// Work at one endpoint.
@@ -40,9 +48,33 @@
         self.others = loads.iter().map(|load| (load.endpoint.clone(), load.clone())).collect();
     }
 
+    /// Takes in the end of a request.
+    pub fn note_end(&mut self, endpoint: &EndpointId, failed: bool, now: Instant) {
+        self.recent.note(endpoint, failed, now);
+    }
+
+    /// What ended at `endpoint` of late, here and elsewhere.
+    pub fn tally(&self, endpoint: &str, now: Instant) -> Tally {
+        let mut tally = self.recent.at(endpoint, now);
+        if let Some(load) = self.others.get(endpoint) {
+            tally.add(Tally { ended: load.ended, failed: load.failed });
+        }
+        tally
+    }
+
     /// This instance's work, to tell the others.
-    pub fn to_loads(&self) -> Vec<Load> {
-        self.own.values().filter(|load| load.calls > 0).cloned().collect()
+    pub fn to_loads(&mut self, now: Instant) -> Vec<Load> {
+        self.recent.age(now);
+        let mut names: HashSet<&EndpointId> = self.recent.endpoints().collect();
+        names.extend(self.own.iter().filter(|(_, load)| load.calls > 0).map(|(endpoint, _)| endpoint));
+        let to_load = |endpoint: &EndpointId| {
+            let own = self.own.get(endpoint).cloned().unwrap_or_else(|| Load::none(endpoint.clone()));
+            let Tally { ended, failed } = self.recent.at(endpoint, now);
+            Load { ended, failed, ..own }
+        };
+        let mut loads: Vec<Load> = names.into_iter().map(to_load).collect();
+        loads.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        loads
     }
 
     /// Drops endpoints that are no longer known and have no work.
@@ -51,8 +83,7 @@
     }
 
     fn entry(&mut self, endpoint: &EndpointId) -> &mut Load {
-        let empty = || Load { endpoint: endpoint.clone(), calls: 0, unread: 0, held: 0 };
-        self.own.entry(endpoint.clone()).or_insert_with(empty)
+        self.own.entry(endpoint.clone()).or_insert_with(|| Load::none(endpoint.clone()))
     }
 }
 
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -72,6 +72,8 @@
 
 /// Takes in how a request ended at an endpoint.
 pub fn note_outcome<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, outcome: Outcome) {
+    let failed = matches!(outcome, Outcome::Failed | Outcome::Unreachable);
+    shared.balance.borrow_mut().note_end(endpoint, failed, Instant::now());
     let pause = shared.health.borrow_mut().note(endpoint, outcome, Instant::now());
     if let Some(pause) = pause {
         shared.metrics.note_ejection();
--- a/crates/rudder-gateway/src/health.rs
+++ b/crates/rudder-gateway/src/health.rs
@@ -2,7 +2,7 @@
 //! again with one request.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     time::{Duration, Instant},
 };
 
@@ -47,11 +47,15 @@
 #[derive(Debug, Default)]
 pub struct Health {
     standings: HashMap<EndpointId, Standing>,
+    suspects: HashSet<EndpointId>,
 }
 
 impl Health {
     /// True while `endpoint` is left out.
     pub fn is_ejected(&self, endpoint: &str, now: Instant) -> bool {
+        if self.suspects.contains(endpoint) {
+            return true;
+        }
         let until = self.standings.get(endpoint).and_then(|standing| standing.until);
         until.is_some_and(|until| now < until)
     }
@@ -86,6 +90,13 @@
         Some(pause)
     }
 
+    /// Sets the endpoints that all instances' outcomes together make suspect. Returns those that were not before.
+    pub fn set_suspects(&mut self, suspects: HashSet<EndpointId>) -> Vec<EndpointId> {
+        let new = suspects.difference(&self.suspects).cloned().collect();
+        self.suspects = suspects;
+        new
+    }
+
     /// Drops endpoints that are no longer known.
     pub fn retain(&mut self, known: impl Fn(&EndpointId) -> bool) {
         self.standings.retain(|endpoint, _| known(endpoint));
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 pub mod plan;
 pub mod reading;
+pub mod recent;
 pub mod run;
 pub mod serve;
 pub mod shared;
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -133,7 +133,7 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         shared.pool.borrow_mut().age(Instant::now());
-        let loads = shared.balance.borrow().to_loads();
+        let loads = shared.balance.borrow_mut().to_loads(Instant::now());
         if loads != told {
             told.clone_from(&loads);
             shared.tell(Event::Loads(loads));
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -9,9 +9,10 @@
 };
 
 use crossbeam_channel::Sender;
-use rudder_core::{Event, Listing, Registration, peer::Load};
+use rudder_core::{Event, Listing, Phase, Registration, peer::Load};
+use rudder_events::What;
 use rudder_ledger::Document;
-use rudder_model::InstanceId;
+use rudder_model::{EndpointId, InstanceId};
 use tokio::sync::{oneshot, watch};
 
 use crate::{
@@ -22,6 +23,7 @@
     logging::Log,
     metrics::{Metrics, Standing},
     reading::Reading,
+    recent::{self, Tally},
     upstream::Pool,
 };
 
@@ -202,14 +204,30 @@
     pub fn publish(&self, published: Published) {
         self.take_document(published.document.as_ref());
         self.balance.borrow_mut().set_others(&published.others);
-        let known = |endpoint: &rudder_model::EndpointId| {
-            published.endpoints.iter().any(|registration| registration.endpoint == *endpoint)
-        };
+        let known =
+            |endpoint: &EndpointId| published.endpoints.iter().any(|registration| registration.endpoint == *endpoint);
         self.balance.borrow_mut().retain(known);
         self.health.borrow_mut().retain(known);
+        self.judge(&published.endpoints);
         *self.view.borrow_mut() = Rc::new(published);
     }
 
+    /// Leaves out the endpoints that fail far more than the others of their service.
+    fn judge(&self, endpoints: &[Registration]) {
+        let (now, balance) = (Instant::now(), self.balance.borrow());
+        let mut services: HashMap<&str, Vec<(EndpointId, Tally)>> = HashMap::new();
+        for registration in endpoints.iter().filter(|registration| registration.phase == Phase::Ready) {
+            let tally = balance.tally(&registration.endpoint, now);
+            services.entry(&registration.service).or_default().push((registration.endpoint.clone(), tally));
+        }
+        let suspects = services.values().flat_map(|tallies| recent::suspects(tallies)).collect();
+        for endpoint in self.health.borrow_mut().set_suspects(suspects) {
+            let Tally { ended, failed } = balance.tally(&endpoint, now);
+            self.metrics.note_ejection();
+            self.log.write(What::Suspect { endpoint, ended, failed });
+        }
+    }
+
     fn take_document(&self, document: Option<&Document>) {
         let Some(document) = document else { return };
         let held = self.plan.borrow().as_ref().map_or(0, |plan| plan.version);
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -16,6 +16,7 @@
     lanes,
     plan::{Engine, Fault, Limits, Organisation, Pace, Share},
     reading::Reading,
+    recent::{Recent, Tally, suspects},
     stream::Events,
 };
 
@@ -66,7 +67,7 @@
 }
 
 fn load(endpoint: &str, calls: u32, unread: u32) -> Load {
-    Load { endpoint: endpoint.into(), calls, unread, held: 0 }
+    Load { calls, unread, ..Load::none(endpoint.into()) }
 }
 
 #[test]
@@ -106,6 +107,53 @@
     assert!(health.note(&"e-2".into(), Outcome::Replaced, now).is_some());
 }
 
+macro_rules! judged {
+    ($($(#[$meta:meta])* $name:ident: $tallies:expr => $expected:expr;)*) => {
+        $($(#[$meta])* #[test] fn $name() {
+            let tally = |(number, (ended, failed)): (usize, (u32, u32))| {
+                (Arc::<str>::from(number.to_string()), Tally { ended, failed })
+            };
+            let tallies: Vec<_> = $tallies.into_iter().enumerate().map(tally).collect();
+            let mut found: Vec<String> = suspects(&tallies).iter().map(ToString::to_string).collect();
+            found.sort();
+            let expected: &[&str] = &$expected;
+            assert_eq!(found, expected);
+        })*
+    };
+}
+
+judged! {
+    one_that_fails_where_others_do_not_is_suspect: [(10, 4), (10, 0), (12, 1), (9, 0)] => ["0"];
+    few_failures_are_no_proof: [(4, 2), (10, 0), (12, 0)] => [];
+    where_most_fail_it_is_the_requests: [(10, 4), (10, 5), (12, 5), (10, 0)] => [];
+    what_the_others_fail_as_well_is_no_mark: [(40, 10), (40, 9), (40, 9), (40, 9)] => [];
+    /// Were all of them left out, the rest would not bear the load.
+    at_most_two_in_five_are_suspect: [(9, 9), (9, 8), (9, 7), (9, 0), (9, 0), (9, 0)] => ["0", "1"];
+    the_unused_are_neither_suspect_nor_a_measure: [(10, 9), (0, 0), (0, 0), (10, 0)] => ["0"];
+}
+
+#[test]
+fn outcomes_count_for_five_seconds() {
+    let mut recent = Recent::default();
+    let (endpoint, now): (Arc<str>, _) = ("e-1".into(), Instant::now());
+    recent.note(&endpoint, true, now);
+    recent.note(&endpoint, false, now + Duration::from_secs(2));
+    assert_eq!(recent.at("e-1", now + Duration::from_secs(2)), Tally { ended: 2, failed: 1 });
+    assert_eq!(recent.at("e-1", now + Duration::from_secs(6)), Tally { ended: 1, failed: 0 });
+    recent.age(now + Duration::from_secs(9));
+    assert_eq!(recent.endpoints().count(), 0);
+}
+
+/// One of many instances sends few requests to one endpoint; with the others' outcomes it learns at once.
+#[test]
+fn outcomes_told_by_others_count_as_own() {
+    let (mut balance, now) = (Balance::default(), Instant::now());
+    balance.note_end(&"e-1".into(), true, now);
+    assert_eq!(balance.to_loads(now), vec![Load { ended: 1, failed: 1, ..Load::none("e-1".into()) }]);
+    balance.set_others(&[Load { ended: 5, failed: 2, ..Load::none("e-1".into()) }]);
+    assert_eq!(balance.tally("e-1", now), Tally { ended: 6, failed: 3 });
+}
+
 #[test]
 fn the_longest_prefix_serves_a_path() {
     let mut plan = plan();
