--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -23,10 +23,10 @@
 
 /// Each token of its session's part that an engine lacks counts as this many prompt tokens ahead there: it
 /// is read again, for which the engine's other requests wait as well, and its copy takes others' place.
-const READ_AGAIN: u64 = 5;
+const READ_AGAIN: u64 = 8;
 /// What an engine lacks never counts for more than the reading of this part of the route's target, so that a
 /// request leaves its engines before it would come late there.
-const READ_AGAIN_MOST: f64 = 0.5;
+const READ_AGAIN_MOST: f64 = 0.7;
 
 /// A guest of the quick lane and all that is unread there have at most this many prompt tokens.
 const GUEST: u32 = 4_000;
