--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -31,6 +31,9 @@
 /// A guest of the quick lane and all that is unread there have at most this many prompt tokens.
 const GUEST: u32 = 4_000;
 
+/// An engine of another hall counts as this many prompt tokens behind for a quick stream: a packet lost between
+/// halls is sent again after 200 ms, about the pause that the stream allows.
+const FAR_COST: u64 = 900;
 /// Engines of the quick lane drawn by lot for a guest, the better of which takes it.
 const GUEST_DRAWN: usize = 2;
 /// Quick streams expected to have at least this many tokens, which take about a second, have their memory copied
@@ -176,10 +179,12 @@
         let full = work.held + prompt.tokens > engine.memory;
         let ahead = u64::from(work.unread) + u64::from(work.calls) * CALL_COST;
         let again = (u64::from(lacked(held)) * READ_AGAIN).min(stray_most);
-        ahead + again + if full { MEMORY_COST } else { 0 }
+        let far = pace == Pace::Quick && held.hall != *inputs.hall;
+        ahead + again + if full { MEMORY_COST } else { 0 } + if far { FAR_COST } else { 0 }
     };
-    let drawn = draw(engines, &homes);
-    let chosen = drawn.into_iter().min_by_key(|held| (cost(held), rand::random::<u32>()))?;
+    let near = if pace == Pace::Quick { in_hall(inputs, engines) } else { Vec::new() };
+    let drawn = draw(engines, &homes).into_iter().chain(draw(&near, &[]));
+    let chosen = drawn.min_by_key(|held| (cost(held), rand::random::<u32>()))?;
     let keepers = if engines.len() > 1 { engines } else { &lanes.bulk };
     let copied = engine.copies && pace == Pace::Quick && prompt.expected_answer() >= COPIED;
     let keeper = if copied { draw_keeper(keepers, chosen) } else { None };
@@ -194,6 +199,10 @@
     drawn
 }
 
+fn in_hall<'a>(inputs: &Inputs, engines: &[&'a Registration]) -> Vec<&'a Registration> {
+    engines.iter().copied().filter(|held| held.hall == *inputs.hall).collect()
+}
+
 /// Another engine than the chosen one, by lot.
 fn draw_keeper(engines: &[&Registration], chosen: &Registration) -> Option<Keeper> {
     let others: Vec<&&Registration> = engines.iter().filter(|held| held.endpoint != chosen.endpoint).collect();
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -4,6 +4,8 @@
 //! get engines of their own. Every instance ranks the engines by the same hash and sees about the same
 //! load, so all draw the same line without a word between them.
 
+use std::collections::BTreeMap;
+
 use rudder_core::Registration;
 use rudder_model::id;
 
@@ -34,10 +36,25 @@
         return Lanes { quick: engines.clone(), bulk: engines };
     }
     engines.sort_by_cached_key(|engine| id::rendezvous(service, &engine.endpoint));
+    take_halls_in_turn(&mut engines);
     let bulk = engines.split_off(quick_count(&engines, balance));
     Lanes { quick: engines, bulk }
 }
 
+/// Ranks the first of each hall before the second of any, so that the quick lane has as many engines in each.
+fn take_halls_in_turn(ranked: &mut Vec<&Registration>) {
+    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut turns: Vec<(usize, &Registration)> = Vec::with_capacity(ranked.len());
+    for engine in ranked.drain(..) {
+        let count = counts.entry(&engine.hall).or_default();
+        *count += 1;
+        turns.push((*count, engine));
+    }
+    // The sort is stable: within a turn the hash decides.
+    turns.sort_by_key(|(turn, _)| *turn);
+    ranked.extend(turns.into_iter().map(|(_, engine)| engine));
+}
+
 /// How many of the ranked engines the quick lane has.
 fn quick_count(ranked: &[&Registration], balance: &Balance) -> usize {
     let largest = ((ranked.len() as f64 * LARGEST) as usize).max(1);
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -217,6 +217,18 @@
     assert_eq!([size(2), size(6), size(9), size(12), size(90)], [1, 2, 2, 2, 18]);
 }
 
+/// Quick streams stay in their hall, so a lane that has most of its engines in one hall is not balanced.
+#[test]
+fn the_quick_lane_has_as_many_engines_in_each_hall() {
+    let mut engines = engines(90);
+    for (number, engine) in engines.iter_mut().enumerate() {
+        engine.hall = format!("hall-{}", number % 3).as_str().into();
+    }
+    let lanes = lanes::divide(engines.iter().collect(), "svc", &Balance::default());
+    let count = |hall: &str| lanes.quick.iter().filter(|engine| &*engine.hall == hall).count();
+    assert_eq!([count("hall-0"), count("hall-1"), count("hall-2")], [6, 6, 6]);
+}
+
 #[test]
 fn all_instances_draw_the_same_line() {
     let mut engines = engines(9);
@@ -310,6 +322,34 @@
     assert_ne!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some(home.as_str()));
 }
 
+/// A packet lost between halls costs a quick stream the whole pause that it allows.
+#[test]
+fn quick_streams_stay_in_their_hall_until_it_is_busy() {
+    let mut scene = Scene::new();
+    scene.engines = engines(30);
+    for (number, engine) in scene.engines.iter_mut().enumerate() {
+        engine.hall = if number % 3 == 0 { "a".into() } else { "b".into() };
+    }
+    let lane = lanes::divide(scene.engines.iter().collect(), "svc", &scene.balance).quick;
+    let near: Vec<String> =
+        lane.iter().filter(|held| &*held.hall == "a").map(|held| held.endpoint.to_string()).collect();
+    assert!(!near.is_empty() && near.len() < lane.len(), "the lane has engines in both halls: {near:?}");
+    let part = |id, tokens| PromptPart { id, tokens };
+    let prompt =
+        |session| Prompt { tokens: 700, parts: vec![part(1, 100), part(session, 70), part(9, 530)], ..prompt(5) };
+    for session in 0..50 {
+        let chosen = scene.choose("/grade/", &prompt(session + 2), &[]).expect("a choice");
+        assert!(near.contains(&chosen), "{chosen}");
+    }
+    let busy: Vec<Load> = near.iter().map(|endpoint| load(endpoint, 30, 1000)).collect();
+    scene.balance.set_others(&busy);
+    let far = (0..50).filter(|session| {
+        let chosen = scene.choose("/grade/", &prompt(session + 2), &[]).expect("a choice");
+        !near.contains(&chosen)
+    });
+    assert!(far.count() > 40);
+}
+
 /// A copy costs what it copies, and pays for streams that are under way for long.
 #[test]
 fn only_long_quick_streams_have_their_memory_copied() {
