--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -131,43 +131,6 @@
     Ok(send_on(shared, call, progress, choice, connection, from).await)
 }
 
-/// Goes on with a stream whose endpoint has ended, at the endpoint that keeps a copy of its memory. This counts
-/// as the same run, also on routes whose requests run at most once; so the first endpoint must have ended: one
-/// that can still be reached may have only broken off, and may be at work still.
-pub async fn go_on_from_copy<D: Dialect>(
-    shared: &Rc<Shared<D>>,
-    call: &Call,
-    progress: &mut Progress,
-    last_event: Option<u64>,
-) -> Option<Leg> {
-    let before = progress.last.take()?;
-    let keeper = before.keeper.as_ref()?;
-    let instances = shared.view.borrow().entries.len();
-    if !upstream::is_gone(&before.address).await
-        || !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances)
-    {
-        return None;
-    }
-    note_outcome(shared, &before.endpoint, Outcome::Unreachable);
-    let choice = Choice {
-        endpoint: keeper.endpoint.clone(),
-        address: keeper.address.clone(),
-        unread: 0,
-        keeper: None,
-        ..before.clone()
-    };
-    let connection = connect(shared, call, &choice).await.ok()?;
-    check_still_allowed(shared, call, progress).ok()?;
-    let from = Resume { last_event: last_event.or(Some(0)), copy: true };
-    let leg = send_on(shared, call, progress, choice, connection, from).await.ok()?;
-    if leg.response.status().is_success() && !leg.head.not_run {
-        shared.metrics.note_resume();
-        return Some(leg);
-    }
-    log_failure(shared, call, progress, &leg.choice, "it keeps no copy", Ran::No);
-    None
-}
-
 /// Refuses a stream of the lowest rank at once where its engine, the best there is, has so much to read
 /// that it would come late and make the streams behind it late too.
 fn check_not_hopeless<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
@@ -189,7 +152,7 @@
     Err(not_run("its engines have too much to read", wait.saturating_sub(call.route.target / 2)))
 }
 
-async fn send_on<D: Dialect>(
+pub(super) async fn send_on<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: &Call,
     progress: &mut Progress,
@@ -285,7 +248,11 @@
 }
 
 /// The key and the route are looked at again just before a request goes out: it may have waited.
-fn check_still_allowed<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Result<(), Refusal> {
+pub(super) fn check_still_allowed<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    progress: &Progress,
+) -> Result<(), Refusal> {
     let come_back = shared.options.recover;
     let refusal = |why| {
         if progress.ran == 0 {
@@ -330,7 +297,11 @@
     services.find_map(|service| choose::choose(&inputs, &call.route, service, call.prompt.as_ref(), &progress.tried))
 }
 
-async fn connect<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<Connection, &'static str> {
+pub(super) async fn connect<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    choice: &Choice,
+) -> Result<Connection, &'static str> {
     let now = Instant::now();
     let once = !call.route.may_repeat();
     let rested = shared.pool.borrow_mut().take(&choice.endpoint, once, now);
--- /dev/null
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -0,0 +1,48 @@
+//! Going on from a copy of a request's memory when its endpoint has ended.
+
+use std::{rc::Rc, time::Instant};
+
+use rudder_model::Ran;
+
+use super::{
+    Call, Leg, Progress, Resume,
+    attempt::{check_still_allowed, connect, log_failure, note_outcome, send_on},
+};
+use crate::{Dialect, choose::Choice, health::Outcome, shared::Shared, upstream};
+
+/// Goes on with a stream whose endpoint has ended, at the endpoint that keeps a copy of its memory. This counts
+/// as the same run, also on routes whose requests run at most once; so the first endpoint must have ended: one
+/// that can still be reached may have only broken off, and may be at work still.
+pub async fn go_on_from_copy<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    call: &Call,
+    progress: &mut Progress,
+    last_event: Option<u64>,
+) -> Option<Leg> {
+    let before = progress.last.take()?;
+    let keeper = before.keeper.as_ref()?;
+    let instances = shared.view.borrow().entries.len();
+    if !upstream::is_gone(&before.address).await
+        || !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances)
+    {
+        return None;
+    }
+    note_outcome(shared, &before.endpoint, Outcome::Unreachable);
+    let choice = Choice {
+        endpoint: keeper.endpoint.clone(),
+        address: keeper.address.clone(),
+        unread: 0,
+        keeper: None,
+        ..before.clone()
+    };
+    let connection = connect(shared, call, &choice).await.ok()?;
+    check_still_allowed(shared, call, progress).ok()?;
+    let from = Resume { last_event: last_event.or(Some(0)), copy: true };
+    let leg = send_on(shared, call, progress, choice, connection, from).await.ok()?;
+    if leg.response.status().is_success() && !leg.head.not_run {
+        shared.metrics.note_resume();
+        return Some(leg);
+    }
+    log_failure(shared, call, progress, &leg.choice, "it keeps no copy", Ran::No);
+    None
+}
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -8,10 +8,12 @@
 //! - [`admit`]: reading a request, its route and its key;
 //! - [`send`]: the loop over endpoints, and the answer;
 //! - [`attempt`]: one endpoint, from the choice to the head of its answer;
+//! - [`copies`]: going on elsewhere, from a copy of its memory, with a stream whose endpoint has ended;
 //! - [`refusal`]: final answers of the instance itself.
 
 pub mod admit;
 pub mod attempt;
+pub mod copies;
 pub mod refusal;
 pub mod send;
 
@@ -29,7 +31,8 @@
 use rudder_model::EndpointId;
 
 pub use admit::strip_hop_headers;
-pub use attempt::{attempt, go_on_from_copy, log_failure, may_send_again, note_outcome, put_back};
+pub use attempt::{attempt, log_failure, may_send_again, note_outcome, put_back};
+pub use copies::go_on_from_copy;
 pub use refusal::Refusal;
 
 use crate::{
