--- a/crates/rudder-gateway/src/stop.rs
+++ b/crates/rudder-gateway/src/stop.rs
@@ -17,9 +17,11 @@
 const LIST_MARGIN: Duration = Duration::from_millis(700);
 /// Idle connections have this long to end before the process does.
 const CLOSE: Duration = Duration::from_millis(300);
-/// Idle connections are closed after this part of the grace at the latest, whatever callers' lists say: a
-/// caller with an older list finds a closed door at once and takes another instance.
-const SERVE: f64 = 0.46;
+/// New requests are taken for this long, and for this part of the grace at the latest, whatever callers' lists
+/// say: a long stream taken later might be cut off by the end of the grace, and a caller with an older list finds
+/// a closed door at once and takes another instance.
+const SERVE: Duration = Duration::from_millis(2800);
+const SERVE_MOST: f64 = 0.35;
 /// Part of the grace after which what is still under way is cut off.
 const CUT: f64 = 0.92;
 /// Time between looks at what is under way.
@@ -33,7 +35,7 @@
     let options = &shared.options;
     let lists = options.keep * options.keep_stretch + LIST_MARGIN;
     let last = options.grace.mul_f64(CUT);
-    tokio::time::sleep(lists.min(options.grace.mul_f64(SERVE))).await;
+    tokio::time::sleep(lists.min(SERVE).min(options.grace.mul_f64(SERVE_MOST))).await;
     shared.stage.send_replace(Stage::Closing);
     tokio::time::sleep(CLOSE).await;
     while shared.open.get() > 0 && began.elapsed() < last {
