--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -24,7 +24,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, Method, Request, Response, Uri, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rudder_events::What;
@@ -40,9 +40,9 @@
     balance::Flight,
     body::AnswerBody,
     choose::Choice,
-    dialect::{AnswerHead, Forward, Prompt},
+    dialect::{AnswerHead, CallHead, Forward, Prompt},
     metrics::Ending,
-    shared::Shared,
+    shared::{Shared, Stage},
     upstream::Connection,
 };
 
@@ -54,6 +54,9 @@
 const STREAM_PATIENCE: u32 = 3;
 const STREAM_LEAST: Duration = Duration::from_millis(1200);
 
+/// A request that a stopping instance no longer takes can go to another at once.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 /// A request that has been read and may be sent.
 #[derive(Debug)]
 pub struct Call {
@@ -163,8 +166,13 @@
     let head = shared.dialect.read_call(&parts);
     let id = head.id.clone();
     let mut open = Open { shared: shared.clone(), id: id.clone(), arrived, answered: false };
-    let answer = match admit::read(&shared, arrived, parts, head, body).await {
-        Ok(call) => send::send(&shared, call).await,
+    let read = match *shared.stage.borrow() {
+        // It came while its connection was being closed.
+        Stage::Closing => Err(refusal::not_run("the instance is stopping", ELSEWHERE)),
+        Stage::Serving | Stage::Leaving => Ok(()),
+    };
+    let answer = match read {
+        Ok(()) => admit_and_send(&shared, arrived, parts, head, body).await,
         Err(refusal) => Err(refusal),
     };
     open.answered = true;
@@ -174,6 +182,17 @@
     })
 }
 
+async fn admit_and_send<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    arrived: Instant,
+    parts: request::Parts,
+    head: CallHead,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let call = admit::read(shared, arrived, parts, head, body).await?;
+    send::send(shared, call).await
+}
+
 impl Call {
     /// How long an endpoint may be silent before another one is tried, where the request may be repeated.
     pub fn patience(&self) -> Duration {
--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -67,8 +67,9 @@
 }
 
 async fn serve<D: Dialect>(shared: Rc<Shared<D>>, stream: TcpStream, door: Door) {
-    if upstream::tune(&stream).is_err() {
-        // The caller has gone already.
+    let closed = door == Door::Callers && *shared.stage.borrow() == Stage::Closing;
+    if closed || upstream::tune(&stream).is_err() {
+        // Closed without having read anything, the caller asks elsewhere; or the caller has gone already.
         return;
     }
     let limits = shared.current_plan().map_or_else(Limits::default, |plan| plan.limits);
