--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -12,17 +12,18 @@
 
 /// Goes on with a stream whose endpoint has ended, at the endpoint that keeps a copy of its memory. This counts
 /// as the same run, also on routes whose requests run at most once; so the first endpoint must have ended: one
-/// that can still be reached may have only broken off, and may be at work still.
+/// that can still be reached may have only broken off, and may be at work still. Before the first whole event there is
+/// no copy to go on from.
 pub async fn go_on_from_copy<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: &Call,
     progress: &mut Progress,
-    last_event: Option<u64>,
+    last_event: u64,
 ) -> Option<Leg> {
     let before = progress.last.take()?;
     let keeper = before.keeper.as_ref()?;
     let instances = shared.view.borrow().entries.len();
-    if !upstream::is_gone(&before.address).await
+    if !upstream::has_ended(&before.address).await
         || !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances)
     {
         return None;
@@ -37,7 +38,7 @@
     };
     let connection = connect(shared, call, &choice).await.ok()?;
     check_still_allowed(shared, call, progress).ok()?;
-    let from = Resume { last_event: last_event.or(Some(0)), copy: true };
+    let from = Resume { last_event: Some(last_event), copy: true };
     let leg = send_on(shared, call, progress, choice, connection, from).await.ok()?;
     if leg.response.status().is_success() && !leg.head.not_run {
         shared.metrics.note_resume();
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -11,7 +11,6 @@
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume,
     attempt::{CONNECTS, attempt, may_send_again, note_not_run, note_outcome, put_back},
-    copies::go_on_from_copy,
     refusal::{give_up, is_promise},
     strip_hop_headers,
 };
@@ -32,11 +31,6 @@
                 if may_go_on(shared, &call, &mut progress, &failure) {
                     continue;
                 }
-                if matches!(failure, Failure::Lost(_))
-                    && let Some(leg) = go_on_from_copy(shared, &call, &mut progress, call.last_event).await
-                {
-                    return Ok(stream::start(shared, call, progress, leg));
-                }
                 return spare.ok_or_else(|| give_up(shared, &progress, &failure));
             }
         };
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -236,7 +236,7 @@
 
     async fn go_on_from_copy(&mut self) -> Option<Leg> {
         self.events.drop_pending();
-        let last = self.events.last.or(self.call.last_event);
+        let last = self.events.last?;
         let next = call::go_on_from_copy(self.shared, &self.call, &mut self.progress, last);
         timeout_at(self.call.until.into(), next).await.ok()?
     }
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -18,7 +18,7 @@
 /// A connection to an endpoint is given this long to come up. One whose first packet is lost is tried again by
 /// the system after a second only, so another endpoint is the better try.
 pub const CONNECT: Duration = Duration::from_millis(200);
-/// An endpoint that has not taken a connection within this time has ended or is out of reach.
+/// A question whether an endpoint has ended is answered within this time, or left open.
 const PROBE: Duration = Duration::from_millis(100);
 /// An idle connection whose endpoint told no time is used again within this.
 const REST: Duration = Duration::from_secs(4);
@@ -137,10 +137,12 @@
     Ok(Connection { sender, _guard: Guard(task), carried: 0 })
 }
 
-/// True where nobody listens at `address` any more, or nothing comes from there.
-pub async fn is_gone(address: &str) -> bool {
-    let Ok(target) = address.parse::<SocketAddr>() else { return true };
-    !matches!(tokio::time::timeout(PROBE, TcpStream::connect(target)).await, Ok(Ok(_)))
+/// True where nobody listens at `address` any more: connections are refused. Silence proves nothing, a packet may
+/// have been lost.
+pub async fn has_ended(address: &str) -> bool {
+    let Ok(target) = address.parse::<SocketAddr>() else { return false };
+    let probe = tokio::time::timeout(PROBE, TcpStream::connect(target)).await;
+    matches!(probe, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
 }
 
 /// No delay for small writes, and an end to connections whose other side has gone silent.
