--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -29,9 +29,12 @@
         return None;
     }
     note_outcome(shared, &before.endpoint, Outcome::Unreachable);
+    let work = shared.balance.borrow().at(&keeper.endpoint);
     let choice = Choice {
         endpoint: keeper.endpoint.clone(),
         address: keeper.address.clone(),
+        calls: work.calls,
+        ahead: work.unread,
         unread: 0,
         keeper: None,
         ..before.clone()
