--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -165,6 +165,7 @@
             return;
         }
         let start = listing.start;
+        let chooses = listing.address.is_some();
         self.list(now, listing);
         self.hear(now, &from, &watch.heard, out);
         self.loads.tell(now, &from, watch.loads);
@@ -189,7 +190,8 @@
             newest,
             document,
             registry: self.registry.news_after(watch.registry),
-            loads: self.loads.without(&from),
+            // Only who takes callers chooses among endpoints.
+            loads: if chooses { self.loads.without(&from) } else { Vec::new() },
         };
         out.push(Effect::Send { to: from, message: PeerMessage::Watched(Box::new(watched)) });
     }
--- a/crates/rudder-core/src/options.rs
+++ b/crates/rudder-core/src/options.rs
@@ -13,8 +13,8 @@
     pub hall: HallId,
     /// Number of this start.
     pub start: Start,
-    /// Where callers reach it.
-    pub address: String,
+    /// Where callers reach it; `None` where it takes none.
+    pub address: Option<String>,
     /// Wall-clock time since the Unix epoch at which the instance's own time was zero.
     pub epoch: Duration,
 }
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -17,8 +17,8 @@
     pub name: InstanceId,
     /// Its hall.
     pub hall: HallId,
-    /// Where callers reach it.
-    pub address: String,
+    /// Where callers reach it; `None` where it takes none.
+    pub address: Option<String>,
     /// Number of its start.
     pub start: Start,
     /// It is in a planned stop.
@@ -27,6 +27,13 @@
     pub replica: Option<ReplicaId>,
 }
 
+impl Listing {
+    /// True while callers may be sent to it.
+    pub fn takes_callers(&self) -> bool {
+        self.address.is_some() && !self.stopping
+    }
+}
+
 /// A question to the leader.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Watch {
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -174,10 +174,10 @@
         self.is_alive(entry, id::start_of(request))
     }
 
-    /// Entries for callers: nearest hall first, without those leaving or stopping.
+    /// Entries for callers: nearest hall first, without those leaving or stopping and those that take no callers.
     pub fn to_entries(&self, nearest: &[HallId]) -> Vec<Listing> {
-        let live = self.directory.values().filter(|listing| !listing.stopping && !self.is_marked(&listing.name));
-        let mut entries: Vec<Listing> = live.cloned().collect();
+        let takes = |listing: &&Listing| listing.takes_callers() && !self.is_marked(&listing.name);
+        let mut entries: Vec<Listing> = self.directory.values().filter(takes).cloned().collect();
         let distance = |hall: &HallId| nearest.iter().position(|near| near == hall).unwrap_or(nearest.len());
         entries.sort_by_key(|listing| (distance(&listing.hall), listing.name.clone()));
         entries
--- a/crates/rudder-core/tests/alone/mod.rs
+++ b/crates/rudder-core/tests/alone/mod.rs
@@ -32,7 +32,8 @@
 impl Alone {
     /// An instance that leads.
     pub fn new() -> Alone {
-        let me = Me { name: "a".into(), hall: "h".into(), start: 1, address: "a".to_owned(), epoch: Duration::ZERO };
+        let me =
+            Me { name: "a".into(), hall: "h".into(), start: 1, address: Some("a".to_owned()), epoch: Duration::ZERO };
         let options = Options {
             seats: vec!["a".into()],
             founders: vec!["a".into()],
--- a/crates/rudder-core/tests/documents.rs
+++ b/crates/rudder-core/tests/documents.rs
@@ -167,7 +167,7 @@
     let listing = Listing {
         name: "10.0.9.9:7000".into(),
         hall: "hall-0".into(),
-        address: "caller".to_owned(),
+        address: Some("caller".to_owned()),
         start,
         stopping: false,
         replica: None,
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -108,7 +108,7 @@
             name: node.name.clone(),
             hall: format!("hall-{}", number % 3).as_str().into(),
             start: node.starts * 1000 + number as u64,
-            address: format!("caller-{number}"),
+            address: Some(format!("caller-{number}")),
             epoch: Duration::from_secs(1_000_000),
         };
         let options = Options {
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -217,7 +217,7 @@
             name: seat.name.clone(),
             hall: hall.into(),
             start: self.start,
-            address: seat.name.to_string(),
+            address: Some(seat.name.to_string()),
             epoch: Duration::from_secs(1_000_000),
         };
         let mut nearest = HALLS.to_vec();
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -37,7 +37,7 @@
         return false;
     }
     let Some(service) = progress.chosen.clone() else { return true };
-    let instances = shared.view.borrow().entries.len();
+    let instances = shared.view.borrow().sender_count();
     shared.budget.borrow_mut().try_take(&service, now, instances)
 }
 
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -22,7 +22,7 @@
 ) -> Option<Leg> {
     let before = progress.last.take()?;
     let keeper = before.keeper.as_ref()?;
-    let instances = shared.view.borrow().entries.len();
+    let instances = shared.view.borrow().sender_count();
     if !upstream::has_ended(&before.address).await
         || !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances)
     {
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -71,7 +71,7 @@
         name: name.clone(),
         hall: options.hall.clone(),
         start: rand::random(),
-        address: options.doors.callers.to_string(),
+        address: options.doors.callers.map(|callers| callers.to_string()),
         epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
     };
     let (disk, durable) = open_disk(options, &name, inputs)?;
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -1,26 +1,34 @@
 //! Settings of the entry.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, time::Duration};
 
 use rudder_model::{HallId, InstanceId};
 
-/// Where an instance listens.
+/// Where an instance listens. Which doors it has is its part in the deployment: one without a door for callers
+/// stands in no list that callers get, and serves the configuration and the lists of instances and endpoints only.
 #[derive(Clone, Debug)]
 pub struct Doors {
     /// For callers.
-    pub callers: SocketAddr,
+    pub callers: Option<SocketAddr>,
     /// For questions whether it takes callers.
-    pub ready: SocketAddr,
+    pub ready: Option<SocketAddr>,
     /// For operators and endpoints.
-    pub operators: SocketAddr,
+    pub operators: Option<SocketAddr>,
     /// For callers who ask which instances to use.
-    pub directory: SocketAddr,
+    pub directory: Option<SocketAddr>,
     /// For other instances; its text is the instance's name.
     pub peers: SocketAddr,
     /// For metrics, where they are wanted.
     pub metrics: Option<SocketAddr>,
 }
 
+impl Doors {
+    /// The doors that are not for callers' requests, each address once: one address may serve several.
+    pub fn others(&self) -> BTreeSet<SocketAddr> {
+        [self.ready, self.operators, self.directory].into_iter().flatten().collect()
+    }
+}
+
 /// Settings of one instance.
 #[derive(Clone, Debug)]
 pub struct Options {
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -63,16 +63,15 @@
     let doors = shared.options.doors.clone();
     let inputs: Rc<Sender<Event>> = Rc::new(shared.inputs.clone());
     tokio::task::spawn_local(peers::accept(serve::listen(doors.peers)?, inputs));
-    let mut others = vec![doors.ready, doors.operators, doors.directory];
-    others.sort_unstable();
-    others.dedup();
-    for address in others {
+    for address in doors.others() {
         tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Others));
     }
     if let Some(address) = doors.metrics {
         tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Metrics));
     }
-    tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(doors.callers)?, Door::Callers));
+    if let Some(address) = doors.callers {
+        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Callers));
+    }
     tokio::task::spawn_local(take_notices(shared.clone(), notices));
     tokio::task::spawn_local(keep_house(shared.clone()));
     let mut terminate = signal(SignalKind::terminate()).wrap_err("listen for signals")?;
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -40,6 +40,13 @@
     pub others: Vec<Load>,
 }
 
+impl Published {
+    /// Live instances that take callers, and so send to endpoints.
+    pub fn sender_count(&self) -> usize {
+        self.entries.iter().filter(|listing| listing.address.is_some()).count()
+    }
+}
+
 /// The answer to something that waits for the reducer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -244,10 +251,10 @@
     /// Addresses for a caller in `hall`: those of its hall, or all where the hall has fewer than two.
     pub fn to_entries(&self, hall: Option<&str>) -> Vec<Arc<str>> {
         let view = self.view.borrow();
-        let live: Vec<&Listing> = view.entries.iter().filter(|listing| !listing.stopping).collect();
+        let live: Vec<&Listing> = view.entries.iter().filter(|listing| listing.takes_callers()).collect();
         let near: Vec<&Listing> =
             live.iter().copied().filter(|listing| hall.is_some_and(|hall| *listing.hall == *hall)).collect();
         let chosen = if near.len() >= 2 { near } else { live };
-        chosen.into_iter().map(|listing| Arc::from(listing.address.as_str())).collect()
+        chosen.into_iter().filter_map(|listing| listing.address.as_deref()).map(Arc::from).collect()
     }
 }
--- a/crates/rudder-node/src/start.rs
+++ b/crates/rudder-node/src/start.rs
@@ -109,7 +109,7 @@
         name: settings.name.get_ref().clone(),
         hall: settings.me().hall.clone(),
         start,
-        address: settings.me().address.get_ref().to_string(),
+        address: Some(settings.me().address.get_ref().to_string()),
         epoch: wall,
     };
     let traffic = Arc::new(Traffic::default());
