refactor(gateway): the weights and switches of the decisions are a policy with defaults, read from a file

Cause: what each mechanism is worth could only be measured by editing constants in four modules. No decision changed.

--- a/crates/hatchrudder/src/command/instance.rs
+++ b/crates/hatchrudder/src/command/instance.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, thread, time::Duration};
 
 use eyre::WrapErr as _;
+use hatchrudder_platform::Policy;
 use pico_args::Arguments;
 use rudder_node::{Listeners, listen::listen};
 use rudder_settings::Settings;
@@ -54,13 +55,16 @@
 /// Runs one instance on the users' platform.
 pub(super) fn platform(mut arguments: Arguments) -> Result<bool, Error> {
     let given: Option<PathBuf> = arguments.opt_value_from_str("--settings")?;
+    let policy: Option<PathBuf> = arguments.opt_value_from_str("--policy")?;
     no_more(arguments)?;
+    let policy = policy.map_or_else(|| Ok(Policy::default()), |path| Policy::read(&path));
+    let policy = policy.map_err(|error| Error::Usage(error.to_string()))?;
     let variable = hatchrudder_platform::SETTINGS_VARIABLE;
     let path = given.or_else(|| std::env::var_os(variable).map(PathBuf::from));
     let path = path.ok_or_else(|| Error::Usage(format!("neither --settings nor {variable} is given")))?;
     let settings = hatchrudder_platform::settings::read(&path).map_err(|error| Error::Usage(error.to_string()))?;
     settings.to_options().map_err(|error| Error::Usage(error.to_string()))?;
-    hatchrudder_platform::run(&path)?;
+    hatchrudder_platform::run(&path, policy)?;
     Ok(true)
 }
 
--- a/crates/hatchrudder/src/help.rs
+++ b/crates/hatchrudder/src/help.rs
@@ -41,10 +41,11 @@
 Runs one instance until SIGTERM or SIGINT begins a planned stop: it goes off the lists at once,
 serves callers that hold an old list, finishes what is in flight, then ends with exit code 0.";
 
-const PLATFORM: &str = "usage: hatchrudder platform [--settings FILE]
+const PLATFORM: &str = "usage: hatchrudder platform [--settings FILE] [--policy FILE]
 
 Runs one instance on the users' platform, from the settings file that the platform places (its path
-stands in HATCHRUDDER_NODE_FILE). SIGTERM begins a planned stop, SIGHUP reads the settings anew.
+stands in HATCHRUDDER_NODE_FILE). The policy file sets weights of the decisions and switches mechanisms
+off; what it does not name has its default (deploy/policy.toml). SIGTERM begins a planned stop, SIGHUP reads the settings anew.
 Logs are JSON lines on standard output.";
 
 const STAND_IN: &str = "usage: hatchrudder stand-in --listen ADDR [--service] [--slots N] [--pace TIME]
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -74,6 +74,9 @@
 pub fn note_outcome<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, outcome: Outcome) {
     let failed = matches!(outcome, Outcome::Failed | Outcome::Unreachable);
     shared.balance.borrow_mut().note_end(endpoint, failed, Instant::now());
+    if !shared.options.policy.guard.ejection && outcome != Outcome::Replaced {
+        return;
+    }
     let pause = shared.health.borrow_mut().note(endpoint, outcome, Instant::now());
     if let Some(pause) = pause {
         shared.metrics.note_ejection();
@@ -135,6 +138,9 @@
 /// that it would come late and make the streams behind it late too.
 fn check_not_hopeless<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
+    if !shared.options.policy.guard.hopeless {
+        return Ok(());
+    }
     if call.route.kind != RouteKind::Stream || call.prompt.is_none() || !plan.is_lowest(&call.route, &choice.service) {
         return Ok(());
     }
@@ -199,10 +205,11 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, Failure> {
-    let impatient = call.until.min(Instant::now() + call.patience());
+    let patient_until = call.until.min(Instant::now() + call.patience());
     let mut answer = std::pin::pin!(connection.send(request));
-    let mut answered = timeout_at(impatient.into(), answer.as_mut()).await;
-    if answered.is_err() && call.route.may_repeat() && may_send_again(shared, call, progress) {
+    let mut answered = timeout_at(patient_until.into(), answer.as_mut()).await;
+    let impatient = shared.options.policy.guard.impatience && call.route.may_repeat();
+    if answered.is_err() && impatient && may_send_again(shared, call, progress) {
         note_outcome(shared, &choice.endpoint, Outcome::Failed);
         log_failure(shared, call, progress, choice, "it is silent", Ran::Unknown);
         return Err(Failure::Silent);
@@ -288,6 +295,7 @@
         reading: &reading,
         hall: &shared.options.hall,
         plan: &plan,
+        policy: &shared.options.policy,
         now: Instant::now(),
     };
     let first = choose::service_of(&call.route, rand::random())?;
--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -7,41 +7,17 @@
 use rudder_model::{EndpointId, HallId, id};
 
 use crate::{
-    Plan,
+    Plan, Policy,
     balance::Balance,
     dialect::Prompt,
     health::Health,
-    lanes::{self, Lanes},
-    plan::{Engine, Pace, Route},
+    lanes::{self, Lanes, Pace},
+    plan::{Engine, Route},
     reading::Reading,
 };
 
-/// Each request under way at an engine counts as this many prompt tokens ahead.
-const CALL_COST: u64 = 60;
-/// An engine whose memory would run out counts as this many prompt tokens behind.
-const MEMORY_COST: u64 = 40_000;
-
-/// Each token of its session's part that an engine lacks counts as this many prompt tokens ahead there: it
-/// is read again, for which the engine's other requests wait as well, and its copy takes others' place.
-const READ_AGAIN: u64 = 8;
-/// What an engine lacks never counts for more than the reading of this part of the route's target, so that a
-/// request leaves its engines before it would come late there.
-const READ_AGAIN_MOST: f64 = 0.7;
-
-/// A guest of the quick lane and all that is unread there have at most this many prompt tokens.
-const GUEST: u32 = 4_000;
-
-/// An engine of another hall counts as this many prompt tokens behind for a quick stream: a packet lost between
-/// halls is sent again after 200 ms, about the pause that the stream allows.
-const FAR_COST: u64 = 900;
 /// Engines of the quick lane drawn by lot for a guest, the better of which takes it.
 const GUEST_DRAWN: usize = 2;
-/// Quick streams expected to have at least this many tokens, which take about a second, have their memory copied
-/// while they run: the longer one runs, the likelier its engine ends under it, and the more is lost with it.
-const COPIED: u32 = 200;
-/// Engines drawn by lot beside those of a request's session.
-const DRAWN: usize = 3;
-
 /// Part of a session's tokens that its first engines by hash are taken to lack; all others lack them whole.
 const MISSING: [f64; 2] = [0.0, 0.5];
 
@@ -60,6 +36,8 @@
     pub hall: &'a HallId,
     /// The configuration.
     pub plan: &'a Plan,
+    /// Settings of the decisions.
+    pub policy: &'a Policy,
     /// Now.
     pub now: Instant,
 }
@@ -155,9 +133,10 @@
     prompt: &Prompt,
     candidates: Vec<&Registration>,
 ) -> Option<Choice> {
-    let pace = inputs.plan.pace(route, service);
-    let lanes = if inputs.plan.has_lanes(service) {
-        lanes::divide(candidates, service, inputs.balance)
+    let Policy { lanes: lane_policy, choice: policy, .. } = inputs.policy;
+    let pace = lanes::pace(lane_policy, inputs.plan, route, service);
+    let lanes = if lanes::has_lanes(lane_policy, inputs.plan, service) {
+        lanes::divide(lane_policy, candidates, service, inputs.balance)
     } else {
         Lanes { quick: Vec::new(), bulk: candidates }
     };
@@ -167,35 +146,37 @@
     {
         return Some(guest);
     }
-    let homes = to_homes(prompt, engines);
+    let homes = if policy.sessions { to_homes(prompt, engines) } else { Vec::new() };
     let lacked = |held: &Registration| {
         let rank = homes.iter().position(|home| *home == held.endpoint);
         let missing = rank.map_or(1.0, |rank| MISSING[rank]);
         (f64::from(prompt.session_tokens()) * missing) as u32
     };
-    let stray_most = inputs.reading.tokens_in(service, route.target.mul_f64(READ_AGAIN_MOST));
+    let stray_most = inputs.reading.tokens_in(service, route.target.mul_f64(policy.again_most));
     let cost = |held: &Registration| {
         let work = inputs.balance.at(&held.endpoint);
         let full = work.held + prompt.tokens > engine.memory;
-        let ahead = u64::from(work.unread) + u64::from(work.calls) * CALL_COST;
-        let again = (u64::from(lacked(held)) * READ_AGAIN).min(stray_most);
+        let ahead = u64::from(work.unread) + u64::from(work.calls) * u64::from(policy.call_cost);
+        let again = (u64::from(lacked(held)) * u64::from(policy.read_again)).min(stray_most);
         let far = pace == Pace::Quick && held.hall != *inputs.hall;
-        ahead + again + if full { MEMORY_COST } else { 0 } + if far { FAR_COST } else { 0 }
+        let extra = if full { policy.memory_cost } else { 0 } + if far { policy.far_cost } else { 0 };
+        ahead + again + u64::from(extra)
     };
     let near = if pace == Pace::Quick { in_hall(inputs, engines) } else { Vec::new() };
-    let drawn = draw(engines, &homes).into_iter().chain(draw(&near, &[]));
+    let drawn = draw(engines, &homes, policy.drawn).into_iter().chain(draw(&near, &[], policy.drawn));
     let chosen = drawn.min_by_key(|held| (cost(held), rand::random::<u32>()))?;
     let keepers = if engines.len() > 1 { engines } else { &lanes.bulk };
-    let copied = engine.copies && pace == Pace::Quick && prompt.expected_answer() >= COPIED;
+    let long = policy.copied > 0 && prompt.expected_answer() >= policy.copied;
+    let copied = engine.copies && pace == Pace::Quick && long;
     let keeper = if copied { draw_keeper(keepers, chosen) } else { None };
     Some(Choice { keeper, ..to_choice(inputs, chosen, prompt.own_tokens() + lacked(chosen)) })
 }
 
 /// The engines that a request is weighed for: those of its session, and a few by lot. Were all weighed, all
 /// instances, whose counts of each other's work are some hundred milliseconds old, would send to the same one.
-fn draw<'a>(engines: &[&'a Registration], homes: &[EndpointId]) -> Vec<&'a Registration> {
+fn draw<'a>(engines: &[&'a Registration], homes: &[EndpointId], count: usize) -> Vec<&'a Registration> {
     let mut drawn: Vec<&Registration> = engines.iter().copied().filter(|held| homes.contains(&held.endpoint)).collect();
-    drawn.extend(engines.sample(&mut rand::rng(), DRAWN));
+    drawn.extend(engines.sample(&mut rand::rng(), count));
     drawn
 }
 
@@ -214,7 +195,7 @@
 fn choose_guest(inputs: &Inputs, prompt: &Prompt, quick: &[&Registration]) -> Option<Choice> {
     let ahead = |held: &Registration| inputs.balance.at(&held.endpoint).unread;
     let drawn = quick.sample(&mut rand::rng(), GUEST_DRAWN).copied();
-    let free = drawn.filter(|held| ahead(held) + prompt.tokens <= GUEST);
+    let free = drawn.filter(|held| ahead(held) + prompt.tokens <= inputs.policy.lanes.guest_tokens);
     let chosen = free.min_by_key(|held| (ahead(held), rand::random::<u32>()))?;
     Some(to_choice(inputs, chosen, prompt.tokens))
 }
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -9,18 +9,38 @@
 use rudder_core::Registration;
 use rudder_model::id;
 
-use crate::balance::Balance;
+use crate::{Plan, Route, balance::Balance, policy::LanePolicy};
 
-/// Part of the quick lane's slots that is used before the lane grows.
-const FILL: f64 = 0.3;
-/// The quick lane never takes more than this part of the engines.
-const LARGEST: f64 = 0.5;
-/// Part of the engines that the quick lane has at least: the loss of one must not take a large part of
-/// the quick streams with it.
-const SMALLEST: f64 = 0.2;
 /// Engines from which on the quick lane has two, so that the loss of one leaves one.
 const TWO_FROM: usize = 6;
 
+/// How much a route's streams suffer from long prompts beside them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Pace {
+    /// They become late beside any.
+    Quick,
+    /// They become late behind several.
+    Brisk,
+    /// They are the long prompts, or as patient.
+    Steady,
+}
+
+/// The pace of a route's streams at one of its services, by the pauses that they allow.
+pub fn pace(policy: &LanePolicy, plan: &Plan, route: &Route, service: &str) -> Pace {
+    let longest = plan.pauses(service).map(|pauses| pauses.longest).unwrap_or_default();
+    match route.pause {
+        Some(pause) if pause <= longest.mul_f64(policy.quick) => Pace::Quick,
+        Some(pause) if pause <= longest.mul_f64(policy.brisk) => Pace::Brisk,
+        _ => Pace::Steady,
+    }
+}
+
+/// True where the service has quick routes beside others.
+pub fn has_lanes(policy: &LanePolicy, plan: &Plan, service: &str) -> bool {
+    let quick = |longest: std::time::Duration| longest.mul_f64(policy.quick);
+    policy.enabled && plan.pauses(service).is_some_and(|pauses| pauses.shortest <= quick(pauses.longest))
+}
+
 /// The engines of one service, in the order of their rank.
 #[derive(Debug)]
 pub struct Lanes<'a> {
@@ -31,13 +51,18 @@
 }
 
 /// Divides the engines of `service`.
-pub fn divide<'a>(mut engines: Vec<&'a Registration>, service: &str, balance: &Balance) -> Lanes<'a> {
+pub fn divide<'a>(
+    policy: &LanePolicy,
+    mut engines: Vec<&'a Registration>,
+    service: &str,
+    balance: &Balance,
+) -> Lanes<'a> {
     if engines.len() < 2 {
         return Lanes { quick: engines.clone(), bulk: engines };
     }
     engines.sort_by_cached_key(|engine| id::rendezvous(service, &engine.endpoint));
     take_halls_in_turn(&mut engines);
-    let bulk = engines.split_off(quick_count(&engines, balance));
+    let bulk = engines.split_off(quick_count(policy, &engines, balance));
     Lanes { quick: engines, bulk }
 }
 
@@ -56,14 +81,14 @@
 }
 
 /// How many of the ranked engines the quick lane has.
-fn quick_count(ranked: &[&Registration], balance: &Balance) -> usize {
-    let largest = ((ranked.len() as f64 * LARGEST) as usize).max(1);
+fn quick_count(policy: &LanePolicy, ranked: &[&Registration], balance: &Balance) -> usize {
+    let largest = ((ranked.len() as f64 * policy.largest) as usize).max(1);
     let least = if ranked.len() >= TWO_FROM { 2 } else { 1 };
-    let mut count = ((ranked.len() as f64 * SMALLEST).round() as usize).max(least);
+    let mut count = ((ranked.len() as f64 * policy.smallest).round() as usize).max(least);
     while count < largest {
         let calls: u32 = ranked[..count].iter().map(|engine| balance.at(&engine.endpoint).calls).sum();
         let slots: u32 = ranked[..count].iter().map(|engine| engine.slots).sum();
-        if f64::from(calls) <= f64::from(slots) * FILL {
+        if f64::from(calls) <= f64::from(slots) * policy.fill {
             break;
         }
         count += 1;
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -4,6 +4,8 @@
 
 use rudder_model::{HallId, InstanceId};
 
+use crate::Policy;
+
 /// Where an instance listens. Which doors it has is its part in the deployment: one without a door for callers
 /// stands in no list that callers get, and serves the configuration and the lists of instances and endpoints only.
 #[derive(Clone, Debug)]
@@ -72,6 +74,8 @@
     pub watch: Duration,
     /// Lines logged in a second at most.
     pub log_lines: u32,
+    /// Settings of the decisions.
+    pub policy: Policy,
 }
 
 impl Options {
@@ -97,6 +101,7 @@
             start_up: Duration::from_secs(1),
             watch: Duration::from_millis(100),
             log_lines: 600,
+            policy: Policy::default(),
         }
     }
 
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -2,22 +2,6 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-/// A route is quick when it allows at most this part of the longest pause of its service.
-const QUICK: f64 = 0.3;
-/// A route is brisk when it allows at most this part.
-const BRISK: f64 = 0.6;
-
-/// How much a route's streams suffer from long prompts beside them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Pace {
-    /// They become late beside any.
-    Quick,
-    /// They become late behind several.
-    Brisk,
-    /// They are the long prompts, or as patient.
-    Steady,
-}
-
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -129,10 +113,12 @@
 }
 
 /// The shortest and longest pause that the routes of a service allow.
-#[derive(Clone, Copy, Debug)]
-struct Pauses {
-    shortest: Duration,
-    longest: Duration,
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pauses {
+    /// The shortest.
+    pub shortest: Duration,
+    /// The longest.
+    pub longest: Duration,
 }
 
 /// A whole configuration document, read.
@@ -249,14 +235,9 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
-    /// The pace of a route's streams at one of its services, by the pauses that they allow.
-    pub fn pace(&self, route: &Route, service: &str) -> Pace {
-        let longest = self.pauses.get(service).map(|pauses| pauses.longest).unwrap_or_default();
-        match route.pause {
-            Some(pause) if pause <= longest.mul_f64(QUICK) => Pace::Quick,
-            Some(pause) if pause <= longest.mul_f64(BRISK) => Pace::Brisk,
-            _ => Pace::Steady,
-        }
+    /// The pauses that the routes of a service allow, where it has routes that name any.
+    pub fn pauses(&self, service: &str) -> Option<Pauses> {
+        self.pauses.get(service).copied()
     }
 
     /// True for routes that no other route of the service ranks below.
@@ -264,11 +245,6 @@
         self.lowest.get(service).is_none_or(|lowest| route.tier >= *lowest)
     }
 
-    /// True where the service has quick routes beside others.
-    pub fn has_lanes(&self, service: &str) -> bool {
-        self.pauses.get(service).is_some_and(|pauses| pauses.shortest <= pauses.longest.mul_f64(QUICK))
-    }
-
     /// Number of the organisation that holds `key`.
     pub fn organisation_number(&self, key: &str) -> Option<usize> {
         self.keys.get(key).copied()
--- /dev/null
+++ b/crates/rudder-gateway/src/policy.rs
@@ -0,0 +1,182 @@
+//! Settings of the decisions: which engines a request may go to, which it goes to, what is refused and sent again.
+//!
+//! Each mechanism can be switched off and each weight be set, so that what it is worth can be measured. The defaults
+//! are what ships; where a figure comes from stands beside it and, with its measurements, in docs/DECISIONS.md.
+
+use std::path::{Path, PathBuf};
+
+use serde::Deserialize;
+
+/// Why a policy file is refused.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The file cannot be read.
+    #[error("{path}: {source}")]
+    Read {
+        /// The file.
+        path: PathBuf,
+        /// What the system reported.
+        source: std::io::Error,
+    },
+    /// It is no TOML, or names a field that does not exist; the text tells key and line.
+    #[error("{path}: {source}")]
+    Parse {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        source: toml::de::Error,
+    },
+    /// A figure that cannot be used.
+    #[error("{key}: {value} is not between {least} and {most}")]
+    Value {
+        /// The field.
+        key: &'static str,
+        /// Its value.
+        value: f64,
+        /// Smallest value that can be used.
+        least: f64,
+        /// Largest value that can be used.
+        most: f64,
+    },
+}
+
+/// All settings of the decisions.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// Engines set apart for streams that suffer from long prompts beside them.
+    pub lanes: LanePolicy,
+    /// The choice among engines.
+    pub choice: ChoicePolicy,
+    /// What is refused, left out and sent again.
+    pub guard: GuardPolicy,
+}
+
+/// Engines set apart for streams that suffer from long prompts beside them.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct LanePolicy {
+    /// Engines are set apart at all.
+    pub enabled: bool,
+    /// A route is quick when it allows at most this part of the longest pause of its service.
+    pub quick: f64,
+    /// A route is brisk when it allows at most this part.
+    pub brisk: f64,
+    /// Part of the quick lane's slots that is used before the lane grows.
+    pub fill: f64,
+    /// The quick lane never takes more than this part of the engines.
+    pub largest: f64,
+    /// Part of the engines that the quick lane has at least: the loss of one must not take a large part of the quick
+    /// streams with it.
+    pub smallest: f64,
+    /// A guest of the quick lane and all that is unread there have at most this many prompt tokens; 0 for no guests.
+    pub guest_tokens: u32,
+}
+
+impl Default for LanePolicy {
+    fn default() -> Self {
+        LanePolicy {
+            enabled: true,
+            quick: 0.3,
+            brisk: 0.6,
+            fill: 0.3,
+            largest: 0.5,
+            smallest: 0.2,
+            guest_tokens: 4_000,
+        }
+    }
+}
+
+/// The choice among engines: the one with the least to read, all else counted as prompt tokens.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct ChoicePolicy {
+    /// Requests of a session go where its part of the prompt is likely to be kept.
+    pub sessions: bool,
+    /// Each request under way at an engine counts as this many prompt tokens ahead.
+    pub call_cost: u32,
+    /// An engine whose memory would run out counts as this many prompt tokens behind.
+    pub memory_cost: u32,
+    /// Each token of its session's part that an engine lacks counts as this many prompt tokens ahead there: it is read
+    /// again, for which the engine's other requests wait as well, and its copy takes others' place.
+    pub read_again: u32,
+    /// What an engine lacks never counts for more than the reading of this part of the route's target, so that a
+    /// request leaves its engines before it would come late there.
+    pub again_most: f64,
+    /// An engine of another hall counts as this many prompt tokens behind for a quick stream: a packet lost between
+    /// halls is sent again after 200 ms, about the pause that the stream allows.
+    pub far_cost: u32,
+    /// Engines drawn by lot beside those of a request's session.
+    pub drawn: usize,
+    /// Quick streams expected to have at least this many tokens, which take about a second, have their memory copied
+    /// while they run: the longer one runs, the likelier its engine ends under it, and the more is lost with it; 0 for
+    /// no copies.
+    pub copied: u32,
+}
+
+impl Default for ChoicePolicy {
+    fn default() -> Self {
+        ChoicePolicy {
+            sessions: true,
+            call_cost: 60,
+            memory_cost: 40_000,
+            read_again: 8,
+            again_most: 0.7,
+            far_cost: 900,
+            drawn: 3,
+            copied: 200,
+        }
+    }
+}
+
+/// What is refused, left out and sent again.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+#[allow(clippy::struct_excessive_bools, reason = "each switches one mechanism")]
+pub struct GuardPolicy {
+    /// Streams of the lowest rank that would come late are refused at once.
+    pub hopeless: bool,
+    /// Endpoints that fail are left out for a while, by this instance's own outcomes.
+    pub ejection: bool,
+    /// Endpoints that fail far more than the others are left out, by the outcomes of all instances.
+    pub suspects: bool,
+    /// What may be repeated and is left without an answer goes to another endpoint.
+    pub impatience: bool,
+}
+
+impl Default for GuardPolicy {
+    fn default() -> Self {
+        GuardPolicy { hopeless: true, ejection: true, suspects: true, impatience: true }
+    }
+}
+
+impl Policy {
+    /// Reads a policy from a TOML file; what it does not name has its default.
+    ///
+    /// # Errors
+    /// When the file cannot be read, names an unknown field or holds a figure that cannot be used.
+    pub fn read(path: &Path) -> Result<Policy, Error> {
+        let text = std::fs::read_to_string(path).map_err(|source| Error::Read { path: path.to_owned(), source })?;
+        let policy: Policy = toml::from_str(&text).map_err(|source| Error::Parse { path: path.to_owned(), source })?;
+        policy.check()?;
+        Ok(policy)
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        let shares = [
+            ("lanes.quick", self.lanes.quick),
+            ("lanes.brisk", self.lanes.brisk),
+            ("lanes.fill", self.lanes.fill),
+            ("lanes.largest", self.lanes.largest),
+            ("lanes.smallest", self.lanes.smallest),
+            ("choice.again_most", self.choice.again_most),
+        ];
+        let (least, most) = (0.0, 1.0);
+        for (key, value) in shares {
+            if !(least..=most).contains(&value) {
+                return Err(Error::Value { key, value, least, most });
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -221,6 +221,9 @@
 
     /// Leaves out the endpoints that fail far more than the others of their service.
     fn judge(&self, endpoints: &[Registration]) {
+        if !self.options.policy.guard.suspects {
+            return;
+        }
         let (now, balance) = (Instant::now(), self.balance.borrow());
         let mut services: HashMap<&str, Vec<(EndpointId, Tally)>> = HashMap::new();
         for registration in endpoints.iter().filter(|registration| registration.phase == Phase::Ready) {
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -175,7 +175,8 @@
         let mut body = response.into_body();
         let whole_events = self.call.route.resumable || self.has_copy();
         // A stream that cannot be resumed is waited for to its end.
-        let patience = self.call.route.resumable.then(|| self.call.patience());
+        let impatient = self.shared.options.policy.guard.impatience && self.call.route.resumable;
+        let patience = impatient.then(|| self.call.patience());
         let mut impatient = patience.map(|patience| Instant::now() + patience);
         loop {
             let frame = tokio::select! {
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -13,8 +13,9 @@
     choose::{self, Choice, Inputs},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
-    lanes,
-    plan::{Engine, Fault, Limits, Organisation, Pace, Share},
+    lanes::{self, Pace},
+    plan::{Engine, Fault, Limits, Organisation, Share},
+    policy::{LanePolicy, Policy},
     reading::Reading,
     recent::{Recent, Tally, suspects},
     stream::Events,
@@ -188,10 +189,11 @@
 #[test]
 fn lanes_follow_the_pauses_that_routes_allow() {
     let plan = plan();
-    let pace = |path: &str| plan.pace(plan.find("h", path).expect("a route"), "svc");
+    let policy = LanePolicy::default();
+    let pace = |path: &str| lanes::pace(&policy, &plan, plan.find("h", path).expect("a route"), "svc");
     assert_eq!([pace("/grade/"), pace("/answer/"), pace("/recap/")], [Pace::Quick, Pace::Brisk, Pace::Steady]);
-    assert!(plan.has_lanes("svc"));
-    assert!(!plan.has_lanes("another"));
+    assert!(lanes::has_lanes(&policy, &plan, "svc"));
+    assert!(!lanes::has_lanes(&policy, &plan, "another"));
     assert!(plan.is_lowest(plan.find("h", "/recap/").expect("a route"), "svc"));
 }
 
@@ -202,7 +204,7 @@
         let mut balance = Balance::default();
         let loads: Vec<Load> = engines.iter().map(|engine| load(&engine.endpoint, calls, 0)).collect();
         balance.set_others(&loads);
-        lanes::divide(engines.iter().collect(), "svc", &balance).quick.len()
+        lanes::divide(&LanePolicy::default(), engines.iter().collect(), "svc", &balance).quick.len()
     };
     assert_eq!([size(0), size(64)], [2, 4]);
 }
@@ -212,7 +214,7 @@
 fn the_quick_lane_is_a_fifth_of_many_engines() {
     let size = |count: usize| {
         let engines = engines(count);
-        lanes::divide(engines.iter().collect(), "svc", &Balance::default()).quick.len()
+        lanes::divide(&LanePolicy::default(), engines.iter().collect(), "svc", &Balance::default()).quick.len()
     };
     assert_eq!([size(2), size(6), size(9), size(12), size(90)], [1, 2, 2, 2, 18]);
 }
@@ -224,7 +226,7 @@
     for (number, engine) in engines.iter_mut().enumerate() {
         engine.hall = format!("hall-{}", number % 3).as_str().into();
     }
-    let lanes = lanes::divide(engines.iter().collect(), "svc", &Balance::default());
+    let lanes = lanes::divide(&LanePolicy::default(), engines.iter().collect(), "svc", &Balance::default());
     let count = |hall: &str| lanes.quick.iter().filter(|engine| &*engine.hall == hall).count();
     assert_eq!([count("hall-0"), count("hall-1"), count("hall-2")], [6, 6, 6]);
 }
@@ -233,7 +235,7 @@
 fn all_instances_draw_the_same_line() {
     let mut engines = engines(9);
     let names = |engines: &[Registration]| -> Vec<String> {
-        let lanes = lanes::divide(engines.iter().collect(), "svc", &Balance::default());
+        let lanes = lanes::divide(&LanePolicy::default(), engines.iter().collect(), "svc", &Balance::default());
         lanes.quick.iter().map(|engine| engine.endpoint.to_string()).collect()
     };
     let first = names(&engines);
@@ -247,6 +249,7 @@
     health: Health,
     reading: Reading,
     plan: Plan,
+    policy: Policy,
 }
 
 impl Scene {
@@ -257,6 +260,7 @@
             health: Health::default(),
             reading: Reading::default(),
             plan: plan(),
+            policy: Policy::default(),
         }
     }
 
@@ -273,6 +277,7 @@
             reading: &self.reading,
             hall: &hall,
             plan: &self.plan,
+            policy: &self.policy,
             now: Instant::now(),
         };
         let route = self.plan.find("h", path).expect("a route");
@@ -330,7 +335,7 @@
     for (number, engine) in scene.engines.iter_mut().enumerate() {
         engine.hall = if number % 3 == 0 { "a".into() } else { "b".into() };
     }
-    let lane = lanes::divide(scene.engines.iter().collect(), "svc", &scene.balance).quick;
+    let lane = lanes::divide(&LanePolicy::default(), scene.engines.iter().collect(), "svc", &scene.balance).quick;
     let near: Vec<String> =
         lane.iter().filter(|held| &*held.hall == "a").map(|held| held.endpoint.to_string()).collect();
     assert!(!near.is_empty() && near.len() < lane.len(), "the lane has engines in both halls: {near:?}");
