perf(gateway): the shortest pauses get engines of their own where reading makes pauses about as long

Change: the pause of an engine that reads all the time (tokens an event holds, a piece of a prompt between two of them, at the reading speed seen) is compared with the shortest pause; at a third of it the lane is drawn.

--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -95,7 +95,10 @@
     let candidates = to_candidates(inputs, service, tried);
     let engine = inputs.plan.services.get(service).and_then(|service| service.engine);
     match (engine, prompt) {
-        (Some(engine), Some(prompt)) => choose_engine(inputs, route, service, engine, prompt, candidates),
+        (Some(engine), Some(prompt)) => {
+            let lanes = to_lanes(inputs, service, candidates);
+            choose_engine(inputs, route, service, engine, prompt, &lanes)
+        }
         _ => choose_plain(inputs, candidates),
     }
 }
@@ -131,16 +134,12 @@
     service: &str,
     engine: Engine,
     prompt: &Prompt,
-    candidates: Vec<&Registration>,
+    lanes: &Lanes,
 ) -> Option<Choice> {
-    let Policy { lanes: lane_policy, choice: policy, .. } = inputs.policy;
-    let pace = lanes::pace(lane_policy, inputs.plan, route, service);
-    let lanes = if lanes::has_lanes(lane_policy, inputs.plan, service) {
-        lanes::divide(lane_policy, candidates, service, inputs.balance)
-    } else {
-        Lanes { quick: Vec::new(), bulk: candidates }
-    };
-    let engines = if pace == Pace::Quick && !lanes.quick.is_empty() { &lanes.quick } else { &lanes.bulk };
+    let policy = &inputs.policy.choice;
+    let pace = lanes::pace(&inputs.policy.lanes, inputs.plan, route, service, inputs.reading);
+    let (own, other) = if pace == Pace::Quick { (&lanes.quick, &lanes.bulk) } else { (&lanes.bulk, &lanes.quick) };
+    let engines = if own.is_empty() { other } else { own };
     if pace == Pace::Brisk
         && let Some(guest) = choose_guest(inputs, prompt, &lanes.quick)
     {
@@ -172,6 +171,15 @@
     Some(Choice { keeper, ..to_choice(inputs, chosen, prompt.own_tokens() + lacked(chosen)) })
 }
 
+/// The engines that a request may go to, divided where the service has quick routes beside others.
+fn to_lanes<'a>(inputs: &Inputs<'a>, service: &str, candidates: Vec<&'a Registration>) -> Lanes<'a> {
+    let policy = &inputs.policy.lanes;
+    if !policy.enabled || lanes::quick_bound(policy, inputs.plan, service, inputs.reading).is_none() {
+        return Lanes { quick: Vec::new(), bulk: candidates };
+    }
+    lanes::divide(policy, candidates, service, inputs.balance)
+}
+
 /// The engines that a request is weighed for: those of its session, and a few by lot. Were all weighed, all
 /// instances, whose counts of each other's work are some hundred milliseconds old, would send to the same one.
 fn draw<'a>(engines: &[&'a Registration], homes: &[EndpointId], count: usize) -> Vec<&'a Registration> {
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -4,13 +4,16 @@
 //! get engines of their own. Every instance ranks the engines by the same hash and sees about the same
 //! load, so all draw the same line without a word between them.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use rudder_core::Registration;
 use rudder_model::id;
 
-use crate::{Plan, Route, balance::Balance, policy::LanePolicy};
+use crate::{Plan, Route, balance::Balance, policy::LanePolicy, reading::Reading};
 
+/// Tokens of a prompt that an engine reads between two tokens of its streams: the usual size of such pieces, and the
+/// one that the pauses seen on the platform fit.
+const PIECE: u32 = 2_048;
 /// Engines from which on the quick lane has two, so that the loss of one leaves one.
 const TWO_FROM: usize = 6;
 
@@ -25,22 +28,33 @@
     Steady,
 }
 
+/// The longest pause of a service's quick routes; `None` where it has none beside others. Quick are pauses far shorter
+/// than the longest, and the shortest where an engine that reads all the time makes about as long ones: between
+/// two tokens it reads a piece of a prompt, and an event waits for several tokens.
+pub fn quick_bound(policy: &LanePolicy, plan: &Plan, service: &str, reading: &Reading) -> Option<Duration> {
+    let pauses = plan.pauses(service)?;
+    let far_shorter = pauses.longest.mul_f64(policy.quick);
+    let engine = plan.services.get(service)?.engine?;
+    let crowded = reading.time_for(service, PIECE * engine.event_tokens);
+    let bound = if pauses.shortest < pauses.longest && crowded >= pauses.shortest.mul_f64(policy.crowded) {
+        far_shorter.max(pauses.shortest)
+    } else {
+        far_shorter
+    };
+    (pauses.shortest <= bound).then_some(bound)
+}
+
 /// The pace of a route's streams at one of its services, by the pauses that they allow.
-pub fn pace(policy: &LanePolicy, plan: &Plan, route: &Route, service: &str) -> Pace {
+pub fn pace(policy: &LanePolicy, plan: &Plan, route: &Route, service: &str, reading: &Reading) -> Pace {
+    let quick = quick_bound(policy, plan, service, reading);
     let longest = plan.pauses(service).map(|pauses| pauses.longest).unwrap_or_default();
-    match route.pause {
-        Some(pause) if pause <= longest.mul_f64(policy.quick) => Pace::Quick,
-        Some(pause) if pause <= longest.mul_f64(policy.brisk) => Pace::Brisk,
+    match (route.pause, quick) {
+        (Some(pause), Some(quick)) if pause <= quick => Pace::Quick,
+        (Some(pause), _) if pause <= longest.mul_f64(policy.brisk) => Pace::Brisk,
         _ => Pace::Steady,
     }
 }
 
-/// True where the service has quick routes beside others.
-pub fn has_lanes(policy: &LanePolicy, plan: &Plan, service: &str) -> bool {
-    let quick = |longest: std::time::Duration| longest.mul_f64(policy.quick);
-    policy.enabled && plan.pauses(service).is_some_and(|pauses| pauses.shortest <= quick(pauses.longest))
-}
-
 /// The engines of one service, in the order of their rank.
 #[derive(Debug)]
 pub struct Lanes<'a> {
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -82,6 +82,8 @@
     pub memory: u32,
     /// They keep copies of each other's running requests, from which another can go on.
     pub copies: bool,
+    /// Tokens that one event of a stream holds.
+    pub event_tokens: u32,
 }
 
 /// Bounds on what callers send.
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -60,6 +60,9 @@
     pub enabled: bool,
     /// A route is quick when it allows at most this part of the longest pause of its service.
     pub quick: f64,
+    /// A route with the shortest pauses of its service is quick as well when the pause that an engine makes which
+    /// reads all the time is at least this part of what the route allows.
+    pub crowded: f64,
     /// A route is brisk when it allows at most this part.
     pub brisk: f64,
     /// Part of the quick lane's slots that is used before the lane grows.
@@ -78,6 +81,7 @@
         LanePolicy {
             enabled: true,
             quick: 0.3,
+            crowded: 0.3,
             brisk: 0.6,
             fill: 0.3,
             largest: 0.5,
@@ -165,6 +169,7 @@
     fn check(&self) -> Result<(), Error> {
         let shares = [
             ("lanes.quick", self.lanes.quick),
+            ("lanes.crowded", self.lanes.crowded),
             ("lanes.brisk", self.lanes.brisk),
             ("lanes.fill", self.lanes.fill),
             ("lanes.largest", self.lanes.largest),
--- a/crates/rudder-gateway/src/reading.rs
+++ b/crates/rudder-gateway/src/reading.rs
@@ -39,7 +39,7 @@
     }
 
     /// Tokens read in a millisecond.
-    fn speed(&self, service: &str) -> f64 {
+    pub fn speed(&self, service: &str) -> f64 {
         self.speeds.get(service).copied().unwrap_or(FIRST_GUESS)
     }
 }
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -40,7 +40,7 @@
 
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
-    let engine = Some(Engine { slots: 64, memory: 300_000, copies: true });
+    let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6 });
     plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
     for route in [route("recap", 1000, 2), route("answer", 400, 1), route("grade", 250, 0)] {
         plan.add_route(route).expect("it fits");
@@ -190,10 +190,11 @@
 fn lanes_follow_the_pauses_that_routes_allow() {
     let plan = plan();
     let policy = LanePolicy::default();
-    let pace = |path: &str| lanes::pace(&policy, &plan, plan.find("h", path).expect("a route"), "svc");
+    let pace =
+        |path: &str| lanes::pace(&policy, &plan, plan.find("h", path).expect("a route"), "svc", &Reading::default());
     assert_eq!([pace("/grade/"), pace("/answer/"), pace("/recap/")], [Pace::Quick, Pace::Brisk, Pace::Steady]);
-    assert!(lanes::has_lanes(&policy, &plan, "svc"));
-    assert!(!lanes::has_lanes(&policy, &plan, "another"));
+    assert!(lanes::quick_bound(&policy, &plan, "svc", &Reading::default()).is_some());
+    assert!(lanes::quick_bound(&policy, &plan, "another", &Reading::default()).is_none());
     assert!(plan.is_lowest(plan.find("h", "/recap/").expect("a route"), "svc"));
 }
 
@@ -285,6 +286,30 @@
     }
 }
 
+macro_rules! quickest_pause {
+    ($($(#[$meta:meta])* $name:ident: [$($pause:literal),+] of $tokens:literal tokens => $expected:expr;)*) => {
+        $($(#[$meta])* #[test] fn $name() {
+            let mut plan = Plan::new(1, Limits::default());
+            let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: $tokens });
+            plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
+            for pause in [$($pause),+] {
+                plan.add_route(route(&format!("p{pause}"), pause, 0)).expect("it fits");
+            }
+            let bound = lanes::quick_bound(&LanePolicy::default(), &plan, "svc", &Reading::default());
+            assert_eq!(bound.map(|bound| bound.as_millis()), $expected);
+        })*
+    };
+}
+
+// Before anything was measured an engine reads 30 tokens a millisecond, a piece in 68 ms.
+quickest_pause! {
+    pauses_far_shorter_than_the_longest_are_quick: [1000, 400, 250] of 6 tokens => Some(300);
+    /// Three tokens beside constant reading take 205 ms: the streams of 200 ms need engines of their own.
+    the_shortest_is_quick_where_reading_makes_such_pauses: [300, 200] of 3 tokens => Some(200);
+    generous_pauses_need_no_lane: [5000, 2000] of 3 tokens => None;
+    one_pause_needs_no_lane: [200] of 3 tokens => None;
+}
+
 #[test]
 fn a_session_keeps_its_engine_until_that_has_far_more_to_read() {
     let mut scene = Scene::new();
