perf(gateway,platform): a request that leaves its session's engine takes the session's part along

Change: the chosen engine is told which engine keeps the session (the first by its hash) and takes that part over, where the link moves tokens faster than the engine reads them.

--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -37,6 +37,7 @@
         ahead: work.unread,
         unread: 0,
         keeper: None,
+        fetch_from: None,
         ..before.clone()
     };
     let connection = connect(shared, call, &choice).await.ok()?;
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -218,6 +218,7 @@
             tier,
             last_event: from.last_event,
             copy_at: choice.keeper.as_ref().map(|keeper| &*keeper.address),
+            fetch_from: choice.fetch_from.as_deref().filter(|_| !from.copy),
             from_copy: from.copy.then_some(&*choice.address),
         };
         dialect.write_forward(&mut headers, &forward);
--- a/crates/rudder-gateway/src/choose.rs
+++ b/crates/rudder-gateway/src/choose.rs
@@ -68,6 +68,8 @@
     pub unread: u32,
     /// Who shall keep a copy of the request's memory.
     pub keeper: Option<Keeper>,
+    /// Address of the engine from which it takes what that keeps of the prompt.
+    pub fetch_from: Option<Arc<str>>,
 }
 
 /// The service that a request goes to first, by weight; `draw` is uniform over all values.
@@ -146,6 +148,8 @@
         return Some(guest);
     }
     let homes = if policy.sessions { to_homes(prompt, engines) } else { Vec::new() };
+    let source = to_source(inputs, service, engine, prompt, &homes);
+    let fetches = |held: &Registration| source.is_some_and(|source| source.endpoint != held.endpoint);
     let lacked = |held: &Registration| {
         let rank = homes.iter().position(|home| *home == held.endpoint);
         let missing = rank.map_or(1.0, |rank| MISSING[rank]);
@@ -156,7 +160,8 @@
         let work = inputs.balance.at(&held.endpoint);
         let full = work.held + prompt.tokens > engine.memory;
         let ahead = u64::from(work.unread) + u64::from(work.calls) * u64::from(policy.call_cost);
-        let again = (u64::from(lacked(held)) * u64::from(policy.read_again)).min(stray_most);
+        let weight = if fetches(held) { policy.fetched } else { policy.read_again };
+        let again = (u64::from(lacked(held)) * u64::from(weight)).min(stray_most);
         let far = pace == Pace::Quick && held.hall != *inputs.hall;
         let extra = if full { policy.memory_cost } else { 0 } + if far { policy.far_cost } else { 0 };
         ahead + again + u64::from(extra)
@@ -168,7 +173,9 @@
     let long = policy.copied > 0 && prompt.expected_answer() >= policy.copied;
     let copied = engine.copies && pace == Pace::Quick && long;
     let keeper = if copied { draw_keeper(keepers, chosen) } else { None };
-    Some(Choice { keeper, ..to_choice(inputs, chosen, prompt.own_tokens() + lacked(chosen)) })
+    let fetch_from = source.filter(|_| fetches(chosen)).map(|source| source.address.clone());
+    let unread = prompt.own_tokens() + if fetch_from.is_some() { 0 } else { lacked(chosen) };
+    Some(Choice { keeper, fetch_from, ..to_choice(inputs, chosen, unread) })
 }
 
 /// The engines that a request may go to, divided where the service has quick routes beside others.
@@ -180,6 +187,24 @@
     lanes::divide(policy, candidates, service, inputs.balance)
 }
 
+/// The engine from which another takes over the part of this prompt's session rather than read it again: the likeliest
+/// to keep it.
+fn to_source<'a>(
+    inputs: &Inputs<'a>,
+    service: &str,
+    engine: Engine,
+    prompt: &Prompt,
+    homes: &[EndpointId],
+) -> Option<&'a Registration> {
+    let least = inputs.policy.choice.fetch_least;
+    let quicker = engine.move_speed > inputs.reading.speed(service);
+    if least == 0 || prompt.session_tokens() < least || !quicker {
+        return None;
+    }
+    let home = homes.first()?;
+    inputs.endpoints.iter().find(|held| held.endpoint == *home)
+}
+
 /// The engines that a request is weighed for: those of its session, and a few by lot. Were all weighed, all
 /// instances, whose counts of each other's work are some hundred milliseconds old, would send to the same one.
 fn draw<'a>(engines: &[&'a Registration], homes: &[EndpointId], count: usize) -> Vec<&'a Registration> {
@@ -227,5 +252,6 @@
         ahead: work.unread,
         unread,
         keeper: None,
+        fetch_from: None,
     }
 }
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -95,6 +95,8 @@
     pub last_event: Option<u64>,
     /// Address of the endpoint that shall keep a copy of the request's memory while it runs.
     pub copy_at: Option<&'a str>,
+    /// Address of the endpoint from which the one meant takes what that keeps of the prompt, before it reads the rest.
+    pub fetch_from: Option<&'a str>,
     /// Address under which the endpoint meant keeps the copy that the request goes on from.
     pub from_copy: Option<&'a str>,
 }
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -63,7 +63,7 @@
 }
 
 /// One service.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Service {
     /// Its name.
     pub name: Arc<str>,
@@ -74,7 +74,7 @@
 }
 
 /// What the engines of a service are able to do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Engine {
     /// Requests batched at once.
     pub slots: u32,
@@ -84,6 +84,8 @@
     pub copies: bool,
     /// Tokens that one event of a stream holds.
     pub event_tokens: u32,
+    /// Tokens of kept prompts that one engine takes over from another in a millisecond; 0 where they cannot.
+    pub move_speed: f64,
 }
 
 /// Bounds on what callers send.
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -40,7 +40,7 @@
 
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
-    let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6 });
+    let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed: 0.0 });
     plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
     for route in [route("recap", 1000, 2), route("answer", 400, 1), route("grade", 250, 0)] {
         plan.add_route(route).expect("it fits");
@@ -290,7 +290,7 @@
     ($($(#[$meta:meta])* $name:ident: [$($pause:literal),+] of $tokens:literal tokens => $expected:expr;)*) => {
         $($(#[$meta])* #[test] fn $name() {
             let mut plan = Plan::new(1, Limits::default());
-            let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: $tokens });
+            let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: $tokens, move_speed: 0.0 });
             plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
             for pause in [$($pause),+] {
                 plan.add_route(route(&format!("p{pause}"), pause, 0)).expect("it fits");
@@ -310,6 +310,46 @@
     one_pause_needs_no_lane: [200] of 3 tokens => None;
 }
 
+/// Loads the engine that keeps a session until the session goes elsewhere, and returns what is chosen then, with the
+/// address of that engine.
+fn choose_away(move_speed: f64, sessions: bool) -> (Choice, Arc<str>) {
+    let mut scene = Scene::new();
+    let engine = Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed };
+    scene.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
+    scene.policy.choice.sessions = sessions;
+    let home = scene.choice("/recap/", &prompt(7), &[]).expect("a choice");
+    let busy: Vec<Load> = scene
+        .engines
+        .iter()
+        .filter(|held| held.endpoint == home.endpoint)
+        .map(|held| load(&held.endpoint, 30, 90_000))
+        .collect();
+    scene.balance.set_others(&busy);
+    (scene.choice("/recap/", &prompt(7), &[]).expect("a choice"), home.address)
+}
+
+#[test]
+fn what_goes_elsewhere_takes_its_session_along() {
+    let (away, home) = choose_away(280.0, true);
+    assert_ne!(away.address, home);
+    assert_eq!(away.fetch_from, Some(home));
+    // The session's part is not read again, only the request's own.
+    assert_eq!(away.unread, 2900);
+}
+
+#[test]
+fn a_session_is_read_again_where_moving_it_takes_longer() {
+    let (away, home) = choose_away(5.0, true);
+    assert_ne!(away.address, home);
+    assert_eq!(away.fetch_from, None);
+    assert!(away.unread > 2900, "{away:?}");
+}
+
+#[test]
+fn without_sessions_nothing_is_taken_along() {
+    assert_eq!(choose_away(280.0, false).0.fetch_from, None);
+}
+
 #[test]
 fn a_session_keeps_its_engine_until_that_has_far_more_to_read() {
     let mut scene = Scene::new();
