--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -83,7 +83,7 @@
             quick: 0.3,
             crowded: 0.3,
             brisk: 0.6,
-            fill: 0.3,
+            fill: 0.6,
             largest: 0.5,
             smallest: 0.2,
             guest_tokens: 4_000,
