--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -74,6 +74,9 @@
     pub smallest: f64,
     /// A guest of the quick lane and all that is unread there have at most this many prompt tokens; 0 for no guests.
     pub guest_tokens: u32,
+    /// Part of an engine's slots: a quick stream goes to the other engines when the best of its own has as many in use,
+    /// and nothing becomes a guest of an engine that has; 0 for never.
+    pub overflow: f64,
 }
 
 impl Default for LanePolicy {
@@ -87,6 +90,7 @@
             largest: 0.5,
             smallest: 0.2,
             guest_tokens: 4_000,
+            overflow: 0.8,
         }
     }
 }
@@ -179,6 +183,7 @@
             ("lanes.crowded", self.lanes.crowded),
             ("lanes.brisk", self.lanes.brisk),
             ("lanes.fill", self.lanes.fill),
+            ("lanes.overflow", self.lanes.overflow),
             ("lanes.largest", self.lanes.largest),
             ("lanes.smallest", self.lanes.smallest),
             ("choice.again_most", self.choice.again_most),
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -20,6 +20,7 @@
     recent::{Recent, Tally, suspects},
     stream::Events,
 };
+use rudder_model::EndpointId;
 
 fn route(name: &str, pause: u64, tier: u8) -> Route {
     Route {
@@ -328,6 +329,33 @@
     (scene.choice("/recap/", &prompt(7), &[]).expect("a choice"), home.address)
 }
 
+/// Four quick engines had 150 requests each for 64 slots while five others had next to nothing to do.
+#[test]
+fn quick_streams_leave_a_lane_whose_slots_are_in_use() {
+    let mut scene = Scene::new();
+    let lane = |scene: &Scene| -> Vec<EndpointId> {
+        let lanes = lanes::divide(&LanePolicy::default(), scene.engines.iter().collect(), "svc", &scene.balance);
+        lanes.quick.iter().map(|held| held.endpoint.clone()).collect()
+    };
+    let fill = |scene: &mut Scene, calls: u32| {
+        let quick = lane(scene);
+        let calls_at = |held: &Registration| if quick.contains(&held.endpoint) { calls } else { 3 };
+        let loads: Vec<Load> = scene.engines.iter().map(|held| load(&held.endpoint, calls_at(held), 0)).collect();
+        scene.balance.set_others(&loads);
+    };
+    for _ in 0..4 {
+        fill(&mut scene, 40);
+    }
+    let chosen = scene.choice("/grade/", &prompt(3), &[]).expect("a choice").endpoint;
+    assert!(lane(&scene).contains(&chosen), "slots are free in its lane");
+    fill(&mut scene, 60);
+    let chosen = scene.choice("/grade/", &prompt(3), &[]).expect("a choice").endpoint;
+    assert!(!lane(&scene).contains(&chosen), "it would wait for a slot in its lane");
+    scene.policy.lanes.overflow = 0.0;
+    let chosen = scene.choice("/grade/", &prompt(3), &[]).expect("a choice").endpoint;
+    assert!(lane(&scene).contains(&chosen), "switched off");
+}
+
 #[test]
 fn what_goes_elsewhere_takes_its_session_along() {
     let (away, home) = choose_away(280.0, true);
