perf(gateway): the engine of a session takes what it lacks from the next likely one

The weight of what is taken along is that of what is read again, as other weights measured the same.

--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -38,8 +38,8 @@
 struct Session<'a> {
     /// The likeliest first.
     homes: Vec<EndpointId>,
-    /// The one that others take the session's part from, where that is quicker than reading it again.
-    source: Option<&'a Registration>,
+    /// Those that others take the session's part from, where that is quicker than reading it again.
+    sources: Vec<&'a Registration>,
 }
 
 impl<'a> Request<'a> {
@@ -111,9 +111,8 @@
         let work = self.work(held);
         let full = work.held + self.prompt.tokens > self.engine.memory;
         let ahead = u64::from(work.unread) + u64::from(work.calls) * u64::from(policy.call_cost);
-        let weight = if session.source_for(held).is_some() { policy.fetched } else { policy.read_again };
         let stray_most = self.inputs.reading.tokens_in(self.service, self.route.target.mul_f64(policy.again_most));
-        let again = (u64::from(self.lacked(held, session)) * u64::from(weight)).min(stray_most);
+        let again = (u64::from(self.lacked(held, session)) * u64::from(policy.read_again)).min(stray_most);
         let far = self.is_quick() && held.hall != *self.inputs.hall;
         let extra = if full { policy.memory_cost } else { 0 } + if far { policy.far_cost } else { 0 };
         ahead + again + u64::from(extra)
@@ -168,16 +167,17 @@
         let least = self.policy().fetch_least;
         let quicker = self.engine.move_speed > self.inputs.reading.speed(self.service);
         let fetches = least > 0 && self.prompt.session_tokens() >= least && quicker;
-        let home = homes.first().filter(|_| fetches);
-        let source = home.and_then(|home| engines.iter().copied().find(|held| held.endpoint == *home));
-        Session { homes, source }
+        let find = |home: &EndpointId| engines.iter().copied().find(|held| held.endpoint == *home);
+        let sources = homes.iter().filter(|_| fetches).filter_map(find).collect();
+        Session { homes, sources }
     }
 }
 
 impl<'a> Session<'a> {
-    /// The engine that another one takes the session's part from.
+    /// The engine that another one takes the session's part from: the likeliest to keep it. That one itself takes what it
+    /// lacks from the next, which kept the session before engines came or left.
     fn source_for(&self, held: &Registration) -> Option<&'a Registration> {
-        self.source.filter(|source| source.endpoint != held.endpoint)
+        self.sources.iter().copied().find(|source| source.endpoint != held.endpoint)
     }
 }
 
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -106,10 +106,8 @@
     /// An engine whose memory would run out counts as this many prompt tokens behind.
     pub memory_cost: u32,
     /// Each token of its session's part that an engine lacks counts as this many prompt tokens ahead there: it is read
-    /// again, for which the engine's other requests wait as well, and its copy takes others' place.
+    /// again, for which the engine's other requests wait as well, or taken over, and its copy takes others' place.
     pub read_again: u32,
-    /// The same where it takes the part over from the engine that keeps it: less work, but a copy all the same.
-    pub fetched: u32,
     /// An engine takes over a session's part of at least this many tokens from the engine that keeps it, where that is
     /// quicker than reading it; 0 for never. Setting up a move takes some ms, in which about as many are read.
     pub fetch_least: u32,
@@ -134,7 +132,6 @@
             call_cost: 60,
             memory_cost: 40_000,
             read_again: 8,
-            fetched: 8,
             fetch_least: 500,
             again_most: 0.7,
             far_cost: 900,
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -365,6 +365,20 @@
     assert_eq!(away.unread, 2900);
 }
 
+/// Engines come and leave, and what kept the session before is the next by its hash then.
+#[test]
+fn the_engine_of_a_session_takes_what_it_lacks_from_the_next() {
+    let mut scene = Scene::new();
+    let engine = Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed: 280.0 };
+    scene.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
+    let home = scene.choice("/recap/", &prompt(7), &[]).expect("a choice");
+    let before: Vec<EndpointId> = scene.engines.iter().map(|held| held.endpoint.clone()).collect();
+    scene.engines.retain(|held| held.endpoint != home.endpoint);
+    let next = scene.choice("/recap/", &prompt(7), &[]).expect("a choice");
+    assert!(before.contains(&next.endpoint));
+    assert_eq!(home.fetch_from, Some(next.address));
+}
+
 #[test]
 fn a_session_is_read_again_where_moving_it_takes_longer() {
     let (away, home) = choose_away(5.0, true);
