--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -72,6 +72,7 @@
     });
     let mut headers = parts.headers;
     strip_hop_headers(&mut headers);
+    let engine_rank = plan.engine_rank(&route, tier);
     Ok(Call {
         id: head.id,
         arrived,
@@ -79,6 +80,7 @@
         route,
         organisation,
         tier,
+        engine_rank,
         prompt: head.prompt,
         last_event: head.last_event,
         key: head.key,
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -72,6 +72,8 @@
     pub organisation: Option<Arc<str>>,
     /// Its rank.
     pub tier: u8,
+    /// Its rank among an engine's requests.
+    pub engine_rank: u8,
     /// The engine's work.
     pub prompt: Option<Prompt>,
     /// Last event that the caller had when it asked.
@@ -209,7 +211,7 @@
         from: Resume,
     ) -> Request<Full<Bytes>> {
         let mut headers = self.headers.clone();
-        let tier = self.prompt.is_some().then_some(self.tier);
+        let tier = self.prompt.is_some().then_some(self.engine_rank);
         let organisation = self.organisation.as_deref();
         let forward = Forward {
             endpoint: &choice.endpoint,
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -244,6 +244,13 @@
         self.pauses.get(service).copied()
     }
 
+    /// Rank of a request among an engine's: first by `tier`, the organisation's where it has one, and among equals by the
+    /// route's own.
+    pub fn engine_rank(&self, route: &Route, tier: u8) -> u8 {
+        let tiers = self.routes().map(|route| route.tier).max().unwrap_or_default().saturating_add(1);
+        tier.saturating_mul(tiers).saturating_add(route.tier)
+    }
+
     /// True for routes that no other route of the service ranks below.
     pub fn is_lowest(&self, route: &Route, service: &str) -> bool {
         self.lowest.get(service).is_none_or(|lowest| route.tier >= *lowest)
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -287,6 +287,15 @@
     }
 }
 
+/// An organisation's rank goes first; among its equals an engine preempts the long prompts, not the urgent streams.
+#[test]
+fn engines_rank_by_organisation_and_then_by_route() {
+    let plan = plan();
+    let rank = |path: &str, tier: u8| plan.engine_rank(plan.find("h", path).expect("a route"), tier);
+    let order = [rank("/grade/", 0), rank("/answer/", 0), rank("/recap/", 0), rank("/grade/", 1), rank("/recap/", 1)];
+    assert_eq!(order, [0, 1, 2, 3, 5]);
+}
+
 macro_rules! quickest_pause {
     ($($(#[$meta:meta])* $name:ident: [$($pause:literal),+] of $tokens:literal tokens => $expected:expr;)*) => {
         $($(#[$meta])* #[test] fn $name() {
