fix(gateway): a stream goes on from its copy only where a slot is free; copies are kept where fewer requests run

Two engines crashed at 17.5 s, their streams went on from copies at engines of the lane with 12 slots each, where what goes on is let in first and pushes out others, whatever their ranks. Change: the engine that keeps the copy must have a free slot, else the stream ends; of two engines drawn by lot the one with fewer requests keeps it.

--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -30,6 +30,12 @@
     }
     note_outcome(shared, &before.endpoint, Outcome::Unreachable);
     let work = shared.balance.borrow().at(&keeper.endpoint);
+    if work.calls >= keeper.slots {
+        // What goes on from a copy is let in first, so that a full engine would preempt another for it, be that one
+        // more urgent.
+        log_failure(shared, call, progress, &before, "the engine that keeps its copy is full", Ran::Unknown);
+        return None;
+    }
     let choice = Choice {
         endpoint: keeper.endpoint.clone(),
         address: keeper.address.clone(),
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -21,6 +21,8 @@
 
 /// Engines of the quick lane drawn by lot for a guest, the better of which takes it.
 const GUEST_DRAWN: usize = 2;
+/// Engines drawn by lot to keep a copy, the one with fewer requests of which does.
+const KEEPERS_DRAWN: usize = 2;
 /// Part of a session's tokens that its first engines by hash are taken to lack; all others lack them whole.
 const MISSING: [f64; 2] = [0.0, 0.5];
 
@@ -64,7 +66,7 @@
         let fetch_from = session.source_for(chosen).map(|source| source.address.clone());
         let unread = self.unread_at(chosen, &session);
         let keepers = if engines.len() > 1 { engines } else { &lanes.bulk };
-        let keeper = if self.is_copied() { draw_keeper(keepers, chosen) } else { None };
+        let keeper = if self.is_copied() { self.draw_keeper(keepers, chosen) } else { None };
         Some(Choice { keeper, fetch_from, ..to_choice(self.inputs, chosen, unread) })
     }
 
@@ -162,6 +164,15 @@
         overflow > 0.0 && f64::from(self.work(held).calls) >= f64::from(held.slots) * overflow
     }
 
+    /// Another engine than the chosen one: of two drawn by lot, the one with fewer requests.
+    fn draw_keeper(&self, engines: &[&Registration], chosen: &Registration) -> Option<Keeper> {
+        let others: Vec<&Registration> =
+            engines.iter().copied().filter(|held| held.endpoint != chosen.endpoint).collect();
+        let drawn = others.sample(&mut rand::rng(), KEEPERS_DRAWN);
+        let keeper = drawn.min_by_key(|held| self.work(held).calls)?;
+        Some(Keeper { endpoint: keeper.endpoint.clone(), address: keeper.address.clone(), slots: keeper.slots })
+    }
+
     fn to_session(&self, engines: &[&'a Registration]) -> Session<'a> {
         let homes = if self.policy().sessions { to_homes(self.prompt, engines) } else { Vec::new() };
         let least = self.policy().fetch_least;
@@ -181,13 +192,6 @@
     }
 }
 
-/// Another engine than the chosen one, by lot.
-fn draw_keeper(engines: &[&Registration], chosen: &Registration) -> Option<Keeper> {
-    let others: Vec<&&Registration> = engines.iter().filter(|held| held.endpoint != chosen.endpoint).collect();
-    let drawn = others.choose(&mut rand::rng())?;
-    Some(Keeper { endpoint: drawn.endpoint.clone(), address: drawn.address.clone() })
-}
-
 /// The engines most likely to keep the parts of this prompt's session, the likeliest first.
 fn to_homes(prompt: &Prompt, engines: &[&Registration]) -> Vec<EndpointId> {
     let Some(session) = prompt.session() else { return Vec::new() };
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -48,6 +48,8 @@
     pub endpoint: EndpointId,
     /// Where it is.
     pub address: Arc<str>,
+    /// Requests it works on at once.
+    pub slots: u32,
 }
 
 /// A choice.
