--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -138,14 +138,12 @@
 /// that it would come late and make the streams behind it late too.
 fn check_not_hopeless<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
-    if !shared.options.policy.guard.hopeless {
-        return Ok(());
-    }
+    let hopeless = shared.options.policy.guard.hopeless;
     if call.route.kind != RouteKind::Stream || call.prompt.is_none() || !plan.is_lowest(&call.route, &choice.service) {
         return Ok(());
     }
-    let wait = shared.reading.borrow().time_for(&choice.service, choice.ahead);
-    if wait <= call.route.target {
+    let wait = to_wait(shared, choice);
+    if hopeless == 0.0 || wait <= call.route.target.mul_f64(hopeless) {
         return Ok(());
     }
     shared.log.write(What::CallHopeless {
@@ -158,6 +156,11 @@
     Err(not_run("its engines have too much to read", wait.saturating_sub(call.route.target / 2)))
 }
 
+/// How long an engine takes to read what is unread there.
+fn to_wait<D: Dialect>(shared: &Shared<D>, choice: &Choice) -> Duration {
+    shared.reading.borrow().time_for(&choice.service, choice.ahead)
+}
+
 pub(super) async fn send_on<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: &Call,
@@ -205,7 +208,8 @@
     connection: &mut Connection,
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, Failure> {
-    let patient_until = call.until.min(Instant::now() + call.patience());
+    let patience = call.patience() + to_wait(shared, choice).mul_f64(shared.options.policy.guard.patience);
+    let patient_until = call.until.min(Instant::now() + patience);
     let mut answer = std::pin::pin!(connection.send(request));
     let mut answered = timeout_at(patient_until.into(), answer.as_mut()).await;
     let impatient = shared.options.policy.guard.impatience && call.route.may_repeat();
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -146,8 +146,12 @@
 #[serde(default, deny_unknown_fields)]
 #[allow(clippy::struct_excessive_bools, reason = "each switches one mechanism")]
 pub struct GuardPolicy {
-    /// Streams of the lowest rank that would come late are refused at once.
-    pub hopeless: bool,
+    /// Streams of the lowest rank are refused at once where they would wait at the best engine for more than this part of
+    /// their target; 0 for never.
+    pub hopeless: f64,
+    /// A stream that waits for its first event is patient for this many times the wait expected at its engine, beside what
+    /// all are.
+    pub patience: f64,
     /// Endpoints that fail are left out for a while, by this instance's own outcomes.
     pub ejection: bool,
     /// Endpoints that fail far more than the others are left out, by the outcomes of all instances.
@@ -158,7 +162,7 @@
 
 impl Default for GuardPolicy {
     fn default() -> Self {
-        GuardPolicy { hopeless: true, ejection: true, suspects: true, impatience: true }
+        GuardPolicy { hopeless: 0.7, patience: 4.0, ejection: true, suspects: true, impatience: true }
     }
 }
 
