--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -65,7 +65,7 @@
         }
         What::CallHopeless { endpoint, ahead, wait_ms, target_ms, .. } => format!(
             "the best engine, {endpoint}, has {ahead} prompt tokens to read first: about {wait_ms} ms, \
-             past the target of {target_ms} ms"
+             too long for a target of {target_ms} ms"
         ),
         What::CallFailed { endpoint, attempt, why, ran, .. } => {
             format!("attempt {attempt} at {endpoint} failed: {why}; ran: {ran:?}")
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -6,16 +6,20 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use rudder_events::What;
 use rudder_model::{EndpointId, Ran};
 use tokio::time::timeout_at;
 
-use super::{Call, Failure, Leg, Progress, Refusal, Resume, refusal::not_run, send::WHOLE};
+use super::{
+    Call, Failure, Leg, Progress, Refusal, Resume,
+    permit::{check_not_hopeless, check_still_allowed, may_send_again, to_wait},
+    send::WHOLE,
+};
 use crate::{
-    Dialect, RouteKind,
+    Dialect,
     balance::Flight,
     choose::{self, Choice, Inputs},
     health::Outcome,
@@ -26,20 +30,6 @@
 /// Connections that may fail to come up before a request is refused. An endpoint that has ended refuses at once,
 /// so that many cost next to nothing; a rack of them must not be taken for all.
 pub(super) const CONNECTS: u32 = 12;
-/// Endpoints beyond the route's own bound that a request may go to when it did not run.
-const UNRUN_EXTRA: u32 = 1;
-
-/// Takes the right to send a request once more, within the route's bound and the retry budget.
-pub fn may_send_again<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress) -> bool {
-    let now = Instant::now();
-    let bound = call.route.attempts.max(1);
-    if progress.ran >= bound || progress.sent >= bound + UNRUN_EXTRA || now >= call.until {
-        return false;
-    }
-    let Some(service) = progress.chosen.clone() else { return true };
-    let instances = shared.view.borrow().sender_count();
-    shared.budget.borrow_mut().try_take(&service, now, instances)
-}
 
 /// Takes in that an endpoint did not run the request.
 pub(super) async fn note_not_run<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, leg: Leg) {
@@ -134,33 +124,6 @@
     Ok(send_on(shared, call, progress, choice, connection, from).await)
 }
 
-/// Refuses a stream of the lowest rank at once where its engine, the best there is, has so much to read
-/// that it would come late and make the streams behind it late too.
-fn check_not_hopeless<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
-    let Some(plan) = shared.current_plan() else { return Ok(()) };
-    let hopeless = shared.options.policy.guard.hopeless;
-    if call.route.kind != RouteKind::Stream || call.prompt.is_none() || !plan.is_lowest(&call.route, &choice.service) {
-        return Ok(());
-    }
-    let wait = to_wait(shared, choice);
-    if hopeless == 0.0 || wait <= call.route.target.mul_f64(hopeless) {
-        return Ok(());
-    }
-    shared.log.write(What::CallHopeless {
-        request: call.id.clone(),
-        endpoint: choice.endpoint.clone(),
-        ahead: choice.ahead,
-        wait_ms: wait.as_millis() as u64,
-        target_ms: call.route.target.as_millis() as u64,
-    });
-    Err(not_run("its engines have too much to read", wait.saturating_sub(call.route.target / 2)))
-}
-
-/// How long an engine takes to read what is unread there.
-fn to_wait<D: Dialect>(shared: &Shared<D>, choice: &Choice) -> Duration {
-    shared.reading.borrow().time_for(&choice.service, choice.ahead)
-}
-
 pub(super) async fn send_on<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: &Call,
@@ -258,34 +221,6 @@
     });
 }
 
-/// The key and the route are looked at again just before a request goes out: it may have waited.
-pub(super) fn check_still_allowed<D: Dialect>(
-    shared: &Shared<D>,
-    call: &Call,
-    progress: &Progress,
-) -> Result<(), Refusal> {
-    let come_back = shared.options.recover;
-    let refusal = |why| {
-        if progress.ran == 0 {
-            return not_run(why, come_back);
-        }
-        Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None }
-    };
-    if !shared.is_fresh(shared.options.fresh) {
-        return Err(refusal("the configuration may be old"));
-    }
-    let Some(plan) = shared.current_plan() else { return Err(refusal("no configuration yet")) };
-    let known = call.key.as_deref().is_some_and(|key| plan.organisation_of(key).is_some());
-    if plan.organisations.is_some() && !call.route.open && !known {
-        return Err(refusal("the key was taken away"));
-    }
-    let same = plan.find(&call.host, call.uri.path()).is_some_and(|route| route.shares == call.route.shares);
-    if !same {
-        return Err(refusal("the route has changed"));
-    }
-    Ok(())
-}
-
 fn pick<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Option<Choice> {
     let plan = shared.current_plan()?;
     let view = shared.view.borrow().clone();
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -6,7 +6,8 @@
 
 use super::{
     Call, Leg, Progress, Resume,
-    attempt::{check_still_allowed, connect, log_failure, note_outcome, send_on},
+    attempt::{connect, log_failure, note_outcome, send_on},
+    permit::check_still_allowed,
 };
 use crate::{Dialect, choose::Choice, health::Outcome, shared::Shared, upstream};
 
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`admit`]: reading a request, its route and its key;
 //! - [`send`]: the loop over endpoints, and the answer;
+//! - [`permit`]: whether it may be sent, for the first time and once more;
 //! - [`attempt`]: one endpoint, from the choice to the head of its answer;
 //! - [`copies`]: going on elsewhere, from a copy of its memory, with a stream whose endpoint has ended;
 //! - [`refusal`]: final answers of the instance itself.
@@ -14,6 +15,7 @@
 pub mod admit;
 pub mod attempt;
 pub mod copies;
+pub mod permit;
 pub mod refusal;
 pub mod send;
 
@@ -31,8 +33,9 @@
 use rudder_model::EndpointId;
 
 pub use admit::strip_hop_headers;
-pub use attempt::{attempt, log_failure, may_send_again, note_outcome, put_back};
+pub use attempt::{attempt, log_failure, note_outcome, put_back};
 pub use copies::go_on_from_copy;
+pub use permit::may_send_again;
 pub use refusal::Refusal;
 
 use crate::{
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -10,7 +10,8 @@
 
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume,
-    attempt::{CONNECTS, attempt, may_send_again, note_not_run, note_outcome, put_back},
+    attempt::{CONNECTS, attempt, note_not_run, note_outcome, put_back},
+    may_send_again,
     refusal::{give_up, is_promise},
     strip_hop_headers,
 };
