perf(gateway): no more guests of the quick lane

Change: the guest path and its settings go, and with them the pace between quick and steady. Kept though worth nothing on these sites: the cost of full memory, never reached there; it bounds what an engine is sent.

--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -14,13 +14,11 @@
     Route,
     balance::Work,
     dialect::Prompt,
-    lanes::{self, Lanes, Pace},
+    lanes::{self, Lanes},
     plan::Engine,
     policy::{ChoicePolicy, LanePolicy},
 };
 
-/// Engines of the quick lane drawn by lot for a guest, the better of which takes it.
-const GUEST_DRAWN: usize = 2;
 /// Engines drawn by lot to keep a copy, the one with fewer requests of which does.
 const KEEPERS_DRAWN: usize = 2;
 /// Part of a session's tokens that its first engines by hash are taken to lack; all others lack them whole.
@@ -33,7 +31,8 @@
     service: &'a str,
     engine: Engine,
     prompt: &'a Prompt,
-    pace: Pace,
+    /// It suffers from long prompts beside it.
+    quick: bool,
 }
 
 /// The engines most likely to keep the parts of a request's session.
@@ -52,17 +51,17 @@
         engine: Engine,
         prompt: &'a Prompt,
     ) -> Request<'a> {
-        let pace = lanes::pace(&inputs.policy.lanes, inputs.plan, route, service, inputs.reading);
-        Request { inputs, route, service, engine, prompt, pace }
+        let quick = lanes::is_quick(&inputs.policy.lanes, inputs.plan, route, service, inputs.reading);
+        Request { inputs, route, service, engine, prompt, quick }
     }
 
     /// Picks one of the engines.
     pub(super) fn choose(&self, lanes: &Lanes) -> Option<Choice> {
-        let (own, other) = if self.is_quick() { (&lanes.quick, &lanes.bulk) } else { (&lanes.bulk, &lanes.quick) };
+        let (own, other) = if self.quick { (&lanes.quick, &lanes.bulk) } else { (&lanes.bulk, &lanes.quick) };
         let engines = if own.is_empty() { other } else { own };
         let session = self.to_session(engines);
         let best = self.cheapest(engines, &session)?;
-        let chosen = self.guest(best, other, &session).unwrap_or(best);
+        let chosen = self.elsewhere(best, other, &session).unwrap_or(best);
         let fetch_from = session.source_for(chosen).map(|source| source.address.clone());
         let unread = self.unread_at(chosen, &session);
         let keepers = if engines.len() > 1 { engines } else { &lanes.bulk };
@@ -78,24 +77,20 @@
         &self.inputs.policy.lanes
     }
 
-    fn is_quick(&self) -> bool {
-        self.pace == Pace::Quick
-    }
-
     fn work(&self, held: &Registration) -> Work {
         self.inputs.balance.at(&held.endpoint)
     }
 
     fn is_copied(&self) -> bool {
         let least = self.policy().copied;
-        self.engine.copies && self.is_quick() && least > 0 && self.prompt.expected_answer() >= least
+        self.engine.copies && self.quick && least > 0 && self.prompt.expected_answer() >= least
     }
 
     /// The engine that costs the least among those of the session and a few drawn by lot. Were all weighed, all
     /// instances, whose counts of each other's work are some hundred milliseconds old, would send to the same one.
     fn cheapest<'e>(&self, engines: &[&'e Registration], session: &Session) -> Option<&'e Registration> {
         let count = self.policy().drawn;
-        let near = if self.is_quick() { self.in_hall(engines) } else { Vec::new() };
+        let near = if self.quick { self.in_hall(engines) } else { Vec::new() };
         let homes = engines.iter().copied().filter(|held| session.homes.contains(&held.endpoint));
         let mut drawn: Vec<&Registration> = homes.collect();
         drawn.extend(engines.sample(&mut rand::rng(), count));
@@ -111,11 +106,11 @@
     fn cost(&self, held: &Registration, session: &Session) -> u64 {
         let policy = self.policy();
         let work = self.work(held);
-        let full = work.held + self.prompt.tokens > self.engine.memory;
         let ahead = u64::from(work.unread) + u64::from(work.calls) * u64::from(policy.call_cost);
         let stray_most = self.inputs.reading.tokens_in(self.service, self.route.target.mul_f64(policy.again_most));
         let again = (u64::from(self.lacked(held, session)) * u64::from(policy.read_again)).min(stray_most);
-        let far = self.is_quick() && held.hall != *self.inputs.hall;
+        let far = self.quick && held.hall != *self.inputs.hall;
+        let full = work.held + self.prompt.tokens > self.engine.memory;
         let extra = if full { policy.memory_cost } else { 0 } + if far { policy.far_cost } else { 0 };
         ahead + again + u64::from(extra)
     }
@@ -133,29 +128,18 @@
         self.prompt.own_tokens() + again
     }
 
-    /// An engine of the other lane that serves the request better than the best of its own, which is crowded.
-    fn guest<'e>(
+    /// An engine of the other lane, for a quick stream that may have to wait for a slot in its own.
+    fn elsewhere<'e>(
         &self,
         best: &Registration,
         other: &[&'e Registration],
         session: &Session,
     ) -> Option<&'e Registration> {
-        match self.pace {
-            Pace::Quick if !self.is_crowded(best) => None,
-            Pace::Quick => {
-                let free: Vec<&Registration> = other.iter().copied().filter(|held| !self.is_crowded(held)).collect();
-                self.cheapest(&free, session)
-            }
-            Pace::Steady => None,
-            Pace::Brisk => {
-                let ahead = |held: &Registration| self.work(held).unread;
-                let fits = |held: &&Registration| {
-                    ahead(held) + self.unread_at(held, session) <= self.lanes().guest_tokens && !self.is_crowded(held)
-                };
-                let drawn = other.sample(&mut rand::rng(), GUEST_DRAWN).copied().filter(fits);
-                drawn.min_by_key(|held| (ahead(held), rand::random::<u32>()))
-            }
+        if !self.quick || !self.is_crowded(best) {
+            return None;
         }
+        let free: Vec<&Registration> = other.iter().copied().filter(|held| !self.is_crowded(held)).collect();
+        self.cheapest(&free, session)
     }
 
     /// True where so many slots are in use that a request may have to wait for one.
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -17,17 +17,6 @@
 /// Engines from which on the quick lane has two, so that the loss of one leaves one.
 const TWO_FROM: usize = 6;
 
-/// How much a route's streams suffer from long prompts beside them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Pace {
-    /// They become late beside any.
-    Quick,
-    /// They become late behind several.
-    Brisk,
-    /// They are the long prompts, or as patient.
-    Steady,
-}
-
 /// The longest pause of a service's quick routes; `None` where it has none beside others. Quick are pauses far shorter
 /// than the longest, and the shortest where an engine that reads all the time makes about as long ones: between
 /// two tokens it reads a piece of a prompt, and an event waits for several tokens.
@@ -44,15 +33,10 @@
     (pauses.shortest <= bound).then_some(bound)
 }
 
-/// The pace of a route's streams at one of its services, by the pauses that they allow.
-pub fn pace(policy: &LanePolicy, plan: &Plan, route: &Route, service: &str, reading: &Reading) -> Pace {
-    let quick = quick_bound(policy, plan, service, reading);
-    let longest = plan.pauses(service).map(|pauses| pauses.longest).unwrap_or_default();
-    match (route.pause, quick) {
-        (Some(pause), Some(quick)) if pause <= quick => Pace::Quick,
-        (Some(pause), _) if pause <= longest.mul_f64(policy.brisk) => Pace::Brisk,
-        _ => Pace::Steady,
-    }
+/// True where a route's streams at one of its services suffer from long prompts beside them.
+pub fn is_quick(policy: &LanePolicy, plan: &Plan, route: &Route, service: &str, reading: &Reading) -> bool {
+    let bound = quick_bound(policy, plan, service, reading);
+    route.pause.is_some_and(|pause| bound.is_some_and(|bound| pause <= bound))
 }
 
 /// The engines of one service, in the order of their rank.
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -63,8 +63,6 @@
     /// A route with the shortest pauses of its service is quick as well when the pause that an engine makes which
     /// reads all the time is at least this part of what the route allows.
     pub crowded: f64,
-    /// A route is brisk when it allows at most this part.
-    pub brisk: f64,
     /// Part of the quick lane's slots that is used before the lane grows.
     pub fill: f64,
     /// The quick lane never takes more than this part of the engines.
@@ -72,26 +70,14 @@
     /// Part of the engines that the quick lane has at least: the loss of one must not take a large part of the quick
     /// streams with it.
     pub smallest: f64,
-    /// A guest of the quick lane and all that is unread there have at most this many prompt tokens; 0 for no guests.
-    pub guest_tokens: u32,
-    /// Part of an engine's slots: a quick stream goes to the other engines when the best of its own has as many in use,
-    /// and nothing becomes a guest of an engine that has; 0 for never.
+    /// Part of an engine's slots: a quick stream goes to the other engines when the best of its own has as many in use;
+    /// 0 for never.
     pub overflow: f64,
 }
 
 impl Default for LanePolicy {
     fn default() -> Self {
-        LanePolicy {
-            enabled: true,
-            quick: 0.3,
-            crowded: 0.3,
-            brisk: 0.6,
-            fill: 0.6,
-            largest: 0.5,
-            smallest: 0.2,
-            guest_tokens: 4_000,
-            overflow: 0.8,
-        }
+        LanePolicy { enabled: true, quick: 0.3, crowded: 0.3, fill: 0.6, largest: 0.5, smallest: 0.2, overflow: 0.8 }
     }
 }
 
@@ -103,7 +89,7 @@
     pub sessions: bool,
     /// Each request under way at an engine counts as this many prompt tokens ahead.
     pub call_cost: u32,
-    /// An engine whose memory would run out counts as this many prompt tokens behind.
+    /// An engine whose memory would run out counts as this many prompt tokens behind: it would preempt its newest request.
     pub memory_cost: u32,
     /// Each token of its session's part that an engine lacks counts as this many prompt tokens ahead there: it is read
     /// again, for which the engine's other requests wait as well, or taken over, and its copy takes others' place.
@@ -182,7 +168,6 @@
         let shares = [
             ("lanes.quick", self.lanes.quick),
             ("lanes.crowded", self.lanes.crowded),
-            ("lanes.brisk", self.lanes.brisk),
             ("lanes.fill", self.lanes.fill),
             ("lanes.overflow", self.lanes.overflow),
             ("lanes.largest", self.lanes.largest),
