perf(gateway): memory is copied only where moving it is cheap beside reading

Change: copies only where the link moves tokens at least twenty times as fast as engines read them (6 times there, 65 elsewhere).

--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -82,8 +82,10 @@
     }
 
     fn is_copied(&self) -> bool {
-        let least = self.policy().copied;
-        self.engine.copies && self.quick && least > 0 && self.prompt.expected_answer() >= least
+        let ChoicePolicy { copied, copy_speed, .. } = *self.policy();
+        let cheap = self.engine.move_speed >= self.inputs.reading.speed(self.service) * copy_speed;
+        let long = copied > 0 && self.prompt.expected_answer() >= copied;
+        self.engine.copies && cheap && self.quick && long
     }
 
     /// The engine that costs the least among those of the session and a few drawn by lot. Were all weighed, all
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -109,6 +109,9 @@
     /// while they run: the longer one runs, the likelier its engine ends under it, and the more is lost with it; 0 for
     /// no copies.
     pub copied: u32,
+    /// They are copied only where the link moves tokens this many times as fast as engines read them: a copy takes part of
+    /// the links for all streams, and pays for the few whose engine ends.
+    pub copy_speed: f64,
 }
 
 impl Default for ChoicePolicy {
@@ -123,6 +126,7 @@
             far_cost: 900,
             drawn: 3,
             copied: 200,
+            copy_speed: 20.0,
         }
     }
 }
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -487,6 +487,16 @@
     assert_eq!(keeper("/recap/", Some(900)), None);
 }
 
+/// On the third deployment a token's memory is eighteen times as large, and copies cost what they saved.
+#[test]
+fn memory_that_is_dear_to_move_is_not_copied() {
+    let mut scene = Scene::new();
+    let engine = Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed: 280.0 };
+    scene.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
+    let prompt = Prompt { answer: 2000, ..prompt(5) };
+    assert_eq!(scene.choice("/grade/", &prompt, &[]).expect("a choice").keeper, None);
+}
+
 /// Their sessions are a few dozen tokens: two engines named by a hash took all streams of a busy one.
 #[test]
 fn quick_streams_of_one_session_use_the_whole_lane() {
