--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -1,7 +1,7 @@
 //! Choice among engines: the one with the least to read before the request's first output, all else counted as tokens.
 //!
 //! A prompt's shared parts are taken to be kept at one engine, which the hash of its session names. Quick streams and
-//! the others have lanes of their own; each may go to the other's where its own is crowded and no harm is done there.
+//! the others have lanes of their own; a quick stream goes to the others where its own engines are crowded.
 
 use std::cmp::Reverse;
 
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -24,7 +24,7 @@
     let pauses = plan.pauses(service)?;
     let far_shorter = pauses.longest.mul_f64(policy.quick);
     let engine = plan.services.get(service)?.engine?;
-    let crowded = reading.time_for(service, PIECE * engine.event_tokens);
+    let crowded = reading.time_for(service, PIECE.saturating_mul(engine.event_tokens));
     let bound = if pauses.shortest < pauses.longest && crowded >= pauses.shortest.mul_f64(policy.crowded) {
         far_shorter.max(pauses.shortest)
     } else {
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -156,6 +156,20 @@
     }
 }
 
+/// Largest factor of a time or speed that can be meant.
+const FACTOR_MOST: f64 = 1000.0;
+
+/// Checks that figures lie between 0 and `most`.
+fn check_all(figures: &[(&'static str, f64)], most: f64) -> Result<(), Error> {
+    let least = 0.0;
+    for &(key, value) in figures {
+        if !(least..=most).contains(&value) {
+            return Err(Error::Value { key, value, least, most });
+        }
+    }
+    Ok(())
+}
+
 impl Policy {
     /// Reads a policy from a TOML file; what it does not name has its default.
     ///
@@ -178,12 +192,12 @@
             ("lanes.smallest", self.lanes.smallest),
             ("choice.again_most", self.choice.again_most),
         ];
-        let (least, most) = (0.0, 1.0);
-        for (key, value) in shares {
-            if !(least..=most).contains(&value) {
-                return Err(Error::Value { key, value, least, most });
-            }
-        }
-        Ok(())
+        let factors = [
+            ("choice.copy_speed", self.choice.copy_speed),
+            ("guard.hopeless", self.guard.hopeless),
+            ("guard.patience", self.guard.patience),
+        ];
+        check_all(&shares, 1.0)?;
+        check_all(&factors, FACTOR_MOST)
     }
 }
--- a/crates/rudder-gateway/tests/settings.rs
+++ b/crates/rudder-gateway/tests/settings.rs
@@ -40,6 +40,8 @@
     an_unknown_field: "[lanes]\nfull = 1\n" => "unknown field `full`";
     an_unknown_table: "[lane]\n" => "unknown field `lane`";
     a_share_above_one: "[lanes]\nlargest = 1.5\n" => "lanes.largest: 1.5 is not between 0 and 1";
+    a_negative_factor: "[guard]\npatience = -1\n" => "guard.patience: -1 is not between 0 and 1000";
+    an_endless_factor: "[guard]\nhopeless = inf\n" => "guard.hopeless";
     no_number: "[lanes]\nfill = nan\n" => "lanes.fill";
     no_toml: "lanes" => "policy.toml";
 }
