test(hatchrudder): free ports are found by connecting, so that no started process holds a copy of the listener

The port had been bound to see that it is free; another test started a process at that moment, which held the listener until it ran its program. The test is as strict as before: a port at which somebody listens is passed over.

--- a/crates/hatchrudder/tests/fleet/mod.rs
+++ b/crates/hatchrudder/tests/fleet/mod.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeMap,
     fmt::Write as _,
-    net::TcpListener,
+    net::TcpStream,
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -47,7 +47,9 @@
 }
 
 /// Free ports below those that the system hands out by itself: one of these could go to an outgoing
-/// connection of another test before the instance listens, or while it is down.
+/// connection of another test before the instance listens, or while it is down. A port is asked for by connecting, not
+/// by listening: a process that another test starts just then holds a copy of the listener until it runs its program, and
+/// the instance would find the port in use.
 fn free_ports(count: usize) -> Vec<u16> {
     const FIRST: u32 = 10_000;
     const RANGE: u32 = 22_000;
@@ -56,7 +58,7 @@
     let next = || {
         let port = FIRST + (offset + NEXT.fetch_add(1, Ordering::Relaxed)) % RANGE;
         let port = u16::try_from(port).expect("a port number");
-        TcpListener::bind(("127.0.0.1", port)).is_ok().then_some(port)
+        TcpStream::connect(("127.0.0.1", port)).is_err().then_some(port)
     };
     std::iter::repeat_with(next).flatten().take(count).collect()
 }
