--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -221,6 +221,12 @@
         reused: bool,
         /// Time left, in milliseconds.
         left_ms: u64,
+        /// Address of the engine from which it takes the session's part of its prompt, where it takes it along.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        fetch_from: Option<String>,
+        /// The engine that keeps a copy of its memory, where one does.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        keeper: Option<EndpointId>,
     },
     /// A request would come late at the best endpoint there is, so it is refused.
     CallHopeless {
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -56,11 +56,26 @@
                  {left_ms} ms allowed"
             )
         }
-        What::CallSent { endpoint, attempt, calls, ahead, unread, others_ms, reused, left_ms, .. } => {
+        What::CallSent {
+            endpoint,
+            attempt,
+            calls,
+            ahead,
+            unread,
+            others_ms,
+            reused,
+            left_ms,
+            fetch_from,
+            keeper,
+            ..
+        } => {
             let connection = if *reused { "a kept" } else { "a new" };
+            let fetched = fetch_from.as_ref().map_or(String::new(), |from| format!(", its session taken from {from}"));
+            let kept = keeper.as_ref().map_or(String::new(), |keeper| format!(", a copy kept by {keeper}"));
             format!(
                 "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
-                 {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left"
+                 {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left\
+                 {fetched}{kept}"
             )
         }
         What::CallHopeless { endpoint, ahead, wait_ms, target_ms, .. } => format!(
--- a/crates/rudder-events/tests/merge.rs
+++ b/crates/rudder-events/tests/merge.rs
@@ -87,3 +87,18 @@
     assert!(story[0].contains("e-1 is silent"), "{}", story[0]);
     assert!(story[2].contains("come back in 700 ms"), "{}", story[2]);
 }
+
+/// Logs of earlier programs do not have the fields on memory.
+#[test]
+fn the_story_tells_whose_memory_a_request_uses() {
+    let sent = r#"{"at":1,"instance":"i-1","uptime":1,"event":"call_sent","request":"a","endpoint":"e-1","attempt":1,
+        "calls":2,"ahead":300,"unread":40,"others_ms":90,"reused":false,"left_ms":900MORE}"#;
+    let story = |more: &str| -> String {
+        let line: Line = serde_json::from_str(&sent.replace("MORE", more)).expect("a line");
+        explain("a", &[line]).join("\n")
+    };
+    let plain = story("");
+    assert!(plain.ends_with("(others' part 90 ms old), 900 ms left"), "{plain}");
+    let told = story(r#","fetch_from":"10.0.0.2:80","keeper":"e-3""#);
+    assert!(told.ends_with("900 ms left, its session taken from 10.0.0.2:80, a copy kept by e-3"), "{told}");
+}
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -218,6 +218,8 @@
         others_ms: others.as_millis() as u64,
         reused,
         left_ms: left.as_millis() as u64,
+        fetch_from: choice.fetch_from.as_deref().map(str::to_owned),
+        keeper: choice.keeper.as_ref().map(|keeper| keeper.endpoint.clone()),
     });
 }
 
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -59,6 +59,8 @@
         others_ms: 0,
         reused: false,
         left_ms: 10,
+        fetch_from: None,
+        keeper: None,
     }
 }
 
