feat(ledger): patches between versions of a document

A change of configuration touches one place of a long document, and links of 10 Mbit/s carry it to dozens of askers. The document is cut after closing braces; pieces that the older version has are named by their place. Ruled out: compression (the whole still goes to all), deltas by route (the document is opaque here).

--- a/crates/rudder-ledger/src/lib.rs
+++ b/crates/rudder-ledger/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 pub mod config;
 pub mod document;
+pub mod patch;
 pub mod snapshot;
 
 pub use apply::Ledger;
@@ -14,3 +15,4 @@
 pub use command::{Answer, Command, Stamped};
 pub use config::{Change, Changed, Config, Delta, Held, Number};
 pub use document::Document;
+pub use patch::Patch;
