feat(core): the tree of relays has checked settings; tests of the links' bounds; docs: how state spreads

Fan-out, least relays, size from which they stand and the period of questions to them are keys of the policy file; what cannot work ends the start with the key named. A frame larger than the bound costs its link alone, with a line.

--- a/crates/rudder-core/src/asking.rs
+++ b/crates/rudder-core/src/asking.rs
@@ -7,14 +7,12 @@
 
 use rudder_model::InstanceId;
 
-use crate::Me;
+use crate::{Me, Options};
 
 /// Questions without an answer that are remembered.
 const ROUNDS: u64 = 64;
 /// Periods without an answer after which another instance is asked.
 const SILENCE: u32 = 2;
-/// Periods of questions to the leader in one of questions to a relay, which has as many askers but a smaller link.
-const RELAY_PERIODS: u32 = 2;
 
 /// Whom a question goes to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,9 +123,9 @@
     }
 
     /// True where it is time for a question: the last one was answered a period ago, or nobody answers it.
-    pub fn is_due(&mut self, now: Duration, watch: Duration) -> bool {
+    pub fn is_due(&mut self, now: Duration, options: &Options) -> bool {
         let Some(asked) = self.asked_at else { return true };
-        let period = if self.asks_relay() { watch * RELAY_PERIODS } else { watch };
+        let period = if self.asks_relay() { options.watch * options.tree.periods } else { options.watch };
         if self.answered >= self.round {
             return now >= asked + period;
         }
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -13,7 +13,7 @@
 use crate::{
     Effect, Listing, Me, Options, PeerMessage, Watch,
     registry::{Change, Registration, Registry},
-    tree::{self, Directory},
+    tree::Directory,
     view::View,
     watchers::{Source, Watchers},
 };
@@ -99,7 +99,7 @@
         let mut outputs = Vec::new();
         self.replica.tick(now, &mut outputs);
         self.found(now, me, options, &mut outputs, out);
-        self.note_role(now, view, out);
+        self.note_role(now, view, options, out);
         if self.replica.leads(now) {
             self.prune(now, options);
             self.watchers.tick(now, out);
@@ -254,7 +254,7 @@
         }
     }
 
-    fn note_role(&mut self, now: Duration, view: &View, out: &mut Vec<Effect>) {
+    fn note_role(&mut self, now: Duration, view: &View, options: &Options, out: &mut Vec<Effect>) {
         let leads = self.replica.role() == Role::Leader;
         if leads == self.led_since.is_some() {
             return;
@@ -266,7 +266,7 @@
             // A new leader starts from the directory it last saw, so that none is taken off for its sake.
             self.directory = view.directory.clone();
             self.directory.lead(self.replica.term());
-            let relayed = self.directory.len() > tree::DIRECT_MOST;
+            let relayed = options.tree.has_relays(&self.directory);
             let heard = if relayed { now + LEAD_GRACE } else { now };
             self.live = self.directory.keys().map(|name| (name.clone(), heard)).collect();
             self.registry = view.registry.clone();
--- a/crates/rudder-core/src/options.rs
+++ b/crates/rudder-core/src/options.rs
@@ -4,6 +4,8 @@
 
 use rudder_model::{HallId, InstanceId, Start};
 
+use crate::tree::Tree;
+
 /// Who this instance is.
 #[derive(Clone, Debug)]
 pub struct Me {
@@ -46,6 +48,8 @@
     pub snapshot_every: u64,
     /// Bytes of commands in the log that make a snapshot due.
     pub snapshot_bytes: u64,
+    /// Who asks the leader and who asks a relay.
+    pub tree: Tree,
     /// An endpoint's word that it leaves is acknowledged within this or not at all.
     pub leave_timeout: Duration,
     /// The replicated log.
@@ -69,6 +73,7 @@
             order_timeout: Duration::from_secs(2),
             snapshot_every: 5000,
             snapshot_bytes: 64 << 20,
+            tree: Tree::default(),
             leave_timeout: Duration::from_millis(800),
             replica: rudder_replica::Options::default(),
             route: rudder_route::Options::default(),
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -251,7 +251,8 @@
     fn on_peer(&mut self, now: Duration, from: InstanceId, message: PeerMessage, out: &mut Vec<Effect>) {
         match message {
             PeerMessage::Watched(watched) => {
-                let learned = self.view.on_watched(now, &from, *watched, &mut self.promises, &self.me, out);
+                let learned =
+                    self.view.on_watched(now, &from, *watched, &mut self.promises, (&self.me, &self.options), out);
                 if learned.changed {
                     self.homes.on_view(now, &self.me, &self.view, out);
                 }
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -20,7 +20,7 @@
     asking::{Asking, Target},
     peer::{DirectoryNews, DocumentNews, Load},
     registry::{Change, Phase, Registration, Registry},
-    tree::{self, Directory},
+    tree::Directory,
     watchers::{Source, Watchers},
 };
 
@@ -40,6 +40,8 @@
     pub directory: Directory,
     proved: Option<Duration>,
     pub(crate) asking: Asking,
+    /// Relays stand between the leader and most instances.
+    relayed: bool,
     was_fresh: bool,
     /// The configuration document in force here.
     pub document: Option<Document>,
@@ -186,7 +188,7 @@
         out: &mut Vec<Effect>,
     ) {
         self.log_freshness(now, options.fresh, out);
-        if !self.asking.is_due(now, options.watch) {
+        if !self.asking.is_due(now, options) {
             return;
         }
         let leaves = self.unconfirmed.values().any(|held| held.registration.phase >= Phase::Leaving);
@@ -228,7 +230,7 @@
 
     /// True where this instance asks the leader itself and so may answer others.
     fn is_relay(&self) -> bool {
-        self.relays().is_empty() && self.directory.len() > tree::DIRECT_MOST
+        self.relays().is_empty() && self.relayed
     }
 
     /// What a relay answers from; `None` at an instance that is none, or has proof of nothing younger than `bound`.
@@ -271,7 +273,7 @@
         from: &InstanceId,
         watched: Watched,
         promises: &mut Promises,
-        me: &Me,
+        (me, options): (&Me, &Options),
         out: &mut Vec<Effect>,
     ) -> Learned {
         let Some(sent) = self.asking.sent(watched.round) else { return Learned::default() };
@@ -312,7 +314,7 @@
             self.others = watched.loads;
         }
         if let Some(news) = watched.directory {
-            changed |= self.take_directory(me, news, out);
+            changed |= self.take_directory((me, options), news, out);
         }
         Learned { changed, urgent }
     }
@@ -380,7 +382,7 @@
         (key == bearer).then(|| org.clone())
     }
 
-    fn take_directory(&mut self, me: &Me, news: DirectoryNews, out: &mut Vec<Effect>) -> bool {
+    fn take_directory(&mut self, (me, options): (&Me, &Options), news: DirectoryNews, out: &mut Vec<Effect>) -> bool {
         let before: BTreeSet<InstanceId> = self.directory.keys().cloned().collect();
         let touched = news.whole || !news.entries.is_empty() || !news.removed.is_empty();
         if !self.directory.take(news, |_, _| true, |_, _| false) || !touched {
@@ -392,7 +394,8 @@
             let (came, went) = (few(&now - &before), few(&before - &now));
             out.push(Effect::Log(What::Directory { live: now.len(), came, went }));
         }
-        let relays = tree::relays_for(me, &self.directory);
+        self.relayed = options.tree.has_relays(&self.directory);
+        let relays = options.tree.relays_for(me, &self.directory);
         if self.asking.set_relays(relays.clone()) {
             out.push(Effect::Log(What::Parent { relays }));
         }
--- a/crates/rudder-core/tests/large.rs
+++ b/crates/rudder-core/tests/large.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mesh::Mesh;
-use rudder_core::{Effect, Event, Listing, PeerMessage, Phase, Watch, Watched, peer::Load, tree};
+use rudder_core::{Effect, Event, Listing, PeerMessage, Phase, Watch, Watched, peer::Load, tree::Tree};
 use rudder_model::id;
 
 const TOTAL: usize = 300;
@@ -34,7 +34,8 @@
     let mut mesh = start();
     assert_eq!(stale(&mesh, Duration::from_millis(1500)), Vec::<usize>::new());
     let (relays, _) = divide(&mesh);
-    assert!((HALLS * tree::RELAYS_LEAST..=TOTAL / tree::FAN_OUT + HALLS).contains(&relays.len()), "{relays:?}");
+    let tree = Tree::default();
+    assert!((HALLS * tree.relays..=TOTAL / tree.askers + HALLS).contains(&relays.len()), "{relays:?}");
     let leader = mesh.leader().expect("one leads");
     mesh.sent.clear();
     mesh.run(Duration::from_secs(2));
--- a/crates/rudder-gateway/src/peers/mod.rs
+++ b/crates/rudder-gateway/src/peers/mod.rs
@@ -134,7 +134,17 @@
         return;
     }
     let mut link = Framed::new(stream, codec());
-    while let Some(Ok(frame)) = link.next().await {
+    while let Some(frame) = link.next().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => {
+                // Links break with every instance that ends, which the directory's lines tell; a bad frame is a fault.
+                if error.kind() == std::io::ErrorKind::InvalidData {
+                    spdlog::warn!("a link carries a frame that is too large: {error}");
+                }
+                return;
+            }
+        };
         let Ok(Parcel { from, message }) = rmp_serde::from_slice(&frame) else {
             spdlog::warn!("a frame of another instance cannot be read");
             return;
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -5,6 +5,7 @@
 
 use std::path::{Path, PathBuf};
 
+use rudder_core::tree::Tree;
 use serde::Deserialize;
 
 /// Why a policy file is refused.
@@ -50,6 +51,36 @@
     pub choice: ChoicePolicy,
     /// What is refused, left out and sent again.
     pub guard: GuardPolicy,
+    /// Who asks the leader for news and who a relay.
+    pub relays: RelayPolicy,
+}
+
+/// Who asks the leader for news and who a relay of its hall. All instances must have the same.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
+#[serde(default, deny_unknown_fields)]
+pub struct RelayPolicy {
+    /// Live instances up to which all ask the leader.
+    pub direct: usize,
+    /// Instances of a hall for each of its relays.
+    pub askers: usize,
+    /// Relays of a hall at least.
+    pub least: usize,
+    /// Periods of questions to the leader in one of questions to a relay.
+    pub periods: u32,
+}
+
+impl Default for RelayPolicy {
+    fn default() -> Self {
+        let Tree { direct, askers, relays, periods } = Tree::default();
+        RelayPolicy { direct, askers, least: relays, periods }
+    }
+}
+
+impl RelayPolicy {
+    /// The same, as the reducer needs it.
+    pub fn to_tree(&self) -> Tree {
+        Tree { direct: self.direct, askers: self.askers, relays: self.least, periods: self.periods }
+    }
 }
 
 /// Engines set apart for streams that suffer from long prompts beside them.
@@ -159,6 +190,24 @@
 /// Largest factor of a time or speed that can be meant.
 const FACTOR_MOST: f64 = 1000.0;
 
+/// Largest number of instances that can be meant.
+const COUNT_MOST: usize = 100_000;
+/// With fewer live instances all ask the leader: with one or two there is none to be a relay beside it.
+const DIRECT_LEAST: usize = 3;
+/// Periods of 100 ms in a question to a relay, at most: a proof of 1.5 s is wanted where a request is told that its route
+/// or key does not exist, and half of that may pass between two questions.
+const PERIODS_MOST: f64 = 7.0;
+
+/// Checks that counts lie between their least and [`COUNT_MOST`].
+fn check_counts(counts: &[(&'static str, usize, usize)]) -> Result<(), Error> {
+    for &(key, count, least) in counts {
+        if !(least..=COUNT_MOST).contains(&count) {
+            return Err(Error::Value { key, value: count as f64, least: least as f64, most: COUNT_MOST as f64 });
+        }
+    }
+    Ok(())
+}
+
 /// Checks that figures lie between 0 and `most`.
 fn check_all(figures: &[(&'static str, f64)], most: f64) -> Result<(), Error> {
     let least = 0.0;
@@ -198,6 +247,13 @@
             ("guard.patience", self.guard.patience),
         ];
         check_all(&shares, 1.0)?;
-        check_all(&factors, FACTOR_MOST)
+        check_all(&factors, FACTOR_MOST)?;
+        check_counts(&[
+            ("relays.direct", self.relays.direct, DIRECT_LEAST),
+            ("relays.askers", self.relays.askers, 1),
+            ("relays.least", self.relays.least, 1),
+        ])?;
+        check_counts(&[("relays.periods", self.relays.periods as usize, 1)])?;
+        check_all(&[("relays.periods", f64::from(self.relays.periods))], PERIODS_MOST)
     }
 }
--- /dev/null
+++ b/crates/rudder-gateway/tests/links.rs
@@ -0,0 +1,82 @@
+//! Links between instances: what waits is bounded, and a bad frame costs its link alone.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use rudder_core::{Event, PeerMessage};
+use rudder_gateway::{
+    metrics::PeerFigures,
+    peers::{
+        self, Links,
+        queue::{Queue, Waiting},
+    },
+};
+use tokio::{
+    io::AsyncWriteExt as _,
+    net::{TcpListener, TcpStream},
+    task::LocalSet,
+};
+
+const KILOBYTE: usize = 1 << 10;
+
+fn frame(kilobytes: usize) -> Bytes {
+    Bytes::from(vec![0; kilobytes * KILOBYTE])
+}
+
+#[test]
+fn a_link_that_takes_nothing_holds_a_megabyte_at_most() {
+    let all = Rc::new(Waiting::default());
+    let queue = Queue::new(all.clone());
+    let taken = (0..100).filter(|_| queue.push(frame(100))).count();
+    assert_eq!(taken, 10);
+    assert_eq!(all.bytes(), 1000 * KILOBYTE);
+    // What has gone out makes room.
+    assert!(queue.try_pop().is_some() && queue.push(frame(100)));
+}
+
+#[test]
+fn a_frame_larger_than_the_bound_waits_alone() {
+    let queue = Queue::new(Rc::default());
+    assert!(queue.push(frame(4000)));
+    assert!(!queue.push(frame(1)));
+    assert!(queue.try_pop().is_some() && queue.push(frame(1)));
+}
+
+#[test]
+fn all_links_together_hold_twelve_megabytes_at_most() {
+    let all = Rc::new(Waiting::default());
+    let queues: Vec<Queue> = (0..300).map(|_| Queue::new(all.clone())).collect();
+    for _ in 0..10 {
+        for queue in &queues {
+            queue.push(frame(100));
+        }
+    }
+    // Each may hold one frame whatever the others hold.
+    assert!(all.bytes() <= 300 * 100 * KILOBYTE, "{}", all.bytes());
+    let second = queues.iter().filter(|queue| queue.try_pop().is_some() && queue.try_pop().is_some()).count();
+    assert!(second <= 120, "{second} links hold more than one frame");
+    queues.iter().for_each(Queue::close);
+    assert_eq!(all.bytes(), 0);
+    assert!(!queues[0].push(frame(1)));
+}
+
+/// A link that says its next frame has 4 GB, one that carries what is no message, and a sound one.
+#[test]
+fn a_bad_frame_costs_its_link_alone() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let (inputs, events) = crossbeam_channel::unbounded();
+    LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        tokio::task::spawn_local(peers::accept(listener, Rc::new(inputs), PeerFigures::default()));
+        for bytes in [&[255_u8, 255, 255, 255, 1][..], &[0, 0, 0, 2, 7, 7][..]] {
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            stream.write_all(bytes).await.expect("it takes them");
+        }
+        let mut links = Links::new("127.0.0.1:1".into(), PeerFigures::default());
+        links.send(&address.to_string().as_str().into(), PeerMessage::Nudge);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    });
+    let got: Vec<Event> = events.try_iter().collect();
+    assert!(matches!(got[..], [Event::Peer { message: PeerMessage::Nudge, .. }]), "{got:?}");
+}
--- a/crates/rudder-gateway/tests/settings.rs
+++ b/crates/rudder-gateway/tests/settings.rs
@@ -43,6 +43,10 @@
     a_negative_factor: "[guard]\npatience = -1\n" => "guard.patience: -1 is not between 0 and 1000";
     an_endless_factor: "[guard]\nhopeless = inf\n" => "guard.hopeless";
     no_number: "[lanes]\nfill = nan\n" => "lanes.fill";
+    relays_for_nobody: "[relays]\naskers = 0\n" => "relays.askers: 0 is not between 1 and 100000";
+    halls_without_relays: "[relays]\nleast = 0\n" => "relays.least: 0 is not between 1 and 100000";
+    no_time_between_questions: "[relays]\nperiods = 0\n" => "relays.periods: 0 is not between 1 and";
+    questions_too_seldom_for_fresh_proof: "[relays]\nperiods = 8\n" => "relays.periods: 8 is not between 0 and 7";
     no_toml: "lanes" => "policy.toml";
 }
 
