perf(gateway): old counts of a plain service no longer send all to the same endpoint

Ruled out: drawing two by lot (the best still gets twice its part), always the nearest (a hall's burst fills one). Change: counts that differ by less than may have come since (rate seen by all x age of the counts, at most half of the slots) are equal, and the nearest of equals is chosen. With new counts nothing changes.

--- a/crates/rudder-core/src/asking.rs
+++ b/crates/rudder-core/src/asking.rs
@@ -112,14 +112,14 @@
     }
 
     /// Asks again at the next chance rather than at the next turn.
-    pub fn hurry(&mut self) {
+    pub fn ask_soon(&mut self) {
         self.asked_at = None;
     }
 
     /// Asks the leader itself at the next chance: a relay's copy may be older than this moment.
-    pub fn hurry_leader(&mut self) {
+    pub fn ask_leader_soon(&mut self) {
         self.urgent = true;
-        self.hurry();
+        self.ask_soon();
     }
 
     /// True where it is time for a question: the last one was answered a period ago, or nobody answers it.
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -21,8 +21,8 @@
 /// Time between questions of founders to each other.
 const FOUNDING_RETRY: Duration = Duration::from_millis(300);
 
-/// Time between greetings of a leader to seeds that it has not heard.
-const GREETING: Duration = Duration::from_millis(400);
+/// Time between announcements of a leader to seeds that it has not heard.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(400);
 /// Where relays stand between, a new leader gives instances this much longer to be heard of: relays have to find it and
 /// to name those who ask them.
 const LEAD_GRACE: Duration = Duration::from_secs(1);
@@ -56,7 +56,7 @@
     registry: Registry,
     watchers: Watchers,
     unsnapped: u64,
-    greeted: Option<Duration>,
+    announced: Option<Duration>,
 }
 
 impl Control {
@@ -85,7 +85,7 @@
             registry: Registry::default(),
             watchers: Watchers::default(),
             unsnapped: 0,
-            greeted: None,
+            announced: None,
         }
     }
 
@@ -103,7 +103,7 @@
         if self.replica.leads(now) {
             self.prune(now, options);
             self.watchers.tick(now, out);
-            self.greet_seeds(now, view, out);
+            self.announce(now, view, out);
             let spares = self.to_spares();
             self.replica.repair(now, &spares, &mut outputs);
         }
@@ -179,7 +179,7 @@
             left |= self.registry.hear_as_leader(now, registration) == Change::Leave;
         }
         if left {
-            self.watchers.nudge(now, Some(from), out);
+            self.watchers.notify(now, Some(from), out);
         }
     }
 
@@ -206,11 +206,11 @@
 
     /// The leader tells the instances it starts from of itself while they are not among the live: seeds
     /// may have been exchanged for instances that know no voter, and those are whom the others ask.
-    fn greet_seeds(&mut self, now: Duration, view: &View, out: &mut Vec<Effect>) {
-        if self.greeted.is_some_and(|greeted| now < greeted + GREETING) {
+    fn announce(&mut self, now: Duration, view: &View, out: &mut Vec<Effect>) {
+        if self.announced.is_some_and(|announced| now < announced + ANNOUNCE_PERIOD) {
             return;
         }
-        self.greeted = Some(now);
+        self.announced = Some(now);
         for seed in view.seeds().iter().filter(|seed| !self.live.contains_key(*seed)) {
             let message = PeerMessage::Elsewhere { leader: Some(self.name.clone()) };
             out.push(Effect::Send { to: seed.clone(), message });
@@ -335,7 +335,7 @@
                 let configures = matches!(stamped.command, Command::Change(_) | Command::Document(_));
                 let answer = self.ledger.apply(entry.index, stamped);
                 if configures && self.led_since.is_some() {
-                    self.watchers.nudge(now, None, out);
+                    self.watchers.notify(now, None, out);
                 }
                 Some(answer)
             }
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -80,7 +80,7 @@
     /// The work that this instance has under way at endpoints.
     Loads(Vec<Load>),
     /// Somebody waits for a proof of freshness: ask the leader now.
-    Hurry,
+    Prove,
     /// The settings name other instances to start from.
     Seeds(Vec<InstanceId>),
     /// A planned stop was asked for.
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -171,7 +171,7 @@
     /// Answers [`PeerMessage::Watch`], from a leader with a valid lease.
     Watched(Box<Watched>),
     /// From whom the receiver asks: there is news, ask now rather than at the next turn.
-    Nudge,
+    Notify,
     /// Answers a question or proposal that only the leader can answer.
     Elsewhere {
         /// The leader, where one is known.
@@ -235,7 +235,7 @@
             PeerMessage::Founding { .. } => "founding",
             PeerMessage::Watch(_) => "watch",
             PeerMessage::Watched(_) => "watched",
-            PeerMessage::Nudge => "nudge",
+            PeerMessage::Notify => "notify",
             PeerMessage::Elsewhere { .. } => "elsewhere",
             PeerMessage::Propose { .. } => "propose",
             PeerMessage::Proposed { .. } => "proposed",
--- a/crates/rudder-core/src/propose.rs
+++ b/crates/rudder-core/src/propose.rs
@@ -11,7 +11,7 @@
 const RETRY: Duration = Duration::from_millis(400);
 
 /// After news of another leader, it is sent again after this long.
-const HURRY: Duration = Duration::from_millis(50);
+const SOON: Duration = Duration::from_millis(50);
 
 /// Whom the answer is for.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -85,8 +85,8 @@
 
     /// Sends all again soon, because the leader is another than thought. Not at once: an instance that
     /// takes itself for the leader would ask itself for ever.
-    pub(crate) fn hurry(&mut self, now: Duration) {
-        let early = now.saturating_sub(RETRY.saturating_sub(HURRY));
+    pub(crate) fn send_soon(&mut self, now: Duration) {
+        let early = now.saturating_sub(RETRY.saturating_sub(SOON));
         for proposal in self.open.values_mut() {
             proposal.sent = proposal.sent.map(|sent| sent.min(early));
         }
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -153,8 +153,8 @@
             }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
             Event::Loads(loads) => self.view.set_loads(loads),
-            Event::Hurry => {
-                self.view.asking.hurry_leader();
+            Event::Prove => {
+                self.view.asking.ask_leader_soon();
                 self.ask(now, out);
             }
             Event::Seeds(seeds) => self.view.set_seeds(seeds),
@@ -192,7 +192,7 @@
 
     /// Asks the leader for news whether it is time to or not.
     fn ask_now(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        self.view.asking.hurry();
+        self.view.asking.ask_soon();
         self.ask(now, out);
     }
 
@@ -257,14 +257,14 @@
                     self.homes.on_view(now, &self.me, &self.view, out);
                 }
                 if learned.urgent {
-                    self.watchers.nudge(now, None, out);
+                    self.watchers.notify(now, None, out);
                 }
                 self.end_leaves(now, out);
             }
-            PeerMessage::Nudge => self.ask_now(now, out),
+            PeerMessage::Notify => self.ask_now(now, out),
             PeerMessage::Elsewhere { leader } => {
                 self.view.asking.on_elsewhere(&from, leader);
-                self.proposals.hurry(now);
+                self.proposals.send_soon(now);
             }
             PeerMessage::Proposed { ticket, start, answer } => {
                 if start == self.me.start {
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -121,7 +121,7 @@
         let change = self.registry.hear(now, &registration);
         if change != Change::None {
             self.edition += 1;
-            self.asking.hurry();
+            self.asking.ask_soon();
         }
         self.unconfirmed.insert(registration.endpoint.clone(), Unconfirmed { registration, round: None });
     }
@@ -296,7 +296,7 @@
             self.proved = self.proved.max(Some(proof));
         }
         if !watched.complete {
-            self.asking.hurry();
+            self.asking.ask_soon();
         }
         let from_leader = *from == watched.leader;
         if !self.asking.note_answer(watched.round, from, watched.leader, watched.group) {
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -16,8 +16,8 @@
 
 /// Deltas in one answer.
 const DELTAS: usize = 200;
-/// Time between two rounds of nudges: what comes in between is told in one.
-const NUDGE_PAUSE: Duration = Duration::from_millis(50);
+/// Time between two rounds of notices: what comes in between is told in one.
+const NOTIFY_PAUSE: Duration = Duration::from_millis(50);
 
 /// What an asker lacks is not sent to it again within this time: it is on its way, and in a start of many
 /// instances the copies would hold up each other.
@@ -44,8 +44,8 @@
     version: u64,
     /// Documents that askers may still hold.
     past: Past,
-    nudged: Option<Duration>,
-    /// News has come since the last nudge.
+    notified: Option<Duration>,
+    /// News has come since the last notice.
     news: bool,
 }
 
@@ -184,21 +184,21 @@
     }
 
     /// Tells all but `except` to ask for news, now or, where they were told just before, at the next tick after a pause.
-    pub fn nudge(&mut self, now: Duration, except: Option<&InstanceId>, out: &mut Vec<Effect>) {
-        if self.nudged.is_some_and(|nudged| now < nudged + NUDGE_PAUSE) {
+    pub fn notify(&mut self, now: Duration, except: Option<&InstanceId>, out: &mut Vec<Effect>) {
+        if self.notified.is_some_and(|notified| now < notified + NOTIFY_PAUSE) {
             self.news = true;
             return;
         }
-        (self.nudged, self.news) = (Some(now), false);
+        (self.notified, self.news) = (Some(now), false);
         for name in self.asking.keys().filter(|name| Some(*name) != except) {
-            out.push(Effect::Send { to: name.clone(), message: PeerMessage::Nudge });
+            out.push(Effect::Send { to: name.clone(), message: PeerMessage::Notify });
         }
     }
 
     /// Tells those who ask of news that came during the pause.
     pub fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.news {
-            self.nudge(now, None, out);
+            self.notify(now, None, out);
         }
     }
 
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -232,6 +232,7 @@
     let inputs = Inputs {
         endpoints: &view.endpoints,
         balance: &balance,
+        work_age: shared.work_age(),
         health: &health,
         reading: &reading,
         hall: &shared.options.hall,
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -1,10 +1,14 @@
 //! Choice of the endpoint for one request.
 //!
-//! Plain services: the one with the fewest requests. Engines: [`engine`].
+//! Plain services: [`plain`]. Engines: [`engine`].
 
 mod engine;
+mod plain;
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use rudder_core::{Phase, Registration};
 use rudder_model::{EndpointId, HallId};
@@ -27,6 +31,8 @@
     pub endpoints: &'a [Registration],
     /// Work under way.
     pub balance: &'a Balance,
+    /// How old the others' part of it is.
+    pub work_age: Duration,
     /// Outcomes.
     pub health: &'a Health,
     /// How fast engines read.
@@ -102,7 +108,7 @@
             let lanes = to_lanes(inputs, service, candidates);
             Request::new(inputs, route, service, engine, prompt).choose(&lanes)
         }
-        _ => choose_plain(inputs, candidates),
+        _ => plain::choose(inputs, &candidates),
     }
 }
 
@@ -120,15 +126,6 @@
     of_service.into_iter().filter(|endpoint| endpoint.phase <= Phase::Silent).collect()
 }
 
-/// The endpoint with the fewest requests; in this hall, where several have as few.
-fn choose_plain(inputs: &Inputs, candidates: Vec<&Registration>) -> Option<Choice> {
-    let calls = |endpoint: &Registration| inputs.balance.at(&endpoint.endpoint).calls;
-    let far = |endpoint: &Registration| endpoint.hall != *inputs.hall;
-    let chosen =
-        candidates.into_iter().min_by_key(|endpoint| (calls(endpoint), far(endpoint), rand::random::<u32>()))?;
-    Some(to_choice(inputs, chosen, 0))
-}
-
 /// The engines that a request may go to, divided where the service has quick routes beside others.
 fn to_lanes<'a>(inputs: &Inputs<'a>, service: &str, candidates: Vec<&'a Registration>) -> Lanes<'a> {
     let policy = &inputs.policy.lanes;
--- /dev/null
+++ b/crates/rudder-gateway/src/choose/plain.rs
@@ -0,0 +1,37 @@
+//! Choice among the endpoints of a plain service: the one with the fewest requests, as far as that is known.
+//!
+//! The counts of the others' requests are some hundred milliseconds old. Where more requests come in that time than the
+//! counts differ by, all instances would send to the one that looked best, and fill it. So counts that differ by less
+//! than what may have come since are taken for equal, and the nearest endpoint for the best of equals.
+
+use std::time::Duration;
+
+use rudder_core::Registration;
+
+use super::{Choice, Inputs, to_choice};
+use crate::recent::SPAN;
+
+/// Part of an endpoint's slots at most by which counts may differ and yet be taken for equal: one that is nearly full is
+/// never as good as an idle one.
+const EQUAL_MOST: f64 = 0.5;
+
+/// Picks one of the endpoints.
+pub(super) fn choose(inputs: &Inputs, candidates: &[&Registration]) -> Option<Choice> {
+    let calls = |held: &Registration| inputs.balance.at(&held.endpoint).calls;
+    let least = candidates.iter().map(|held| calls(held)).min()?;
+    let come = come_since(inputs, candidates);
+    let equal = |held: &&&Registration| {
+        let bound = come.min(f64::from(held.slots) * EQUAL_MOST);
+        f64::from(calls(held) - least) <= bound
+    };
+    let far = |held: &Registration| held.hall != *inputs.hall;
+    let chosen = candidates.iter().filter(equal).min_by_key(|held| (far(held), rand::random::<u32>()))?;
+    Some(to_choice(inputs, chosen, 0))
+}
+
+/// Requests that came to one of the endpoints, in the mean, since the others' counts were taken.
+fn come_since(inputs: &Inputs, candidates: &[&Registration]) -> f64 {
+    let ended: u32 = candidates.iter().map(|held| inputs.balance.tally(&held.endpoint, inputs.now).ended).sum();
+    let rate = f64::from(ended) / Duration::from_secs(SPAN).as_secs_f64();
+    rate * inputs.work_age.as_secs_f64() / candidates.len().max(1) as f64
+}
--- a/crates/rudder-gateway/src/recent.rs
+++ b/crates/rudder-gateway/src/recent.rs
@@ -12,7 +12,7 @@
 use rudder_model::EndpointId;
 
 /// Seconds that count, the current one included.
-const SPAN: u64 = 5;
+pub const SPAN: u64 = 5;
 /// Failures that make an endpoint suspect, at least.
 const LEAST: u32 = 3;
 /// Share of failures that makes it suspect, at least.
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -172,6 +172,12 @@
         self.proof.borrow().map(|proof| proof.elapsed())
     }
 
+    /// How old the others' work is that is known here: it was told on the way that the proof came by, which takes about
+    /// as long in one direction as in the other.
+    pub fn work_age(&self) -> Duration {
+        self.proof_age().unwrap_or_default() * 2
+    }
+
     /// When a request that lacks proof of the configuration should come back: after the rest of a start, or
     /// after the time that an election takes.
     pub fn recovers_in(&self) -> Duration {
@@ -201,7 +207,7 @@
 
     /// Waits until the plan is proved the newest as of `since`, at most for `bound`.
     pub async fn prove(&self, since: Instant, bound: Duration) -> bool {
-        self.tell(Event::Hurry);
+        self.tell(Event::Prove);
         let mut proofs = self.proof.subscribe();
         let proved = proofs.wait_for(|proof| proof.is_some_and(|proof| proof >= since));
         matches!(tokio::time::timeout(bound, proved).await, Ok(Ok(_)))
--- a/crates/rudder-gateway/tests/links.rs
+++ b/crates/rudder-gateway/tests/links.rs
@@ -74,9 +74,9 @@
             stream.write_all(bytes).await.expect("it takes them");
         }
         let mut links = Links::new("127.0.0.1:1".into(), PeerFigures::default());
-        links.send(&address.to_string().as_str().into(), PeerMessage::Nudge);
+        links.send(&address.to_string().as_str().into(), PeerMessage::Notify);
         tokio::time::sleep(Duration::from_millis(300)).await;
     });
     let got: Vec<Event> = events.try_iter().collect();
-    assert!(matches!(got[..], [Event::Peer { message: PeerMessage::Nudge, .. }]), "{got:?}");
+    assert!(matches!(got[..], [Event::Peer { message: PeerMessage::Notify, .. }]), "{got:?}");
 }
--- /dev/null
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -0,0 +1,107 @@
+//! The choice among endpoints of a plain service, by counts that are more or less old.
+
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
+
+use rudder_core::{Phase, Registration, peer::Load};
+use rudder_gateway::{
+    Plan, Policy, Route, RouteKind, Service,
+    balance::Balance,
+    choose::{self, Inputs},
+    health::Health,
+    plan::{Limits, Share},
+    reading::Reading,
+};
+use rudder_model::id;
+
+const SLOTS: u32 = 6;
+/// Requests that ended in the last five seconds, at each endpoint: 350 a second at six of them.
+const ENDED: u32 = 290;
+
+fn plan() -> Plan {
+    let mut plan = Plan::new(1, Limits::default());
+    plan.services.insert("app".into(), Service { name: "app".into(), connections: 100, engine: None });
+    let route = Route {
+        name: "lock".into(),
+        host: "h".into(),
+        prefix: "/lock/".into(),
+        kind: RouteKind::Once,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(150),
+        pause: None,
+        tier: 0,
+        shares: vec![Share { service: "app".into(), weight: 1 }],
+        attempts: 1,
+        open: false,
+        resumable: false,
+    };
+    plan.add_route(route).expect("it fits");
+    plan
+}
+
+fn endpoints(count: usize) -> Vec<Registration> {
+    let endpoint = |number: usize| Registration {
+        endpoint: format!("e-{number}").into(),
+        service: "app".into(),
+        address: format!("10.0.0.{number}:80").into(),
+        hall: format!("hall-{number}").as_str().into(),
+        slots: SLOTS,
+        phase: Phase::Ready,
+        sequence: 1,
+    };
+    (0..count).map(endpoint).collect()
+}
+
+/// How many of 600 instances in as many halls choose each endpoint, with `calls` known at each.
+fn choices(calls: &[u32], age: Duration) -> BTreeMap<String, usize> {
+    let (endpoints, plan) = (endpoints(calls.len()), plan());
+    let load = |(number, calls): (usize, &u32)| {
+        let tag = id::endpoint_tag(&format!("e-{number}"));
+        Load { calls: *calls, ended: ENDED, ..Load::none(tag) }
+    };
+    let loads: Vec<Load> = calls.iter().enumerate().map(load).collect();
+    let mut balance = Balance::default();
+    balance.set_others(&loads);
+    let route = plan.find("h", "/lock/").expect("a route");
+    let mut counts = BTreeMap::new();
+    for number in 0..600 {
+        let hall = format!("hall-{}", number % calls.len()).as_str().into();
+        let inputs = Inputs {
+            endpoints: &endpoints,
+            balance: &balance,
+            work_age: age,
+            health: &Health::default(),
+            reading: &Reading::default(),
+            hall: &hall,
+            plan: &plan,
+            policy: &Policy::default(),
+            now: Instant::now(),
+        };
+        let choice = choose::choose(&inputs, route, "app", None, &[]).expect("one is there");
+        *counts.entry(choice.endpoint.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+/// All instances saw the same counts, half a second old, and sent all that came in that time to the one that looked best:
+/// it rejected them, as it had six slots.
+#[test]
+fn old_counts_do_not_send_all_to_the_same_endpoint() {
+    let counts = choices(&[3, 2, 0, 1, 3, 2], Duration::from_millis(400));
+    assert_eq!(counts.len(), 6);
+    assert!(counts.values().all(|count| *count < 200), "{counts:?}");
+}
+
+#[test]
+fn new_counts_decide() {
+    let counts = choices(&[3, 2, 0, 1, 3, 2], Duration::ZERO);
+    assert_eq!(counts.get("e-2"), Some(&600));
+}
+
+#[test]
+fn an_endpoint_that_is_nearly_full_is_not_taken_for_an_idle_one() {
+    let counts = choices(&[3, 6, 0, 1, 3, 2], Duration::from_secs(1));
+    assert_eq!(counts.get("e-1"), None, "{counts:?}");
+}
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -276,6 +276,7 @@
         let inputs = Inputs {
             endpoints: &self.engines,
             balance: &self.balance,
+            work_age: Duration::ZERO,
             health: &self.health,
             reading: &self.reading,
             hall: &hall,
--- a/crates/rudder-node/src/listen.rs
+++ b/crates/rudder-node/src/listen.rs
@@ -29,9 +29,9 @@
     Ok(socket.into())
 }
 
-/// Time between nudges.
+/// Time between notices.
 const NUDGE: Duration = Duration::from_millis(200);
-/// A nudge that is not taken within this time is left.
+/// A notify that is not taken within this time is left.
 const NUDGE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Serves a listening socket.
@@ -49,11 +49,11 @@
     let server = Server::from_listener(listener, None).map_err(|error| eyre!("serve {address}: {error}"))?;
     let server = Arc::new(server);
     let watched = Arc::downgrade(&server);
-    thread::Builder::new().name("nudge".to_owned()).stack_size(64 * 1024).spawn(move || nudge(address, &watched))?;
+    thread::Builder::new().name("notify".to_owned()).stack_size(64 * 1024).spawn(move || notify(address, &watched))?;
     Ok(server)
 }
 
-fn nudge(address: SocketAddr, server: &Weak<Server>) {
+fn notify(address: SocketAddr, server: &Weak<Server>) {
     while server.strong_count() > 0 {
         thread::sleep(NUDGE);
         // The connection itself is all that is wanted.
