--- a/crates/rudder-core/tests/documents.rs
+++ b/crates/rudder-core/tests/documents.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use mesh::Mesh;
-use rudder_core::{Effect, Event, Listing, PeerMessage, Watch, Watched};
+use mesh::{Mesh, question};
+use rudder_core::{Event, PeerMessage, Watched};
 
 fn start() -> Mesh {
     let mut mesh = Mesh::start(9, 3);
@@ -163,40 +163,10 @@
     }
 }
 
-fn watch(round: u64, start: u64) -> Watch {
-    let listing = Listing {
-        name: "10.0.9.9:7000".into(),
-        hall: "hall-0".into(),
-        address: Some("caller".to_owned()),
-        start,
-        stopping: false,
-        replica: None,
-    };
-    Watch {
-        round,
-        listing,
-        index: 0,
-        directory: 0,
-        document: 0,
-        registry: 0,
-        heard: Vec::new(),
-        loads: Some(Vec::new()),
-        group: None,
-    }
-}
-
-/// Asks the leader and returns its answer.
-fn ask(mesh: &mut Mesh, question: Watch) -> Watched {
-    let (leader, now) = (mesh.leader().expect("one leads"), mesh.now);
-    let from = question.listing.name.clone();
-    let mut effects = Vec::new();
-    let state = mesh.nodes[leader].state.as_mut().expect("it runs");
-    state.reduce(now, Event::Peer { from, message: PeerMessage::Watch(Box::new(question)) }, &mut effects);
-    let answer = effects.into_iter().find_map(|effect| match effect {
-        Effect::Send { message: PeerMessage::Watched(watched), .. } => Some(*watched),
-        _ => None,
-    });
-    answer.expect("the leader answers")
+/// Asks the leader as an instance that holds nothing yet.
+fn ask(mesh: &mut Mesh, round: u64, start: u64) -> Watched {
+    let leader = mesh.leader().expect("one leads");
+    mesh.ask(leader, question("10.0.9.9:7000", round, start))
 }
 
 /// In a start of many instances each asked again before its answer was there, and the copies of the document held
@@ -207,11 +177,11 @@
     mesh.put(6, 1, 10, "ten");
     mesh.run(Duration::from_secs(1));
     let has_document = |watched: &Watched| (watched.document.is_some(), watched.newest);
-    assert_eq!(has_document(&ask(&mut mesh, watch(1, 5))), (true, 10));
-    assert_eq!(has_document(&ask(&mut mesh, watch(2, 5))), (false, 10));
-    assert_eq!(has_document(&ask(&mut mesh, watch(1, 6))), (true, 10), "another start lacks it");
+    assert_eq!(has_document(&ask(&mut mesh, 1, 5)), (true, 10));
+    assert_eq!(has_document(&ask(&mut mesh, 2, 5)), (false, 10));
+    assert_eq!(has_document(&ask(&mut mesh, 1, 6)), (true, 10), "another start lacks it");
     mesh.run(Duration::from_millis(450));
-    assert_eq!(has_document(&ask(&mut mesh, watch(2, 6))), (true, 10), "it may have been lost");
+    assert_eq!(has_document(&ask(&mut mesh, 2, 6)), (true, 10), "it may have been lost");
 }
 
 /// An answer that leaves out a document on its way proves nothing until the document is there.
@@ -221,7 +191,7 @@
     mesh.put(6, 1, 10, "ten");
     mesh.run(Duration::from_secs(1));
     let leader = mesh.nodes[mesh.leader().expect("one leads")].name.clone();
-    let mut answer = ask(&mut mesh, watch(1, 5));
+    let mut answer = ask(&mut mesh, 1, 5);
     let document = answer.document.take();
     mesh.kill(8);
     mesh.boot(8);
--- a/crates/rudder-core/tests/large.rs
+++ b/crates/rudder-core/tests/large.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use mesh::Mesh;
-use rudder_core::{Effect, Event, Listing, PeerMessage, Phase, Watch, Watched, peer::Load, tree::Tree};
+use mesh::{Mesh, question};
+use rudder_core::{Event, PeerMessage, Phase, peer::Load, tree::Tree};
 use rudder_model::id;
 
 const TOTAL: usize = 300;
@@ -158,39 +158,6 @@
     tellers.iter().enumerate().map(calls).sum()
 }
 
-/// The question of one that asks a relay, and what the relay answers.
-fn ask(mesh: &mut Mesh, relay: usize, asker: usize) -> Watched {
-    let node = &mesh.nodes[asker];
-    let listing = Listing {
-        name: node.name.clone(),
-        hall: "hall-0".into(),
-        address: Some("caller".to_owned()),
-        start: 5,
-        stopping: false,
-        replica: None,
-    };
-    let watch = Watch {
-        round: 1,
-        listing,
-        index: 0,
-        directory: 0,
-        document: 0,
-        registry: 0,
-        heard: Vec::new(),
-        loads: Some(Vec::new()),
-        group: None,
-    };
-    let (from, now) = (node.name.clone(), mesh.now);
-    let mut effects = Vec::new();
-    let state = mesh.nodes[relay].state.as_mut().expect("it runs");
-    state.reduce(now, Event::Peer { from, message: PeerMessage::Watch(Box::new(watch)) }, &mut effects);
-    let answer = effects.into_iter().find_map(|effect| match effect {
-        Effect::Send { message: PeerMessage::Watched(watched), .. } => Some(*watched),
-        _ => None,
-    });
-    answer.expect("the relay answers")
-}
-
 /// A relay that is paused, or cut off from the leader, answers with what it has; that proves nothing younger than its
 /// own last question, however late the answer is given or comes.
 #[test]
@@ -200,9 +167,10 @@
     let relay = relays.into_iter().find(|number| *number >= DISKS).expect("most have no disk");
     mesh.nodes[relay].cut = true;
     mesh.run(Duration::from_secs(3));
-    let answer = ask(&mut mesh, relay, askers[0]);
+    let name = mesh.nodes[askers[0]].name.clone();
+    let answer = mesh.ask(relay, question(&name, 1, 5));
     assert!(answer.age >= Duration::from_millis(2700), "{:?}", answer.age);
-    // The asker starts anew, so that this answer is all it knows.
+    // The name starts anew, so that this answer is all it knows.
     mesh.kill(askers[0]);
     mesh.boot(askers[0]);
     let asked = mesh.now;
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -6,7 +6,7 @@
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
-use rudder_core::{Effect, Event, Me, Options, PeerMessage, Phase, Registration, State, Watched};
+use rudder_core::{Effect, Event, Listing, Me, Options, PeerMessage, Phase, Registration, State, Watch, Watched};
 use rudder_ledger::Document;
 use rudder_model::InstanceId;
 use rudder_replica::{Durable, Record, Snapshot};
@@ -93,7 +93,44 @@
     InstanceId::from(format!("10.0.0.{number}:7000"))
 }
 
+/// The question of an instance that holds nothing yet.
+pub fn question(asker: &str, round: u64, start: u64) -> Watch {
+    let listing = Listing {
+        name: asker.into(),
+        hall: "hall-0".into(),
+        address: Some("caller".to_owned()),
+        start,
+        stopping: false,
+        replica: None,
+    };
+    Watch {
+        round,
+        listing,
+        index: 0,
+        directory: 0,
+        document: 0,
+        registry: 0,
+        heard: Vec::new(),
+        loads: Some(Vec::new()),
+        group: None,
+    }
+}
+
 impl Mesh {
+    /// Asks an instance and returns its answer.
+    pub fn ask(&mut self, number: usize, question: Watch) -> Watched {
+        let from = question.listing.name.clone();
+        let mut effects = Vec::new();
+        let state = self.nodes[number].state.as_mut().expect("it runs");
+        let message = PeerMessage::Watch(Box::new(question));
+        state.reduce(self.now, Event::Peer { from, message }, &mut effects);
+        let answer = effects.into_iter().find_map(|effect| match effect {
+            Effect::Send { message: PeerMessage::Watched(watched), .. } => Some(*watched),
+            _ => None,
+        });
+        answer.expect("it answers")
+    }
+
     /// Starts `total` instances, the first `disks` of them with a disk and as seeds.
     pub fn start(total: usize, disks: usize) -> Mesh {
         Mesh::start_in(3, total, disks)
