--- a/crates/rudder-core/tests/large.rs
+++ b/crates/rudder-core/tests/large.rs
@@ -170,7 +170,7 @@
     let name = mesh.nodes[askers[0]].name.clone();
     let answer = mesh.ask(relay, question(&name, 1, 5));
     assert!(answer.age >= Duration::from_millis(2700), "{:?}", answer.age);
-    // The name starts anew, so that this answer is all it knows.
+    // The asker starts anew, so that this answer is all it knows.
     mesh.kill(askers[0]);
     mesh.boot(askers[0]);
     let asked = mesh.now;
