fix(core): a relay's proof from before an instance's start is no proof

Cause: an instance counts time from its own start; the time of its question less the age of the relay's proof was cut off at that start, so an instance started anew could take configuration for newer than it was proved, by up to 4.5 s (the age up to which relays answer), added to the bound on keyed requests. The random faults did not find it as all their instances share one clock. Change: such an answer proves nothing; the test failed before.

--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -291,9 +291,11 @@
         let mut urgent = self.take_document(watched.document, promises, out);
         self.confirm(watched.round, *from == watched.leader);
         let held = self.document.as_ref().map_or(0, |document| document.version);
-        let proof = sent.at.saturating_sub(watched.age);
+        // Time counts from the start of this process; a proof from before that cannot be told, and is none.
+        let age = watched.age;
+        let proof = sent.at.checked_sub(age);
         if watched.complete && held >= watched.newest {
-            self.proved = self.proved.max(Some(proof));
+            self.proved = self.proved.max(proof);
         }
         if !watched.complete {
             self.asking.ask_soon();
@@ -302,7 +304,7 @@
         if !self.asking.note_answer(watched.round, from, watched.leader, watched.group) {
             return Learned { changed, urgent };
         }
-        if !from_leader && now >= proof + RELAY_OLD {
+        if !from_leader && now.saturating_sub(sent.at) + age >= RELAY_OLD {
             self.asking.pass_over_relay();
         }
         if let Some(news) = watched.registry {
--- a/crates/rudder-core/tests/large.rs
+++ b/crates/rudder-core/tests/large.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mesh::{Mesh, question};
-use rudder_core::{Event, PeerMessage, Phase, peer::Load, tree::Tree};
+use rudder_core::{Event, Me, Options, PeerMessage, Phase, State, peer::Load, tree::Tree};
 use rudder_model::id;
 
 const TOTAL: usize = 300;
@@ -187,6 +187,25 @@
     assert!(state.view.is_fresh(late, Duration::from_millis(4500)));
 }
 
+/// An instance counts time from its own start. What a relay proves of a time before that was taken for proof as of the
+/// start, so a process started anew held old configuration for new for as long again.
+#[test]
+fn an_instance_started_anew_takes_no_proof_from_before_its_start() {
+    let mut mesh = start();
+    let (relays, askers) = divide(&mesh);
+    let relay = relays.into_iter().find(|number| *number >= DISKS).expect("most have no disk");
+    mesh.nodes[relay].cut = true;
+    mesh.run(Duration::from_secs(3));
+    let name = mesh.nodes[askers[0]].name.clone();
+    let answer = mesh.ask(relay, question(&name, 1, 5));
+    let me = Me { name, hall: "hall-0".into(), start: 5, address: None, epoch: Duration::ZERO };
+    let mut state = State::new(Duration::ZERO, me, Options::default(), None);
+    state.reduce(Duration::from_millis(100), Event::Tick, &mut Vec::new());
+    let (from, now) = (mesh.nodes[relay].name.clone(), Duration::from_millis(150));
+    state.reduce(now, Event::Peer { from, message: PeerMessage::Watched(Box::new(answer)) }, &mut Vec::new());
+    assert!(!state.view.is_fresh(now, Duration::from_secs(2)), "proved at {:?}", state.view.proved());
+}
+
 /// A leader that others have replaced while it stood still is a relay by its own directory, and remembers itself as the
 /// leader. It asked itself, got an answer that proved nothing new, and at worst asked again for ever.
 #[test]
