--- a/crates/rudder-core/tests/large.rs
+++ b/crates/rudder-core/tests/large.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mesh::{Mesh, question};
-use rudder_core::{Event, Me, Options, PeerMessage, Phase, State, peer::Load, tree::Tree};
+use rudder_core::{Event, Me, Options, PeerMessage, Phase, State, Watched, peer::Load, tree::Tree};
 use rudder_model::id;
 
 const TOTAL: usize = 300;
@@ -158,10 +158,8 @@
     tellers.iter().enumerate().map(calls).sum()
 }
 
-/// A relay that is paused, or cut off from the leader, answers with what it has; that proves nothing younger than its
-/// own last question, however late the answer is given or comes.
-#[test]
-fn an_answer_proves_no_more_than_the_relays_own_question() {
+/// A fleet, a relay of it that has been cut off for three seconds, one that asks it, and what the relay answers.
+fn ask_cut_relay() -> (Mesh, usize, usize, Watched) {
     let mut mesh = start();
     let (relays, askers) = divide(&mesh);
     let relay = relays.into_iter().find(|number| *number >= DISKS).expect("most have no disk");
@@ -169,19 +167,27 @@
     mesh.run(Duration::from_secs(3));
     let name = mesh.nodes[askers[0]].name.clone();
     let answer = mesh.ask(relay, question(&name, 1, 5));
+    (mesh, relay, askers[0], answer)
+}
+
+/// A relay that is paused, or cut off from the leader, answers with what it has; that proves nothing younger than its
+/// own last question, however late the answer is given or comes.
+#[test]
+fn an_answer_proves_no_more_than_the_relays_own_question() {
+    let (mut mesh, relay, asker, answer) = ask_cut_relay();
     assert!(answer.age >= Duration::from_millis(2700), "{:?}", answer.age);
     // The asker starts anew, so that this answer is all it knows.
-    mesh.kill(askers[0]);
-    mesh.boot(askers[0]);
-    let asked = mesh.now;
-    mesh.tell(askers[0], Event::Tick);
+    mesh.kill(asker);
+    mesh.boot(asker);
+    let began = mesh.now;
+    mesh.tell(asker, Event::Tick);
     let from = mesh.nodes[relay].name.clone();
-    let late = asked + Duration::from_secs(1);
-    let state = mesh.nodes[askers[0]].state.as_mut().expect("it runs");
+    let late = began + Duration::from_secs(1);
+    let state = mesh.nodes[asker].state.as_mut().expect("it runs");
     state.reduce(late, Event::Peer { from, message: PeerMessage::Watched(Box::new(answer)) }, &mut Vec::new());
     assert!(
         !state.view.is_fresh(late, Duration::from_millis(3600)),
-        "proved at {:?}, asked at {asked:?}",
+        "proved at {:?}, asked at {began:?}",
         state.view.proved()
     );
     assert!(state.view.is_fresh(late, Duration::from_millis(4500)));
@@ -191,13 +197,8 @@
 /// start, so a process started anew held old configuration for new for as long again.
 #[test]
 fn an_instance_started_anew_takes_no_proof_from_before_its_start() {
-    let mut mesh = start();
-    let (relays, askers) = divide(&mesh);
-    let relay = relays.into_iter().find(|number| *number >= DISKS).expect("most have no disk");
-    mesh.nodes[relay].cut = true;
-    mesh.run(Duration::from_secs(3));
-    let name = mesh.nodes[askers[0]].name.clone();
-    let answer = mesh.ask(relay, question(&name, 1, 5));
+    let (mesh, relay, asker, answer) = ask_cut_relay();
+    let name = mesh.nodes[asker].name.clone();
     let me = Me { name, hall: "hall-0".into(), start: 5, address: None, epoch: Duration::ZERO };
     let mut state = State::new(Duration::ZERO, me, Options::default(), None);
     state.reduce(Duration::from_millis(100), Event::Tick, &mut Vec::new());
