refactor(core): what reading the change found; no behaviour changes

- Each question gathered all seats though the leader was known; View::to_leader, which was there, does it only where it is not.
- The leader cloned each listing of each group on each question, some thousand a second at 300 instances; now only one that changed.
- RelayPolicy was a copy of Tree; the policy file reads Tree itself.
That relays stand is derived from the directory, not kept beside it.
- Heartbeats are taken in by one function, at the leader and elsewhere; results that nobody used are gone.
- The random faults kept a map of documents that their answers tell already; the first document is now checked as well.

--- a/crates/rudder-core/src/asking.rs
+++ b/crates/rudder-core/src/asking.rs
@@ -136,10 +136,16 @@
         true
     }
 
-    /// Begins the next question; with `past`, one that only the leader can answer. `seats` are instances that may know
-    /// the leader. Returns whom it goes to.
-    pub fn begin(&mut self, now: Duration, me: &Me, past: bool, seats: &[InstanceId]) -> (Target, Option<InstanceId>) {
-        let (target, to) = self.to_target(me, past, seats);
+    /// Begins the next question; with `past`, one that only the leader can answer. `leader` leads or may know who does.
+    /// Returns whom it goes to.
+    pub fn begin(
+        &mut self,
+        now: Duration,
+        me: &Me,
+        past: bool,
+        leader: Option<InstanceId>,
+    ) -> (Target, Option<InstanceId>) {
+        let (target, to) = self.to_target(me, past, leader);
         self.round += 1;
         self.urgent = false;
         self.asked_at = Some(now);
@@ -148,11 +154,10 @@
         (target, to)
     }
 
-    fn to_target(&self, me: &Me, past: bool, seats: &[InstanceId]) -> (Target, Option<InstanceId>) {
+    fn to_target(&self, me: &Me, past: bool, leader: Option<InstanceId>) -> (Target, Option<InstanceId>) {
         if self.leads {
             return (Target::Leader, Some(me.name.clone()));
         }
-        let leader = self.leader.clone().or_else(|| self.seat_of(seats));
         match self.relay() {
             Some(relay) if !self.urgent && !past => (Target::Relay, Some(relay.clone())),
             _ if self.relays.is_empty() => (Target::Leader, leader),
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -11,7 +11,7 @@
 use rudder_replica::{Durable, Entry, Envelope, Member, Members, Output, Payload, Replica, ReplicaId, Role, Spare};
 
 use crate::{
-    Effect, Listing, Me, Options, PeerMessage, Watch,
+    Effect, Group, Listing, Me, Options, PeerMessage, Watch,
     registry::{Change, Registration, Registry},
     tree::Directory,
     view::View,
@@ -154,10 +154,7 @@
         }
         self.watchers.note(now, &watch.listing);
         self.list(now, &watch.listing);
-        let (members, group) = self.watchers.note_group(&from, watch.group.clone());
-        for member in &members {
-            self.list(now, member);
-        }
+        let group = self.list_group(now, &from, watch.group.as_ref());
         self.hear(now, &from, &std::mem::take(&mut watch.heard), out);
         let source = Source {
             leader: &self.name,
@@ -276,9 +273,16 @@
     }
 
     fn list(&mut self, now: Duration, listing: &Listing) {
-        let seen = self.live.entry(listing.name.clone()).or_insert(now);
-        *seen = now.max(*seen);
-        self.directory.set(listing.name.clone(), listing.clone());
+        note_live(&mut self.live, &mut self.directory, now, listing);
+    }
+
+    /// Lists those who ask a relay. Returns the version of them that is held here.
+    fn list_group(&mut self, now: Duration, relay: &InstanceId, group: Option<&Group>) -> u64 {
+        let Some((version, members)) = self.watchers.note_group(relay, group) else { return 0 };
+        for member in members {
+            note_live(&mut self.live, &mut self.directory, now, member);
+        }
+        *version
     }
 
     fn prune(&mut self, now: Duration, options: &Options) {
@@ -364,6 +368,17 @@
     }
 }
 
+/// Takes in that an instance lives. Most are heard of many times a second and seldom change.
+fn note_live(live: &mut BTreeMap<InstanceId, Duration>, directory: &mut Directory, now: Duration, listing: &Listing) {
+    match live.get_mut(&listing.name) {
+        Some(seen) => *seen = now.max(*seen),
+        None => drop(live.insert(listing.name.clone(), now)),
+    }
+    if directory.get(&listing.name) != Some(listing) {
+        directory.set(listing.name.clone(), listing.clone());
+    }
+}
+
 fn send_answer(proposer: Proposer, answer: Answer, out: &mut Vec<Effect>) {
     let message = PeerMessage::Proposed { ticket: proposer.ticket, start: proposer.start, answer };
     out.push(Effect::Send { to: proposer.name, message });
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -295,7 +295,7 @@
 
     /// True where `from` may be answered from what was learned here: never the instance itself, for whom that is no news.
     fn may_relay(&self, now: Duration, from: &InstanceId) -> bool {
-        *from != self.me.name && !self.leads(now) && self.view.to_source(now, self.options.fresh).is_some()
+        *from != self.me.name && !self.leads(now) && self.view.to_source(now, &self.options).is_some()
     }
 
     /// Answers from what this instance, which asks the leader itself, has learned of it.
@@ -306,7 +306,7 @@
             news |= registration.phase >= Phase::Leaving;
             self.view.hear(now, registration);
         }
-        if let Some(source) = self.view.to_source(now, self.options.fresh) {
+        if let Some(source) = self.view.to_source(now, &self.options) {
             let watched = self.watchers.answer(now, watch, 0, source);
             out.push(Effect::Send { to: from, message: PeerMessage::Watched(Box::new(watched)) });
         }
--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -82,25 +82,28 @@
 
     /// Takes in what an endpoint said, at an instance that does not lead.
     pub fn hear(&mut self, now: Duration, registration: &Registration) -> Change {
-        let Some((next, change)) = self.judge(now, registration) else { return Change::None };
-        let endpoint = next.endpoint.clone();
-        if change == Change::None {
-            self.entries.touch(&endpoint, next);
-        } else {
-            self.entries.set_local(endpoint, next);
-        }
-        change
+        self.take_in(now, registration, Spread::set_local)
     }
 
     /// Takes in what an endpoint said, at the leader.
     pub fn hear_as_leader(&mut self, now: Duration, registration: &Registration) -> Change {
-        let Some((next, change)) = self.judge(now, registration) else { return Change::None };
+        self.take_in(now, registration, Spread::set)
+    }
+
+    /// Takes in what an endpoint said; `put` puts in what others should know of.
+    fn take_in(
+        &mut self,
+        now: Duration,
+        said: &Registration,
+        put: impl FnOnce(&mut Spread<EndpointId, Registration>, EndpointId, Registration),
+    ) -> Change {
+        let Some((next, change)) = self.judge(now, said) else { return Change::None };
         let endpoint = next.endpoint.clone();
         if change == Change::None {
             // A sequence number alone is not told to all.
             self.entries.touch(&endpoint, next);
         } else {
-            self.entries.set(endpoint, next);
+            put(&mut self.entries, endpoint, next);
         }
         change
     }
--- a/crates/rudder-core/src/spread.rs
+++ b/crates/rudder-core/src/spread.rs
@@ -4,7 +4,7 @@
 //! that it has, so those who hold no more than that copy need only what changed after it; the versions at which
 //! leaders followed each other are kept to tell them from those who saw entries that the new leader never had.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -119,15 +119,14 @@
         }
     }
 
-    /// The leader's own change of an entry; the same value again is none. Returns whether it was one.
-    pub fn set(&mut self, key: K, value: V) -> bool {
+    /// The leader's own change of an entry; the same value again is none.
+    pub fn set(&mut self, key: K, value: V) {
         if self.items.get(&key).is_some_and(|item| item.value == value && !item.local) {
-            return false;
+            return;
         }
         self.version += 1;
         self.removed.remove(&key);
         self.items.insert(key, Item { value, changed: self.version, local: false });
-        true
     }
 
     /// The leader's change of a value that nobody else needs to know of; there is no new version of it.
@@ -137,17 +136,16 @@
         }
     }
 
-    /// The leader's removal of an entry. Returns whether there was one.
-    pub fn remove(&mut self, key: &K) -> bool {
+    /// The leader's removal of an entry, where there is one.
+    pub fn remove(&mut self, key: &K) {
         if self.items.remove(key).is_none() {
-            return false;
+            return;
         }
         self.version += 1;
         self.removed.insert(key.clone(), self.version);
         if self.removed.len() > REMOVED_MOST {
             self.forget_oldest_removal();
         }
-        true
     }
 
     fn forget_oldest_removal(&mut self) {
@@ -210,7 +208,7 @@
         if news.whole {
             self.forgotten = news.version;
             self.removed.clear();
-            let named: std::collections::BTreeSet<&K> = news.entries.iter().map(|told| &told.key).collect();
+            let named: BTreeSet<&K> = news.entries.iter().map(|told| &told.key).collect();
             self.items.retain(|key, item| named.contains(key) || keeps(key, &item.value));
             for (_, item) in self.items.iter_mut().filter(|(key, _)| !named.contains(key)) {
                 (item.local, item.changed) = (true, 0);
--- a/crates/rudder-core/src/tree.rs
+++ b/crates/rudder-core/src/tree.rs
@@ -8,11 +8,13 @@
 use std::cmp::Reverse;
 
 use rudder_model::{InstanceId, id};
+use serde::Deserialize;
 
 use crate::{Listing, Me, spread::Spread};
 
-/// Settings of the tree.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Settings of the tree. All instances must have the same.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Tree {
     /// Live instances up to which all ask the leader: it bears about as many (docs/CAPACITY.md).
     pub direct: usize,
@@ -20,14 +22,14 @@
     /// five times a second for the loads of 200 endpoints.
     pub askers: usize,
     /// Relays of a hall at least, so that the loss of one leaves one.
-    pub relays: usize,
+    pub least: usize,
     /// Periods of questions to the leader in one of questions to a relay, which has as many askers but a smaller link.
     pub periods: u32,
 }
 
 impl Default for Tree {
     fn default() -> Self {
-        Tree { direct: 24, askers: 20, relays: 2, periods: 2 }
+        Tree { direct: 24, askers: 20, least: 2, periods: 2 }
     }
 }
 
@@ -59,7 +61,7 @@
     fn relays_of(&self, hall: &str, directory: &Directory) -> Vec<InstanceId> {
         let here = directory.values().filter(|listing| *listing.hall == *hall && !listing.stopping);
         let mut ranked: Vec<InstanceId> = here.map(|listing| listing.name.clone()).collect();
-        let count = ranked.len().div_ceil(self.askers).max(self.relays);
+        let count = ranked.len().div_ceil(self.askers).max(self.least);
         ranked.sort_by_cached_key(|name| Reverse(id::rendezvous(hall, name)));
         ranked.truncate(count);
         ranked
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -40,8 +40,6 @@
     pub directory: Directory,
     proved: Option<Duration>,
     pub(crate) asking: Asking,
-    /// Relays stand between the leader and most instances.
-    relayed: bool,
     was_fresh: bool,
     /// The configuration document in force here.
     pub document: Option<Document>,
@@ -192,8 +190,8 @@
             return;
         }
         let leaves = self.unconfirmed.values().any(|held| held.registration.phase >= Phase::Leaving);
-        let seats = self.to_seats();
-        let (target, to) = self.asking.begin(now, me, leaves, &seats);
+        let leader = self.to_leader();
+        let (target, to) = self.asking.begin(now, me, leaves, leader);
         let Some(to) = to else { return };
         let listing = Listing {
             name: me.name.clone(),
@@ -213,14 +211,14 @@
             registry: self.registry.version(),
             heard,
             loads: (target != Target::PastRelay).then(|| watchers.join_loads(&self.loads)),
-            group: self.to_group(watchers),
+            group: self.to_group(watchers, options),
         };
         out.push(Effect::Send { to, message: PeerMessage::Watch(Box::new(watch)) });
     }
 
     /// Those who ask here, for the leader; a relay's asker is told by the relay alone.
-    fn to_group(&self, watchers: &Watchers) -> Option<Group> {
-        self.is_relay().then(|| watchers.to_group(self.asking.group())).flatten()
+    fn to_group(&self, watchers: &Watchers, options: &Options) -> Option<Group> {
+        self.is_relay(options).then(|| watchers.to_group(self.asking.group())).flatten()
     }
 
     /// The relays that this instance asks; none where it asks the leader.
@@ -229,13 +227,13 @@
     }
 
     /// True where this instance asks the leader itself and so may answer others.
-    fn is_relay(&self) -> bool {
-        self.relays().is_empty() && self.relayed
+    fn is_relay(&self, options: &Options) -> bool {
+        self.relays().is_empty() && options.tree.has_relays(&self.directory)
     }
 
-    /// What a relay answers from; `None` at an instance that is none, or has proof of nothing younger than `bound`.
-    pub(crate) fn to_source(&self, now: Duration, bound: Duration) -> Option<Source<'_>> {
-        let proved = self.proved.filter(|proved| self.is_relay() && now < *proved + bound)?;
+    /// What a relay answers from; `None` at an instance that is none, or that has no fresh proof.
+    pub(crate) fn to_source(&self, now: Duration, options: &Options) -> Option<Source<'_>> {
+        let proved = self.proved.filter(|proved| self.is_relay(options) && now < *proved + options.fresh)?;
         Some(Source {
             leader: self.asking.last_leader()?,
             age: now.saturating_sub(proved),
@@ -396,7 +394,6 @@
             let (came, went) = (few(&now - &before), few(&before - &now));
             out.push(Effect::Log(What::Directory { live: now.len(), came, went }));
         }
-        self.relayed = options.tree.has_relays(&self.directory);
         let relays = options.tree.relays_for(me, &self.directory);
         if self.asking.set_relays(relays.clone()) {
             out.push(Effect::Log(What::Parent { relays }));
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use rudder_ledger::{Config, Document};
-use rudder_model::{InstanceId, Start};
+use rudder_model::InstanceId;
 
 use crate::{
     Effect, Group, Listing, PeerMessage, Registry, Watch, Watched,
@@ -101,20 +101,13 @@
 
     /// Takes in that `listing` asks. Returns whether anything of it has changed.
     pub fn note(&mut self, now: Duration, listing: &Listing) -> bool {
-        let fresh = |listing: &Listing| Watcher {
-            listing: listing.clone(),
-            seen: now,
-            document: 0,
-            document_at: now,
-            group: None,
-        };
-        let start: Option<Start> = self.asking.get(&listing.name).map(|held| held.listing.start);
-        if start != Some(listing.start) {
-            self.asking.insert(listing.name.clone(), fresh(listing));
+        let known = self.asking.get_mut(&listing.name).filter(|held| held.listing.start == listing.start);
+        let Some(held) = known else {
+            let fresh = Watcher { listing: listing.clone(), seen: now, document: 0, document_at: now, group: None };
+            self.asking.insert(listing.name.clone(), fresh);
             self.version += 1;
             return true;
-        }
-        let Some(held) = self.asking.get_mut(&listing.name) else { return false };
+        };
         held.seen = now;
         if held.listing == *listing {
             return false;
@@ -124,20 +117,17 @@
         true
     }
 
-    /// Takes in the group of a relay, and returns its members and the version of them that is held.
-    pub fn note_group(&mut self, name: &InstanceId, group: Option<Group>) -> (Vec<Listing>, u64) {
-        let Some(held) = self.asking.get_mut(name) else { return (Vec::new(), 0) };
+    /// Takes in the group of a relay. Returns the version that it tells with its members, where they are held.
+    pub fn note_group(&mut self, name: &InstanceId, group: Option<&Group>) -> Option<&(u64, Vec<Listing>)> {
+        let held = self.asking.get_mut(name)?;
         let Some(group) = group else {
             held.group = None;
-            return (Vec::new(), 0);
+            return None;
         };
-        if let Some(members) = group.members {
-            held.group = Some((group.version, members));
-        }
-        match &held.group {
-            Some((version, members)) if *version == group.version => (members.clone(), *version),
-            _ => (Vec::new(), 0),
+        if let Some(members) = &group.members {
+            held.group = Some((group.version, members.clone()));
         }
+        held.group.as_ref().filter(|(version, _)| *version == group.version)
     }
 
     /// What the asker is sent of the document, where it holds an older one and none is on its way to it.
--- a/crates/rudder-core/tests/fleet.rs
+++ b/crates/rudder-core/tests/fleet.rs
@@ -85,7 +85,6 @@
     mesh: Mesh,
     /// What to end, and when.
     ends: Vec<(Duration, What)>,
-    documents: BTreeMap<u64, u64>,
     /// Versions acknowledged, with the time at which that was seen.
     acknowledged: Vec<(u64, Duration)>,
     /// Endpoints that leave, by ticket.
@@ -108,7 +107,6 @@
         Fleet {
             mesh,
             ends: Vec::new(),
-            documents: BTreeMap::new(),
             acknowledged: Vec::new(),
             leaving: BTreeMap::new(),
             left: Vec::new(),
@@ -169,7 +167,6 @@
     fn put(&mut self, number: usize) {
         self.count += 1;
         let body = format!("{{\"first\":1}}{{\"second\":{}}}", self.count);
-        self.documents.insert(self.count, self.count);
         self.mesh.put(number, self.count, self.count, &body);
     }
 
@@ -222,11 +219,8 @@
         if leader != self.leader.0 {
             self.leader = (leader, now);
         }
-        for (ticket, answer) in std::mem::take(&mut self.mesh.documented) {
-            if let (Some(version), Some(_)) = (answer, self.documents.get(&ticket)) {
-                self.acknowledged.push((version, now));
-            }
-        }
+        let answers = std::mem::take(&mut self.mesh.documented).into_values();
+        self.acknowledged.extend(answers.flatten().map(|version| (version, now)));
         for (ticket, taken) in std::mem::take(&mut self.mesh.registered) {
             if let Some(endpoint) = self.leaving.remove(&ticket).filter(|_| taken) {
                 self.left.push((endpoint, now, leader));
--- a/crates/rudder-core/tests/large.rs
+++ b/crates/rudder-core/tests/large.rs
@@ -35,7 +35,7 @@
     assert_eq!(stale(&mesh, Duration::from_millis(1500)), Vec::<usize>::new());
     let (relays, _) = divide(&mesh);
     let tree = Tree::default();
-    assert!((HALLS * tree.relays..=TOTAL / tree.askers + HALLS).contains(&relays.len()), "{relays:?}");
+    assert!((HALLS * tree.least..=TOTAL / tree.askers + HALLS).contains(&relays.len()), "{relays:?}");
     let leader = mesh.leader().expect("one leads");
     mesh.sent.clear();
     mesh.run(Duration::from_secs(2));
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -121,7 +121,7 @@
         gone: Duration::from_millis(800),
         keep: options.keep,
         snapshot_bytes: SNAPSHOT,
-        tree: options.policy.relays.to_tree(),
+        tree: options.policy.relays.clone(),
         replica: rudder_replica::Options {
             heartbeat: Duration::from_millis(75),
             election: Duration::from_millis(400),
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -52,35 +52,7 @@
     /// What is refused, left out and sent again.
     pub guard: GuardPolicy,
     /// Who asks the leader for news and who a relay.
-    pub relays: RelayPolicy,
-}
-
-/// Who asks the leader for news and who a relay of its hall. All instances must have the same.
-#[derive(Clone, Debug, Deserialize, PartialEq, Eq)]
-#[serde(default, deny_unknown_fields)]
-pub struct RelayPolicy {
-    /// Live instances up to which all ask the leader.
-    pub direct: usize,
-    /// Instances of a hall for each of its relays.
-    pub askers: usize,
-    /// Relays of a hall at least.
-    pub least: usize,
-    /// Periods of questions to the leader in one of questions to a relay.
-    pub periods: u32,
-}
-
-impl Default for RelayPolicy {
-    fn default() -> Self {
-        let Tree { direct, askers, relays, periods } = Tree::default();
-        RelayPolicy { direct, askers, least: relays, periods }
-    }
-}
-
-impl RelayPolicy {
-    /// The same, as the reducer needs it.
-    pub fn to_tree(&self) -> Tree {
-        Tree { direct: self.direct, askers: self.askers, relays: self.least, periods: self.periods }
-    }
+    pub relays: Tree,
 }
 
 /// Engines set apart for streams that suffer from long prompts beside them.
