--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     Effect, Group, Listing, Me, Options, PeerMessage, Watch,
+    clock::Clock,
     registry::{Change, Registration, Registry},
     tree::Directory,
     view::View,
@@ -94,6 +95,22 @@
         self.led_since.filter(|_| self.replica.leads(now))
     }
 
+    /// The term in which this instance holds duties: it leads, with its lease, and `handover` has passed since it began.
+    pub fn duty_term(&self, now: Duration, handover: Duration) -> Option<u64> {
+        let since = self.leads_since(now)?;
+        (now >= since + handover).then(|| self.replica.term())
+    }
+
+    /// Until when duties may be carried out without a further look; `None` where they are not held.
+    pub fn duty_until(&self, now: Duration, handover: Duration) -> Option<Duration> {
+        self.duty_term(now, handover).map(|_| self.replica.lease_end())
+    }
+
+    /// Live instances, as the leader lists them.
+    pub(crate) fn directory(&self) -> &Directory {
+        &self.directory
+    }
+
     /// Advances time: elections, heartbeats, founding, the directory, repair, snapshots.
     pub(crate) fn tick(&mut self, now: Duration, me: &Me, view: &View, options: &Options, out: &mut Vec<Effect>) {
         let mut outputs = Vec::new();
@@ -135,9 +152,8 @@
     ) {
         let (ticket, start, command) = proposal;
         let stamped = Stamped { time: me.epoch + now, proposer: from.clone(), command };
-        let bytes = rmp_serde::to_vec(&stamped).expect("commands hold only plain data");
         let mut outputs = Vec::new();
-        let Some(index) = self.replica.propose(now, bytes, &mut outputs) else {
+        let Some(index) = self.propose(now, &stamped, &mut outputs) else {
             self.send_elsewhere(from, out);
             return;
         };
@@ -146,12 +162,45 @@
         self.take(now, outputs, options, out);
     }
 
+    /// Appends a command of the leader's own; whether it was applied is seen in the ledger. Returns its place in the log,
+    /// or `None` where this instance does not lead.
+    pub(crate) fn append(
+        &mut self,
+        now: Duration,
+        me: &Me,
+        command: Command,
+        options: &Options,
+        out: &mut Vec<Effect>,
+    ) -> Option<u64> {
+        let stamped = Stamped { time: me.epoch + now, proposer: me.name.clone(), command };
+        let mut outputs = Vec::new();
+        let index = self.propose(now, &stamped, &mut outputs);
+        self.take(now, outputs, options, out);
+        index
+    }
+
+    fn propose(&mut self, now: Duration, stamped: &Stamped, outputs: &mut Vec<Output>) -> Option<u64> {
+        let bytes = rmp_serde::to_vec(stamped).expect("commands hold only plain data");
+        self.replica.propose(now, bytes, outputs)
+    }
+
     /// Answers a question, if the lease allows to.
-    pub(crate) fn on_watch(&mut self, now: Duration, from: InstanceId, mut watch: Watch, out: &mut Vec<Effect>) {
+    pub(crate) fn on_watch(
+        &mut self,
+        now: Duration,
+        from: InstanceId,
+        mut watch: Watch,
+        clock: &mut Clock,
+        out: &mut Vec<Effect>,
+    ) {
         if !self.replica.leads(now) {
             self.send_elsewhere(from, out);
             return;
         }
+        // The leader's own reading is part of its median already.
+        if from != self.name {
+            clock.note(now, &from, watch.clock);
+        }
         self.watchers.note(now, &watch.listing);
         self.list(now, &watch.listing);
         let group = self.list_group(now, &from, watch.group.as_ref());
@@ -164,6 +213,7 @@
             document: self.ledger.document.as_ref(),
             registry: &self.registry,
             others: &[],
+            time: clock.agreed(now),
         };
         let watched = self.watchers.answer(now, watch, group, source);
         out.push(Effect::Send { to: from, message: PeerMessage::Watched(Box::new(watched)) });
--- /dev/null
+++ b/crates/rudder-core/src/duties/mod.rs
@@ -0,0 +1,186 @@
+//! Duties that one instance at a time holds for all: calls to outside receivers that must not come from two.
+//!
+//! The leader of the replicated log holds them, under its lease. A new holder first lets the handover time pass, so that
+//! two holders never act by turns within it. Every call carries a fence made of the term, which has one leader at
+//! most and is durable at a quorum; so a fence is never used by two instances, and only rises, whatever is lost. The
+//! thread that sends a call looks at the lease again right before it does ([`Effect::Call`]), so one that was paused
+//! between sends nothing.
+//!
+//! - [`intake`]: counts of requests on their way into the log, and the closing of windows;
+//! - [`reports`]: the report of each closed window, until it is acknowledged.
+
+pub(crate) mod intake;
+pub(crate) mod reports;
+
+use std::time::Duration;
+
+use rudder_events::What;
+use rudder_ledger::{Command, Counts, Window};
+use rudder_model::{InstanceId, id};
+use serde::{Deserialize, Serialize};
+
+use self::{intake::Intake, reports::Reports};
+use crate::{Effect, Me, Options, control::Control, tally::UsageNews};
+
+/// Fences of one term: its calls count up in the lower bits. A term that made one call a millisecond could last for 17
+/// minutes before it would reach the next one's fences; calls are bounded to far fewer.
+const FENCE_BITS: u32 = 20;
+/// After the first call without success, the next one waits this long; each further one twice as long.
+const BACKOFF: Duration = Duration::from_millis(400);
+/// The longest such wait.
+const BACKOFF_MOST: Duration = Duration::from_secs(3);
+
+/// A number that rises with each holder.
+pub type Fence = u64;
+
+/// A call to an outside receiver.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DutyCall {
+    /// Reports the requests of all organisations in one window.
+    Usage {
+        /// The window.
+        window: Window,
+        /// Requests that began in it.
+        counts: Counts,
+    },
+}
+
+impl DutyCall {
+    /// What it is called in logs and figures.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            DutyCall::Usage { .. } => "usage",
+        }
+    }
+
+    /// What it is about, for the log.
+    pub fn subject(&self) -> String {
+        match self {
+            DutyCall::Usage { window, .. } => format!("window {window}"),
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CallOutcome {
+    /// It was carried out.
+    Taken,
+    /// A higher fence was seen, so another instance holds the duty.
+    Outranked,
+    /// The receiver takes no more calls now; this one was not carried out.
+    Busy,
+    /// The lease ended before it was sent.
+    Lapsed,
+    /// No answer, or none that says more: it may have been carried out or still be.
+    Unknown,
+}
+
+/// Waits between calls that do not succeed.
+#[derive(Debug, Default)]
+pub(crate) struct Backoff {
+    failures: u32,
+    until: Duration,
+}
+
+impl Backoff {
+    /// Takes in a success.
+    pub(crate) fn clear(&mut self) {
+        *self = Backoff::default();
+    }
+
+    /// Takes in a failure; `salt` spreads the waits of different callers.
+    pub(crate) fn note_failure(&mut self, now: Duration, salt: u64) {
+        let wait = (BACKOFF * 2_u32.saturating_pow(self.failures)).min(BACKOFF_MOST);
+        let jitter = wait.mul_f64(id::rendezvous("backoff", &salt.to_string()) as f64 / u64::MAX as f64);
+        self.failures += 1;
+        self.until = now + wait / 2 + jitter / 2;
+    }
+
+    /// True while the next call has to wait.
+    pub(crate) fn holds(&self, now: Duration) -> bool {
+        now < self.until
+    }
+}
+
+/// The duties of this instance; idle at all but the leader.
+#[derive(Debug, Default)]
+pub struct Duties {
+    intake: Intake,
+    reports: Reports,
+    /// Term in which it holds them.
+    held: Option<u64>,
+    /// Term in which a receiver said that another instance holds them.
+    outranked: Option<u64>,
+}
+
+/// The first fence of a term.
+pub(crate) fn fence(term: u64) -> Fence {
+    term << FENCE_BITS
+}
+
+/// What the duties of a leader work with at one moment.
+pub(crate) struct Context<'a> {
+    /// The instance's own time.
+    pub now: Duration,
+    /// The agreed time of day.
+    pub time: Duration,
+    /// The instance.
+    pub me: &'a Me,
+    /// The shared state.
+    pub control: &'a mut Control,
+    /// Its settings.
+    pub options: &'a Options,
+    /// What to do.
+    pub out: &'a mut Vec<Effect>,
+}
+
+impl Context<'_> {
+    /// Appends a command to the log. Returns its place there, or `None` where this instance no longer leads.
+    fn append(&mut self, command: Command) -> Option<u64> {
+        self.control.append(self.now, self.me, command, self.options, self.out)
+    }
+}
+
+impl Duties {
+    /// Advances time.
+    pub(crate) fn tick(&mut self, mut context: Context) {
+        let Some(usage) = &context.options.duties.usage else { return };
+        if context.control.leads_since(context.now).is_none() {
+            self.lose(context.out);
+            return;
+        }
+        self.intake.tick(&mut context, usage);
+        let handover = context.options.duties.handover;
+        let Some(term) = context.control.duty_term(context.now, handover) else { return };
+        if self.outranked == Some(term) {
+            return;
+        }
+        if self.held != Some(term) {
+            self.held = Some(term);
+            context.out.push(Effect::Log(What::DutyHeld { held: true, fence: fence(term) }));
+        }
+        self.reports.tick(&mut context, usage);
+    }
+
+    fn lose(&mut self, out: &mut Vec<Effect>) {
+        if let Some(term) = self.held.take() {
+            out.push(Effect::Log(What::DutyHeld { held: false, fence: fence(term) }));
+        }
+        self.intake.clear();
+        self.reports.clear();
+    }
+
+    /// Takes in a message of counts. Only a leader answers it.
+    pub(crate) fn on_usage(&mut self, from: &InstanceId, news: UsageNews) {
+        self.intake.note(from, news);
+    }
+
+    /// Takes in how a call ended.
+    pub(crate) fn on_called(&mut self, now: Duration, ticket: u64, outcome: CallOutcome) {
+        if outcome == CallOutcome::Outranked {
+            self.outranked = self.held;
+        }
+        self.reports.on_called(now, ticket, outcome);
+    }
+}
--- a/crates/rudder-core/src/effect.rs
+++ b/crates/rudder-core/src/effect.rs
@@ -7,7 +7,7 @@
 use rudder_model::{EndpointId, InstanceId, Refusal, RequestId};
 use rudder_replica::{Record, Snapshot};
 
-use crate::PeerMessage;
+use crate::{DutyCall, PeerMessage, duties::Fence};
 
 /// Something to do.
 #[derive(Clone, Debug)]
@@ -85,6 +85,18 @@
         /// Not to be sent after this time.
         until: Duration,
     },
+    /// Make a call that only the holder of a duty makes: not without looking at the lease once more right before it is
+    /// sent.
+    Call {
+        /// Identifies the call.
+        ticket: u64,
+        /// Its fence.
+        fence: Fence,
+        /// How long ago that happened which it tells.
+        age: Duration,
+        /// The call.
+        call: DutyCall,
+    },
     /// Write an event.
     Log(What),
     /// End the process: a planned stop is complete.
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -5,7 +5,7 @@
 use rudder_ledger::{Change, Document};
 use rudder_model::{ClassId, Digest, EndpointId, InstanceId, ModelId, RequestId};
 
-use crate::{PeerMessage, Stored, peer::Load, registry::Registration};
+use crate::{CallOutcome, PeerMessage, Stored, peer::Load, registry::Registration, tally::Begun};
 
 /// Anything that happens to an instance.
 #[derive(Clone, Debug)]
@@ -79,6 +79,17 @@
     },
     /// The work that this instance has under way at endpoints.
     Loads(Vec<Load>),
+    /// Requests that began to run at endpoints.
+    Begun(Vec<Begun>),
+    /// This instance's clock has stepped: the time of day at which its own time was zero, by that clock.
+    Clock(Duration),
+    /// A call of [`crate::Effect::Call`] ended.
+    Called {
+        /// Which one.
+        ticket: u64,
+        /// How.
+        outcome: CallOutcome,
+    },
     /// Somebody waits for a proof of freshness: ask the leader now.
     Prove,
     /// The settings name other instances to start from.
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -15,12 +15,17 @@
 //! - [`homes`]: the pools that this instance decides for;
 //! - [`registry`]: endpoints that register themselves by heartbeats;
 //! - [`loads`]: work under way at endpoints, as all instances tell it;
+//! - [`clock`]: the time of day that all agree on;
+//! - [`tally`]: requests by organisation, on their way to the leader;
+//! - [`duties`]: calls that one instance makes for all, under the leader's lease;
 //! - [`orders`]: fenced orders to endpoints, sent by the leader only.
 #![deny(missing_docs, unsafe_code)]
 
 pub mod asking;
 pub mod calls;
+pub mod clock;
 pub mod control;
+pub mod duties;
 pub mod effect;
 pub mod event;
 pub mod homes;
@@ -35,10 +40,12 @@
 pub mod reduce;
 pub mod registry;
 pub mod spread;
+pub mod tally;
 pub mod tree;
 pub mod view;
 pub mod watchers;
 
+pub use duties::{CallOutcome, DutyCall};
 pub use effect::{Dispatch, Effect, Stored, Verdict};
 pub use event::{Arrival, Ended, Event, Key};
 pub use options::{Me, Options};
--- a/crates/rudder-core/src/options.rs
+++ b/crates/rudder-core/src/options.rs
@@ -21,6 +21,36 @@
     pub epoch: Duration,
 }
 
+/// Reports of requests by organisation and window.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UsageOptions {
+    /// Length of a window.
+    pub window: Duration,
+    /// A window's report is due this long after its end.
+    pub due: Duration,
+    /// When a request began is known this long after at the latest: plain services tell it only with their answer.
+    pub settle: Duration,
+}
+
+impl Default for UsageOptions {
+    fn default() -> Self {
+        UsageOptions {
+            window: Duration::from_secs(5),
+            due: Duration::from_secs(10),
+            settle: Duration::from_millis(1500),
+        }
+    }
+}
+
+/// Duties that one instance at a time holds for all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct DutyOptions {
+    /// A new holder makes no call for this long, so that two never act by turns within it.
+    pub handover: Duration,
+    /// Reports of requests, where they are wanted.
+    pub usage: Option<UsageOptions>,
+}
+
 /// Settings of the reducer.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -52,6 +82,8 @@
     pub tree: Tree,
     /// An endpoint's word that it leaves is acknowledged within this or not at all.
     pub leave_timeout: Duration,
+    /// Duties held by one instance.
+    pub duties: DutyOptions,
     /// The replicated log.
     pub replica: rudder_replica::Options,
     /// The policy.
@@ -75,6 +107,7 @@
             snapshot_bytes: 64 << 20,
             tree: Tree::default(),
             leave_timeout: Duration::from_millis(800),
+            duties: DutyOptions::default(),
             replica: rudder_replica::Options::default(),
             route: rudder_route::Options::default(),
         }
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -11,6 +11,7 @@
 use crate::{
     registry::{Registration, RegistryNews},
     spread::{News, Version},
+    tally::{UsageNews, UsageTaken},
 };
 
 /// A live instance, as the leader lists it.
@@ -59,6 +60,8 @@
     pub loads: Option<Vec<Load>>,
     /// Those who ask the sender, where it is a relay.
     pub group: Option<Group>,
+    /// Time of day by the sender's clock; by the median of its own and its askers', where it is a relay.
+    pub clock: Duration,
 }
 
 /// The instances that ask a relay.
@@ -99,6 +102,8 @@
     pub loads: Vec<Load>,
     /// Version of the asker's group that the answerer holds; 0 for none.
     pub group: u64,
+    /// The agreed time of day, where the answerer knows it.
+    pub time: Option<Duration>,
 }
 
 /// A document that the receiver does not hold.
@@ -225,6 +230,10 @@
         /// The message.
         message: FromPool,
     },
+    /// To the leader: requests that began at the sender.
+    Usage(Box<UsageNews>),
+    /// Answers [`PeerMessage::Usage`], once the log holds it.
+    UsageTaken(UsageTaken),
 }
 
 impl PeerMessage {
@@ -243,6 +252,8 @@
             PeerMessage::ToPool { .. } => "to_pool",
             PeerMessage::Resync { .. } => "resync",
             PeerMessage::FromPool { .. } => "from_pool",
+            PeerMessage::Usage(_) => "usage",
+            PeerMessage::UsageTaken(_) => "usage_taken",
         }
     }
 }
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -10,13 +10,16 @@
 use crate::{
     Effect, Event, Me, Options, PeerMessage, Watch,
     calls::{Calls, Context},
+    clock::Clock,
     control::Control,
+    duties::{self, Duties},
     homes::Homes,
     keyed,
     orders::Orders,
     peer::FromPool,
     propose::{For, Proposals},
     registry::{Phase, Registration},
+    tally::Tallies,
     view::View,
     watchers::Watchers,
 };
@@ -42,6 +45,8 @@
     /// The pools it decides for.
     pub homes: Homes,
     orders: Orders,
+    duties: Duties,
+    tallies: Tallies,
     proposals: Proposals,
     promises: Promises,
     stopping: Option<Duration>,
@@ -65,6 +70,7 @@
         let control = disk.map(|(id, durable)| Control::new(id, &me, &options, durable, now));
         let mut view = View::default();
         view.set_seeds(options.seats.clone());
+        view.clock = Clock::new(me.epoch);
         State {
             me,
             options,
@@ -73,6 +79,8 @@
             calls: Calls::default(),
             homes: Homes::default(),
             orders: Orders::default(),
+            duties: Duties::default(),
+            tallies: Tallies::default(),
             proposals: Proposals::default(),
             promises: Promises::default(),
             stopping: None,
@@ -99,6 +107,11 @@
         self.proposals.len()
     }
 
+    /// Requests that began here and that the log does not hold yet.
+    pub fn untold(&self) -> u64 {
+        self.tallies.untold()
+    }
+
     /// Takes in one event. Messages of the instance to itself are handled before it returns.
     pub fn reduce(&mut self, now: Duration, event: Event, out: &mut Vec<Effect>) {
         let mut events = VecDeque::from([event]);
@@ -153,6 +166,13 @@
             }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
             Event::Loads(loads) => self.view.set_loads(loads),
+            Event::Begun(begun) => {
+                if let Some(usage) = &self.options.duties.usage {
+                    self.tallies.note(begun, &self.view, usage);
+                }
+            }
+            Event::Clock(origin) => self.view.clock.set_own(origin),
+            Event::Called { ticket, outcome } => self.duties.on_called(now, ticket, outcome),
             Event::Prove => {
                 self.view.asking.ask_leader_soon();
                 self.ask(now, out);
@@ -164,9 +184,16 @@
     }
 
     fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let leads = self.leads(now);
+        self.view.clock.tick(now, leads);
         if let Some(control) = &mut self.control {
             control.tick(now, &self.me, &self.view, &self.options, out);
             self.orders.tick(now, control, &self.options, out);
+            let time = self.view.clock.at(now);
+            self.duties.tick(duties::Context { now, time, me: &self.me, control, options: &self.options, out });
+        }
+        if let Some(usage) = &self.options.duties.usage {
+            self.tallies.tick(now, &self.me, &self.view, usage, out);
         }
         self.watchers.age(now, self.options.gone);
         self.watchers.tick(now, out);
@@ -282,6 +309,7 @@
                 self.with_calls(now, out, |calls, context| calls.resync(context, from, &(hall, model)));
             }
             PeerMessage::FromPool { request, message } => self.on_pool(now, &from, request, message, out),
+            PeerMessage::UsageTaken(taken) => self.tallies.on_taken(&from, taken),
             PeerMessage::Watch(watch) if self.may_relay(now, &from) => {
                 self.answer_as_relay(now, from, *watch, out);
             }
@@ -301,6 +329,7 @@
     /// Answers from what this instance, which asks the leader itself, has learned of it.
     fn answer_as_relay(&mut self, now: Duration, from: InstanceId, mut watch: Watch, out: &mut Vec<Effect>) {
         let heard = std::mem::take(&mut watch.heard);
+        self.view.clock.note(now, &from, watch.clock);
         let mut news = self.watchers.note(now, &watch.listing);
         for registration in heard {
             news |= registration.phase >= Phase::Leaving;
@@ -341,7 +370,8 @@
             PeerMessage::Founding { replica, members, ask } => {
                 control.on_founding(from, replica, members.as_ref(), ask, out);
             }
-            PeerMessage::Watch(watch) => control.on_watch(now, from, *watch, out),
+            PeerMessage::Watch(watch) => control.on_watch(now, from, *watch, &mut self.view.clock, out),
+            PeerMessage::Usage(news) if control.leads_since(now).is_some() => self.duties.on_usage(&from, *news),
             PeerMessage::Propose { ticket, start, command } => {
                 control.on_propose(now, &self.me, from, (ticket, start, command), &self.options, out);
             }
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -18,6 +18,7 @@
 use crate::{
     Effect, Group, Listing, Me, Options, PeerMessage, Watch, Watched,
     asking::{Asking, Target},
+    clock::Clock,
     peer::{DirectoryNews, DocumentNews, Load},
     registry::{Change, Phase, Registration, Registry},
     tree::Directory,
@@ -53,6 +54,8 @@
     pub edition: u64,
     unconfirmed: BTreeMap<EndpointId, Unconfirmed>,
     loads: Vec<Load>,
+    /// The time of day.
+    pub clock: Clock,
 }
 
 /// What an answer brought.
@@ -212,6 +215,7 @@
             heard,
             loads: (target != Target::PastRelay).then(|| watchers.join_loads(&self.loads)),
             group: self.to_group(watchers, options),
+            clock: self.clock.to_reading(now),
         };
         out.push(Effect::Send { to, message: PeerMessage::Watch(Box::new(watch)) });
     }
@@ -242,6 +246,7 @@
             document: self.document.as_ref(),
             registry: &self.registry,
             others: &self.others,
+            time: self.clock.agreed(now),
         })
     }
 
@@ -298,6 +303,9 @@
         if !watched.complete {
             self.asking.ask_soon();
         }
+        if let Some(time) = watched.time {
+            self.clock.learn(now, sent.at, time);
+        }
         let from_leader = *from == watched.leader;
         if !self.asking.note_answer(watched.round, from, watched.leader, watched.group) {
             return Learned { changed, urgent };
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -66,6 +66,8 @@
     pub registry: &'a Registry,
     /// Work of instances that neither ask here nor ask those who do.
     pub others: &'a [Load],
+    /// The agreed time of day, where it is known.
+    pub time: Option<Duration>,
 }
 
 impl Watchers {
@@ -96,6 +98,7 @@
             registry: source.registry.news_after(watch.registry),
             loads,
             group,
+            time: source.time,
         }
     }
 
--- /dev/null
+++ b/crates/rudder-core/tests/clock.rs
@@ -0,0 +1,91 @@
+//! The time of day that all agree on: right while most clocks are, and learned within the time that a question takes.
+
+use std::time::Duration;
+
+use rudder_core::clock::Clock;
+
+const TRUE: Duration = Duration::from_secs(1_000_000);
+const STEP: Duration = Duration::from_secs(2);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// The leader's clock after it was told those of `right` others that are right and `wrong` that are 2 s ahead.
+fn leader(own: Duration, right: usize, wrong: usize) -> Clock {
+    let mut clock = Clock::new(own);
+    let now = ms(100);
+    for number in 0..right + wrong {
+        let step = if number < right { Duration::ZERO } else { STEP };
+        clock.note(now, &format!("i-{number}").as_str().into(), TRUE + now + step);
+    }
+    clock.tick(now, true);
+    clock
+}
+
+macro_rules! agrees {
+    ($($name:ident: $own:expr, $right:literal right, $wrong:literal wrong;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let clock = leader($own, $right, $wrong);
+                assert_eq!(clock.agreed(ms(5000)), Some(TRUE + ms(5000)));
+            }
+        )*
+    };
+}
+
+agrees! {
+    its_own_clock_alone: TRUE, 0 right, 0 wrong;
+    some_clocks_are_wrong: TRUE, 5 right, 4 wrong;
+    its_own_clock_is_wrong: TRUE + STEP, 5 right, 3 wrong;
+}
+
+#[test]
+fn a_step_of_the_leaders_own_clock_moves_nothing() {
+    let mut clock = leader(TRUE, 4, 0);
+    clock.set_own(TRUE.saturating_sub(STEP));
+    clock.tick(ms(1500), true);
+    assert_eq!(clock.agreed(ms(1500)), Some(TRUE + ms(1500)));
+}
+
+#[test]
+fn a_new_leader_keeps_what_it_learned_until_others_have_told_theirs() {
+    let mut clock = Clock::new(TRUE + STEP);
+    clock.learn(ms(10), ms(8), TRUE + ms(9));
+    clock.tick(ms(1000), true);
+    assert_eq!(clock.agreed(ms(1000)), Some(TRUE + ms(1000)));
+    for name in ["a", "b", "c"] {
+        clock.note(ms(1900), &name.into(), TRUE + ms(1900));
+    }
+    clock.tick(ms(2100), true);
+    assert_eq!(clock.agreed(ms(2100)), Some(TRUE + ms(2100)));
+}
+
+#[test]
+fn a_slow_answer_does_not_spoil_a_good_one() {
+    let mut clock = Clock::new(TRUE + STEP);
+    clock.learn(ms(12), ms(10), TRUE + ms(11));
+    assert_eq!(clock.agreed(ms(12)), Some(TRUE + ms(12)));
+    // Sent at 1,000 and answered at once, but the answer took 400 ms.
+    clock.learn(ms(1400), ms(1000), TRUE + ms(1000));
+    assert_eq!(clock.agreed(ms(1400)), Some(TRUE + ms(1400)));
+}
+
+#[test]
+fn a_leader_that_corrects_itself_is_followed() {
+    let mut clock = Clock::new(TRUE);
+    clock.learn(ms(12), ms(10), TRUE + STEP + ms(11));
+    clock.learn(ms(1003), ms(1000), TRUE + ms(1001));
+    let time = clock.agreed(ms(1003)).expect("it has learned it");
+    assert!(time.abs_diff(TRUE + ms(1003)) <= ms(2), "{time:?}");
+}
+
+#[test]
+fn a_relay_tells_the_median_of_its_askers() {
+    let mut clock = Clock::new(TRUE + STEP);
+    for name in ["a", "b"] {
+        clock.note(ms(50), &name.into(), TRUE + ms(50));
+    }
+    assert_eq!(clock.to_reading(ms(60)), TRUE + ms(60));
+}
--- /dev/null
+++ b/crates/rudder-core/tests/duties.rs
@@ -0,0 +1,247 @@
+//! Duties that one instance holds for all, under the loss of holders, disks, links and answers.
+
+mod mesh;
+
+use std::time::Duration;
+
+use mesh::{
+    Layout, Mesh,
+    receiver::{HANDOVER, Mood},
+};
+use rudder_core::{
+    Event,
+    options::{DutyOptions, UsageOptions},
+};
+
+/// Instances, the first five of them with disks.
+const TOTAL: usize = 12;
+const DISKS: usize = 5;
+const ORG: &str = "acme";
+
+fn start() -> Mesh {
+    let duties = DutyOptions { handover: HANDOVER, usage: Some(UsageOptions::default()) };
+    let layout = Layout { total: TOTAL, disks: DISKS, voters: DISKS, duties, ..Layout::default() };
+    let mut mesh = Mesh::start_as(layout);
+    mesh.run(Duration::from_secs(6));
+    mesh
+}
+
+/// Requests begin everywhere, fifty a second. Returns how many.
+fn serve(mesh: &mut Mesh, span: Duration) -> u64 {
+    let end = mesh.now + span;
+    let mut count = 0;
+    while mesh.now < end {
+        let number = count as usize * 7 % TOTAL;
+        if mesh.nodes[number].state.is_some() && !mesh.nodes[number].paused {
+            mesh.begin(number, ORG);
+            count += 1;
+        }
+        mesh.run(Duration::from_millis(20));
+    }
+    count
+}
+
+/// Time for all windows that have begun to be reported.
+fn settle(mesh: &mut Mesh) {
+    mesh.run(Duration::from_secs(22));
+}
+
+fn leader(mesh: &Mesh) -> usize {
+    mesh.leader().expect("one leads")
+}
+
+#[track_caller]
+fn check(mesh: &Mesh, begun: u64) {
+    assert_eq!(mesh.receiver.broken, Vec::<String>::new());
+    assert_eq!(mesh.receiver.reported(ORG), begun);
+}
+
+macro_rules! exact {
+    ($($name:ident: $trouble:expr;)*) => {
+        $(
+            /// Every request is reported once, in one report a window.
+            #[test]
+            fn $name() {
+                let mut mesh = start();
+                let mut begun = serve(&mut mesh, Duration::from_secs(7));
+                let trouble: fn(&mut Mesh) -> u64 = $trouble;
+                begun += trouble(&mut mesh);
+                begun += serve(&mut mesh, Duration::from_secs(7));
+                settle(&mut mesh);
+                check(&mesh, begun);
+            }
+        )*
+    };
+}
+
+exact! {
+    a_calm_day: |_| 0;
+    the_holder_is_killed: |mesh| {
+        // What it had begun itself is told first: a killed process loses what it has not.
+        mesh.run(Duration::from_secs(1));
+        let number = leader(mesh);
+        mesh.kill(number);
+        mesh.run(Duration::from_secs(2));
+        mesh.boot(number);
+        mesh.run(Duration::from_secs(1));
+        0
+    };
+    the_holder_stands_still_and_wakes: |mesh| {
+        let number = leader(mesh);
+        mesh.nodes[number].paused = true;
+        let begun = serve(mesh, Duration::from_secs(4));
+        mesh.wake(number);
+        begun
+    };
+    the_holder_is_cut_off_from_all: |mesh| {
+        let number = leader(mesh);
+        mesh.nodes[number].cut = true;
+        let begun = serve(mesh, Duration::from_secs(4));
+        mesh.nodes[number].cut = false;
+        begun
+    };
+    everything_loses_power: |mesh| {
+        mesh.run(Duration::from_secs(1));
+        for number in 0..TOTAL {
+            mesh.kill(number);
+        }
+        mesh.run(Duration::from_millis(300));
+        for number in 0..TOTAL {
+            mesh.boot(number);
+        }
+        mesh.run(Duration::from_secs(2));
+        0
+    };
+    two_disks_are_lost: |mesh| {
+        mesh.run(Duration::from_secs(1));
+        let number = leader(mesh);
+        for lost in [number, (number + 1) % DISKS] {
+            mesh.kill(lost);
+            mesh.wipe(lost);
+        }
+        mesh.run(Duration::from_secs(3));
+        for lost in [number, (number + 1) % DISKS] {
+            mesh.boot(lost);
+        }
+        mesh.run(Duration::from_secs(1));
+        0
+    };
+    answers_of_the_receiver_are_lost: |mesh| {
+        mesh.receiver.mood = Mood::Mute;
+        let begun = serve(mesh, Duration::from_secs(11));
+        mesh.receiver.mood = Mood::Answers;
+        begun
+    };
+    the_receiver_is_down: |mesh| {
+        mesh.receiver.mood = Mood::Down;
+        let begun = serve(mesh, Duration::from_secs(11));
+        mesh.receiver.mood = Mood::Answers;
+        begun
+    };
+    the_receiver_is_busy: |mesh| {
+        mesh.receiver.mood = Mood::Busy;
+        let begun = serve(mesh, Duration::from_secs(6));
+        mesh.receiver.mood = Mood::Answers;
+        begun
+    };
+    calls_are_carried_out_late_while_the_holder_changes: |mesh| {
+        mesh.receiver.mood = Mood::Late;
+        let mut begun = serve(mesh, Duration::from_secs(6));
+        let number = leader(mesh);
+        mesh.nodes[number].paused = true;
+        begun += serve(mesh, Duration::from_secs(5));
+        mesh.receiver.mood = Mood::Answers;
+        mesh.wake(number);
+        begun
+    };
+    messages_are_lost_and_late: |mesh| {
+        (mesh.loss, mesh.delay) = (0.05, Duration::from_millis(30));
+        let begun = serve(mesh, Duration::from_secs(8));
+        (mesh.loss, mesh.delay) = (0.0, Duration::ZERO);
+        begun
+    };
+    clocks_step: |mesh| {
+        let origin = Duration::from_secs(1_000_000);
+        for number in [leader(mesh), 6, 9] {
+            mesh.tell(number, Event::Clock(origin + Duration::from_secs(3)));
+        }
+        let begun = serve(mesh, Duration::from_secs(6));
+        mesh.tell(0, Event::Clock(origin.saturating_sub(Duration::from_secs(3))));
+        begun
+    };
+}
+
+/// Each request counts in the window in which it began, by the time that most clocks tell.
+#[test]
+fn a_window_holds_what_began_in_it_whatever_single_clocks_say() {
+    let mut mesh = start();
+    let origin = Duration::from_secs(1_000_000);
+    for number in [leader(&mesh), 7] {
+        mesh.tell(number, Event::Clock(origin + Duration::from_secs(2)));
+    }
+    mesh.run(Duration::from_secs(2));
+    // 100 requests within one window of 5 s, none within half a second of its edges.
+    let length = Duration::from_secs(5);
+    let into = Duration::from_micros(((origin + mesh.now).as_micros() % length.as_micros()) as u64);
+    mesh.run(length.saturating_sub(into) + Duration::from_millis(500));
+    let window = (origin + mesh.now).as_secs() / 5;
+    for count in 0..100 {
+        mesh.begin(count % TOTAL, ORG);
+        mesh.run(Duration::from_millis(40));
+    }
+    settle(&mut mesh);
+    assert_eq!(mesh.receiver.reports[&window][ORG], 100);
+    check(&mesh, 100);
+}
+
+/// An instance that cannot be reached is waited for, as long as the report is not due.
+#[test]
+fn a_window_waits_for_an_instance_that_was_cut_off() {
+    let mut mesh = start();
+    let number = (0..TOTAL).find(|number| *number >= DISKS).expect("one without a disk");
+    mesh.begin(number, ORG);
+    mesh.run(Duration::from_secs(1));
+    mesh.nodes[number].cut = true;
+    mesh.begin(number, ORG);
+    mesh.run(Duration::from_secs(5));
+    mesh.nodes[number].cut = false;
+    settle(&mut mesh);
+    check(&mesh, 2);
+}
+
+/// One that does not come back does not hold up the report until it is late.
+#[test]
+fn a_window_is_reported_in_time_without_an_instance_that_is_lost() {
+    let mut mesh = start();
+    let number = DISKS + 1;
+    mesh.begin(number, ORG);
+    mesh.run(Duration::from_secs(1));
+    mesh.kill(number);
+    settle(&mut mesh);
+    let first = mesh.receiver.made.first().expect("a report");
+    let rudder_core::DutyCall::Usage { window, .. } = first.call;
+    let due = Duration::from_secs((window + 1) * 5 + 10).saturating_sub(Duration::from_secs(1_000_000));
+    assert!(first.at < due, "reported at {:?}, due at {due:?}", first.at);
+    check(&mesh, 1);
+}
+
+/// Without the look at the lease, an instance that wakes writes on a lease that has ended: the checks see it.
+#[test]
+fn a_holder_that_does_not_look_at_its_lease_is_found() {
+    let found = (0..40).any(|round| {
+        let mut mesh = start();
+        mesh.unleased = true;
+        mesh.receiver.mood = Mood::Mute;
+        for _ in 0..4 {
+            serve(&mut mesh, Duration::from_millis(3000 + round * 50));
+            let number = leader(&mesh);
+            mesh.nodes[number].paused = true;
+            serve(&mut mesh, Duration::from_secs(5));
+            mesh.wake(number);
+        }
+        let old = |made: &[mesh::receiver::Made]| made.windows(2).any(|pair| pair[1].by != pair[0].by);
+        assert!(old(&mesh.receiver.made), "the holder changes");
+        mesh.receiver.stale > 0
+    });
+    assert!(found);
+}
--- a/crates/rudder-core/tests/fleet.rs
+++ b/crates/rudder-core/tests/fleet.rs
@@ -8,10 +8,16 @@
 
 use std::{collections::BTreeMap, fmt::Write as _, time::Duration};
 
-use mesh::Mesh;
+use mesh::{
+    Layout, Mesh,
+    receiver::{HANDOVER, Mood},
+};
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
-use rudder_core::Phase;
+use rudder_core::{
+    Event, Phase,
+    options::{DutyOptions, UsageOptions},
+};
 
 const TOTAL: usize = 120;
 const HALLS: usize = 3;
@@ -24,6 +30,13 @@
 const SPAN: Duration = Duration::from_secs(20);
 /// Time between looks at all instances.
 const LOOK: Duration = Duration::from_millis(50);
+/// Requests that begin between two looks.
+const BEGUN: usize = 3;
+const ORG: &str = "acme";
+/// Clocks read this when the virtual time is nothing.
+const ORIGIN: Duration = Duration::from_secs(1_000_000);
+/// From the end of the last fault until all windows that were open then have been reported.
+const REPORTED: Duration = Duration::from_secs(16);
 /// From the end of the last fault until all instances have young proof again.
 const RECOVERY: Duration = Duration::from_secs(6);
 
@@ -46,6 +59,10 @@
     Put(usize),
     /// An endpoint says to an instance that it leaves.
     Leave(usize),
+    /// The clock of an instance steps by two seconds, and back later.
+    Step(usize),
+    /// The receiver of duties answers otherwise for a while.
+    Receiver(Mood),
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -73,8 +90,10 @@
         8 => What::KillHall(rng.random_range(0..HALLS)),
         9 if rng.random_bool(0.3) => What::KillAll,
         9 => What::Rough,
-        10..15 => What::Put(any),
-        _ => What::Leave(any),
+        10..14 => What::Put(any),
+        14..17 => What::Leave(any),
+        17 => What::Step(target),
+        _ => What::Receiver([Mood::Mute, Mood::Busy, Mood::Down][rng.random_range(0..3)]),
     };
     let at = rng.random_range(Duration::ZERO..SPAN);
     Step { at, lasts: rng.random_range(Duration::from_millis(200)..Duration::from_secs(4)), what }
@@ -95,11 +114,18 @@
     leader: (Option<usize>, Duration),
     versions: Vec<(u64, u64)>,
     count: u64,
+    /// Requests that began.
+    begun: u64,
+    /// They are told twice.
+    twice: bool,
+    rng: Pcg32,
 }
 
 impl Fleet {
     fn start(seed: u64) -> Fleet {
-        let mut mesh = Mesh::start_in(HALLS, TOTAL, DISKS);
+        let duties = DutyOptions { handover: HANDOVER, usage: Some(UsageOptions::default()) };
+        let layout = Layout { halls: HALLS, total: TOTAL, disks: DISKS, duties, ..Layout::default() };
+        let mut mesh = Mesh::start_as(layout);
         mesh.seed(seed);
         mesh.run(Duration::from_secs(5));
         mesh.put(9, 1, 1, "{\"first\":1}{\"second\":2}");
@@ -113,6 +139,9 @@
             leader: (None, Duration::ZERO),
             versions: vec![(0, 0); TOTAL],
             count: 1,
+            begun: 0,
+            twice: false,
+            rng: Pcg32::seed_from_u64(seed),
         }
     }
 
@@ -124,12 +153,31 @@
                 self.begin(step);
             }
             self.end_due();
+            self.serve();
             self.mesh.run(LOOK);
             self.check()?;
         }
         self.mesh.run(RECOVERY);
         self.check()?;
-        self.check_recovered()
+        self.check_recovered()?;
+        self.mesh.run(REPORTED);
+        self.check()?;
+        self.check_reported()
+    }
+
+    /// Some instances begin a request.
+    fn serve(&mut self) {
+        for _ in 0..BEGUN {
+            let number = self.rng.random_range(0..TOTAL);
+            let node = &self.mesh.nodes[number];
+            if node.state.is_some() && !node.paused {
+                self.begun += 1;
+                self.mesh.begin(number, ORG);
+                if self.twice {
+                    self.mesh.begin(number, ORG);
+                }
+            }
+        }
     }
 
     fn begin(&mut self, step: &Step) {
@@ -141,6 +189,8 @@
             What::KillHall(hall) => self.kill_hall(hall),
             What::KillAll => (0..TOTAL).for_each(|number| self.mesh.kill(number)),
             What::Rough => (self.mesh.loss, self.mesh.delay) = (0.05, Duration::from_millis(150)),
+            What::Step(number) => self.mesh.tell(number, Event::Clock(ORIGIN + Duration::from_secs(2))),
+            What::Receiver(mood) => self.mesh.receiver.mood = mood,
             What::Put(number) => return self.put(number),
             What::Leave(number) => return self.leave(number),
             What::Kill(_) | What::Pause(_) | What::Cut(_) => return,
@@ -191,6 +241,8 @@
             What::Pause(number) => self.mesh.wake(number),
             What::Cut(number) => self.mesh.nodes[number].cut = false,
             What::Rough => (self.mesh.loss, self.mesh.delay) = (0.0, Duration::ZERO),
+            What::Step(number) => self.mesh.tell(number, Event::Clock(ORIGIN)),
+            What::Receiver(_) => self.mesh.receiver.mood = Mood::Answers,
             _ => {}
         }
         let down = |number: &usize| self.mesh.nodes[*number].state.is_none();
@@ -211,6 +263,35 @@
             self.check_version(number)?;
             self.check_proof(number)?;
         }
+        self.check_duties()
+    }
+
+    /// No report changes, no fence has two holders, and nobody calls on a lease that has ended.
+    fn check_duties(&self) -> Result<(), String> {
+        let receiver = &self.mesh.receiver;
+        if let Some(broken) = receiver.broken.first() {
+            return Err(broken.clone());
+        }
+        if receiver.stale > 0 {
+            return Err(format!("{} calls came with the fence of an earlier holder", receiver.stale));
+        }
+        let reported = receiver.reported(ORG);
+        if reported > self.begun {
+            return Err(format!("{reported} requests reported, {} began", self.begun));
+        }
+        Ok(())
+    }
+
+    /// Nothing is missing in the reports but what was lost with the instances that began it, and what came after the
+    /// window had to be closed.
+    fn check_reported(&self) -> Result<(), String> {
+        let leader = self.mesh.leader().and_then(|number| self.mesh.nodes[number].state.as_ref());
+        let late = leader.and_then(|state| state.control.as_ref()).map_or(0, |control| control.ledger.usage.late());
+        let (reported, lost) = (self.mesh.receiver.reported(ORG), self.mesh.untold);
+        if reported + late + lost < self.begun {
+            let begun = self.begun;
+            return Err(format!("{reported} requests reported of {begun}, {late} came late, {lost} were lost"));
+        }
         Ok(())
     }
 
@@ -284,19 +365,31 @@
     }
 }
 
-fn play(seed: u64, steps: &[Step], young_relays: bool) -> Result<(), String> {
+/// What is broken on purpose, to show that the checks bite.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sabotage {
+    /// Nothing.
+    None,
+    /// Relays take their proof for new whatever its age.
+    YoungRelays,
+    /// Instances count what they begin twice.
+    CountTwice,
+}
+
+fn play(seed: u64, steps: &[Step], sabotage: Sabotage) -> Result<(), String> {
     let mut fleet = Fleet::start(seed);
-    fleet.mesh.young_relays = young_relays;
+    fleet.mesh.young_relays = sabotage == Sabotage::YoungRelays;
+    fleet.twice = sabotage == Sabotage::CountTwice;
     fleet.play(steps)
 }
 
 /// The schedule without the steps that a failure does not need.
-fn shorten(seed: u64, mut steps: Vec<Step>, young_relays: bool) -> Vec<Step> {
+fn shorten(seed: u64, mut steps: Vec<Step>) -> Vec<Step> {
     let mut at = 0;
     while at < steps.len() {
         let mut fewer = steps.clone();
         fewer.remove(at);
-        if play(seed, &fewer, young_relays).is_err() {
+        if play(seed, &fewer, Sabotage::None).is_err() {
             steps = fewer;
         } else {
             at += 1;
@@ -314,18 +407,28 @@
     let (first, count) = (setting("RUDDER_SEED", 1), setting("RUDDER_TESTS", 6));
     for seed in first..first + count {
         let steps = draw_schedule(seed);
-        let Err(broken) = play(seed, &steps, false) else { continue };
+        let Err(broken) = play(seed, &steps, Sabotage::None) else { continue };
         let mut text = format!("seed {seed}: {broken}\n");
-        for step in shorten(seed, steps, false) {
+        for step in shorten(seed, steps) {
             let _ = writeln!(text, "{step:?}");
         }
         panic!("{text}");
     }
 }
 
-/// Sabotage: relays that take their proof for new whatever its age.
-#[test]
-fn relays_that_claim_new_proof_are_caught() {
-    let caught = (1..40).any(|seed| play(seed, &draw_schedule(seed), true).is_err());
-    assert!(caught);
+macro_rules! caught {
+    ($($name:ident: $sabotage:expr;)*) => {
+        $(
+            #[test]
+            fn $name() {
+                let caught = (1..40).any(|seed| play(seed, &draw_schedule(seed), $sabotage).is_err());
+                assert!(caught);
+            }
+        )*
+    };
+}
+
+caught! {
+    relays_that_claim_new_proof_are_caught: Sabotage::YoungRelays;
+    requests_that_are_counted_twice_are_caught: Sabotage::CountTwice;
 }
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -2,15 +2,22 @@
 //! wiped, paused, cut off and started again with other seeds; messages can be lost or held up.
 #![allow(dead_code, reason = "each test uses a part")]
 
+pub mod receiver;
+
 use std::{collections::BTreeMap, time::Duration};
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
-use rudder_core::{Effect, Event, Listing, Me, Options, PeerMessage, Phase, Registration, State, Watch, Watched};
+use rudder_core::{
+    CallOutcome, DutyCall, Effect, Event, Listing, Me, Options, PeerMessage, Phase, Registration, State, Watch,
+    Watched, options::DutyOptions, tally::Begun,
+};
 use rudder_ledger::Document;
 use rudder_model::InstanceId;
 use rudder_replica::{Durable, Record, Snapshot};
 
+use self::receiver::Receiver;
+
 /// Time that a message takes.
 const LINK: Duration = Duration::from_millis(1);
 /// Time that a save takes.
@@ -49,6 +56,8 @@
 /// What comes in at a time.
 enum Delivery {
     Message(usize, u64, InstanceId, Box<PeerMessage>),
+    /// A call of an instance's duty is at the connection, about to be written.
+    Call(usize, u64, u64, u64, Box<DutyCall>),
     Saved(usize, u64, u64),
 }
 
@@ -61,6 +70,27 @@
     pub bytes: u64,
 }
 
+/// What a mesh is made of.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Halls that the instances are divided among.
+    pub halls: usize,
+    /// Instances.
+    pub total: usize,
+    /// Those of them with a disk, the first ones.
+    pub disks: usize,
+    /// Voters wanted.
+    pub voters: usize,
+    /// Duties that one instance holds for all.
+    pub duties: DutyOptions,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Layout { halls: 3, total: 9, disks: 3, voters: 3, duties: DutyOptions::default() }
+    }
+}
+
 /// All instances.
 pub struct Mesh {
     /// The instances; the first ones have disks.
@@ -79,9 +109,16 @@
     pub loss: f64,
     /// Time that a message takes beyond the usual, at most.
     pub delay: Duration,
+    /// Requests that had begun at instances that were killed and that the log may not hold.
+    pub untold: u64,
+    /// Who takes the calls of duties.
+    pub receiver: Receiver,
+    /// Instances make their calls whether or not they hold the lease. Sabotage, to show that the checks bite.
+    pub unleased: bool,
     /// Relays claim that their proof is new. Sabotage, to show that the checks bite.
     pub young_relays: bool,
     rng: Pcg32,
+    layout: Layout,
     queue: BTreeMap<(Duration, u64), Delivery>,
     count: u64,
     ticked: Duration,
@@ -113,6 +150,7 @@
         heard: Vec::new(),
         loads: Some(Vec::new()),
         group: None,
+        clock: Duration::ZERO,
     }
 }
 
@@ -138,6 +176,12 @@
 
     /// The same in so many halls.
     pub fn start_in(halls: usize, total: usize, disks: usize) -> Mesh {
+        Mesh::start_as(Layout { halls, total, disks, ..Layout::default() })
+    }
+
+    /// Starts the instances of a layout.
+    pub fn start_as(layout: Layout) -> Mesh {
+        let Layout { halls, total, disks, .. } = layout;
         let seeds: Vec<InstanceId> = (0..disks.min(3)).map(name).collect();
         let node = |number: usize| Node {
             name: name(number),
@@ -160,8 +204,12 @@
             halls,
             loss: 0.0,
             delay: Duration::ZERO,
+            untold: 0,
+            receiver: Receiver::default(),
+            unleased: false,
             young_relays: false,
             rng: Pcg32::seed_from_u64(1),
+            layout,
             queue: BTreeMap::new(),
             count: 0,
             ticked: Duration::from_secs(1),
@@ -177,6 +225,7 @@
     /// Starts an instance that does not run, with what its disk holds.
     pub fn boot(&mut self, number: usize) {
         let (now, founding) = (self.now, self.founding);
+        let (voters, duties) = (self.layout.voters, self.layout.duties.clone());
         let node = &mut self.nodes[number];
         node.starts += 1;
         let me = Me {
@@ -192,8 +241,10 @@
             watch: Duration::from_millis(250),
             fresh: Duration::from_millis(4500),
             gone: Duration::from_millis(1500),
+            duties,
             replica: rudder_replica::Options {
                 replace: Duration::from_millis(1500),
+                voters,
                 // Mixed with the replica's id, seeds that rise as the ids do would be the same for several.
                 seed: rudder_model::id::rendezvous("seed", &node.name) ^ node.starts,
                 ..rudder_replica::Options::default()
@@ -210,7 +261,7 @@
 
     /// Ends an instance without a word; saves under way are lost.
     pub fn kill(&mut self, number: usize) {
-        self.nodes[number].state = None;
+        self.untold += self.nodes[number].state.take().map_or(0, |state| state.untold());
         self.nodes[number].paused = false;
         self.nodes[number].held.clear();
         self.nodes[number].saves.clear();
@@ -246,6 +297,20 @@
         }
     }
 
+    /// A request of `org` begins to run now, sent by an instance.
+    pub fn begin(&mut self, number: usize, org: &str) {
+        let begun = Begun { org: org.into(), at: self.now };
+        self.tell(number, Event::Begun(vec![begun]));
+    }
+
+    /// True where an instance may write a call of its duty now.
+    fn may_call(&self, number: usize) -> bool {
+        let control = self.nodes[number].state.as_ref().and_then(|state| state.control.as_ref());
+        control.is_some_and(|control| {
+            control.duty_until(self.now, self.layout.duties.handover).is_some_and(|until| self.now < until)
+        })
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
@@ -357,6 +422,10 @@
             Effect::SaveSnapshot { number: save, snapshot, records } => {
                 self.save(number, Pending { number: save, snapshot: Some(snapshot), records });
             }
+            Effect::Call { ticket, fence, call, .. } => {
+                let starts = self.nodes[number].starts;
+                self.schedule(LINK, Delivery::Call(number, starts, ticket, fence, Box::new(call)));
+            }
             Effect::Documented { ticket, version } => drop(self.documented.insert(ticket, version)),
             Effect::Registered { ticket, taken } => drop(self.registered.insert(ticket, taken)),
             _ => {}
@@ -389,7 +458,28 @@
                 }
             }
             Delivery::Saved(number, starts, save) => self.finish_saves(number, starts, save),
+            Delivery::Call(number, starts, ticket, fence, call) => self.call(number, starts, ticket, fence, *call),
+        }
+    }
+
+    /// Writes a call, if the lease still allows it, and tells its outcome.
+    fn call(&mut self, number: usize, starts: u64, ticket: u64, fence: u64, call: DutyCall) {
+        let node = &self.nodes[number];
+        if node.starts != starts || node.state.is_none() {
+            return;
         }
+        if node.paused {
+            // It goes on where it stood when it wakes.
+            self.schedule(TICK, Delivery::Call(number, starts, ticket, fence, Box::new(call)));
+            return;
+        }
+        let outcome = if self.unleased || self.may_call(number) {
+            let reached = !node.cut;
+            self.receiver.take(self.now, number, fence, call, reached)
+        } else {
+            CallOutcome::Lapsed
+        };
+        self.tell(number, Event::Called { ticket, outcome });
     }
 
     fn finish_saves(&mut self, number: usize, starts: u64, save: u64) {
--- /dev/null
+++ b/crates/rudder-core/tests/mesh/receiver.rs
@@ -0,0 +1,121 @@
+//! Who takes the calls that one instance makes for all, and judges them: a report never changes, a fence belongs to one
+//! instance, and two instances never act by turns within the handover time.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rudder_core::{CallOutcome, DutyCall};
+use rudder_ledger::{Counts, Window};
+
+/// Two holders that act by turns within this time break the rule.
+pub const HANDOVER: Duration = Duration::from_secs(3);
+
+/// How it answers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// At once.
+    #[default]
+    Answers,
+    /// It carries calls out, but its answers are lost.
+    Mute,
+    /// It takes no calls.
+    Busy,
+    /// It cannot be reached.
+    Down,
+    /// It carries calls out 4 s after they came, and answers nothing.
+    Late,
+}
+
+/// A call that was carried out.
+#[derive(Clone, Debug)]
+pub struct Made {
+    /// When it came.
+    pub at: Duration,
+    /// By which instance.
+    pub by: usize,
+    /// Its fence.
+    pub fence: u64,
+    /// The call.
+    pub call: DutyCall,
+}
+
+/// Takes the calls.
+#[derive(Debug, Default)]
+pub struct Receiver {
+    /// How it answers.
+    pub mood: Mood,
+    /// Calls that came, in order, those with a low fence left out.
+    pub made: Vec<Made>,
+    /// Reports carried out.
+    pub reports: BTreeMap<Window, Counts>,
+    /// Calls that came with a fence lower than one seen.
+    pub stale: u64,
+    /// What broke a rule.
+    pub broken: Vec<String>,
+    /// Calls to carry out later.
+    late: Vec<(Duration, Made)>,
+    highest: u64,
+}
+
+impl Receiver {
+    /// Takes in a call that `by` writes.
+    pub fn take(&mut self, now: Duration, by: usize, fence: u64, call: DutyCall, reached: bool) -> CallOutcome {
+        self.carry_out_late(now);
+        let made = Made { at: now, by, fence, call };
+        match self.mood {
+            _ if !reached => CallOutcome::Unknown,
+            Mood::Down => CallOutcome::Unknown,
+            Mood::Busy => CallOutcome::Busy,
+            Mood::Answers => self.carry_out(made),
+            Mood::Mute => {
+                self.carry_out(made);
+                CallOutcome::Unknown
+            }
+            Mood::Late => {
+                self.late.push((now + Duration::from_secs(4), made));
+                CallOutcome::Unknown
+            }
+        }
+    }
+
+    /// Carries out what has waited long enough.
+    fn carry_out_late(&mut self, now: Duration) {
+        let (due, rest) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
+        self.late = rest;
+        for (_, made) in due {
+            self.carry_out(made);
+        }
+    }
+
+    fn carry_out(&mut self, made: Made) -> CallOutcome {
+        if made.fence < self.highest {
+            self.stale += 1;
+            return CallOutcome::Outranked;
+        }
+        self.highest = made.fence;
+        self.judge(&made);
+        let DutyCall::Usage { window, counts } = &made.call;
+        let held = self.reports.entry(*window).or_insert_with(|| counts.clone());
+        if held != counts {
+            self.broken.push(format!("window {window} was reported as {held:?} and as {counts:?}"));
+        }
+        self.made.push(made);
+        CallOutcome::Taken
+    }
+
+    fn judge(&mut self, made: &Made) {
+        if let Some(other) = self.made.iter().find(|held| held.fence == made.fence && held.by != made.by) {
+            self.broken.push(format!("fence {} was used by {} and {}", made.fence, other.by, made.by));
+        }
+        let recent = || self.made.iter().rev().take_while(|held| made.at < held.at + HANDOVER);
+        let between = recent().find(|held| held.by != made.by);
+        let Some(between) = between else { return };
+        if recent().any(|held| held.by == made.by && held.at <= between.at) {
+            self.broken.push(format!("{} and {} acted by turns until {:?}", made.by, between.by, made.at));
+        }
+    }
+
+    /// Requests reported for `org` in all windows.
+    pub fn reported(&self, org: &str) -> u64 {
+        self.reports.values().filter_map(|counts| counts.get(org)).sum()
+    }
+}
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -395,6 +395,7 @@
             }
             Effect::Poll { .. }
             | Effect::Order { .. }
+            | Effect::Call { .. }
             | Effect::Log(_)
             | Effect::Documented { .. }
             | Effect::Registered { .. } => {}
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -341,6 +341,41 @@
         /// Lines that the writer could not take in time.
         blocked: u64,
     },
+    /// This instance holds the duties that one holds for all, or no longer does.
+    DutyHeld {
+        /// Which of both.
+        held: bool,
+        /// The first fence of its calls.
+        fence: u64,
+    },
+    /// A window of usage was closed: its counts are final.
+    WindowClosed {
+        /// Its number.
+        window: u64,
+        /// Organisations with requests in it.
+        organisations: usize,
+        /// Requests in it.
+        requests: u64,
+        /// Instances that may have had more to tell.
+        missing: usize,
+        /// From its end to this, in milliseconds.
+        lag_ms: u64,
+    },
+    /// A call that only the holder of a duty makes has ended.
+    DutyCalled {
+        /// The duty.
+        duty: String,
+        /// What it was about.
+        subject: String,
+        /// Its fence.
+        fence: u64,
+        /// How it ended.
+        outcome: String,
+        /// How long it took, in milliseconds.
+        took_ms: u64,
+        /// How long before it that happened which it told, in milliseconds.
+        age_ms: u64,
+    },
     /// An order went out to an endpoint.
     Ordered {
         /// The endpoint.
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -159,7 +159,8 @@
         log_failure(shared, call, progress, &choice, "it answered another request", Ran::Unknown);
         return Err(Failure::Lost("the endpoint answered another request"));
     }
-    Ok(Leg { choice, response: Response::from_parts(parts, body), head, connection, flight, sent: now })
+    let response = Response::from_parts(parts, body);
+    Ok(Leg { choice, response, head, connection, flight, sent: now, continued: from.copy })
 }
 
 /// Waits for the head of an answer; where the request may be repeated, no longer than its patience.
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -104,6 +104,8 @@
     pub flight: Flight,
     /// When it was sent.
     pub sent: Instant,
+    /// It goes on with a run that began elsewhere.
+    pub continued: bool,
 }
 
 /// How an attempt failed.
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -45,6 +45,8 @@
         if call.route.kind == RouteKind::Stream && leg.response.status().is_success() {
             return Ok(stream::start(shared, call, progress, leg));
         }
+        // A plain service begins at once.
+        shared.note_begun(call.organisation.as_ref(), leg.sent);
         match relay(shared, &call, leg).await {
             Ok(response) => {
                 let status = response.status();
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -3,10 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri, request, response};
-use rudder_core::Registration;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, request, response};
+use http_body_util::Full;
+use rudder_core::{CallOutcome, DutyCall, Registration, duties::Fence};
 
-use crate::{Plan, plan::Fault};
+use crate::{Plan, options::Duties, plan::Fault};
 
 /// Why a configuration document is refused.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -164,4 +165,10 @@
 
     /// The answer to a heartbeat.
     fn write_heartbeat(&self) -> Bytes;
+
+    /// A call that the holder of a duty makes.
+    fn write_duty(&self, duties: &Duties, fence: Fence, call: &DutyCall) -> Request<Full<Bytes>>;
+
+    /// What the answer to such a call says.
+    fn read_duty(&self, status: StatusCode, body: &[u8]) -> CallOutcome;
 }
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -7,7 +7,7 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use eyre::{Context as _, Result};
-use rudder_core::{Effect, Event, Me, PeerMessage, Registration, State};
+use rudder_core::{Effect, Event, Me, PeerMessage, Registration, State, clock};
 use rudder_events::What;
 use rudder_model::{EndpointId, InstanceId};
 use rudder_replica::{Durable, ReplicaId};
@@ -16,6 +16,7 @@
 
 use crate::{
     Options,
+    duty::Errand,
     logging::Log,
     metrics::Standing,
     shared::{Published, Reply},
@@ -39,6 +40,8 @@
     Proved(Instant),
     /// Somebody's ticket is answered.
     Reply(u64, Reply),
+    /// Make a call that only the holder of a duty makes.
+    Errand(Box<Errand>),
 }
 
 /// The control thread's state around the reducer's.
@@ -53,6 +56,9 @@
     endpoints: Vec<Registration>,
     batch: Vec<Notice>,
     standing: Arc<Standing>,
+    /// Origin of the time of day that the reducer was told last.
+    clock: Duration,
+    handover: Duration,
 }
 
 /// Opens the disk and prepares the reducer.
@@ -72,8 +78,10 @@
         hall: options.hall.clone(),
         start: rand::random(),
         address: options.doors.callers.map(|callers| callers.to_string()),
-        epoch: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+        epoch: to_origin(epoch),
     };
+    let clock = me.epoch;
+    let handover = options.duties.as_ref().map(|duties| duties.core.handover).unwrap_or_default();
     let (disk, durable) = open_disk(options, &name, inputs)?;
     log.write(What::Started { hall: me.hall.clone(), start: me.start });
     let state = State::new(epoch.elapsed(), me, to_core(options), durable);
@@ -89,9 +97,17 @@
         endpoints,
         batch: Vec::new(),
         standing: Arc::default(),
+        clock,
+        handover,
     })
 }
 
+/// The time of day at `epoch`, by the clock of this machine as it stands now.
+fn to_origin(epoch: Instant) -> Duration {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    now.saturating_sub(epoch.elapsed())
+}
+
 type Disk = (Option<Sender<Job>>, Option<(ReplicaId, Durable)>);
 
 fn open_disk(options: &Options, name: &str, inputs: &Sender<Event>) -> Result<Disk> {
@@ -122,6 +138,7 @@
         keep: options.keep,
         snapshot_bytes: SNAPSHOT,
         tree: options.policy.relays.clone(),
+        duties: options.duties.as_ref().map(|duties| duties.core.clone()).unwrap_or_default(),
         replica: rudder_replica::Options {
             heartbeat: Duration::from_millis(75),
             election: Duration::from_millis(400),
@@ -142,11 +159,30 @@
         self.standing.clone()
     }
 
+    /// When the process started, as the reducer counts time.
+    pub fn epoch(&self) -> Instant {
+        self.epoch
+    }
+
+    /// Tells the reducer when the clock of this machine has stepped.
+    fn note_clock(&mut self) {
+        let origin = to_origin(self.epoch);
+        if origin.abs_diff(self.clock) >= clock::STEP {
+            self.clock = origin;
+            self.reduce(Event::Clock(origin));
+        }
+    }
+
     fn note_standing(&self) {
+        self.standing.untold.store(self.state.untold(), Ordering::Relaxed);
         let Some(control) = &self.state.control else { return };
         let replica = &control.replica;
         self.standing.term.store(replica.term(), Ordering::Relaxed);
         self.standing.leads.store(replica.leads(self.epoch.elapsed()), Ordering::Relaxed);
+        let duty_until = control.duty_until(self.epoch.elapsed(), self.handover).unwrap_or_default();
+        self.standing.duty_until.store(duty_until.as_micros() as u64, Ordering::Relaxed);
+        self.standing.windows.store(control.ledger.usage.closed().len() as u64, Ordering::Relaxed);
+        self.standing.late.store(control.ledger.usage.late(), Ordering::Relaxed);
         self.standing.commit.store(replica.commit(), Ordering::Relaxed);
         self.standing.last.store(replica.last_index(), Ordering::Relaxed);
     }
@@ -162,6 +198,7 @@
             }
             // A flood of inputs must not keep time from advancing.
             if Instant::now() >= next {
+                self.note_clock();
                 self.reduce(Event::Tick);
                 self.note_standing();
                 next = Instant::now() + TICK;
@@ -217,6 +254,9 @@
             }
             Effect::Registered { ticket, taken } => self.batch.push(Notice::Reply(ticket, Reply::Registered(taken))),
             Effect::Log(what) => self.log.write(what),
+            Effect::Call { ticket, fence, age, call } => {
+                self.batch.push(Notice::Errand(Box::new(Errand { ticket, fence, age, call })));
+            }
             // Requests are decided on the traffic thread, which also says when a planned stop is complete.
             Effect::Verdict { .. }
             | Effect::Admin { .. }
--- /dev/null
+++ b/crates/rudder-gateway/src/duty.rs
@@ -0,0 +1,78 @@
+//! Calls that only the holder of a duty makes, to the receiver that the settings name.
+//!
+//! The lease is looked at when the connection stands, right before the call is written: a process that was paused
+//! meanwhile writes nothing on a lease that has ended.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use rudder_core::{CallOutcome, DutyCall, Event, duties::Fence};
+use rudder_events::What;
+
+use crate::{Dialect, options::Duties, shared::Shared, upstream};
+
+/// A connection to the receiver is given this long to come up.
+const CONNECT: Duration = Duration::from_secs(1);
+/// An answer is waited for this long. A call without one may still be carried out; reports can be repeated, and an order
+/// is told from later ones by its fence.
+const ANSWER: Duration = Duration::from_millis(2500);
+/// Largest answer that is read.
+const BODY: usize = 64 << 10;
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct Errand {
+    /// Identifies it to the reducer.
+    pub ticket: u64,
+    /// Its fence.
+    pub fence: Fence,
+    /// How long ago that happened which it tells.
+    pub age: Duration,
+    /// The call.
+    pub call: DutyCall,
+}
+
+/// Makes a call and tells the reducer how it ended.
+pub async fn run<D: Dialect>(shared: Rc<Shared<D>>, errand: Errand) {
+    let began = Instant::now();
+    let outcome = match &shared.options.duties {
+        Some(duties) => send(&shared, duties, &errand).await,
+        None => CallOutcome::Lapsed,
+    };
+    shared.metrics.note_duty(errand.call.kind(), outcome);
+    shared.log.write(What::DutyCalled {
+        duty: errand.call.kind().to_owned(),
+        subject: errand.call.subject(),
+        fence: errand.fence,
+        outcome: format!("{outcome:?}").to_lowercase(),
+        took_ms: began.elapsed().as_millis() as u64,
+        age_ms: errand.age.as_millis() as u64,
+    });
+    shared.tell(Event::Called { ticket: errand.ticket, outcome });
+}
+
+async fn send<D: Dialect>(shared: &Shared<D>, duties: &Duties, errand: &Errand) -> CallOutcome {
+    let request = shared.dialect.write_duty(duties, errand.fence, &errand.call);
+    let Ok(mut connection) = upstream::connect(&duties.receiver.to_string(), CONNECT).await else {
+        return CallOutcome::Unknown;
+    };
+    if !shared.holds_duties() {
+        return CallOutcome::Lapsed;
+    }
+    let answer = tokio::time::timeout(ANSWER, exchange(&mut connection, request)).await;
+    match answer {
+        Ok(Some((status, body))) => shared.dialect.read_duty(status, &body),
+        Ok(None) | Err(_) => CallOutcome::Unknown,
+    }
+}
+
+async fn exchange(connection: &mut upstream::Connection, request: Request<Full<Bytes>>) -> Option<(StatusCode, Bytes)> {
+    let (parts, body) = connection.send(request).await.ok()?.into_parts();
+    let body = Limited::new(body, BODY).collect().await.ok()?;
+    Some((parts.status, body.to_bytes()))
+}
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod choose;
 pub mod dialect;
 pub mod driver;
+pub mod duty;
 pub mod head_clock;
 pub mod health;
 pub mod lanes;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -17,6 +17,8 @@
     registry::{Registry, Unit},
 };
 
+use rudder_core::CallOutcome;
+
 use crate::{Dialect, RouteKind, plan::Route, shared::Shared};
 
 /// Bounds of latencies in seconds; the targets of routes lie between them.
@@ -31,6 +33,15 @@
     pub term: AtomicU64,
     /// It leads.
     pub leads: AtomicBool,
+    /// Until when it holds the duties without a further look, in microseconds since the process started; 0 where it
+    /// holds none.
+    pub duty_until: AtomicU64,
+    /// Closed windows of usage whose report is not acknowledged.
+    pub windows: AtomicU64,
+    /// Requests told after their window was closed, in no report.
+    pub late: AtomicU64,
+    /// Requests that began here and that the log does not hold yet.
+    pub untold: AtomicU64,
     /// Index up to which its log is committed.
     pub commit: AtomicU64,
     /// Index of the last entry of its log.
@@ -54,6 +65,12 @@
     why: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Duty {
+    duty: &'static str,
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct At {
     endpoint: String,
@@ -135,6 +152,7 @@
     retries: Counter,
     resumes: Counter,
     ejections: Counter,
+    duties: Family<Duty, Counter>,
     first: Family<Kind, Histogram>,
     total: Family<Kind, Histogram>,
     pauses: Histogram,
@@ -153,6 +171,9 @@
     term: Gauge,
     leads: Gauge,
     lag: Gauge,
+    holds: Gauge,
+    windows: Gauge,
+    late: Gauge,
     instances: Gauge,
     memory: Gauge,
     dropped: Gauge,
@@ -171,6 +192,7 @@
             retries: Counter::default(),
             resumes: Counter::default(),
             ejections: Counter::default(),
+            duties: Family::default(),
             first: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
             pauses: histogram(),
@@ -200,6 +222,7 @@
         registry.register("retries", "Requests sent to endpoints again", self.retries.clone());
         registry.register("resumes", "Streams taken up at another endpoint", self.resumes.clone());
         registry.register("ejections", "Endpoints left out for a while", self.ejections.clone());
+        registry.register("duty_calls", "Calls of the holder of a duty, by duty and outcome", self.duties.clone());
         let seconds = Unit::Seconds;
         registry.register_with_unit("first", "From arrival to the first byte", seconds.clone(), self.first.clone());
         registry.register_with_unit("total", "From arrival to the end", seconds.clone(), self.total.clone());
@@ -215,6 +238,11 @@
         registry.register("term", "Term of the replicated log; 0 without a disk", state.term.clone());
         registry.register("leads", "Leads the replicated log", state.leads.clone());
         registry.register("commit_lag", "Entries not known as committed", state.lag.clone());
+        registry.register("holds_duties", "Makes the calls that one instance makes for all", state.holds.clone());
+        let help = "Closed windows of usage whose report is not acknowledged; known where there is a disk";
+        registry.register("usage_windows_waiting", help, state.windows.clone());
+        let help = "Requests told after their window was closed; known where there is a disk";
+        registry.register("usage_late_requests", help, state.late.clone());
         registry.register("instances", "Live instances known", state.instances.clone());
         registry.register("resident_bytes", "Memory of the process", state.memory.clone());
         registry.register("log_lines_left_out", "Log lines left out in the last second", state.dropped.clone());
@@ -261,6 +289,18 @@
         self.ejections.inc();
     }
 
+    /// Counts a call that only the holder of a duty makes.
+    pub fn note_duty(&self, duty: &'static str, outcome: CallOutcome) {
+        let outcome = match outcome {
+            CallOutcome::Taken => "taken",
+            CallOutcome::Outranked => "outranked",
+            CallOutcome::Busy => "busy",
+            CallOutcome::Lapsed => "lapsed",
+            CallOutcome::Unknown => "unknown",
+        };
+        self.duties.get_or_create(&Duty { duty, outcome }).inc();
+    }
+
     /// Takes in the time to the first byte of an answer.
     pub fn note_first(&self, route: &Route, after: Duration) {
         self.first.get_or_create(&Kind { kind: kind_of(route) }).observe(after.as_secs_f64());
@@ -293,6 +333,9 @@
         state.leads.set(i64::from(standing.leads.load(Ordering::Relaxed)));
         let (last, commit) = (standing.last.load(Ordering::Relaxed), standing.commit.load(Ordering::Relaxed));
         state.lag.set(number(last.saturating_sub(commit)));
+        state.holds.set(i64::from(shared.holds_duties()));
+        state.windows.set(number(standing.windows.load(Ordering::Relaxed)));
+        state.late.set(number(standing.late.load(Ordering::Relaxed)));
         let view = shared.view.borrow();
         state.instances.set(number(view.entries.len() as u64));
         state.memory.set(resident().unwrap_or_default());
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, time::Duration};
 
+use rudder_core::options::DutyOptions;
 use rudder_model::{HallId, InstanceId};
 
 use crate::Policy;
@@ -31,6 +32,17 @@
     }
 }
 
+/// Duties that one instance at a time holds for all, and whom its calls go to.
+#[derive(Clone, Debug)]
+pub struct Duties {
+    /// Name under which this instance makes calls.
+    pub holder: String,
+    /// Who takes the calls.
+    pub receiver: SocketAddr,
+    /// What the reducer needs of it.
+    pub core: DutyOptions,
+}
+
 /// Settings of one instance.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -74,6 +86,8 @@
     pub watch: Duration,
     /// Lines logged in a second at most.
     pub log_lines: u32,
+    /// Duties, where there are any.
+    pub duties: Option<Duties>,
     /// Settings of the decisions.
     pub policy: Policy,
 }
@@ -101,6 +115,7 @@
             start_up: Duration::from_secs(1),
             watch: Duration::from_millis(100),
             log_lines: 600,
+            duties: None,
             policy: Policy::default(),
         }
     }
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::{
     rc::Rc,
+    sync::atomic::Ordering,
     thread,
     time::{Duration, Instant},
 };
@@ -20,6 +21,7 @@
 use crate::{
     Dialect, Options, driver,
     driver::Notice,
+    duty,
     logging::Log,
     peers::{self, Links},
     serve::{self, Door},
@@ -29,6 +31,8 @@
 
 /// Time between looks at idle connections and reports of load.
 const HOUSEKEEPING: Duration = Duration::from_millis(60);
+/// A planned stop waits this long for its last counts to be taken.
+const LAST_COUNTS: Duration = Duration::from_millis(800);
 /// Lines that are still in the log's queue get this long.
 const LAST_LINES: Duration = Duration::from_millis(120);
 
@@ -43,12 +47,12 @@
     let (inputs, received) = unbounded();
     let (notices, to_traffic) = unbounded_channel();
     let driver = driver::prepare(&options, &inputs, notices, log.fork())?;
-    let standing = driver.standing();
+    let (standing, started) = (driver.standing(), driver.epoch());
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || driver.run(&received))
         .wrap_err("start the control thread")?;
-    let shared = Rc::new(Shared::new(dialect, options, inputs, log, standing));
+    let shared = Rc::new(Shared::new(dialect, options, started, inputs, log, standing));
     let local = LocalSet::new();
     local.block_on(&runtime, serve_all(shared.clone(), to_traffic, reload))?;
     thread::sleep(LAST_LINES);
@@ -88,9 +92,23 @@
         () = stop::stop(&shared) => {}
         () = ignore(&mut hangup) => {}
     }
+    tell_last(&shared).await;
     Ok(())
 }
 
+/// Waits until the log holds the number of requests that began here, at most for [`LAST_COUNTS`].
+async fn tell_last<D: Dialect>(shared: &Shared<D>) {
+    shared.tell_begun();
+    let end = Instant::now() + LAST_COUNTS;
+    loop {
+        // The control thread's word is as old as its last tick.
+        tokio::time::sleep(HOUSEKEEPING).await;
+        if shared.standing.untold.load(Ordering::Relaxed) == 0 || Instant::now() >= end {
+            return;
+        }
+    }
+}
+
 /// A reload while the instance stops changes nothing more.
 async fn ignore(hangup: &mut tokio::signal::unix::Signal) {
     while hangup.recv().await.is_some() {}
@@ -118,6 +136,7 @@
                 Notice::Published(published) => shared.publish(*published),
                 Notice::Proved(proved) => drop(shared.proof.send_replace(Some(proved))),
                 Notice::Reply(ticket, reply) => shared.tickets.reply(ticket, reply),
+                Notice::Errand(errand) => drop(tokio::task::spawn_local(duty::run(shared.clone(), *errand))),
             }
         }
     }
@@ -132,6 +151,7 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         shared.pool.borrow_mut().age(Instant::now());
+        shared.tell_begun();
         let loads = shared.balance.borrow_mut().to_loads(Instant::now());
         if loads != told {
             told.clone_from(&loads);
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -4,12 +4,12 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
-    sync::Arc,
+    sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
 
 use crossbeam_channel::Sender;
-use rudder_core::{Event, Listing, Phase, Registration, peer::Load};
+use rudder_core::{Event, Listing, Phase, Registration, peer::Load, tally::Begun};
 use rudder_events::What;
 use rudder_ledger::Document;
 use rudder_model::{EndpointId, InstanceId};
@@ -99,7 +99,7 @@
     pub dialect: D,
     /// Settings.
     pub options: Options,
-    /// When the process started.
+    /// When the process started; the reducer's time counts from it.
     pub started: Instant,
     /// This instance's name.
     pub name: InstanceId,
@@ -125,6 +125,8 @@
     pub pool: RefCell<Pool>,
     /// Where a planned stop stands.
     pub stage: watch::Sender<Stage>,
+    /// Requests that began at endpoints since the reducer was last told; kept where their number is reported.
+    pub begun: RefCell<Vec<Begun>>,
     /// Requests of callers under way.
     pub open: Cell<u64>,
     /// The log.
@@ -137,13 +139,20 @@
 
 impl<D: Dialect> Shared<D> {
     /// The state of an instance that has just started.
-    pub fn new(dialect: D, options: Options, inputs: Sender<Event>, log: Log, standing: Arc<Standing>) -> Shared<D> {
+    pub fn new(
+        dialect: D,
+        options: Options,
+        started: Instant,
+        inputs: Sender<Event>,
+        log: Log,
+        standing: Arc<Standing>,
+    ) -> Shared<D> {
         let budget = Budget::new(options.retry_window, options.retry_ratio, options.retry_extra);
         Shared {
             dialect,
             name: options.name(),
             options,
-            started: Instant::now(),
+            started,
             inputs,
             tickets: Tickets::default(),
             view: RefCell::default(),
@@ -155,6 +164,7 @@
             budget: RefCell::new(budget),
             pool: RefCell::default(),
             stage: watch::Sender::new(Stage::Serving),
+            begun: RefCell::default(),
             open: Cell::new(0),
             log,
             metrics: Metrics::default(),
@@ -167,6 +177,28 @@
         let _ = self.inputs.send(event);
     }
 
+    /// True where this instance holds the duties that one holds for all, by the lease as it was a moment ago.
+    pub fn holds_duties(&self) -> bool {
+        let until = self.standing.duty_until.load(Ordering::Relaxed);
+        (self.started.elapsed().as_micros() as u64) < until
+    }
+
+    /// Counts a request that began to run at an endpoint at `at`, for the organisation that holds its key.
+    pub fn note_begun(&self, organisation: Option<&Arc<str>>, at: Instant) {
+        let wanted = self.options.duties.as_ref().is_some_and(|duties| duties.core.usage.is_some());
+        let Some(organisation) = organisation.filter(|_| wanted) else { return };
+        let at = at.saturating_duration_since(self.started);
+        self.begun.borrow_mut().push(Begun { org: organisation.clone(), at });
+    }
+
+    /// Tells the reducer of the requests that began.
+    pub fn tell_begun(&self) {
+        let begun = std::mem::take(&mut *self.begun.borrow_mut());
+        if !begun.is_empty() {
+            self.tell(Event::Begun(begun));
+        }
+    }
+
     /// Age of the proof that the plan is the newest; `None` where there never was one.
     pub fn proof_age(&self) -> Option<Duration> {
         self.proof.borrow().map(|proof| proof.elapsed())
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -171,13 +171,14 @@
 
     /// Passes on what one endpoint sends.
     async fn pass(&mut self, leg: Leg) -> End {
-        let Leg { choice, response, head, connection, mut flight, sent } = leg;
+        let Leg { choice, response, head, connection, mut flight, sent, continued } = leg;
         let mut body = response.into_body();
         let whole_events = self.call.route.resumable || self.has_copy();
         // A stream that cannot be resumed is waited for to its end.
         let impatient = self.shared.options.policy.guard.impatience && self.call.route.resumable;
         let patience = impatient.then(|| self.call.patience());
         let mut impatient = patience.map(|patience| Instant::now() + patience);
+        let mut began = continued;
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -211,6 +212,11 @@
                 self.shared.metrics.note_pause(pause);
             }
             flight.note_read();
+            if !began {
+                // An engine begins a request with its first output.
+                began = true;
+                self.shared.note_begun(self.call.organisation.as_ref(), Instant::now());
+            }
             let whole = self.events.take(&bytes);
             let part = if whole_events { whole } else { bytes };
             if part.is_empty() {
--- a/crates/rudder-ledger/src/apply.rs
+++ b/crates/rudder-ledger/src/apply.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, Claims, Command, Config, Document, Stamped, document};
+use crate::{Answer, Claims, Command, Config, Document, Stamped, Usage, document};
 
 /// Everything the voters agree on, but for their own membership.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -19,6 +19,9 @@
     pub claims: Claims,
     /// The configuration document, once there is one.
     pub document: Option<Document>,
+    /// Requests by organisation and window that are not yet reported.
+    #[serde(default)]
+    pub usage: Usage,
 }
 
 impl Ledger {
@@ -34,6 +37,9 @@
             Command::Finish { key, attempt, outcome } => {
                 Answer::Claimed(self.claims.finish(self.time, &key, &attempt, outcome))
             }
+            Command::Tally(tally) => Answer::Counted(self.usage.take(tally)),
+            Command::CloseWindow(window) => Answer::Counted(self.usage.close(window)),
+            Command::Reported(window) => Answer::Counted(self.usage.end(window)),
         }
     }
 
--- a/crates/rudder-ledger/src/command.rs
+++ b/crates/rudder-ledger/src/command.rs
@@ -5,7 +5,7 @@
 use rudder_model::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, Change, Changed, Claim, Document, Outcome, Standing};
+use crate::{Attempt, Change, Changed, Claim, Document, Outcome, Standing, Tally, Window};
 
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +32,12 @@
         /// How it ended.
         outcome: Outcome,
     },
+    /// Adds to the counts of windows that are open.
+    Tally(Tally),
+    /// Closes a window of usage and all before it: their counts are final.
+    CloseWindow(Window),
+    /// The receiver has acknowledged the report of a window.
+    Reported(Window),
 }
 
 /// A command with the time at which its leader took it in.
@@ -54,4 +60,6 @@
     Documented(u64),
     /// Answer to the three claim commands: how the key stands now.
     Claimed(Standing),
+    /// Answer to the commands on usage: whether they changed anything.
+    Counted(bool),
 }
--- a/crates/rudder-ledger/src/lib.rs
+++ b/crates/rudder-ledger/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod document;
 pub mod patch;
 pub mod snapshot;
+pub mod usage;
 
 pub use apply::Ledger;
 pub use claim::{Attempt, Claim, Claims, Outcome, Standing};
@@ -16,3 +17,4 @@
 pub use config::{Change, Changed, Config, Delta, Held, Number};
 pub use document::Document;
 pub use patch::Patch;
+pub use usage::{Count, Counts, Source, Tally, Usage, Window};
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -154,8 +154,8 @@
                 self.outlets.metrics.count(&what);
                 self.outlets.log.write(what);
             }
-            // Documents and heartbeats come in through the gateway, which drives the reducer itself.
-            Effect::Documented { .. } | Effect::Registered { .. } => {}
+            // Documents, heartbeats and duties come in through the gateway, which drives the reducer itself.
+            Effect::Documented { .. } | Effect::Registered { .. } | Effect::Call { .. } => {}
             Effect::Exit => self.running = false,
         }
     }
