perf(gateway): a choice no longer costs the number of endpoints

Cause: with 3,000 endpoints each choice looked at, hashed and sorted all of them, and each answer of the leader made traffic compare all endpoints with all others.

Ruled out: a ring of hashes for sessions (needs as much work when engines change, saves 2 us at 3,000 engines).

Change: endpoints are indexed by service when the registry changes; lanes are divided when something of them changed, a few times a second; a choice then draws a few engines and hashes only numbers for its session. Plain services of more than 24 endpoints are drawn by lot, half from the own hall. The others' work reaches traffic apart from the view.

--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -50,8 +50,10 @@
     pub registry: Registry,
     /// Work of all other instances at endpoints, as of the question that proves the configuration.
     pub others: Vec<Load>,
-    /// Counts the changes of what traffic needs: directory, document, registry, loads.
+    /// Counts the changes of what traffic needs: directory, document, registry.
     pub edition: u64,
+    /// Counts the changes of the others' work.
+    pub works: u64,
     unconfirmed: BTreeMap<EndpointId, Unconfirmed>,
     loads: Vec<Load>,
     /// The time of day.
@@ -318,7 +320,7 @@
             self.edition += 1;
         }
         if sent.target != Target::PastRelay && self.others != watched.loads {
-            self.edition += 1;
+            self.works += 1;
             self.others = watched.loads;
         }
         if let Some(news) = watched.directory {
--- /dev/null
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -0,0 +1,159 @@
+//! What a choice costs by the number of endpoints, and what is done a few times a second so that it costs no more.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use divan::{Bencher, black_box};
+use rudder_core::{Phase, Registration, peer::Load};
+use rudder_gateway::{
+    Plan, Policy, Route, RouteKind, Service,
+    balance::Balance,
+    choose::{self, Field, Inputs},
+    dialect::{Prompt, PromptPart},
+    health::Health,
+    plan::{Engine, Limits, Share},
+    reading::Reading,
+    roster::Roster,
+};
+use rudder_model::{HallId, id};
+
+#[global_allocator]
+static ALLOCATOR: divan::AllocProfiler = divan::AllocProfiler::system();
+
+const ENDPOINTS: [usize; 4] = [20, 200, 3_000, 12_000];
+
+fn main() {
+    divan::main();
+}
+
+/// A service with its endpoints, half of them busy, and a route of each kind.
+struct Scene {
+    roster: Roster,
+    loads: Vec<Load>,
+    balance: Balance,
+    health: Health,
+    reading: Reading,
+    hall: HallId,
+    plan: Plan,
+    policy: Policy,
+}
+
+impl Scene {
+    fn new(count: usize, engines: bool) -> Scene {
+        let endpoint = |number: usize| Registration {
+            endpoint: format!("i-{number:08x}").into(),
+            service: "svc".into(),
+            address: format!("10.0.{}.{}:80", number / 250, number % 250).into(),
+            hall: format!("hall-{}", number % 3).as_str().into(),
+            slots: 64,
+            phase: Phase::Ready,
+            sequence: 1,
+        };
+        let endpoints: Vec<Registration> = (0..count).map(endpoint).collect();
+        let load = |held: &Registration| Load {
+            endpoint: id::endpoint_tag(&held.endpoint),
+            calls: 9,
+            unread: 4_000,
+            held: 60_000,
+            ended: 40,
+            failed: 0,
+        };
+        let loads: Vec<Load> = endpoints.iter().step_by(2).map(load).collect();
+        let mut balance = Balance::default();
+        balance.set_others(&loads);
+        Scene {
+            roster: Roster::new(&endpoints),
+            loads,
+            balance,
+            health: Health::default(),
+            reading: Reading::default(),
+            hall: "hall-0".into(),
+            plan: to_plan(engines),
+            policy: Policy::default(),
+        }
+    }
+
+    fn inputs(&self) -> Inputs<'_> {
+        Inputs {
+            balance: &self.balance,
+            work_age: Duration::from_millis(200),
+            health: &self.health,
+            reading: &self.reading,
+            hall: &self.hall,
+            plan: &self.plan,
+            policy: &self.policy,
+            now: Instant::now(),
+        }
+    }
+
+    fn field(&self) -> Field {
+        Field::new(self.roster.of("svc"), "svc", &self.inputs())
+    }
+}
+
+fn to_plan(engines: bool) -> Plan {
+    let engine = Engine { slots: 64, memory: 290_000, copies: true, event_tokens: 7, move_speed: 3_000.0 };
+    let service = Service { name: "svc".into(), connections: 800, engine: engines.then_some(engine) };
+    let mut plan = Plan::new(1, Limits::default());
+    plan.services.insert("svc".into(), service);
+    for (name, pause) in [("quick", 300), ("slow", 1_200)] {
+        let route = Route {
+            name: name.into(),
+            host: "h".into(),
+            prefix: format!("/{name}/").into(),
+            kind: RouteKind::Stream,
+            timeout: Duration::from_secs(4),
+            target: Duration::from_millis(pause),
+            pause: Some(Duration::from_millis(pause)),
+            tier: 1,
+            shares: vec![Share { service: "svc".into(), weight: 1 }],
+            attempts: 1,
+            open: false,
+            resumable: false,
+        };
+        plan.add_route(route).expect("it fits");
+    }
+    plan
+}
+
+fn prompt(session: u64) -> Prompt {
+    let parts = [(1, 2_500), (session, 3_800), (session << 20, 2_900)];
+    let parts = parts.into_iter().map(|(id, tokens)| PromptPart { id, tokens }).collect();
+    Prompt { tokens: 9_200, answer: 50, guess: None, parts }
+}
+
+fn choose_on(bencher: Bencher, scene: &Scene, path: &str, prompt: Option<&Prompt>) {
+    let field = scene.field();
+    let route = scene.plan.find("h", path).expect("a route");
+    bencher.bench_local(|| choose::choose(&scene.inputs(), route, "svc", &field, black_box(prompt), &[]));
+}
+
+#[divan::bench(args = ENDPOINTS)]
+fn long_prompt(bencher: Bencher, count: usize) {
+    choose_on(bencher, &Scene::new(count, true), "/slow/", Some(&prompt(7)));
+}
+
+#[divan::bench(args = ENDPOINTS)]
+fn quick_stream(bencher: Bencher, count: usize) {
+    choose_on(bencher, &Scene::new(count, true), "/quick/", Some(&prompt(7)));
+}
+
+#[divan::bench(args = ENDPOINTS)]
+fn plain_call(bencher: Bencher, count: usize) {
+    choose_on(bencher, &Scene::new(count, false), "/slow/", None);
+}
+
+#[divan::bench(args = ENDPOINTS)]
+fn divide_lanes(bencher: Bencher, count: usize) {
+    let scene = Scene::new(count, true);
+    bencher.bench_local(|| Rc::new(scene.field()));
+}
+
+#[divan::bench(args = ENDPOINTS)]
+fn take_loads(bencher: Bencher, count: usize) {
+    let mut scene = Scene::new(count, true);
+    let loads = scene.loads.clone();
+    bencher.bench_local(|| scene.balance.set_others(black_box(&loads)));
+}
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -69,6 +69,7 @@
     }
     let pause = shared.health.borrow_mut().note(endpoint, outcome, Instant::now());
     if let Some(pause) = pause {
+        shared.fields.borrow_mut().clear();
         shared.metrics.note_ejection();
         let why = format!("{outcome:?}").to_lowercase();
         shared.log.write(What::Ejected { endpoint: endpoint.clone(), why, pause });
@@ -173,7 +174,8 @@
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, Failure> {
     let patience = call.patience() + to_wait(shared, choice).mul_f64(shared.options.policy.guard.patience);
-    let patient_until = call.until.min(Instant::now() + patience);
+    let sent = Instant::now();
+    let patient_until = call.until.min(sent + patience);
     let mut answer = std::pin::pin!(connection.send(request));
     let mut answered = timeout_at(patient_until.into(), answer.as_mut()).await;
     let impatient = shared.options.policy.guard.impatience && call.route.may_repeat();
@@ -188,6 +190,10 @@
     match answered {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(_)) => {
+            if sent.elapsed() >= to_wait(shared, choice) {
+                // Plain services begin at once, engines when what is ahead has been read: it has run, its answer is lost.
+                shared.note_begun(call.organisation.as_ref(), sent);
+            }
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
             log_failure(shared, call, progress, choice, "the connection ended before an answer", Ran::Unknown);
             Err(Failure::Lost("the endpoint broke off"))
@@ -226,12 +232,11 @@
 
 fn pick<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Option<Choice> {
     let plan = shared.current_plan()?;
-    let view = shared.view.borrow().clone();
+    let roster = shared.roster.borrow().clone();
     let balance = shared.balance.borrow();
     let health = shared.health.borrow();
     let reading = shared.reading.borrow();
     let inputs = Inputs {
-        endpoints: &view.endpoints,
         balance: &balance,
         work_age: shared.work_age(),
         health: &health,
@@ -245,7 +250,10 @@
     let by_weight = progress.chosen.as_ref().unwrap_or(first);
     let others = call.route.shares.iter().map(|share| &share.service);
     let mut services = std::iter::once(by_weight).chain(others);
-    services.find_map(|service| choose::choose(&inputs, &call.route, service, call.prompt.as_ref(), &progress.tried))
+    services.find_map(|service| {
+        let field = shared.fields.borrow_mut().of(service, &roster, &inputs);
+        choose::choose(&inputs, &call.route, service, &field, call.prompt.as_ref(), &progress.tried)
+    })
 }
 
 pub(super) async fn connect<D: Dialect>(
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -3,24 +3,26 @@
 //! A prompt's shared parts are taken to be kept at one engine, which the hash of its session names. Quick streams and
 //! the others have lanes of their own; a quick stream goes to the others where its own engines are crowded.
 
-use std::cmp::Reverse;
+use std::rc::Rc;
 
 use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
-use rudder_model::{EndpointId, id};
+use rudder_model::EndpointId;
 
-use super::{Choice, Inputs, Keeper, to_choice};
+use super::{Choice, Inputs, Keeper, Lane, to_choice};
 use crate::{
     Route,
     balance::Work,
     dialect::Prompt,
-    lanes::{self, Lanes},
+    lanes,
     plan::Engine,
     policy::{ChoicePolicy, LanePolicy},
 };
 
 /// Engines drawn by lot to keep a copy, the one with fewer requests of which does.
 const KEEPERS_DRAWN: usize = 2;
+/// Where engines of a lane are crowded, so many times the usual number are drawn to find free ones.
+const CROWDED_DRAWN: usize = 4;
 /// Part of a session's tokens that its first engines by hash are taken to lack; all others lack them whole.
 const MISSING: [f64; 2] = [0.0, 0.5];
 
@@ -31,16 +33,17 @@
     service: &'a str,
     engine: Engine,
     prompt: &'a Prompt,
+    /// Endpoints that it must not go to again.
+    tried: &'a [EndpointId],
     /// It suffers from long prompts beside it.
     quick: bool,
 }
 
-/// The engines most likely to keep the parts of a request's session.
-struct Session<'a> {
-    /// The likeliest first.
-    homes: Vec<EndpointId>,
-    /// Those that others take the session's part from, where that is quicker than reading it again.
-    sources: Vec<&'a Registration>,
+/// The engines most likely to keep the parts of a request's session, the likeliest first.
+struct Session {
+    homes: Vec<Rc<Registration>>,
+    /// Others take the session's part from them, as that is quicker than reading it again.
+    fetches: bool,
 }
 
 impl<'a> Request<'a> {
@@ -50,21 +53,26 @@
         service: &'a str,
         engine: Engine,
         prompt: &'a Prompt,
+        tried: &'a [EndpointId],
     ) -> Request<'a> {
         let quick = lanes::is_quick(&inputs.policy.lanes, inputs.plan, route, service, inputs.reading);
-        Request { inputs, route, service, engine, prompt, quick }
+        Request { inputs, route, service, engine, prompt, tried, quick }
     }
 
     /// Picks one of the engines.
-    pub(super) fn choose(&self, lanes: &Lanes) -> Option<Choice> {
-        let (own, other) = if self.quick { (&lanes.quick, &lanes.bulk) } else { (&lanes.bulk, &lanes.quick) };
-        let engines = if own.is_empty() { other } else { own };
-        let session = self.to_session(engines);
-        let best = self.cheapest(engines, &session)?;
-        let chosen = self.elsewhere(best, other, &session).unwrap_or(best);
+    pub(super) fn choose(&self, quick: &Lane, bulk: &Lane) -> Option<Choice> {
+        let (own, other) = if self.quick { (quick, bulk) } else { (bulk, quick) };
+        self.choose_in(own, other, bulk).or_else(|| self.choose_in(other, own, bulk))
+    }
+
+    fn choose_in(&self, own: &Lane, other: &Lane, bulk: &Lane) -> Option<Choice> {
+        let session = self.to_session(own);
+        let best = self.cheapest(self.draw(own, &session), &session)?;
+        let elsewhere = self.elsewhere(best, other, &session);
+        let chosen = elsewhere.unwrap_or(best);
         let fetch_from = session.source_for(chosen).map(|source| source.address.clone());
         let unread = self.unread_at(chosen, &session);
-        let keepers = if engines.len() > 1 { engines } else { &lanes.bulk };
+        let keepers = if own.endpoints.len() > 1 { own } else { bulk };
         let keeper = if self.is_copied() { self.draw_keeper(keepers, chosen) } else { None };
         Some(Choice { keeper, fetch_from, ..to_choice(self.inputs, chosen, unread) })
     }
@@ -88,20 +96,25 @@
         self.engine.copies && cheap && self.quick && long
     }
 
-    /// The engine that costs the least among those of the session and a few drawn by lot. Were all weighed, all
-    /// instances, whose counts of each other's work are some hundred milliseconds old, would send to the same one.
-    fn cheapest<'e>(&self, engines: &[&'e Registration], session: &Session) -> Option<&'e Registration> {
-        let count = self.policy().drawn;
-        let near = if self.quick { self.in_hall(engines) } else { Vec::new() };
-        let homes = engines.iter().copied().filter(|held| session.homes.contains(&held.endpoint));
-        let mut drawn: Vec<&Registration> = homes.collect();
-        drawn.extend(engines.sample(&mut rand::rng(), count));
-        drawn.extend(near.sample(&mut rand::rng(), count));
-        drawn.into_iter().min_by_key(|held| (self.cost(held, session), rand::random::<u32>()))
+    /// The engines that are weighed: those of the session and a few drawn by lot. Were all weighed, all instances,
+    /// whose counts of each other's work are some hundred milliseconds old, would send to the same one.
+    fn draw<'e>(&self, lane: &'e Lane, session: &'e Session) -> Vec<&'e Registration> {
+        let count = self.policy().drawn + self.tried.len();
+        let mut drawn: Vec<&Registration> = session.homes.iter().map(|home| &**home).collect();
+        drawn.extend(lane.endpoints.sample(&mut rand::rng(), count).map(|held| &**held));
+        if self.quick {
+            drawn.extend(lane.near.sample(&mut rand::rng(), count).map(|held| &**held));
+        }
+        drawn.retain(|held| self.may_take(held));
+        drawn
+    }
+
+    fn may_take(&self, held: &Registration) -> bool {
+        !self.tried.contains(&held.endpoint)
     }
 
-    fn in_hall<'e>(&self, engines: &[&'e Registration]) -> Vec<&'e Registration> {
-        engines.iter().copied().filter(|held| held.hall == *self.inputs.hall).collect()
+    fn cheapest<'e>(&self, drawn: Vec<&'e Registration>, session: &Session) -> Option<&'e Registration> {
+        drawn.into_iter().min_by_key(|held| (self.cost(held, session), rand::random::<u32>()))
     }
 
     /// What stands before the first output at an engine, and what the request does there to others, in prompt tokens.
@@ -119,7 +132,7 @@
 
     /// Tokens of the session's part that an engine is taken to lack.
     fn lacked(&self, held: &Registration, session: &Session) -> u32 {
-        let rank = session.homes.iter().position(|home| *home == held.endpoint);
+        let rank = session.homes.iter().position(|home| home.endpoint == held.endpoint);
         let missing = rank.map_or(1.0, |rank| MISSING[rank]);
         (f64::from(self.prompt.session_tokens()) * missing) as u32
     }
@@ -131,17 +144,22 @@
     }
 
     /// An engine of the other lane, for a quick stream that may have to wait for a slot in its own.
-    fn elsewhere<'e>(
-        &self,
-        best: &Registration,
-        other: &[&'e Registration],
-        session: &Session,
-    ) -> Option<&'e Registration> {
+    fn elsewhere<'e>(&self, best: &Registration, other: &'e Lane, session: &Session) -> Option<&'e Registration> {
         if !self.quick || !self.is_crowded(best) {
             return None;
         }
-        let free: Vec<&Registration> = other.iter().copied().filter(|held| !self.is_crowded(held)).collect();
-        self.cheapest(&free, session)
+        let count = self.policy().drawn;
+        let is_free = |held: &&Registration| !self.is_crowded(held) && self.may_take(held);
+        let draw = |engines: &'e [Rc<Registration>]| {
+            let drawn = engines.sample(&mut rand::rng(), count * CROWDED_DRAWN).map(|held| &**held);
+            drawn.filter(is_free).take(count).collect::<Vec<_>>()
+        };
+        let mut free = draw(&other.endpoints);
+        free.extend(draw(&other.near));
+        if free.is_empty() {
+            free.extend(other.endpoints.iter().map(|held| &**held).find(is_free));
+        }
+        self.cheapest(free, session)
     }
 
     /// True where so many slots are in use that a request may have to wait for one.
@@ -151,38 +169,29 @@
     }
 
     /// Another engine than the chosen one: of two drawn by lot, the one with fewer requests.
-    fn draw_keeper(&self, engines: &[&Registration], chosen: &Registration) -> Option<Keeper> {
-        let others: Vec<&Registration> =
-            engines.iter().copied().filter(|held| held.endpoint != chosen.endpoint).collect();
-        let drawn = others.sample(&mut rand::rng(), KEEPERS_DRAWN);
-        let keeper = drawn.min_by_key(|held| self.work(held).calls)?;
+    fn draw_keeper(&self, lane: &Lane, chosen: &Registration) -> Option<Keeper> {
+        let drawn = lane.endpoints.sample(&mut rand::rng(), KEEPERS_DRAWN + 1);
+        let others = drawn.filter(|held| held.endpoint != chosen.endpoint).take(KEEPERS_DRAWN);
+        let keeper = others.min_by_key(|held| self.work(held).calls)?;
         Some(Keeper { endpoint: keeper.endpoint.clone(), address: keeper.address.clone(), slots: keeper.slots })
     }
 
-    fn to_session(&self, engines: &[&'a Registration]) -> Session<'a> {
-        let homes = if self.policy().sessions { to_homes(self.prompt, engines) } else { Vec::new() };
+    fn to_session(&self, lane: &Lane) -> Session {
         let least = self.policy().fetch_least;
         let quicker = self.engine.move_speed > self.inputs.reading.speed(self.service);
         let fetches = least > 0 && self.prompt.session_tokens() >= least && quicker;
-        let find = |home: &EndpointId| engines.iter().copied().find(|held| held.endpoint == *home);
-        let sources = homes.iter().filter(|_| fetches).filter_map(find).collect();
-        Session { homes, sources }
+        let session = self.prompt.session().filter(|_| self.policy().sessions);
+        let skips = |held: &Registration| !self.may_take(held);
+        let homes = session.map(|part| lane.homes::<{ MISSING.len() }>(part.id, skips)).unwrap_or_default();
+        Session { homes, fetches }
     }
 }
 
-impl<'a> Session<'a> {
+impl Session {
     /// The engine that another one takes the session's part from: the likeliest to keep it. That one itself takes what it
     /// lacks from the next, which kept the session before engines came or left.
-    fn source_for(&self, held: &Registration) -> Option<&'a Registration> {
-        self.sources.iter().copied().find(|source| source.endpoint != held.endpoint)
+    fn source_for(&self, held: &Registration) -> Option<&Registration> {
+        let others = self.homes.iter().map(|home| &**home).filter(|home| home.endpoint != held.endpoint);
+        others.into_iter().find(|_| self.fetches)
     }
 }
-
-/// The engines most likely to keep the parts of this prompt's session, the likeliest first.
-fn to_homes(prompt: &Prompt, engines: &[&Registration]) -> Vec<EndpointId> {
-    let Some(session) = prompt.session() else { return Vec::new() };
-    let key = session.id.to_string();
-    let mut ranked: Vec<&Registration> = engines.to_vec();
-    ranked.sort_by_cached_key(|held| Reverse(id::rendezvous(&key, &held.endpoint)));
-    ranked.into_iter().take(MISSING.len()).map(|held| held.endpoint.clone()).collect()
-}
--- /dev/null
+++ b/crates/rudder-gateway/src/choose/field.rs
@@ -0,0 +1,128 @@
+//! The endpoints of one service that requests may go to, as they stand for the moment.
+//!
+//! Ranking and dividing all endpoints costs time in proportion to them, so that is done when something of them has
+//! changed, a few times a second, and not for each request. A choice then looks at a few of them.
+
+use std::{
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use rudder_core::{Phase, Registration};
+use rudder_model::{HallId, id};
+
+use super::Inputs;
+use crate::{
+    lanes::{self, Lanes},
+    roster::Roster,
+};
+
+/// A field is worked out anew after this long at the latest: the work of this instance, by which the lanes are divided,
+/// changes with each request.
+const KEEP: Duration = Duration::from_millis(200);
+
+/// Endpoints that a request is chosen from.
+#[derive(Debug, Default)]
+pub struct Lane {
+    /// The endpoints, by rank.
+    pub endpoints: Vec<Rc<Registration>>,
+    /// Those of the instance's own hall.
+    pub near: Vec<Rc<Registration>>,
+    /// Hash of each endpoint's name.
+    keys: Vec<u64>,
+}
+
+impl Lane {
+    fn new(endpoints: Vec<Rc<Registration>>, hall: &HallId) -> Lane {
+        let near = endpoints.iter().filter(|held| held.hall == *hall).cloned().collect();
+        let keys = endpoints.iter().map(|held| id::node_key(&held.endpoint)).collect();
+        Lane { endpoints, near, keys }
+    }
+
+    /// The endpoints with the largest rendezvous weights for `key`, the largest first, without those that `skips` names.
+    pub fn homes<const COUNT: usize>(&self, key: u64, skips: impl Fn(&Registration) -> bool) -> Vec<Rc<Registration>> {
+        let key = id::number_key(key);
+        let mut best: [Option<(u64, usize)>; COUNT] = [None; COUNT];
+        let mut least = 0;
+        for (at, node) in self.keys.iter().enumerate() {
+            let weight = id::rendezvous_key(key, *node);
+            // Nearly all end here, so that this loop is a few instructions for each endpoint.
+            if weight < least || skips(&self.endpoints[at]) {
+                continue;
+            }
+            let mut entry = Some((weight, at));
+            for place in &mut best {
+                if entry > *place {
+                    std::mem::swap(place, &mut entry);
+                }
+            }
+            least = best[COUNT - 1].map_or(0, |(weight, _)| weight);
+        }
+        best.into_iter().flatten().map(|(_, at)| self.endpoints[at].clone()).collect()
+    }
+}
+
+/// The endpoints of one service.
+#[derive(Debug, Default)]
+pub struct Field {
+    /// Those known to be well that serve quick streams; none where the service has no such lane.
+    pub quick: Lane,
+    /// All others that are known to be well.
+    pub bulk: Lane,
+    /// Those that have gone quiet or failed of late: better than none.
+    pub doubtful: Lane,
+    expires: Option<Instant>,
+}
+
+impl Field {
+    /// The field of `service` with these endpoints.
+    pub fn new(endpoints: &[Rc<Registration>], service: &str, inputs: &Inputs) -> Field {
+        let is_out = |held: &Registration| inputs.health.is_ejected(&held.endpoint, inputs.now);
+        let is_well = |held: &Rc<Registration>| held.phase == Phase::Ready && !is_out(held);
+        let (well, rest): (Vec<_>, Vec<_>) = endpoints.iter().cloned().partition(is_well);
+        let doubtful = rest.into_iter().filter(|held| held.phase <= Phase::Silent).collect();
+        let lanes = to_lanes(inputs, service, well);
+        let back = endpoints.iter().filter_map(|held| inputs.health.returns_at(&held.endpoint, inputs.now)).min();
+        Field {
+            quick: Lane::new(lanes.quick, inputs.hall),
+            bulk: Lane::new(lanes.bulk, inputs.hall),
+            doubtful: Lane::new(doubtful, inputs.hall),
+            expires: Some(back.unwrap_or(inputs.now + KEEP).min(inputs.now + KEEP)),
+        }
+    }
+}
+
+/// The engines that a request may go to, divided where the service has quick routes beside others.
+fn to_lanes(inputs: &Inputs, service: &str, well: Vec<Rc<Registration>>) -> Lanes<Rc<Registration>> {
+    let policy = &inputs.policy.lanes;
+    if !policy.enabled || lanes::quick_bound(policy, inputs.plan, service, inputs.reading).is_none() {
+        return Lanes { quick: Vec::new(), bulk: well };
+    }
+    lanes::divide(policy, well, service, inputs.balance)
+}
+
+/// Fields worked out of late, by service.
+#[derive(Debug, Default)]
+pub struct Fields {
+    held: HashMap<Arc<str>, Rc<Field>>,
+}
+
+impl Fields {
+    /// Forgets all: something that they rest on has changed.
+    pub fn clear(&mut self) {
+        self.held.clear();
+    }
+
+    /// The field of a service.
+    pub fn of(&mut self, service: &Arc<str>, roster: &Roster, inputs: &Inputs) -> Rc<Field> {
+        let held = self.held.get(service).filter(|field| field.expires.is_some_and(|expires| inputs.now < expires));
+        if let Some(field) = held {
+            return field.clone();
+        }
+        let field = Rc::new(Field::new(roster.of(service), service, inputs));
+        self.held.insert(service.clone(), field.clone());
+        field
+    }
+}
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -1,8 +1,10 @@
 //! Choice of the endpoint for one request.
 //!
-//! Plain services: [`plain`]. Engines: [`engine`].
+//! Plain services: [`plain`]. Engines: [`engine`]. Both choose from a [`field`], in time that does not grow with the number
+//! of endpoints but for the hash of a session.
 
 mod engine;
+mod field;
 mod plain;
 
 use std::{
@@ -10,25 +12,16 @@
     time::{Duration, Instant},
 };
 
-use rudder_core::{Phase, Registration};
+use rudder_core::Registration;
 use rudder_model::{EndpointId, HallId};
 
 use self::engine::Request;
-use crate::{
-    Plan, Policy,
-    balance::Balance,
-    dialect::Prompt,
-    health::Health,
-    lanes::{self, Lanes},
-    plan::Route,
-    reading::Reading,
-};
+pub use self::field::{Field, Fields, Lane};
+use crate::{Plan, Policy, balance::Balance, dialect::Prompt, health::Health, plan::Route, reading::Reading};
 
 /// What a choice rests on.
 #[derive(Debug)]
 pub struct Inputs<'a> {
-    /// All endpoints known.
-    pub endpoints: &'a [Registration],
     /// Work under way.
     pub balance: &'a Balance,
     /// How old the others' part of it is.
@@ -93,46 +86,25 @@
     None
 }
 
-/// Picks an endpoint of `service` for a request of `route` that is not among `tried`.
+/// Picks an endpoint of `service` from its `field` for a request of `route` that is not among `tried`.
 pub fn choose(
     inputs: &Inputs,
     route: &Route,
     service: &str,
+    field: &Field,
     prompt: Option<&Prompt>,
     tried: &[EndpointId],
 ) -> Option<Choice> {
-    let candidates = to_candidates(inputs, service, tried);
     let engine = inputs.plan.services.get(service).and_then(|service| service.engine);
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => {
-            let lanes = to_lanes(inputs, service, candidates);
-            Request::new(inputs, route, service, engine, prompt).choose(&lanes)
+            let request = Request::new(inputs, route, service, engine, prompt, tried);
+            request.choose(&field.quick, &field.bulk).or_else(|| request.choose(&field.doubtful, &field.doubtful))
+        }
+        _ => {
+            [&field.bulk, &field.quick, &field.doubtful].into_iter().find_map(|lane| plain::choose(inputs, lane, tried))
         }
-        _ => plain::choose(inputs, &candidates),
-    }
-}
-
-/// Endpoints that are known to be well; where none is, those that have only gone quiet or failed of late.
-fn to_candidates<'a>(inputs: &Inputs<'a>, service: &str, tried: &[EndpointId]) -> Vec<&'a Registration> {
-    let fits = |endpoint: &&Registration| *endpoint.service == *service && !tried.contains(&endpoint.endpoint);
-    let of_service: Vec<&Registration> = inputs.endpoints.iter().filter(fits).collect();
-    let well = |endpoint: &&Registration| {
-        endpoint.phase == Phase::Ready && !inputs.health.is_ejected(&endpoint.endpoint, inputs.now)
-    };
-    let candidates: Vec<&Registration> = of_service.iter().copied().filter(well).collect();
-    if !candidates.is_empty() {
-        return candidates;
-    }
-    of_service.into_iter().filter(|endpoint| endpoint.phase <= Phase::Silent).collect()
-}
-
-/// The engines that a request may go to, divided where the service has quick routes beside others.
-fn to_lanes<'a>(inputs: &Inputs<'a>, service: &str, candidates: Vec<&'a Registration>) -> Lanes<'a> {
-    let policy = &inputs.policy.lanes;
-    if !policy.enabled || lanes::quick_bound(policy, inputs.plan, service, inputs.reading).is_none() {
-        return Lanes { quick: Vec::new(), bulk: candidates };
     }
-    lanes::divide(policy, candidates, service, inputs.balance)
 }
 
 fn to_choice(inputs: &Inputs, chosen: &Registration, unread: u32) -> Choice {
--- a/crates/rudder-gateway/src/choose/plain.rs
+++ b/crates/rudder-gateway/src/choose/plain.rs
@@ -6,20 +6,27 @@
 
 use std::time::Duration;
 
+use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
+use rudder_model::EndpointId;
 
-use super::{Choice, Inputs, to_choice};
+use super::{Choice, Inputs, Lane, to_choice};
 use crate::recent::SPAN;
 
 /// Part of an endpoint's slots at most by which counts may differ and yet be taken for equal: one that is nearly full is
 /// never as good as an idle one.
 const EQUAL_MOST: f64 = 0.5;
 
-/// Picks one of the endpoints.
-pub(super) fn choose(inputs: &Inputs, candidates: &[&Registration]) -> Option<Choice> {
+/// Up to so many endpoints, all are weighed; of more, half as many are drawn by lot from the instance's own hall and half
+/// from all.
+const WEIGHED_MOST: usize = 24;
+
+/// Picks one of the endpoints that is not among `tried`.
+pub(super) fn choose(inputs: &Inputs, lane: &Lane, tried: &[EndpointId]) -> Option<Choice> {
+    let candidates = draw(lane, tried);
     let calls = |held: &Registration| inputs.balance.at(&held.endpoint).calls;
     let least = candidates.iter().map(|held| calls(held)).min()?;
-    let come = come_since(inputs, candidates);
+    let come = come_since(inputs, &candidates);
     let equal = |held: &&&Registration| {
         let bound = come.min(f64::from(held.slots) * EQUAL_MOST);
         f64::from(calls(held) - least) <= bound
@@ -29,6 +36,24 @@
     Some(to_choice(inputs, chosen, 0))
 }
 
+/// The endpoints that are weighed.
+fn draw<'a>(lane: &'a Lane, tried: &[EndpointId]) -> Vec<&'a Registration> {
+    let untried = |held: &&Registration| !tried.contains(&held.endpoint);
+    let all = || lane.endpoints.iter().map(|held| &**held).filter(untried);
+    if lane.endpoints.len() <= WEIGHED_MOST {
+        return all().collect();
+    }
+    let half = WEIGHED_MOST / 2;
+    let near = lane.near.sample(&mut rand::rng(), half);
+    let drawn = near.chain(lane.endpoints.sample(&mut rand::rng(), half));
+    let mut drawn: Vec<&Registration> = drawn.map(|held| &**held).filter(untried).collect();
+    // A request that was tried at all of those has little time left: the first other one will do.
+    if drawn.is_empty() {
+        drawn.extend(all().next());
+    }
+    drawn
+}
+
 /// Requests that came to one of the endpoints, in the mean, since the others' counts were taken.
 fn come_since(inputs: &Inputs, candidates: &[&Registration]) -> f64 {
     let ended: u32 = candidates.iter().map(|held| inputs.balance.tally(&held.endpoint, inputs.now).ended).sum();
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -1,13 +1,14 @@
 //! The control thread: it owns the reducer, and turns its effects into notices for traffic.
 
 use std::{
+    collections::HashMap,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use eyre::{Context as _, Result};
-use rudder_core::{Effect, Event, Me, PeerMessage, Registration, State, clock};
+use rudder_core::{Effect, Event, Me, PeerMessage, Phase, Registration, State, clock, peer::Load};
 use rudder_events::What;
 use rudder_model::{EndpointId, InstanceId};
 use rudder_replica::{Durable, ReplicaId};
@@ -36,6 +37,8 @@
     Send(InstanceId, PeerMessage),
     /// The view changed.
     Published(Box<Published>),
+    /// The work of the other instances at endpoints changed.
+    Others(Vec<Load>),
     /// The view is proved the newest as of this time.
     Proved(Instant),
     /// Somebody's ticket is answered.
@@ -52,6 +55,7 @@
     disk: Option<Sender<Job>>,
     log: Log,
     edition: u64,
+    works: u64,
     proved: Option<Duration>,
     endpoints: Vec<Registration>,
     batch: Vec<Notice>,
@@ -93,6 +97,7 @@
         disk,
         log,
         edition: 0,
+        works: 0,
         proved: None,
         endpoints,
         batch: Vec::new(),
@@ -229,13 +234,16 @@
                 document: view.document.clone(),
                 endpoints: endpoints.clone(),
                 entries: view.directory.values().cloned().collect(),
-                others: view.others.clone(),
             };
             log_endpoints(&self.log, &self.endpoints, &endpoints);
             self.endpoints = endpoints;
             self.batch.push(Notice::Published(Box::new(published)));
         }
         let view = &self.state.view;
+        if view.works != self.works {
+            self.works = view.works;
+            self.batch.push(Notice::Others(view.others.clone()));
+        }
         if view.proved() != self.proved {
             self.proved = view.proved();
             self.batch.extend(self.proved.map(|proved| Notice::Proved(self.epoch + proved)));
@@ -280,14 +288,16 @@
         phase,
         sequence: registration.sequence,
     };
+    let to_phases = |endpoints: &[Registration]| -> HashMap<EndpointId, Phase> {
+        endpoints.iter().map(|held| (held.endpoint.clone(), held.phase)).collect()
+    };
+    let (known, rest) = (to_phases(before), to_phases(after));
     for registration in after {
-        let held = before.iter().find(|held| held.endpoint == registration.endpoint);
-        if held.is_none_or(|held| held.phase != registration.phase) {
+        if known.get(&registration.endpoint) != Some(&registration.phase) {
             log.write(line(registration, format!("{:?}", registration.phase).to_lowercase()));
         }
     }
-    let known = |endpoint: &EndpointId| after.iter().any(|registration| registration.endpoint == *endpoint);
-    for registration in before.iter().filter(|registration| !known(&registration.endpoint)) {
+    for registration in before.iter().filter(|held| !rest.contains_key(&held.endpoint)) {
         log.write(line(registration, "forgotten".to_owned()));
     }
 }
--- a/crates/rudder-gateway/src/health.rs
+++ b/crates/rudder-gateway/src/health.rs
@@ -60,6 +60,11 @@
         until.is_some_and(|until| now < until)
     }
 
+    /// When `endpoint`, which is left out for its outcomes here, is tried again.
+    pub fn returns_at(&self, endpoint: &str, now: Instant) -> Option<Instant> {
+        self.standings.get(endpoint)?.until.filter(|until| now < *until)
+    }
+
     /// Takes in an outcome. Returns the pause where the endpoint is left out from now on.
     pub fn note(&mut self, endpoint: &EndpointId, outcome: Outcome, now: Instant) -> Option<Duration> {
         let standing = self.standings.entry(endpoint.clone()).or_default();
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -4,10 +4,10 @@
 //! get engines of their own. Every instance ranks the engines by the same hash and sees about the same
 //! load, so all draw the same line without a word between them.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, ops::Deref, time::Duration};
 
 use rudder_core::Registration;
-use rudder_model::id;
+use rudder_model::{HallId, id};
 
 use crate::{Plan, Route, balance::Balance, policy::LanePolicy, reading::Reading};
 
@@ -41,20 +41,18 @@
 
 /// The engines of one service, in the order of their rank.
 #[derive(Debug)]
-pub struct Lanes<'a> {
+pub struct Lanes<E> {
     /// For streams with short pauses.
-    pub quick: Vec<&'a Registration>,
+    pub quick: Vec<E>,
     /// For the others.
-    pub bulk: Vec<&'a Registration>,
+    pub bulk: Vec<E>,
 }
 
 /// Divides the engines of `service`.
-pub fn divide<'a>(
-    policy: &LanePolicy,
-    mut engines: Vec<&'a Registration>,
-    service: &str,
-    balance: &Balance,
-) -> Lanes<'a> {
+pub fn divide<E>(policy: &LanePolicy, mut engines: Vec<E>, service: &str, balance: &Balance) -> Lanes<E>
+where
+    E: Clone + Deref<Target = Registration>,
+{
     if engines.len() < 2 {
         return Lanes { quick: engines.clone(), bulk: engines };
     }
@@ -65,11 +63,11 @@
 }
 
 /// Ranks the first of each hall before the second of any, so that the quick lane has as many engines in each.
-fn take_halls_in_turn(ranked: &mut Vec<&Registration>) {
-    let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
-    let mut turns: Vec<(usize, &Registration)> = Vec::with_capacity(ranked.len());
+fn take_halls_in_turn<E: Deref<Target = Registration>>(ranked: &mut Vec<E>) {
+    let mut counts: BTreeMap<HallId, usize> = BTreeMap::new();
+    let mut turns: Vec<(usize, E)> = Vec::with_capacity(ranked.len());
     for engine in ranked.drain(..) {
-        let count = counts.entry(&engine.hall).or_default();
+        let count = counts.entry(engine.hall.clone()).or_default();
         *count += 1;
         turns.push((*count, engine));
     }
@@ -79,16 +77,15 @@
 }
 
 /// How many of the ranked engines the quick lane has.
-fn quick_count(policy: &LanePolicy, ranked: &[&Registration], balance: &Balance) -> usize {
+fn quick_count<E: Deref<Target = Registration>>(policy: &LanePolicy, ranked: &[E], balance: &Balance) -> usize {
     let largest = ((ranked.len() as f64 * policy.largest) as usize).max(1);
     let least = if ranked.len() >= TWO_FROM { 2 } else { 1 };
     let mut count = ((ranked.len() as f64 * policy.smallest).round() as usize).max(least);
-    while count < largest {
-        let calls: u32 = ranked[..count].iter().map(|engine| balance.at(&engine.endpoint).calls).sum();
-        let slots: u32 = ranked[..count].iter().map(|engine| engine.slots).sum();
-        if f64::from(calls) <= f64::from(slots) * policy.fill {
-            break;
-        }
+    let mut calls: u32 = ranked[..count].iter().map(|engine| balance.at(&engine.endpoint).calls).sum();
+    let mut slots: u32 = ranked[..count].iter().map(|engine| engine.slots).sum();
+    while count < largest && f64::from(calls) > f64::from(slots) * policy.fill {
+        calls += balance.at(&ranked[count].endpoint).calls;
+        slots += ranked[count].slots;
         count += 1;
     }
     count
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod policy;
 pub mod reading;
 pub mod recent;
+pub mod roster;
 pub mod run;
 pub mod serve;
 pub mod shared;
--- /dev/null
+++ b/crates/rudder-gateway/src/roster.rs
@@ -0,0 +1,45 @@
+//! Endpoints by service, as traffic looks them up: built anew when the registry changes, not for each request.
+
+use std::{
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+};
+
+use rudder_core::Registration;
+use rudder_model::EndpointId;
+
+/// All endpoints known.
+#[derive(Debug, Default)]
+pub struct Roster {
+    services: HashMap<Arc<str>, Vec<Rc<Registration>>>,
+    names: HashSet<EndpointId>,
+}
+
+impl Roster {
+    /// The roster of these endpoints.
+    pub fn new(endpoints: &[Registration]) -> Roster {
+        let mut roster = Roster::default();
+        for registration in endpoints {
+            roster.names.insert(registration.endpoint.clone());
+            let of_service = roster.services.entry(registration.service.clone()).or_default();
+            of_service.push(Rc::new(registration.clone()));
+        }
+        roster
+    }
+
+    /// The endpoints of a service.
+    pub fn of(&self, service: &str) -> &[Rc<Registration>] {
+        self.services.get(service).map(Vec::as_slice).unwrap_or_default()
+    }
+
+    /// The endpoints of each service.
+    pub fn services(&self) -> impl Iterator<Item = &[Rc<Registration>]> {
+        self.services.values().map(Vec::as_slice)
+    }
+
+    /// True where the endpoint is known.
+    pub fn knows(&self, endpoint: &EndpointId) -> bool {
+        self.names.contains(endpoint)
+    }
+}
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -19,11 +19,13 @@
     Dialect, Options, Plan,
     balance::Balance,
     budget::Budget,
+    choose::Fields,
     health::Health,
     logging::Log,
     metrics::{Metrics, Standing},
     reading::Reading,
     recent::{self, Tally},
+    roster::Roster,
     upstream::Pool,
 };
 
@@ -36,8 +38,6 @@
     pub endpoints: Vec<Registration>,
     /// Live instances.
     pub entries: Vec<Listing>,
-    /// Work of the other instances at endpoints.
-    pub others: Vec<Load>,
 }
 
 impl Published {
@@ -109,6 +109,10 @@
     pub tickets: Tickets,
     /// The latest view.
     pub view: RefCell<Rc<Published>>,
+    /// Its endpoints, by service.
+    pub roster: RefCell<Rc<Roster>>,
+    /// Those that requests may go to for the moment.
+    pub fields: RefCell<Fields>,
     /// The configuration document, read.
     pub plan: RefCell<Option<Rc<Plan>>>,
     /// When the question was sent whose answer proves the plan the newest.
@@ -156,6 +160,8 @@
             inputs,
             tickets: Tickets::default(),
             view: RefCell::default(),
+            roster: RefCell::default(),
+            fields: RefCell::default(),
             plan: RefCell::new(None),
             proof: watch::Sender::new(None),
             balance: Rc::default(),
@@ -248,27 +254,33 @@
     /// Takes in a newer view, reading its document where that is another one.
     pub fn publish(&self, published: Published) {
         self.take_document(published.document.as_ref());
-        self.balance.borrow_mut().set_others(&published.others);
-        let known =
-            |endpoint: &EndpointId| published.endpoints.iter().any(|registration| registration.endpoint == *endpoint);
-        self.balance.borrow_mut().retain(known);
-        self.health.borrow_mut().retain(known);
-        self.judge(&published.endpoints);
+        let roster = Rc::new(Roster::new(&published.endpoints));
+        self.balance.borrow_mut().retain(|endpoint| roster.knows(endpoint));
+        self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
+        *self.roster.borrow_mut() = roster;
         *self.view.borrow_mut() = Rc::new(published);
+        self.fields.borrow_mut().clear();
+    }
+
+    /// Takes in the work of the other instances at endpoints.
+    pub fn take_others(&self, others: &[Load]) {
+        self.balance.borrow_mut().set_others(others);
+        self.judge();
+        self.fields.borrow_mut().clear();
     }
 
     /// Leaves out the endpoints that fail far more than the others of their service.
-    fn judge(&self, endpoints: &[Registration]) {
+    fn judge(&self) {
         if !self.options.policy.guard.suspects {
             return;
         }
-        let (now, balance) = (Instant::now(), self.balance.borrow());
-        let mut services: HashMap<&str, Vec<(EndpointId, Tally)>> = HashMap::new();
-        for registration in endpoints.iter().filter(|registration| registration.phase == Phase::Ready) {
-            let tally = balance.tally(&registration.endpoint, now);
-            services.entry(&registration.service).or_default().push((registration.endpoint.clone(), tally));
+        let (now, balance, roster) = (Instant::now(), self.balance.borrow(), self.roster.borrow().clone());
+        let mut services: Vec<Vec<(EndpointId, Tally)>> = Vec::new();
+        for endpoints in roster.services() {
+            let ready = endpoints.iter().filter(|held| held.phase == Phase::Ready);
+            services.push(ready.map(|held| (held.endpoint.clone(), balance.tally(&held.endpoint, now))).collect());
         }
-        let suspects = services.values().flat_map(|tallies| recent::suspects(tallies)).collect();
+        let suspects = services.iter().flat_map(|tallies| recent::suspects(tallies)).collect();
         for endpoint in self.health.borrow_mut().set_suspects(suspects) {
             let Tally { ended, failed } = balance.tally(&endpoint, now);
             self.metrics.note_ejection();
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -9,12 +9,13 @@
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
     balance::Balance,
-    choose::{self, Inputs},
+    choose::{self, Field, Inputs},
     health::Health,
     plan::{Limits, Share},
     reading::Reading,
+    roster::Roster,
 };
-use rudder_model::id;
+use rudder_model::{EndpointId, id};
 
 const SLOTS: u32 = 6;
 /// Requests that ended in the last five seconds, at each endpoint: 350 a second at six of them.
@@ -69,7 +70,6 @@
     for number in 0..600 {
         let hall = format!("hall-{}", number % calls.len()).as_str().into();
         let inputs = Inputs {
-            endpoints: &endpoints,
             balance: &balance,
             work_age: age,
             health: &Health::default(),
@@ -79,7 +79,8 @@
             policy: &Policy::default(),
             now: Instant::now(),
         };
-        let choice = choose::choose(&inputs, route, "app", None, &[]).expect("one is there");
+        let field = Field::new(Roster::new(&endpoints).of("app"), "app", &inputs);
+        let choice = choose::choose(&inputs, route, "app", &field, None, &[]).expect("one is there");
         *counts.entry(choice.endpoint.to_string()).or_default() += 1;
     }
     counts
@@ -105,3 +106,29 @@
     let counts = choices(&[3, 6, 0, 1, 3, 2], Duration::from_secs(1));
     assert_eq!(counts.get("e-1"), None, "{counts:?}");
 }
+
+/// Among hundreds a few are drawn; one that was tried is not chosen again, and the last one left is found.
+#[test]
+fn one_of_hundreds_is_found_that_was_not_tried() {
+    let (endpoints, plan) = (endpoints(300), plan());
+    let (balance, health, reading, policy) = Default::default();
+    let hall = "hall-7".into();
+    let inputs = Inputs {
+        balance: &balance,
+        work_age: Duration::ZERO,
+        health: &health,
+        reading: &reading,
+        hall: &hall,
+        plan: &plan,
+        policy: &policy,
+        now: Instant::now(),
+    };
+    let route = plan.find("h", "/lock/").expect("a route");
+    let field = Field::new(Roster::new(&endpoints).of("app"), "app", &inputs);
+    let choose = |tried: &[EndpointId]| choose::choose(&inputs, route, "app", &field, None, tried);
+    assert_eq!(&*choose(&[]).expect("one is there").endpoint, "e-7", "the one in the instance's own hall");
+    assert_ne!(&*choose(&["e-7".into()]).expect("others are there").endpoint, "e-7");
+    let all_but_one: Vec<EndpointId> =
+        endpoints.iter().map(|held| held.endpoint.clone()).filter(|endpoint| **endpoint != *"e-123").collect();
+    assert_eq!(&*choose(&all_but_one).expect("one is left").endpoint, "e-123");
+}
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -10,7 +10,7 @@
     Plan, Route, RouteKind, Service,
     balance::Balance,
     budget::Budget,
-    choose::{self, Choice, Inputs},
+    choose::{self, Choice, Field, Inputs},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
     lanes,
@@ -18,6 +18,7 @@
     policy::{LanePolicy, Policy},
     reading::Reading,
     recent::{Recent, Tally, suspects},
+    roster::Roster,
     stream::Events,
 };
 use rudder_model::{EndpointId, id};
@@ -274,7 +275,6 @@
     fn choice(&self, path: &str, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Choice> {
         let hall = "a".into();
         let inputs = Inputs {
-            endpoints: &self.engines,
             balance: &self.balance,
             work_age: Duration::ZERO,
             health: &self.health,
@@ -285,7 +285,8 @@
             now: Instant::now(),
         };
         let route = self.plan.find("h", path).expect("a route");
-        choose::choose(&inputs, route, "svc", Some(prompt), tried)
+        let field = Field::new(Roster::new(&self.engines).of("svc"), "svc", &inputs);
+        choose::choose(&inputs, route, "svc", &field, Some(prompt), tried)
     }
 }
 
--- a/crates/rudder-model/src/id.rs
+++ b/crates/rudder-model/src/id.rs
@@ -60,6 +60,24 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(node.as_bytes(), seed)
 }
 
+/// Hash of a node's name, for [`rendezvous_key`].
+pub fn node_key(node: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(node.as_bytes())
+}
+
+/// Hash of a number, for [`rendezvous_key`]: numbers in a row would give related weights.
+pub fn number_key(number: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(&number.to_le_bytes())
+}
+
+/// Rendezvous weight of a node for a key where both are hashes: as [`rendezvous`], for choices among thousands of nodes
+/// whose names are hashed once. The mixing is that of `SplitMix64`, a third of the time of a hash of the bytes.
+pub fn rendezvous_key(key: u64, node: u64) -> u64 {
+    let mixed = (key ^ node).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 31)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 30)
+}
+
 /// The short form of an endpoint's name.
 pub fn endpoint_tag(endpoint: &str) -> EndpointTag {
     xxhash_rust::xxh3::xxh3_64(endpoint.as_bytes()) as EndpointTag
