--- a/crates/rudder-core/src/duties/mod.rs
+++ b/crates/rudder-core/src/duties/mod.rs
@@ -7,19 +7,25 @@
 //! between sends nothing.
 //!
 //! - [`intake`]: counts of requests on their way into the log, and the closing of windows;
-//! - [`reports`]: the report of each closed window, until it is acknowledged.
+//! - [`reports`]: the report of each closed window, until it is acknowledged;
+//! - [`scaling`]: orders of engines.
 
 pub(crate) mod intake;
 pub(crate) mod reports;
+pub mod scaling;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rudder_events::What;
 use rudder_ledger::{Command, Counts, Window};
-use rudder_model::{InstanceId, id};
+use rudder_model::{HallId, InstanceId, id};
 use serde::{Deserialize, Serialize};
 
-use self::{intake::Intake, reports::Reports};
+use self::{
+    intake::Intake,
+    reports::Reports,
+    scaling::{Scaling, ServiceState},
+};
 use crate::{Effect, Me, Options, control::Control, tally::UsageNews};
 
 /// Fences of one term: its calls count up in the lower bits. A term that made one call a millisecond could last for 17
@@ -43,6 +49,17 @@
         /// Requests that began in it.
         counts: Counts,
     },
+    /// Orders the number of engines of a service in a hall.
+    Scale {
+        /// The service.
+        service: Arc<str>,
+        /// The hall.
+        hall: HallId,
+        /// Of those that may be taken away, or of the others.
+        cheap: bool,
+        /// How many there should be.
+        count: u32,
+    },
 }
 
 impl DutyCall {
@@ -50,6 +67,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             DutyCall::Usage { .. } => "usage",
+            DutyCall::Scale { .. } => "scale",
         }
     }
 
@@ -57,6 +75,10 @@
     pub fn subject(&self) -> String {
         match self {
             DutyCall::Usage { window, .. } => format!("window {window}"),
+            DutyCall::Scale { service, hall, cheap, count } => {
+                let kind = if *cheap { "cheap" } else { "full price" };
+                format!("{count} of {service} in {hall}, {kind}")
+            }
         }
     }
 }
@@ -68,6 +90,8 @@
     Taken,
     /// A higher fence was seen, so another instance holds the duty.
     Outranked,
+    /// No engines of this kind are to be had there now.
+    NoneLeft,
     /// The receiver takes no more calls now; this one was not carried out.
     Busy,
     /// The lease ended before it was sent.
@@ -108,6 +132,9 @@
 pub struct Duties {
     intake: Intake,
     reports: Reports,
+    scaling: Scaling,
+    /// Counts all calls.
+    tickets: u64,
     /// Term in which it holds them.
     held: Option<u64>,
     /// Term in which a receiver said that another instance holds them.
@@ -145,22 +172,46 @@
 impl Duties {
     /// Advances time.
     pub(crate) fn tick(&mut self, mut context: Context) {
-        let Some(usage) = &context.options.duties.usage else { return };
+        let options = context.options;
+        if !options.duties.is_any() {
+            return;
+        }
         if context.control.leads_since(context.now).is_none() {
             self.lose(context.out);
             return;
         }
-        self.intake.tick(&mut context, usage);
+        if let Some(usage) = &options.duties.usage {
+            self.intake.tick(&mut context, usage);
+        }
+        if !self.take_hold(&mut context) {
+            return;
+        }
+        if let Some(usage) = &options.duties.usage {
+            self.reports.tick(&mut context, usage, &mut self.tickets);
+        }
+    }
+
+    /// True where this instance makes calls now.
+    fn take_hold(&mut self, context: &mut Context) -> bool {
         let handover = context.options.duties.handover;
-        let Some(term) = context.control.duty_term(context.now, handover) else { return };
+        let Some(term) = context.control.duty_term(context.now, handover) else { return false };
         if self.outranked == Some(term) {
-            return;
+            return false;
         }
         if self.held != Some(term) {
             self.held = Some(term);
             context.out.push(Effect::Log(What::DutyHeld { held: true, fence: fence(term) }));
         }
-        self.reports.tick(&mut context, usage);
+        true
+    }
+
+    /// Takes in how services stand, and orders what they lack.
+    pub(crate) fn on_services(&mut self, mut context: Context, states: Vec<ServiceState>) {
+        let options = context.options;
+        let Some(scaling) = options.duties.scaling.as_ref().filter(|scaling| scaling.enabled) else { return };
+        if self.take_hold(&mut context) {
+            self.scaling.note(&mut context, states, scaling, &mut self.tickets);
+        }
     }
 
     fn lose(&mut self, out: &mut Vec<Effect>) {
@@ -169,6 +220,7 @@
         }
         self.intake.clear();
         self.reports.clear();
+        self.scaling.clear();
     }
 
     /// Takes in a message of counts. Only a leader answers it.
@@ -182,5 +234,6 @@
             self.outranked = self.held;
         }
         self.reports.on_called(now, ticket, outcome);
+        self.scaling.on_called(now, ticket, outcome);
     }
 }
--- a/crates/rudder-core/src/duties/reports.rs
+++ b/crates/rudder-core/src/duties/reports.rs
@@ -24,7 +24,6 @@
 /// Reports under way.
 #[derive(Debug, Default)]
 pub(crate) struct Reports {
-    tickets: u64,
     flying: Option<Flying>,
     backoff: Backoff,
     /// Windows acknowledged, with when that was last proposed to the log.
@@ -32,13 +31,13 @@
 }
 
 impl Reports {
-    /// Forgets all but the count of calls.
+    /// Forgets all.
     pub(crate) fn clear(&mut self) {
-        *self = Reports { tickets: self.tickets, ..Reports::default() };
+        *self = Reports::default();
     }
 
-    /// Sends the next report where none is under way.
-    pub(crate) fn tick(&mut self, context: &mut Context, usage: &UsageOptions) {
+    /// Sends the next report where none is under way. `tickets` counts the calls of all duties.
+    pub(crate) fn tick(&mut self, context: &mut Context, usage: &UsageOptions, tickets: &mut u64) {
         self.record_done(context);
         let now = context.now;
         self.flying.take_if(|flying| now >= flying.since + FORGET);
@@ -47,11 +46,11 @@
         }
         let closed = context.control.ledger.usage.closed();
         let Some((window, counts)) = closed.iter().find(|(window, _)| !self.done.contains_key(window)) else { return };
-        self.tickets += 1;
-        self.flying = Some(Flying { ticket: self.tickets, window: *window, since: now });
+        *tickets += 1;
+        self.flying = Some(Flying { ticket: *tickets, window: *window, since: now });
         let ended = usage.window * (*window + 1) as u32;
         context.out.push(Effect::Call {
-            ticket: self.tickets,
+            ticket: *tickets,
             fence: fence(context.control.replica.term()),
             age: context.time.saturating_sub(ended),
             call: DutyCall::Usage { window: *window, counts: counts.clone() },
--- /dev/null
+++ b/crates/rudder-core/src/duties/scaling.rs
@@ -0,0 +1,172 @@
+//! Orders of engines, at the holder: what the policy wants in each hall is compared with what was ordered and with what
+//! is there, and ordered where they differ.
+//!
+//! An order names the number of engines that there should be, so one that is repeated does no harm. Each bears a fence of
+//! its own, higher than all before: one that is carried out late, after a newer one, is refused by it. A new holder
+//! orders everything once, whatever is there, so that no order of an earlier one is carried out after it.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rudder_events::What;
+use rudder_model::HallId;
+use rudder_route::scale::{Bounds, Demand, HallEngines, ScaleOptions, Scaler};
+
+use super::{Backoff, CallOutcome, Context, DutyCall, fence};
+use crate::Effect;
+
+/// Orders under way at once.
+const FLYING_MOST: usize = 4;
+/// An order whose engines are not there this long after the time that they take to start is given again.
+const OVERDUE: Duration = Duration::from_secs(3);
+/// An order whose outcome was not told within this time is given again.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// A service as the instance that holds the duty sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceState {
+    /// The service.
+    pub service: Arc<str>,
+    /// What the configuration allows.
+    pub bounds: Bounds,
+    /// The work asked of it.
+    pub demand: Demand,
+    /// Its engines by hall.
+    pub halls: Vec<HallEngines>,
+}
+
+/// What an order is about: engines of one kind of a service in a hall.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Subject {
+    service: Arc<str>,
+    hall: HallId,
+    cheap: bool,
+}
+
+/// How the last order of a subject stands.
+#[derive(Debug, Default)]
+struct Standing {
+    /// The count that was ordered last and taken.
+    taken: Option<(u32, Duration)>,
+    /// An order under way: its ticket, count, and since when.
+    flying: Option<(u64, u32, Duration)>,
+    backoff: Backoff,
+    /// None were to be had when they were last ordered; none are counted on until an order is taken.
+    barred: bool,
+}
+
+/// All orders.
+#[derive(Debug, Default)]
+pub(crate) struct Scaling {
+    scalers: BTreeMap<Arc<str>, Scaler>,
+    orders: BTreeMap<Subject, Standing>,
+    /// Fences used in this term.
+    fences: u64,
+}
+
+impl Scaling {
+    /// Forgets the orders, but not the demand: another instance may have given others.
+    pub(crate) fn clear(&mut self) {
+        self.orders.clear();
+        self.fences = 0;
+    }
+
+    /// Orders what the services lack. `tickets` counts the calls of all duties.
+    pub(crate) fn note(
+        &mut self,
+        context: &mut Context,
+        states: Vec<ServiceState>,
+        options: &ScaleOptions,
+        tickets: &mut u64,
+    ) {
+        let now = context.now;
+        for state in states {
+            let mut halls = state.halls;
+            for held in &mut halls {
+                let subject = Subject { service: state.service.clone(), hall: held.hall.clone(), cheap: true };
+                held.barred = self.orders.get(&subject).is_some_and(|standing| standing.barred);
+            }
+            let scaler = self.scalers.entry(state.service.clone()).or_default();
+            let wanted = scaler.plan(now, &state.bounds, &state.demand, &halls, options);
+            for (want, held) in wanted.iter().zip(&halls) {
+                let kinds = [(false, want.full, held.full), (true, want.cheap, held.cheap)];
+                for (cheap, count, there) in kinds {
+                    if cheap && state.bounds.cheap.is_none() {
+                        continue;
+                    }
+                    let subject = Subject { service: state.service.clone(), hall: want.hall.clone(), cheap };
+                    self.order(context, subject, (count, there), state.bounds.boot, &state.demand, tickets);
+                }
+            }
+        }
+    }
+
+    /// Orders `count` engines where that differs from what was ordered, or from what is there for too long.
+    fn order(
+        &mut self,
+        context: &mut Context,
+        subject: Subject,
+        (count, there): (u32, u32),
+        boot: Duration,
+        demand: &Demand,
+        tickets: &mut u64,
+    ) {
+        let now = context.now;
+        let flying = self.orders.values().filter(|standing| standing.flying.is_some()).count();
+        let standing = self.orders.entry(subject.clone()).or_default();
+        standing.flying.take_if(|(_, _, since)| now >= *since + FORGET);
+        let rests = standing.flying.is_some() || standing.backoff.holds(now) || flying >= FLYING_MOST;
+        if rests || !standing.differs(now, count, there, boot) {
+            return;
+        }
+        *tickets += 1;
+        self.fences += 1;
+        let fence = fence(context.control.replica.term()) + self.fences;
+        standing.flying = Some((*tickets, count, now));
+        let Subject { service, hall, cheap } = subject;
+        context.out.push(Effect::Log(What::EnginesWanted {
+            service: service.clone(),
+            hall: hall.clone(),
+            cheap,
+            wanted: count,
+            there,
+            tokens: demand.tokens as u64,
+            speed: demand.speed as u64,
+            calls: demand.calls as u64,
+            fence,
+        }));
+        let call = DutyCall::Scale { service, hall, cheap, count };
+        context.out.push(Effect::Call { ticket: *tickets, fence, age: Duration::ZERO, call });
+    }
+
+    /// Takes in how an order ended.
+    pub(crate) fn on_called(&mut self, now: Duration, ticket: u64, outcome: CallOutcome) {
+        let mut standings = self.orders.values_mut();
+        let of_ticket = |standing: &&mut Standing| standing.flying.is_some_and(|(flying, _, _)| flying == ticket);
+        let Some(standing) = standings.find(of_ticket) else { return };
+        let Some((_, count, _)) = standing.flying.take() else { return };
+        match outcome {
+            CallOutcome::Taken => {
+                standing.taken = Some((count, now));
+                standing.barred = false;
+                standing.backoff.clear();
+            }
+            CallOutcome::NoneLeft => {
+                standing.taken = None;
+                standing.barred = true;
+                standing.backoff.note_failure(now, ticket);
+            }
+            _ => {
+                standing.taken = None;
+                standing.backoff.note_failure(now, ticket);
+            }
+        }
+    }
+}
+
+impl Standing {
+    /// True where `count` has to be ordered.
+    fn differs(&self, now: Duration, count: u32, there: u32, boot: Duration) -> bool {
+        let Some((taken, at)) = self.taken else { return true };
+        taken != count || (there != count && now >= at + boot + OVERDUE)
+    }
+}
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -5,7 +5,9 @@
 use rudder_ledger::{Change, Document};
 use rudder_model::{ClassId, Digest, EndpointId, InstanceId, ModelId, RequestId};
 
-use crate::{CallOutcome, PeerMessage, Stored, peer::Load, registry::Registration, tally::Begun};
+use crate::{
+    CallOutcome, PeerMessage, Stored, duties::scaling::ServiceState, peer::Load, registry::Registration, tally::Begun,
+};
 
 /// Anything that happens to an instance.
 #[derive(Clone, Debug)]
@@ -79,6 +81,8 @@
     },
     /// The work that this instance has under way at endpoints.
     Loads(Vec<Load>),
+    /// How services stand whose engines are ordered; comes about once a second where duties are held.
+    Services(Vec<ServiceState>),
     /// Requests that began to run at endpoints.
     Begun(Vec<Begun>),
     /// This instance's clock has stepped: the time of day at which its own time was zero, by that clock.
--- a/crates/rudder-core/src/options.rs
+++ b/crates/rudder-core/src/options.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rudder_model::{HallId, InstanceId, Start};
+use rudder_route::scale::ScaleOptions;
 
 use crate::tree::Tree;
 
@@ -43,12 +44,21 @@
 }
 
 /// Duties that one instance at a time holds for all.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct DutyOptions {
     /// A new holder makes no call for this long, so that two never act by turns within it.
     pub handover: Duration,
     /// Reports of requests, where they are wanted.
     pub usage: Option<UsageOptions>,
+    /// Orders of engines, where they are wanted.
+    pub scaling: Option<ScaleOptions>,
+}
+
+impl DutyOptions {
+    /// True where there is a duty at all.
+    pub fn is_any(&self) -> bool {
+        self.usage.is_some() || self.scaling.is_some()
+    }
 }
 
 /// Settings of the reducer.
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -56,7 +56,7 @@
     /// Heartbeats of endpoints that it heard and nobody has yet confirmed.
     pub heard: Vec<Registration>,
     /// Work under way at endpoints, its own and that of those who ask it, where it is not nothing. `None` in a
-    /// question past the relay that the asker tells its work to.
+    /// question past the relay that the asker tells its work to, and where it was told shortly before.
     pub loads: Option<Vec<Load>>,
     /// Those who ask the sender, where it is a relay.
     pub group: Option<Group>,
@@ -98,8 +98,9 @@
     pub document: Option<DocumentNews>,
     /// What the asker lacks of the registry.
     pub registry: Option<RegistryNews>,
-    /// Work under way at endpoints by all instances but the asker and those who ask it.
-    pub loads: Vec<Load>,
+    /// Work under way at endpoints by all instances but the asker and those who ask it; `None` where the question told
+    /// none.
+    pub loads: Option<Vec<Load>>,
     /// Version of the asker's group that the answerer holds; 0 for none.
     pub group: u64,
     /// The agreed time of day, where the answerer knows it.
@@ -139,6 +140,8 @@
     pub unread: u32,
     /// Tokens of memory that its requests may need, prompts and answers together.
     pub held: u32,
+    /// Prompt tokens sent of late.
+    pub asked: u32,
     /// Requests that ended of late.
     pub ended: u32,
     /// Of these, requests that failed by the endpoint.
@@ -148,12 +151,12 @@
 impl Load {
     /// No work at `endpoint`.
     pub fn none(endpoint: EndpointTag) -> Load {
-        Load { endpoint, calls: 0, unread: 0, held: 0, ended: 0, failed: 0 }
+        Load { endpoint, calls: 0, unread: 0, held: 0, asked: 0, ended: 0, failed: 0 }
     }
 
     /// True where there is nothing to tell.
     pub fn is_none(&self) -> bool {
-        self.calls == 0 && self.ended == 0
+        self.calls == 0 && self.ended == 0 && self.asked == 0
     }
 }
 
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -171,6 +171,13 @@
                     self.tallies.note(begun, &self.view, usage);
                 }
             }
+            Event::Services(states) => {
+                let time = self.view.clock.at(now);
+                if let Some(control) = &mut self.control {
+                    let context = duties::Context { now, time, me: &self.me, control, options: &self.options, out };
+                    self.duties.on_services(context, states);
+                }
+            }
             Event::Clock(origin) => self.view.clock.set_own(origin),
             Event::Called { ticket, outcome } => self.duties.on_called(now, ticket, outcome),
             Event::Prove => {
--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -41,6 +41,9 @@
     pub hall: HallId,
     /// Requests it works on at once.
     pub slots: u32,
+    /// It may be taken away at short notice, and costs less.
+    #[serde(default)]
+    pub cheap: bool,
     /// Where it stands.
     pub phase: Phase,
     /// Rises with each heartbeat, so that a late one is known.
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -27,6 +27,10 @@
 
 /// Names of instances in one log line at most.
 const NAMED: usize = 4;
+/// Time between two exchanges of loads, for each of them: 10,000 entries of about ten bytes a second each way.
+const LOADS_EACH: Duration = Duration::from_micros(100);
+/// The longest such time: what was told counts for half a second longer.
+const LOADS_PAUSE_MOST: Duration = Duration::from_secs(1);
 /// A relay whose answers prove the configuration no younger than this is passed over: it has lost touch.
 const RELAY_OLD: Duration = Duration::from_millis(1500);
 
@@ -56,6 +60,10 @@
     pub works: u64,
     unconfirmed: BTreeMap<EndpointId, Unconfirmed>,
     loads: Vec<Load>,
+    /// When they were told last.
+    loads_told: Option<Duration>,
+    /// When the others' work was as it is known here.
+    others_at: Option<Duration>,
     /// The time of day.
     pub clock: Clock,
 }
@@ -134,6 +142,18 @@
         !self.unconfirmed.contains_key(endpoint)
     }
 
+    /// When the others' work was as it is known here.
+    pub fn others_at(&self) -> Option<Duration> {
+        self.others_at
+    }
+
+    /// True where it is time to exchange loads: the more there are, the less often, so that a link carries as much of them
+    /// in a second whatever the number of endpoints.
+    fn are_loads_due(&self, now: Duration) -> bool {
+        let pause = (LOADS_EACH * self.others.len() as u32).min(LOADS_PAUSE_MOST);
+        self.loads_told.is_none_or(|told| now >= told + pause)
+    }
+
     /// Sets the work under way here.
     pub(crate) fn set_loads(&mut self, loads: Vec<Load>) {
         self.loads = loads;
@@ -207,6 +227,10 @@
             replica,
         };
         let heard = self.carry_unconfirmed();
+        let with_loads = target != Target::PastRelay && self.are_loads_due(now);
+        if with_loads {
+            self.loads_told = Some(now);
+        }
         let watch = Watch {
             round: self.asking.round(),
             listing,
@@ -215,7 +239,7 @@
             document: self.document.as_ref().filter(|_| !self.whole).map_or(0, |document| document.version),
             registry: self.registry.version(),
             heard,
-            loads: (target != Target::PastRelay).then(|| watchers.join_loads(&self.loads)),
+            loads: with_loads.then(|| watchers.join_loads(&self.loads)),
             group: self.to_group(watchers, options),
             clock: self.clock.to_reading(now),
         };
@@ -319,9 +343,10 @@
             urgent |= self.registry.take_news(now, news);
             self.edition += 1;
         }
-        if sent.target != Target::PastRelay && self.others != watched.loads {
+        if let Some(loads) = watched.loads.filter(|_| sent.target != Target::PastRelay) {
+            self.others_at = proof.or(self.others_at);
             self.works += 1;
-            self.others = watched.loads;
+            self.others = loads;
         }
         if let Some(news) = watched.directory {
             changed |= self.take_directory((me, options), news, out);
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -79,7 +79,7 @@
         if let Some(loads) = watch.loads {
             self.loads.tell(now, &name, loads);
         }
-        let loads = if told { loads::join(source.others, self.loads.without(&name)) } else { Vec::new() };
+        let loads = told.then(|| loads::join(source.others, self.loads.without(&name)));
         let deltas = source.config.deltas_after(watch.index, DELTAS);
         let complete = deltas.len() < DELTAS;
         let last = deltas.last().map_or(watch.index, |delta| delta.held.index);
--- a/crates/rudder-core/tests/duties.rs
+++ b/crates/rudder-core/tests/duties.rs
@@ -9,9 +9,11 @@
     receiver::{HANDOVER, Mood},
 };
 use rudder_core::{
-    Event,
+    DutyCall, Event,
+    duties::scaling::ServiceState,
     options::{DutyOptions, UsageOptions},
 };
+use rudder_route::scale::{Bounds, Demand, HallEngines, ScaleOptions};
 
 /// Instances, the first five of them with disks.
 const TOTAL: usize = 12;
@@ -19,7 +21,11 @@
 const ORG: &str = "acme";
 
 fn start() -> Mesh {
-    let duties = DutyOptions { handover: HANDOVER, usage: Some(UsageOptions::default()) };
+    let duties = DutyOptions {
+        handover: HANDOVER,
+        usage: Some(UsageOptions::default()),
+        scaling: Some(ScaleOptions::default()),
+    };
     let layout = Layout { total: TOTAL, disks: DISKS, voters: DISKS, duties, ..Layout::default() };
     let mut mesh = Mesh::start_as(layout);
     mesh.run(Duration::from_secs(6));
@@ -219,7 +225,7 @@
     mesh.kill(number);
     settle(&mut mesh);
     let first = mesh.receiver.made.first().expect("a report");
-    let rudder_core::DutyCall::Usage { window, .. } = first.call;
+    let DutyCall::Usage { window, .. } = first.call else { panic!("{first:?}") };
     let due = Duration::from_secs((window + 1) * 5 + 10).saturating_sub(Duration::from_secs(1_000_000));
     assert!(first.at < due, "reported at {:?}, due at {due:?}", first.at);
     check(&mesh, 1);
@@ -245,3 +251,99 @@
     });
     assert!(found);
 }
+
+const FIRST: [u32; 3] = [20; 3];
+
+/// Tells the holder how a service stands whose engines are `full` and `cheap` in three halls.
+fn describe(mesh: &mut Mesh, full: [u32; 3], cheap: [u32; 3]) {
+    let hall = |at: usize| format!("hall-{at}").as_str().into();
+    let bounds = Bounds {
+        least: 1,
+        most: 40,
+        boot: Duration::from_secs(4),
+        cheap: Some(0.15),
+        prices: (0..3).map(|at| (hall(at), 1.0)).collect(),
+    };
+    let halls = (0..3).map(|at| HallEngines { hall: hall(at), full: full[at], cheap: cheap[at], barred: false });
+    let state = ServiceState { service: "svc".into(), bounds, demand: Demand::default(), halls: halls.collect() };
+    if let Some(number) = mesh.leader() {
+        mesh.tell(number, Event::Services(vec![state]));
+    }
+}
+
+/// The same several times a second.
+fn describe_for(mesh: &mut Mesh, seconds: u64, full: [u32; 3], cheap: [u32; 3]) {
+    for _ in 0..seconds * 2 {
+        describe(mesh, full, cheap);
+        mesh.run(Duration::from_millis(500));
+    }
+}
+
+fn ordered(mesh: &Mesh, cheap: bool) -> Vec<Option<u32>> {
+    let hall = |at: usize| format!("hall-{at}").as_str().into();
+    (0..3).map(|at| mesh.receiver.ordered.get(&(hall(at), cheap)).copied()).collect()
+}
+
+fn scale_calls(mesh: &Mesh) -> usize {
+    mesh.receiver.made.iter().filter(|made| matches!(made.call, DutyCall::Scale { .. })).count()
+}
+
+#[test]
+fn engines_are_ordered_once_and_then_only_what_differs() {
+    let mut mesh = start();
+    describe_for(&mut mesh, 5, FIRST, [0; 3]);
+    assert_eq!((ordered(&mesh, false), ordered(&mesh, true)), (vec![Some(20); 3], vec![Some(20); 3]));
+    assert_eq!(scale_calls(&mesh), 6);
+    describe_for(&mut mesh, 2, FIRST, [20; 3]);
+    assert_eq!((ordered(&mesh, false), ordered(&mesh, true)), (vec![Some(0); 3], vec![Some(30); 3]));
+    describe_for(&mut mesh, 60, [0; 3], [30; 3]);
+    assert_eq!(scale_calls(&mesh), 12, "nothing is ordered again without need");
+    assert_eq!(mesh.receiver.broken, Vec::<String>::new());
+}
+
+#[test]
+fn an_order_whose_engines_do_not_come_is_given_again() {
+    let mut mesh = start();
+    describe_for(&mut mesh, 9, FIRST, [0; 3]);
+    assert_eq!(scale_calls(&mesh), 6);
+    describe_for(&mut mesh, 3, FIRST, [0; 3]);
+    assert_eq!(scale_calls(&mesh), 9, "cheap ones, 7 s after the first order");
+}
+
+#[test]
+fn a_new_holder_orders_everything_anew_with_higher_fences() {
+    let mut mesh = start();
+    describe_for(&mut mesh, 5, [0; 3], [30; 3]);
+    let before = mesh.receiver.made.last().expect("orders").clone();
+    let number = leader(&mesh);
+    mesh.kill(number);
+    mesh.run(Duration::from_secs(2));
+    describe_for(&mut mesh, 8, [0; 3], [30; 3]);
+    let later: Vec<_> = mesh.receiver.made.iter().filter(|made| made.by != before.by).collect();
+    assert_eq!(later.len(), 6);
+    assert!(later.iter().all(|made| made.fence > before.fence && made.at >= before.at + HANDOVER));
+}
+
+#[test]
+fn a_hall_without_cheap_engines_is_tried_again_and_made_up_for() {
+    let mut mesh = start();
+    describe_for(&mut mesh, 5, [0; 3], [30; 3]);
+    mesh.receiver.barred.insert("hall-1".into());
+    describe_for(&mut mesh, 12, [0; 3], [30, 0, 30]);
+    assert_eq!(ordered(&mesh, true), [Some(40), Some(30), Some(40)], "60 are needed");
+    mesh.receiver.barred.clear();
+    describe_for(&mut mesh, 8, [0; 3], [40, 0, 40]);
+    assert!(ordered(&mesh, true)[1] >= Some(30), "ordered again");
+}
+
+/// An order that is carried out late, after a newer one, is refused by its fence.
+#[test]
+fn late_orders_do_not_undo_newer_ones() {
+    let mut mesh = start();
+    mesh.receiver.mood = Mood::Late;
+    describe_for(&mut mesh, 6, FIRST, [0; 3]);
+    mesh.receiver.mood = Mood::Answers;
+    describe_for(&mut mesh, 8, [0; 3], [30; 3]);
+    assert_eq!((ordered(&mesh, false), ordered(&mesh, true)), (vec![Some(0); 3], vec![Some(30); 3]));
+    assert!(mesh.receiver.stale > 0, "the late ones came");
+}
--- a/crates/rudder-core/tests/fleet.rs
+++ b/crates/rudder-core/tests/fleet.rs
@@ -123,7 +123,7 @@
 
 impl Fleet {
     fn start(seed: u64) -> Fleet {
-        let duties = DutyOptions { handover: HANDOVER, usage: Some(UsageOptions::default()) };
+        let duties = DutyOptions { handover: HANDOVER, usage: Some(UsageOptions::default()), scaling: None };
         let layout = Layout { halls: HALLS, total: TOTAL, disks: DISKS, duties, ..Layout::default() };
         let mut mesh = Mesh::start_as(layout);
         mesh.seed(seed);
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -367,6 +367,7 @@
             address: "10.9.0.1:80".into(),
             hall: "hall-0".into(),
             slots: 8,
+            cheap: false,
             phase,
             sequence,
         };
--- a/crates/rudder-core/tests/mesh/receiver.rs
+++ b/crates/rudder-core/tests/mesh/receiver.rs
@@ -1,10 +1,14 @@
 //! Who takes the calls that one instance makes for all, and judges them: a report never changes, a fence belongs to one
 //! instance, and two instances never act by turns within the handover time.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use rudder_core::{CallOutcome, DutyCall};
 use rudder_ledger::{Counts, Window};
+use rudder_model::HallId;
 
 /// Two holders that act by turns within this time break the rule.
 pub const HANDOVER: Duration = Duration::from_secs(3);
@@ -47,6 +51,10 @@
     pub made: Vec<Made>,
     /// Reports carried out.
     pub reports: BTreeMap<Window, Counts>,
+    /// Engines ordered, by hall and kind: true for those that may be taken away.
+    pub ordered: BTreeMap<(HallId, bool), u32>,
+    /// Halls in which none of those are to be had.
+    pub barred: BTreeSet<HallId>,
     /// Calls that came with a fence lower than one seen.
     pub stale: u64,
     /// What broke a rule.
@@ -93,13 +101,22 @@
         }
         self.highest = made.fence;
         self.judge(&made);
-        let DutyCall::Usage { window, counts } = &made.call;
-        let held = self.reports.entry(*window).or_insert_with(|| counts.clone());
-        if held != counts {
-            self.broken.push(format!("window {window} was reported as {held:?} and as {counts:?}"));
-        }
+        let outcome = match &made.call {
+            DutyCall::Usage { window, counts } => {
+                let held = self.reports.entry(*window).or_insert_with(|| counts.clone());
+                if held != counts {
+                    self.broken.push(format!("window {window} was reported as {held:?} and as {counts:?}"));
+                }
+                CallOutcome::Taken
+            }
+            DutyCall::Scale { cheap: true, hall, .. } if self.barred.contains(hall) => CallOutcome::NoneLeft,
+            DutyCall::Scale { hall, cheap, count, .. } => {
+                self.ordered.insert((hall.clone(), *cheap), *count);
+                CallOutcome::Taken
+            }
+        };
         self.made.push(made);
-        CallOutcome::Taken
+        outcome
     }
 
     fn judge(&mut self, made: &Made) {
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -361,6 +361,27 @@
         /// From its end to this, in milliseconds.
         lag_ms: u64,
     },
+    /// The holder orders engines.
+    EnginesWanted {
+        /// Of this service.
+        service: Arc<str>,
+        /// In this hall.
+        hall: HallId,
+        /// Of those that may be taken away, or of the others.
+        cheap: bool,
+        /// How many there should be.
+        wanted: u32,
+        /// How many take work.
+        there: u32,
+        /// Prompt tokens that callers ask to be read, a second.
+        tokens: u64,
+        /// Tokens that an engine reads in a second.
+        speed: u64,
+        /// Requests under way.
+        calls: u64,
+        /// The order's fence.
+        fence: u64,
+    },
     /// A call that only the holder of a duty makes has ended.
     DutyCalled {
         /// The duty.
@@ -371,6 +392,8 @@
         fence: u64,
         /// How it ended.
         outcome: String,
+        /// The beginning of what the receiver said.
+        said: String,
         /// How long it took, in milliseconds.
         took_ms: u64,
         /// How long before it that happened which it told, in milliseconds.
--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -48,6 +48,7 @@
             address: format!("10.0.{}.{}:80", number / 250, number % 250).into(),
             hall: format!("hall-{}", number % 3).as_str().into(),
             slots: 64,
+            cheap: false,
             phase: Phase::Ready,
             sequence: 1,
         };
@@ -57,6 +58,7 @@
             calls: 9,
             unread: 4_000,
             held: 60_000,
+            asked: 9_000,
             ended: 40,
             failed: 0,
         };
@@ -95,7 +97,7 @@
 
 fn to_plan(engines: bool) -> Plan {
     let engine = Engine { slots: 64, memory: 290_000, copies: true, event_tokens: 7, move_speed: 3_000.0 };
-    let service = Service { name: "svc".into(), connections: 800, engine: engines.then_some(engine) };
+    let service = Service { name: "svc".into(), connections: 800, engine: engines.then_some(engine), scaling: None };
     let mut plan = Plan::new(1, Limits::default());
     plan.services.insert("svc".into(), service);
     for (name, pause) in [("quick", 300), ("slow", 1_200)] {
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -213,8 +213,7 @@
     reused: bool,
     left: Duration,
 ) {
-    // The answer that proves the configuration also tells the others' work.
-    let others = shared.proof_age().unwrap_or_default();
+    let others = shared.work_age() / 2;
     shared.log.write(What::CallSent {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -170,5 +170,5 @@
     fn write_duty(&self, duties: &Duties, fence: Fence, call: &DutyCall) -> Request<Full<Bytes>>;
 
     /// What the answer to such a call says.
-    fn read_duty(&self, status: StatusCode, body: &[u8]) -> CallOutcome;
+    fn read_duty(&self, call: &DutyCall, status: StatusCode, body: &[u8]) -> CallOutcome;
 }
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -8,7 +8,9 @@
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use eyre::{Context as _, Result};
-use rudder_core::{Effect, Event, Me, PeerMessage, Phase, Registration, State, clock, peer::Load};
+use rudder_core::{
+    Effect, Event, Me, PeerMessage, Phase, Registration, State, clock, options::DutyOptions, peer::Load,
+};
 use rudder_events::What;
 use rudder_model::{EndpointId, InstanceId};
 use rudder_replica::{Durable, ReplicaId};
@@ -37,8 +39,8 @@
     Send(InstanceId, PeerMessage),
     /// The view changed.
     Published(Box<Published>),
-    /// The work of the other instances at endpoints changed.
-    Others(Vec<Load>),
+    /// The work of the other instances at endpoints, and when it was so.
+    Others(Vec<Load>, Instant),
     /// The view is proved the newest as of this time.
     Proved(Instant),
     /// Somebody's ticket is answered.
@@ -143,7 +145,7 @@
         keep: options.keep,
         snapshot_bytes: SNAPSHOT,
         tree: options.policy.relays.clone(),
-        duties: options.duties.as_ref().map(|duties| duties.core.clone()).unwrap_or_default(),
+        duties: to_duties(options),
         replica: rudder_replica::Options {
             heartbeat: Duration::from_millis(75),
             election: Duration::from_millis(400),
@@ -158,6 +160,13 @@
     }
 }
 
+/// The duties of the settings, with what the policy says of them.
+fn to_duties(options: &Options) -> DutyOptions {
+    let Some(duties) = &options.duties else { return DutyOptions::default() };
+    let scaling = duties.core.scaling.as_ref().map(|_| options.policy.scaling.clone());
+    DutyOptions { scaling, ..duties.core.clone() }
+}
+
 impl Driver {
     /// Where the replica stands, for the metrics.
     pub fn standing(&self) -> Arc<Standing> {
@@ -242,7 +251,8 @@
         let view = &self.state.view;
         if view.works != self.works {
             self.works = view.works;
-            self.batch.push(Notice::Others(view.others.clone()));
+            let at = self.epoch + view.others_at().unwrap_or_default();
+            self.batch.push(Notice::Others(view.others.clone(), at));
         }
         if view.proved() != self.proved {
             self.proved = view.proved();
--- a/crates/rudder-gateway/src/duty.rs
+++ b/crates/rudder-gateway/src/duty.rs
@@ -21,6 +21,8 @@
 /// An answer is waited for this long. A call without one may still be carried out; reports can be repeated, and an order
 /// is told from later ones by its fence.
 const ANSWER: Duration = Duration::from_millis(2500);
+/// Characters of an answer that are logged at most.
+const SAID_MOST: usize = 120;
 /// Largest answer that is read.
 const BODY: usize = 64 << 10;
 
@@ -37,37 +39,55 @@
     pub call: DutyCall,
 }
 
+/// How a call ended, and the beginning of what the receiver said.
+struct Ended {
+    outcome: CallOutcome,
+    said: String,
+}
+
+impl Ended {
+    fn without_answer(outcome: CallOutcome) -> Ended {
+        Ended { outcome, said: String::new() }
+    }
+}
+
 /// Makes a call and tells the reducer how it ended.
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>, errand: Errand) {
     let began = Instant::now();
     let outcome = match &shared.options.duties {
         Some(duties) => send(&shared, duties, &errand).await,
-        None => CallOutcome::Lapsed,
+        None => Ended::without_answer(CallOutcome::Lapsed),
     };
+    let Ended { outcome, said } = outcome;
     shared.metrics.note_duty(errand.call.kind(), outcome);
     shared.log.write(What::DutyCalled {
         duty: errand.call.kind().to_owned(),
         subject: errand.call.subject(),
         fence: errand.fence,
         outcome: format!("{outcome:?}").to_lowercase(),
+        said,
         took_ms: began.elapsed().as_millis() as u64,
         age_ms: errand.age.as_millis() as u64,
     });
     shared.tell(Event::Called { ticket: errand.ticket, outcome });
 }
 
-async fn send<D: Dialect>(shared: &Shared<D>, duties: &Duties, errand: &Errand) -> CallOutcome {
+async fn send<D: Dialect>(shared: &Shared<D>, duties: &Duties, errand: &Errand) -> Ended {
     let request = shared.dialect.write_duty(duties, errand.fence, &errand.call);
     let Ok(mut connection) = upstream::connect(&duties.receiver.to_string(), CONNECT).await else {
-        return CallOutcome::Unknown;
+        return Ended::without_answer(CallOutcome::Unknown);
     };
     if !shared.holds_duties() {
-        return CallOutcome::Lapsed;
+        return Ended::without_answer(CallOutcome::Lapsed);
     }
     let answer = tokio::time::timeout(ANSWER, exchange(&mut connection, request)).await;
     match answer {
-        Ok(Some((status, body))) => shared.dialect.read_duty(status, &body),
-        Ok(None) | Err(_) => CallOutcome::Unknown,
+        Ok(Some((status, body))) => {
+            let text = String::from_utf8_lossy(&body);
+            let said = format!("{} {}", status.as_u16(), text.chars().take(SAID_MOST).collect::<String>());
+            Ended { outcome: shared.dialect.read_duty(&errand.call, status, &body), said }
+        }
+        Ok(None) | Err(_) => Ended::without_answer(CallOutcome::Unknown),
     }
 }
 
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod recent;
 pub mod roster;
 pub mod run;
+pub mod scaling;
 pub mod serve;
 pub mod shared;
 pub mod stop;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -293,6 +293,7 @@
     pub fn note_duty(&self, duty: &'static str, outcome: CallOutcome) {
         let outcome = match outcome {
             CallOutcome::Taken => "taken",
+            CallOutcome::NoneLeft => "none_left",
             CallOutcome::Outranked => "outranked",
             CallOutcome::Busy => "busy",
             CallOutcome::Lapsed => "lapsed",
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -139,6 +139,7 @@
             address: "".into(),
             hall: shared.options.hall.clone(),
             slots: 0,
+            cheap: false,
             phase: Phase::Gone,
             sequence: 0,
         },
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use rudder_route::scale::Bounds;
+
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -71,6 +73,8 @@
     pub connections: u32,
     /// Its endpoints' engine, where they generate.
     pub engine: Option<Engine>,
+    /// How many endpoints may be ordered, where any may.
+    pub scaling: Option<Bounds>,
 }
 
 /// What the engines of a service are able to do.
@@ -169,6 +173,16 @@
     /// A route without time.
     #[error("route {0} has a time-out of nothing")]
     NoTimeout(String),
+    /// What a service says of ordering its endpoints cannot be used.
+    #[error("service {service}: {key}: {why}")]
+    Scaling {
+        /// The service.
+        service: String,
+        /// The field.
+        key: String,
+        /// What is wrong with it.
+        why: String,
+    },
     /// Two organisations share a key.
     #[error("organisations {0} and {1} share a key")]
     SharedKey(String, String),
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use rudder_core::tree::Tree;
+use rudder_route::scale::ScaleOptions;
 use serde::Deserialize;
 
 /// Why a policy file is refused.
@@ -53,6 +54,8 @@
     pub guard: GuardPolicy,
     /// Who asks the leader for news and who a relay.
     pub relays: Tree,
+    /// How many engines are ordered.
+    pub scaling: ScaleOptions,
 }
 
 /// Engines set apart for streams that suffer from long prompts beside them.
@@ -159,6 +162,8 @@
     }
 }
 
+/// Longest time in seconds for which demand may be remembered: a day.
+const HOLD_MOST: f64 = 86_400.0;
 /// Largest factor of a time or speed that can be meant.
 const FACTOR_MOST: f64 = 1000.0;
 
@@ -212,6 +217,9 @@
             ("lanes.largest", self.lanes.largest),
             ("lanes.smallest", self.lanes.smallest),
             ("choice.again_most", self.choice.again_most),
+            ("scaling.reading", self.scaling.reading),
+            ("scaling.slots", self.scaling.slots),
+            ("scaling.floor", self.scaling.floor),
         ];
         let factors = [
             ("choice.copy_speed", self.choice.copy_speed),
@@ -220,6 +228,7 @@
         ];
         check_all(&shares, 1.0)?;
         check_all(&factors, FACTOR_MOST)?;
+        check_all(&[("scaling.hold", self.scaling.hold)], HOLD_MOST)?;
         check_counts(&[
             ("relays.direct", self.relays.direct, DIRECT_LEAST),
             ("relays.askers", self.relays.askers, 1),
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -24,6 +24,7 @@
     duty,
     logging::Log,
     peers::{self, Links},
+    scaling,
     serve::{self, Door},
     shared::Shared,
     stop,
@@ -33,6 +34,8 @@
 const HOUSEKEEPING: Duration = Duration::from_millis(60);
 /// A planned stop waits this long for its last counts to be taken.
 const LAST_COUNTS: Duration = Duration::from_millis(800);
+/// Time between descriptions of services to the holder of duties: a tenth of the time that an engine takes to start.
+const DESCRIBE: Duration = Duration::from_millis(400);
 /// Lines that are still in the log's queue get this long.
 const LAST_LINES: Duration = Duration::from_millis(120);
 
@@ -134,7 +137,7 @@
             match notice {
                 Notice::Send(to, message) => links.send(&to, message),
                 Notice::Published(published) => shared.publish(*published),
-                Notice::Others(others) => shared.take_others(&others),
+                Notice::Others(others, at) => shared.take_others(&others, at),
                 Notice::Proved(proved) => drop(shared.proof.send_replace(Some(proved))),
                 Notice::Reply(ticket, reply) => shared.tickets.reply(ticket, reply),
                 Notice::Errand(errand) => drop(tokio::task::spawn_local(duty::run(shared.clone(), *errand))),
@@ -149,10 +152,15 @@
 /// Closes what has rested too long, and tells the reducer what is under way.
 async fn keep_house<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut told = Vec::new();
+    let mut described = Instant::now();
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         shared.pool.borrow_mut().age(Instant::now());
         shared.tell_begun();
+        if shared.holds_duties() && described.elapsed() >= DESCRIBE {
+            described = Instant::now();
+            shared.tell(Event::Services(scaling::to_states(&shared, described)));
+        }
         let loads = shared.balance.borrow_mut().to_loads(Instant::now());
         if loads != told {
             told.clone_from(&loads);
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -117,6 +117,8 @@
     pub plan: RefCell<Option<Rc<Plan>>>,
     /// When the question was sent whose answer proves the plan the newest.
     pub proof: watch::Sender<Option<Instant>>,
+    /// When the others' work was as it is known here.
+    pub others_at: Cell<Option<Instant>>,
     /// Work under way at endpoints.
     pub balance: Rc<RefCell<Balance>>,
     /// Outcomes at endpoints.
@@ -164,6 +166,7 @@
             fields: RefCell::default(),
             plan: RefCell::new(None),
             proof: watch::Sender::new(None),
+            others_at: Cell::new(None),
             balance: Rc::default(),
             health: RefCell::default(),
             reading: RefCell::default(),
@@ -210,10 +213,9 @@
         self.proof.borrow().map(|proof| proof.elapsed())
     }
 
-    /// How old the others' work is that is known here: it was told on the way that the proof came by, which takes about
-    /// as long in one direction as in the other.
+    /// How old the others' work is that is known here: it takes about as long to be told by them as it took to come here.
     pub fn work_age(&self) -> Duration {
-        self.proof_age().unwrap_or_default() * 2
+        self.others_at.get().map(|at| at.elapsed()).unwrap_or_default() * 2
     }
 
     /// When a request that lacks proof of the configuration should come back: after the rest of a start, or
@@ -263,7 +265,8 @@
     }
 
     /// Takes in the work of the other instances at endpoints.
-    pub fn take_others(&self, others: &[Load]) {
+    pub fn take_others(&self, others: &[Load], at: Instant) {
+        self.others_at.set(Some(at));
         self.balance.borrow_mut().set_others(others);
         self.judge();
         self.fields.borrow_mut().clear();
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -23,6 +23,7 @@
         address: format!("10.0.0.{number}:80").into(),
         hall: format!("hall-{}", number % 3).as_str().into(),
         slots: 64,
+        cheap: false,
         phase: Phase::Ready,
         sequence: 1,
     };
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -23,7 +23,7 @@
 
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
-    plan.services.insert("app".into(), Service { name: "app".into(), connections: 100, engine: None });
+    plan.services.insert("app".into(), Service { name: "app".into(), connections: 100, engine: None, scaling: None });
     let route = Route {
         name: "lock".into(),
         host: "h".into(),
@@ -49,6 +49,7 @@
         address: format!("10.0.0.{number}:80").into(),
         hall: format!("hall-{number}").as_str().into(),
         slots: SLOTS,
+        cheap: false,
         phase: Phase::Ready,
         sequence: 1,
     };
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -43,7 +43,7 @@
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
     let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed: 4000.0 });
-    plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
+    plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine, scaling: None });
     for route in [route("recap", 1000, 2), route("answer", 400, 1), route("grade", 250, 0)] {
         plan.add_route(route).expect("it fits");
     }
@@ -57,6 +57,7 @@
         address: format!("10.0.0.{number}:80").into(),
         hall: "a".into(),
         slots: 64,
+        cheap: false,
         phase: Phase::Ready,
         sequence: 1,
     };
@@ -304,7 +305,7 @@
         $($(#[$meta])* #[test] fn $name() {
             let mut plan = Plan::new(1, Limits::default());
             let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: $tokens, move_speed: 0.0 });
-            plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine });
+            plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine, scaling: None });
             for pause in [$($pause),+] {
                 plan.add_route(route(&format!("p{pause}"), pause, 0)).expect("it fits");
             }
--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pool;
 pub mod preempt;
 pub mod queue;
+pub mod scale;
 pub mod site;
 
 pub use ask::{Ask, Decision, Ending, Holding};
--- /dev/null
+++ b/crates/rudder-route/src/scale.rs
@@ -0,0 +1,297 @@
+//! How many engines a service should have in each hall, and of which kind.
+//!
+//! Engines that may be taken away at short notice cost a small part of the others, so what is needed stands on them,
+//! spread over the halls with so many more that the loss of all of one hall leaves enough. Engines at full price are the
+//! floor below that, and what fills in where none of the cheap ones are to be had.
+//!
+//! The policy knows no clock: time comes in with each call, and what it remembers of the demand is its own.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    time::Duration,
+};
+
+use rudder_model::HallId;
+use serde::Deserialize;
+
+/// Time between two samples of demand that are remembered.
+const SAMPLE: Duration = Duration::from_secs(1);
+/// From the first look until all engines have been heard of: two periods of their heartbeats.
+const GATHER: Duration = Duration::from_secs(3);
+/// Demand counts as pressing for this long: shorter swings are over before an engine has started.
+const PRESSING: Duration = Duration::from_secs(3);
+/// Engines of one hall at a time are let go while there is demand, this long apart: the sessions that they kept are read
+/// again elsewhere.
+const LET_GO_PAUSE: Duration = Duration::from_secs(4);
+
+/// Cheap engines that have become spare are kept this long: a hall whose engines were all taken away has new ones after
+/// about ten seconds, and is as likely to lose them again as any.
+const SPARE_KEPT: Duration = Duration::from_secs(30);
+
+/// What the configuration allows for a service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Bounds {
+    /// Engines in a hall at least, both kinds together.
+    pub least: u32,
+    /// Engines in a hall at most, both kinds together.
+    pub most: u32,
+    /// From an order until a new engine serves.
+    pub boot: Duration,
+    /// What an engine that may be taken away costs, as a part of the others; `None` where there are none.
+    pub cheap: Option<f64>,
+    /// Price of an engine by hall.
+    pub prices: BTreeMap<HallId, f64>,
+}
+
+/// Engines of one hall.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HallEngines {
+    /// The hall.
+    pub hall: HallId,
+    /// Engines at full price that take work.
+    pub full: u32,
+    /// Engines that may be taken away and that take work.
+    pub cheap: u32,
+    /// No more that may be taken away are to be had here for now.
+    pub barred: bool,
+}
+
+/// The work that callers ask of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Prompt tokens to be read in a second.
+    pub tokens: f64,
+    /// Tokens that an engine reads in a second; 0 while that is not known.
+    pub speed: f64,
+    /// Requests under way.
+    pub calls: f64,
+    /// Requests that an engine works on at once.
+    pub slots: f64,
+}
+
+/// Engines that a hall should have.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// The hall.
+    pub hall: HallId,
+    /// Engines at full price.
+    pub full: u32,
+    /// Engines that may be taken away.
+    pub cheap: u32,
+}
+
+/// Settings of the policy.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+pub struct ScaleOptions {
+    /// Orders are given at all.
+    pub enabled: bool,
+    /// Part of its reading speed that an engine is to be used for: at more, long prompts wait for each other.
+    pub reading: f64,
+    /// Part of its slots that an engine is to be used for.
+    pub slots: f64,
+    /// Seconds for which the highest demand is remembered: engines are let go only after it.
+    pub hold: f64,
+    /// Engines at full price, as a part of what is needed.
+    pub floor: f64,
+    /// Engines beyond those needed, so that the loss of all of one hall that may be taken away leaves enough.
+    pub reserve: bool,
+}
+
+impl Default for ScaleOptions {
+    fn default() -> Self {
+        ScaleOptions { enabled: true, reading: 0.4, slots: 0.5, hold: 120.0, floor: 0.0, reserve: true }
+    }
+}
+
+/// Engines that the demand needs.
+#[derive(Clone, Copy, Debug)]
+struct Needs {
+    /// For the highest demand remembered, or as many as the operator had.
+    lasting: u32,
+    /// For the demand of the last seconds: worth engines at full price where there are no others.
+    pressing: u32,
+}
+
+/// The policy for one service, and what it remembers of its demand.
+#[derive(Clone, Debug, Default)]
+pub struct Scaler {
+    samples: VecDeque<(Duration, f64)>,
+    /// When it was first asked.
+    began: Option<Duration>,
+    /// Engines that were there at first, which is what the operator took for needed.
+    first: f64,
+    /// When demand was first seen.
+    since: Option<Duration>,
+    let_go: Option<Duration>,
+    /// Since when a hall has had more cheap engines than planned.
+    spare: BTreeMap<HallId, Duration>,
+}
+
+impl Scaler {
+    /// What each hall should have; nothing while the engines that there are have not all been heard of.
+    pub fn plan(
+        &mut self,
+        now: Duration,
+        bounds: &Bounds,
+        demand: &Demand,
+        halls: &[HallEngines],
+        options: &ScaleOptions,
+    ) -> Vec<Wanted> {
+        let needs = self.needs(now, demand, halls, options);
+        if now < *self.began.get_or_insert(now) + GATHER {
+            return Vec::new();
+        }
+        let mut wanted = spread(needs, bounds, halls, options);
+        self.keep_until_replaced(now, needs.lasting, bounds, (demand, halls), &mut wanted);
+        self.keep_spare(now, halls, &mut wanted);
+        for want in &mut wanted {
+            // An order for cheap ones waits for room below the bound on both kinds.
+            want.cheap = want.cheap.min(bounds.most.saturating_sub(want.full));
+        }
+        wanted
+    }
+
+    /// Engines needed for the demand that there is and that there was.
+    fn needs(&mut self, now: Duration, demand: &Demand, halls: &[HallEngines], options: &ScaleOptions) -> Needs {
+        let began = *self.began.get_or_insert(now);
+        if now < began + GATHER {
+            self.first = self.first.max(f64::from(count_bearing(halls, options)));
+        }
+        let hold = Duration::try_from_secs_f64(options.hold).unwrap_or_default();
+        let reading = if demand.speed > 0.0 { demand.tokens / (demand.speed * options.reading) } else { 0.0 };
+        let slots = demand.calls / (demand.slots * options.slots).max(1.0);
+        let asked = reading.max(slots);
+        if asked > 0.0 {
+            self.since.get_or_insert(now);
+        }
+        if self.samples.back().is_none_or(|(at, _)| now >= *at + SAMPLE) {
+            self.samples.push_back((now, asked));
+        }
+        while self.samples.front().is_some_and(|(at, _)| now >= *at + hold) {
+            self.samples.pop_front();
+        }
+        let highest = |since: Duration| {
+            let recent = self.samples.iter().filter(|(at, _)| *at >= since);
+            recent.map(|(_, asked)| *asked).fold(asked, f64::max)
+        };
+        let peak = highest(Duration::ZERO);
+        // Until demand has been watched for as long as it is remembered, the operator's count stands.
+        let watched = self.since.is_some_and(|since| now >= since + hold);
+        let lasting = if watched { peak } else { peak.max(self.first) };
+        let pressing = highest(now.saturating_sub(PRESSING));
+        Needs { lasting: (lasting.ceil() as u32).max(1), pressing: pressing.ceil() as u32 }
+    }
+
+    /// Keeps cheap engines that have just become spare: they stood in for a hall that lost its own, and may have to again.
+    fn keep_spare(&mut self, now: Duration, halls: &[HallEngines], wanted: &mut [Wanted]) {
+        for (want, held) in wanted.iter_mut().zip(halls) {
+            if held.cheap <= want.cheap {
+                self.spare.remove(&held.hall);
+                continue;
+            }
+            let since = *self.spare.entry(held.hall.clone()).or_insert(now);
+            if now < since + SPARE_KEPT {
+                want.cheap = held.cheap;
+            }
+        }
+    }
+
+    /// Keeps engines at full price beyond the plan until others have taken their place, and then lets those of one hall
+    /// go at a time.
+    fn keep_until_replaced(
+        &mut self,
+        now: Duration,
+        needed: u32,
+        bounds: &Bounds,
+        (demand, halls): (&Demand, &[HallEngines]),
+        wanted: &mut [Wanted],
+    ) {
+        let planned: u32 = wanted.iter().map(|want| want.full).sum();
+        let cheap: u32 = halls.iter().map(|held| held.cheap).sum();
+        let mut lacking = needed.saturating_sub(planned + cheap);
+        let busy = demand.calls > 0.0;
+        for (want, held) in wanted.iter_mut().zip(halls) {
+            let extra = held.full.saturating_sub(want.full);
+            if extra == 0 {
+                continue;
+            }
+            let paused = busy && self.let_go.is_some_and(|at| now < at + LET_GO_PAUSE);
+            let kept = if paused { extra } else { extra.min(lacking) };
+            lacking -= kept.min(lacking);
+            if kept < extra {
+                self.let_go = Some(now);
+            }
+            want.full = (want.full + kept).min(bounds.most);
+        }
+    }
+}
+
+/// Engines that there are without the reserve for the loss of a hall: an instance that takes over must not take the
+/// reserve for needed and order one for it too.
+fn count_bearing(halls: &[HallEngines], options: &ScaleOptions) -> u32 {
+    let total: u32 = halls.iter().map(|held| held.full + held.cheap).sum();
+    let largest = halls.iter().map(|held| held.cheap).max().unwrap_or_default();
+    total - if options.reserve { largest } else { 0 }
+}
+
+/// A hall in the making of a plan.
+struct Place<'a> {
+    held: &'a HallEngines,
+    price: f64,
+    /// Cheap ones are to be had here.
+    open: bool,
+    full: u32,
+    cheap: u32,
+}
+
+impl Place<'_> {
+    /// Cheap engines that can be counted on: what is ordered where none are to be had may come later.
+    fn counted(&self) -> u32 {
+        if self.open { self.cheap } else { self.held.cheap }
+    }
+
+    fn room(&self, bounds: &Bounds) -> u32 {
+        bounds.most.saturating_sub(self.full + self.counted())
+    }
+}
+
+/// Spreads what is needed over the halls.
+fn spread(needs: Needs, bounds: &Bounds, halls: &[HallEngines], options: &ScaleOptions) -> Vec<Wanted> {
+    let to_place = |held| Place {
+        held,
+        price: bounds.prices.get(&held.hall).copied().unwrap_or(1.0),
+        open: bounds.cheap.is_some() && !held.barred,
+        full: 0,
+        cheap: 0,
+    };
+    let needed = needs.lasting;
+    let mut places: Vec<Place> = halls.iter().map(to_place).collect();
+    let floor = if bounds.cheap.is_some() { (f64::from(needed) * options.floor).ceil() as u32 } else { 0 };
+    add_full(floor, bounds, &mut places);
+    let count = places.iter().filter(|place| place.open).count() as u32;
+    if count > 0 {
+        // Without one of the halls the others have to be enough.
+        let bearing = if options.reserve && count > 1 { count - 1 } else { count };
+        let each = needed.saturating_sub(floor).div_ceil(bearing).max(bounds.least);
+        for place in &mut places {
+            place.cheap = each.min(bounds.most.saturating_sub(place.full));
+        }
+    }
+    let planned: u32 = places.iter().map(|place| place.full + place.counted()).sum();
+    add_full(needs.pressing.saturating_sub(planned), bounds, &mut places);
+    for place in &mut places {
+        place.full += bounds.least.saturating_sub(place.full + place.cheap);
+    }
+    places.iter().map(|place| Wanted { hall: place.held.hall.clone(), full: place.full, cheap: place.cheap }).collect()
+}
+
+/// Adds engines at full price, in turn to the halls with room, the cheapest first.
+fn add_full(count: u32, bounds: &Bounds, places: &mut [Place]) {
+    for _ in 0..count {
+        let with_room = places.iter_mut().filter(|place| place.room(bounds) > 0);
+        let next = with_room.min_by(|one, other| one.full.cmp(&other.full).then(one.price.total_cmp(&other.price)));
+        let Some(next) = next else { return };
+        next.full += 1;
+    }
+}
