--- a/crates/hatchrudder/src/command/events.rs
+++ b/crates/hatchrudder/src/command/events.rs
@@ -18,6 +18,26 @@
     Ok(true)
 }
 
+/// Tells what the holder of duties did about a hall's engines or a window's report.
+pub(super) fn duty(arguments: Arguments) -> Result<bool, Error> {
+    let words = to_words(arguments)?;
+    let [topic, files @ ..] = words.as_slice() else {
+        return Err(Error::Usage("duty needs HALL or WINDOW and at least one FILE".to_owned()));
+    };
+    if files.is_empty() {
+        return Err(Error::Usage("duty needs at least one FILE".to_owned()));
+    }
+    let lines = rudder_events::timeline(&to_paths(files)).wrap_err("merge event logs")?;
+    let story = rudder_events::explain_duty(topic, &lines);
+    for sentence in &story {
+        println!("{sentence}");
+    }
+    if story.is_empty() {
+        eprintln!("no event of a duty is about {topic}");
+    }
+    Ok(!story.is_empty())
+}
+
 /// Tells the story of one request.
 pub(super) fn explain(arguments: Arguments) -> Result<bool, Error> {
     let words = to_words(arguments)?;
--- a/crates/hatchrudder/src/command/mod.rs
+++ b/crates/hatchrudder/src/command/mod.rs
@@ -46,6 +46,7 @@
         "load" => load::load(arguments),
         "timeline" => events::timeline(arguments),
         "explain" => events::explain(arguments),
+        "duty" => events::duty(arguments),
         _ => Err(Error::Usage(format!("there is no command {name}"))),
     }
 }
--- a/crates/hatchrudder/src/help.rs
+++ b/crates/hatchrudder/src/help.rs
@@ -17,6 +17,7 @@
   load       latency, throughput, streams, changes against running processes
   timeline   merges event logs into one time line
   explain    tells what happened to one request
+  duty       tells why engines were ordered in a hall, or what became of a window's report
 
 hatchrudder COMMAND --help tells more. --version shows the version.
 Exit codes: 0 done, 1 failed or a promise broke, 2 wrong use or refused settings.";
@@ -115,6 +116,11 @@
 Tells from the event logs of all processes why a request went where it went, waited or was refused.
 REQUEST is the id in the answer's header x-request-id.";
 
+const DUTY: &str = "usage: hatchrudder duty HALL|WINDOW FILE...
+
+Tells from the event logs of all processes what the holder of duties did about the engines of a hall, or about the
+report of a window: what it wanted and why, each call and its outcome, and who held the duties when.";
+
 /// The help of a command; that of all commands for an unknown one.
 pub(crate) fn of(name: &str) -> &'static str {
     match name {
@@ -131,6 +137,7 @@
         "load" => LOAD,
         "timeline" => TIMELINE,
         "explain" => EXPLAIN,
+        "duty" => DUTY,
         _ => ALL,
     }
 }
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -53,6 +53,8 @@
     led_since: Option<Duration>,
     founders: BTreeMap<InstanceId, ReplicaId>,
     foreign: bool,
+    /// The term in which this process founded the log.
+    founded: Option<u64>,
     founding_at: Option<Duration>,
     registry: Registry,
     watchers: Watchers,
@@ -82,6 +84,7 @@
             led_since: None,
             founders: BTreeMap::new(),
             foreign: false,
+            founded: None,
             founding_at: None,
             registry: Registry::default(),
             watchers: Watchers::default(),
@@ -98,9 +101,16 @@
     /// The term in which this instance holds duties: it leads, with its lease, and `handover` has passed since it began.
     pub fn duty_term(&self, now: Duration, handover: Duration) -> Option<u64> {
         let since = self.leads_since(now)?;
+        let handover = if self.is_first_leader() { Duration::ZERO } else { handover };
         (now >= since + handover).then(|| self.replica.term())
     }
 
+    /// True where this process founded the log and won the first election after that: nobody has led before it, so there
+    /// is nobody to take duties over from.
+    fn is_first_leader(&self) -> bool {
+        self.founded.is_some_and(|term| self.replica.term() <= term + 1)
+    }
+
     /// Until when duties may be carried out without a further look; `None` where they are not held.
     pub fn duty_until(&self, now: Duration, handover: Duration) -> Option<Duration> {
         self.duty_term(now, handover).map(|_| self.replica.lease_end())
@@ -289,6 +299,7 @@
         if let Some(members) = members {
             let data = Ledger::default().try_to_bytes().expect("an empty state can be encoded");
             self.replica.found(members, data, outputs);
+            self.founded = Some(self.replica.term());
             return;
         }
         if self.founding_at.is_some_and(|at| now < at + FOUNDING_RETRY) {
--- a/crates/rudder-core/src/duties/mod.rs
+++ b/crates/rudder-core/src/duties/mod.rs
@@ -209,8 +209,13 @@
     pub(crate) fn on_services(&mut self, mut context: Context, states: Vec<ServiceState>) {
         let options = context.options;
         let Some(scaling) = options.duties.scaling.as_ref().filter(|scaling| scaling.enabled) else { return };
+        if context.control.leads_since(context.now).is_none() {
+            return;
+        }
+        // Before the handover is over it watches, so that it knows all engines when it may order.
+        let plans = self.scaling.plan(context.now, states, scaling);
         if self.take_hold(&mut context) {
-            self.scaling.note(&mut context, states, scaling, &mut self.tickets);
+            self.scaling.order_all(&mut context, plans, &mut self.tickets);
         }
     }
 
--- a/crates/rudder-core/src/duties/scaling.rs
+++ b/crates/rudder-core/src/duties/scaling.rs
@@ -9,7 +9,7 @@
 
 use rudder_events::What;
 use rudder_model::HallId;
-use rudder_route::scale::{Bounds, Demand, HallEngines, ScaleOptions, Scaler};
+use rudder_route::scale::{Bounds, Demand, HallEngines, ScaleOptions, Scaler, Wanted};
 
 use super::{Backoff, CallOutcome, Context, DutyCall, fence};
 use crate::Effect;
@@ -34,6 +34,13 @@
     pub halls: Vec<HallEngines>,
 }
 
+/// What a service should have.
+#[derive(Debug)]
+pub(crate) struct Plan {
+    state: ServiceState,
+    wanted: Vec<Wanted>,
+}
+
 /// What an order is about: engines of one kind of a service in a hall.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Subject {
@@ -70,31 +77,33 @@
         self.fences = 0;
     }
 
-    /// Orders what the services lack. `tickets` counts the calls of all duties.
-    pub(crate) fn note(
-        &mut self,
-        context: &mut Context,
-        states: Vec<ServiceState>,
-        options: &ScaleOptions,
-        tickets: &mut u64,
-    ) {
-        let now = context.now;
-        for state in states {
-            let mut halls = state.halls;
-            for held in &mut halls {
+    /// What the policy wants for each service.
+    pub(crate) fn plan(&mut self, now: Duration, states: Vec<ServiceState>, options: &ScaleOptions) -> Vec<Plan> {
+        let mut plans = Vec::with_capacity(states.len());
+        for mut state in states {
+            for held in &mut state.halls {
                 let subject = Subject { service: state.service.clone(), hall: held.hall.clone(), cheap: true };
                 held.barred = self.orders.get(&subject).is_some_and(|standing| standing.barred);
             }
             let scaler = self.scalers.entry(state.service.clone()).or_default();
-            let wanted = scaler.plan(now, &state.bounds, &state.demand, &halls, options);
+            let wanted = scaler.plan(now, &state.bounds, state.demand, &state.halls, options);
+            plans.push(Plan { state, wanted });
+        }
+        plans
+    }
+
+    /// Orders what the services lack. `tickets` counts the calls of all duties.
+    pub(crate) fn order_all(&mut self, context: &mut Context, plans: Vec<Plan>, tickets: &mut u64) {
+        for Plan { state, wanted } in plans {
+            let ServiceState { service, bounds, demand, halls } = state;
             for (want, held) in wanted.iter().zip(&halls) {
-                let kinds = [(false, want.full, held.full), (true, want.cheap, held.cheap)];
+                // First those at full price: where fewer are wanted, that makes room for cheap ones.
+                let cheap = bounds.cheap.map(|_| want.cheap);
+                let kinds = [(false, want.full, held.full), (true, cheap, held.cheap)];
                 for (cheap, count, there) in kinds {
-                    if cheap && state.bounds.cheap.is_none() {
-                        continue;
-                    }
-                    let subject = Subject { service: state.service.clone(), hall: want.hall.clone(), cheap };
-                    self.order(context, subject, (count, there), state.bounds.boot, &state.demand, tickets);
+                    let Some(count) = count else { continue };
+                    let subject = Subject { service: service.clone(), hall: want.hall.clone(), cheap };
+                    self.order(context, subject, (count, there), bounds.boot, demand, tickets);
                 }
             }
         }
@@ -107,15 +116,15 @@
         subject: Subject,
         (count, there): (u32, u32),
         boot: Duration,
-        demand: &Demand,
+        demand: Demand,
         tickets: &mut u64,
     ) {
         let now = context.now;
-        let flying = self.orders.values().filter(|standing| standing.flying.is_some()).count();
+        if self.must_wait(now, &subject) {
+            return;
+        }
         let standing = self.orders.entry(subject.clone()).or_default();
-        standing.flying.take_if(|(_, _, since)| now >= *since + FORGET);
-        let rests = standing.flying.is_some() || standing.backoff.holds(now) || flying >= FLYING_MOST;
-        if rests || !standing.differs(now, count, there, boot) {
+        if standing.backoff.holds(now) || !standing.differs(now, count, there, boot) {
             return;
         }
         *tickets += 1;
@@ -129,15 +138,24 @@
             cheap,
             wanted: count,
             there,
-            tokens: demand.tokens as u64,
-            speed: demand.speed as u64,
-            calls: demand.calls as u64,
+            calls: demand.calls,
             fence,
         }));
         let call = DutyCall::Scale { service, hall, cheap, count };
         context.out.push(Effect::Call { ticket: *tickets, fence, age: Duration::ZERO, call });
     }
 
+    /// True while an order for the same hall is under way, or as many as may be. Both kinds share a hall's bound and its
+    /// fences: of two orders under way at once the second may come first, find no room, and make the first one stale.
+    fn must_wait(&mut self, now: Duration, subject: &Subject) -> bool {
+        for standing in self.orders.values_mut() {
+            standing.flying.take_if(|(_, _, since)| now >= *since + FORGET);
+        }
+        let flying = self.orders.iter().filter(|(_, standing)| standing.flying.is_some());
+        let same = |held: &Subject| held.service == subject.service && held.hall == subject.hall;
+        flying.clone().count() >= FLYING_MOST || flying.map(|(held, _)| held).any(same)
+    }
+
     /// Takes in how an order ended.
     pub(crate) fn on_called(&mut self, now: Duration, ticket: u64, outcome: CallOutcome) {
         let mut standings = self.orders.values_mut();
--- a/crates/rudder-core/src/loads.rs
+++ b/crates/rudder-core/src/loads.rs
@@ -103,7 +103,6 @@
     total.calls = total.calls.saturating_add(load.calls);
     total.unread = total.unread.saturating_add(load.unread);
     total.held = total.held.saturating_add(load.held);
-    total.asked = total.asked.saturating_add(load.asked);
     total.ended = total.ended.saturating_add(load.ended);
     total.failed = total.failed.saturating_add(load.failed);
 }
@@ -112,7 +111,6 @@
     total.calls = total.calls.saturating_sub(load.calls);
     total.unread = total.unread.saturating_sub(load.unread);
     total.held = total.held.saturating_sub(load.held);
-    total.asked = total.asked.saturating_sub(load.asked);
     total.ended = total.ended.saturating_sub(load.ended);
     total.failed = total.failed.saturating_sub(load.failed);
 }
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -140,8 +140,6 @@
     pub unread: u32,
     /// Tokens of memory that its requests may need, prompts and answers together.
     pub held: u32,
-    /// Prompt tokens sent of late.
-    pub asked: u32,
     /// Requests that ended of late.
     pub ended: u32,
     /// Of these, requests that failed by the endpoint.
@@ -151,12 +149,12 @@
 impl Load {
     /// No work at `endpoint`.
     pub fn none(endpoint: EndpointTag) -> Load {
-        Load { endpoint, calls: 0, unread: 0, held: 0, asked: 0, ended: 0, failed: 0 }
+        Load { endpoint, calls: 0, unread: 0, held: 0, ended: 0, failed: 0 }
     }
 
     /// True where there is nothing to tell.
     pub fn is_none(&self) -> bool {
-        self.calls == 0 && self.ended == 0 && self.asked == 0
+        self.calls == 0 && self.ended == 0
     }
 }
 
--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -12,6 +12,8 @@
 const SILENT: Duration = Duration::from_secs(5);
 /// An endpoint unheard for this long is taken off.
 const FORGET: Duration = Duration::from_secs(30);
+/// An endpoint that has just started says so in one of its first heartbeats; a later one may be old.
+const FIRST_HEARTBEATS: u64 = 2;
 /// An endpoint that has ended is remembered for this long, so that a late heartbeat does not revive it.
 const REMEMBER_GONE: Duration = Duration::from_secs(120);
 
@@ -59,6 +61,8 @@
     entries: Spread<EndpointId, Registration>,
     /// When each was last heard of, here.
     heard: HashMap<EndpointId, Duration>,
+    /// The last endpoint that came at each address.
+    addresses: HashMap<Arc<str>, EndpointId>,
 }
 
 /// What a heartbeat changed.
@@ -98,9 +102,19 @@
         &mut self,
         now: Duration,
         said: &Registration,
-        put: impl FnOnce(&mut Spread<EndpointId, Registration>, EndpointId, Registration),
+        put: impl Fn(&mut Spread<EndpointId, Registration>, EndpointId, Registration),
     ) -> Change {
-        let Some((next, change)) = self.judge(now, said) else { return Change::None };
+        let other = self.other_at(now, said);
+        if other.is_some() && said.sequence > FIRST_HEARTBEATS {
+            // A heartbeat that was held up on its way, of an endpoint that has ended since.
+            return Change::None;
+        }
+        let Some((next, mut change)) = self.judge(now, said) else { return Change::None };
+        if let Some(ended) = other {
+            put(&mut self.entries, ended.endpoint.clone(), Registration { phase: Phase::Gone, ..ended });
+            change = Change::Leave;
+        }
+        self.addresses.insert(next.address.clone(), next.endpoint.clone());
         let endpoint = next.endpoint.clone();
         if change == Change::None {
             // A sequence number alone is not told to all.
@@ -111,6 +125,16 @@
         change
     }
 
+    /// The endpoint that another one, unknown so far, wants to follow at its address, where it was heard of late.
+    fn other_at(&self, now: Duration, said: &Registration) -> Option<Registration> {
+        if said.phase != Phase::Ready || self.entries.get(&said.endpoint).is_some() {
+            return None;
+        }
+        let other = self.entries.get(self.addresses.get(&said.address)?)?;
+        let heard = self.heard.get(&other.endpoint).is_some_and(|heard| now < *heard + SILENT);
+        (heard && other.phase != Phase::Gone).then(|| other.clone())
+    }
+
     /// What an endpoint's word makes of its entry; `None` for a word that comes too late.
     fn judge(&mut self, now: Duration, said: &Registration) -> Option<(Registration, Change)> {
         let Some(held) = self.entries.get(&said.endpoint) else {
@@ -139,6 +163,8 @@
     pub fn lead(&mut self, now: Duration, term: u64) {
         self.entries.lead(term);
         self.heard = self.entries.keys().map(|endpoint| (endpoint.clone(), now)).collect();
+        let live = self.entries.values().filter(|held| held.phase < Phase::Gone);
+        self.addresses = live.map(|held| (held.address.clone(), held.endpoint.clone())).collect();
     }
 
     /// Ages the leader's entries: the unheard become silent, then are dropped.
@@ -158,6 +184,9 @@
             self.entries.remove(endpoint);
             self.heard.remove(endpoint);
         }
+        if !dropped.is_empty() {
+            self.addresses.retain(|_, endpoint| self.entries.get(endpoint).is_some());
+        }
         for registration in silent {
             self.entries.set(registration.endpoint.clone(), registration);
         }
@@ -177,11 +206,14 @@
         };
         let left = news.entries.iter().any(|told| leaves(&told.value));
         let told: Vec<EndpointId> = news.entries.iter().map(|told| told.key.clone()).collect();
+        let live = news.entries.iter().filter(|told| told.value.phase < Phase::Leaving);
+        let live: Vec<_> = live.map(|told| (told.value.address.clone(), told.key.clone())).collect();
         let heard = &self.heard;
         let recent = |endpoint: &EndpointId| heard.get(endpoint).is_some_and(|heard| now < *heard + SILENT);
         let taken = self.entries.take(news, is_later, |endpoint, _| recent(endpoint));
         if taken {
             self.heard.extend(told.into_iter().map(|endpoint| (endpoint, now)));
+            self.addresses.extend(live);
         }
         self.heard.retain(|endpoint, _| self.entries.get(endpoint).is_some());
         taken && left
@@ -192,6 +224,7 @@
         let heard = &self.heard;
         let old = |endpoint: &EndpointId| heard.get(endpoint).is_none_or(|heard| now >= *heard + REMEMBER_GONE);
         self.entries.retain_local(|endpoint, held| held.phase != Phase::Gone || !old(endpoint));
+        self.addresses.retain(|_, endpoint| self.entries.get(endpoint).is_some());
     }
 }
 
--- a/crates/rudder-core/tests/duties.rs
+++ b/crates/rudder-core/tests/duties.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use mesh::{
-    Layout, Mesh,
+    Layout, Mesh, Sabotage,
     receiver::{HANDOVER, Mood},
 };
 use rudder_core::{
@@ -236,7 +236,7 @@
 fn a_holder_that_does_not_look_at_its_lease_is_found() {
     let found = (0..40).any(|round| {
         let mut mesh = start();
-        mesh.unleased = true;
+        mesh.sabotage = Sabotage::Unleased;
         mesh.receiver.mood = Mood::Mute;
         for _ in 0..4 {
             serve(&mut mesh, Duration::from_millis(3000 + round * 50));
@@ -301,10 +301,21 @@
     assert_eq!(mesh.receiver.broken, Vec::<String>::new());
 }
 
+/// Both kinds share a hall's bound: an order for cheap ones that comes before the others were let go finds no room.
+#[test]
+fn orders_of_a_hall_do_not_overtake_each_other() {
+    let mut mesh = start();
+    mesh.unordered = true;
+    describe_for(&mut mesh, 5, FIRST, [0; 3]);
+    describe_for(&mut mesh, 3, FIRST, [20; 3]);
+    assert_eq!((ordered(&mesh, false), ordered(&mesh, true)), (vec![Some(0); 3], vec![Some(30); 3]));
+    assert_eq!(mesh.receiver.stale, 0);
+}
+
 #[test]
 fn an_order_whose_engines_do_not_come_is_given_again() {
     let mut mesh = start();
-    describe_for(&mut mesh, 9, FIRST, [0; 3]);
+    describe_for(&mut mesh, 6, FIRST, [0; 3]);
     assert_eq!(scale_calls(&mesh), 6);
     describe_for(&mut mesh, 3, FIRST, [0; 3]);
     assert_eq!(scale_calls(&mesh), 9, "cheap ones, 7 s after the first order");
@@ -344,6 +355,27 @@
     describe_for(&mut mesh, 6, FIRST, [0; 3]);
     mesh.receiver.mood = Mood::Answers;
     describe_for(&mut mesh, 8, [0; 3], [30; 3]);
+    mesh.receiver.carry_out_late(mesh.now);
     assert_eq!((ordered(&mesh, false), ordered(&mesh, true)), (vec![Some(0); 3], vec![Some(30); 3]));
     assert!(mesh.receiver.stale > 0, "the late ones came");
 }
+
+/// Nobody has led before the one that founded the log, so there is nobody to take duties over from.
+#[test]
+fn the_founder_of_the_log_orders_at_once() {
+    let duties = DutyOptions { handover: HANDOVER, usage: None, scaling: Some(ScaleOptions::default()) };
+    let layout = Layout { total: TOTAL, disks: DISKS, voters: DISKS, duties, ..Layout::default() };
+    let mut mesh = Mesh::start_as(layout);
+    mesh.run(Duration::from_millis(1200));
+    describe_for(&mut mesh, 1, FIRST, [0; 3]);
+    let founder = leader(&mesh);
+    assert_eq!((ordered(&mesh, false), ordered(&mesh, true)), (vec![None; 3], vec![Some(20); 3]));
+    mesh.kill(founder);
+    let killed = mesh.now;
+    mesh.run(Duration::from_millis(300));
+    mesh.boot(founder);
+    describe_for(&mut mesh, 9, FIRST, [0; 3]);
+    let later = mesh.receiver.made.iter().find(|made| made.at > killed).expect("orders").at;
+    assert!(later >= killed + HANDOVER, "{later:?}");
+    assert_eq!(mesh.receiver.broken, Vec::<String>::new());
+}
--- a/crates/rudder-core/tests/fleet.rs
+++ b/crates/rudder-core/tests/fleet.rs
@@ -9,7 +9,7 @@
 use std::{collections::BTreeMap, fmt::Write as _, time::Duration};
 
 use mesh::{
-    Layout, Mesh,
+    Layout, Mesh, Sabotage,
     receiver::{HANDOVER, Mood},
 };
 use rand::{Rng, RngExt as _, SeedableRng as _};
@@ -116,8 +116,6 @@
     count: u64,
     /// Requests that began.
     begun: u64,
-    /// They are told twice.
-    twice: bool,
     rng: Pcg32,
 }
 
@@ -140,7 +138,6 @@
             versions: vec![(0, 0); TOTAL],
             count: 1,
             begun: 0,
-            twice: false,
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -173,9 +170,6 @@
             if node.state.is_some() && !node.paused {
                 self.begun += 1;
                 self.mesh.begin(number, ORG);
-                if self.twice {
-                    self.mesh.begin(number, ORG);
-                }
             }
         }
     }
@@ -365,21 +359,9 @@
     }
 }
 
-/// What is broken on purpose, to show that the checks bite.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Sabotage {
-    /// Nothing.
-    None,
-    /// Relays take their proof for new whatever its age.
-    YoungRelays,
-    /// Instances count what they begin twice.
-    CountTwice,
-}
-
 fn play(seed: u64, steps: &[Step], sabotage: Sabotage) -> Result<(), String> {
     let mut fleet = Fleet::start(seed);
-    fleet.mesh.young_relays = sabotage == Sabotage::YoungRelays;
-    fleet.twice = sabotage == Sabotage::CountTwice;
+    fleet.mesh.sabotage = sabotage;
     fleet.play(steps)
 }
 
--- a/crates/rudder-core/tests/large.rs
+++ b/crates/rudder-core/tests/large.rs
@@ -227,3 +227,22 @@
         mesh.run(Duration::from_secs(2));
     }
 }
+
+/// A link carries as much of loads in a second whatever the number of endpoints: with thousands they are told less often.
+#[test]
+fn loads_of_thousands_of_endpoints_are_exchanged_less_often() {
+    let bytes = |endpoints: u32| {
+        let mut mesh = Mesh::start(9, 3);
+        mesh.run(Duration::from_secs(3));
+        let load = |endpoint: u32, calls: u32| Load { calls, ..Load::none(endpoint) };
+        mesh.tell(5, Event::Loads((0..endpoints).map(|endpoint| load(endpoint, 3)).collect()));
+        mesh.run(Duration::from_secs(3));
+        let leader = mesh.leader().expect("one leads");
+        let before = mesh.sent_by(leader, "watched").bytes;
+        mesh.run(Duration::from_secs(10));
+        mesh.sent_by(leader, "watched").bytes - before
+    };
+    let (few, many) = (bytes(1_000), bytes(10_000));
+    assert!(few > 100_000, "loads are told: {few}");
+    assert!(many < few * 4, "{few} bytes for 1,000 endpoints, {many} for ten times as many");
+}
--- a/crates/rudder-core/tests/loads.rs
+++ b/crates/rudder-core/tests/loads.rs
@@ -8,15 +8,7 @@
 
 fn load(endpoint: u8, calls: u32) -> Load {
     let (ended, failed) = (calls * 3, calls * 2);
-    Load {
-        endpoint: u32::from(endpoint),
-        calls,
-        unread: calls * 100,
-        held: calls * 7,
-        asked: calls * 50,
-        ended,
-        failed,
-    }
+    Load { endpoint: u32::from(endpoint), calls, unread: calls * 100, held: calls * 7, ended, failed }
 }
 
 fn name(instance: u8) -> InstanceId {
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -70,6 +70,19 @@
     pub bytes: u64,
 }
 
+/// What is broken on purpose, to show that the checks bite.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sabotage {
+    /// Nothing.
+    None,
+    /// Relays claim that their proof is new.
+    YoungRelays,
+    /// Instances make their calls whether or not they hold the lease.
+    Unleased,
+    /// Instances tell each request that begins twice.
+    CountTwice,
+}
+
 /// What a mesh is made of.
 #[derive(Clone, Debug)]
 pub struct Layout {
@@ -113,10 +126,10 @@
     pub untold: u64,
     /// Who takes the calls of duties.
     pub receiver: Receiver,
-    /// Instances make their calls whether or not they hold the lease. Sabotage, to show that the checks bite.
-    pub unleased: bool,
-    /// Relays claim that their proof is new. Sabotage, to show that the checks bite.
-    pub young_relays: bool,
+    /// Orders of engines at full price take 20 ms longer, so that others overtake them.
+    pub unordered: bool,
+    /// What is broken on purpose.
+    pub sabotage: Sabotage,
     rng: Pcg32,
     layout: Layout,
     queue: BTreeMap<(Duration, u64), Delivery>,
@@ -206,8 +219,8 @@
             delay: Duration::ZERO,
             untold: 0,
             receiver: Receiver::default(),
-            unleased: false,
-            young_relays: false,
+            unordered: false,
+            sabotage: Sabotage::None,
             rng: Pcg32::seed_from_u64(1),
             layout,
             queue: BTreeMap::new(),
@@ -299,8 +312,9 @@
 
     /// A request of `org` begins to run now, sent by an instance.
     pub fn begin(&mut self, number: usize, org: &str) {
+        let count = if self.sabotage == Sabotage::CountTwice { 2 } else { 1 };
         let begun = Begun { org: org.into(), at: self.now };
-        self.tell(number, Event::Begun(vec![begun]));
+        self.tell(number, Event::Begun(vec![begun; count]));
     }
 
     /// True where an instance may write a call of its duty now.
@@ -361,10 +375,22 @@
 
     /// A heartbeat of `endpoint` at an instance.
     pub fn heartbeat(&mut self, number: usize, ticket: u64, endpoint: &str, phase: Phase, sequence: u64) {
+        self.heartbeat_from(number, ticket, (endpoint, endpoint), phase, sequence);
+    }
+
+    /// A heartbeat of an endpoint at an address, at an instance.
+    pub fn heartbeat_from(
+        &mut self,
+        number: usize,
+        ticket: u64,
+        (endpoint, address): (&str, &str),
+        phase: Phase,
+        sequence: u64,
+    ) {
         let registration = Registration {
             endpoint: endpoint.into(),
             service: "model".into(),
-            address: "10.9.0.1:80".into(),
+            address: address.into(),
             hall: "hall-0".into(),
             slots: 8,
             cheap: false,
@@ -425,7 +451,9 @@
             }
             Effect::Call { ticket, fence, call, .. } => {
                 let starts = self.nodes[number].starts;
-                self.schedule(LINK, Delivery::Call(number, starts, ticket, fence, Box::new(call)));
+                let slow = self.unordered && matches!(call, DutyCall::Scale { cheap: false, .. });
+                let after = if slow { LINK + Duration::from_millis(20) } else { LINK };
+                self.schedule(after, Delivery::Call(number, starts, ticket, fence, Box::new(call)));
             }
             Effect::Documented { ticket, version } => drop(self.documented.insert(ticket, version)),
             Effect::Registered { ticket, taken } => drop(self.registered.insert(ticket, taken)),
@@ -435,7 +463,7 @@
 
     fn tamper(&self, message: PeerMessage) -> PeerMessage {
         match message {
-            PeerMessage::Watched(watched) if self.young_relays => {
+            PeerMessage::Watched(watched) if self.sabotage == Sabotage::YoungRelays => {
                 PeerMessage::Watched(Box::new(Watched { age: Duration::ZERO, ..*watched }))
             }
             message => message,
@@ -474,7 +502,7 @@
             self.schedule(TICK, Delivery::Call(number, starts, ticket, fence, Box::new(call)));
             return;
         }
-        let outcome = if self.unleased || self.may_call(number) {
+        let outcome = if self.sabotage == Sabotage::Unleased || self.may_call(number) {
             let reached = !node.cut;
             self.receiver.take(self.now, number, fence, call, reached)
         } else {
--- a/crates/rudder-core/tests/mesh/receiver.rs
+++ b/crates/rudder-core/tests/mesh/receiver.rs
@@ -13,6 +13,9 @@
 /// Two holders that act by turns within this time break the rule.
 pub const HANDOVER: Duration = Duration::from_secs(3);
 
+/// Engines of a hall at most, both kinds together.
+pub const ENGINES_MOST: u32 = 40;
+
 /// How it answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mood {
@@ -61,7 +64,8 @@
     pub broken: Vec<String>,
     /// Calls to carry out later.
     late: Vec<(Duration, Made)>,
-    highest: u64,
+    /// The highest fence seen, by subject: the reports together, the orders of each hall.
+    highest: BTreeMap<Option<HallId>, u64>,
 }
 
 impl Receiver {
@@ -86,7 +90,7 @@
     }
 
     /// Carries out what has waited long enough.
-    fn carry_out_late(&mut self, now: Duration) {
+    pub fn carry_out_late(&mut self, now: Duration) {
         let (due, rest) = std::mem::take(&mut self.late).into_iter().partition(|(at, _)| *at <= now);
         self.late = rest;
         for (_, made) in due {
@@ -95,11 +99,16 @@
     }
 
     fn carry_out(&mut self, made: Made) -> CallOutcome {
-        if made.fence < self.highest {
+        let subject = match &made.call {
+            DutyCall::Usage { .. } => None,
+            DutyCall::Scale { hall, .. } => Some(hall.clone()),
+        };
+        let highest = self.highest.entry(subject).or_default();
+        if made.fence < *highest {
             self.stale += 1;
             return CallOutcome::Outranked;
         }
-        self.highest = made.fence;
+        *highest = made.fence;
         self.judge(&made);
         let outcome = match &made.call {
             DutyCall::Usage { window, counts } => {
@@ -111,7 +120,9 @@
             }
             DutyCall::Scale { cheap: true, hall, .. } if self.barred.contains(hall) => CallOutcome::NoneLeft,
             DutyCall::Scale { hall, cheap, count, .. } => {
-                self.ordered.insert((hall.clone(), *cheap), *count);
+                let other = self.ordered.get(&(hall.clone(), !cheap)).copied().unwrap_or_default();
+                // Both kinds share a bound; an order beyond it is cut.
+                self.ordered.insert((hall.clone(), *cheap), (*count).min(ENGINES_MOST.saturating_sub(other)));
                 CallOutcome::Taken
             }
         };
--- a/crates/rudder-core/tests/registry.rs
+++ b/crates/rudder-core/tests/registry.rs
@@ -93,3 +93,38 @@
         assert_eq!(mesh.phase_at(number, "e-1"), Some(Phase::Leaving), "instance {number}");
     }
 }
+
+/// A new start of an endpoint has another name at the same address; the one before has ended.
+#[test]
+fn a_new_endpoint_at_an_address_ends_the_one_before() {
+    let mut mesh = start();
+    mesh.heartbeat_from(2, 2, ("e-2", "e-1"), Phase::Ready, 1);
+    mesh.run(Duration::from_millis(600));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Gone); 9]);
+    assert!((0..9).all(|number| mesh.phase_at(number, "e-2") == Some(Phase::Ready)));
+}
+
+/// A heartbeat that a cut delayed comes after its sender has crashed and started anew.
+#[test]
+fn a_late_heartbeat_of_a_dead_predecessor_changes_nothing() {
+    let mut mesh = start();
+    mesh.heartbeat_from(2, 2, ("e-2", "e-1"), Phase::Ready, 1);
+    mesh.run(Duration::from_millis(600));
+    mesh.heartbeat(5, 3, "e-1", Phase::Ready, 40);
+    mesh.heartbeat_from(6, 4, ("e-0", "e-1"), Phase::Ready, 17);
+    mesh.run(Duration::from_millis(600));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Gone); 9], "one that was known");
+    assert!((0..9).all(|number| mesh.phase_at(number, "e-0").is_none()), "one that was not");
+    assert!((0..9).all(|number| mesh.phase_at(number, "e-2") == Some(Phase::Ready)));
+}
+
+/// An endpoint whose first heartbeats were lost is taken in once the one before it at its address has fallen silent.
+#[test]
+fn a_successor_that_is_heard_late_is_taken_in_when_the_one_before_is_silent() {
+    let mut mesh = start();
+    mesh.heartbeat_from(2, 2, ("e-2", "e-1"), Phase::Ready, 5);
+    mesh.run(Duration::from_millis(5_400));
+    mesh.heartbeat_from(2, 3, ("e-2", "e-1"), Phase::Ready, 9);
+    mesh.run(Duration::from_millis(600));
+    assert!((0..9).all(|number| mesh.phase_at(number, "e-2") == Some(Phase::Ready)));
+}
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -373,12 +373,8 @@
         wanted: u32,
         /// How many take work.
         there: u32,
-        /// Prompt tokens that callers ask to be read, a second.
-        tokens: u64,
-        /// Tokens that an engine reads in a second.
-        speed: u64,
         /// Requests under way.
-        calls: u64,
+        calls: u32,
         /// The order's fence.
         fence: u64,
     },
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -30,6 +30,28 @@
     story
 }
 
+/// What the holder of duties did and why, oldest first, as far as it is about `topic`: a hall, for its engines, or the
+/// number of a window, for its report. Who held the duties when is told with it.
+pub fn explain_duty(topic: &str, lines: &[Line]) -> Vec<String> {
+    let mut story = Vec::new();
+    for line in lines.iter().filter(|line| is_about(&line.what, topic)) {
+        let seconds = line.at as f64 / 1e6;
+        story.push(format!("{seconds:.3} s {}: {}", line.instance, to_sentence(&line.what)));
+    }
+    story
+}
+
+fn is_about(what: &What, topic: &str) -> bool {
+    let names = |text: &str| text.split([' ', ',']).any(|word| word == topic);
+    match what {
+        What::DutyHeld { .. } => true,
+        What::WindowClosed { window, .. } => window.to_string() == topic,
+        What::EnginesWanted { hall, .. } => **hall == *topic,
+        What::DutyCalled { subject, .. } => names(subject),
+        _ => false,
+    }
+}
+
 fn to_sentence(what: &What) -> String {
     match what {
         What::Arrived { class, org, model, .. } => format!("arrived for {model}, class {class}, organisation {org}"),
@@ -114,6 +136,9 @@
         What::Parent { relays } => format!("asks the relays {}", relays.join(", ")),
         What::Leads { leads: true, term } => format!("leads in term {term}"),
         What::Leads { leads: false, term } => format!("leads no more, in term {term}"),
+        What::DutyHeld { .. } | What::WindowClosed { .. } | What::EnginesWanted { .. } | What::DutyCalled { .. } => {
+            to_duty_sentence(what)
+        }
         What::Started { hall, .. } => format!("started in hall {hall}"),
         What::Stopping => "began a planned stop".to_owned(),
         What::Stopped => "ended as planned".to_owned(),
@@ -123,3 +148,27 @@
         other => format!("{other:?}"),
     }
 }
+
+/// Sentences on the duties that one instance holds for all.
+fn to_duty_sentence(what: &What) -> String {
+    match what {
+        What::DutyHeld { held: true, fence } => format!("holds the duties, with fences from {fence}"),
+        What::DutyHeld { held: false, .. } => "holds the duties no more".to_owned(),
+        What::WindowClosed { window, organisations, requests, missing, lag_ms } => format!(
+            "closed window {window} {lag_ms} ms after its end: {requests} requests of {organisations} organisations; \
+             {missing} instances may have had more to tell"
+        ),
+        What::EnginesWanted { service, hall, cheap, wanted, there, calls, fence } => {
+            let kind = if *cheap { "cheap" } else { "full price" };
+            format!(
+                "wants {wanted} engines of {service} in {hall}, {kind}, where {there} take work and {calls} requests \
+                 are under way in all halls; orders them with fence {fence}"
+            )
+        }
+        What::DutyCalled { duty, subject, fence, outcome, said, took_ms, age_ms } => format!(
+            "call for {duty} ({subject}, fence {fence}) ended after {took_ms} ms: {outcome}; said: {said:?}; \
+             about what was {age_ms} ms ago"
+        ),
+        other => format!("{other:?}"),
+    }
+}
--- a/crates/rudder-events/src/lib.rs
+++ b/crates/rudder-events/src/lib.rs
@@ -7,5 +7,5 @@
 pub mod timeline;
 
 pub use event::{Line, What};
-pub use explain::explain;
+pub use explain::{explain, explain_duty};
 pub use timeline::timeline;
--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -58,7 +58,6 @@
             calls: 9,
             unread: 4_000,
             held: 60_000,
-            asked: 9_000,
             ended: 40,
             failed: 0,
         };
--- a/crates/rudder-gateway/src/balance.rs
+++ b/crates/rudder-gateway/src/balance.rs
@@ -53,12 +53,6 @@
         self.recent.note(endpoint, failed, now);
     }
 
-    /// Prompt tokens sent to `endpoint` of late, here and elsewhere.
-    pub fn asked(&self, endpoint: &str, now: Instant) -> u32 {
-        let others = self.others.get(&id::endpoint_tag(endpoint)).map_or(0, |load| load.asked);
-        self.recent.asked_at(endpoint, now).saturating_add(others)
-    }
-
     /// What ended at `endpoint` of late, here and elsewhere.
     pub fn tally(&self, endpoint: &str, now: Instant) -> Tally {
         let mut tally = self.recent.at(endpoint, now);
@@ -76,7 +70,7 @@
         let to_load = |endpoint: &EndpointId| {
             let own = self.own.get(endpoint).cloned().unwrap_or_else(|| Load::none(id::endpoint_tag(endpoint)));
             let Tally { ended, failed } = self.recent.at(endpoint, now);
-            Load { asked: self.recent.asked_at(endpoint, now), ended, failed, ..own }
+            Load { ended, failed, ..own }
         };
         let mut loads: Vec<Load> = names.into_iter().map(to_load).collect();
         loads.sort_by_key(|load| load.endpoint);
@@ -106,7 +100,6 @@
     /// Counts a request of `unread` prompt tokens that needs up to `held` tokens of memory.
     pub fn start(balance: &Rc<RefCell<Balance>>, endpoint: &EndpointId, unread: u32, held: u32) -> Flight {
         let mut borrowed = balance.borrow_mut();
-        borrowed.recent.note_asked(endpoint, unread, Instant::now());
         let load = borrowed.entry(endpoint);
         load.calls += 1;
         load.unread += unread;
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -217,7 +217,6 @@
             ("lanes.largest", self.lanes.largest),
             ("lanes.smallest", self.lanes.smallest),
             ("choice.again_most", self.choice.again_most),
-            ("scaling.reading", self.scaling.reading),
             ("scaling.slots", self.scaling.slots),
             ("scaling.floor", self.scaling.floor),
         ];
@@ -228,6 +227,7 @@
         ];
         check_all(&shares, 1.0)?;
         check_all(&factors, FACTOR_MOST)?;
+        check_all(&[("scaling.pressing", self.scaling.pressing)], FACTOR_MOST)?;
         check_all(&[("scaling.hold", self.scaling.hold)], HOLD_MOST)?;
         check_counts(&[
             ("relays.direct", self.relays.direct, DIRECT_LEAST),
--- a/crates/rudder-gateway/src/reading.rs
+++ b/crates/rudder-gateway/src/reading.rs
@@ -8,24 +8,13 @@
 const LOADED: u32 = 8_000;
 /// Weight of the latest sample.
 const WEIGHT: f64 = 0.05;
-/// Samples after which the first guess weighs less than a third.
-const KNOWN: u32 = 24;
 /// Speeds outside these bounds come from samples that were not what they seemed.
 const BOUNDS: (f64, f64) = (3.0, 300.0);
 
 /// Reading speeds by service.
 #[derive(Debug, Default)]
 pub struct Reading {
-    speeds: HashMap<Arc<str>, Speed>,
-}
-
-/// What is known of one service's engines.
-#[derive(Clone, Copy, Debug)]
-struct Speed {
-    /// Tokens read in a millisecond.
-    tokens: f64,
-    /// First events that told it.
-    samples: u32,
+    speeds: HashMap<Arc<str>, f64>,
 }
 
 impl Reading {
@@ -35,9 +24,8 @@
             return;
         }
         let sample = f64::from(tokens) / (after.as_secs_f64() * 1000.0).max(1.0);
-        let speed = self.speeds.entry(service.clone()).or_insert(Speed { tokens: FIRST_GUESS, samples: 0 });
-        speed.tokens += (sample.clamp(BOUNDS.0, BOUNDS.1) - speed.tokens) * WEIGHT;
-        speed.samples += 1;
+        let speed = self.speeds.entry(service.clone()).or_insert(FIRST_GUESS);
+        *speed += (sample.clamp(BOUNDS.0, BOUNDS.1) - *speed) * WEIGHT;
     }
 
     /// How long an engine of `service` takes to read `tokens`.
@@ -52,11 +40,6 @@
 
     /// Tokens read in a millisecond.
     pub fn speed(&self, service: &str) -> f64 {
-        self.speeds.get(service).map_or(FIRST_GUESS, |speed| speed.tokens)
-    }
-
-    /// The same, once enough was measured to rest orders of engines on it.
-    pub fn known_speed(&self, service: &str) -> Option<f64> {
-        self.speeds.get(service).filter(|speed| speed.samples >= KNOWN).map(|speed| speed.tokens)
+        self.speeds.get(service).copied().unwrap_or(FIRST_GUESS)
     }
 }
--- a/crates/rudder-gateway/src/recent.rs
+++ b/crates/rudder-gateway/src/recent.rs
@@ -48,8 +48,6 @@
 struct Slot {
     second: u64,
     tally: Tally,
-    /// Prompt tokens sent.
-    asked: u32,
 }
 
 /// This instance's outcomes at all endpoints.
@@ -70,22 +68,11 @@
     pub fn note(&mut self, endpoint: &EndpointId, failed: bool, now: Instant) {
         let second = self.second(now);
         let slots = self.slots.entry(endpoint.clone()).or_default();
-        slot_of(slots, second).tally.add(Tally { ended: 1, failed: u32::from(failed) });
-    }
-
-    /// Takes in that a request went to `endpoint` that has it read `tokens`.
-    pub fn note_asked(&mut self, endpoint: &EndpointId, tokens: u32, now: Instant) {
-        let second = self.second(now);
-        let slots = self.slots.entry(endpoint.clone()).or_default();
-        let slot = slot_of(slots, second);
-        slot.asked = slot.asked.saturating_add(tokens);
-    }
-
-    /// Prompt tokens sent to `endpoint` of late.
-    pub fn asked_at(&self, endpoint: &str, now: Instant) -> u32 {
-        let oldest = self.second(now).saturating_sub(SPAN - 1);
-        let slots = self.slots.get(endpoint).into_iter().flatten();
-        slots.filter(|slot| slot.second >= oldest).fold(0, |sum, slot| sum.saturating_add(slot.asked))
+        let slot = &mut slots[(second % SPAN) as usize];
+        if slot.second != second {
+            *slot = Slot { second, tally: Tally::default() };
+        }
+        slot.tally.add(Tally { ended: 1, failed: u32::from(failed) });
     }
 
     /// What ended at `endpoint` of late.
@@ -108,9 +95,7 @@
     /// Drops endpoints at which nothing has ended of late.
     pub fn age(&mut self, now: Instant) {
         let oldest = self.second(now).saturating_sub(SPAN - 1);
-        self.slots.retain(|_, slots| {
-            slots.iter().any(|slot| (slot.tally.ended > 0 || slot.asked > 0) && slot.second >= oldest)
-        });
+        self.slots.retain(|_, slots| slots.iter().any(|slot| slot.tally.ended > 0 && slot.second >= oldest));
     }
 
     fn second(&self, now: Instant) -> u64 {
@@ -119,15 +104,6 @@
     }
 }
 
-/// The slot of this second, emptied of an earlier one's.
-fn slot_of(slots: &mut [Slot; SPAN as usize], second: u64) -> &mut Slot {
-    let slot = &mut slots[(second % SPAN) as usize];
-    if slot.second != second {
-        *slot = Slot { second, ..Slot::default() };
-    }
-    slot
-}
-
 /// The endpoints of one service that fail far more than the others do. Where most fail, it is the requests or this
 /// side, and none is suspect.
 pub fn suspects(tallies: &[(EndpointId, Tally)]) -> HashSet<EndpointId> {
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -157,9 +157,9 @@
         tokio::time::sleep(HOUSEKEEPING).await;
         shared.pool.borrow_mut().age(Instant::now());
         shared.tell_begun();
-        if shared.holds_duties() && described.elapsed() >= DESCRIBE {
+        if shared.standing.leads.load(Ordering::Relaxed) && described.elapsed() >= DESCRIBE {
             described = Instant::now();
-            shared.tell(Event::Services(scaling::to_states(&shared, described)));
+            shared.tell(Event::Services(scaling::to_states(&shared)));
         }
         let loads = shared.balance.borrow_mut().to_loads(Instant::now());
         if loads != told {
--- a/crates/rudder-gateway/src/scaling.rs
+++ b/crates/rudder-gateway/src/scaling.rs
@@ -1,32 +1,26 @@
 //! What the holder of duties needs to know of the services whose engines are ordered.
 
-use std::{collections::BTreeMap, time::Instant};
+use std::collections::BTreeMap;
 
 use rudder_core::{Phase, Registration, duties::scaling::ServiceState};
 use rudder_model::HallId;
 use rudder_route::scale::{Bounds, Demand, HallEngines};
 
-use crate::{Dialect, Service, recent::SPAN, shared::Shared};
+use crate::{Dialect, Service, shared::Shared};
 
 /// All services that the configuration lets be scaled, as they stand now.
-pub fn to_states<D: Dialect>(shared: &Shared<D>, now: Instant) -> Vec<ServiceState> {
+pub fn to_states<D: Dialect>(shared: &Shared<D>) -> Vec<ServiceState> {
     let Some(plan) = shared.current_plan() else { return Vec::new() };
     let scaled = plan.services.values().filter_map(|service| Some((service, service.scaling.as_ref()?)));
-    scaled.map(|(service, bounds)| to_state(shared, service, bounds, now)).collect()
+    scaled.map(|(service, bounds)| to_state(shared, service, bounds)).collect()
 }
 
-fn to_state<D: Dialect>(shared: &Shared<D>, service: &Service, bounds: &Bounds, now: Instant) -> ServiceState {
+fn to_state<D: Dialect>(shared: &Shared<D>, service: &Service, bounds: &Bounds) -> ServiceState {
     let roster = shared.roster.borrow().clone();
     let endpoints = roster.of(&service.name);
     let balance = shared.balance.borrow();
-    let asked: u64 = endpoints.iter().map(|held| u64::from(balance.asked(&held.endpoint, now))).sum();
     let calls: u32 = endpoints.iter().map(|held| balance.at(&held.endpoint).calls).sum();
-    let demand = Demand {
-        tokens: asked as f64 / SPAN as f64,
-        speed: shared.reading.borrow().known_speed(&service.name).unwrap_or_default() * 1000.0,
-        calls: f64::from(calls),
-        slots: endpoints.iter().map(|held| f64::from(held.slots)).fold(1.0, f64::max),
-    };
+    let demand = Demand { calls, slots: endpoints.iter().map(|held| held.slots).max().unwrap_or_default() };
     let halls = count_by_hall(endpoints.iter().map(|held| &**held), bounds);
     ServiceState { service: service.name.clone(), bounds: bounds.clone(), demand, halls }
 }
--- a/crates/rudder-route/src/scale.rs
+++ b/crates/rudder-route/src/scale.rs
@@ -59,14 +59,10 @@
 /// The work that callers ask of a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
-    /// Prompt tokens to be read in a second.
-    pub tokens: f64,
-    /// Tokens that an engine reads in a second; 0 while that is not known.
-    pub speed: f64,
-    /// Requests under way.
-    pub calls: f64,
+    /// Requests under way: they pile up where engines are too few, whatever it is that those lack.
+    pub calls: u32,
     /// Requests that an engine works on at once.
-    pub slots: f64,
+    pub slots: u32,
 }
 
 /// Engines that a hall should have.
@@ -74,8 +70,8 @@
 pub struct Wanted {
     /// The hall.
     pub hall: HallId,
-    /// Engines at full price.
-    pub full: u32,
+    /// Engines at full price; `None` where that cannot be told yet.
+    pub full: Option<u32>,
     /// Engines that may be taken away.
     pub cheap: u32,
 }
@@ -86,10 +82,10 @@
 pub struct ScaleOptions {
     /// Orders are given at all.
     pub enabled: bool,
-    /// Part of its reading speed that an engine is to be used for: at more, long prompts wait for each other.
-    pub reading: f64,
-    /// Part of its slots that an engine is to be used for.
+    /// Part of its slots that an engine is to be used for: at more, long prompts wait for each other.
     pub slots: f64,
+    /// Engines at full price fill in for cheap ones where the others would be used for this many times that part.
+    pub pressing: f64,
     /// Seconds for which the highest demand is remembered: engines are let go only after it.
     pub hold: f64,
     /// Engines at full price, as a part of what is needed.
@@ -100,7 +96,7 @@
 
 impl Default for ScaleOptions {
     fn default() -> Self {
-        ScaleOptions { enabled: true, reading: 0.4, slots: 0.5, hold: 120.0, floor: 0.0, reserve: true }
+        ScaleOptions { enabled: true, slots: 0.12, pressing: 2.0, hold: 120.0, floor: 0.0, reserve: true }
     }
 }
 
@@ -111,6 +107,8 @@
     lasting: u32,
     /// For the demand of the last seconds: worth engines at full price where there are no others.
     pressing: u32,
+    /// As many as the operator had, while demand has not been watched for long.
+    usual: u32,
 }
 
 /// The policy for one service, and what it remembers of its demand.
@@ -120,7 +118,7 @@
     /// When it was first asked.
     began: Option<Duration>,
     /// Engines that were there at first, which is what the operator took for needed.
-    first: f64,
+    first: u32,
     /// When demand was first seen.
     since: Option<Duration>,
     let_go: Option<Duration>,
@@ -129,39 +127,50 @@
 }
 
 impl Scaler {
-    /// What each hall should have; nothing while the engines that there are have not all been heard of.
+    /// What each hall should have. While not all engines may have been heard of, nothing is ordered but cheap ones where
+    /// there are none yet: those do no harm, and the others are the dearer the longer they are waited for.
     pub fn plan(
         &mut self,
         now: Duration,
         bounds: &Bounds,
-        demand: &Demand,
+        demand: Demand,
         halls: &[HallEngines],
         options: &ScaleOptions,
     ) -> Vec<Wanted> {
         let needs = self.needs(now, demand, halls, options);
-        if now < *self.began.get_or_insert(now) + GATHER {
+        let fresh = self.is_fresh(halls);
+        let settled = now >= *self.began.get_or_insert(now) + GATHER;
+        if !settled && !fresh {
             return Vec::new();
         }
         let mut wanted = spread(needs, bounds, halls, options);
-        self.keep_until_replaced(now, needs.lasting, bounds, (demand, halls), &mut wanted);
+        self.keep_until_replaced(now, needs, bounds, (demand, halls), &mut wanted);
         self.keep_spare(now, halls, &mut wanted);
         for want in &mut wanted {
             // An order for cheap ones waits for room below the bound on both kinds.
-            want.cheap = want.cheap.min(bounds.most.saturating_sub(want.full));
+            want.cheap = want.cheap.min(bounds.most.saturating_sub(want.full.unwrap_or_default()));
+        }
+        if !settled {
+            for want in &mut wanted {
+                want.full = None;
+            }
         }
         wanted
     }
 
+    /// True where no cheap engines have ever been ordered, as far as is known here.
+    fn is_fresh(&self, halls: &[HallEngines]) -> bool {
+        self.since.is_none() && halls.iter().all(|held| held.cheap == 0)
+    }
+
     /// Engines needed for the demand that there is and that there was.
-    fn needs(&mut self, now: Duration, demand: &Demand, halls: &[HallEngines], options: &ScaleOptions) -> Needs {
+    fn needs(&mut self, now: Duration, demand: Demand, halls: &[HallEngines], options: &ScaleOptions) -> Needs {
         let began = *self.began.get_or_insert(now);
-        if now < began + GATHER {
-            self.first = self.first.max(f64::from(count_bearing(halls, options)));
+        if now < began + GATHER || self.is_fresh(halls) {
+            self.first = self.first.max(count_bearing(halls, options));
         }
         let hold = Duration::try_from_secs_f64(options.hold).unwrap_or_default();
-        let reading = if demand.speed > 0.0 { demand.tokens / (demand.speed * options.reading) } else { 0.0 };
-        let slots = demand.calls / (demand.slots * options.slots).max(1.0);
-        let asked = reading.max(slots);
+        let asked = f64::from(demand.calls) / (f64::from(demand.slots) * options.slots).max(1.0);
         if asked > 0.0 {
             self.since.get_or_insert(now);
         }
@@ -178,9 +187,9 @@
         let peak = highest(Duration::ZERO);
         // Until demand has been watched for as long as it is remembered, the operator's count stands.
         let watched = self.since.is_some_and(|since| now >= since + hold);
-        let lasting = if watched { peak } else { peak.max(self.first) };
-        let pressing = highest(now.saturating_sub(PRESSING));
-        Needs { lasting: (lasting.ceil() as u32).max(1), pressing: pressing.ceil() as u32 }
+        let usual = if watched { 0 } else { self.first };
+        let pressing = highest(now.saturating_sub(PRESSING)) / options.pressing;
+        Needs { lasting: (peak.ceil() as u32).max(usual).max(1), pressing: pressing.ceil() as u32, usual }
     }
 
     /// Keeps cheap engines that have just become spare: they stood in for a hall that lost its own, and may have to again.
@@ -202,27 +211,26 @@
     fn keep_until_replaced(
         &mut self,
         now: Duration,
-        needed: u32,
+        needs: Needs,
         bounds: &Bounds,
-        (demand, halls): (&Demand, &[HallEngines]),
+        (demand, halls): (Demand, &[HallEngines]),
         wanted: &mut [Wanted],
     ) {
-        let planned: u32 = wanted.iter().map(|want| want.full).sum();
+        let planned: u32 = wanted.iter().filter_map(|want| want.full).sum();
         let cheap: u32 = halls.iter().map(|held| held.cheap).sum();
-        let mut lacking = needed.saturating_sub(planned + cheap);
-        let busy = demand.calls > 0.0;
+        let lacks = needs.usual.max(needs.pressing) > planned + cheap;
+        let busy = demand.calls > 0;
         for (want, held) in wanted.iter_mut().zip(halls) {
-            let extra = held.full.saturating_sub(want.full);
+            let extra = held.full.saturating_sub(want.full.unwrap_or_default());
             if extra == 0 {
                 continue;
             }
             let paused = busy && self.let_go.is_some_and(|at| now < at + LET_GO_PAUSE);
-            let kept = if paused { extra } else { extra.min(lacking) };
-            lacking -= kept.min(lacking);
-            if kept < extra {
+            if lacks || paused {
+                want.full = Some(held.full.min(bounds.most));
+            } else {
                 self.let_go = Some(now);
             }
-            want.full = (want.full + kept).min(bounds.most);
         }
     }
 }
@@ -279,11 +287,15 @@
         }
     }
     let planned: u32 = places.iter().map(|place| place.full + place.counted()).sum();
-    add_full(needs.pressing.saturating_sub(planned), bounds, &mut places);
+    let bearing = if bounds.cheap.is_some() { needs.pressing } else { needed };
+    add_full(bearing.saturating_sub(planned), bounds, &mut places);
     for place in &mut places {
         place.full += bounds.least.saturating_sub(place.full + place.cheap);
     }
-    places.iter().map(|place| Wanted { hall: place.held.hall.clone(), full: place.full, cheap: place.cheap }).collect()
+    places
+        .iter()
+        .map(|place| Wanted { hall: place.held.hall.clone(), full: Some(place.full), cheap: place.cheap })
+        .collect()
 }
 
 /// Adds engines at full price, in turn to the halls with room, the cheapest first.
