fix(core): a jump of an instance's clock is not followed until it has lasted

Clocks that jump come back, so a jump of half a second or more counts only after ten minutes; small changes are followed, as steady clocks drift. Window ends are worked out in 64 bits: with windows under 0.4 s the number of one did not fit. Tests first: a jump that lasts, one that comes back, windows of 0.1 s.

--- a/crates/rudder-core/src/clock.rs
+++ b/crates/rudder-core/src/clock.rs
@@ -20,6 +20,10 @@
 const DRIFT: u32 = 5000;
 /// Estimates further apart than their errors and this are not of the same time: the leader has corrected its own.
 const AGREEMENT: Duration = Duration::from_millis(5);
+/// A change of the own clock by this much is a jump: a clock that is kept right is never this far off.
+const JUMP: Duration = Duration::from_millis(500);
+/// A jump that lasts for this long was meant.
+const JUMP_LASTS: Duration = Duration::from_secs(600);
 /// Steps of the own clock below this are not told: readings of two clocks are never closer than this.
 pub const STEP: Duration = Duration::from_millis(2);
 
@@ -48,6 +52,8 @@
 #[derive(Debug, Default)]
 pub struct Clock {
     own: Duration,
+    /// Where the own clock has jumped to, and when.
+    jumped: Option<Reading>,
     told: BTreeMap<InstanceId, Reading>,
     agreed: Option<Estimate>,
     led_since: Option<Duration>,
@@ -59,9 +65,15 @@
         Clock { own: origin, ..Clock::default() }
     }
 
-    /// Takes in that the instance's own clock has stepped to this origin.
-    pub fn set_own(&mut self, origin: Duration) {
-        self.own = origin;
+    /// Takes in what the origin is by the instance's own clock now. Small changes are the clock being set right and are
+    /// followed; a jump is only when it has lasted.
+    pub fn set_own(&mut self, now: Duration, origin: Duration) {
+        if origin.abs_diff(self.own) < JUMP {
+            (self.own, self.jumped) = (origin, None);
+            return;
+        }
+        let since = self.jumped.filter(|jumped| origin.abs_diff(jumped.origin) < JUMP).map_or(now, |jumped| jumped.at);
+        self.jumped = Some(Reading { origin, at: since });
     }
 
     /// Takes in the reading that an asker told with its question.
@@ -86,6 +98,9 @@
 
     /// Advances time; `leads` where this instance's median is the agreed time.
     pub fn tick(&mut self, now: Duration, leads: bool) {
+        if let Some(jumped) = self.jumped.take_if(|jumped| now >= jumped.at + JUMP_LASTS) {
+            self.own = jumped.origin;
+        }
         self.told.retain(|_, reading| now < reading.at + MEMORY);
         if !leads {
             self.led_since = None;
--- a/crates/rudder-core/src/duties/intake.rs
+++ b/crates/rudder-core/src/duties/intake.rs
@@ -10,7 +10,7 @@
 use crate::{
     Effect, PeerMessage,
     options::UsageOptions,
-    tally::{UsageNews, UsageTaken, window_of},
+    tally::{UsageNews, UsageTaken, window_end, window_of},
     tree::Directory,
 };
 
@@ -123,7 +123,7 @@
         if self.closing.is_some_and(|(closing, at)| closing == window && now < at + PROPOSE_AGAIN) {
             return;
         }
-        let lag = time.saturating_sub(usage.window * (window + 1) as u32);
+        let lag = time.saturating_sub(window_end(window, usage.window));
         if lag < usage.settle {
             return;
         }
--- a/crates/rudder-core/src/duties/reports.rs
+++ b/crates/rudder-core/src/duties/reports.rs
@@ -7,7 +7,7 @@
 use rudder_ledger::{Command, Window};
 
 use super::{Backoff, CallOutcome, Context, DutyCall, fence};
-use crate::{Effect, options::UsageOptions};
+use crate::{Effect, options::UsageOptions, tally::window_end};
 
 /// A call whose end is not told within this time is forgotten; calls are given up far sooner.
 const FORGET: Duration = Duration::from_secs(10);
@@ -48,7 +48,7 @@
         let Some((window, counts)) = closed.iter().find(|(window, _)| !self.done.contains_key(window)) else { return };
         *tickets += 1;
         self.flying = Some(Flying { ticket: *tickets, window: *window, since: now });
-        let ended = usage.window * (*window + 1) as u32;
+        let ended = window_end(*window, usage.window);
         context.out.push(Effect::Call {
             ticket: *tickets,
             fence: fence(context.control.replica.term()),
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -178,7 +178,7 @@
                     self.duties.on_services(context, states);
                 }
             }
-            Event::Clock(origin) => self.view.clock.set_own(origin),
+            Event::Clock(origin) => self.view.clock.set_own(now, origin),
             Event::Called { ticket, outcome } => self.duties.on_called(now, ticket, outcome),
             Event::Prove => {
                 self.view.asking.ask_leader_soon();
--- a/crates/rudder-core/src/tally.rs
+++ b/crates/rudder-core/src/tally.rs
@@ -76,6 +76,11 @@
     (time.as_micros() / length.as_micros().max(1)) as Window
 }
 
+/// Time of day at which a window ends.
+pub fn window_end(window: Window, length: Duration) -> Duration {
+    Duration::from_micros(length.as_micros() as u64 * (window + 1))
+}
+
 impl Tallies {
     /// Takes in requests that began here.
     pub(crate) fn note(&mut self, begun: Vec<Begun>, view: &View, usage: &UsageOptions) {
--- a/crates/rudder-core/tests/clock.rs
+++ b/crates/rudder-core/tests/clock.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use rudder_core::clock::Clock;
+use rudder_core::{
+    clock::Clock,
+    tally::{window_end, window_of},
+};
 
 const TRUE: Duration = Duration::from_secs(1_000_000);
 const STEP: Duration = Duration::from_secs(2);
@@ -44,7 +47,7 @@
 #[test]
 fn a_step_of_the_leaders_own_clock_moves_nothing() {
     let mut clock = leader(TRUE, 4, 0);
-    clock.set_own(TRUE.saturating_sub(STEP));
+    clock.set_own(ms(200), TRUE.saturating_sub(STEP));
     clock.tick(ms(1500), true);
     assert_eq!(clock.agreed(ms(1500)), Some(TRUE + ms(1500)));
 }
@@ -89,3 +92,33 @@
     }
     assert_eq!(clock.to_reading(ms(60)), TRUE + ms(60));
 }
+
+/// Clocks that jump come back: a jump is followed only when it has lasted, so that even jumps of most clocks move nothing.
+#[test]
+fn a_jump_of_the_own_clock_is_not_followed_until_it_has_lasted() {
+    let mut clock = Clock::new(TRUE);
+    clock.set_own(ms(1_000), TRUE + STEP);
+    assert_eq!(clock.to_reading(ms(2_000)), TRUE + ms(2_000));
+    clock.set_own(ms(9_000), TRUE + STEP + ms(5));
+    clock.tick(ms(601_000), false);
+    assert_eq!(clock.to_reading(ms(602_000)), TRUE + STEP + ms(5) + ms(602_000));
+}
+
+#[test]
+fn a_jump_that_comes_back_is_forgotten() {
+    let mut clock = Clock::new(TRUE);
+    clock.set_own(ms(1_000), TRUE + STEP);
+    clock.set_own(ms(6_000), TRUE + ms(3));
+    clock.tick(ms(700_000), false);
+    assert_eq!(clock.to_reading(ms(700_000)), TRUE + ms(3) + ms(700_000));
+}
+
+#[test]
+fn a_window_holds_the_time_up_to_its_end() {
+    for length in [ms(100), Duration::from_secs(5)] {
+        let now = Duration::from_secs(1_787_162_896);
+        let end = window_end(window_of(now, length), length);
+        assert!(now < end && end <= now + length, "{end:?}");
+        assert_eq!(window_of(end, length), window_of(now, length) + 1);
+    }
+}
