--- a/crates/hatchrudder/src/command/events.rs
+++ b/crates/hatchrudder/src/command/events.rs
@@ -2,6 +2,7 @@
 
 use eyre::WrapErr as _;
 use pico_args::Arguments;
+use rudder_events::Line;
 
 use super::{Error, to_paths, to_words};
 
@@ -20,40 +21,35 @@
 
 /// Tells what the holder of duties did about a hall's engines or a window's report.
 pub(super) fn duty(arguments: Arguments) -> Result<bool, Error> {
-    let words = to_words(arguments)?;
-    let [topic, files @ ..] = words.as_slice() else {
-        return Err(Error::Usage("duty needs HALL or WINDOW and at least one FILE".to_owned()));
-    };
-    if files.is_empty() {
-        return Err(Error::Usage("duty needs at least one FILE".to_owned()));
-    }
-    let lines = rudder_events::timeline(&to_paths(files)).wrap_err("merge event logs")?;
-    let story = rudder_events::explain_duty(topic, &lines);
-    for sentence in &story {
-        println!("{sentence}");
-    }
-    if story.is_empty() {
-        eprintln!("no event of a duty is about {topic}");
-    }
-    Ok(!story.is_empty())
+    tell(arguments, "duty", "HALL or WINDOW", rudder_events::explain_duty)
 }
 
 /// Tells the story of one request.
 pub(super) fn explain(arguments: Arguments) -> Result<bool, Error> {
+    tell(arguments, "explain", "REQUEST", rudder_events::explain)
+}
+
+/// Prints what `story` makes of the merged logs for the topic that the first word names.
+fn tell(
+    arguments: Arguments,
+    command: &str,
+    topic: &str,
+    story: impl Fn(&str, &[Line]) -> Vec<String>,
+) -> Result<bool, Error> {
     let words = to_words(arguments)?;
-    let [request, files @ ..] = words.as_slice() else {
-        return Err(Error::Usage("explain needs REQUEST and at least one FILE".to_owned()));
+    let [named, files @ ..] = words.as_slice() else {
+        return Err(Error::Usage(format!("{command} needs {topic} and at least one FILE")));
     };
     if files.is_empty() {
-        return Err(Error::Usage("explain needs at least one FILE".to_owned()));
+        return Err(Error::Usage(format!("{command} needs at least one FILE")));
     }
     let lines = rudder_events::timeline(&to_paths(files)).wrap_err("merge event logs")?;
-    let story = rudder_events::explain(request, &lines);
+    let story = story(named, &lines);
     for sentence in &story {
         println!("{sentence}");
     }
     if story.is_empty() {
-        eprintln!("no event names request {request}");
+        eprintln!("no event is about {named}");
     }
     Ok(!story.is_empty())
 }
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -8,20 +8,18 @@
 use rudder_events::What;
 use rudder_ledger::{Answer, Command, Ledger, Stamped};
 use rudder_model::{InstanceId, Start};
-use rudder_replica::{Durable, Entry, Envelope, Member, Members, Output, Payload, Replica, ReplicaId, Role, Spare};
+use rudder_replica::{Durable, Entry, Envelope, Members, Output, Payload, Replica, ReplicaId, Role, Spare};
 
 use crate::{
     Effect, Group, Listing, Me, Options, PeerMessage, Watch,
     clock::Clock,
+    founding::Founding,
     registry::{Change, Registration, Registry},
     tree::Directory,
     view::View,
     watchers::{Source, Watchers},
 };
 
-/// Time between questions of founders to each other.
-const FOUNDING_RETRY: Duration = Duration::from_millis(300);
-
 /// Time between announcements of a leader to seeds that it has not heard.
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(400);
 /// Where relays stand between, a new leader gives instances this much longer to be heard of: relays have to find it and
@@ -51,11 +49,7 @@
     /// When each of them was last heard of.
     live: BTreeMap<InstanceId, Duration>,
     led_since: Option<Duration>,
-    founders: BTreeMap<InstanceId, ReplicaId>,
-    foreign: bool,
-    /// The term in which this process founded the log.
-    founded: Option<u64>,
-    founding_at: Option<Duration>,
+    founding: Founding,
     registry: Registry,
     watchers: Watchers,
     unsnapped: u64,
@@ -82,10 +76,7 @@
             directory: Directory::default(),
             live: BTreeMap::new(),
             led_since: None,
-            founders: BTreeMap::new(),
-            foreign: false,
-            founded: None,
-            founding_at: None,
+            founding: Founding::default(),
             registry: Registry::default(),
             watchers: Watchers::default(),
             unsnapped: 0,
@@ -101,16 +92,10 @@
     /// The term in which this instance holds duties: it leads, with its lease, and `handover` has passed since it began.
     pub fn duty_term(&self, now: Duration, handover: Duration) -> Option<u64> {
         let since = self.leads_since(now)?;
-        let handover = if self.is_first_leader() { Duration::ZERO } else { handover };
+        let handover = if self.founding.is_first(self.replica.term()) { Duration::ZERO } else { handover };
         (now >= since + handover).then(|| self.replica.term())
     }
 
-    /// True where this process founded the log and won the first election after that: nobody has led before it, so there
-    /// is nobody to take duties over from.
-    fn is_first_leader(&self) -> bool {
-        self.founded.is_some_and(|term| self.replica.term() <= term + 1)
-    }
-
     /// Until when duties may be carried out without a further look; `None` where they are not held.
     pub fn duty_until(&self, now: Duration, handover: Duration) -> Option<Duration> {
         self.duty_term(now, handover).map(|_| self.replica.lease_end())
@@ -249,10 +234,7 @@
         ask: bool,
         out: &mut Vec<Effect>,
     ) {
-        if members.is_some() {
-            self.foreign = true;
-        }
-        self.founders.insert(from.clone(), replica);
+        self.founding.note(from.clone(), replica, members.is_some());
         if !ask {
             return;
         }
@@ -284,32 +266,12 @@
         self.replica.last_index() > 0
     }
 
-    /// The founder with the lowest name starts the log once every founder has said that its folder is
-    /// empty. A founder that lost its folder hears from the others that the log exists, and waits to
-    /// be taken in as a new replica.
+    /// Begins the log where this instance is to.
     fn found(&mut self, now: Duration, me: &Me, options: &Options, outputs: &mut Vec<Output>, out: &mut Vec<Effect>) {
-        let first = options.founders.iter().min() == Some(&me.name);
-        if !first || self.is_founded() || self.foreign {
-            return;
-        }
-        self.founders.insert(me.name.clone(), self.replica.id());
-        let known =
-            |name: &InstanceId| self.founders.get(name).map(|id| (*id, Member { name: name.clone(), voter: true }));
-        let members: Option<Members> = options.founders.iter().map(known).collect();
-        if let Some(members) = members {
-            let data = Ledger::default().try_to_bytes().expect("an empty state can be encoded");
-            self.replica.found(members, data, outputs);
-            self.founded = Some(self.replica.term());
-            return;
-        }
-        if self.founding_at.is_some_and(|at| now < at + FOUNDING_RETRY) {
-            return;
-        }
-        self.founding_at = Some(now);
-        for founder in options.founders.iter().filter(|name| **name != me.name) {
-            let message = PeerMessage::Founding { replica: self.replica.id(), members: None, ask: true };
-            out.push(Effect::Send { to: founder.clone(), message });
-        }
+        let Some(members) = self.founding.tick(now, me, options, &self.replica, out) else { return };
+        let data = Ledger::default().try_to_bytes().expect("an empty state can be encoded");
+        self.replica.found(members, data, outputs);
+        self.founding.note_began(self.replica.term());
     }
 
     fn note_role(&mut self, now: Duration, view: &View, options: &Options, out: &mut Vec<Effect>) {
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`homes`]: the pools that this instance decides for;
 //! - [`registry`]: endpoints that register themselves by heartbeats;
 //! - [`loads`]: work under way at endpoints, as all instances tell it;
+//! - `founding`: the start of the log;
 //! - [`clock`]: the time of day that all agree on;
 //! - [`tally`]: requests by organisation, on their way to the leader;
 //! - [`duties`]: calls that one instance makes for all, under the leader's lease;
@@ -28,6 +29,7 @@
 pub mod duties;
 pub mod effect;
 pub mod event;
+pub(crate) mod founding;
 pub mod homes;
 pub mod keyed;
 pub mod loads;
