perf(gateway): loads that have not changed are not taken in again

Since loads are exchanged apart from the view each answer replaced them and divided all lanes anew, changed or not. No test changes: what is chosen is the same.

--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -345,8 +345,10 @@
         }
         if let Some(loads) = watched.loads.filter(|_| sent.target != Target::PastRelay) {
             self.others_at = proof.or(self.others_at);
-            self.works += 1;
-            self.others = loads;
+            if self.others != loads {
+                self.works += 1;
+                self.others = loads;
+            }
         }
         if let Some(news) = watched.directory {
             changed |= self.take_directory((me, options), news, out);
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -39,8 +39,8 @@
     Send(InstanceId, PeerMessage),
     /// The view changed.
     Published(Box<Published>),
-    /// The work of the other instances at endpoints, and when it was so.
-    Others(Vec<Load>, Instant),
+    /// The work of the other instances at endpoints, where it has changed, and when it was so.
+    Others(Option<Vec<Load>>, Instant),
     /// The view is proved the newest as of this time.
     Proved(Instant),
     /// Somebody's ticket is answered.
@@ -58,6 +58,7 @@
     log: Log,
     edition: u64,
     works: u64,
+    others_at: Option<Duration>,
     proved: Option<Duration>,
     endpoints: Vec<Registration>,
     batch: Vec<Notice>,
@@ -100,6 +101,7 @@
         log,
         edition: 0,
         works: 0,
+        others_at: None,
         proved: None,
         endpoints,
         batch: Vec::new(),
@@ -249,10 +251,10 @@
             self.batch.push(Notice::Published(Box::new(published)));
         }
         let view = &self.state.view;
-        if view.works != self.works {
-            self.works = view.works;
-            let at = self.epoch + view.others_at().unwrap_or_default();
-            self.batch.push(Notice::Others(view.others.clone(), at));
+        if let Some(at) = view.others_at().filter(|at| Some(*at) != self.others_at) {
+            let changed = view.works != self.works;
+            (self.works, self.others_at) = (view.works, Some(at));
+            self.batch.push(Notice::Others(changed.then(|| view.others.clone()), self.epoch + at));
         }
         if view.proved() != self.proved {
             self.proved = view.proved();
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -264,9 +264,10 @@
         self.fields.borrow_mut().clear();
     }
 
-    /// Takes in the work of the other instances at endpoints.
-    pub fn take_others(&self, others: &[Load], at: Instant) {
+    /// Takes in the work of the other instances at endpoints as of `at`; `None` where it has not changed.
+    pub fn take_others(&self, others: Option<&[Load]>, at: Instant) {
         self.others_at.set(Some(at));
+        let Some(others) = others else { return };
         self.balance.borrow_mut().set_others(others);
         self.judge();
         self.fields.borrow_mut().clear();
