fix(core): a lease that lapses for a moment uses no fence again

Found on reading: a leader that loses its lease and regains it in the same term began its orders' fences anew, so the platform would refuse them as older than its own, and a refusal reads as "none are to be had". Fences now go on from the last one used. Test first: 24 duties tests, the new one failed (no order was taken any more after the lapse).

--- a/crates/rudder-core/src/duties/scaling.rs
+++ b/crates/rudder-core/src/duties/scaling.rs
@@ -11,7 +11,7 @@
 use rudder_model::HallId;
 use rudder_route::scale::{Bounds, Demand, HallEngines, ScaleOptions, Scaler, Wanted};
 
-use super::{Backoff, CallOutcome, Context, DutyCall, fence};
+use super::{Backoff, CallOutcome, Context, DutyCall, Fence, fence};
 use crate::Effect;
 
 /// Orders under way at once.
@@ -66,15 +66,14 @@
 pub(crate) struct Scaling {
     scalers: BTreeMap<Arc<str>, Scaler>,
     orders: BTreeMap<Subject, Standing>,
-    /// Fences used in this term.
-    fences: u64,
+    /// The last fence used: a lease that lapses for a moment is regained in the same term.
+    fence: Fence,
 }
 
 impl Scaling {
     /// Forgets the orders, but not the demand: another instance may have given others.
     pub(crate) fn clear(&mut self) {
         self.orders.clear();
-        self.fences = 0;
     }
 
     /// What the policy wants for each service.
@@ -128,8 +127,8 @@
             return;
         }
         *tickets += 1;
-        self.fences += 1;
-        let fence = fence(context.control.replica.term()) + self.fences;
+        let fence = self.fence.max(fence(context.control.replica.term())) + 1;
+        self.fence = fence;
         standing.flying = Some((*tickets, count, now));
         let Subject { service, hall, cheap } = subject;
         context.out.push(Effect::Log(What::EnginesWanted {
--- a/crates/rudder-core/tests/duties.rs
+++ b/crates/rudder-core/tests/duties.rs
@@ -379,3 +379,31 @@
     assert!(later >= killed + HANDOVER, "{later:?}");
     assert_eq!(mesh.receiver.broken, Vec::<String>::new());
 }
+
+/// A leader whose lease lapses for a moment keeps its term; its fences must go on from where they were.
+#[test]
+fn a_lease_that_lapses_for_a_moment_uses_no_fence_again() {
+    let mut mesh = start();
+    describe_for(&mut mesh, 5, FIRST, [0; 3]);
+    let holder = leader(&mesh);
+    let (calls, term) = (scale_calls(&mesh), term_of(&mesh, holder));
+    // Its questions are not answered for longer than the lease, and shorter than others wait before they campaign.
+    for number in (0..DISKS).filter(|number| *number != holder) {
+        mesh.nodes[number].paused = true;
+    }
+    mesh.run(Duration::from_millis(800));
+    assert_eq!(mesh.leader(), None, "the lease has lapsed");
+    for number in 0..DISKS {
+        mesh.wake(number);
+    }
+    mesh.run(Duration::from_millis(500));
+    assert_eq!((mesh.leader(), term_of(&mesh, holder)), (Some(holder), term));
+    describe_for(&mut mesh, 3, FIRST, [20; 3]);
+    assert!(scale_calls(&mesh) > calls, "it orders again");
+    assert_eq!(mesh.receiver.stale, 0);
+}
+
+fn term_of(mesh: &Mesh, number: usize) -> u64 {
+    let control = mesh.nodes[number].state.as_ref().and_then(|state| state.control.as_ref());
+    control.expect("it has a disk").replica.term()
+}
