--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout_at;
 
 use super::{
-    Call, Failure, Leg, Progress, Refusal, Resume,
+    Call, Failure, Leg, Progress, Refusal, Resume, note_begun,
     permit::{check_not_hopeless, check_still_allowed, may_send_again, to_wait},
     send::WHOLE,
 };
@@ -192,7 +192,7 @@
         Ok(Err(_)) => {
             if sent.elapsed() >= to_wait(shared, choice) {
                 // Plain services begin at once, engines when what is ahead has been read: it has run, its answer is lost.
-                shared.note_begun(call.organisation.as_ref(), sent);
+                note_begun(shared, call, progress, sent);
             }
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
             log_failure(shared, call, progress, choice, "the connection ended before an answer", Ran::Unknown);
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -142,6 +142,8 @@
     pub ran: u32,
     /// Where it was sent last.
     pub last: Option<Choice>,
+    /// It has begun to run at an endpoint, and counts as one request of its organisation however often it does again.
+    pub begun: bool,
     connects: u32,
     chosen: Option<Arc<str>>,
 }
@@ -237,6 +239,13 @@
     }
 }
 
+/// Counts a request that began to run at an endpoint at `at`, the first time that it does.
+pub fn note_begun<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, at: Instant) {
+    if !std::mem::replace(&mut progress.begun, true) {
+        shared.note_begun(call.organisation.as_ref(), at);
+    }
+}
+
 /// Path and query alone, as they go to an endpoint.
 fn to_origin(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -11,7 +11,7 @@
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume,
     attempt::{CONNECTS, attempt, note_not_run, note_outcome, put_back},
-    may_send_again,
+    may_send_again, note_begun,
     refusal::{give_up, is_promise},
     strip_hop_headers,
 };
@@ -46,7 +46,7 @@
             return Ok(stream::start(shared, call, progress, leg));
         }
         // A plain service begins at once.
-        shared.note_begun(call.organisation.as_ref(), leg.sent);
+        note_begun(shared, &call, &mut progress, leg.sent);
         match relay(shared, &call, leg).await {
             Ok(response) => {
                 let status = response.status();
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -215,7 +215,7 @@
             if !began {
                 // An engine begins a request with its first output.
                 began = true;
-                self.shared.note_begun(self.call.organisation.as_ref(), Instant::now());
+                call::note_begun(self.shared, &self.call, &mut self.progress, Instant::now());
             }
             let whole = self.events.take(&bytes);
             let part = if whole_events { whole } else { bytes };
