refactor: one copy of what the duties' change wrote twice, behaviour as before

Found by reading the whole change once more: - a call under way is one type for reports and orders, instead of a struct in one and a bare tuple in the other; its time-out, and the time after which a command is proposed again, are named once; - whether the log is begun is asked in one place, so founding needs no replica; - the age of the others' work is read, not doubled and halved again; - the words for cheap and full price, and the question whether all engines may have been heard of, stand once; - an event's comment named another rate and place than the code's.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -268,7 +268,10 @@
 
     /// Begins the log where this instance is to.
     fn found(&mut self, now: Duration, me: &Me, options: &Options, outputs: &mut Vec<Output>, out: &mut Vec<Effect>) {
-        let Some(members) = self.founding.tick(now, me, options, &self.replica, out) else { return };
+        if self.is_founded() {
+            return;
+        }
+        let Some(members) = self.founding.tick(now, me, options, self.replica.id(), out) else { return };
         let data = Ledger::default().try_to_bytes().expect("an empty state can be encoded");
         self.replica.found(members, data, outputs);
         self.founding.note_began(self.replica.term());
--- a/crates/rudder-core/src/duties/intake.rs
+++ b/crates/rudder-core/src/duties/intake.rs
@@ -6,7 +6,7 @@
 use rudder_ledger::{Command, Count, Counts, Source, Tally, Usage, Window};
 use rudder_model::{InstanceId, OrgId, Start};
 
-use super::Context;
+use super::{Context, PROPOSE_AGAIN};
 use crate::{
     Effect, PeerMessage,
     options::UsageOptions,
@@ -16,8 +16,6 @@
 
 /// Time between two commands of counts: what comes in between goes into one.
 const BATCH: Duration = Duration::from_millis(150);
-/// A command that the log has not taken after this long is proposed again.
-const PROPOSE_AGAIN: Duration = Duration::from_secs(1);
 /// A report is sent this long before it is due at the latest, so that a change of holders and a slow receiver
 /// still leave time: an election and a handover of three seconds.
 const REPORT_MARGIN: Duration = Duration::from_millis(3500);
--- a/crates/rudder-core/src/duties/mod.rs
+++ b/crates/rudder-core/src/duties/mod.rs
@@ -16,7 +16,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rudder_events::What;
+use rudder_events::{What, explain::to_price};
 use rudder_ledger::{Command, Counts, Window};
 use rudder_model::{HallId, InstanceId, id};
 use serde::{Deserialize, Serialize};
@@ -36,6 +36,11 @@
 /// The longest such wait.
 const BACKOFF_MOST: Duration = Duration::from_secs(3);
 
+/// A call whose end is not told within this time is forgotten; calls are given up far sooner.
+const FORGET: Duration = Duration::from_secs(10);
+/// A command that the log has not taken after this long is proposed again.
+const PROPOSE_AGAIN: Duration = Duration::from_secs(1);
+
 /// A number that rises with each holder.
 pub type Fence = u64;
 
@@ -76,8 +81,7 @@
         match self {
             DutyCall::Usage { window, .. } => format!("window {window}"),
             DutyCall::Scale { service, hall, cheap, count } => {
-                let kind = if *cheap { "cheap" } else { "full price" };
-                format!("{count} of {service} in {hall}, {kind}")
+                format!("{count} of {service} in {hall}, {}", to_price(*cheap))
             }
         }
     }
@@ -100,6 +104,21 @@
     Unknown,
 }
 
+/// A call under way, about `subject`.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Flying<T> {
+    ticket: u64,
+    subject: T,
+    since: Duration,
+}
+
+impl<T> Flying<T> {
+    /// True where its end is no longer waited for.
+    pub(crate) fn is_forgotten(&self, now: Duration) -> bool {
+        now >= self.since + FORGET
+    }
+}
+
 /// Waits between calls that do not succeed.
 #[derive(Debug, Default)]
 pub(crate) struct Backoff {
--- a/crates/rudder-core/src/duties/reports.rs
+++ b/crates/rudder-core/src/duties/reports.rs
@@ -6,25 +6,13 @@
 
 use rudder_ledger::{Command, Window};
 
-use super::{Backoff, CallOutcome, Context, DutyCall, fence};
+use super::{Backoff, CallOutcome, Context, DutyCall, Flying, PROPOSE_AGAIN, fence};
 use crate::{Effect, options::UsageOptions, tally::window_end};
 
-/// A call whose end is not told within this time is forgotten; calls are given up far sooner.
-const FORGET: Duration = Duration::from_secs(10);
-/// That a report was acknowledged is proposed again when the log does not hold it after this long.
-const PROPOSE_AGAIN: Duration = Duration::from_secs(1);
-
-#[derive(Debug)]
-struct Flying {
-    ticket: u64,
-    window: Window,
-    since: Duration,
-}
-
 /// Reports under way.
 #[derive(Debug, Default)]
 pub(crate) struct Reports {
-    flying: Option<Flying>,
+    flying: Option<Flying<Window>>,
     backoff: Backoff,
     /// Windows acknowledged, with when that was last proposed to the log.
     done: BTreeMap<Window, Option<Duration>>,
@@ -40,14 +28,14 @@
     pub(crate) fn tick(&mut self, context: &mut Context, usage: &UsageOptions, tickets: &mut u64) {
         self.record_done(context);
         let now = context.now;
-        self.flying.take_if(|flying| now >= flying.since + FORGET);
+        self.flying.take_if(|flying| flying.is_forgotten(now));
         if self.flying.is_some() || self.backoff.holds(now) {
             return;
         }
         let closed = context.control.ledger.usage.closed();
         let Some((window, counts)) = closed.iter().find(|(window, _)| !self.done.contains_key(window)) else { return };
         *tickets += 1;
-        self.flying = Some(Flying { ticket: *tickets, window: *window, since: now });
+        self.flying = Some(Flying { ticket: *tickets, subject: *window, since: now });
         let ended = window_end(*window, usage.window);
         context.out.push(Effect::Call {
             ticket: *tickets,
@@ -75,7 +63,7 @@
         let Some(flying) = self.flying.take_if(|flying| flying.ticket == ticket) else { return };
         if outcome == CallOutcome::Taken {
             self.backoff.clear();
-            self.done.insert(flying.window, None);
+            self.done.insert(flying.subject, None);
         } else {
             self.backoff.note_failure(now, ticket);
         }
--- a/crates/rudder-core/src/duties/scaling.rs
+++ b/crates/rudder-core/src/duties/scaling.rs
@@ -11,15 +11,13 @@
 use rudder_model::HallId;
 use rudder_route::scale::{Bounds, Demand, HallEngines, ScaleOptions, Scaler, Wanted};
 
-use super::{Backoff, CallOutcome, Context, DutyCall, Fence, fence};
+use super::{Backoff, CallOutcome, Context, DutyCall, Fence, Flying, fence};
 use crate::Effect;
 
 /// Orders under way at once.
 const FLYING_MOST: usize = 4;
 /// An order whose engines are not there this long after the time that they take to start is given again.
 const OVERDUE: Duration = Duration::from_secs(3);
-/// An order whose outcome was not told within this time is given again.
-const FORGET: Duration = Duration::from_secs(10);
 
 /// A service as the instance that holds the duty sees it.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,8 +52,8 @@
 struct Standing {
     /// The count that was ordered last and taken.
     taken: Option<(u32, Duration)>,
-    /// An order under way: its ticket, count, and since when.
-    flying: Option<(u64, u32, Duration)>,
+    /// The count of an order under way.
+    flying: Option<Flying<u32>>,
     backoff: Backoff,
     /// None were to be had when they were last ordered; none are counted on until an order is taken.
     barred: bool,
@@ -129,7 +127,7 @@
         *tickets += 1;
         let fence = self.fence.max(fence(context.control.replica.term())) + 1;
         self.fence = fence;
-        standing.flying = Some((*tickets, count, now));
+        standing.flying = Some(Flying { ticket: *tickets, subject: count, since: now });
         let Subject { service, hall, cheap } = subject;
         context.out.push(Effect::Log(What::EnginesWanted {
             service: service.clone(),
@@ -148,7 +146,7 @@
     /// fences: of two orders under way at once the second may come first, find no room, and make the first one stale.
     fn must_wait(&mut self, now: Duration, subject: &Subject) -> bool {
         for standing in self.orders.values_mut() {
-            standing.flying.take_if(|(_, _, since)| now >= *since + FORGET);
+            standing.flying.take_if(|flying| flying.is_forgotten(now));
         }
         let flying = self.orders.iter().filter(|(_, standing)| standing.flying.is_some());
         let same = |held: &Subject| held.service == subject.service && held.hall == subject.hall;
@@ -158,9 +156,9 @@
     /// Takes in how an order ended.
     pub(crate) fn on_called(&mut self, now: Duration, ticket: u64, outcome: CallOutcome) {
         let mut standings = self.orders.values_mut();
-        let of_ticket = |standing: &&mut Standing| standing.flying.is_some_and(|(flying, _, _)| flying == ticket);
+        let of_ticket = |standing: &&mut Standing| standing.flying.is_some_and(|flying| flying.ticket == ticket);
         let Some(standing) = standings.find(of_ticket) else { return };
-        let Some((_, count, _)) = standing.flying.take() else { return };
+        let Some(Flying { subject: count, .. }) = standing.flying.take() else { return };
         match outcome {
             CallOutcome::Taken => {
                 standing.taken = Some((count, now));
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -81,7 +81,7 @@
     },
     /// The work that this instance has under way at endpoints.
     Loads(Vec<Load>),
-    /// How services stand whose engines are ordered; comes about once a second where duties are held.
+    /// How services stand whose engines are ordered; comes a few times a second at the leader.
     Services(Vec<ServiceState>),
     /// Requests that began to run at endpoints.
     Begun(Vec<Begun>),
--- a/crates/rudder-core/src/founding.rs
+++ b/crates/rudder-core/src/founding.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use rudder_model::InstanceId;
-use rudder_replica::{Member, Members, Replica, ReplicaId};
+use rudder_replica::{Member, Members, ReplicaId};
 
 use crate::{Effect, Me, Options, PeerMessage};
 
@@ -34,21 +34,21 @@
         self.began.is_some_and(|began| term <= began + 1)
     }
 
-    /// The members to begin the log with, once all founders are known here. A founder that lost its folder hears from the
+    /// The members to begin the log with where there is none yet, once all founders are known here. A founder that lost its folder hears from the
     /// others that the log exists, and waits to be taken in as a new replica.
     pub(crate) fn tick(
         &mut self,
         now: Duration,
         me: &Me,
         options: &Options,
-        replica: &Replica,
+        replica: ReplicaId,
         out: &mut Vec<Effect>,
     ) -> Option<Members> {
         let first = options.founders.iter().min() == Some(&me.name);
-        if !first || replica.last_index() > 0 || self.foreign {
+        if !first || self.foreign {
             return None;
         }
-        self.founders.insert(me.name.clone(), replica.id());
+        self.founders.insert(me.name.clone(), replica);
         let member = |name: &InstanceId| {
             let id = *self.founders.get(name)?;
             Some((id, Member { name: name.clone(), voter: true }))
@@ -60,13 +60,13 @@
         None
     }
 
-    fn ask(&mut self, now: Duration, me: &Me, options: &Options, replica: &Replica, out: &mut Vec<Effect>) {
+    fn ask(&mut self, now: Duration, me: &Me, options: &Options, replica: ReplicaId, out: &mut Vec<Effect>) {
         if self.asked.is_some_and(|asked| now < asked + RETRY) {
             return;
         }
         self.asked = Some(now);
         for founder in options.founders.iter().filter(|name| **name != me.name) {
-            let message = PeerMessage::Founding { replica: replica.id(), members: None, ask: true };
+            let message = PeerMessage::Founding { replica, members: None, ask: true };
             out.push(Effect::Send { to: founder.clone(), message });
         }
     }
--- a/crates/rudder-core/tests/duties.rs
+++ b/crates/rudder-core/tests/duties.rs
@@ -62,6 +62,14 @@
     assert_eq!(mesh.receiver.reported(ORG), begun);
 }
 
+/// Serves while the receiver is in a mood, after which it answers again.
+fn serve_under(mesh: &mut Mesh, mood: Mood, time: Duration) -> u64 {
+    mesh.receiver.mood = mood;
+    let begun = serve(mesh, time);
+    mesh.receiver.mood = Mood::Answers;
+    begun
+}
+
 macro_rules! exact {
     ($($name:ident: $trouble:expr;)*) => {
         $(
@@ -132,24 +140,9 @@
         mesh.run(Duration::from_secs(1));
         0
     };
-    answers_of_the_receiver_are_lost: |mesh| {
-        mesh.receiver.mood = Mood::Mute;
-        let begun = serve(mesh, Duration::from_secs(11));
-        mesh.receiver.mood = Mood::Answers;
-        begun
-    };
-    the_receiver_is_down: |mesh| {
-        mesh.receiver.mood = Mood::Down;
-        let begun = serve(mesh, Duration::from_secs(11));
-        mesh.receiver.mood = Mood::Answers;
-        begun
-    };
-    the_receiver_is_busy: |mesh| {
-        mesh.receiver.mood = Mood::Busy;
-        let begun = serve(mesh, Duration::from_secs(6));
-        mesh.receiver.mood = Mood::Answers;
-        begun
-    };
+    answers_of_the_receiver_are_lost: |mesh| serve_under(mesh, Mood::Mute, Duration::from_secs(11));
+    the_receiver_is_down: |mesh| serve_under(mesh, Mood::Down, Duration::from_secs(11));
+    the_receiver_is_busy: |mesh| serve_under(mesh, Mood::Busy, Duration::from_secs(6));
     calls_are_carried_out_late_while_the_holder_changes: |mesh| {
         mesh.receiver.mood = Mood::Late;
         let mut begun = serve(mesh, Duration::from_secs(6));
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -149,6 +149,11 @@
     }
 }
 
+/// How logs call engines that may be taken away, and the others.
+pub fn to_price(cheap: bool) -> &'static str {
+    if cheap { "cheap" } else { "full price" }
+}
+
 /// Sentences on the duties that one instance holds for all.
 fn to_duty_sentence(what: &What) -> String {
     match what {
@@ -159,10 +164,10 @@
              {missing} instances may have had more to tell"
         ),
         What::EnginesWanted { service, hall, cheap, wanted, there, calls, fence } => {
-            let kind = if *cheap { "cheap" } else { "full price" };
             format!(
-                "wants {wanted} engines of {service} in {hall}, {kind}, where {there} take work and {calls} requests \
-                 are under way in all halls; orders them with fence {fence}"
+                "wants {wanted} engines of {service} in {hall}, {}, where {there} take work and {calls} requests \
+                 are under way in all halls; orders them with fence {fence}",
+                to_price(*cheap)
             )
         }
         What::DutyCalled { duty, subject, fence, outcome, said, took_ms, age_ms } => format!(
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -213,7 +213,7 @@
     reused: bool,
     left: Duration,
 ) {
-    let others = shared.work_age() / 2;
+    let others = shared.others_age();
     shared.log.write(What::CallSent {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
--- a/crates/rudder-gateway/src/duty.rs
+++ b/crates/rudder-gateway/src/duty.rs
@@ -54,11 +54,10 @@
 /// Makes a call and tells the reducer how it ended.
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>, errand: Errand) {
     let began = Instant::now();
-    let outcome = match &shared.options.duties {
+    let Ended { outcome, said } = match &shared.options.duties {
         Some(duties) => send(&shared, duties, &errand).await,
         None => Ended::without_answer(CallOutcome::Lapsed),
     };
-    let Ended { outcome, said } = outcome;
     shared.metrics.note_duty(errand.call.kind(), outcome);
     shared.log.write(What::DutyCalled {
         duty: errand.call.kind().to_owned(),
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -215,7 +215,12 @@
 
     /// How old the others' work is that is known here: it takes about as long to be told by them as it took to come here.
     pub fn work_age(&self) -> Duration {
-        self.others_at.get().map(|at| at.elapsed()).unwrap_or_default() * 2
+        self.others_age() * 2
+    }
+
+    /// How long ago the others' work was as it is known here.
+    pub fn others_age(&self) -> Duration {
+        self.others_at.get().map(|at| at.elapsed()).unwrap_or_default()
     }
 
     /// When a request that lacks proof of the configuration should come back: after the rest of a start, or
--- a/crates/rudder-route/src/scale.rs
+++ b/crates/rudder-route/src/scale.rs
@@ -139,7 +139,7 @@
     ) -> Vec<Wanted> {
         let needs = self.needs(now, demand, halls, options);
         let fresh = self.is_fresh(halls);
-        let settled = now >= *self.began.get_or_insert(now) + GATHER;
+        let settled = self.is_settled(now);
         if !settled && !fresh {
             return Vec::new();
         }
@@ -158,6 +158,11 @@
         wanted
     }
 
+    /// True once all engines may have been heard of.
+    fn is_settled(&mut self, now: Duration) -> bool {
+        now >= *self.began.get_or_insert(now) + GATHER
+    }
+
     /// True where no cheap engines have ever been ordered, as far as is known here.
     fn is_fresh(&self, halls: &[HallEngines]) -> bool {
         self.since.is_none() && halls.iter().all(|held| held.cheap == 0)
@@ -165,8 +170,7 @@
 
     /// Engines needed for the demand that there is and that there was.
     fn needs(&mut self, now: Duration, demand: Demand, halls: &[HallEngines], options: &ScaleOptions) -> Needs {
-        let began = *self.began.get_or_insert(now);
-        if now < began + GATHER || self.is_fresh(halls) {
+        if !self.is_settled(now) || self.is_fresh(halls) {
             self.first = self.first.max(count_bearing(halls, options));
         }
         let hold = Duration::try_from_secs_f64(options.hold).unwrap_or_default();
