feat(gateway): logs tell which requests ask the same, and under which an endpoint ended

Nothing in the logs told that two requests with different ids are the same content, nor whether an endpoint ended or only broke a connection off: the two hypotheses left of the BUDGET incident could not be told apart. call_taken bears the content's hash; ended_under names request, endpoint and content. The question whether an endpoint has ended is asked once for a broken stream, before the copy is tried, where it was asked inside. No decision changed.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -208,6 +208,8 @@
         route: Arc<str>,
         /// The organisation that holds its key.
         org: Option<Arc<str>>,
+        /// Its content, in hexadecimal: a request that comes again under another id bears the same one.
+        content: String,
         /// Version of the configuration document that decided.
         version: u64,
         /// Age of the proof that it is the newest, in milliseconds.
@@ -307,6 +309,15 @@
         /// Events that the caller has.
         events: u64,
     },
+    /// An endpoint ended, connections to it are refused, while a request was under way there.
+    EndedUnder {
+        /// The request.
+        request: String,
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The request's content, in hexadecimal.
+        content: String,
+    },
     /// An endpoint joined, changed its standing, or was taken off.
     Endpoint {
         /// The endpoint.
@@ -425,6 +436,7 @@
             | What::CallAnswered { request, .. }
             | What::CallRefused { request, .. }
             | What::CallCut { request, .. }
+            | What::EndedUnder { request, .. }
             | What::Left { request } => Some(request),
             _ => None,
         }
@@ -442,6 +454,7 @@
             | What::CallHopeless { endpoint, .. }
             | What::CallAnswered { endpoint, .. }
             | What::CallCut { endpoint, .. }
+            | What::EndedUnder { endpoint, .. }
             | What::Endpoint { endpoint, .. }
             | What::Ejected { endpoint, .. }
             | What::Suspect { endpoint, .. }
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -71,10 +71,10 @@
         }
         What::Refused { code, text, ran, .. } => format!("refused ({code:?}, ran: {ran:?}): {text}"),
         What::Left { .. } => "the caller left".to_owned(),
-        What::CallTaken { route, org, version, proof_ms, left_ms, .. } => {
+        What::CallTaken { route, org, content, version, proof_ms, left_ms, .. } => {
             let org = org.as_deref().unwrap_or("nobody");
             format!(
-                "taken on route {route} for {org}, by configuration {version} (proved {proof_ms} ms ago), \
+                "taken on route {route} for {org}, content {content}, by configuration {version} (proved {proof_ms} ms ago), \
                  {left_ms} ms allowed"
             )
         }
@@ -118,6 +118,7 @@
         What::CallCut { endpoint, why, events, .. } => {
             format!("broken off at {endpoint} after {events} events: {why}")
         }
+        What::EndedUnder { endpoint, content, .. } => format!("{endpoint} ended while it ran content {content}"),
         What::Endpoint { endpoint, phase, sequence, .. } => {
             format!("learned that {endpoint} is {phase} (heartbeat {sequence})")
         }
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -6,14 +6,16 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, StatusCode, header, request};
+use http::{HeaderMap, HeaderName, StatusCode, header, request, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rudder_events::What;
+use rudder_model::content_tag;
 use tokio::time::timeout_at;
 
 use super::{
     Call, Refusal,
+    ended::to_hex,
     refusal::{denied, not_run},
 };
 use crate::{Dialect, Plan, Route, dialect::CallHead, shared::Shared};
@@ -62,10 +64,14 @@
     let tier = organisation.and_then(|organisation| organisation.tier).unwrap_or(route.tier);
     let organisation = organisation.map(|organisation| organisation.name.clone());
     let body = read_body(body, plan.limits.body, until).await?;
+    let caller = organisation.as_deref().unwrap_or_default();
+    let target = parts.uri.path_and_query().map_or(path, PathAndQuery::as_str);
+    let content = content_tag(caller, parts.method.as_str(), &host, target, &body);
     shared.log.write(What::CallTaken {
         request: head.id.clone(),
         route: route.name.clone(),
         org: organisation.clone(),
+        content: to_hex(content),
         version: plan.version,
         proof_ms: shared.proof_age().unwrap_or_default().as_millis() as u64,
         left_ms: allowed.as_millis() as u64,
@@ -82,6 +88,7 @@
         tier,
         engine_rank,
         prompt: head.prompt,
+        content,
         last_event: head.last_event,
         key: head.key,
         host,
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -14,7 +14,7 @@
 use tokio::time::timeout_at;
 
 use super::{
-    Call, Failure, Leg, Progress, Refusal, Resume, note_begun,
+    Call, Failure, Leg, Progress, Refusal, Resume, note_begun, note_if_ended,
     permit::{check_not_hopeless, check_still_allowed, may_send_again, to_wait},
     send::WHOLE,
 };
@@ -196,6 +196,7 @@
             }
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
             log_failure(shared, call, progress, choice, "the connection ended before an answer", Ran::Unknown);
+            note_if_ended(shared, call, choice).await;
             Err(Failure::Lost("the endpoint broke off"))
         }
         Err(_) => {
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -9,11 +9,11 @@
     attempt::{connect, log_failure, note_outcome, send_on},
     permit::check_still_allowed,
 };
-use crate::{Dialect, choose::Choice, health::Outcome, shared::Shared, upstream};
+use crate::{Dialect, choose::Choice, health::Outcome, shared::Shared};
 
 /// Goes on with a stream whose endpoint has ended, at the endpoint that keeps a copy of its memory. This counts
-/// as the same run, also on routes whose requests run at most once; so the first endpoint must have ended: one
-/// that can still be reached may have only broken off, and may be at work still. Before the first whole event there is
+/// as the same run, also on routes whose requests run at most once; so this is called only when the first endpoint has
+/// ended: one that can still be reached may have only broken off, and may be at work still. Before the first whole event there is
 /// no copy to go on from.
 pub async fn go_on_from_copy<D: Dialect>(
     shared: &Rc<Shared<D>>,
@@ -24,9 +24,7 @@
     let before = progress.last.take()?;
     let keeper = before.keeper.as_ref()?;
     let instances = shared.view.borrow().sender_count();
-    if !upstream::has_ended(&before.address).await
-        || !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances)
-    {
+    if !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances) {
         return None;
     }
     note_outcome(shared, &before.endpoint, Outcome::Unreachable);
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -10,11 +10,13 @@
 //! - [`permit`]: whether it may be sent, for the first time and once more;
 //! - [`attempt`]: one endpoint, from the choice to the head of its answer;
 //! - [`copies`]: going on elsewhere, from a copy of its memory, with a stream whose endpoint has ended;
+//! - [`ended`]: whether an endpoint ended under a request;
 //! - [`refusal`]: final answers of the instance itself.
 
 pub mod admit;
 pub mod attempt;
 pub mod copies;
+pub mod ended;
 pub mod permit;
 pub mod refusal;
 pub mod send;
@@ -30,11 +32,12 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rudder_events::What;
-use rudder_model::EndpointId;
+use rudder_model::{ContentTag, EndpointId};
 
 pub use admit::strip_hop_headers;
 pub use attempt::{attempt, log_failure, note_outcome, put_back};
 pub use copies::go_on_from_copy;
+pub use ended::note_if_ended;
 pub use permit::may_send_again;
 pub use refusal::Refusal;
 
@@ -79,6 +82,8 @@
     pub engine_rank: u8,
     /// The engine's work.
     pub prompt: Option<Prompt>,
+    /// What its caller asks for, in short: the same when it comes again under another id.
+    pub content: ContentTag,
     /// Last event that the caller had when it asked.
     pub last_event: Option<u64>,
     key: Option<String>,
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -11,7 +11,7 @@
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume,
     attempt::{CONNECTS, attempt, note_not_run, note_outcome, put_back},
-    may_send_again, note_begun,
+    may_send_again, note_begun, note_if_ended,
     refusal::{give_up, is_promise},
     strip_hop_headers,
 };
@@ -92,6 +92,7 @@
         Ok(Ok(collected)) => collected.to_bytes(),
         Ok(Err(_)) => {
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
+            note_if_ended(shared, call, &choice).await;
             return Err(Failure::Lost("the endpoint's answer broke off"));
         }
         Err(_) => return Err(Failure::Late),
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -141,21 +141,23 @@
     async fn run(&mut self, leg: Leg) {
         let mut leg = leg;
         loop {
-            let endpoint = leg.choice.endpoint.clone();
+            let choice = leg.choice.clone();
             let end = self.pass(leg).await;
             let why = match &end {
-                End::Whole => return self.log_answered(&endpoint),
+                End::Whole => return self.log_answered(&choice.endpoint),
                 End::Left => {
                     self.note_end(Ending::Left);
-                    return self.log_cut(&endpoint, "the caller left");
+                    return self.log_cut(&choice.endpoint, "the caller left");
                 }
                 End::Late => "time ran out",
                 End::Broken => "the endpoint broke off",
                 End::Silent => "the endpoint is silent",
             };
-            self.log_cut(&endpoint, why);
+            self.log_cut(&choice.endpoint, why);
+            let ended = matches!(end, End::Broken) && call::note_if_ended(self.shared, &self.call, &choice).await;
             let next = match end {
-                End::Broken if self.has_copy() => self.go_on_from_copy().await,
+                End::Broken if self.has_copy() && ended => self.go_on_from_copy().await,
+                End::Broken if self.has_copy() => None,
                 End::Broken => self.resume(false).await,
                 End::Silent => self.resume(true).await,
                 _ => None,
--- a/crates/rudder-model/src/id.rs
+++ b/crates/rudder-model/src/id.rs
@@ -23,6 +23,9 @@
 /// Short form of an endpoint's name, where many are told often. Two of 12,000 endpoints share one with a
 /// chance of 2 in 100; they then share their figures, and nothing else rests on it.
 pub type EndpointTag = u32;
+/// Short form of a request's content, to tell that a request comes again under another id. Two of 10,000 contents share one
+/// with a chance of 3 in a million million.
+pub type ContentTag = u64;
 /// SHA-256 of a key or a request body.
 pub type Digest = [u8; 32];
 
@@ -82,3 +85,13 @@
 pub fn endpoint_tag(endpoint: &str) -> EndpointTag {
     xxhash_rust::xxh3::xxh3_64(endpoint.as_bytes()) as EndpointTag
 }
+
+/// The short form of what `caller` asks for. Each field is hashed with its length, so that none runs into the next.
+pub fn content_tag(caller: &str, method: &str, host: &str, target: &str, body: &[u8]) -> ContentTag {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    for field in [caller.as_bytes(), method.as_bytes(), host.as_bytes(), target.as_bytes(), body] {
+        hasher.update(&(field.len() as u64).to_le_bytes());
+        hasher.update(field);
+    }
+    hasher.digest()
+}
