fix(core): a content under which three endpoints ended is refused by all instances

Cause: an instance knew a request by its id alone, so the same content under a new id, at any instance, was a new request; an endpoint's end was held against the endpoint only. Change: each end of an endpoint, seen as a refused connection, is recorded against the contents under way there, in the replicated log. From two on all instances know of it, at three the content is refused as not run; a whole answer clears it. A request under whose content two ended is not sent again.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -207,6 +207,7 @@
             directory: &self.directory,
             document: self.ledger.document.as_ref(),
             registry: &self.registry,
+            quarantine: &self.ledger.quarantine,
             others: &[],
             time: clock.agreed(now),
         };
@@ -364,7 +365,7 @@
                 let stamped: Stamped = rmp_serde::from_slice(&bytes).expect("the leader runs this version");
                 let configures = matches!(stamped.command, Command::Change(_) | Command::Document(_));
                 let answer = self.ledger.apply(entry.index, stamped);
-                if configures && self.led_since.is_some() {
+                if (configures || answer == Answer::Found(true)) && self.led_since.is_some() {
                     self.watchers.notify(now, None, out);
                 }
                 Some(answer)
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rudder_ledger::{Change, Document};
+use rudder_ledger::{Change, Document, Findings};
 use rudder_model::{ClassId, Digest, EndpointId, InstanceId, ModelId, RequestId};
 
 use crate::{
@@ -85,6 +85,8 @@
     Services(Vec<ServiceState>),
     /// Requests that began to run at endpoints.
     Begun(Vec<Begun>),
+    /// What became of contents under which endpoints ended.
+    Found(Findings),
     /// This instance's clock has stepped: the time of day at which its own time was zero, by that clock.
     Clock(Duration),
     /// A call of [`crate::Effect::Call`] ended.
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rudder_ledger::{Answer, Attempt, Command, Delta, Document, Patch};
+use rudder_ledger::{Answer, Attempt, Command, Delta, Document, Patch, QuarantineNews};
 use rudder_model::{EndpointId, EndpointTag, HallId, InstanceId, ModelId, Refusal, RequestId, Start};
 use rudder_replica::{Envelope, Members, ReplicaId};
 use rudder_route::{Ask, Ending, Holding};
@@ -53,6 +53,8 @@
     pub document: u64,
     /// Registry version it holds.
     pub registry: Version,
+    /// Log index as of which it knows the contents in quarantine.
+    pub quarantine: u64,
     /// Heartbeats of endpoints that it heard and nobody has yet confirmed.
     pub heard: Vec<Registration>,
     /// Work under way at endpoints, its own and that of those who ask it, where it is not nothing. `None` in a
@@ -98,6 +100,8 @@
     pub document: Option<DocumentNews>,
     /// What the asker lacks of the registry.
     pub registry: Option<RegistryNews>,
+    /// What the asker lacks of the contents in quarantine.
+    pub quarantine: Option<QuarantineNews>,
     /// Work under way at endpoints by all instances but the asker and those who ask it; `None` where the question told
     /// none.
     pub loads: Option<Vec<Load>>,
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use rudder_events::What;
-use rudder_ledger::Answer;
+use rudder_ledger::{Answer, Command, Findings};
 use rudder_model::{EndpointId, InstanceId, Mark, Promise, Promises};
 use rudder_replica::{Durable, ReplicaId};
 
@@ -28,6 +28,9 @@
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a document is tried before its outcome is called unknown; its sender waits no longer.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How long findings are tried. What is still not in the log then has been learned again by the next end, or does not
+/// come again.
+const FINDINGS_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The whole state of one instance.
 #[derive(Debug)]
@@ -52,6 +55,8 @@
     stopping: Option<Duration>,
     exited: bool,
     leaves: Vec<Leave>,
+    /// What was found since the last tick.
+    findings: Findings,
     /// Those who ask here while another instance leads.
     watchers: Watchers,
 }
@@ -86,6 +91,7 @@
             stopping: None,
             exited: false,
             leaves: Vec::new(),
+            findings: Findings::default(),
             watchers: Watchers::default(),
         }
     }
@@ -152,7 +158,7 @@
                 self.with_calls(now, out, |calls, context| calls.on_ended(context, request, ended));
             }
             Event::Admin { ticket, change } => {
-                let command = rudder_ledger::Command::Change(change);
+                let command = Command::Change(change);
                 self.proposals.start(For::Admin(ticket), command, now + ADMIN_TIMEOUT);
             }
             Event::Polled { endpoint, report } => {
@@ -161,7 +167,7 @@
             }
             Event::Ordered { endpoint, taken } => self.orders.on_ordered(&endpoint, taken),
             Event::PutDocument { ticket, document } => {
-                let command = rudder_ledger::Command::Document(document);
+                let command = Command::Document(document);
                 self.proposals.start(For::Document(ticket), command, now + DOCUMENT_TIMEOUT);
             }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
@@ -171,6 +177,7 @@
                     self.tallies.note(begun, &self.view, usage);
                 }
             }
+            Event::Found(findings) => self.findings.append(findings),
             Event::Services(states) => {
                 let time = self.view.clock.at(now);
                 if let Some(control) = &mut self.control {
@@ -202,6 +209,7 @@
         if let Some(usage) = &self.options.duties.usage {
             self.tallies.tick(now, &self.me, &self.view, usage, out);
         }
+        self.propose_findings(now);
         self.watchers.age(now, self.options.gone);
         self.watchers.tick(now, out);
         self.ask(now, out);
@@ -215,6 +223,15 @@
         self.end_stop(now, out);
     }
 
+    /// Hands what was found since the last tick to the log.
+    fn propose_findings(&mut self, now: Duration) {
+        if self.findings.is_empty() {
+            return;
+        }
+        let findings = std::mem::take(&mut self.findings);
+        self.proposals.start(For::Record, Command::Findings(findings), now + FINDINGS_TIMEOUT);
+    }
+
     /// Asks the leader for news when it is time to.
     fn ask(&mut self, now: Duration, out: &mut Vec<Effect>) {
         let replica = self.control.as_ref().map(|control| control.replica.id());
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -8,11 +8,12 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
 use rudder_events::What;
-use rudder_ledger::{Config, Delta, Document};
+use rudder_ledger::{Config, Delta, Document, Quarantine, QuarantineNews};
 use rudder_model::{EndpointId, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id};
 
 use crate::{
@@ -52,6 +53,8 @@
     whole: bool,
     /// Endpoints that registered themselves.
     pub registry: Registry,
+    /// Contents under which endpoints ended.
+    pub quarantine: Arc<Quarantine>,
     /// Work of all other instances at endpoints, as of the question that proves the configuration.
     pub others: Vec<Load>,
     /// Counts the changes of what traffic needs: directory, document, registry.
@@ -238,6 +241,7 @@
             directory: self.directory.version(),
             document: self.document.as_ref().filter(|_| !self.whole).map_or(0, |document| document.version),
             registry: self.registry.version(),
+            quarantine: self.quarantine.index(),
             heard,
             loads: with_loads.then(|| watchers.join_loads(&self.loads)),
             group: self.to_group(watchers, options),
@@ -271,6 +275,7 @@
             directory: &self.directory,
             document: self.document.as_ref(),
             registry: &self.registry,
+            quarantine: &self.quarantine,
             others: &self.others,
             time: self.clock.agreed(now),
         })
@@ -318,6 +323,7 @@
             out.push(Effect::Log(What::Configured { index: self.config.index }));
         }
         let mut urgent = self.take_document(watched.document, promises, out);
+        urgent |= self.take_quarantine(watched.quarantine);
         self.confirm(watched.round, *from == watched.leader);
         let held = self.document.as_ref().map_or(0, |document| document.version);
         // Time counts from the start of this process; a proof from before that cannot be told, and is none.
@@ -392,6 +398,14 @@
         true
     }
 
+    /// Takes in which contents are refused; an answer that came late tells nothing newer.
+    fn take_quarantine(&mut self, news: Option<QuarantineNews>) -> bool {
+        let Some(news) = news else { return false };
+        let taken = Arc::make_mut(&mut self.quarantine).take(news);
+        self.edition += u64::from(taken);
+        taken
+    }
+
     fn take_delta(&mut self, delta: Delta) -> bool {
         let (kind, name) = (delta.kind, delta.name.clone());
         let before = self.keys_of(kind, &name);
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rudder_ledger::{Config, Document};
+use rudder_ledger::{Config, Document, Quarantine};
 use rudder_model::InstanceId;
 
 use crate::{
@@ -64,6 +64,8 @@
     pub document: Option<&'a Document>,
     /// Endpoints.
     pub registry: &'a Registry,
+    /// Contents under which endpoints ended.
+    pub quarantine: &'a Quarantine,
     /// Work of instances that neither ask here nor ask those who do.
     pub others: &'a [Load],
     /// The agreed time of day, where it is known.
@@ -96,6 +98,7 @@
             newest: source.document.map_or(0, |document| document.version),
             document: self.document_for(now, &name, watch.document, source.document),
             registry: source.registry.news_after(watch.registry),
+            quarantine: source.quarantine.news_after(watch.quarantine),
             loads,
             group,
             time: source.time,
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -160,6 +160,7 @@
         directory: 0,
         document: 0,
         registry: 0,
+        quarantine: 0,
         heard: Vec::new(),
         loads: Some(Vec::new()),
         group: None,
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -318,6 +318,13 @@
         /// The request's content, in hexadecimal.
         content: String,
     },
+    /// So many endpoints ended under a content that it is refused.
+    Quarantined {
+        /// The content, in hexadecimal.
+        content: String,
+        /// For how long after the last of them.
+        refused: Duration,
+    },
     /// An endpoint joined, changed its standing, or was taken off.
     Endpoint {
         /// The endpoint.
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -119,6 +119,9 @@
             format!("broken off at {endpoint} after {events} events: {why}")
         }
         What::EndedUnder { endpoint, content, .. } => format!("{endpoint} ended while it ran content {content}"),
+        What::Quarantined { content, refused } => {
+            format!("refuses content {content} for {refused:?}: endpoints ended under it, one after the other")
+        }
         What::Endpoint { endpoint, phase, sequence, .. } => {
             format!("learned that {endpoint} is {phase} (heartbeat {sequence})")
         }
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -14,8 +14,8 @@
 use tokio::time::timeout_at;
 
 use super::{
-    Call, Refusal,
-    ended::to_hex,
+    Call, Progress, Refusal,
+    ended::{check_not_refused, to_hex},
     refusal::{denied, not_run},
 };
 use crate::{Dialect, Plan, Route, dialect::CallHead, shared::Shared};
@@ -67,6 +67,7 @@
     let caller = organisation.as_deref().unwrap_or_default();
     let target = parts.uri.path_and_query().map_or(path, PathAndQuery::as_str);
     let content = content_tag(caller, parts.method.as_str(), &host, target, &body);
+    check_not_refused(shared, content, &Progress::default())?;
     shared.log.write(What::CallTaken {
         request: head.id.clone(),
         route: route.name.clone(),
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -196,7 +196,7 @@
             }
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
             log_failure(shared, call, progress, choice, "the connection ended before an answer", Ran::Unknown);
-            note_if_ended(shared, call, choice).await;
+            note_if_ended(shared, call, progress, choice).await;
             Err(Failure::Lost("the endpoint broke off"))
         }
         Err(_) => {
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -7,6 +7,7 @@
 use super::{
     Call, Leg, Progress, Resume,
     attempt::{connect, log_failure, note_outcome, send_on},
+    ended::is_risky,
     permit::check_still_allowed,
 };
 use crate::{Dialect, choose::Choice, health::Outcome, shared::Shared};
@@ -21,6 +22,9 @@
     progress: &mut Progress,
     last_event: u64,
 ) -> Option<Leg> {
+    if is_risky(shared, call, progress) {
+        return None;
+    }
     let before = progress.last.take()?;
     let keeper = before.keeper.as_ref()?;
     let instances = shared.view.borrow().sender_count();
--- a/crates/rudder-gateway/src/call/ended.rs
+++ b/crates/rudder-gateway/src/call/ended.rs
@@ -1,25 +1,77 @@
-//! Whether an endpoint ended while a request was under way there, or only broke its connection off.
+//! Endpoints that end under requests: what is held against their contents, and what is no longer sent for it.
 
+use std::time::Instant;
+
+use rudder_core::Event;
 use rudder_events::What;
 use rudder_model::ContentTag;
 
-use super::Call;
+use super::{
+    Call, Progress, Refusal,
+    refusal::{not_run, too_late},
+};
 use crate::{Dialect, choose::Choice, shared::Shared, upstream};
 
+/// A request is not sent again once this many endpoints have ended under its content: at the next one it would be refused.
+const RESEND_BOUND: usize = 2;
+
 /// Looks whether the endpoint whose connection broke off under `call` has ended, and takes it in if so.
-pub async fn note_if_ended<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> bool {
+pub async fn note_if_ended<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    progress: &mut Progress,
+    choice: &Choice,
+) -> bool {
     if !upstream::has_ended(&choice.address).await {
         return false;
     }
+    progress.ended += 1;
+    shared.metrics.note_ended_under();
     shared.log.write(What::EndedUnder {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
         content: to_hex(call.content),
     });
+    let findings = shared.contents.borrow().note_ended(call.content, &choice.endpoint);
+    if let Some(findings) = findings {
+        shared.tell(Event::Found(findings));
+    }
     true
 }
 
+/// Takes in that an endpoint answered a request whole.
+pub fn note_answered<D: Dialect>(shared: &Shared<D>, call: &Call) {
+    let findings = shared.contents.borrow_mut().note_answered(call.content, Instant::now());
+    if let Some(findings) = findings {
+        shared.tell(Event::Found(findings));
+    }
+}
+
+/// True where so many endpoints have ended under the content of `call` that another one is not risked for it.
+pub(super) fn is_risky<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> bool {
+    if !shared.options.policy.guard.quarantine {
+        return false;
+    }
+    let contents = shared.contents.borrow();
+    let known = contents.ended_count(call.content).max(progress.ended);
+    known >= RESEND_BOUND || contents.refused_for(call.content, Instant::now()).is_some()
+}
+
+/// Refuses a request whose content is in quarantine.
+pub(super) fn check_not_refused<D: Dialect>(
+    shared: &Shared<D>,
+    content: ContentTag,
+    progress: &Progress,
+) -> Result<(), Refusal> {
+    if !shared.options.policy.guard.quarantine {
+        return Ok(());
+    }
+    let Some(left) = shared.contents.borrow().refused_for(content, Instant::now()) else { return Ok(()) };
+    let why = "endpoints have ended under it";
+    Err(if progress.ran == 0 { not_run(why, left) } else { too_late(why) })
+}
+
 /// A content as it stands in logs.
-pub(super) fn to_hex(content: ContentTag) -> String {
+pub fn to_hex(content: ContentTag) -> String {
     format!("{content:016x}")
 }
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -10,7 +10,7 @@
 //! - [`permit`]: whether it may be sent, for the first time and once more;
 //! - [`attempt`]: one endpoint, from the choice to the head of its answer;
 //! - [`copies`]: going on elsewhere, from a copy of its memory, with a stream whose endpoint has ended;
-//! - [`ended`]: whether an endpoint ended under a request;
+//! - [`ended`]: endpoints that end under requests;
 //! - [`refusal`]: final answers of the instance itself.
 
 pub mod admit;
@@ -37,7 +37,7 @@
 pub use admit::strip_hop_headers;
 pub use attempt::{attempt, log_failure, note_outcome, put_back};
 pub use copies::go_on_from_copy;
-pub use ended::note_if_ended;
+pub use ended::{note_answered, note_if_ended, to_hex};
 pub use permit::may_send_again;
 pub use refusal::Refusal;
 
@@ -149,6 +149,8 @@
     pub last: Option<Choice>,
     /// It has begun to run at an endpoint, and counts as one request of its organisation however often it does again.
     pub begun: bool,
+    /// Endpoints that ended under it.
+    pub ended: usize,
     connects: u32,
     chosen: Option<Arc<str>>,
 }
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use http::StatusCode;
 use rudder_events::What;
-use rudder_model::Ran;
 
-use super::{Call, Progress, Refusal, refusal::not_run};
+use super::{
+    Call, Progress, Refusal,
+    ended::{check_not_refused, is_risky},
+    refusal::{not_run, too_late},
+};
 use crate::{Dialect, RouteKind, choose::Choice, shared::Shared};
 
 /// Endpoints beyond the route's own bound that a request may go to when it did not run.
@@ -19,6 +21,9 @@
     if progress.ran >= bound || progress.sent >= bound + UNRUN_EXTRA || now >= call.until {
         return false;
     }
+    if is_risky(shared, call, progress) {
+        return false;
+    }
     let Some(service) = progress.chosen.clone() else { return true };
     let instances = shared.view.borrow().sender_count();
     shared.budget.borrow_mut().try_take(&service, now, instances)
@@ -51,7 +56,7 @@
     shared.reading.borrow().time_for(&choice.service, choice.ahead)
 }
 
-/// The key and the route are looked at again just before a request goes out: it may have waited.
+/// The key, the route and the quarantine are looked at again just before a request goes out: it may have waited.
 pub(super) fn check_still_allowed<D: Dialect>(
     shared: &Shared<D>,
     call: &Call,
@@ -62,7 +67,7 @@
         if progress.ran == 0 {
             return not_run(why, come_back);
         }
-        Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None }
+        too_late(why)
     };
     if !shared.is_fresh(shared.options.fresh) {
         return Err(refusal("the configuration may be old"));
@@ -76,5 +81,5 @@
     if !same {
         return Err(refusal("the route has changed"));
     }
-    Ok(())
+    check_not_refused(shared, call.content, progress)
 }
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -50,6 +50,11 @@
     Refusal { status: StatusCode::SERVICE_UNAVAILABLE, why, ran: Ran::No, retry: Some(retry) }
 }
 
+/// The answer where a request may have run and is not sent any more.
+pub(super) fn too_late(why: &'static str) -> Refusal {
+    Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None }
+}
+
 pub(super) fn denied(status: StatusCode, why: &'static str) -> Refusal {
     Refusal { status, why, ran: Ran::No, retry: None }
 }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -5,14 +5,13 @@
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt as _, Limited};
 use rudder_events::What;
-use rudder_model::Ran;
 use tokio::time::timeout_at;
 
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume,
     attempt::{CONNECTS, attempt, note_not_run, note_outcome, put_back},
-    may_send_again, note_begun, note_if_ended,
-    refusal::{give_up, is_promise},
+    may_send_again, note_answered, note_begun, note_if_ended,
+    refusal::{give_up, is_promise, too_late},
     strip_hop_headers,
 };
 use crate::{Dialect, RouteKind, body::AnswerBody, health::Outcome, metrics::Ending, shared::Shared, stream};
@@ -47,7 +46,7 @@
         }
         // A plain service begins at once.
         note_begun(shared, &call, &mut progress, leg.sent);
-        match relay(shared, &call, leg).await {
+        match relay(shared, &call, &mut progress, leg).await {
             Ok(response) => {
                 let status = response.status();
                 let failed = status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT;
@@ -57,8 +56,7 @@
                 }
                 // An endpoint's 429 or 503 without its word that it did not run would be a false promise.
                 if is_promise(status) {
-                    let why = "the endpoint failed";
-                    return Err(Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None });
+                    return Err(too_late("the endpoint failed"));
                 }
                 return Ok(response);
             }
@@ -83,7 +81,12 @@
 }
 
 /// Reads an answer whole and makes it the caller's.
-async fn relay<D: Dialect>(shared: &Shared<D>, call: &Call, leg: Leg) -> Result<Response<AnswerBody>, Failure> {
+async fn relay<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    progress: &mut Progress,
+    leg: Leg,
+) -> Result<Response<AnswerBody>, Failure> {
     let Leg { choice, response, head, connection, flight, .. } = leg;
     let (mut parts, body) = response.into_parts();
     let collected = timeout_at(call.until.into(), Limited::new(body, WHOLE).collect()).await;
@@ -92,7 +95,7 @@
         Ok(Ok(collected)) => collected.to_bytes(),
         Ok(Err(_)) => {
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
-            note_if_ended(shared, call, &choice).await;
+            note_if_ended(shared, call, progress, &choice).await;
             return Err(Failure::Lost("the endpoint's answer broke off"));
         }
         Err(_) => return Err(Failure::Late),
@@ -100,6 +103,9 @@
     put_back(shared, &choice.endpoint, connection, head.keep);
     let good = !parts.status.is_server_error();
     note_outcome(shared, &choice.endpoint, if good { Outcome::Good } else { Outcome::Failed });
+    if parts.status.is_success() {
+        note_answered(shared, call);
+    }
     strip_hop_headers(&mut parts.headers);
     let took = call.arrived.elapsed();
     let total_ms = took.as_millis() as u64;
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -245,6 +245,7 @@
                 document: view.document.clone(),
                 endpoints: endpoints.clone(),
                 entries: view.directory.values().cloned().collect(),
+                quarantine: view.quarantine.clone(),
             };
             log_endpoints(&self.log, &self.endpoints, &endpoints);
             self.endpoints = endpoints;
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod budget;
 pub mod call;
 pub mod choose;
+pub mod contents;
 pub mod dialect;
 pub mod driver;
 pub mod duty;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -152,6 +152,7 @@
     retries: Counter,
     resumes: Counter,
     ejections: Counter,
+    ended_under: Counter,
     duties: Family<Duty, Counter>,
     first: Family<Kind, Histogram>,
     total: Family<Kind, Histogram>,
@@ -177,6 +178,7 @@
     instances: Gauge,
     memory: Gauge,
     dropped: Gauge,
+    quarantined: Gauge,
     calls: Family<At, Gauge>,
     unread: Family<At, Gauge>,
 }
@@ -192,6 +194,7 @@
             retries: Counter::default(),
             resumes: Counter::default(),
             ejections: Counter::default(),
+            ended_under: Counter::default(),
             duties: Family::default(),
             first: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
@@ -222,6 +225,7 @@
         registry.register("retries", "Requests sent to endpoints again", self.retries.clone());
         registry.register("resumes", "Streams taken up at another endpoint", self.resumes.clone());
         registry.register("ejections", "Endpoints left out for a while", self.ejections.clone());
+        registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
         registry.register("duty_calls", "Calls of the holder of a duty, by duty and outcome", self.duties.clone());
         let seconds = Unit::Seconds;
         registry.register_with_unit("first", "From arrival to the first byte", seconds.clone(), self.first.clone());
@@ -246,6 +250,8 @@
         registry.register("instances", "Live instances known", state.instances.clone());
         registry.register("resident_bytes", "Memory of the process", state.memory.clone());
         registry.register("log_lines_left_out", "Log lines left out in the last second", state.dropped.clone());
+        let help = "Contents refused because endpoints ended under them";
+        registry.register("quarantined_contents", help, state.quarantined.clone());
         registry.register("endpoint_calls", "Requests known to be at an endpoint", state.calls.clone());
         registry.register("endpoint_unread_tokens", "Prompt tokens unread at an endpoint", state.unread.clone());
     }
@@ -289,6 +295,16 @@
         self.ejections.inc();
     }
 
+    /// Counts a request under which its endpoint ended.
+    pub fn note_ended_under(&self) {
+        self.ended_under.inc();
+    }
+
+    /// Sets how many contents are refused because endpoints ended under them.
+    pub fn set_quarantined(&self, contents: usize) {
+        self.state.borrow().quarantined.set((contents as u64).cast_signed());
+    }
+
     /// Counts a call that only the holder of a duty makes.
     pub fn note_duty(&self, duty: &'static str, outcome: CallOutcome) {
         let outcome = match outcome {
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -154,11 +154,13 @@
     pub suspects: bool,
     /// What may be repeated and is left without an answer goes to another endpoint.
     pub impatience: bool,
+    /// Contents under which endpoints ended one after the other are refused.
+    pub quarantine: bool,
 }
 
 impl Default for GuardPolicy {
     fn default() -> Self {
-        GuardPolicy { hopeless: 0.7, patience: 4.0, ejection: true, suspects: true, impatience: true }
+        GuardPolicy { hopeless: 0.7, patience: 4.0, ejection: true, suspects: true, impatience: true, quarantine: true }
     }
 }
 
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -11,7 +11,7 @@
 use crossbeam_channel::Sender;
 use rudder_core::{Event, Listing, Phase, Registration, peer::Load, tally::Begun};
 use rudder_events::What;
-use rudder_ledger::Document;
+use rudder_ledger::{Document, Quarantine};
 use rudder_model::{EndpointId, InstanceId};
 use tokio::sync::{oneshot, watch};
 
@@ -19,7 +19,9 @@
     Dialect, Options, Plan,
     balance::Balance,
     budget::Budget,
+    call::to_hex,
     choose::Fields,
+    contents::{Contents, REFUSED_FOR},
     health::Health,
     logging::Log,
     metrics::{Metrics, Standing},
@@ -38,6 +40,8 @@
     pub endpoints: Vec<Registration>,
     /// Live instances.
     pub entries: Vec<Listing>,
+    /// Contents under which endpoints ended.
+    pub quarantine: Arc<Quarantine>,
 }
 
 impl Published {
@@ -123,6 +127,8 @@
     pub balance: Rc<RefCell<Balance>>,
     /// Outcomes at endpoints.
     pub health: RefCell<Health>,
+    /// What became of contents at endpoints.
+    pub contents: RefCell<Contents>,
     /// How fast engines read.
     pub reading: RefCell<Reading>,
     /// Requests sent again.
@@ -169,6 +175,7 @@
             others_at: Cell::new(None),
             balance: Rc::default(),
             health: RefCell::default(),
+            contents: RefCell::new(Contents::new(started)),
             reading: RefCell::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
@@ -261,6 +268,7 @@
     /// Takes in a newer view, reading its document where that is another one.
     pub fn publish(&self, published: Published) {
         self.take_document(published.document.as_ref());
+        self.take_quarantine(&published.quarantine);
         let roster = Rc::new(Roster::new(&published.endpoints));
         self.balance.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
@@ -269,6 +277,14 @@
         self.fields.borrow_mut().clear();
     }
 
+    fn take_quarantine(&self, quarantine: &Arc<Quarantine>) {
+        let new = self.contents.borrow_mut().publish(quarantine, Instant::now());
+        for content in new {
+            self.log.write(What::Quarantined { content: to_hex(content), refused: REFUSED_FOR });
+        }
+        self.metrics.set_quarantined(self.contents.borrow().refused_count());
+    }
+
     /// Takes in the work of the other instances at endpoints as of `at`; `None` where it has not changed.
     pub fn take_others(&self, others: Option<&[Load]>, at: Instant) {
         self.others_at.set(Some(at));
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -21,6 +21,7 @@
     Dialect,
     body::{AnswerBody, Broken},
     call::{self, Call, Leg, Progress, Resume},
+    choose::Choice,
     health::Outcome,
     metrics::{Ending, PauseMeter},
     shared::Shared,
@@ -144,7 +145,10 @@
             let choice = leg.choice.clone();
             let end = self.pass(leg).await;
             let why = match &end {
-                End::Whole => return self.log_answered(&choice.endpoint),
+                End::Whole => {
+                    call::note_answered(self.shared, &self.call);
+                    return self.log_answered(&choice.endpoint);
+                }
                 End::Left => {
                     self.note_end(Ending::Left);
                     return self.log_cut(&choice.endpoint, "the caller left");
@@ -154,7 +158,7 @@
                 End::Silent => "the endpoint is silent",
             };
             self.log_cut(&choice.endpoint, why);
-            let ended = matches!(end, End::Broken) && call::note_if_ended(self.shared, &self.call, &choice).await;
+            let ended = matches!(end, End::Broken) && self.note_if_ended(&choice).await;
             let next = match end {
                 End::Broken if self.has_copy() && ended => self.go_on_from_copy().await,
                 End::Broken if self.has_copy() => None,
@@ -243,6 +247,10 @@
         kept && !self.call.route.resumable
     }
 
+    async fn note_if_ended(&mut self, choice: &Choice) -> bool {
+        call::note_if_ended(self.shared, &self.call, &mut self.progress, choice).await
+    }
+
     async fn go_on_from_copy(&mut self) -> Option<Leg> {
         self.events.drop_pending();
         let last = self.events.last?;
--- a/crates/rudder-ledger/src/apply.rs
+++ b/crates/rudder-ledger/src/apply.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, Claims, Command, Config, Document, Stamped, Usage, document};
+use crate::{Answer, Claims, Command, Config, Document, Quarantine, Stamped, Usage, document};
 
 /// Everything the voters agree on, but for their own membership.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +22,9 @@
     /// Requests by organisation and window that are not yet reported.
     #[serde(default)]
     pub usage: Usage,
+    /// Contents under which endpoints ended.
+    #[serde(default)]
+    pub quarantine: Quarantine,
 }
 
 impl Ledger {
@@ -40,6 +43,7 @@
             Command::Tally(tally) => Answer::Counted(self.usage.take(tally)),
             Command::CloseWindow(window) => Answer::Counted(self.usage.close(window)),
             Command::Reported(window) => Answer::Counted(self.usage.end(window)),
+            Command::Findings(findings) => Answer::Found(self.quarantine.apply(index, &findings)),
         }
     }
 
--- a/crates/rudder-ledger/src/command.rs
+++ b/crates/rudder-ledger/src/command.rs
@@ -5,7 +5,7 @@
 use rudder_model::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, Change, Changed, Claim, Document, Outcome, Standing, Tally, Window};
+use crate::{Attempt, Change, Changed, Claim, Document, Findings, Outcome, Standing, Tally, Window};
 
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,6 +38,8 @@
     CloseWindow(Window),
     /// The receiver has acknowledged the report of a window.
     Reported(Window),
+    /// What became of contents under which endpoints ended.
+    Findings(Findings),
 }
 
 /// A command with the time at which its leader took it in.
@@ -62,4 +64,6 @@
     Claimed(Standing),
     /// Answer to the commands on usage: whether they changed anything.
     Counted(bool),
+    /// Answer to [`Command::Findings`]: whether instances are to be told.
+    Found(bool),
 }
--- a/crates/rudder-ledger/src/lib.rs
+++ b/crates/rudder-ledger/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod document;
 pub mod patch;
+pub mod quarantine;
 pub mod snapshot;
 pub mod usage;
 
@@ -17,4 +18,5 @@
 pub use config::{Change, Changed, Config, Delta, Held, Number};
 pub use document::Document;
 pub use patch::Patch;
+pub use quarantine::{EndedUnder, Findings, Quarantine, QuarantineNews};
 pub use usage::{Count, Counts, Source, Tally, Usage, Window};
