feat(core): a replica may start again under its id; words of other writers change nothing

Cause: an entry of the registry was a name, not a life. A replica that started again kept its old entry: its sequence numbers were taken for late words until they had overtaken the old ones, for ever after a deregistration, and all that was known of the old life went on for the new one. Missing fields of a heartbeat became zeros and empty texts. Change: an entry is one life, named by id and start, so that counts, health, connections, sessions, copies and the ends held against contents are each life's own. The later start replaces the earlier at once; calls under way at a replaced life are given up or go on elsewhere at once. An earlier start (the clock stepped back) is taken once the other has been silent for 5 s and it has spoken for 2 s. Heartbeats and leaves are decoded into types that cannot be half filled; what cannot be read is refused, counted by reason and logged. At most 24,000 lives are held. A life's end also counts against contents whose connection had broken off before it was known. Ruled out on the way: slots 0 are a replica's own word (a test of copies has them). Two lives heard within one question were told in the order of their ids: now as heard.

--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -32,6 +32,7 @@
 pub(crate) mod founding;
 pub mod homes;
 pub mod keyed;
+pub mod lives;
 pub mod loads;
 pub mod options;
 pub mod orders;
--- /dev/null
+++ b/crates/rudder-core/src/lives.rs
@@ -0,0 +1,124 @@
+//! Which life of an endpoint's name is the latest.
+//!
+//! A replica may start again under the name that it had, and knows nothing of before. Its start, by its own clock, tells the
+//! lives apart: the later one replaces the earlier, whose words may still come late and count for nothing. The clock may have
+//! stepped back between two starts, so that the later life bears the earlier time. Such a life is taken for the latest once
+//! the other has fallen silent while it goes on speaking: what was held up on its way comes at once, not over time. It goes
+//! unused for [`SILENT`] and one heartbeat, or for [`DOUBT`] where that is longer.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use rudder_model::{Born, EndpointId};
+
+use crate::registry::{Phase, Registration, SILENT};
+
+/// A life with an earlier start must speak for so long, with rising sequence numbers, before it can follow a later one:
+/// nearly two of the usual 1.2 s between heartbeats.
+const DOUBT: Duration = Duration::from_secs(2);
+
+/// What a word's life is to the other lives of its name.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// The latest, or the only one known.
+    Latest,
+    /// It follows this one.
+    Follows(EndpointId),
+    /// An earlier one, or none that can be told.
+    Late,
+}
+
+/// A life with an earlier start than the latest known.
+#[derive(Clone, Debug)]
+struct Doubt {
+    life: EndpointId,
+    since: Duration,
+    sequence: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Life {
+    endpoint: EndpointId,
+    born: Option<Born>,
+    doubt: Option<Doubt>,
+}
+
+/// The latest life of each name.
+#[derive(Clone, Debug, Default)]
+pub struct Lives {
+    latest: HashMap<Arc<str>, Life>,
+}
+
+impl Lives {
+    /// The latest lives among `entries`.
+    pub fn of<'a>(entries: impl Iterator<Item = &'a Registration> + Clone) -> Lives {
+        let mut lives = Lives::default();
+        lives.learn(entries);
+        lives
+    }
+
+    /// Judges a word whose life is `held` or not; `unheard` tells for how long a life has not been heard of.
+    pub fn judge(
+        &mut self,
+        now: Duration,
+        said: &Registration,
+        held: bool,
+        unheard: impl Fn(&EndpointId) -> Duration,
+    ) -> Standing {
+        let Some(latest) = self.latest.get_mut(said.name()) else { return Standing::Latest };
+        if latest.endpoint == said.endpoint {
+            latest.doubt = None;
+            return Standing::Latest;
+        }
+        // A life that is held was replaced. A word without a start, of an endpoint that tells it, is another writer's.
+        let Some(born) = said.born.filter(|_| !held) else { return Standing::Late };
+        let later = latest.born.is_none_or(|latest| latest < born);
+        if later || latest.note_doubt(now, said, unheard(&latest.endpoint)) {
+            return Standing::Follows(latest.endpoint.clone());
+        }
+        Standing::Late
+    }
+
+    /// Sets the latest life of a name.
+    pub fn set(&mut self, life: &Registration) {
+        if self.latest.get(life.name()).is_some_and(|latest| latest.endpoint == life.endpoint) {
+            return;
+        }
+        let next = Life { endpoint: life.endpoint.clone(), born: life.born, doubt: None };
+        self.latest.insert(life.name().into(), next);
+    }
+
+    /// Takes in what the leader told of lives: it knows which one replaced which. A later life, heard here first, stays.
+    pub fn learn<'a>(&mut self, told: impl Iterator<Item = &'a Registration> + Clone) {
+        for life in told.clone().filter(|life| life.phase == Phase::Replaced) {
+            if self.latest.get(life.name()).is_some_and(|latest| latest.endpoint == life.endpoint) {
+                self.latest.remove(life.name());
+            }
+        }
+        for life in told.filter(|life| life.phase != Phase::Replaced) {
+            if self.latest.get(life.name()).is_none_or(|latest| latest.born < life.born) {
+                self.set(life);
+            }
+        }
+    }
+
+    /// Drops the lives that are no longer known.
+    pub fn retain(&mut self, known: impl Fn(&EndpointId) -> bool) {
+        self.latest.retain(|_, life| known(&life.endpoint));
+    }
+}
+
+impl Life {
+    /// Takes in the word of a life with an earlier start. Returns whether it has outlived this one, `unheard` for so long.
+    fn note_doubt(&mut self, now: Duration, said: &Registration, unheard: Duration) -> bool {
+        let speaks = self.doubt.as_mut().filter(|doubt| doubt.life == said.endpoint);
+        let Some(doubt) = speaks else {
+            self.doubt = Some(Doubt { life: said.endpoint.clone(), since: now, sequence: said.sequence });
+            return false;
+        };
+        if said.sequence <= doubt.sequence {
+            return false;
+        }
+        doubt.sequence = said.sequence;
+        now >= doubt.since + DOUBT && unheard >= SILENT
+    }
+}
--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -1,20 +1,30 @@
 //! Endpoints that register themselves: soft state that every instance may hear first and the leader
 //! spreads. Nothing of it is durable: after a loss it is rebuilt from the next heartbeats.
+//!
+//! An entry is one life of an endpoint. A replica that starts again under its name is another life, told apart by the time
+//! of its start; the later one replaces the earlier at once. Which life of a name is the latest: [`crate::lives`].
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use rudder_model::{EndpointId, HallId};
+use rudder_model::{Born, EndpointId, HallId, id};
 use serde::{Deserialize, Serialize};
 
-use crate::spread::{News, Spread, Version};
+use crate::{
+    lives::{Lives, Standing},
+    spread::{News, Spread, Version},
+};
 
 /// An endpoint unheard for this long is shown as silent.
-const SILENT: Duration = Duration::from_secs(5);
+pub(crate) const SILENT: Duration = Duration::from_secs(5);
 /// An endpoint unheard for this long is taken off.
 const FORGET: Duration = Duration::from_secs(30);
 /// An endpoint that has just started says so in one of its first heartbeats; a later one may be old.
 const FIRST_HEARTBEATS: u64 = 2;
-/// An endpoint that has ended is remembered for this long, so that a late heartbeat does not revive it.
+/// Lives held at most: twice the endpoints that the system is built for. More are not heard, so that a writer that makes up
+/// names cannot take the memory.
+const HELD_MOST: usize = 24_000;
+/// An endpoint that has ended is remembered for this long, so that a late heartbeat does not revive it. A life that was
+/// replaced need not be: the later one, as long as it is known, keeps it from coming back.
 const REMEMBER_GONE: Duration = Duration::from_secs(120);
 
 /// Where an endpoint stands in its life.
@@ -26,15 +36,20 @@
     Silent,
     /// It takes no new work and ends soon.
     Leaving,
-    /// It has ended.
+    /// It has said that it ends, or another has its address; what runs there may still be answered.
     Gone,
+    /// A later life has its name: nothing runs there any more.
+    Replaced,
 }
 
 /// What an endpoint says of itself in a heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
-    /// One start of the endpoint.
+    /// One life of the endpoint.
     pub endpoint: EndpointId,
+    /// When that began, where the endpoint tells it.
+    #[serde(default)]
+    pub born: Option<Born>,
     /// The service it belongs to.
     pub service: Arc<str>,
     /// Where it is reached, IP:PORT.
@@ -52,6 +67,28 @@
     pub sequence: u64,
 }
 
+impl Registration {
+    /// The name that the endpoint bears in all its lives.
+    pub fn name(&self) -> &str {
+        id::name_of(&self.endpoint, self.born)
+    }
+
+    /// The end of a life that is not known here, but may be elsewhere.
+    pub fn end_of(name: &str, born: Option<Born>, hall: HallId) -> Registration {
+        Registration {
+            endpoint: id::life_id(name, born),
+            born,
+            service: "".into(),
+            address: "".into(),
+            hall,
+            slots: 0,
+            cheap: false,
+            phase: Phase::Gone,
+            sequence: 0,
+        }
+    }
+}
+
 /// What an instance lacks of the leader's registry.
 pub type RegistryNews = News<EndpointId, Registration>;
 
@@ -63,6 +100,14 @@
     heard: HashMap<EndpointId, Duration>,
     /// The last endpoint that came at each address.
     addresses: HashMap<Arc<str>, EndpointId>,
+    /// The latest life of each name.
+    lives: Lives,
+}
+
+/// The life that another one of its name replaces.
+#[derive(Debug)]
+struct Before {
+    life: Option<Registration>,
 }
 
 /// What a heartbeat changed.
@@ -89,23 +134,29 @@
 
     /// Takes in what an endpoint said, at an instance that does not lead.
     pub fn hear(&mut self, now: Duration, registration: &Registration) -> Change {
-        self.take_in(now, registration, Spread::set_local)
+        self.take_in(now, registration, false, Spread::set_local)
     }
 
     /// Takes in what an endpoint said, at the leader.
     pub fn hear_as_leader(&mut self, now: Duration, registration: &Registration) -> Change {
-        self.take_in(now, registration, Spread::set)
+        self.take_in(now, registration, true, Spread::set)
     }
 
-    /// Takes in what an endpoint said; `put` puts in what others should know of.
+    /// Takes in what an endpoint said; `leads` at the leader, where `put` puts in what others should know of.
     fn take_in(
         &mut self,
         now: Duration,
         said: &Registration,
+        leads: bool,
         put: impl Fn(&mut Spread<EndpointId, Registration>, EndpointId, Registration),
     ) -> Change {
-        let other = self.other_at(now, said);
-        if other.is_some() && said.sequence > FIRST_HEARTBEATS {
+        let Some(before) = self.find_before(now, said, leads) else { return Change::None };
+        let other = self.other_at(now, said).filter(|other| other.name() != said.name());
+        let is_older = |other: &Registration| match (other.born, said.born) {
+            (Some(other), Some(said)) => said < other,
+            _ => said.sequence > FIRST_HEARTBEATS,
+        };
+        if other.as_ref().is_some_and(is_older) {
             // A heartbeat that was held up on its way, of an endpoint that has ended since.
             return Change::None;
         }
@@ -114,6 +165,11 @@
             put(&mut self.entries, ended.endpoint.clone(), Registration { phase: Phase::Gone, ..ended });
             change = Change::Leave;
         }
+        if let Some(before) = before.life {
+            put(&mut self.entries, before.endpoint.clone(), Registration { phase: Phase::Replaced, ..before });
+            change = Change::Leave;
+        }
+        self.lives.set(&next);
         self.addresses.insert(next.address.clone(), next.endpoint.clone());
         let endpoint = next.endpoint.clone();
         if change == Change::None {
@@ -125,6 +181,25 @@
         change
     }
 
+    /// The life that a word's life replaces, if it does; `None` for a word that counts for nothing.
+    fn find_before(&mut self, now: Duration, said: &Registration, leads: bool) -> Option<Before> {
+        let held = self.entries.get(&said.endpoint).is_some();
+        if !held && self.entries.len() >= HELD_MOST {
+            return None;
+        }
+        // Only the leader hears every word, and so whether a life has fallen silent.
+        let unheard = |life: &EndpointId| match self.heard.get(life) {
+            Some(heard) if leads => now.saturating_sub(*heard),
+            Some(_) => Duration::ZERO,
+            None => Duration::MAX,
+        };
+        match self.lives.judge(now, said, held, unheard) {
+            Standing::Latest => Some(Before { life: None }),
+            Standing::Follows(before) => Some(Before { life: self.entries.get(&before).cloned() }),
+            Standing::Late => None,
+        }
+    }
+
     /// The endpoint that another one, unknown so far, wants to follow at its address, where it was heard of late.
     fn other_at(&self, now: Duration, said: &Registration) -> Option<Registration> {
         if said.phase != Phase::Ready || self.entries.get(&said.endpoint).is_some() {
@@ -132,7 +207,7 @@
         }
         let other = self.entries.get(self.addresses.get(&said.address)?)?;
         let heard = self.heard.get(&other.endpoint).is_some_and(|heard| now < *heard + SILENT);
-        (heard && other.phase != Phase::Gone).then(|| other.clone())
+        (heard && other.phase < Phase::Gone).then(|| other.clone())
     }
 
     /// What an endpoint's word makes of its entry; `None` for a word that comes too late.
@@ -143,7 +218,7 @@
             return Some((said.clone(), change));
         };
         let ended = said.phase == Phase::Gone;
-        if held.phase == Phase::Gone || (!ended && said.sequence <= held.sequence) {
+        if held.phase >= Phase::Gone || (!ended && said.sequence <= held.sequence) {
             return None;
         }
         self.heard.insert(said.endpoint.clone(), now);
@@ -165,6 +240,7 @@
         self.heard = self.entries.keys().map(|endpoint| (endpoint.clone(), now)).collect();
         let live = self.entries.values().filter(|held| held.phase < Phase::Gone);
         self.addresses = live.map(|held| (held.address.clone(), held.endpoint.clone())).collect();
+        self.lives = Lives::of(self.entries.values());
     }
 
     /// Ages the leader's entries: the unheard become silent, then are dropped.
@@ -185,7 +261,7 @@
             self.heard.remove(endpoint);
         }
         if !dropped.is_empty() {
-            self.addresses.retain(|_, endpoint| self.entries.get(endpoint).is_some());
+            self.forget_unknown();
         }
         for registration in silent {
             self.entries.set(registration.endpoint.clone(), registration);
@@ -212,8 +288,10 @@
         let recent = |endpoint: &EndpointId| heard.get(endpoint).is_some_and(|heard| now < *heard + SILENT);
         let taken = self.entries.take(news, is_later, |endpoint, _| recent(endpoint));
         if taken {
-            self.heard.extend(told.into_iter().map(|endpoint| (endpoint, now)));
+            self.heard.extend(told.iter().map(|endpoint| (endpoint.clone(), now)));
             self.addresses.extend(live);
+            let told = told.iter().filter_map(|endpoint| self.entries.get(endpoint));
+            self.lives.learn(told);
         }
         self.heard.retain(|endpoint, _| self.entries.get(endpoint).is_some());
         taken && left
@@ -223,12 +301,21 @@
     pub fn forget_gone(&mut self, now: Duration) {
         let heard = &self.heard;
         let old = |endpoint: &EndpointId| heard.get(endpoint).is_none_or(|heard| now >= *heard + REMEMBER_GONE);
-        self.entries.retain_local(|endpoint, held| held.phase != Phase::Gone || !old(endpoint));
+        self.entries.retain_local(|endpoint, held| held.phase < Phase::Gone || !old(endpoint));
+        self.forget_unknown();
+    }
+
+    /// Drops what is kept beside entries that are no more.
+    fn forget_unknown(&mut self) {
         self.addresses.retain(|_, endpoint| self.entries.get(endpoint).is_some());
+        self.lives.retain(|endpoint| self.entries.get(endpoint).is_some());
     }
 }
 
 /// True where what the leader tells of an endpoint is not older than what is held.
 fn is_later(held: &Registration, told: &Registration) -> bool {
-    held.phase != Phase::Gone && (held.sequence <= told.sequence || told.phase == Phase::Gone)
+    if told.phase >= Phase::Gone {
+        return told.phase > held.phase;
+    }
+    held.phase < Phase::Gone && held.sequence <= told.sequence
 }
--- a/crates/rudder-core/src/spread.rs
+++ b/crates/rudder-core/src/spread.rs
@@ -99,7 +99,7 @@
     }
 
     /// All values, in the order of their keys.
-    pub fn values(&self) -> impl Iterator<Item = &V> {
+    pub fn values(&self) -> impl Iterator<Item = &V> + Clone {
         self.items.values().map(|item| &item.value)
     }
 
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -62,6 +62,8 @@
     /// Counts the changes of the others' work.
     pub works: u64,
     unconfirmed: BTreeMap<EndpointId, Unconfirmed>,
+    /// Counts the heartbeats heard here.
+    heard: u64,
     loads: Vec<Load>,
     /// When they were told last.
     loads_told: Option<Duration>,
@@ -86,6 +88,8 @@
     registration: Registration,
     /// First round that carried it.
     round: Option<u64>,
+    /// Place among all that was heard here: of two lives of one name the later is mostly heard later.
+    place: u64,
 }
 
 impl View {
@@ -137,7 +141,9 @@
             self.edition += 1;
             self.asking.ask_soon();
         }
-        self.unconfirmed.insert(registration.endpoint.clone(), Unconfirmed { registration, round: None });
+        self.heard += 1;
+        let unconfirmed = Unconfirmed { registration, round: None, place: self.heard };
+        self.unconfirmed.insert(unconfirmed.registration.endpoint.clone(), unconfirmed);
     }
 
     /// True once the leader has confirmed all that was heard here of `endpoint`.
@@ -281,15 +287,16 @@
         })
     }
 
-    /// Heartbeats for the next question, which is noted for each as the first that carries it.
+    /// Heartbeats for the next question, as they were heard one after the other; the question is noted for each as the first
+    /// that carries it.
     fn carry_unconfirmed(&mut self) -> Vec<Registration> {
         let round = self.asking.round();
-        let mut heard = Vec::with_capacity(self.unconfirmed.len());
-        for unconfirmed in self.unconfirmed.values_mut() {
+        let mut heard: Vec<&mut Unconfirmed> = self.unconfirmed.values_mut().collect();
+        heard.sort_by_key(|unconfirmed| unconfirmed.place);
+        for unconfirmed in &mut heard {
             unconfirmed.round.get_or_insert(round);
-            heard.push(unconfirmed.registration.clone());
         }
-        heard
+        heard.into_iter().map(|unconfirmed| unconfirmed.registration.clone()).collect()
     }
 
     fn log_freshness(&mut self, now: Duration, bound: Duration, out: &mut Vec<Effect>) {
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -13,7 +13,7 @@
     Watched, options::DutyOptions, tally::Begun,
 };
 use rudder_ledger::Document;
-use rudder_model::InstanceId;
+use rudder_model::{InstanceId, id};
 use rudder_replica::{Durable, Record, Snapshot};
 
 use self::receiver::Receiver;
@@ -390,6 +390,7 @@
     ) {
         let registration = Registration {
             endpoint: endpoint.into(),
+            born: None,
             service: "model".into(),
             address: address.into(),
             hall: "hall-0".into(),
@@ -401,6 +402,22 @@
         self.tell(number, Event::Register { ticket, registration });
     }
 
+    /// A heartbeat of the life of endpoint "e-1" that began at `born`, at an address of its own, at an instance.
+    pub fn life_beat(&mut self, number: usize, born: u64, phase: Phase, sequence: u64) {
+        let registration = Registration {
+            endpoint: id::life_id("e-1", Some(born)),
+            born: Some(born),
+            service: "model".into(),
+            address: format!("at-{born}").into(),
+            hall: "hall-0".into(),
+            slots: 8,
+            cheap: false,
+            phase,
+            sequence,
+        };
+        self.tell(number, Event::Register { ticket: 900 + sequence, registration });
+    }
+
     /// What an instance sent of one kind of message.
     pub fn sent_by(&self, number: usize, kind: &'static str) -> Traffic {
         self.sent.get(&(number, kind)).copied().unwrap_or_default()
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -309,6 +309,13 @@
         /// Events that the caller has.
         events: u64,
     },
+    /// What an endpoint, or another writer in its name, said of itself was refused; what is known of it stands.
+    WordRefused {
+        /// The endpoint named.
+        endpoint: String,
+        /// Why.
+        why: String,
+    },
     /// An endpoint ended, connections to it are refused, while a request was under way there.
     EndedUnder {
         /// The request.
--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -44,6 +44,7 @@
     fn new(count: usize, engines: bool) -> Scene {
         let endpoint = |number: usize| Registration {
             endpoint: format!("i-{number:08x}").into(),
+            born: None,
             service: "svc".into(),
             address: format!("10.0.{}.{}:80", number / 250, number % 250).into(),
             hall: format!("hall-{}", number % 3).as_str().into(),
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -176,7 +176,13 @@
     let patience = call.patience() + to_wait(shared, choice).mul_f64(shared.options.policy.guard.patience);
     let sent = Instant::now();
     let patient_until = call.until.min(sent + patience);
-    let mut answer = std::pin::pin!(connection.send(request));
+    let outcome = async {
+        tokio::select! {
+            answer = connection.send(request) => answer.map_err(|_| "the connection ended before an answer"),
+            () = shared.wait_replaced(&choice.endpoint) => Err("the endpoint has started again"),
+        }
+    };
+    let mut answer = std::pin::pin!(outcome);
     let mut answered = timeout_at(patient_until.into(), answer.as_mut()).await;
     let impatient = shared.options.policy.guard.impatience && call.route.may_repeat();
     if answered.is_err() && impatient && may_send_again(shared, call, progress) {
@@ -189,13 +195,13 @@
     }
     match answered {
         Ok(Ok(response)) => Ok(response),
-        Ok(Err(_)) => {
+        Ok(Err(why)) => {
             if sent.elapsed() >= to_wait(shared, choice) {
                 // Plain services begin at once, engines when what is ahead has been read: it has run, its answer is lost.
                 note_begun(shared, call, progress, sent);
             }
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
-            log_failure(shared, call, progress, choice, "the connection ended before an answer", Ran::Unknown);
+            log_failure(shared, call, progress, choice, why, Ran::Unknown);
             note_if_ended(shared, call, progress, choice).await;
             Err(Failure::Lost("the endpoint broke off"))
         }
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -41,6 +41,7 @@
     }
     let choice = Choice {
         endpoint: keeper.endpoint.clone(),
+        born: keeper.born,
         address: keeper.address.clone(),
         calls: work.calls,
         ahead: work.unread,
--- a/crates/rudder-gateway/src/call/ended.rs
+++ b/crates/rudder-gateway/src/call/ended.rs
@@ -22,7 +22,8 @@
     progress: &mut Progress,
     choice: &Choice,
 ) -> bool {
-    if !upstream::has_ended(&choice.address).await {
+    if !shared.is_replaced(&choice.endpoint) && !upstream::has_ended(&choice.address).await {
+        shared.contents.borrow_mut().note_broken(call.content, &choice.endpoint);
         return false;
     }
     progress.ended += 1;
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -32,7 +32,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rudder_events::What;
-use rudder_model::{ContentTag, EndpointId};
+use rudder_model::{ContentTag, EndpointId, id::name_of};
 
 pub use admit::strip_hop_headers;
 pub use attempt::{attempt, log_failure, note_outcome, put_back};
@@ -228,7 +228,7 @@
         let tier = self.prompt.is_some().then_some(self.engine_rank);
         let organisation = self.organisation.as_deref();
         let forward = Forward {
-            endpoint: &choice.endpoint,
+            endpoint: name_of(&choice.endpoint, choice.born),
             left,
             organisation,
             tier,
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -89,11 +89,17 @@
 ) -> Result<Response<AnswerBody>, Failure> {
     let Leg { choice, response, head, connection, flight, .. } = leg;
     let (mut parts, body) = response.into_parts();
-    let collected = timeout_at(call.until.into(), Limited::new(body, WHOLE).collect()).await;
+    let whole = async {
+        tokio::select! {
+            collected = Limited::new(body, WHOLE).collect() => collected.ok(),
+            () = shared.wait_replaced(&choice.endpoint) => None,
+        }
+    };
+    let collected = timeout_at(call.until.into(), whole).await;
     drop(flight);
     let bytes = match collected {
-        Ok(Ok(collected)) => collected.to_bytes(),
-        Ok(Err(_)) => {
+        Ok(Some(collected)) => collected.to_bytes(),
+        Ok(None) => {
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
             note_if_ended(shared, call, progress, &choice).await;
             return Err(Failure::Lost("the endpoint's answer broke off"));
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -173,7 +173,12 @@
         let drawn = lane.endpoints.sample(&mut rand::rng(), KEEPERS_DRAWN + 1);
         let others = drawn.filter(|held| held.endpoint != chosen.endpoint).take(KEEPERS_DRAWN);
         let keeper = others.min_by_key(|held| self.work(held).calls)?;
-        Some(Keeper { endpoint: keeper.endpoint.clone(), address: keeper.address.clone(), slots: keeper.slots })
+        Some(Keeper {
+            endpoint: keeper.endpoint.clone(),
+            address: keeper.address.clone(),
+            slots: keeper.slots,
+            born: keeper.born,
+        })
     }
 
     fn to_session(&self, lane: &Lane) -> Session {
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -13,7 +13,7 @@
 };
 
 use rudder_core::Registration;
-use rudder_model::{EndpointId, HallId};
+use rudder_model::{Born, EndpointId, HallId};
 
 use self::engine::Request;
 pub use self::field::{Field, Fields, Lane};
@@ -49,6 +49,8 @@
     pub address: Arc<str>,
     /// Requests it works on at once.
     pub slots: u32,
+    /// When its life began, where it tells that.
+    pub born: Option<Born>,
 }
 
 /// A choice.
@@ -56,6 +58,8 @@
 pub struct Choice {
     /// The endpoint.
     pub endpoint: EndpointId,
+    /// When its life began, where it tells that.
+    pub born: Option<Born>,
     /// Where it is.
     pub address: Arc<str>,
     /// Its service.
@@ -111,6 +115,7 @@
     let work = inputs.balance.at(&chosen.endpoint);
     Choice {
         endpoint: chosen.endpoint.clone(),
+        born: chosen.born,
         address: chosen.address.clone(),
         service: chosen.service.clone(),
         calls: work.calls,
--- a/crates/rudder-gateway/src/contents.rs
+++ b/crates/rudder-gateway/src/contents.rs
@@ -1,7 +1,7 @@
 //! What became of contents at endpoints: those refused because endpoints ended under them, and those answered of late.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
     time::{Duration, Instant},
 };
@@ -17,6 +17,9 @@
 /// Answered contents remembered from one such time: 9 KB. What many callers ask for is answered again soon.
 const ANSWERED_MOST: usize = 512;
 
+/// Broken connections remembered; an endpoint that starts again at once is known to have done so within seconds.
+const UNSURE_MOST: usize = 256;
+
 /// Contents as this instance knows them.
 #[derive(Debug)]
 pub struct Contents {
@@ -28,6 +31,15 @@
     /// The same in the span before.
     earlier: HashSet<ContentTag>,
     turned: Instant,
+    /// Contents whose connection broke off at an endpoint that could still be reached: it may have started again.
+    unsure: VecDeque<Broken>,
+}
+
+/// A content whose connection broke off at an endpoint.
+#[derive(Clone, Debug)]
+struct Broken {
+    content: ContentTag,
+    endpoint: EndpointId,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +57,7 @@
             answered: HashSet::new(),
             earlier: HashSet::new(),
             turned: now,
+            unsure: VecDeque::new(),
         }
     }
 
@@ -94,6 +107,22 @@
         Some(Findings { ended: vec![ended], ..Findings::default() })
     }
 
+    /// Remembers that a connection broke off under `content` at an endpoint that can still be reached.
+    pub fn note_broken(&mut self, content: ContentTag, endpoint: &EndpointId) {
+        if self.unsure.len() >= UNSURE_MOST {
+            self.unsure.pop_front();
+        }
+        self.unsure.push_back(Broken { content, endpoint: endpoint.clone() });
+    }
+
+    /// What is to be told of connections that broke off at endpoints which are known to have `ended` by now.
+    pub fn take_ended(&mut self, ended: &HashSet<EndpointId>) -> Vec<Findings> {
+        let is_over = |held: &Broken| ended.contains(&held.endpoint);
+        let (over, unsure): (VecDeque<Broken>, VecDeque<Broken>) = self.unsure.drain(..).partition(is_over);
+        self.unsure = unsure;
+        over.iter().filter_map(|held| self.note_ended(held.content, &held.endpoint)).collect()
+    }
+
     /// Takes in that `content` was answered whole. Returns what is to be told of it, where endpoints had ended under it.
     pub fn note_answered(&mut self, content: ContentTag, now: Instant) -> Option<Findings> {
         if now >= self.turned + ANSWERED || self.answered.len() >= ANSWERED_MOST {
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, request, response};
 use http_body_util::Full;
 use rudder_core::{CallOutcome, DutyCall, Registration, duties::Fence};
+use rudder_model::Born;
 
 use crate::{Plan, options::Duties, plan::Fault};
 
@@ -20,6 +21,39 @@
     Invalid(#[from] Fault),
 }
 
+/// Why a word of an endpoint is refused: it comes from another writer, and names no endpoint to use.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum WordFault {
+    /// It is longer than any endpoint's, or broke off.
+    #[error("it is too large or broke off")]
+    TooLarge,
+    /// Its bytes, fields or types are not those of an endpoint's word.
+    #[error("it cannot be read: {0}")]
+    Unreadable(String),
+    /// A field is empty, or holds what no endpoint says.
+    #[error("{0} holds what no endpoint says")]
+    Value(&'static str),
+    /// It leaves out the start that the endpoint tells.
+    #[error("it does not tell the endpoint's start, which is known")]
+    Born,
+    /// It takes a known endpoint to a service that the configuration does not name.
+    #[error("the configuration does not name its service")]
+    Service,
+}
+
+impl WordFault {
+    /// The fault's name in metrics.
+    pub fn reason(&self) -> &'static str {
+        match self {
+            WordFault::TooLarge => "too_large",
+            WordFault::Unreadable(_) => "unreadable",
+            WordFault::Value(_) => "value",
+            WordFault::Born => "born",
+            WordFault::Service => "service",
+        }
+    }
+}
+
 /// One part of a prompt that requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -154,11 +188,17 @@
     /// What a request at another door than the callers' asks for.
     fn read_operation(&self, method: &Method, uri: &Uri) -> Operation;
 
-    /// Reads a heartbeat.
+    /// Reads a heartbeat of the endpoint `name`.
+    ///
+    /// # Errors
+    /// When it is not what an endpoint says.
+    fn read_heartbeat(&self, name: &str, body: &[u8]) -> Result<Registration, WordFault>;
+
+    /// Reads an endpoint's word that it ends: the start of the life that does, where it tells it.
     ///
     /// # Errors
-    /// When it cannot be read; the text says why.
-    fn read_heartbeat(&self, endpoint: &str, body: &[u8]) -> Result<Registration, String>;
+    /// When it is not what an endpoint says.
+    fn read_leave(&self, body: &[u8]) -> Result<Option<Born>, WordFault>;
 
     /// The answer to [`Operation::Entries`].
     fn write_entries(&self, addresses: &[Arc<str>], keep: Duration) -> Bytes;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -153,6 +153,7 @@
     resumes: Counter,
     ejections: Counter,
     ended_under: Counter,
+    words: Family<Why, Counter>,
     duties: Family<Duty, Counter>,
     first: Family<Kind, Histogram>,
     total: Family<Kind, Histogram>,
@@ -195,6 +196,7 @@
             resumes: Counter::default(),
             ejections: Counter::default(),
             ended_under: Counter::default(),
+            words: Family::default(),
             duties: Family::default(),
             first: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
@@ -226,6 +228,7 @@
         registry.register("resumes", "Streams taken up at another endpoint", self.resumes.clone());
         registry.register("ejections", "Endpoints left out for a while", self.ejections.clone());
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
+        registry.register("refused_words", "What endpoints said and was not taken in, by reason", self.words.clone());
         registry.register("duty_calls", "Calls of the holder of a duty, by duty and outcome", self.duties.clone());
         let seconds = Unit::Seconds;
         registry.register_with_unit("first", "From arrival to the first byte", seconds.clone(), self.first.clone());
@@ -300,6 +303,11 @@
         self.ended_under.inc();
     }
 
+    /// Counts something that an endpoint, or another writer in its name, said and that was not taken in.
+    pub fn note_refused_word(&self, why: &'static str) {
+        self.words.get_or_create(&Why { why }).inc();
+    }
+
     /// Sets how many contents are refused because endpoints ended under them.
     pub fn set_quarantined(&self, contents: usize) {
         self.state.borrow().quarantined.set((contents as u64).cast_signed());
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -16,6 +16,7 @@
 use crate::{
     Dialect, Operation,
     body::AnswerBody,
+    dialect::WordFault,
     shared::{Reply, Shared},
 };
 
@@ -27,6 +28,8 @@
 const DOCUMENT: usize = 4 << 20;
 /// Largest heartbeat.
 const HEARTBEAT: usize = 64 << 10;
+/// Characters of a refused endpoint's name that are logged.
+const NAME_MOST: usize = 64;
 /// A reader of the configuration waits this long for proof that it is the newest.
 const READ_WAIT: Duration = Duration::from_millis(850);
 /// An operator waits this long for the log to decide.
@@ -56,7 +59,7 @@
         Operation::Replace => replace(&shared, request.into_body()).await,
         Operation::Read => read(&shared, arrived).await,
         Operation::Heartbeat(endpoint) => heartbeat(&shared, &endpoint, request.into_body()).await,
-        Operation::Leave(endpoint) => leave(&shared, endpoint).await,
+        Operation::Leave(endpoint) => leave(&shared, &endpoint, request.into_body()).await,
         Operation::Unknown => empty(StatusCode::NOT_FOUND),
     }
 }
@@ -117,36 +120,68 @@
     }
 }
 
-async fn heartbeat<D: Dialect>(shared: &Shared<D>, endpoint: &str, body: Incoming) -> Response<AnswerBody> {
+async fn heartbeat<D: Dialect>(shared: &Shared<D>, name: &str, body: Incoming) -> Response<AnswerBody> {
     let Ok(body) = Limited::new(body, HEARTBEAT).collect().await else {
-        return fault(StatusCode::BAD_REQUEST, "the heartbeat is too large or broke off");
+        return refuse_word(shared, name, &WordFault::TooLarge);
     };
-    match shared.dialect.read_heartbeat(endpoint, &body.to_bytes()) {
+    let read = shared.dialect.read_heartbeat(name, &body.to_bytes());
+    match read.and_then(|registration| check_word(shared, registration)) {
         Ok(registration) => register(shared, registration).await,
-        Err(why) => fault(StatusCode::BAD_REQUEST, &why),
+        Err(fault) => refuse_word(shared, name, &fault),
     }
 }
 
-async fn leave<D: Dialect>(shared: &Shared<D>, endpoint: String) -> Response<AnswerBody> {
+/// Checks a heartbeat against what is known: it cannot take a known endpoint to a service that the configuration does not
+/// name, nor leave out a start that the endpoint is known to tell.
+fn check_word<D: Dialect>(shared: &Shared<D>, said: Registration) -> Result<Registration, WordFault> {
+    let view = shared.view.borrow();
+    let held = view.endpoints.iter().find(|held| held.name() == said.name() && held.phase < Phase::Gone);
+    let Some(held) = held else { return Ok(said) };
+    if held.born.is_some() && said.born.is_none() {
+        return Err(WordFault::Born);
+    }
+    let plan = shared.current_plan();
+    let named = plan.is_none_or(|plan| plan.services.contains_key(&*said.service));
+    if !named && held.service != said.service {
+        return Err(WordFault::Service);
+    }
+    Ok(said)
+}
+
+/// Takes in that an endpoint ends: the life that it names, or the latest one known where it names none.
+async fn leave<D: Dialect>(shared: &Shared<D>, name: &str, body: Incoming) -> Response<AnswerBody> {
+    let Ok(body) = Limited::new(body, HEARTBEAT).collect().await else {
+        return refuse_word(shared, name, &WordFault::TooLarge);
+    };
+    let born = match shared.dialect.read_leave(&body.to_bytes()) {
+        Ok(born) => born,
+        Err(fault) => return refuse_word(shared, name, &fault),
+    };
     let view = shared.view.borrow().clone();
-    let held = view.endpoints.iter().find(|registration| *registration.endpoint == *endpoint);
-    let registration = match held {
-        Some(held) => Registration { phase: Phase::Gone, ..held.clone() },
-        // Unknown here, but another instance may know it.
-        None => Registration {
-            endpoint: endpoint.into(),
-            service: "".into(),
-            address: "".into(),
-            hall: shared.options.hall.clone(),
-            slots: 0,
-            cheap: false,
-            phase: Phase::Gone,
-            sequence: 0,
-        },
+    let is_meant = |held: &&Registration| {
+        held.name() == name && held.phase != Phase::Replaced && born.is_none_or(|born| held.born == Some(born))
     };
+    let held = view.endpoints.iter().find(is_meant);
+    // One that is unknown here may be known to another instance.
+    let registration = held.map_or_else(
+        || Registration::end_of(name, born, shared.options.hall.clone()),
+        |held| Registration { phase: Phase::Gone, ..held.clone() },
+    );
     register(shared, registration).await
 }
 
+/// Refuses what an endpoint, or another writer in its name, said; what is known of the endpoint stands.
+fn refuse_word<D: Dialect>(shared: &Shared<D>, name: &str, word: &WordFault) -> Response<AnswerBody> {
+    shared.metrics.note_refused_word(word.reason());
+    shared.log.write(What::WordRefused { endpoint: shorten(name), why: word.to_string() });
+    fault(StatusCode::BAD_REQUEST, &word.to_string())
+}
+
+/// A name as far as it is logged: whoever wrote it chose its length.
+fn shorten(name: &str) -> String {
+    name.chars().take(NAME_MOST).collect()
+}
+
 async fn register<D: Dialect>(shared: &Shared<D>, registration: Registration) -> Response<AnswerBody> {
     let (ticket, reply) = shared.tickets.draw();
     shared.tell(Event::Register { ticket, registration });
--- a/crates/rudder-gateway/src/roster.rs
+++ b/crates/rudder-gateway/src/roster.rs
@@ -6,7 +6,7 @@
     sync::Arc,
 };
 
-use rudder_core::Registration;
+use rudder_core::{Phase, Registration};
 use rudder_model::EndpointId;
 
 /// All endpoints known.
@@ -14,6 +14,7 @@
 pub struct Roster {
     services: HashMap<Arc<str>, Vec<Rc<Registration>>>,
     names: HashSet<EndpointId>,
+    replaced: HashSet<EndpointId>,
 }
 
 impl Roster {
@@ -22,6 +23,9 @@
         let mut roster = Roster::default();
         for registration in endpoints {
             roster.names.insert(registration.endpoint.clone());
+            if registration.phase == Phase::Replaced {
+                roster.replaced.insert(registration.endpoint.clone());
+            }
             let of_service = roster.services.entry(registration.service.clone()).or_default();
             of_service.push(Rc::new(registration.clone()));
         }
@@ -38,6 +42,11 @@
         self.services.values().map(Vec::as_slice)
     }
 
+    /// Lives that a later one of the same name has replaced.
+    pub fn replaced(&self) -> &HashSet<EndpointId> {
+        &self.replaced
+    }
+
     /// True where the endpoint is known.
     pub fn knows(&self, endpoint: &EndpointId) -> bool {
         self.names.contains(endpoint)
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -135,6 +135,8 @@
     pub budget: RefCell<Budget>,
     /// Idle connections to endpoints.
     pub pool: RefCell<Pool>,
+    /// Changes when a life of an endpoint has been replaced.
+    pub replaced: watch::Sender<()>,
     /// Where a planned stop stands.
     pub stage: watch::Sender<Stage>,
     /// Requests that began at endpoints since the reducer was last told; kept where their number is reported.
@@ -179,6 +181,7 @@
             reading: RefCell::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
+            replaced: watch::Sender::new(()),
             stage: watch::Sender::new(Stage::Serving),
             begun: RefCell::default(),
             open: Cell::new(0),
@@ -272,11 +275,33 @@
         let roster = Rc::new(Roster::new(&published.endpoints));
         self.balance.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
-        *self.roster.borrow_mut() = roster;
+        let before = self.roster.replace(roster.clone());
+        if !roster.replaced().is_subset(before.replaced()) {
+            self.replaced.send_replace(());
+            self.tell_ended(&roster);
+        }
         *self.view.borrow_mut() = Rc::new(published);
         self.fields.borrow_mut().clear();
     }
 
+    /// Returns when a later life of the same name has replaced `endpoint`: nothing runs there any more.
+    pub async fn wait_replaced(&self, endpoint: &EndpointId) {
+        let mut news = self.replaced.subscribe();
+        while !self.is_replaced(endpoint) && news.changed().await.is_ok() {}
+    }
+
+    /// True where a later life of the same name has replaced `endpoint`.
+    pub fn is_replaced(&self, endpoint: &EndpointId) -> bool {
+        self.roster.borrow().replaced().contains(endpoint)
+    }
+
+    /// Holds the end of endpoints that are known to have ended now against what broke off there.
+    fn tell_ended(&self, roster: &Roster) {
+        for findings in self.contents.borrow_mut().take_ended(roster.replaced()) {
+            self.tell(Event::Found(findings));
+        }
+    }
+
     fn take_quarantine(&self, quarantine: &Arc<Quarantine>) {
         let new = self.contents.borrow_mut().publish(quarantine, Instant::now());
         for content in new {
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -185,10 +185,13 @@
         let patience = impatient.then(|| self.call.patience());
         let mut impatient = patience.map(|patience| Instant::now() + patience);
         let mut began = continued;
+        let shared = self.shared.clone();
+        let mut replaced = std::pin::pin!(shared.wait_replaced(&choice.endpoint));
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
                 () = self.sender.closed() => return End::Left,
+                () = &mut replaced => return End::Broken,
                 () = sleep_until(impatient.unwrap_or(self.call.until).into()), if impatient.is_some() => {
                     impatient = None;
                     if call::may_send_again(self.shared, &self.call, &mut self.progress) {
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -19,6 +19,7 @@
 fn engines(count: usize) -> Vec<Registration> {
     let engine = |number: usize| Registration {
         endpoint: format!("e-{number}").into(),
+        born: None,
         service: "svc".into(),
         address: format!("10.0.0.{number}:80").into(),
         hall: format!("hall-{}", number % 3).as_str().into(),
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -45,6 +45,7 @@
 fn endpoints(count: usize) -> Vec<Registration> {
     let endpoint = |number: usize| Registration {
         endpoint: format!("e-{number}").into(),
+        born: None,
         service: "app".into(),
         address: format!("10.0.0.{number}:80").into(),
         hall: format!("hall-{number}").as_str().into(),
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -53,6 +53,7 @@
 fn engines(count: usize) -> Vec<Registration> {
     let engine = |number: usize| Registration {
         endpoint: format!("e-{number}").into(),
+        born: None,
         service: "svc".into(),
         address: format!("10.0.0.{number}:80").into(),
         hall: "a".into(),
--- a/crates/rudder-model/src/id.rs
+++ b/crates/rudder-model/src/id.rs
@@ -8,8 +8,11 @@
 pub type InstanceId = Arc<str>;
 /// Name of one site.
 pub type HallId = Arc<str>;
-/// Name of a model engine or plain service replica.
+/// One life of a model engine or plain service replica: its name, and where it tells its start that too. All that is known
+/// of a life is kept under it, see [`life_id`].
 pub type EndpointId = Arc<str>;
+/// Time of an endpoint's start, by its own clock, in milliseconds since the Unix epoch.
+pub type Born = u64;
 /// Name of a class of requests.
 pub type ClassId = Arc<str>;
 /// Name of a customer.
@@ -95,3 +98,17 @@
     }
     hasher.digest()
 }
+
+/// Stands between the name and the start in the id of a life.
+const LIFE_MARK: char = '+';
+
+/// The id of the life of endpoint `name` that began at `born`; the name alone where the endpoint does not tell its start.
+pub fn life_id(name: &str, born: Option<Born>) -> EndpointId {
+    born.map_or_else(|| name.into(), |born| format!("{name}{LIFE_MARK}{born}").into())
+}
+
+/// The name of the endpoint whose life, begun at `born`, is `life`.
+pub fn name_of(life: &str, born: Option<Born>) -> &str {
+    let marked = born.and_then(|_| life.rsplit_once(LIFE_MARK));
+    marked.map_or(life, |(name, _)| name)
+}
