--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -309,6 +309,11 @@
         /// Events that the caller has.
         events: u64,
     },
+    /// The machine was suspended.
+    Woke {
+        /// For how long.
+        after: Duration,
+    },
     /// What an endpoint, or another writer in its name, said of itself was refused; what is known of it stands.
     WordRefused {
         /// The endpoint named.
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -119,6 +119,7 @@
             format!("broken off at {endpoint} after {events} events: {why}")
         }
         What::EndedUnder { endpoint, content, .. } => format!("{endpoint} ended while it ran content {content}"),
+        What::Woke { after } => format!("woke: its machine had been suspended for {after:?}"),
         What::WordRefused { endpoint, why } => format!("took no word in the name of {endpoint}: {why}"),
         What::Quarantined { content, refused } => {
             format!("refuses content {content} for {refused:?}: endpoints ended under it, one after the other")
--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -1,11 +1,9 @@
 //! What a choice costs by the number of endpoints, and what is done a few times a second so that it costs no more.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use divan::{Bencher, black_box};
+use rudder_clock::Moment;
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
@@ -86,7 +84,7 @@
             hall: &self.hall,
             plan: &self.plan,
             policy: &self.policy,
-            now: Instant::now(),
+            now: Moment::now(),
         }
     }
 
--- a/crates/rudder-gateway/src/balance.rs
+++ b/crates/rudder-gateway/src/balance.rs
@@ -4,9 +4,9 @@
     cell::RefCell,
     collections::{HashMap, HashSet},
     rc::Rc,
-    time::Instant,
 };
 
+use rudder_clock::Moment;
 use rudder_core::peer::Load;
 use rudder_model::{EndpointId, EndpointTag, id};
 
@@ -49,12 +49,12 @@
     }
 
     /// Takes in the end of a request.
-    pub fn note_end(&mut self, endpoint: &EndpointId, failed: bool, now: Instant) {
+    pub fn note_end(&mut self, endpoint: &EndpointId, failed: bool, now: Moment) {
         self.recent.note(endpoint, failed, now);
     }
 
     /// What ended at `endpoint` of late, here and elsewhere.
-    pub fn tally(&self, endpoint: &str, now: Instant) -> Tally {
+    pub fn tally(&self, endpoint: &str, now: Moment) -> Tally {
         let mut tally = self.recent.at(endpoint, now);
         if let Some(load) = self.others.get(&id::endpoint_tag(endpoint)) {
             tally.add(Tally { ended: load.ended, failed: load.failed });
@@ -63,7 +63,7 @@
     }
 
     /// This instance's work, to tell the others.
-    pub fn to_loads(&mut self, now: Instant) -> Vec<Load> {
+    pub fn to_loads(&mut self, now: Moment) -> Vec<Load> {
         self.recent.age(now);
         let mut names: HashSet<&EndpointId> = self.recent.endpoints().collect();
         names.extend(self.own.iter().filter(|(_, load)| load.calls > 0).map(|(endpoint, _)| endpoint));
--- a/crates/rudder-gateway/src/budget.rs
+++ b/crates/rudder-gateway/src/budget.rs
@@ -1,10 +1,11 @@
 //! The retry budget: requests sent again stay a share of the requests, plus this instance's part of a
 //! fixed extra that all instances have together.
 
+use rudder_clock::Moment;
 use std::{
     collections::{HashMap, VecDeque},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// Part of the allowance that is used: the others' windows do not begin with ours.
@@ -12,8 +13,8 @@
 
 #[derive(Debug, Default)]
 struct Window {
-    requests: VecDeque<Instant>,
-    again: VecDeque<Instant>,
+    requests: VecDeque<Moment>,
+    again: VecDeque<Moment>,
 }
 
 /// Requests and repeats of each service over one window.
@@ -32,12 +33,12 @@
     }
 
     /// Counts a request for `service`.
-    pub fn note_request(&mut self, service: &Arc<str>, now: Instant) {
+    pub fn note_request(&mut self, service: &Arc<str>, now: Moment) {
         self.window(service, now).requests.push_back(now);
     }
 
     /// Takes the right to one repeat, if there is one left; `instances` share the extra.
-    pub fn try_take(&mut self, service: &Arc<str>, now: Instant, instances: usize) -> bool {
+    pub fn try_take(&mut self, service: &Arc<str>, now: Moment, instances: usize) -> bool {
         let (ratio, extra) = (self.ratio, f64::from(self.extra) / instances.max(1) as f64);
         let window = self.window(service, now);
         let allowed = (window.requests.len() as f64 * ratio + extra) * CAUTION;
@@ -48,7 +49,7 @@
         true
     }
 
-    fn window(&mut self, service: &Arc<str>, now: Instant) -> &mut Window {
+    fn window(&mut self, service: &Arc<str>, now: Moment) -> &mut Window {
         let span = self.window;
         let window = self.services.entry(service.clone()).or_default();
         for times in [&mut window.requests, &mut window.again] {
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -1,17 +1,14 @@
 //! Reading a request: its route, its key, its body, within the limits in force.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, StatusCode, header, request, uri::PathAndQuery};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
+use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
 use rudder_model::content_tag;
-use tokio::time::timeout_at;
 
 use super::{
     Call, Progress, Refusal,
@@ -40,7 +37,7 @@
 /// Reads a request and finds its route and organisation.
 pub(super) async fn read<D: Dialect>(
     shared: &Shared<D>,
-    arrived: Instant,
+    arrived: Moment,
     parts: request::Parts,
     head: CallHead,
     body: Incoming,
@@ -106,8 +103,8 @@
     host.split(':').next().unwrap_or_default().to_ascii_lowercase()
 }
 
-async fn read_body(body: Incoming, limit: usize, until: Instant) -> Result<Bytes, Refusal> {
-    let collected = timeout_at(until.into(), Limited::new(body, limit).collect()).await;
+async fn read_body(body: Incoming, limit: usize, until: Moment) -> Result<Bytes, Refusal> {
+    let collected = timeout_at(until, Limited::new(body, limit).collect()).await;
     match collected {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => {
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -1,17 +1,14 @@
 //! One endpoint: the choice, the connection, the request, the head of the answer.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
+use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
 use rudder_model::{EndpointId, Ran};
-use tokio::time::timeout_at;
 
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume, note_begun, note_if_ended,
@@ -48,7 +45,7 @@
     }
     let Leg { choice, response, head, connection, flight, .. } = leg;
     let (_, body) = response.into_parts();
-    let drained = timeout_at(call.until.into(), Limited::new(body, WHOLE).collect()).await;
+    let drained = timeout_at(call.until, Limited::new(body, WHOLE).collect()).await;
     drop(flight);
     if matches!(drained, Ok(Ok(_))) && !misdirected {
         put_back(shared, &choice.endpoint, connection, head.keep);
@@ -57,17 +54,17 @@
 
 /// Keeps a connection for the next request.
 pub fn put_back<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, connection: Connection, keep: Option<Duration>) {
-    shared.pool.borrow_mut().put(endpoint, connection, keep, Instant::now());
+    shared.pool.borrow_mut().put(endpoint, connection, keep, Moment::now());
 }
 
 /// Takes in how a request ended at an endpoint.
 pub fn note_outcome<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, outcome: Outcome) {
     let failed = matches!(outcome, Outcome::Failed | Outcome::Unreachable);
-    shared.balance.borrow_mut().note_end(endpoint, failed, Instant::now());
+    shared.balance.borrow_mut().note_end(endpoint, failed, Moment::now());
     if !shared.options.policy.guard.ejection && outcome != Outcome::Replaced {
         return;
     }
-    let pause = shared.health.borrow_mut().note(endpoint, outcome, Instant::now());
+    let pause = shared.health.borrow_mut().note(endpoint, outcome, Moment::now());
     if let Some(pause) = pause {
         shared.fields.borrow_mut().clear();
         shared.metrics.note_ejection();
@@ -133,7 +130,7 @@
     mut connection: Connection,
     from: Resume,
 ) -> Result<Leg, Failure> {
-    let now = Instant::now();
+    let now = Moment::now();
     let left = call.until.saturating_duration_since(now);
     if left.is_zero() {
         return Err(Failure::Late);
@@ -174,7 +171,7 @@
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Incoming>, Failure> {
     let patience = call.patience() + to_wait(shared, choice).mul_f64(shared.options.policy.guard.patience);
-    let sent = Instant::now();
+    let sent = Moment::now();
     let patient_until = call.until.min(sent + patience);
     let outcome = async {
         tokio::select! {
@@ -183,7 +180,7 @@
         }
     };
     let mut answer = std::pin::pin!(outcome);
-    let mut answered = timeout_at(patient_until.into(), answer.as_mut()).await;
+    let mut answered = timeout_at(patient_until, answer.as_mut()).await;
     let impatient = shared.options.policy.guard.impatience && call.route.may_repeat();
     if answered.is_err() && impatient && may_send_again(shared, call, progress) {
         note_outcome(shared, &choice.endpoint, Outcome::Failed);
@@ -191,7 +188,7 @@
         return Err(Failure::Silent);
     }
     if answered.is_err() {
-        answered = timeout_at(call.until.into(), answer).await;
+        answered = timeout_at(call.until, answer).await;
     }
     match answered {
         Ok(Ok(response)) => Ok(response),
@@ -250,7 +247,7 @@
         hall: &shared.options.hall,
         plan: &plan,
         policy: &shared.options.policy,
-        now: Instant::now(),
+        now: Moment::now(),
     };
     let first = choose::service_of(&call.route, rand::random())?;
     let by_weight = progress.chosen.as_ref().unwrap_or(first);
@@ -267,7 +264,7 @@
     call: &Call,
     choice: &Choice,
 ) -> Result<Connection, &'static str> {
-    let now = Instant::now();
+    let now = Moment::now();
     let once = !call.route.may_repeat();
     let rested = shared.pool.borrow_mut().take(&choice.endpoint, once, now);
     if let Some(connection) = rested {
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -1,7 +1,8 @@
 //! Going on from a copy of a request's memory when its endpoint has ended.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
+use rudder_clock::Moment;
 use rudder_model::Ran;
 
 use super::{
@@ -28,7 +29,7 @@
     let before = progress.last.take()?;
     let keeper = before.keeper.as_ref()?;
     let instances = shared.view.borrow().sender_count();
-    if !shared.budget.borrow_mut().try_take(&before.service, Instant::now(), instances) {
+    if !shared.budget.borrow_mut().try_take(&before.service, Moment::now(), instances) {
         return None;
     }
     note_outcome(shared, &before.endpoint, Outcome::Unreachable);
--- a/crates/rudder-gateway/src/call/ended.rs
+++ b/crates/rudder-gateway/src/call/ended.rs
@@ -1,7 +1,6 @@
 //! Endpoints that end under requests: what is held against their contents, and what is no longer sent for it.
 
-use std::time::Instant;
-
+use rudder_clock::Moment;
 use rudder_core::Event;
 use rudder_events::What;
 use rudder_model::ContentTag;
@@ -42,7 +41,7 @@
 
 /// Takes in that an endpoint answered a request whole.
 pub fn note_answered<D: Dialect>(shared: &Shared<D>, call: &Call) {
-    let findings = shared.contents.borrow_mut().note_answered(call.content, Instant::now());
+    let findings = shared.contents.borrow_mut().note_answered(call.content, Moment::now());
     if let Some(findings) = findings {
         shared.tell(Event::Found(findings));
     }
@@ -55,7 +54,7 @@
     }
     let contents = shared.contents.borrow();
     let known = contents.ended_count(call.content).max(progress.ended);
-    known >= RESEND_BOUND || contents.refused_for(call.content, Instant::now()).is_some()
+    known >= RESEND_BOUND || contents.refused_for(call.content, Moment::now()).is_some()
 }
 
 /// Refuses a request whose content is in quarantine.
@@ -67,7 +66,7 @@
     if !shared.options.policy.guard.quarantine {
         return Ok(());
     }
-    let Some(left) = shared.contents.borrow().refused_for(content, Instant::now()) else { return Ok(()) };
+    let Some(left) = shared.contents.borrow().refused_for(content, Moment::now()) else { return Ok(()) };
     let why = "endpoints have ended under it";
     Err(if progress.ran == 0 { not_run(why, left) } else { too_late(why) })
 }
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -21,16 +21,13 @@
 pub mod refusal;
 pub mod send;
 
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, Uri, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use rudder_clock::Moment;
 use rudder_events::What;
 use rudder_model::{ContentTag, EndpointId, id::name_of};
 
@@ -69,9 +66,9 @@
     /// The caller's id of it.
     pub id: String,
     /// When its head was read.
-    pub arrived: Instant,
+    pub arrived: Moment,
     /// When it is given up.
-    pub until: Instant,
+    pub until: Moment,
     /// Its route.
     pub route: Arc<Route>,
     /// The organisation that holds its key.
@@ -108,7 +105,7 @@
     /// Its count at the endpoint.
     pub flight: Flight,
     /// When it was sent.
-    pub sent: Instant,
+    pub sent: Moment,
     /// It goes on with a run that began elsewhere.
     pub continued: bool,
 }
@@ -160,7 +157,7 @@
 struct Open<D: Dialect> {
     shared: Rc<Shared<D>>,
     id: String,
-    arrived: Instant,
+    arrived: Moment,
     answered: bool,
 }
 
@@ -176,7 +173,7 @@
 
 /// Serves one request.
 pub async fn handle<D: Dialect>(shared: Rc<Shared<D>>, request: Request<Incoming>) -> Response<AnswerBody> {
-    let arrived = Instant::now();
+    let arrived = Moment::now();
     shared.open.set(shared.open.get() + 1);
     let (parts, body) = request.into_parts();
     let head = shared.dialect.read_call(&parts);
@@ -200,7 +197,7 @@
 
 async fn admit_and_send<D: Dialect>(
     shared: &Rc<Shared<D>>,
-    arrived: Instant,
+    arrived: Moment,
     parts: request::Parts,
     head: CallHead,
     body: Incoming,
@@ -247,7 +244,7 @@
 }
 
 /// Counts a request that began to run at an endpoint at `at`, the first time that it does.
-pub fn note_begun<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, at: Instant) {
+pub fn note_begun<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, at: Moment) {
     if !std::mem::replace(&mut progress.begun, true) {
         shared.note_begun(call.organisation.as_ref(), at);
     }
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -1,7 +1,8 @@
 //! Whether a request may be sent: for the first time, and once more.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use rudder_clock::Moment;
 use rudder_events::What;
 
 use super::{
@@ -16,7 +17,7 @@
 
 /// Takes the right to send a request once more, within the route's bound and the retry budget.
 pub fn may_send_again<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress) -> bool {
-    let now = Instant::now();
+    let now = Moment::now();
     let bound = call.route.attempts.max(1);
     if progress.ran >= bound || progress.sent >= bound + UNRUN_EXTRA || now >= call.until {
         return false;
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -1,11 +1,11 @@
 //! The loop over endpoints, until a request is answered or given up.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
 use http::{Response, StatusCode};
 use http_body_util::{BodyExt as _, Limited};
+use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
-use tokio::time::timeout_at;
 
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume,
@@ -73,7 +73,7 @@
 /// True where a failed attempt may be followed by another.
 fn may_go_on<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, failure: &Failure) -> bool {
     match failure {
-        Failure::Unsent(_) => progress.connects < CONNECTS && Instant::now() < call.until,
+        Failure::Unsent(_) => progress.connects < CONNECTS && Moment::now() < call.until,
         Failure::Silent => true,
         Failure::Lost(_) => call.route.may_repeat() && may_send_again(shared, call, progress),
         Failure::Late => false,
@@ -95,7 +95,7 @@
             () = shared.wait_replaced(&choice.endpoint) => None,
         }
     };
-    let collected = timeout_at(call.until.into(), whole).await;
+    let collected = timeout_at(call.until, whole).await;
     drop(flight);
     let bytes = match collected {
         Ok(Some(collected)) => collected.to_bytes(),
--- a/crates/rudder-gateway/src/choose/field.rs
+++ b/crates/rudder-gateway/src/choose/field.rs
@@ -3,13 +3,9 @@
 //! Ranking and dividing all endpoints costs time in proportion to them, so that is done when something of them has
 //! changed, a few times a second, and not for each request. A choice then looks at a few of them.
 
-use std::{
-    collections::HashMap,
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
+use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_model::{HallId, id};
 
@@ -73,7 +69,7 @@
     pub bulk: Lane,
     /// Those that have gone quiet or failed of late: better than none.
     pub doubtful: Lane,
-    expires: Option<Instant>,
+    expires: Option<Moment>,
 }
 
 impl Field {
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -7,11 +7,9 @@
 mod field;
 mod plain;
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
+use rudder_clock::Moment;
 use rudder_core::Registration;
 use rudder_model::{Born, EndpointId, HallId};
 
@@ -37,7 +35,7 @@
     /// Settings of the decisions.
     pub policy: &'a Policy,
     /// Now.
-    pub now: Instant,
+    pub now: Moment,
 }
 
 /// An endpoint that keeps a copy of a running request's memory.
--- a/crates/rudder-gateway/src/contents.rs
+++ b/crates/rudder-gateway/src/contents.rs
@@ -3,9 +3,10 @@
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use rudder_clock::Moment;
 use rudder_ledger::{EndedUnder, Findings, Quarantine};
 use rudder_model::{ContentTag, EndpointId, id::endpoint_tag};
 
@@ -30,7 +31,7 @@
     answered: HashSet<ContentTag>,
     /// The same in the span before.
     earlier: HashSet<ContentTag>,
-    turned: Instant,
+    turned: Moment,
     /// Contents whose connection broke off at an endpoint that could still be reached: it may have started again.
     unsure: VecDeque<Broken>,
 }
@@ -45,12 +46,12 @@
 #[derive(Clone, Copy, Debug)]
 struct Refused {
     index: u64,
-    learned: Instant,
+    learned: Moment,
 }
 
 impl Contents {
     /// Nothing known, at `now`.
-    pub fn new(now: Instant) -> Contents {
+    pub fn new(now: Moment) -> Contents {
         Contents {
             told: Arc::default(),
             refused: HashMap::new(),
@@ -62,7 +63,7 @@
     }
 
     /// Takes in what all instances found. Returns the contents that are refused from now on.
-    pub fn publish(&mut self, told: &Arc<Quarantine>, now: Instant) -> Vec<ContentTag> {
+    pub fn publish(&mut self, told: &Arc<Quarantine>, now: Moment) -> Vec<ContentTag> {
         if Arc::ptr_eq(&self.told, told) {
             return Vec::new();
         }
@@ -82,7 +83,7 @@
     }
 
     /// For how much longer `content` is refused; `None` where it is not.
-    pub fn refused_for(&self, content: ContentTag, now: Instant) -> Option<Duration> {
+    pub fn refused_for(&self, content: ContentTag, now: Moment) -> Option<Duration> {
         let until = self.refused.get(&content)?.learned + REFUSED_FOR;
         until.checked_duration_since(now).filter(|left| !left.is_zero())
     }
@@ -124,7 +125,7 @@
     }
 
     /// Takes in that `content` was answered whole. Returns what is to be told of it, where endpoints had ended under it.
-    pub fn note_answered(&mut self, content: ContentTag, now: Instant) -> Option<Findings> {
+    pub fn note_answered(&mut self, content: ContentTag, now: Moment) -> Option<Findings> {
         if now >= self.turned + ANSWERED || self.answered.len() >= ANSWERED_MOST {
             self.turned = now;
             self.earlier = std::mem::take(&mut self.answered);
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -3,11 +3,12 @@
 use std::{
     collections::HashMap,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use eyre::{Context as _, Result};
+use rudder_clock::Moment;
 use rudder_core::{
     Effect, Event, Me, PeerMessage, Phase, Registration, State, clock, options::DutyOptions, peer::Load,
 };
@@ -40,9 +41,9 @@
     /// The view changed.
     Published(Box<Published>),
     /// The work of the other instances at endpoints, where it has changed, and when it was so.
-    Others(Option<Vec<Load>>, Instant),
+    Others(Option<Vec<Load>>, Moment),
     /// The view is proved the newest as of this time.
-    Proved(Instant),
+    Proved(Moment),
     /// Somebody's ticket is answered.
     Reply(u64, Reply),
     /// Make a call that only the holder of a duty makes.
@@ -52,7 +53,7 @@
 /// The control thread's state around the reducer's.
 pub struct Driver {
     state: State,
-    epoch: Instant,
+    epoch: Moment,
     notices: UnboundedSender<Vec<Notice>>,
     disk: Option<Sender<Job>>,
     log: Log,
@@ -78,7 +79,7 @@
     notices: UnboundedSender<Vec<Notice>>,
     log: Log,
 ) -> Result<Driver> {
-    let epoch = Instant::now();
+    let epoch = Moment::now();
     let name = options.name();
     let me = Me {
         name: name.clone(),
@@ -112,7 +113,7 @@
 }
 
 /// The time of day at `epoch`, by the clock of this machine as it stands now.
-fn to_origin(epoch: Instant) -> Duration {
+fn to_origin(epoch: Moment) -> Duration {
     let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     now.saturating_sub(epoch.elapsed())
 }
@@ -176,7 +177,7 @@
     }
 
     /// When the process started, as the reducer counts time.
-    pub fn epoch(&self) -> Instant {
+    pub fn epoch(&self) -> Moment {
         self.epoch
     }
 
@@ -205,19 +206,19 @@
 
     /// Runs until the instance ends.
     pub fn run(mut self, inputs: &Receiver<Event>) {
-        let mut next = Instant::now();
+        let mut next = Moment::now();
         loop {
-            match inputs.recv_deadline(next) {
+            match inputs.recv_timeout(next.saturating_duration_since(Moment::now())) {
                 Ok(event) => self.reduce(event),
                 Err(RecvTimeoutError::Disconnected) => return,
                 Err(RecvTimeoutError::Timeout) => {}
             }
             // A flood of inputs must not keep time from advancing.
-            if Instant::now() >= next {
+            if Moment::now() >= next {
                 self.note_clock();
                 self.reduce(Event::Tick);
                 self.note_standing();
-                next = Instant::now() + TICK;
+                next = Moment::now() + TICK;
             }
         }
     }
--- a/crates/rudder-gateway/src/duty.rs
+++ b/crates/rudder-gateway/src/duty.rs
@@ -3,14 +3,12 @@
 //! The lease is looked at when the connection stands, right before the call is written: a process that was paused
 //! meanwhile writes nothing on a lease that has ended.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
+use rudder_clock::Moment;
 use rudder_core::{CallOutcome, DutyCall, Event, duties::Fence};
 use rudder_events::What;
 
@@ -53,7 +51,7 @@
 
 /// Makes a call and tells the reducer how it ended.
 pub async fn run<D: Dialect>(shared: Rc<Shared<D>>, errand: Errand) {
-    let began = Instant::now();
+    let began = Moment::now();
     let Ended { outcome, said } = match &shared.options.duties {
         Some(duties) => send(&shared, duties, &errand).await,
         None => Ended::without_answer(CallOutcome::Lapsed),
--- a/crates/rudder-gateway/src/head_clock.rs
+++ b/crates/rudder-gateway/src/head_clock.rs
@@ -8,16 +8,17 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
+use rudder_clock::Moment;
 use tokio::sync::Notify;
 
 /// Where a connection stands between heads.
 #[derive(Debug, Default)]
 pub struct HeadClock {
-    began: Cell<Option<Instant>>,
+    began: Cell<Option<Moment>>,
     /// A request is being served: what comes in is its body, or a head that waits its turn.
     serving: Cell<bool>,
     started: Notify,
@@ -27,7 +28,7 @@
     /// Takes in that bytes came.
     fn note_bytes(&self) {
         if !self.serving.get() && self.began.get().is_none() {
-            self.began.set(Some(Instant::now()));
+            self.began.set(Some(Moment::now()));
             self.started.notify_one();
         }
     }
@@ -48,7 +49,7 @@
         loop {
             self.started.notified().await;
             let Some(began) = self.began.get() else { continue };
-            tokio::time::sleep_until((began + bound).into()).await;
+            rudder_clock::sleep_until(began + bound).await;
             if self.began.get() == Some(began) {
                 return;
             }
--- a/crates/rudder-gateway/src/health.rs
+++ b/crates/rudder-gateway/src/health.rs
@@ -3,9 +3,10 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use rudder_clock::Moment;
 use rudder_model::EndpointId;
 
 /// First pause of an endpoint that fails; it doubles with each failure that follows.
@@ -40,7 +41,7 @@
     streak: u32,
     failing: f64,
     ejections: u32,
-    until: Option<Instant>,
+    until: Option<Moment>,
 }
 
 /// Standing of all endpoints.
@@ -52,7 +53,7 @@
 
 impl Health {
     /// True while `endpoint` is left out.
-    pub fn is_ejected(&self, endpoint: &str, now: Instant) -> bool {
+    pub fn is_ejected(&self, endpoint: &str, now: Moment) -> bool {
         if self.suspects.contains(endpoint) {
             return true;
         }
@@ -61,12 +62,12 @@
     }
 
     /// When `endpoint`, which is left out for its outcomes here, is tried again.
-    pub fn returns_at(&self, endpoint: &str, now: Instant) -> Option<Instant> {
+    pub fn returns_at(&self, endpoint: &str, now: Moment) -> Option<Moment> {
         self.standings.get(endpoint)?.until.filter(|until| now < *until)
     }
 
     /// Takes in an outcome. Returns the pause where the endpoint is left out from now on.
-    pub fn note(&mut self, endpoint: &EndpointId, outcome: Outcome, now: Instant) -> Option<Duration> {
+    pub fn note(&mut self, endpoint: &EndpointId, outcome: Outcome, now: Moment) -> Option<Duration> {
         let standing = self.standings.entry(endpoint.clone()).or_default();
         if outcome == Outcome::Good {
             standing.streak = 0;
--- a/crates/rudder-gateway/src/logging.rs
+++ b/crates/rudder-gateway/src/logging.rs
@@ -12,10 +12,11 @@
         atomic::{AtomicU64, Ordering},
     },
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
+use rudder_clock::Moment;
 use rudder_events::{Line, What};
 use rudder_model::InstanceId;
 
@@ -30,7 +31,7 @@
 #[derive(Debug)]
 pub struct Log {
     instance: InstanceId,
-    started: Instant,
+    started: Moment,
     lines: Sender<Line>,
     budget: u32,
     second: Cell<u64>,
@@ -51,7 +52,7 @@
         thread::spawn(move || run(writer, &receiver));
         Log {
             instance,
-            started: Instant::now(),
+            started: Moment::now(),
             lines,
             budget,
             second: Cell::new(0),
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -8,7 +8,7 @@
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use prometheus_client::{
@@ -17,6 +17,7 @@
     registry::{Registry, Unit},
 };
 
+use rudder_clock::Moment;
 use rudder_core::CallOutcome;
 
 use crate::{Dialect, RouteKind, plan::Route, shared::Shared};
@@ -388,14 +389,14 @@
 /// Measures the pauses between the parts of one stream.
 #[derive(Debug, Default)]
 pub struct PauseMeter {
-    before: Option<Instant>,
+    before: Option<Moment>,
     /// The longest so far.
     pub longest: Duration,
 }
 
 impl PauseMeter {
     /// Takes in a part; returns the pause before it, but for the first.
-    pub fn note(&mut self, now: Instant) -> Option<Duration> {
+    pub fn note(&mut self, now: Moment) -> Option<Duration> {
         let before = self.before.replace(now)?;
         let pause = now.saturating_duration_since(before);
         self.longest = self.longest.max(pause);
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -1,14 +1,12 @@
 //! The other doors: readiness, entries, configuration documents, heartbeats.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header::CONTENT_TYPE};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
+use rudder_clock::Moment;
 use rudder_core::{Event, Phase, Registration};
 use rudder_events::What;
 use rudder_ledger::Document;
@@ -51,7 +49,7 @@
 pub async fn handle<D: Dialect>(
     shared: Rc<Shared<D>>,
     request: Request<Incoming>,
-    arrived: Instant,
+    arrived: Moment,
 ) -> Response<AnswerBody> {
     match shared.dialect.read_operation(request.method(), request.uri()) {
         Operation::Ready => empty(if shared.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }),
@@ -109,7 +107,7 @@
 }
 
 /// Answers with the document only when it is proved the newest as of this request.
-async fn read<D: Dialect>(shared: &Shared<D>, arrived: Instant) -> Response<AnswerBody> {
+async fn read<D: Dialect>(shared: &Shared<D>, arrived: Moment) -> Response<AnswerBody> {
     if !shared.prove(arrived, READ_WAIT).await {
         return fault(StatusCode::SERVICE_UNAVAILABLE, "the newest configuration is not known here");
     }
--- a/crates/rudder-gateway/src/recent.rs
+++ b/crates/rudder-gateway/src/recent.rs
@@ -6,9 +6,9 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
-    time::Instant,
 };
 
+use rudder_clock::Moment;
 use rudder_model::EndpointId;
 
 /// Seconds that count, the current one included.
@@ -53,19 +53,19 @@
 /// This instance's outcomes at all endpoints.
 #[derive(Debug)]
 pub struct Recent {
-    began: Instant,
+    began: Moment,
     slots: HashMap<EndpointId, [Slot; SPAN as usize]>,
 }
 
 impl Default for Recent {
     fn default() -> Self {
-        Recent { began: Instant::now(), slots: HashMap::new() }
+        Recent { began: Moment::now(), slots: HashMap::new() }
     }
 }
 
 impl Recent {
     /// Takes in the end of a request.
-    pub fn note(&mut self, endpoint: &EndpointId, failed: bool, now: Instant) {
+    pub fn note(&mut self, endpoint: &EndpointId, failed: bool, now: Moment) {
         let second = self.second(now);
         let slots = self.slots.entry(endpoint.clone()).or_default();
         let slot = &mut slots[(second % SPAN) as usize];
@@ -76,7 +76,7 @@
     }
 
     /// What ended at `endpoint` of late.
-    pub fn at(&self, endpoint: &str, now: Instant) -> Tally {
+    pub fn at(&self, endpoint: &str, now: Moment) -> Tally {
         let oldest = self.second(now).saturating_sub(SPAN - 1);
         let mut sum = Tally::default();
         for slot in self.slots.get(endpoint).into_iter().flatten() {
@@ -93,12 +93,12 @@
     }
 
     /// Drops endpoints at which nothing has ended of late.
-    pub fn age(&mut self, now: Instant) {
+    pub fn age(&mut self, now: Moment) {
         let oldest = self.second(now).saturating_sub(SPAN - 1);
         self.slots.retain(|_, slots| slots.iter().any(|slot| slot.tally.ended > 0 && slot.second >= oldest));
     }
 
-    fn second(&self, now: Instant) -> u64 {
+    fn second(&self, now: Moment) -> u64 {
         // The first second counts as 1, so that an empty slot belongs to none.
         now.saturating_duration_since(self.began).as_secs() + 1
     }
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -1,14 +1,10 @@
 //! One instance, from its settings to its planned end.
 
-use std::{
-    rc::Rc,
-    sync::atomic::Ordering,
-    thread,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, sync::atomic::Ordering, thread, time::Duration};
 
 use crossbeam_channel::{Sender, unbounded};
 use eyre::{Context as _, Result};
+use rudder_clock::{Moment, WakeWatch, note_wake};
 use rudder_core::Event;
 use rudder_events::What;
 use rudder_model::InstanceId;
@@ -106,11 +102,11 @@
         return;
     }
     shared.tell_begun();
-    let end = Instant::now() + LAST_COUNTS;
+    let end = Moment::now() + LAST_COUNTS;
     loop {
         // The control thread's word is as old as its last tick.
         tokio::time::sleep(HOUSEKEEPING).await;
-        if shared.standing.untold.load(Ordering::Relaxed) == 0 || Instant::now() >= end {
+        if shared.standing.untold.load(Ordering::Relaxed) == 0 || Moment::now() >= end {
             return;
         }
     }
@@ -156,16 +152,22 @@
 /// Closes what has rested too long, and tells the reducer what is under way.
 async fn keep_house<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut told = Vec::new();
-    let mut described = Instant::now();
+    let mut described = Moment::now();
+    let mut watch = WakeWatch::default();
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
-        shared.pool.borrow_mut().age(Instant::now());
+        if let Some(span) = watch.look() {
+            // Whatever waits for a time that came meanwhile looks at it again; what is sent is checked by itself.
+            note_wake();
+            shared.log.write(What::Woke { after: span });
+        }
+        shared.pool.borrow_mut().age(Moment::now());
         shared.tell_begun();
         if shared.standing.leads.load(Ordering::Relaxed) && described.elapsed() >= DESCRIBE {
-            described = Instant::now();
+            described = Moment::now();
             shared.tell(Event::Services(scaling::to_states(&shared)));
         }
-        let loads = shared.balance.borrow_mut().to_loads(Instant::now());
+        let loads = shared.balance.borrow_mut().to_loads(Moment::now());
         if loads != told {
             told.clone_from(&loads);
             shared.tell(Event::Loads(loads));
--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -1,16 +1,12 @@
 //! Listening: connections of callers, and of those at the other doors.
 
-use std::{
-    convert::Infallible,
-    net::SocketAddr,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use eyre::{Context as _, Result};
 use http::{Request, Response, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use rudder_clock::Moment;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::{
@@ -111,7 +107,7 @@
     let mut response = match door {
         Door::Callers => call::handle(shared, request).await,
         Door::Metrics => operate::metrics(&shared, request.uri().path()),
-        Door::Others => operate::handle(shared, request, Instant::now()).await,
+        Door::Others => operate::handle(shared, request, Moment::now()).await,
     };
     if *serving.stage.borrow() != Stage::Serving {
         response.headers_mut().insert(CONNECTION, http::HeaderValue::from_static("close"));
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -5,10 +5,11 @@
     collections::HashMap,
     rc::Rc,
     sync::{Arc, atomic::Ordering},
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use crossbeam_channel::Sender;
+use rudder_clock::Moment;
 use rudder_core::{Event, Listing, Phase, Registration, peer::Load, tally::Begun};
 use rudder_events::What;
 use rudder_ledger::{Document, Quarantine};
@@ -104,7 +105,7 @@
     /// Settings.
     pub options: Options,
     /// When the process started; the reducer's time counts from it.
-    pub started: Instant,
+    pub started: Moment,
     /// This instance's name.
     pub name: InstanceId,
     /// Events for the reducer.
@@ -120,9 +121,9 @@
     /// The configuration document, read.
     pub plan: RefCell<Option<Rc<Plan>>>,
     /// When the question was sent whose answer proves the plan the newest.
-    pub proof: watch::Sender<Option<Instant>>,
+    pub proof: watch::Sender<Option<Moment>>,
     /// When the others' work was as it is known here.
-    pub others_at: Cell<Option<Instant>>,
+    pub others_at: Cell<Option<Moment>>,
     /// Work under way at endpoints.
     pub balance: Rc<RefCell<Balance>>,
     /// Outcomes at endpoints.
@@ -156,7 +157,7 @@
     pub fn new(
         dialect: D,
         options: Options,
-        started: Instant,
+        started: Moment,
         inputs: Sender<Event>,
         log: Log,
         standing: Arc<Standing>,
@@ -203,7 +204,7 @@
     }
 
     /// Counts a request that began to run at an endpoint at `at`, for the organisation that holds its key.
-    pub fn note_begun(&self, organisation: Option<&Arc<str>>, at: Instant) {
+    pub fn note_begun(&self, organisation: Option<&Arc<str>>, at: Moment) {
         let wanted = self.options.duties.as_ref().is_some_and(|duties| duties.core.usage.is_some());
         let Some(organisation) = organisation.filter(|_| wanted) else { return };
         let at = at.saturating_duration_since(self.started);
@@ -220,7 +221,7 @@
 
     /// Age of the proof that the plan is the newest; `None` where there never was one.
     pub fn proof_age(&self) -> Option<Duration> {
-        self.proof.borrow().map(|proof| proof.elapsed())
+        self.proof.borrow().map(Moment::elapsed)
     }
 
     /// How old the others' work is that is known here: it takes about as long to be told by them as it took to come here.
@@ -230,7 +231,7 @@
 
     /// How long ago the others' work was as it is known here.
     pub fn others_age(&self) -> Duration {
-        self.others_at.get().map(|at| at.elapsed()).unwrap_or_default()
+        self.others_at.get().map(Moment::elapsed).unwrap_or_default()
     }
 
     /// When a request that lacks proof of the configuration should come back: after the rest of a start, or
@@ -261,7 +262,7 @@
     }
 
     /// Waits until the plan is proved the newest as of `since`, at most for `bound`.
-    pub async fn prove(&self, since: Instant, bound: Duration) -> bool {
+    pub async fn prove(&self, since: Moment, bound: Duration) -> bool {
         self.tell(Event::Prove);
         let mut proofs = self.proof.subscribe();
         let proved = proofs.wait_for(|proof| proof.is_some_and(|proof| proof >= since));
@@ -303,7 +304,7 @@
     }
 
     fn take_quarantine(&self, quarantine: &Arc<Quarantine>) {
-        let new = self.contents.borrow_mut().publish(quarantine, Instant::now());
+        let new = self.contents.borrow_mut().publish(quarantine, Moment::now());
         for content in new {
             self.log.write(What::Quarantined { content: to_hex(content), refused: REFUSED_FOR });
         }
@@ -311,7 +312,7 @@
     }
 
     /// Takes in the work of the other instances at endpoints as of `at`; `None` where it has not changed.
-    pub fn take_others(&self, others: Option<&[Load]>, at: Instant) {
+    pub fn take_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
         let Some(others) = others else { return };
         self.balance.borrow_mut().set_others(others);
@@ -324,7 +325,7 @@
         if !self.options.policy.guard.suspects {
             return;
         }
-        let (now, balance, roster) = (Instant::now(), self.balance.borrow(), self.roster.borrow().clone());
+        let (now, balance, roster) = (Moment::now(), self.balance.borrow(), self.roster.borrow().clone());
         let mut services: Vec<Vec<(EndpointId, Tally)>> = Vec::new();
         for endpoints in roster.services() {
             let ready = endpoints.iter().filter(|held| held.phase == Phase::Ready);
--- a/crates/rudder-gateway/src/stop.rs
+++ b/crates/rudder-gateway/src/stop.rs
@@ -1,10 +1,8 @@
 //! A planned stop: off the lists at once, callers with an old list served on, nothing cut off.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, time::Duration};
 
+use rudder_clock::Moment;
 use rudder_core::Event;
 use rudder_events::What;
 
@@ -29,7 +27,7 @@
 
 /// Carries out a planned stop; returns when the process should end.
 pub async fn stop<D: Dialect>(shared: &Rc<Shared<D>>) {
-    let began = Instant::now();
+    let began = Moment::now();
     shared.stage.send_replace(Stage::Leaving);
     shared.tell(Event::Stop);
     let options = &shared.options;
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -5,17 +5,15 @@
 //! which goes on when the first one ends, also where the route allows one run: it is the same run. A stream that
 //! breaks off and cannot be resumed ends its caller's connection: it must not look complete.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http_body_util::BodyExt as _;
+use rudder_clock::{Moment, sleep_until, timeout_at};
 use rudder_events::What;
 use rudder_model::Ran;
-use tokio::{
-    sync::mpsc,
-    time::{sleep_until, timeout_at},
-};
+use tokio::sync::mpsc;
 
 use crate::{
     Dialect,
@@ -134,7 +132,7 @@
     progress: Progress,
     events: Events,
     sender: mpsc::Sender<Result<Bytes, Broken>>,
-    first: Option<Instant>,
+    first: Option<Moment>,
     pauses: PauseMeter,
 }
 
@@ -183,7 +181,7 @@
         // A stream that cannot be resumed is waited for to its end.
         let impatient = self.shared.options.policy.guard.impatience && self.call.route.resumable;
         let patience = impatient.then(|| self.call.patience());
-        let mut impatient = patience.map(|patience| Instant::now() + patience);
+        let mut impatient = patience.map(|patience| Moment::now() + patience);
         let mut began = continued;
         let shared = self.shared.clone();
         let mut replaced = std::pin::pin!(shared.wait_replaced(&choice.endpoint));
@@ -192,7 +190,7 @@
                 frame = body.frame() => frame,
                 () = self.sender.closed() => return End::Left,
                 () = &mut replaced => return End::Broken,
-                () = sleep_until(impatient.unwrap_or(self.call.until).into()), if impatient.is_some() => {
+                () = sleep_until(impatient.unwrap_or(self.call.until)), if impatient.is_some() => {
                     impatient = None;
                     if call::may_send_again(self.shared, &self.call, &mut self.progress) {
                         call::note_outcome(self.shared, &choice.endpoint, Outcome::Failed);
@@ -200,7 +198,7 @@
                     }
                     continue;
                 }
-                () = sleep_until(self.call.until.into()) => return End::Late,
+                () = sleep_until(self.call.until) => return End::Late,
             };
             let Some(frame) = frame else { break };
             let Ok(frame) = frame else {
@@ -208,23 +206,23 @@
                 return End::Broken;
             };
             let Ok(bytes) = frame.into_data() else { continue };
-            impatient = patience.map(|patience| Instant::now() + patience);
+            impatient = patience.map(|patience| Moment::now() + patience);
             if self.first.is_none() {
-                let now = Instant::now();
+                let now = Moment::now();
                 self.first = Some(now);
                 let tokens = choice.ahead + choice.unread;
                 let after = now.saturating_duration_since(sent);
                 self.shared.metrics.note_first(&self.call.route, now.saturating_duration_since(self.call.arrived));
                 self.shared.reading.borrow_mut().note(&choice.service, tokens, after);
             }
-            if let Some(pause) = self.pauses.note(Instant::now()) {
+            if let Some(pause) = self.pauses.note(Moment::now()) {
                 self.shared.metrics.note_pause(pause);
             }
             flight.note_read();
             if !began {
                 // An engine begins a request with its first output.
                 began = true;
-                call::note_begun(self.shared, &self.call, &mut self.progress, Instant::now());
+                call::note_begun(self.shared, &self.call, &mut self.progress, Moment::now());
             }
             let whole = self.events.take(&bytes);
             let part = if whole_events { whole } else { bytes };
@@ -258,7 +256,7 @@
         self.events.drop_pending();
         let last = self.events.last?;
         let next = call::go_on_from_copy(self.shared, &self.call, &mut self.progress, last);
-        timeout_at(self.call.until.into(), next).await.ok()?
+        timeout_at(self.call.until, next).await.ok()?
     }
 
     /// Takes the stream up at another endpoint, after the last whole event.
@@ -276,7 +274,7 @@
             let last = self.events.last.or(self.call.last_event);
             let from = Resume { last_event: last, copy: false };
             let attempted = call::attempt(self.shared, &self.call, &mut self.progress, from);
-            let attempted = timeout_at(self.call.until.into(), attempted).await.ok()?;
+            let attempted = timeout_at(self.call.until, attempted).await.ok()?;
             let Ok(Ok(leg)) = attempted else { continue };
             let taken = leg.response.status().is_success() && !leg.head.not_run && !leg.head.misdirected;
             if taken {
@@ -294,14 +292,14 @@
     }
 
     fn log_answered(&self, endpoint: &rudder_model::EndpointId) {
-        let since = |at: Instant| at.saturating_duration_since(self.call.arrived).as_millis() as u64;
+        let since = |at: Moment| at.saturating_duration_since(self.call.arrived).as_millis() as u64;
         self.note_end(Ending::Answered);
         self.shared.log.write(What::CallAnswered {
             request: self.call.id.clone(),
             endpoint: endpoint.clone(),
             status: 200,
             first_ms: self.first.map_or(0, since),
-            total_ms: since(Instant::now()),
+            total_ms: since(Moment::now()),
             pause_ms: self.pauses.longest.as_millis() as u64,
         });
     }
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -1,16 +1,13 @@
 //! Connections to endpoints: one request at a time on each, reused only while nothing is left on it.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    time::{Duration, Instant},
-};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::{body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use rudder_clock::Moment;
 use rudder_model::EndpointId;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, task::JoinHandle};
@@ -51,7 +48,7 @@
 #[derive(Debug)]
 struct Resting {
     connection: Connection,
-    since: Instant,
+    since: Moment,
     keep: Option<Duration>,
 }
 
@@ -63,7 +60,7 @@
 
 impl Pool {
     /// Takes an idle connection that can be used; the freshest first.
-    pub fn take(&mut self, endpoint: &EndpointId, once: bool, now: Instant) -> Option<Connection> {
+    pub fn take(&mut self, endpoint: &EndpointId, once: bool, now: Moment) -> Option<Connection> {
         let resting = self.resting.get_mut(endpoint)?;
         while let Some(last) = resting.pop() {
             let rested = now.saturating_duration_since(last.since);
@@ -77,7 +74,7 @@
     }
 
     /// Keeps a connection whose answer has been read whole.
-    pub fn put(&mut self, endpoint: &EndpointId, connection: Connection, keep: Option<Duration>, now: Instant) {
+    pub fn put(&mut self, endpoint: &EndpointId, connection: Connection, keep: Option<Duration>, now: Moment) {
         if connection.sender.is_closed() || keep.is_some_and(|keep| keep <= MARGIN) {
             return;
         }
@@ -86,7 +83,7 @@
     }
 
     /// Closes what has rested too long.
-    pub fn age(&mut self, now: Instant) {
+    pub fn age(&mut self, now: Moment) {
         self.resting.retain(|_, resting| {
             resting.retain(|held| {
                 let bound = held.keep.map_or(REST, |keep| keep.saturating_sub(MARGIN));
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -1,10 +1,8 @@
 //! Which engines keep a session: the same at all instances, few others when engines come or leave, and evenly spread.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, time::Duration};
 
+use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
     Plan, Policy,
@@ -41,7 +39,7 @@
 }
 
 impl Scene {
-    fn inputs<'a>(&'a self, hall: &'a rudder_model::HallId, now: Instant) -> Inputs<'a> {
+    fn inputs<'a>(&'a self, hall: &'a rudder_model::HallId, now: Moment) -> Inputs<'a> {
         Inputs {
             balance: &self.balance,
             work_age: Duration::ZERO,
@@ -57,7 +55,7 @@
 
 fn homes(engines: &[Registration], session: u64, skipped: &str) -> Vec<EndpointId> {
     let (scene, hall) = (Scene::default(), "hall-0".into());
-    let field = Field::new(Roster::new(engines).of("svc"), "svc", &scene.inputs(&hall, Instant::now()));
+    let field = Field::new(Roster::new(engines).of("svc"), "svc", &scene.inputs(&hall, Moment::now()));
     let homes = field.bulk.homes::<2>(session, |held| *held.endpoint == *skipped);
     homes.iter().map(|home| home.endpoint.clone()).collect()
 }
@@ -103,9 +101,9 @@
 fn a_field_is_worked_out_anew_when_an_engine_may_come_back() {
     let (mut scene, hall) = (Scene::default(), "hall-0".into());
     let roster = Roster::new(&engines(3));
-    let (mut fields, service, now) = (Fields::default(), "svc".into(), Instant::now());
+    let (mut fields, service, now) = (Fields::default(), "svc".into(), Moment::now());
     scene.health.note(&"e-1".into(), Outcome::Unreachable, now);
-    let count = |fields: &mut Fields, scene: &Scene, at: Instant| {
+    let count = |fields: &mut Fields, scene: &Scene, at: Moment| {
         fields.of(&service, &roster, &scene.inputs(&hall, at)).bulk.endpoints.len()
     };
     assert_eq!(count(&mut fields, &scene, now), 2);
@@ -119,7 +117,7 @@
     let mut engines = engines(3);
     engines[0].phase = Phase::Silent;
     engines[1].phase = Phase::Leaving;
-    let now = Instant::now();
+    let now = Moment::now();
     scene.health.note(&"e-2".into(), Outcome::Unreachable, now);
     let field = Field::new(Roster::new(&engines).of("svc"), "svc", &scene.inputs(&hall, now));
     let names: Vec<&str> = field.doubtful.endpoints.iter().map(|held| &*held.endpoint).collect();
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -4,9 +4,10 @@
     io::{Error, Write},
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
+use rudder_clock::Moment;
 use rudder_events::{Line, What};
 use rudder_gateway::logging::Log;
 use rudder_model::Ran;
@@ -106,7 +107,7 @@
 #[test]
 fn a_reader_that_stopped_costs_lines_and_no_time() {
     let log = Log::start("i".into(), 1_000_000, Blocked);
-    let began = Instant::now();
+    let began = Moment::now();
     for number in 0..20_000 {
         log.write(refusal(number));
     }
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -1,10 +1,8 @@
 //! The choice among endpoints of a plain service, by counts that are more or less old.
 
-use std::{
-    collections::BTreeMap,
-    time::{Duration, Instant},
-};
+use std::{collections::BTreeMap, time::Duration};
 
+use rudder_clock::Moment;
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
@@ -79,7 +77,7 @@
             hall: &hall,
             plan: &plan,
             policy: &Policy::default(),
-            now: Instant::now(),
+            now: Moment::now(),
         };
         let field = Field::new(Roster::new(&endpoints).of("app"), "app", &inputs);
         let choice = choose::choose(&inputs, route, "app", &field, None, &[]).expect("one is there");
@@ -123,7 +121,7 @@
         hall: &hall,
         plan: &plan,
         policy: &policy,
-        now: Instant::now(),
+        now: Moment::now(),
     };
     let route = plan.find("h", "/lock/").expect("a route");
     let field = Field::new(Roster::new(&endpoints).of("app"), "app", &inputs);
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -1,10 +1,8 @@
 //! The pieces of a decision: budget, health, plan, lanes, choice, events of a stream.
 
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
 
+use rudder_clock::Moment;
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Route, RouteKind, Service,
@@ -78,7 +76,7 @@
 #[test]
 fn repeats_stay_within_a_share_of_the_requests_and_a_part_of_the_extra() {
     let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50);
-    let (service, now): (Arc<str>, _) = ("svc".into(), Instant::now());
+    let (service, now): (Arc<str>, _) = ("svc".into(), Moment::now());
     for _ in 0..100 {
         budget.note_request(&service, now);
     }
@@ -92,7 +90,7 @@
 
 #[test]
 fn an_endpoint_that_fails_is_left_out_longer_each_time_and_comes_back() {
-    let (mut health, now) = (Health::default(), Instant::now());
+    let (mut health, now) = (Health::default(), Moment::now());
     let endpoint = "e-1".into();
     assert_eq!(health.note(&endpoint, Outcome::Failed, now), None);
     let first = health.note(&endpoint, Outcome::Failed, now).expect("two in a row");
@@ -107,7 +105,7 @@
 
 #[test]
 fn an_endpoint_out_of_reach_is_left_out_at_once() {
-    let (mut health, now) = (Health::default(), Instant::now());
+    let (mut health, now) = (Health::default(), Moment::now());
     assert!(health.note(&"e-1".into(), Outcome::Unreachable, now).is_some());
     assert!(health.note(&"e-2".into(), Outcome::Replaced, now).is_some());
 }
@@ -140,7 +138,7 @@
 #[test]
 fn outcomes_count_for_five_seconds() {
     let mut recent = Recent::default();
-    let (endpoint, now): (Arc<str>, _) = ("e-1".into(), Instant::now());
+    let (endpoint, now): (Arc<str>, _) = ("e-1".into(), Moment::now());
     recent.note(&endpoint, true, now);
     recent.note(&endpoint, false, now + Duration::from_secs(2));
     assert_eq!(recent.at("e-1", now + Duration::from_secs(2)), Tally { ended: 2, failed: 1 });
@@ -152,7 +150,7 @@
 /// One of many instances sends few requests to one endpoint; with the others' outcomes it learns at once.
 #[test]
 fn outcomes_told_by_others_count_as_own() {
-    let (mut balance, now) = (Balance::default(), Instant::now());
+    let (mut balance, now) = (Balance::default(), Moment::now());
     balance.note_end(&"e-1".into(), true, now);
     assert_eq!(balance.to_loads(now), vec![Load { ended: 1, failed: 1, ..Load::none(id::endpoint_tag("e-1")) }]);
     balance.set_others(&[Load { ended: 5, failed: 2, ..Load::none(id::endpoint_tag("e-1")) }]);
@@ -284,7 +282,7 @@
             hall: &hall,
             plan: &self.plan,
             policy: &self.policy,
-            now: Instant::now(),
+            now: Moment::now(),
         };
         let route = self.plan.find("h", path).expect("a route");
         let field = Field::new(Roster::new(&self.engines).of("svc"), "svc", &inputs);
@@ -539,7 +537,7 @@
     let prompt = prompt(5);
     let home = scene.choose("/recap/", &prompt, &[]).expect("a choice");
     assert_ne!(scene.choose("/recap/", &prompt, &[home.as_str().into()]), Some(home.clone()));
-    scene.health.note(&home.as_str().into(), Outcome::Unreachable, Instant::now());
+    scene.health.note(&home.as_str().into(), Outcome::Unreachable, Moment::now());
     assert_ne!(scene.choose("/recap/", &prompt, &[]), Some(home));
     for engine in &mut scene.engines {
         engine.phase = Phase::Leaving;
