--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -64,7 +64,6 @@
     let caller = organisation.as_deref().unwrap_or_default();
     let target = parts.uri.path_and_query().map_or(path, PathAndQuery::as_str);
     let content = content_tag(caller, parts.method.as_str(), &host, target, &body);
-    check_not_refused(shared, content, &Progress::default())?;
     shared.log.write(What::CallTaken {
         request: head.id.clone(),
         route: route.name.clone(),
@@ -74,6 +73,7 @@
         proof_ms: shared.proof_age().unwrap_or_default().as_millis() as u64,
         left_ms: allowed.as_millis() as u64,
     });
+    check_not_refused(shared, content, &Progress::default())?;
     let mut headers = parts.headers;
     strip_hop_headers(&mut headers);
     let engine_rank = plan.engine_rank(&route, tier);
