--- a/crates/rudder-core/src/lives.rs
+++ b/crates/rudder-core/src/lives.rs
@@ -49,13 +49,6 @@
 }
 
 impl Lives {
-    /// The latest lives among `entries`.
-    pub fn of<'a>(entries: impl Iterator<Item = &'a Registration> + Clone) -> Lives {
-        let mut lives = Lives::default();
-        lives.learn(entries);
-        lives
-    }
-
     /// Judges a word whose life is `held` or not; `unheard` tells for how long a life has not been heard of.
     pub fn judge(
         &mut self,
@@ -88,17 +81,25 @@
     }
 
     /// Takes in what the leader told of lives: it knows which one replaced which. A later life, heard here first, stays.
-    pub fn learn<'a>(&mut self, told: impl Iterator<Item = &'a Registration> + Clone) {
+    /// Returns the lives, known here, that others have followed by it.
+    pub fn learn<'a>(&mut self, told: impl Iterator<Item = &'a Registration> + Clone) -> Vec<EndpointId> {
+        let mut followed = Vec::new();
         for life in told.clone().filter(|life| life.phase == Phase::Replaced) {
             if self.latest.get(life.name()).is_some_and(|latest| latest.endpoint == life.endpoint) {
                 self.latest.remove(life.name());
             }
         }
         for life in told.filter(|life| life.phase != Phase::Replaced) {
-            if self.latest.get(life.name()).is_none_or(|latest| latest.born < life.born) {
-                self.set(life);
+            match self.latest.get(life.name()) {
+                Some(latest) if latest.endpoint == life.endpoint => {}
+                Some(latest) if latest.born >= life.born => followed.push(life.endpoint.clone()),
+                latest => {
+                    followed.extend(latest.map(|latest| latest.endpoint.clone()));
+                    self.set(life);
+                }
             }
         }
+        followed
     }
 
     /// Drops the lives that are no longer known.
--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -240,7 +240,9 @@
         self.heard = self.entries.keys().map(|endpoint| (endpoint.clone(), now)).collect();
         let live = self.entries.values().filter(|held| held.phase < Phase::Gone);
         self.addresses = live.map(|held| (held.address.clone(), held.endpoint.clone())).collect();
-        self.lives = Lives::of(self.entries.values());
+        self.lives = Lives::default();
+        let followed = self.lives.learn(self.entries.values());
+        self.replace(followed, Spread::set);
     }
 
     /// Ages the leader's entries: the unheard become silent, then are dropped.
@@ -291,12 +293,26 @@
             self.heard.extend(told.iter().map(|endpoint| (endpoint.clone(), now)));
             self.addresses.extend(live);
             let told = told.iter().filter_map(|endpoint| self.entries.get(endpoint));
-            self.lives.learn(told);
+            let followed = self.lives.learn(told);
+            self.replace(followed, Spread::set_local);
         }
         self.heard.retain(|endpoint, _| self.entries.get(endpoint).is_some());
         taken && left
     }
 
+    /// Notes that later lives have followed these.
+    fn replace(
+        &mut self,
+        lives: Vec<EndpointId>,
+        put: impl Fn(&mut Spread<EndpointId, Registration>, EndpointId, Registration),
+    ) {
+        for life in lives {
+            let Some(held) = self.entries.get(&life).filter(|held| held.phase < Phase::Replaced) else { continue };
+            let replaced = Registration { phase: Phase::Replaced, ..held.clone() };
+            put(&mut self.entries, life, replaced);
+        }
+    }
+
     /// Drops what has ended long ago, at an instance that does not lead.
     pub fn forget_gone(&mut self, now: Duration) {
         let heard = &self.heard;
--- a/crates/rudder-core/tests/lives.rs
+++ b/crates/rudder-core/tests/lives.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use mesh::Mesh;
+use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rudder_core::Phase;
 use rudder_model::id;
 
@@ -129,3 +130,54 @@
         assert_eq!(mesh.phase_at(0, &id::life_id("e-1", Some(EARLY - 60_000))), None);
     };
 }
+
+/// A word: of which life, where it is heard, how long after the one before.
+#[derive(Clone, Debug)]
+struct Word {
+    born: u64,
+    number: usize,
+    phase: Phase,
+    pause: Duration,
+}
+
+impl Arbitrary for Word {
+    fn arbitrary(g: &mut Gen) -> Word {
+        let phases = [Phase::Ready, Phase::Ready, Phase::Ready, Phase::Leaving, Phase::Gone];
+        Word {
+            born: EARLY + u64::from(u8::arbitrary(g) % 5),
+            number: usize::from(u8::arbitrary(g)) % 9,
+            phase: *g.choose(&phases).expect("there are some"),
+            pause: Duration::from_millis(u64::from(u8::arbitrary(g))),
+        }
+    }
+}
+
+/// Whatever comes in whatever order within the time in which a life counts as heard: the latest start that was ever heard stands
+/// alone, and the same everywhere.
+#[test]
+fn the_latest_start_stands_alone_whatever_the_order() {
+    #[allow(clippy::needless_pass_by_value, reason = "quickcheck hands its values over")]
+    fn holds(words: Vec<Word>) -> bool {
+        let mut mesh = Mesh::start(9, 3);
+        mesh.run(SECOND * 3);
+        let mut sequence = 0;
+        let mut span = Duration::ZERO;
+        for word in words.iter().take(24) {
+            sequence += 1;
+            span += word.pause;
+            mesh.life_beat(word.number, word.born, word.phase, sequence);
+            mesh.run(word.pause);
+        }
+        assert!(span < SECOND * 7);
+        mesh.run(SECOND);
+        let Some(latest) = words.iter().take(24).map(|word| word.born).max() else { return true };
+        (0..9).all(|number| {
+            let standing = |born: u64| mesh.phase_at(number, &id::life_id("e-1", Some(born)));
+            let earlier = (EARLY..latest).filter_map(standing).all(|phase| phase == Phase::Replaced);
+            earlier && standing(latest).is_some_and(|phase| phase < Phase::Replaced)
+        })
+    }
+    let tests = std::env::var("RUDDER_TESTS").ok().and_then(|tests| tests.parse().ok()).unwrap_or(60);
+    let generator = Gen::from_size_and_seed(24, 1);
+    QuickCheck::new().rng(generator).tests(tests).quickcheck(holds as fn(Vec<Word>) -> bool);
+}
