--- /dev/null
+++ b/crates/rudder-soak/src/check.rs
@@ -0,0 +1,256 @@
+//! The judgement: which promises were tested how often, and which were broken, from what was seen outside alone.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    History,
+    history::{Arrival, Call, Kind, Outcome},
+};
+
+/// A promise that callers, endpoints and operators can see kept or broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Promise {
+    /// Each caller gets the whole answer to its own call, or an end that does not look whole.
+    OwnAnswer,
+    /// What may not be repeated runs at most once.
+    AtMostOnce,
+    /// What is called "not run" did not run and never will.
+    NotRun,
+    /// An endpoint that leaves gets no new work.
+    Drained,
+    /// A configuration that was accepted never reverts, and one that cannot work is never accepted.
+    NeverReverts,
+    /// A key that was taken away opens nothing.
+    KeyTaken,
+    /// A content that ends endpoints stops reaching them.
+    Quarantine,
+    /// Calls sent again stay a share of the calls.
+    Budget,
+    /// A planned stop cuts nothing off.
+    PlannedStop,
+    /// Every kind of call is served again once the faults are over.
+    Served,
+    /// No process ends by itself.
+    OwnEnd,
+}
+
+/// Times and shares within which promises hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// From a leave's acknowledgement.
+    pub drain: Duration,
+    /// From a configuration's acknowledgement until no older one is read.
+    pub apply: Duration,
+    /// From the acknowledgement of a key's removal.
+    pub revoke: Duration,
+    /// From the third end under a content until all refuse it.
+    pub spread: Duration,
+    /// Times that such a content may reach endpoints afterwards.
+    pub strays: usize,
+    /// Calls sent again, as a share of the calls in a window.
+    pub retry_ratio: f64,
+    /// Calls sent again beyond that.
+    pub retry_extra: usize,
+    /// The window.
+    pub retry_window: Duration,
+    /// From the end of the faults until all has to be served.
+    pub recover: Duration,
+    /// Share of each kind of call that has to be served then.
+    pub served: f64,
+    /// A planned stop has this long.
+    pub grace: Duration,
+}
+
+impl Default for Bounds {
+    /// The bounds of the smaller deployments; of calm times nine in ten calls at least are served.
+    fn default() -> Self {
+        Bounds {
+            drain: Duration::from_secs(2),
+            apply: Duration::from_secs(2),
+            revoke: Duration::from_secs(5),
+            spread: Duration::from_secs(3),
+            strays: 3,
+            retry_ratio: 0.2,
+            retry_extra: 50,
+            retry_window: Duration::from_secs(10),
+            recover: Duration::from_secs(6),
+            served: 0.9,
+            grace: Duration::from_secs(8),
+        }
+    }
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Broken {
+    /// Which.
+    pub promise: Promise,
+    /// What was seen.
+    pub what: String,
+}
+
+/// What came out.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// How often each promise was tested.
+    pub tested: BTreeMap<Promise, usize>,
+    /// What was broken.
+    pub broken: Vec<Broken>,
+}
+
+impl Verdict {
+    fn test(&mut self, promise: Promise, holds: bool, what: impl FnOnce() -> String) {
+        *self.tested.entry(promise).or_default() += 1;
+        if !holds {
+            self.broken.push(Broken { promise, what: what() });
+        }
+    }
+}
+
+/// Judges what was seen.
+pub fn check(history: &History, bounds: &Bounds) -> Verdict {
+    let mut verdict = Verdict::default();
+    let mut arrivals: BTreeMap<&str, Vec<&Arrival>> = BTreeMap::new();
+    for arrival in &history.arrivals {
+        arrivals.entry(&arrival.call).or_default().push(arrival);
+    }
+    for call in &history.calls {
+        let arrived = arrivals.get(call.id.as_str()).map(Vec::as_slice).unwrap_or_default();
+        check_call(call, arrived, &mut verdict);
+    }
+    check_drains(history, bounds, &mut verdict);
+    check_configuration(history, bounds, &mut verdict);
+    check_keys(history, bounds, &arrivals, &mut verdict);
+    check_quarantine(history, bounds, &mut verdict);
+    check_budget(history, bounds, &mut verdict);
+    check_stops(history, bounds, &arrivals, &mut verdict);
+    check_served(history, bounds, &mut verdict);
+    verdict.test(Promise::OwnEnd, history.own_ends.is_empty(), || format!("{:?}", history.own_ends));
+    verdict
+}
+
+/// Statuses that promise that a call did not run.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+fn check_call(call: &Call, arrived: &[&Arrival], verdict: &mut Verdict) {
+    let runs = arrived.iter().filter(|arrival| arrival.ran).count();
+    if call.kind.runs_once() {
+        verdict.test(Promise::AtMostOnce, runs <= 1, || format!("{} ran {runs} times: {arrived:?}", call.id));
+    }
+    let Outcome::Answered { status, whole, right } = call.outcome else { return };
+    if promises_not_run(status) {
+        verdict.test(Promise::NotRun, runs == 0, || format!("{} got {status} and ran: {arrived:?}", call.id));
+    }
+    if status == 200 {
+        verdict
+            .test(Promise::OwnAnswer, right || !whole, || format!("{} got a wrong answer that looks whole", call.id));
+    }
+}
+
+fn check_drains(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    for leave in &history.leaves {
+        let late = |arrival: &&Arrival| arrival.life == leave.life && arrival.at > leave.at + bounds.drain;
+        let late = history.arrivals.iter().find(late);
+        verdict.test(Promise::Drained, late.is_none(), || format!("{leave:?} got {late:?}"));
+    }
+}
+
+fn check_configuration(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    for read in &history.read {
+        let before = history.accepted.iter().filter(|accepted| accepted.at + bounds.apply < read.at);
+        let newest = before.map(|accepted| accepted.version).max().unwrap_or_default();
+        verdict.test(Promise::NeverReverts, read.version >= newest, || {
+            format!("read version {} at {:?}, {newest} was accepted before", read.version, read.at)
+        });
+    }
+    let newest = history.accepted.iter().map(|accepted| accepted.version).max();
+    verdict.test(Promise::NeverReverts, history.last >= newest, || {
+        format!("the last version read is {:?}, {newest:?} was accepted", history.last)
+    });
+    verdict.test(Promise::NeverReverts, history.invalid_taken == 0, || {
+        format!("{} configurations that cannot work were accepted", history.invalid_taken)
+    });
+}
+
+fn check_keys(history: &History, bounds: &Bounds, arrivals: &BTreeMap<&str, Vec<&Arrival>>, verdict: &mut Verdict) {
+    for removal in &history.removals {
+        for call in history.calls.iter().filter(|call| call.key == removal.key) {
+            if call.sent <= removal.at + bounds.revoke {
+                continue;
+            }
+            let ran = arrivals.get(call.id.as_str()).is_some_and(|arrived| arrived.iter().any(|arrival| arrival.ran));
+            verdict.test(Promise::KeyTaken, !ran, || format!("{} ran, its key was taken away: {removal:?}", call.id));
+        }
+    }
+}
+
+fn check_quarantine(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let mut reached: Vec<&Arrival> = history.arrivals.iter().filter(|arrival| arrival.deadly).collect();
+    reached.sort_by_key(|arrival| arrival.at);
+    let Some(third) = reached.iter().filter(|arrival| arrival.ran).nth(2) else { return };
+    let strays: Vec<_> = reached.iter().filter(|arrival| arrival.at > third.at + bounds.spread).collect();
+    verdict.test(Promise::Quarantine, strays.len() <= bounds.strays, || {
+        format!("a content under which three endpoints had ended reached {} more: {strays:?}", strays.len())
+    });
+}
+
+fn check_budget(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let mut firsts: BTreeMap<&str, Duration> = BTreeMap::new();
+    for arrival in &history.arrivals {
+        let first = firsts.entry(&arrival.call).or_insert(arrival.at);
+        *first = arrival.at.min(*first);
+    }
+    let mut again: Vec<Duration> = history
+        .arrivals
+        .iter()
+        .filter(|arrival| firsts[arrival.call.as_str()] != arrival.at)
+        .map(|arrival| arrival.at)
+        .collect();
+    again.sort_unstable();
+    let mut sent: Vec<Duration> = history.calls.iter().map(|call| call.sent).collect();
+    sent.sort_unstable();
+    let within = |times: &[Duration], from: Duration, to: Duration| {
+        times.partition_point(|at| *at <= to) - times.partition_point(|at| *at < from)
+    };
+    for end in &again {
+        let begin = end.saturating_sub(bounds.retry_window);
+        let (repeats, calls) = (within(&again, begin, *end), within(&sent, begin, *end));
+        let allowed = bounds.retry_ratio * calls as f64 + bounds.retry_extra as f64;
+        verdict.test(Promise::Budget, repeats as f64 <= allowed, || {
+            format!("{repeats} sent again for {calls} calls in the time before {end:?}")
+        });
+    }
+}
+
+fn check_stops(history: &History, bounds: &Bounds, arrivals: &BTreeMap<&str, Vec<&Arrival>>, verdict: &mut Verdict) {
+    for stop in &history.stops {
+        let took = stop.until.saturating_sub(stop.from);
+        verdict.test(Promise::PlannedStop, took <= bounds.grace, || format!("{stop:?} took {took:?}"));
+        if !stop.alone {
+            continue;
+        }
+        for call in history.calls.iter().filter(|call| call.instance == stop.instance && !call.deadly) {
+            let meanwhile = call.sent < stop.until && call.ended >= stop.from;
+            let passed_on = arrivals.contains_key(call.id.as_str());
+            if !meanwhile || !passed_on {
+                continue;
+            }
+            let cut = matches!(call.outcome, Outcome::Lost | Outcome::Answered { whole: false, .. });
+            verdict.test(Promise::PlannedStop, !cut, || format!("{stop:?} cut off {call:?}"));
+        }
+    }
+}
+
+fn check_served(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    for kind in Kind::ALL {
+        let late = |call: &&Call| call.kind == kind && !call.deadly && call.sent >= history.calm + bounds.recover;
+        let removed = |call: &&Call| history.removals.iter().any(|removal| removal.key == call.key);
+        let calls: Vec<&Call> = history.calls.iter().filter(late).filter(|call| !removed(call)).collect();
+        let good = |call: &&&Call| matches!(call.outcome, Outcome::Answered { status: 200, whole: true, right: true });
+        let served = calls.iter().filter(good).count();
+        let enough = !calls.is_empty() && served as f64 >= bounds.served * calls.len() as f64;
+        verdict.test(Promise::Served, enough, || format!("{served} of {} {kind:?} calls in calm times", calls.len()));
+    }
+}
--- /dev/null
+++ b/crates/rudder-soak/src/history.rs
@@ -0,0 +1,156 @@
+//! What callers, endpoints and operators saw. Times are counted from the start of the soak.
+
+use std::time::Duration;
+
+/// What a caller asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    /// A call that runs once at most.
+    Once,
+    /// A call that may be repeated.
+    Again,
+    /// A stream that runs once at most.
+    Stream,
+    /// A stream that can be taken up elsewhere.
+    Resume,
+}
+
+impl Kind {
+    /// All of them.
+    pub const ALL: [Kind; 4] = [Kind::Once, Kind::Again, Kind::Stream, Kind::Resume];
+
+    /// True where it may run at most once.
+    pub fn runs_once(self) -> bool {
+        matches!(self, Kind::Once | Kind::Stream)
+    }
+}
+
+/// What became of a call, as its caller saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Answered.
+    Answered {
+        /// HTTP status.
+        status: u16,
+        /// The answer looked whole.
+        whole: bool,
+        /// It is what an endpoint made for this very call, all of it where it looked whole.
+        right: bool,
+    },
+    /// The connection ended, or nothing came in time.
+    Lost,
+}
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its id.
+    pub id: String,
+    /// What it asked for.
+    pub kind: Kind,
+    /// The instance it went to.
+    pub instance: usize,
+    /// The key it bore.
+    pub key: String,
+    /// The content ends endpoints.
+    pub deadly: bool,
+    /// When it was sent.
+    pub sent: Duration,
+    /// When it ended for its caller.
+    pub ended: Duration,
+    /// What became of it.
+    pub outcome: Outcome,
+}
+
+/// A call that reached an endpoint.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// The call's id.
+    pub call: String,
+    /// The life of the endpoint.
+    pub life: String,
+    /// When.
+    pub at: Duration,
+    /// It began to run.
+    pub ran: bool,
+    /// It bore a content that ends endpoints.
+    pub deadly: bool,
+}
+
+/// An endpoint's word that it takes no more work, acknowledged.
+#[derive(Clone, Debug)]
+pub struct Leave {
+    /// The life of the endpoint.
+    pub life: String,
+    /// When it was acknowledged.
+    pub at: Duration,
+}
+
+/// A configuration that was acknowledged or read.
+#[derive(Clone, Debug)]
+pub struct Version {
+    /// Its version.
+    pub version: u64,
+    /// When it was acknowledged; when it was asked for.
+    pub at: Duration,
+}
+
+/// A key that was taken away.
+#[derive(Clone, Debug)]
+pub struct Removal {
+    /// The key.
+    pub key: String,
+    /// When that was acknowledged.
+    pub at: Duration,
+}
+
+/// A planned stop.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    /// Which instance.
+    pub instance: usize,
+    /// When it was asked for.
+    pub from: Duration,
+    /// When the process had ended.
+    pub until: Duration,
+    /// No other fault was under way from a little before to its end.
+    pub alone: bool,
+}
+
+/// A process that ended though nobody ended it.
+#[derive(Clone, Debug)]
+pub struct OwnEnd {
+    /// Which instance.
+    pub instance: usize,
+    /// When it was seen.
+    pub at: Duration,
+    /// Its exit code, where there is one.
+    pub code: Option<i32>,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Calls.
+    pub calls: Vec<Call>,
+    /// What reached endpoints.
+    pub arrivals: Vec<Arrival>,
+    /// Acknowledged leaves.
+    pub leaves: Vec<Leave>,
+    /// Acknowledged configurations, in order of their acknowledgement.
+    pub accepted: Vec<Version>,
+    /// Configurations read back.
+    pub read: Vec<Version>,
+    /// The version read at the end; `None` where none could be had.
+    pub last: Option<u64>,
+    /// A configuration that cannot be put in force was acknowledged.
+    pub invalid_taken: u64,
+    /// Keys taken away.
+    pub removals: Vec<Removal>,
+    /// Planned stops.
+    pub stops: Vec<Stop>,
+    /// Processes that ended by themselves.
+    pub own_ends: Vec<OwnEnd>,
+    /// From then on no fault was under way.
+    pub calm: Duration,
+}
--- /dev/null
+++ b/crates/rudder-soak/src/schedule.rs
@@ -0,0 +1,345 @@
+//! Schedules: which fault begins when. Drawn from a seed, written and read as TOML.
+
+use std::time::Duration;
+
+use eyre::{Context as _, Result, ensure};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+use serde::{Deserialize, Serialize};
+
+/// Time without new faults at the start: all processes start and are known.
+const CALM_START: u64 = 2_000;
+/// Time without faults at the end, in which all has to be served again.
+pub const CALM_END: Duration = Duration::from_secs(9);
+/// Longest pause between the beginnings of two faults, in milliseconds; many overlap.
+const GAP_MOST: u64 = 1_600;
+/// Longest time for which something is down, paused or wrong, in milliseconds.
+const SPAN_MOST: u64 = 3_500;
+/// Time between two losses of a disk: a voter with an empty folder has to be caught up before the next is lost.
+const WIPE_GAP: u64 = 9_000;
+/// Settings with more processes than this are refused: a few dozen are what one machine bears.
+const PROCESSES_MOST: usize = 60;
+/// Settings with more endpoints than this are refused.
+const ENDPOINTS_MOST: usize = 60;
+/// The longest soak, in seconds: an hour.
+const SECONDS_MOST: u64 = 3_600;
+/// The shortest soak that has any faults, in seconds.
+const SECONDS_LEAST: u64 = 14;
+
+/// How large a soak is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Size {
+    /// Instances with a disk; the others have none.
+    pub core: usize,
+    /// Instances in all.
+    pub instances: usize,
+    /// Endpoints.
+    pub endpoints: usize,
+    /// How long it lasts, in seconds.
+    pub seconds: u64,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Size { core: 3, instances: 5, endpoints: 6, seconds: 30 }
+    }
+}
+
+impl Size {
+    /// Checks that such a soak can run on one machine.
+    ///
+    /// # Errors
+    /// Names the option that cannot work.
+    pub fn check(&self) -> Result<()> {
+        ensure!((3..=self.instances).contains(&self.core), "core: from 3 to the number of instances");
+        ensure!(self.instances <= PROCESSES_MOST, "--instances: at most {PROCESSES_MOST}");
+        ensure!((4..=ENDPOINTS_MOST).contains(&self.endpoints), "--endpoints: from 4 to {ENDPOINTS_MOST}");
+        let seconds = SECONDS_LEAST..=SECONDS_MOST;
+        ensure!(seconds.contains(&self.seconds), "--seconds: from {SECONDS_LEAST} to {SECONDS_MOST}");
+        Ok(())
+    }
+}
+
+/// Something that is done to the system from outside. Instances and endpoints are numbers from 0; times in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum Fault {
+    /// A process is killed and started again.
+    Kill {
+        /// Which.
+        instance: usize,
+        /// Until its start.
+        down: u64,
+    },
+    /// All instances with a disk are killed at once.
+    KillCore {
+        /// Until their start.
+        down: u64,
+    },
+    /// A process is killed, and its data folder is empty when it starts again.
+    Wipe {
+        /// Which.
+        instance: usize,
+        /// Until its start.
+        down: u64,
+    },
+    /// A process is stopped for a while, as in a freeze.
+    Pause {
+        /// Which.
+        instance: usize,
+        /// For how long.
+        span: u64,
+    },
+    /// Time goes on for a process as if its machine had been suspended.
+    Suspend {
+        /// Which.
+        instance: usize,
+        /// For how long.
+        span: u64,
+    },
+    /// A planned stop, and a start afterwards.
+    Stop {
+        /// Which.
+        instance: usize,
+    },
+    /// Its settings are read anew.
+    Reload {
+        /// Which.
+        instance: usize,
+    },
+    /// An endpoint ends without a word and starts again under its name.
+    Crash {
+        /// Which.
+        endpoint: usize,
+        /// Until its start.
+        down: u64,
+    },
+    /// An endpoint says that it leaves, ends, and starts again under its name.
+    Leave {
+        /// Which.
+        endpoint: usize,
+        /// Until its start.
+        down: u64,
+    },
+    /// An endpoint runs requests and says nothing.
+    Mute {
+        /// Which.
+        endpoint: usize,
+        /// For how long.
+        span: u64,
+    },
+    /// An endpoint runs requests, and its answers are lost.
+    Lose {
+        /// Which.
+        endpoint: usize,
+        /// For how long.
+        span: u64,
+    },
+    /// An endpoint breaks answers off.
+    Cut {
+        /// Which.
+        endpoint: usize,
+        /// For how long.
+        span: u64,
+    },
+    /// A content that ends each endpoint that begins to run it comes again and again.
+    Deadly {
+        /// How often.
+        times: u32,
+        /// Time between two.
+        gap: u64,
+    },
+    /// The configuration changes.
+    Change {
+        /// How often.
+        times: u32,
+        /// Time between two.
+        gap: u64,
+    },
+    /// Two operators send different content under one version at the same time.
+    Race,
+    /// A configuration that cannot be put in force.
+    Invalid,
+    /// The newest configuration is sent again.
+    Resend,
+    /// A caller's key is taken away.
+    TakeKey,
+}
+
+/// A fault and when it begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Milliseconds since the start.
+    pub at: u64,
+    /// What is done.
+    #[serde(flatten)]
+    pub fault: Fault,
+}
+
+/// A whole soak.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Schedule {
+    /// What it was drawn from.
+    pub seed: u64,
+    /// How large it is.
+    pub size: Size,
+    /// Its faults, in order.
+    pub entries: Vec<Entry>,
+}
+
+impl Fault {
+    /// Its name in reports and options.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Fault::Kill { .. } => "kill",
+            Fault::KillCore { .. } => "kill_core",
+            Fault::Wipe { .. } => "wipe",
+            Fault::Pause { .. } => "pause",
+            Fault::Suspend { .. } => "suspend",
+            Fault::Stop { .. } => "stop",
+            Fault::Reload { .. } => "reload",
+            Fault::Crash { .. } => "crash",
+            Fault::Leave { .. } => "leave",
+            Fault::Mute { .. } => "mute",
+            Fault::Lose { .. } => "lose",
+            Fault::Cut { .. } => "cut",
+            Fault::Deadly { .. } => "deadly",
+            Fault::Change { .. } => "change",
+            Fault::Race => "race",
+            Fault::Invalid => "invalid",
+            Fault::Resend => "resend",
+            Fault::TakeKey => "take_key",
+        }
+    }
+}
+
+/// Draws faults one after the other.
+struct Draw {
+    rng: Pcg64,
+    size: Size,
+    /// When the last disk was lost.
+    wiped: Option<u64>,
+}
+
+impl Draw {
+    fn span(&mut self) -> u64 {
+        self.rng.random_range(200..=SPAN_MOST)
+    }
+
+    fn instance(&mut self) -> usize {
+        self.rng.random_range(0..self.size.instances)
+    }
+
+    fn endpoint(&mut self) -> usize {
+        self.rng.random_range(0..self.size.endpoints)
+    }
+
+    fn times(&mut self) -> u32 {
+        self.rng.random_range(2..=10)
+    }
+
+    /// A disk is lost only long after the one before.
+    fn wipe(&mut self, at: u64) -> Fault {
+        let (instance, down) = (self.rng.random_range(0..self.size.core), self.span());
+        if self.wiped.is_some_and(|wiped| at < wiped + WIPE_GAP) {
+            return Fault::Kill { instance, down };
+        }
+        self.wiped = Some(at);
+        Fault::Wipe { instance, down }
+    }
+
+    fn fault(&mut self, at: u64) -> Fault {
+        let (instance, endpoint, span) = (self.instance(), self.endpoint(), self.span());
+        match self.rng.random_range(0..22) {
+            0 | 1 => Fault::Kill { instance, down: span },
+            2 => Fault::KillCore { down: span },
+            3 => self.wipe(at),
+            4 | 5 => Fault::Pause { instance, span },
+            6 | 7 => Fault::Suspend { instance, span: span * 3 },
+            8 => Fault::Stop { instance },
+            9 => Fault::Reload { instance },
+            10 | 11 => Fault::Crash { endpoint, down: span },
+            12 | 13 => Fault::Leave { endpoint, down: span },
+            14 => Fault::Mute { endpoint, span },
+            15 => Fault::Lose { endpoint, span },
+            16 => Fault::Cut { endpoint, span },
+            17 => Fault::Deadly { times: self.times(), gap: span / 4 },
+            18 => Fault::Change { times: self.times(), gap: span / 8 },
+            19 => {
+                if self.rng.random() {
+                    Fault::Race
+                } else {
+                    Fault::Resend
+                }
+            }
+            20 => Fault::Invalid,
+            _ => Fault::TakeKey,
+        }
+    }
+}
+
+impl Schedule {
+    /// Draws a schedule; `only` names the faults that may stand in it, all where it is empty.
+    pub fn draw(seed: u64, size: Size, only: &[String]) -> Schedule {
+        let mut draw = Draw { rng: Pcg64::seed_from_u64(seed), size, wiped: None };
+        let end = (size.seconds * 1000).saturating_sub(CALM_END.as_millis() as u64);
+        let mut at = CALM_START;
+        let mut entries = Vec::new();
+        while at < end {
+            let fault = draw.fault(at);
+            if only.is_empty() || only.iter().any(|name| name == fault.name()) {
+                entries.push(Entry { at, fault });
+            }
+            at += draw.rng.random_range(0..=GAP_MOST);
+        }
+        Schedule { seed, size, entries }
+    }
+
+    /// The same with only the faults at these places.
+    #[must_use]
+    pub fn with_only(&self, places: &[usize]) -> Schedule {
+        let kept = self.entries.iter().enumerate().filter(|(place, _)| places.contains(place));
+        Schedule { entries: kept.map(|(_, entry)| *entry).collect(), ..self.clone() }
+    }
+
+    /// Its text.
+    ///
+    /// # Errors
+    /// None in practice: it holds only plain data.
+    pub fn to_toml(&self) -> Result<String> {
+        toml::to_string(self).wrap_err("write the schedule")
+    }
+
+    /// Reads a schedule.
+    ///
+    /// # Errors
+    /// When it cannot be read, or names a size that cannot run or an instance or endpoint that there is not.
+    pub fn from_toml(text: &str) -> Result<Schedule> {
+        let schedule: Schedule = toml::from_str(text).wrap_err("read the schedule")?;
+        schedule.size.check()?;
+        for entry in &schedule.entries {
+            schedule.check_entry(entry)?;
+        }
+        Ok(schedule)
+    }
+
+    fn check_entry(&self, entry: &Entry) -> Result<()> {
+        let Size { core, instances, endpoints, .. } = self.size;
+        let fits = match entry.fault {
+            Fault::Wipe { instance, .. } => instance < core,
+            Fault::Kill { instance, .. }
+            | Fault::Pause { instance, .. }
+            | Fault::Suspend { instance, .. }
+            | Fault::Stop { instance }
+            | Fault::Reload { instance } => instance < instances,
+            Fault::Crash { endpoint, .. }
+            | Fault::Leave { endpoint, .. }
+            | Fault::Mute { endpoint, .. }
+            | Fault::Lose { endpoint, .. }
+            | Fault::Cut { endpoint, .. } => endpoint < endpoints,
+            _ => true,
+        };
+        ensure!(fits, "the {} at {} ms names an instance or endpoint that there is not", entry.fault.name(), entry.at);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/rudder-soak/tests/check.rs
@@ -0,0 +1,121 @@
+//! The judge sees each promise broken: one break of each, put into a history in which all are kept.
+
+use std::time::Duration;
+
+use rudder_soak::{
+    Bounds, History, Promise, check,
+    history::{Arrival, Call, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version},
+};
+
+const GOOD: Outcome = Outcome::Answered { status: 200, whole: true, right: true };
+
+fn at(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+fn call(id: &str, kind: Kind, sent: f64, outcome: Outcome) -> Call {
+    Call {
+        id: id.to_owned(),
+        kind,
+        instance: 0,
+        key: "key-1".to_owned(),
+        deadly: false,
+        sent: at(sent),
+        ended: at(sent + 0.1),
+        outcome,
+    }
+}
+
+fn arrival(call: &str, life: &str, seconds: f64) -> Arrival {
+    Arrival { call: call.to_owned(), life: life.to_owned(), at: at(seconds), ran: true, deadly: false }
+}
+
+/// Calls of each kind every second for half a minute, all served, and one of each other event.
+fn kept() -> History {
+    let mut history = History { calm: at(20.0), last: Some(3), ..History::default() };
+    for second in 0..30 {
+        for kind in Kind::ALL {
+            let id = format!("{kind:?}-{second}");
+            history.arrivals.push(arrival(&id, "e-1", f64::from(second) + 0.01));
+            history.calls.push(call(&id, kind, f64::from(second), GOOD));
+        }
+    }
+    history.leaves.push(Leave { life: "e-2".to_owned(), at: at(5.0) });
+    history.arrivals.push(arrival("Once-0", "e-2", 1.0));
+    history.arrivals.pop();
+    history.accepted.extend([2, 3].map(|version| Version { version, at: at(version as f64) }));
+    history.read.push(Version { version: 3, at: at(9.0) });
+    history.removals.push(Removal { key: "key-9".to_owned(), at: at(1.0) });
+    history.stops.push(Stop { instance: 0, from: at(4.0), until: at(8.0), alone: true });
+    history
+}
+
+/// Which promises are broken once `spoil` has been done to the history.
+fn broken_by(spoil: fn(&mut History)) -> Vec<Promise> {
+    let mut history = kept();
+    spoil(&mut history);
+    let mut broken: Vec<Promise> =
+        check(&history, &Bounds::default()).broken.into_iter().map(|broken| broken.promise).collect();
+    broken.dedup();
+    broken
+}
+
+macro_rules! breaks {
+    ($($name:ident: $promise:ident, $spoil:expr;)*) => {
+        $(#[test] fn $name() {
+            assert_eq!(broken_by($spoil), vec![Promise::$promise]);
+        })*
+    };
+}
+
+breaks! {
+    an_answer_of_another_call: OwnAnswer, |history| {
+        history.calls[4].outcome = Outcome::Answered { status: 200, whole: true, right: false };
+    };
+    a_call_that_runs_twice: AtMostOnce, |history| history.arrivals.push(arrival("Once-3", "e-9", 3.2));
+    a_call_called_not_run_that_ran: NotRun, |history| {
+        history.calls[1].outcome = Outcome::Answered { status: 503, whole: true, right: false };
+    };
+    new_work_at_an_endpoint_that_left: Drained, |history| history.arrivals.push(arrival("Again-7", "e-2", 7.5));
+    an_older_configuration_read: NeverReverts, |history| history.read.push(Version { version: 2, at: at(6.0) });
+    a_configuration_lost_in_the_end: NeverReverts, |history| history.last = Some(2);
+    no_configuration_in_the_end: NeverReverts, |history| history.last = None;
+    a_configuration_that_cannot_work_accepted: NeverReverts, |history| history.invalid_taken = 1;
+    a_key_that_was_taken_away: KeyTaken, |history| history.calls[40].key = "key-9".to_owned();
+    a_content_that_goes_on_ending_endpoints: Quarantine, |history| {
+        for number in 0..9 {
+            let arrival = arrival(&format!("deadly-{number}"), &format!("d-{number}"), 2.0 * f64::from(number));
+            history.arrivals.push(Arrival { deadly: true, ..arrival });
+        }
+    };
+    more_sent_again_than_allowed: Budget, |history| {
+        for number in 0..90 {
+            history.arrivals.push(arrival("Again-5", "e-3", 5.1 + f64::from(number) / 100.0));
+        }
+    };
+    a_planned_stop_that_cuts_a_call_off: PlannedStop, |history| history.calls[21].outcome = Outcome::Lost;
+    a_planned_stop_that_lasts: PlannedStop, |history| history.stops[0].until = at(13.0);
+    a_kind_that_is_not_served_again: Served, |history| {
+        for call in history.calls.iter_mut().filter(|call| call.kind == Kind::Stream && call.sent > at(26.0)) {
+            call.outcome = Outcome::Answered { status: 502, whole: true, right: false };
+        }
+    };
+    a_process_that_ends_by_itself: OwnEnd, |history| {
+        history.own_ends.push(OwnEnd { instance: 1, at: at(3.0), code: Some(101) });
+    };
+}
+
+#[test]
+fn all_promises_kept_are_all_tested() {
+    let mut history = kept();
+    for number in 0..4 {
+        let arrival = arrival(&format!("deadly-{number}"), &format!("d-{number}"), f64::from(number));
+        history.arrivals.push(Arrival { deadly: true, ..arrival });
+    }
+    history.arrivals.push(arrival("Again-3", "e-2", 3.2));
+    history.calls.push(Call { key: "key-9".to_owned(), ..call("other", Kind::Once, 9.0, Outcome::Lost) });
+    history.calls.push(call("full", Kind::Once, 9.0, Outcome::Answered { status: 503, whole: true, right: false }));
+    let verdict = check(&history, &Bounds::default());
+    assert_eq!(verdict.broken, Vec::new());
+    assert_eq!(verdict.tested.len(), 11, "{:?}", verdict.tested);
+}
