--- a/crates/hatchrudder/src/command/mod.rs
+++ b/crates/hatchrudder/src/command/mod.rs
@@ -5,6 +5,7 @@
 mod load;
 mod measure;
 mod operate;
+mod soak;
 
 use std::{path::PathBuf, str::FromStr};
 
@@ -42,6 +43,7 @@
         "apply" => operate::apply(arguments),
         "label" => operate::label(arguments),
         "mark" => operate::mark(arguments),
+        "soak" => soak::soak(arguments),
         "measure" => measure::measure(arguments),
         "load" => load::load(arguments),
         "timeline" => events::timeline(arguments),
--- a/crates/hatchrudder/src/help.rs
+++ b/crates/hatchrudder/src/help.rs
@@ -15,6 +15,7 @@
   mark       marks an endpoint or instance leaving or stopping
   measure    the policy on fakes in virtual time, baseline beside present
   load       latency, throughput, streams, changes against running processes
+  soak       real processes under faults drawn from a seed, promises checked
   timeline   merges event logs into one time line
   explain    tells what happened to one request
   duty       tells why engines were ordered in a hall, or what became of a window's report
@@ -121,6 +122,24 @@
 Tells from the event logs of all processes what the holder of duties did about the engines of a hall, or about the
 report of a window: what it wanted and why, each call and its outcome, and who held the duties when.";
 
+const SOAK: &str = "usage: hatchrudder soak [--seed N] [--seeds N] [--seconds N] [--instances N] [--endpoints N]
+                       [--faults LIST] [--schedule FILE] [--write FILE] [--shrink] [--folder DIR]
+
+Starts instances as processes of their own on loopback, endpoints and callers beside them, and breaks them by a schedule drawn
+from a seed. What callers, endpoints and operators saw is judged at the end; exit code 1 if a promise broke. Of a soak that broke
+one the logs and the schedule are kept. docs/SOAK.md tells more.
+
+  --seed N         seed of the first soak (1)
+  --seeds N        soaks, with seeds that follow each other (1)
+  --seconds N      length of one, 14 to 3600 (30)
+  --instances N    processes, 3 to 60, three of them with disks (5)
+  --endpoints N    endpoints, 4 to 60 (6)
+  --faults LIST    only these faults, by name, separated by commas
+  --schedule FILE  plays this schedule instead of one drawn from the seed
+  --write FILE     writes the schedule before it is played
+  --shrink         leaves out faults while a schedule that broke a promise still does
+  --folder DIR     keeps data, logs and schedules there";
+
 /// The help of a command; that of all commands for an unknown one.
 pub(crate) fn of(name: &str) -> &'static str {
     match name {
@@ -135,6 +154,7 @@
         "mark" => MARK,
         "measure" => MEASURE,
         "load" => LOAD,
+        "soak" => SOAK,
         "timeline" => TIMELINE,
         "explain" => EXPLAIN,
         "duty" => DUTY,
