--- a/crates/rudder-core/tests/registry.rs
+++ b/crates/rudder-core/tests/registry.rs
@@ -4,8 +4,8 @@
 
 use std::time::Duration;
 
-use mesh::Mesh;
-use rudder_core::Phase;
+use mesh::{Mesh, question};
+use rudder_core::{Phase, Registration, Watch};
 
 /// Nine instances that know each other and one ready endpoint.
 fn start() -> Mesh {
@@ -128,3 +128,27 @@
     mesh.run(Duration::from_millis(600));
     assert!((0..9).all(|number| mesh.phase_at(number, "e-2") == Some(Phase::Ready)));
 }
+
+/// Seen in a soak: all instances with disks had been killed and come back, a leave was acknowledged, and 2 s later an instance with a
+/// young proof still sent work to the endpoint. The new leader had answered a question between its election and its next
+/// tick, and taken its registry from its view only then: what it had heard and confirmed in between was gone.
+#[test]
+fn a_leave_that_a_new_leader_hears_before_its_next_tick_is_not_forgotten() {
+    let mut mesh = start();
+    for number in 0..3 {
+        mesh.kill(number);
+        mesh.boot(number);
+    }
+    while mesh.leader().is_none() {
+        mesh.run(Duration::from_millis(1));
+    }
+    let leader = mesh.leader().expect("one leads now");
+    let gone = Registration::end_of("e-1", None, "hall-0".into());
+    let answer = mesh.ask(leader, Watch { heard: vec![gone], ..question("caller", 1, 9) });
+    assert!(answer.registry.is_some_and(|news| news.entries.iter().any(|told| told.value.phase == Phase::Gone)));
+    // An earlier heartbeat comes after it.
+    mesh.run(Duration::from_millis(100));
+    mesh.heartbeat(5, 3, "e-1", Phase::Ready, 14);
+    mesh.run(Duration::from_secs(2));
+    assert_eq!(phases(&mesh), vec![Some(Phase::Gone); 9]);
+}
