fix(core): a new leader takes its role up before it answers; less is looked through with each tick

Cause: an elected leader answered questions up to 50 ms before its next tick, and took its registry from its view only then; a leave that it had confirmed meanwhile was forgotten, and an earlier heartbeat brought the endpoint back. Ruled out: an old proof (the sender's was 62 ms old), a suspended or paused sender. Change: the role is noted before any message is handled in it. On the way: what is kept beside the registry's entries is looked through only when entries went, not with every tick; lives are kept for names that tell their starts only.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -278,7 +278,9 @@
         self.founding.note_began(self.replica.term());
     }
 
-    fn note_role(&mut self, now: Duration, view: &View, options: &Options, out: &mut Vec<Effect>) {
+    /// Takes up the role that the replica has now. Must come before anything is answered in it: a leader that takes its
+    /// directory and registry from its view only afterwards forgets what it has confirmed meanwhile.
+    pub(crate) fn note_role(&mut self, now: Duration, view: &View, options: &Options, out: &mut Vec<Effect>) {
         let leads = self.replica.role() == Role::Leader;
         if leads == self.led_since.is_some() {
             return;
--- a/crates/rudder-core/src/lives.rs
+++ b/crates/rudder-core/src/lives.rs
@@ -38,11 +38,11 @@
 #[derive(Clone, Debug)]
 struct Life {
     endpoint: EndpointId,
-    born: Option<Born>,
-    doubt: Option<Doubt>,
+    born: Born,
+    doubt: Option<Box<Doubt>>,
 }
 
-/// The latest life of each name.
+/// The latest life of each name that tells its starts. Others have one life, known by the name alone.
 #[derive(Clone, Debug, Default)]
 pub struct Lives {
     latest: HashMap<Arc<str>, Life>,
@@ -64,7 +64,7 @@
         }
         // A life that is held was replaced. A word without a start, of an endpoint that tells it, is another writer's.
         let Some(born) = said.born.filter(|_| !held) else { return Standing::Late };
-        let later = latest.born.is_none_or(|latest| latest < born);
+        let later = latest.born < born;
         if later || latest.note_doubt(now, said, unheard(&latest.endpoint)) {
             return Standing::Follows(latest.endpoint.clone());
         }
@@ -73,10 +73,11 @@
 
     /// Sets the latest life of a name.
     pub fn set(&mut self, life: &Registration) {
+        let Some(born) = life.born else { return };
         if self.latest.get(life.name()).is_some_and(|latest| latest.endpoint == life.endpoint) {
             return;
         }
-        let next = Life { endpoint: life.endpoint.clone(), born: life.born, doubt: None };
+        let next = Life { endpoint: life.endpoint.clone(), born, doubt: None };
         self.latest.insert(life.name().into(), next);
     }
 
@@ -92,7 +93,7 @@
         for life in told.filter(|life| life.phase != Phase::Replaced) {
             match self.latest.get(life.name()) {
                 Some(latest) if latest.endpoint == life.endpoint => {}
-                Some(latest) if latest.born >= life.born => followed.push(life.endpoint.clone()),
+                Some(latest) if Some(latest.born) >= life.born => followed.push(life.endpoint.clone()),
                 latest => {
                     followed.extend(latest.map(|latest| latest.endpoint.clone()));
                     self.set(life);
@@ -113,7 +114,8 @@
     fn note_doubt(&mut self, now: Duration, said: &Registration, unheard: Duration) -> bool {
         let speaks = self.doubt.as_mut().filter(|doubt| doubt.life == said.endpoint);
         let Some(doubt) = speaks else {
-            self.doubt = Some(Doubt { life: said.endpoint.clone(), since: now, sequence: said.sequence });
+            let doubt = Doubt { life: said.endpoint.clone(), since: now, sequence: said.sequence };
+            self.doubt = Some(Box::new(doubt));
             return false;
         };
         if said.sequence <= doubt.sequence {
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -389,6 +389,7 @@
             }
             return;
         };
+        control.note_role(now, &self.view, &self.options, out);
         match message {
             PeerMessage::Replica(envelope) => control.on_replica(now, envelope, &self.options, out),
             PeerMessage::Founding { replica, members, ask } => {
--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -200,7 +200,8 @@
             None => Duration::MAX,
         };
         match self.lives.judge(now, said, held, unheard) {
-            Standing::Latest => Some(Before { life: None }),
+            // A name that has told no start so far has one life, which bears it.
+            Standing::Latest => Some(Before { life: said.born.and_then(|_| self.entries.get(said.name()).cloned()) }),
             Standing::Follows(before) => Some(Before { life: self.entries.get(&before).cloned() }),
             Standing::Late => None,
         }
@@ -292,6 +293,7 @@
         let told: Vec<EndpointId> = news.entries.iter().map(|told| told.key.clone()).collect();
         let live = news.entries.iter().filter(|told| told.value.phase < Phase::Leaving);
         let live: Vec<_> = live.map(|told| (told.value.address.clone(), told.key.clone())).collect();
+        let removes = news.whole || !news.removed.is_empty();
         let heard = &self.heard;
         let recent = |endpoint: &EndpointId| heard.get(endpoint).is_some_and(|heard| now < *heard + SILENT);
         let taken = self.entries.take(news, is_later, |endpoint, _| recent(endpoint));
@@ -302,7 +304,10 @@
             let followed = self.lives.learn(told);
             self.replace(followed, Spread::set_local);
         }
-        self.heard.retain(|endpoint, _| self.entries.get(endpoint).is_some());
+        if taken && removes {
+            self.heard.retain(|endpoint, _| self.entries.get(endpoint).is_some());
+            self.forget_unknown();
+        }
         taken && left
     }
 
@@ -323,8 +328,12 @@
     pub fn forget_gone(&mut self, now: Duration) {
         let heard = &self.heard;
         let old = |endpoint: &EndpointId| heard.get(endpoint).is_none_or(|heard| now >= *heard + REMEMBER_GONE);
+        let before = self.entries.len();
         self.entries.retain_local(|endpoint, held| held.phase < Phase::Gone || !old(endpoint));
-        self.forget_unknown();
+        // This comes with every tick, and what is kept beside thousands of entries takes long to look through.
+        if self.entries.len() != before {
+            self.forget_unknown();
+        }
     }
 
     /// Drops what is kept beside entries that are no more.
