--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -39,6 +39,9 @@
 pub struct Bounds {
     /// From a leave's acknowledgement.
     pub drain: Duration,
+    /// An instance that was away is not held to the time from a leave's acknowledgement for so long afterwards: it has still
+    /// to learn of it, and its proof may be as old as it was away.
+    pub touch: Duration,
     /// From a configuration's acknowledgement until no older one is read.
     pub apply: Duration,
     /// From the acknowledgement of a key's removal.
@@ -66,6 +69,7 @@
     fn default() -> Self {
         Bounds {
             drain: Duration::from_secs(2),
+            touch: Duration::from_secs(3),
             apply: Duration::from_secs(2),
             revoke: Duration::from_secs(5),
             spread: Duration::from_secs(3),
@@ -150,8 +154,16 @@
 }
 
 fn check_drains(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let instances: BTreeMap<&str, usize> = history.calls.iter().map(|call| (call.id.as_str(), call.instance)).collect();
+    let was_away = |arrival: &Arrival| {
+        let Some(instance) = instances.get(arrival.call.as_str()) else { return false };
+        let near = |from: Duration, until: Duration| from <= arrival.at && arrival.at <= until + bounds.touch;
+        history.absences.iter().any(|absence| absence.instance == *instance && near(absence.from, absence.until))
+    };
     for leave in &history.leaves {
-        let late = |arrival: &&Arrival| arrival.life == leave.life && arrival.at > leave.at + bounds.drain;
+        let late = |arrival: &&Arrival| {
+            arrival.life == leave.life && arrival.at > leave.at + bounds.drain && !was_away(arrival)
+        };
         let late = history.arrivals.iter().find(late);
         verdict.test(Promise::Drained, late.is_none(), || format!("{leave:?} got {late:?}"));
     }
--- a/crates/rudder-soak/src/history.rs
+++ b/crates/rudder-soak/src/history.rs
@@ -117,6 +117,17 @@
     pub alone: bool,
 }
 
+/// A span in which an instance was down, paused or suspended.
+#[derive(Clone, Debug)]
+pub struct Absence {
+    /// Which instance.
+    pub instance: usize,
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+}
+
 /// A process that ended though nobody ended it.
 #[derive(Clone, Debug)]
 pub struct OwnEnd {
@@ -149,6 +160,8 @@
     pub removals: Vec<Removal>,
     /// Planned stops.
     pub stops: Vec<Stop>,
+    /// Spans in which instances were not there.
+    pub absences: Vec<Absence>,
     /// Processes that ended by themselves.
     pub own_ends: Vec<OwnEnd>,
     /// From then on no fault was under way.
--- a/crates/rudder-soak/tests/check.rs
+++ b/crates/rudder-soak/tests/check.rs
@@ -4,7 +4,7 @@
 
 use rudder_soak::{
     Bounds, History, Promise, check,
-    history::{Arrival, Call, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version},
+    history::{Absence, Arrival, Call, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version},
 };
 
 const GOOD: Outcome = Outcome::Answered { status: 200, whole: true, right: true };
@@ -77,6 +77,14 @@
         history.calls[1].outcome = Outcome::Answered { status: 503, whole: true, right: false };
     };
     new_work_at_an_endpoint_that_left: Drained, |history| history.arrivals.push(arrival("Again-7", "e-2", 7.5));
+    new_work_from_an_instance_that_was_away_long_ago: Drained, |history| {
+        history.absences.push(Absence { instance: 0, from: at(2.0), until: at(4.4) });
+        history.arrivals.push(arrival("Again-7", "e-2", 7.5));
+    };
+    new_work_while_another_instance_was_away: Drained, |history| {
+        history.absences.push(Absence { instance: 3, from: at(5.0), until: at(7.0) });
+        history.arrivals.push(arrival("Again-7", "e-2", 7.5));
+    };
     an_older_configuration_read: NeverReverts, |history| history.read.push(Version { version: 2, at: at(6.0) });
     a_configuration_lost_in_the_end: NeverReverts, |history| history.last = Some(2);
     no_configuration_in_the_end: NeverReverts, |history| history.last = None;
@@ -105,6 +113,16 @@
     };
 }
 
+/// A pause of 2.5 s over a leave: the instance's proof was 2.98 s old when it sent, within its bound.
+#[test]
+fn an_instance_that_was_away_may_not_have_learned_of_a_leave() {
+    let spoil = |history: &mut History| {
+        history.absences.push(Absence { instance: 0, from: at(4.0), until: at(7.0) });
+        history.arrivals.push(arrival("Again-7", "e-2", 7.5));
+    };
+    assert_eq!(broken_by(spoil), Vec::new());
+}
+
 #[test]
 fn all_promises_kept_are_all_tested() {
     let mut history = kept();
