--- a/crates/rudder-gateway/src/call/ended.rs
+++ b/crates/rudder-gateway/src/call/ended.rs
@@ -7,7 +7,7 @@
 
 use super::{
     Call, Progress, Refusal,
-    refusal::{not_run, too_late},
+    refusal::{not_run, outcome_unknown},
 };
 use crate::{Dialect, choose::Choice, shared::Shared, upstream};
 
@@ -68,7 +68,7 @@
     }
     let Some(left) = shared.contents.borrow().refused_for(content, Moment::now()) else { return Ok(()) };
     let why = "endpoints have ended under it";
-    Err(if progress.ran == 0 { not_run(why, left) } else { too_late(why) })
+    Err(if progress.ran == 0 { not_run(why, left) } else { outcome_unknown(why) })
 }
 
 /// A content as it stands in logs.
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -8,7 +8,7 @@
 use super::{
     Call, Progress, Refusal,
     ended::{check_not_refused, is_risky},
-    refusal::{not_run, too_late},
+    refusal::{not_run, outcome_unknown},
 };
 use crate::{Dialect, RouteKind, choose::Choice, shared::Shared};
 
@@ -68,7 +68,7 @@
         if progress.ran == 0 {
             return not_run(why, come_back);
         }
-        too_late(why)
+        outcome_unknown(why)
     };
     if !shared.is_fresh(shared.options.fresh) {
         return Err(refusal("the configuration may be old"));
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -51,7 +51,7 @@
 }
 
 /// The answer where a request may have run and is not sent any more.
-pub(super) fn too_late(why: &'static str) -> Refusal {
+pub(super) fn outcome_unknown(why: &'static str) -> Refusal {
     Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None }
 }
 
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -11,7 +11,7 @@
     Call, Failure, Leg, Progress, Refusal, Resume,
     attempt::{CONNECTS, attempt, note_not_run, note_outcome, put_back},
     may_send_again, note_answered, note_begun, note_if_ended,
-    refusal::{give_up, is_promise, too_late},
+    refusal::{give_up, is_promise, outcome_unknown},
     strip_hop_headers,
 };
 use crate::{Dialect, RouteKind, body::AnswerBody, health::Outcome, metrics::Ending, shared::Shared, stream};
@@ -56,7 +56,7 @@
                 }
                 // An endpoint's 429 or 503 without its word that it did not run would be a false promise.
                 if is_promise(status) {
-                    return Err(too_late("the endpoint failed"));
+                    return Err(outcome_unknown("the endpoint failed"));
                 }
                 return Ok(response);
             }
