refactor: one refusal for what is sent no more, one writer of schedules; a clause that could not hold is gone

The choice between not run and unknown stood in permit.rs and again in ended.rs. A content in quarantine has three ends against it, so asking beside the count whether it is refused told nothing. Behaviour as before: 162 tests of gateway and platform pass.

--- a/crates/hatchrudder/src/command/soak.rs
+++ b/crates/hatchrudder/src/command/soak.rs
@@ -86,7 +86,7 @@
         flag::register(signal, interrupted.clone()).wrap_err("listen for signals")?;
     }
     if let Some(path) = &plan.write {
-        std::fs::write(path, plan.schedule.to_toml()?).wrap_err_with(|| format!("write {}", path.display()))?;
+        write_schedule(path, &plan.schedule)?;
     }
     let mut failed = Vec::new();
     for number in 0..plan.seeds {
@@ -112,6 +112,11 @@
     Ok(failed.is_empty())
 }
 
+fn write_schedule(path: &Path, schedule: &Schedule) -> Result<(), Error> {
+    std::fs::write(path, schedule.to_toml()?).wrap_err_with(|| format!("write {}", path.display()))?;
+    Ok(())
+}
+
 fn to_list(seeds: &[u64]) -> String {
     let texts: Vec<String> = seeds.iter().map(u64::to_string).collect();
     if texts.is_empty() { String::new() } else { format!(": seeds {}", texts.join(", ")) }
@@ -134,7 +139,7 @@
 /// Keeps the schedule beside the logs, and says how to go on.
 fn keep(schedule: &Schedule, folder: &Path) -> Result<(), Error> {
     let path = folder.join("schedule.toml");
-    std::fs::write(&path, schedule.to_toml()?).wrap_err("write the schedule")?;
+    write_schedule(&path, schedule)?;
     println!("  logs are in {}/*/log; for one call: hatchrudder explain ID {0}/*/log", folder.display());
     println!("  again: hatchrudder soak --schedule {}", path.display());
     Ok(())
@@ -160,7 +165,7 @@
         return Err(Error::Failed(error));
     }
     let path = folder.join("shorter.toml");
-    std::fs::write(&path, shorter.to_toml()?).wrap_err("write the schedule")?;
+    write_schedule(&path, &shorter)?;
     println!(
         "  {} faults of {} still break a promise: {}",
         shorter.entries.len(),
--- a/crates/rudder-gateway/src/call/ended.rs
+++ b/crates/rudder-gateway/src/call/ended.rs
@@ -5,10 +5,7 @@
 use rudder_events::What;
 use rudder_model::ContentTag;
 
-use super::{
-    Call, Progress, Refusal,
-    refusal::{not_run, outcome_unknown},
-};
+use super::{Call, Progress, Refusal, refusal::stopped};
 use crate::{Dialect, choose::Choice, shared::Shared, upstream};
 
 /// A request is not sent again once this many endpoints have ended under its content: at the next one it would be refused.
@@ -52,9 +49,7 @@
     if !shared.options.policy.guard.quarantine {
         return false;
     }
-    let contents = shared.contents.borrow();
-    let known = contents.ended_count(call.content).max(progress.ended);
-    known >= RESEND_BOUND || contents.refused_for(call.content, Moment::now()).is_some()
+    shared.contents.borrow().ended_count(call.content).max(progress.ended) >= RESEND_BOUND
 }
 
 /// Refuses a request whose content is in quarantine.
@@ -67,8 +62,7 @@
         return Ok(());
     }
     let Some(left) = shared.contents.borrow().refused_for(content, Moment::now()) else { return Ok(()) };
-    let why = "endpoints have ended under it";
-    Err(if progress.ran == 0 { not_run(why, left) } else { outcome_unknown(why) })
+    Err(stopped(progress, "endpoints have ended under it", left))
 }
 
 /// A content as it stands in logs.
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -8,7 +8,7 @@
 use super::{
     Call, Progress, Refusal,
     ended::{check_not_refused, is_risky},
-    refusal::{not_run, outcome_unknown},
+    refusal::{not_run, stopped},
 };
 use crate::{Dialect, RouteKind, choose::Choice, shared::Shared};
 
@@ -64,12 +64,7 @@
     progress: &Progress,
 ) -> Result<(), Refusal> {
     let come_back = shared.options.recover;
-    let refusal = |why| {
-        if progress.ran == 0 {
-            return not_run(why, come_back);
-        }
-        outcome_unknown(why)
-    };
+    let refusal = |why| stopped(progress, why, come_back);
     if !shared.is_fresh(shared.options.fresh) {
         return Err(refusal("the configuration may be old"));
     }
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -50,6 +50,11 @@
     Refusal { status: StatusCode::SERVICE_UNAVAILABLE, why, ran: Ran::No, retry: Some(retry) }
 }
 
+/// The answer to a request that is not sent any more: not run, with a time to come back, where it was never sent.
+pub(super) fn stopped(progress: &Progress, why: &'static str, retry: Duration) -> Refusal {
+    if progress.ran == 0 { not_run(why, retry) } else { outcome_unknown(why) }
+}
+
 /// The answer where a request may have run and is not sent any more.
 pub(super) fn outcome_unknown(why: &'static str) -> Refusal {
     Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None }
