feat(ledger,core): evacuations of halls, in the replicated log and told to all instances

Cause: an operator's orders to evacuate a hall and to take that back were answered 404; nothing knew of them. Ways weighed: a flag in the configuration document (no number of its own to be ordered by, and a document may be refused); a mark that the leader spreads, as a leave is (lost with the leader and a restart of all); a command of the log, as here. An order bears no number and is sent again. So it names the log index as of which its instance knew all evacuations, proved before it is proposed, and counts for nothing where its hall has changed since: a copy that was held up undoes nothing. Told like contents in quarantine: with the answers that prove the configuration, at once by notice.

--- a/crates/rudder-core/src/calls/mod.rs
+++ b/crates/rudder-core/src/calls/mod.rs
@@ -177,7 +177,7 @@
                     context.verdict(*request, Verdict::Release);
                 }
             }
-            For::Admin(_) | For::Document(_) | For::Record => {}
+            For::Admin(_) | For::Document(_) | For::Evacuation(_) | For::Record => {}
         }
     }
 }
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -208,6 +208,7 @@
             document: self.ledger.document.as_ref(),
             registry: &self.registry,
             quarantine: &self.ledger.quarantine,
+            evacuations: &self.ledger.evacuations,
             others: &[],
             time: clock.agreed(now),
         };
@@ -367,7 +368,8 @@
                 let stamped: Stamped = rmp_serde::from_slice(&bytes).expect("the leader runs this version");
                 let configures = matches!(stamped.command, Command::Change(_) | Command::Document(_));
                 let answer = self.ledger.apply(entry.index, stamped);
-                if (configures || answer == Answer::Found(true)) && self.led_since.is_some() {
+                let tells = configures || matches!(answer, Answer::Found(true) | Answer::Evacuated(true));
+                if tells && self.led_since.is_some() {
                     self.watchers.notify(now, None, out);
                 }
                 Some(answer)
--- a/crates/rudder-core/src/effect.rs
+++ b/crates/rudder-core/src/effect.rs
@@ -56,6 +56,13 @@
         /// The version held now; `None` when the outcome is unknown.
         version: Option<u64>,
     },
+    /// Answer the operator who ordered an evacuation or its end.
+    Evacuated {
+        /// Identifies the waiting connection.
+        ticket: u64,
+        /// The log holds the order; otherwise the outcome is unknown and it must be sent again.
+        decided: bool,
+    },
     /// Answer an endpoint's heartbeat.
     Registered {
         /// Identifies the waiting connection.
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rudder_ledger::{Change, Document, Findings};
-use rudder_model::{ClassId, Digest, EndpointId, InstanceId, ModelId, RequestId};
+use rudder_model::{ClassId, Digest, EndpointId, HallId, InstanceId, ModelId, RequestId};
 
 use crate::{
     CallOutcome, PeerMessage, Stored, duties::scaling::ServiceState, peer::Load, registry::Registration, tally::Begun,
@@ -72,6 +72,15 @@
         /// The document.
         document: Document,
     },
+    /// An operator's order that the endpoints of a hall get nothing more, or that they may again.
+    Evacuate {
+        /// Identifies the waiting connection.
+        ticket: u64,
+        /// The hall.
+        hall: HallId,
+        /// It is to be evacuated; otherwise, an evacuation ends.
+        begins: bool,
+    },
     /// An endpoint's heartbeat or its word that it ends.
     Register {
         /// Identifies the waiting connection.
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use rudder_ledger::{Answer, Attempt, Command, Delta, Document, Patch, QuarantineNews};
+use rudder_ledger::{Answer, Attempt, Command, Delta, Document, Evacuations, Patch, QuarantineNews};
 use rudder_model::{EndpointId, EndpointTag, HallId, InstanceId, ModelId, Refusal, RequestId, Start};
 use rudder_replica::{Envelope, Members, ReplicaId};
 use rudder_route::{Ask, Ending, Holding};
@@ -55,6 +55,8 @@
     pub registry: Version,
     /// Log index as of which it knows the contents in quarantine.
     pub quarantine: u64,
+    /// Log index as of which it knows the halls that are evacuated.
+    pub evacuations: u64,
     /// Heartbeats of endpoints that it heard and nobody has yet confirmed.
     pub heard: Vec<Registration>,
     /// Work under way at endpoints, its own and that of those who ask it, where it is not nothing. `None` in a
@@ -102,6 +104,8 @@
     pub registry: Option<RegistryNews>,
     /// What the asker lacks of the contents in quarantine.
     pub quarantine: Option<QuarantineNews>,
+    /// All halls that are or were evacuated, where the asker holds an older state.
+    pub evacuations: Option<Evacuations>,
     /// Work under way at endpoints by all instances but the asker and those who ask it; `None` where the question told
     /// none.
     pub loads: Option<Vec<Load>>,
--- a/crates/rudder-core/src/propose.rs
+++ b/crates/rudder-core/src/propose.rs
@@ -20,6 +20,8 @@
     Admin(u64),
     /// An operator's connection that sent a document.
     Document(u64),
+    /// An operator's connection that ordered an evacuation or its end.
+    Evacuation(u64),
     /// A request that claims its key.
     Claim(RequestId),
     /// A request whose answer waits until its end is recorded.
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -3,7 +3,7 @@
 use std::{collections::VecDeque, time::Duration};
 
 use rudder_events::What;
-use rudder_ledger::{Answer, Command, Findings};
+use rudder_ledger::{Answer, Command, Evacuation, Findings};
 use rudder_model::{EndpointId, InstanceId, Mark, Promise, Promises};
 use rudder_replica::{Durable, ReplicaId};
 
@@ -26,7 +26,7 @@
 
 /// How long an operator's change is tried before its outcome is called unknown.
 const ADMIN_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a document is tried before its outcome is called unknown; its sender waits no longer.
+/// How long a document or an evacuation is tried before its outcome is called unknown; its sender waits no longer.
 const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(2500);
 /// How long findings are tried. What is still not in the log then has been learned again by the next end, or does not
 /// come again.
@@ -170,6 +170,11 @@
                 let command = Command::Document(document);
                 self.proposals.start(For::Document(ticket), command, now + DOCUMENT_TIMEOUT);
             }
+            Event::Evacuate { ticket, hall, begins } => {
+                let as_of = self.view.evacuations.index();
+                let command = Command::Evacuate(Evacuation { hall, begins, as_of });
+                self.proposals.start(For::Evacuation(ticket), command, now + DOCUMENT_TIMEOUT);
+            }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
             Event::Loads(loads) => self.view.set_loads(loads),
             Event::Begun(begun) => {
@@ -410,6 +415,7 @@
             (For::Document(ticket), Answer::Documented(version)) => {
                 out.push(Effect::Documented { ticket, version: Some(version) });
             }
+            (For::Evacuation(ticket), Answer::Evacuated(_)) => out.push(Effect::Evacuated { ticket, decided: true }),
             (For::Admin(ticket), Answer::Changed(changed)) => {
                 out.push(Effect::Admin { ticket, answer: Some(changed) });
             }
@@ -426,6 +432,7 @@
             match purpose {
                 For::Admin(ticket) => out.push(Effect::Admin { ticket, answer: None }),
                 For::Document(ticket) => out.push(Effect::Documented { ticket, version: None }),
+                For::Evacuation(ticket) => out.push(Effect::Evacuated { ticket, decided: false }),
                 purpose => self.with_calls(now, out, |calls, context| calls.on_answer(context, &purpose, None)),
             }
         }
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -13,7 +13,7 @@
 };
 
 use rudder_events::What;
-use rudder_ledger::{Config, Delta, Document, Quarantine, QuarantineNews};
+use rudder_ledger::{Config, Delta, Document, Evacuations, Quarantine, QuarantineNews};
 use rudder_model::{EndpointId, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id};
 
 use crate::{
@@ -55,6 +55,8 @@
     pub registry: Registry,
     /// Contents under which endpoints ended.
     pub quarantine: Arc<Quarantine>,
+    /// Halls whose endpoints get nothing.
+    pub evacuations: Arc<Evacuations>,
     /// Work of all other instances at endpoints, as of the question that proves the configuration.
     pub others: Vec<Load>,
     /// Counts the changes of what traffic needs: directory, document, registry.
@@ -248,6 +250,7 @@
             document: self.document.as_ref().filter(|_| !self.whole).map_or(0, |document| document.version),
             registry: self.registry.version(),
             quarantine: self.quarantine.index(),
+            evacuations: self.evacuations.index(),
             heard,
             loads: with_loads.then(|| watchers.join_loads(&self.loads)),
             group: self.to_group(watchers, options),
@@ -282,6 +285,7 @@
             document: self.document.as_ref(),
             registry: &self.registry,
             quarantine: &self.quarantine,
+            evacuations: &self.evacuations,
             others: &self.others,
             time: self.clock.agreed(now),
         })
@@ -331,6 +335,7 @@
         }
         let mut urgent = self.take_document(watched.document, promises, out);
         urgent |= self.take_quarantine(watched.quarantine);
+        urgent |= self.take_evacuations(watched.evacuations, out);
         self.confirm(watched.round, *from == watched.leader);
         let held = self.document.as_ref().map_or(0, |document| document.version);
         // Time counts from the start of this process; a proof from before that cannot be told, and is none.
@@ -413,6 +418,18 @@
         taken
     }
 
+    /// Takes in which halls are evacuated; an answer that came late tells nothing newer.
+    fn take_evacuations(&mut self, news: Option<Evacuations>, out: &mut Vec<Effect>) -> bool {
+        let Some(news) = news else { return false };
+        let taken = Arc::make_mut(&mut self.evacuations).take(news);
+        if taken {
+            self.edition += 1;
+            let halls = self.evacuations.evacuated().cloned().collect();
+            out.push(Effect::Log(What::Evacuations { index: self.evacuations.index(), halls }));
+        }
+        taken
+    }
+
     fn take_delta(&mut self, delta: Delta) -> bool {
         let (kind, name) = (delta.kind, delta.name.clone());
         let before = self.keys_of(kind, &name);
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -3,7 +3,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rudder_ledger::{Config, Document, Quarantine};
+use rudder_ledger::{Config, Document, Evacuations, Quarantine};
 use rudder_model::InstanceId;
 
 use crate::{
@@ -66,6 +66,8 @@
     pub registry: &'a Registry,
     /// Contents under which endpoints ended.
     pub quarantine: &'a Quarantine,
+    /// Halls whose endpoints get nothing.
+    pub evacuations: &'a Evacuations,
     /// Work of instances that neither ask here nor ask those who do.
     pub others: &'a [Load],
     /// The agreed time of day, where it is known.
@@ -99,6 +101,7 @@
             document: self.document_for(now, &name, watch.document, source.document),
             registry: source.registry.news_after(watch.registry),
             quarantine: source.quarantine.news_after(watch.quarantine),
+            evacuations: source.evacuations.news_after(watch.evacuations),
             loads,
             group,
             time: source.time,
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -112,6 +112,8 @@
     pub now: Duration,
     /// Answers to documents, by ticket.
     pub documented: BTreeMap<u64, Option<u64>>,
+    /// Whether the log holds each order of an evacuation.
+    pub evacuated: BTreeMap<u64, bool>,
     /// Answers to heartbeats, by ticket.
     pub registered: BTreeMap<u64, bool>,
     /// What each instance sent, by kind of message.
@@ -161,6 +163,7 @@
         document: 0,
         registry: 0,
         quarantine: 0,
+        evacuations: 0,
         heard: Vec::new(),
         loads: Some(Vec::new()),
         group: None,
@@ -213,6 +216,7 @@
             nodes: (0..total).map(node).collect(),
             now: Duration::from_secs(1),
             documented: BTreeMap::new(),
+            evacuated: BTreeMap::new(),
             registered: BTreeMap::new(),
             sent: BTreeMap::new(),
             halls,
@@ -474,6 +478,7 @@
                 self.schedule(after, Delivery::Call(number, starts, ticket, fence, Box::new(call)));
             }
             Effect::Documented { ticket, version } => drop(self.documented.insert(ticket, version)),
+            Effect::Evacuated { ticket, decided } => drop(self.evacuated.insert(ticket, decided)),
             Effect::Registered { ticket, taken } => drop(self.registered.insert(ticket, taken)),
             _ => {}
         }
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -398,6 +398,7 @@
             | Effect::Call { .. }
             | Effect::Log(_)
             | Effect::Documented { .. }
+            | Effect::Evacuated { .. }
             | Effect::Registered { .. } => {}
         }
     }
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -337,6 +337,24 @@
         /// For how long after the last of them.
         refused: Duration,
     },
+    /// Other halls are evacuated now: their endpoints get nothing from here.
+    Evacuations {
+        /// Log index of the change.
+        index: u64,
+        /// All halls that are evacuated.
+        halls: Vec<HallId>,
+    },
+    /// An operator ordered the evacuation of a hall, or its end.
+    EvacuationOrdered {
+        /// The hall.
+        hall: HallId,
+        /// It begins; otherwise, it ends.
+        begins: bool,
+        /// HTTP status of the answer.
+        status: u16,
+        /// How long the answer took, in milliseconds.
+        took_ms: u64,
+    },
     /// An endpoint joined, changed its standing, or was taken off.
     Endpoint {
         /// The endpoint.
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -121,6 +121,14 @@
         What::EndedUnder { endpoint, content, .. } => format!("{endpoint} ended while it ran content {content}"),
         What::Woke { after } => format!("woke: its machine had been suspended for {after:?}"),
         What::WordRefused { endpoint, why } => format!("took no word in the name of {endpoint}: {why}"),
+        What::Evacuations { halls, .. } if halls.is_empty() => "learned that no hall is evacuated any more".to_owned(),
+        What::Evacuations { halls, .. } => {
+            format!("learned that these halls are evacuated: {}", halls.join(", "))
+        }
+        What::EvacuationOrdered { hall, begins, status, took_ms } => {
+            let order = if *begins { "evacuate" } else { "end the evacuation of" };
+            format!("an operator's order to {order} {hall} was answered {status} after {took_ms} ms")
+        }
         What::Quarantined { content, refused } => {
             format!("refuses content {content} for {refused:?}: endpoints ended under it, one after the other")
         }
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -271,6 +271,9 @@
             Effect::Documented { ticket, version } => {
                 self.batch.push(Notice::Reply(ticket, Reply::Documented(version)));
             }
+            Effect::Evacuated { ticket, decided } => {
+                self.batch.push(Notice::Reply(ticket, Reply::Evacuated(decided)));
+            }
             Effect::Registered { ticket, taken } => self.batch.push(Notice::Reply(ticket, Reply::Registered(taken))),
             Effect::Log(what) => self.log.write(what),
             Effect::Call { ticket, fence, age, call } => {
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -59,6 +59,8 @@
     Documented(Option<u64>),
     /// A heartbeat was taken in, or was not.
     Registered(bool),
+    /// The log holds an order of an evacuation, or nothing is known.
+    Evacuated(bool),
 }
 
 /// Those who wait for the reducer.
--- a/crates/rudder-ledger/src/apply.rs
+++ b/crates/rudder-ledger/src/apply.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, Claims, Command, Config, Document, Quarantine, Stamped, Usage, document};
+use crate::{Answer, Claims, Command, Config, Document, Evacuations, Quarantine, Stamped, Usage, document};
 
 /// Everything the voters agree on, but for their own membership.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +25,9 @@
     /// Contents under which endpoints ended.
     #[serde(default)]
     pub quarantine: Quarantine,
+    /// Halls whose endpoints get nothing.
+    #[serde(default)]
+    pub evacuations: Evacuations,
 }
 
 impl Ledger {
@@ -44,6 +47,7 @@
             Command::CloseWindow(window) => Answer::Counted(self.usage.close(window)),
             Command::Reported(window) => Answer::Counted(self.usage.end(window)),
             Command::Findings(findings) => Answer::Found(self.quarantine.apply(index, &findings)),
+            Command::Evacuate(order) => Answer::Evacuated(self.evacuations.apply(index, order)),
         }
     }
 
--- a/crates/rudder-ledger/src/command.rs
+++ b/crates/rudder-ledger/src/command.rs
@@ -5,7 +5,7 @@
 use rudder_model::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, Change, Changed, Claim, Document, Findings, Outcome, Standing, Tally, Window};
+use crate::{Attempt, Change, Changed, Claim, Document, Evacuation, Findings, Outcome, Standing, Tally, Window};
 
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,6 +40,8 @@
     Reported(Window),
     /// What became of contents under which endpoints ended.
     Findings(Findings),
+    /// Evacuates a hall, or takes that back.
+    Evacuate(Evacuation),
 }
 
 /// A command with the time at which its leader took it in.
@@ -66,4 +68,6 @@
     Counted(bool),
     /// Answer to [`Command::Findings`]: whether instances are to be told.
     Found(bool),
+    /// Answer to [`Command::Evacuate`]: whether it changed anything. The order stands in either case.
+    Evacuated(bool),
 }
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -155,7 +155,7 @@
                 self.outlets.log.write(what);
             }
             // Documents, heartbeats and duties come in through the gateway, which drives the reducer itself.
-            Effect::Documented { .. } | Effect::Registered { .. } | Effect::Call { .. } => {}
+            Effect::Documented { .. } | Effect::Evacuated { .. } | Effect::Registered { .. } | Effect::Call { .. } => {}
             Effect::Exit => self.running = false,
         }
     }
