--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -61,6 +61,9 @@
     /// It may be taken away at short notice, and costs less.
     #[serde(default)]
     pub cheap: bool,
+    /// It has just started, or has gone cold, and bears few requests for some time.
+    #[serde(default)]
+    pub warming: bool,
     /// Where it stands.
     pub phase: Phase,
     /// Rises with each heartbeat, so that a late one is known.
@@ -88,6 +91,7 @@
             hall,
             slots: 0,
             cheap: false,
+            warming: false,
             phase: Phase::Gone,
             sequence: 0,
         }
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -400,6 +400,7 @@
             hall: "hall-0".into(),
             slots: 8,
             cheap: false,
+            warming: false,
             phase,
             sequence,
         };
@@ -416,6 +417,7 @@
             hall: "hall-0".into(),
             slots: 8,
             cheap: false,
+            warming: false,
             phase,
             sequence,
         };
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -121,14 +121,6 @@
         What::EndedUnder { endpoint, content, .. } => format!("{endpoint} ended while it ran content {content}"),
         What::Woke { after } => format!("woke: its machine had been suspended for {after:?}"),
         What::WordRefused { endpoint, why } => format!("took no word in the name of {endpoint}: {why}"),
-        What::Evacuations { halls, .. } if halls.is_empty() => "learned that no hall is evacuated any more".to_owned(),
-        What::Evacuations { halls, .. } => {
-            format!("learned that these halls are evacuated: {}", halls.join(", "))
-        }
-        What::EvacuationOrdered { hall, begins, status, took_ms } => {
-            let order = if *begins { "evacuate" } else { "end the evacuation of" };
-            format!("an operator's order to {order} {hall} was answered {status} after {took_ms} ms")
-        }
         What::Quarantined { content, refused } => {
             format!("refuses content {content} for {refused:?}: endpoints ended under it, one after the other")
         }
@@ -139,6 +131,24 @@
             format!("leaves {endpoint} out: {failed} of its last {ended} requests failed, over all instances")
         }
         What::Ejected { endpoint, why, pause } => format!("leaves {endpoint} out for {pause:?}: {why}"),
+        What::DutyHeld { .. } | What::WindowClosed { .. } | What::EnginesWanted { .. } | What::DutyCalled { .. } => {
+            to_duty_sentence(what)
+        }
+        other => to_instance_sentence(other),
+    }
+}
+
+/// Sentences on an instance as a whole: what it knows of the others, and of the configuration.
+fn to_instance_sentence(what: &What) -> String {
+    match what {
+        What::Evacuations { halls, .. } if halls.is_empty() => "learned that no hall is evacuated any more".to_owned(),
+        What::Evacuations { halls, .. } => {
+            format!("learned that these halls are evacuated: {}", halls.join(", "))
+        }
+        What::EvacuationOrdered { hall, begins, status, took_ms } => {
+            let order = if *begins { "evacuate" } else { "end the evacuation of" };
+            format!("an operator's order to {order} {hall} was answered {status} after {took_ms} ms")
+        }
         What::Fresh { fresh: true, .. } => "can prove its configuration the newest again".to_owned(),
         What::Fresh { fresh: false, .. } => "can no longer prove its configuration the newest".to_owned(),
         What::Documented { version, before } => format!("configuration {version} is in force, {before} before"),
@@ -150,9 +160,6 @@
         What::Parent { relays } => format!("asks the relays {}", relays.join(", ")),
         What::Leads { leads: true, term } => format!("leads in term {term}"),
         What::Leads { leads: false, term } => format!("leads no more, in term {term}"),
-        What::DutyHeld { .. } | What::WindowClosed { .. } | What::EnginesWanted { .. } | What::DutyCalled { .. } => {
-            to_duty_sentence(what)
-        }
         What::Started { hall, .. } => format!("started in hall {hall}"),
         What::Stopping => "began a planned stop".to_owned(),
         What::Stopped => "ended as planned".to_owned(),
--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -8,10 +8,12 @@
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
     balance::Balance,
-    choose::{self, Field, Inputs},
+    choose::{self, Eligibility, Field, Inputs},
     dialect::{Prompt, PromptPart},
     health::Health,
+    places::Places,
     plan::{Engine, Limits, Share},
+    ramp::Ramp,
     reading::Reading,
     roster::Roster,
 };
@@ -33,6 +35,8 @@
     balance: Balance,
     health: Health,
     reading: Reading,
+    places: Places,
+    ramp: Ramp,
     hall: HallId,
     plan: Plan,
     policy: Policy,
@@ -48,6 +52,7 @@
             hall: format!("hall-{}", number % 3).as_str().into(),
             slots: 64,
             cheap: false,
+            warming: false,
             phase: Phase::Ready,
             sequence: 1,
         };
@@ -69,6 +74,8 @@
             balance,
             health: Health::default(),
             reading: Reading::default(),
+            places: Places::default(),
+            ramp: Ramp::new("me".into(), Moment::now()),
             hall: "hall-0".into(),
             plan: to_plan(engines),
             policy: Policy::default(),
@@ -81,6 +88,8 @@
             work_age: Duration::from_millis(200),
             health: &self.health,
             reading: &self.reading,
+            places: &self.places,
+            ramp: &self.ramp,
             hall: &self.hall,
             plan: &self.plan,
             policy: &self.policy,
@@ -95,7 +104,13 @@
 
 fn to_plan(engines: bool) -> Plan {
     let engine = Engine { slots: 64, memory: 290_000, copies: true, event_tokens: 7, move_speed: 3_000.0 };
-    let service = Service { name: "svc".into(), connections: 800, engine: engines.then_some(engine), scaling: None };
+    let service = Service {
+        name: "svc".into(),
+        connections: 800,
+        engine: engines.then_some(engine),
+        scaling: None,
+        warm_up: None,
+    };
     let mut plan = Plan::new(1, Limits::default());
     plan.services.insert("svc".into(), service);
     for (name, pause) in [("quick", 300), ("slow", 1_200)] {
@@ -112,6 +127,7 @@
             attempts: 1,
             open: false,
             resumable: false,
+            homes: None,
         };
         plan.add_route(route).expect("it fits");
     }
@@ -127,7 +143,9 @@
 fn choose_on(bencher: Bencher, scene: &Scene, path: &str, prompt: Option<&Prompt>) {
     let field = scene.field();
     let route = scene.plan.find("h", path).expect("a route");
-    bencher.bench_local(|| choose::choose(&scene.inputs(), route, "svc", &field, black_box(prompt), &[]));
+    bencher.bench_local(|| {
+        choose::choose(&scene.inputs(), route, "svc", &field, black_box(prompt), Eligibility::default())
+    });
 }
 
 #[divan::bench(args = ENDPOINTS)]
--- a/crates/rudder-gateway/benches/publish.rs
+++ b/crates/rudder-gateway/benches/publish.rs
@@ -22,6 +22,7 @@
             hall: "hall-0".into(),
             slots: 64,
             cheap: false,
+            warming: false,
             phase: Phase::Ready,
             sequence: 1,
         };
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, StatusCode, header, request, uri::PathAndQuery};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
@@ -15,7 +14,13 @@
     ended::{check_not_refused, to_hex},
     refusal::{denied, not_run},
 };
-use crate::{Dialect, Plan, Route, dialect::CallHead, shared::Shared};
+use crate::{
+    Dialect, Plan, Route,
+    dialect::CallHead,
+    holdings::{Cut, Reads, Unread, read_whole},
+    places::homes_of,
+    shared::Shared,
+};
 
 /// A caller that named no deadline waits this long at most.
 const DEADLINE: Duration = Duration::from_secs(60);
@@ -38,7 +43,7 @@
 pub(super) async fn read<D: Dialect>(
     shared: &Shared<D>,
     arrived: Moment,
-    parts: request::Parts,
+    mut parts: request::Parts,
     head: CallHead,
     body: Incoming,
 ) -> Result<Call, Refusal> {
@@ -59,8 +64,9 @@
     let allowed = head.deadline.unwrap_or(DEADLINE).min(route.timeout);
     let until = arrived + allowed;
     let tier = organisation.and_then(|organisation| organisation.tier).unwrap_or(route.tier);
+    let homes = homes_of(&route, organisation);
     let organisation = organisation.map(|organisation| organisation.name.clone());
-    let body = read_body(body, plan.limits.body, until).await?;
+    let body = read_body(shared, body, plan.limits.body, until).await?;
     let caller = organisation.as_deref().unwrap_or_default();
     let target = parts.uri.path_and_query().map_or(path, PathAndQuery::as_str);
     let content = content_tag(caller, parts.method.as_str(), &host, target, &body);
@@ -87,9 +93,11 @@
         engine_rank,
         prompt: head.prompt,
         content,
+        homes,
         last_event: head.last_event,
         key: head.key,
         host,
+        cut: parts.extensions.remove::<Cut>().unwrap_or_default(),
         method: parts.method,
         uri: parts.uri,
         headers,
@@ -103,14 +111,17 @@
     host.split(':').next().unwrap_or_default().to_ascii_lowercase()
 }
 
-async fn read_body(body: Incoming, limit: usize, until: Moment) -> Result<Bytes, Refusal> {
-    let collected = timeout_at(until, Limited::new(body, limit).collect()).await;
-    match collected {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            Err(denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"))
-        }
-        Ok(Err(_)) => Err(denied(StatusCode::BAD_REQUEST, "the body cannot be read")),
+async fn read_body<D: Dialect>(
+    shared: &Shared<D>,
+    body: Incoming,
+    limit: usize,
+    until: Moment,
+) -> Result<Bytes, Refusal> {
+    match timeout_at(until, read_whole(&shared.holdings, body, limit, Reads::Request)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(Unread::TooLarge)) => Err(denied(StatusCode::PAYLOAD_TOO_LARGE, "the body is too large")),
+        Ok(Err(Unread::Broken)) => Err(denied(StatusCode::BAD_REQUEST, "the body cannot be read")),
+        Ok(Err(Unread::Full)) => Err(not_run("too much is held for others", shared.options.come_back)),
         Err(_) => Err(denied(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
     }
 }
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -18,7 +18,7 @@
 use crate::{
     Dialect,
     balance::Flight,
-    choose::{self, Choice, Inputs},
+    choose::{self, Choice, Eligibility, Inputs},
     health::Outcome,
     shared::Shared,
     upstream::{self, Connection},
@@ -103,7 +103,9 @@
 ) -> Result<Result<Leg, Failure>, Refusal> {
     let Some(choice) = pick(shared, call, progress) else {
         progress.connects = CONNECTS;
-        return Ok(Err(Failure::Unsent("no endpoint of its service is in use")));
+        let bound = call.homes.is_some();
+        let why = if bound { "no endpoint is in use where it may go" } else { "no endpoint of its service is in use" };
+        return Ok(Err(Failure::Unsent(why)));
     };
     if progress.sent == 0 {
         check_not_hopeless(shared, call, &choice)?;
@@ -135,6 +137,10 @@
     if left.is_zero() {
         return Err(Failure::Late);
     }
+    if !shared.try_take_place(&choice, now) {
+        put_back(shared, &choice.endpoint, connection, None);
+        return Err(Failure::Unsent("the endpoint takes no more for now"));
+    }
     shared.metrics.note_attempt(progress.sent > 0);
     progress.sent += 1;
     progress.ran += 1;
@@ -239,23 +245,27 @@
     let balance = shared.balance.borrow();
     let health = shared.health.borrow();
     let reading = shared.reading.borrow();
+    let (places, ramp) = (shared.places.borrow(), shared.ramp.borrow());
     let inputs = Inputs {
         balance: &balance,
         work_age: shared.work_age(),
         health: &health,
         reading: &reading,
+        places: &places,
+        ramp: &ramp,
         hall: &shared.options.hall,
         plan: &plan,
         policy: &shared.options.policy,
         now: Moment::now(),
     };
+    let eligible = Eligibility { tried: &progress.tried, homes: call.homes.as_deref() };
     let first = choose::service_of(&call.route, rand::random())?;
     let by_weight = progress.chosen.as_ref().unwrap_or(first);
     let others = call.route.shares.iter().map(|share| &share.service);
     let mut services = std::iter::once(by_weight).chain(others);
     services.find_map(|service| {
         let field = shared.fields.borrow_mut().of(service, &roster, &inputs);
-        choose::choose(&inputs, &call.route, service, &field, call.prompt.as_ref(), &progress.tried)
+        choose::choose(&inputs, &call.route, service, &field, call.prompt.as_ref(), eligible)
     })
 }
 
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -28,7 +28,7 @@
     }
     let before = progress.last.take()?;
     let keeper = before.keeper.as_ref()?;
-    let instances = shared.view.borrow().sender_count();
+    let instances = shared.view.borrow().senders().count();
     if !shared.budget.borrow_mut().try_take(&before.service, Moment::now(), instances) {
         return None;
     }
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -44,7 +44,9 @@
     body::AnswerBody,
     choose::Choice,
     dialect::{AnswerHead, CallHead, Forward, Prompt},
+    holdings::Cut,
     metrics::Ending,
+    places::Homes,
     shared::{Shared, Stage},
     upstream::Connection,
 };
@@ -81,8 +83,12 @@
     pub prompt: Option<Prompt>,
     /// What its caller asks for, in short: the same when it comes again under another id.
     pub content: ContentTag,
+    /// Where it may be run and kept.
+    pub homes: Homes,
     /// Last event that the caller had when it asked.
     pub last_event: Option<u64>,
+    /// Ends its caller's connection.
+    pub cut: Cut,
     key: Option<String>,
     host: String,
     method: Method,
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -10,7 +10,7 @@
     ended::{check_not_refused, is_risky},
     refusal::{not_run, stopped},
 };
-use crate::{Dialect, RouteKind, choose::Choice, shared::Shared};
+use crate::{Dialect, Route, RouteKind, choose::Choice, places::homes_of, shared::Shared};
 
 /// Endpoints beyond the route's own bound that a request may go to when it did not run.
 const UNRUN_EXTRA: u32 = 1;
@@ -26,7 +26,7 @@
         return false;
     }
     let Some(service) = progress.chosen.clone() else { return true };
-    let instances = shared.view.borrow().sender_count();
+    let instances = shared.view.borrow().senders().count();
     shared.budget.borrow_mut().try_take(&service, now, instances)
 }
 
@@ -69,12 +69,12 @@
         return Err(refusal("the configuration may be old"));
     }
     let Some(plan) = shared.current_plan() else { return Err(refusal("no configuration yet")) };
-    let known = call.key.as_deref().is_some_and(|key| plan.organisation_of(key).is_some());
-    if plan.organisations.is_some() && !call.route.open && !known {
+    let organisation = call.key.as_deref().and_then(|key| plan.organisation_of(key));
+    if plan.organisations.is_some() && !call.route.open && organisation.is_none() {
         return Err(refusal("the key was taken away"));
     }
-    let same = plan.find(&call.host, call.uri.path()).is_some_and(|route| route.shares == call.route.shares);
-    if !same {
+    let is_same = |route: &Route| route.shares == call.route.shares && homes_of(route, organisation) == call.homes;
+    if !plan.find(&call.host, call.uri.path()).is_some_and(|route| is_same(route)) {
         return Err(refusal("the route has changed"));
     }
     check_not_refused(shared, call.content, progress)
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 
 use http::{Response, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
 use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
 
@@ -14,7 +13,15 @@
     refusal::{give_up, is_promise, outcome_unknown},
     strip_hop_headers,
 };
-use crate::{Dialect, RouteKind, body::AnswerBody, health::Outcome, metrics::Ending, shared::Shared, stream};
+use crate::{
+    Dialect, RouteKind,
+    body::AnswerBody,
+    health::Outcome,
+    holdings::{Reads, read_whole},
+    metrics::Ending,
+    shared::Shared,
+    stream,
+};
 
 /// Largest answer that is held whole before it is passed on.
 pub const WHOLE: usize = 8 << 20;
@@ -91,14 +98,14 @@
     let (mut parts, body) = response.into_parts();
     let whole = async {
         tokio::select! {
-            collected = Limited::new(body, WHOLE).collect() => collected.ok(),
+            read = read_whole(&shared.holdings, body, WHOLE, Reads::Answer(call.cut.clone())) => read.ok(),
             () = shared.wait_replaced(&choice.endpoint) => None,
         }
     };
     let collected = timeout_at(call.until, whole).await;
     drop(flight);
     let bytes = match collected {
-        Ok(Some(collected)) => collected.to_bytes(),
+        Ok(Some(bytes)) => bytes,
         Ok(None) => {
             note_outcome(shared, &choice.endpoint, Outcome::Failed);
             note_if_ended(shared, call, progress, &choice).await;
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -7,9 +7,8 @@
 
 use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
-use rudder_model::EndpointId;
 
-use super::{Choice, Inputs, Keeper, Lane, to_choice};
+use super::{Choice, Eligibility, Inputs, Keeper, Lane, to_choice};
 use crate::{
     Route,
     balance::Work,
@@ -33,8 +32,8 @@
     service: &'a str,
     engine: Engine,
     prompt: &'a Prompt,
-    /// Endpoints that it must not go to again.
-    tried: &'a [EndpointId],
+    /// Where it may go.
+    eligible: Eligibility<'a>,
     /// It suffers from long prompts beside it.
     quick: bool,
 }
@@ -53,10 +52,10 @@
         service: &'a str,
         engine: Engine,
         prompt: &'a Prompt,
-        tried: &'a [EndpointId],
+        eligible: Eligibility<'a>,
     ) -> Request<'a> {
         let quick = lanes::is_quick(&inputs.policy.lanes, inputs.plan, route, service, inputs.reading);
-        Request { inputs, route, service, engine, prompt, tried, quick }
+        Request { inputs, route, service, engine, prompt, eligible, quick }
     }
 
     /// Picks one of the engines.
@@ -99,7 +98,7 @@
     /// The engines that are weighed: those of the session and a few drawn by lot. Were all weighed, all instances,
     /// whose counts of each other's work are some hundred milliseconds old, would send to the same one.
     fn draw<'e>(&self, lane: &'e Lane, session: &'e Session) -> Vec<&'e Registration> {
-        let count = self.policy().drawn + self.tried.len();
+        let count = self.policy().drawn + self.eligible.tried.len();
         let mut drawn: Vec<&Registration> = session.homes.iter().map(|home| &**home).collect();
         drawn.extend(lane.endpoints.sample(&mut rand::rng(), count).map(|held| &**held));
         if self.quick {
@@ -110,7 +109,7 @@
     }
 
     fn may_take(&self, held: &Registration) -> bool {
-        !self.tried.contains(&held.endpoint)
+        self.eligible.allows(self.inputs, held)
     }
 
     fn cheapest<'e>(&self, drawn: Vec<&'e Registration>, session: &Session) -> Option<&'e Registration> {
@@ -171,7 +170,8 @@
     /// Another engine than the chosen one: of two drawn by lot, the one with fewer requests.
     fn draw_keeper(&self, lane: &Lane, chosen: &Registration) -> Option<Keeper> {
         let drawn = lane.endpoints.sample(&mut rand::rng(), KEEPERS_DRAWN + 1);
-        let others = drawn.filter(|held| held.endpoint != chosen.endpoint).take(KEEPERS_DRAWN);
+        let may_keep = |held: &&Arc<Registration>| held.endpoint != chosen.endpoint && self.may_take(held);
+        let others = drawn.filter(may_keep).take(KEEPERS_DRAWN);
         let keeper = others.min_by_key(|held| self.work(held).calls)?;
         Some(Keeper {
             endpoint: keeper.endpoint.clone(),
--- a/crates/rudder-gateway/src/choose/field.rs
+++ b/crates/rudder-gateway/src/choose/field.rs
@@ -12,6 +12,7 @@
 use super::Inputs;
 use crate::{
     lanes::{self, Lanes},
+    ramp::Use,
     roster::Roster,
 };
 
@@ -77,7 +78,11 @@
     pub fn new(endpoints: &[Arc<Registration>], service: &str, inputs: &Inputs) -> Field {
         let is_out = |held: &Registration| inputs.health.is_ejected(&held.endpoint, inputs.now);
         let is_well = |held: &Arc<Registration>| held.phase == Phase::Ready && !is_out(held);
-        let (well, rest): (Vec<_>, Vec<_>) = endpoints.iter().cloned().partition(is_well);
+        // What may not be used from here at all is in no lane.
+        let is_usable =
+            |held: &&Arc<Registration>| inputs.places.is_open(&held.hall) && inputs.use_of(held) != Use::Barred;
+        let usable = endpoints.iter().filter(is_usable).cloned();
+        let (well, rest): (Vec<_>, Vec<_>) = usable.partition(is_well);
         let doubtful = rest.into_iter().filter(|held| held.phase <= Phase::Silent).collect();
         let lanes = to_lanes(inputs, service, well);
         let back = endpoints.iter().filter_map(|held| inputs.health.returns_at(&held.endpoint, inputs.now)).min();
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -11,11 +11,20 @@
 
 use rudder_clock::Moment;
 use rudder_core::Registration;
-use rudder_model::{Born, EndpointId, HallId};
+use rudder_model::{Born, EndpointId, HallId, RegionId};
 
 use self::engine::Request;
 pub use self::field::{Field, Fields, Lane};
-use crate::{Plan, Policy, balance::Balance, dialect::Prompt, health::Health, plan::Route, reading::Reading};
+use crate::{
+    Plan, Policy,
+    balance::Balance,
+    dialect::Prompt,
+    health::Health,
+    places::Places,
+    plan::Route,
+    ramp::{Ramp, Use},
+    reading::Reading,
+};
 
 /// What a choice rests on.
 #[derive(Debug)]
@@ -28,6 +37,10 @@
     pub health: &'a Health,
     /// How fast engines read.
     pub reading: &'a Reading,
+    /// Where requests may go.
+    pub places: &'a Places,
+    /// Endpoints that are warming up.
+    pub ramp: &'a Ramp,
     /// This instance's hall.
     pub hall: &'a HallId,
     /// The configuration.
@@ -38,6 +51,32 @@
     pub now: Moment,
 }
 
+impl Inputs<'_> {
+    /// How an endpoint may be used from here while it warms up.
+    pub fn use_of(&self, held: &Registration) -> Use {
+        let warm_up = self.plan.services.get(&held.service).and_then(|service| service.warm_up);
+        self.ramp.use_of(held, warm_up, &self.policy.slow_start, self.now)
+    }
+}
+
+/// Which endpoints one request may go to, of those that any may.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Eligibility<'a> {
+    /// Endpoints that it must not go to again.
+    pub tried: &'a [EndpointId],
+    /// The regions that it is bound to; `None` where it is not.
+    pub homes: Option<&'a [RegionId]>,
+}
+
+impl Eligibility<'_> {
+    /// True where the request may go to `held` now.
+    pub fn allows(&self, inputs: &Inputs, held: &Registration) -> bool {
+        !self.tried.contains(&held.endpoint)
+            && inputs.places.allows(self.homes, &held.hall)
+            && inputs.ramp.has_room(&held.endpoint, inputs.use_of(held), inputs.now)
+    }
+}
+
 /// An endpoint that keeps a copy of a running request's memory.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Keeper {
@@ -88,24 +127,24 @@
     None
 }
 
-/// Picks an endpoint of `service` from its `field` for a request of `route` that is not among `tried`.
+/// Picks an endpoint of `service` from its `field` for a request of `route`, as far as it is eligible.
 pub fn choose(
     inputs: &Inputs,
     route: &Route,
     service: &str,
     field: &Field,
     prompt: Option<&Prompt>,
-    tried: &[EndpointId],
+    eligible: Eligibility,
 ) -> Option<Choice> {
     let engine = inputs.plan.services.get(service).and_then(|service| service.engine);
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => {
-            let request = Request::new(inputs, route, service, engine, prompt, tried);
+            let request = Request::new(inputs, route, service, engine, prompt, eligible);
             request.choose(&field.quick, &field.bulk).or_else(|| request.choose(&field.doubtful, &field.doubtful))
         }
-        _ => {
-            [&field.bulk, &field.quick, &field.doubtful].into_iter().find_map(|lane| plain::choose(inputs, lane, tried))
-        }
+        _ => [&field.bulk, &field.quick, &field.doubtful]
+            .into_iter()
+            .find_map(|lane| plain::choose(inputs, lane, eligible)),
     }
 }
 
--- a/crates/rudder-gateway/src/choose/plain.rs
+++ b/crates/rudder-gateway/src/choose/plain.rs
@@ -8,9 +8,8 @@
 
 use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
-use rudder_model::EndpointId;
 
-use super::{Choice, Inputs, Lane, to_choice};
+use super::{Choice, Eligibility, Inputs, Lane, to_choice};
 use crate::recent::SPAN;
 
 /// Part of an endpoint's slots at most by which counts may differ and yet be taken for equal: one that is nearly full is
@@ -21,9 +20,9 @@
 /// from all.
 const WEIGHED_MOST: usize = 24;
 
-/// Picks one of the endpoints that is not among `tried`.
-pub(super) fn choose(inputs: &Inputs, lane: &Lane, tried: &[EndpointId]) -> Option<Choice> {
-    let candidates = draw(lane, tried);
+/// Picks one of the eligible endpoints.
+pub(super) fn choose(inputs: &Inputs, lane: &Lane, eligible: Eligibility) -> Option<Choice> {
+    let candidates = draw(inputs, lane, eligible);
     let calls = |held: &Registration| inputs.balance.at(&held.endpoint).calls;
     let least = candidates.iter().map(|held| calls(held)).min()?;
     let come = come_since(inputs, &candidates);
@@ -37,17 +36,17 @@
 }
 
 /// The endpoints that are weighed.
-fn draw<'a>(lane: &'a Lane, tried: &[EndpointId]) -> Vec<&'a Registration> {
-    let untried = |held: &&Registration| !tried.contains(&held.endpoint);
-    let all = || lane.endpoints.iter().map(|held| &**held).filter(untried);
+fn draw<'a>(inputs: &Inputs, lane: &'a Lane, eligible: Eligibility) -> Vec<&'a Registration> {
+    let may_take = |held: &&Registration| eligible.allows(inputs, held);
+    let all = || lane.endpoints.iter().map(|held| &**held).filter(may_take);
     if lane.endpoints.len() <= WEIGHED_MOST {
         return all().collect();
     }
     let half = WEIGHED_MOST / 2;
     let near = lane.near.sample(&mut rand::rng(), half);
     let drawn = near.chain(lane.endpoints.sample(&mut rand::rng(), half));
-    let mut drawn: Vec<&Registration> = drawn.map(|held| &**held).filter(untried).collect();
-    // A request that was tried at all of those has little time left: the first other one will do.
+    let mut drawn: Vec<&Registration> = drawn.map(|held| &**held).filter(may_take).collect();
+    // A request that may go to none of those takes the first other one that it may go to.
     if drawn.is_empty() {
         drawn.extend(all().next());
     }
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -149,13 +149,24 @@
     pub keep: Option<Duration>,
 }
 
+/// Who asks which instances to use.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Whence {
+    /// The hall next to the caller.
+    pub hall: Option<String>,
+    /// The region that the caller is in.
+    pub region: Option<String>,
+    /// The host that it wants to reach.
+    pub host: Option<String>,
+}
+
 /// What a request at one of the other doors asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Operation {
     /// Whether this instance takes callers.
     Ready,
-    /// Which instances to use, for a caller in this hall.
-    Entries(Option<String>),
+    /// Which instances to use, for this caller.
+    Entries(Whence),
     /// Replace the configuration document.
     Replace,
     /// Read the configuration document.
@@ -164,6 +175,10 @@
     Heartbeat(String),
     /// This endpoint ends.
     Leave(String),
+    /// The endpoints of this hall are to get nothing more.
+    Evacuate(String),
+    /// The evacuation of this hall ends.
+    Return(String),
     /// Nothing that is known.
     Unknown,
 }
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -244,6 +244,7 @@
                 endpoints: endpoints.clone(),
                 entries: view.directory.values().cloned().collect(),
                 quarantine: view.quarantine.clone(),
+                evacuations: view.evacuations.clone(),
             };
             log_endpoints(&self.log, &self.endpoints, &endpoints);
             self.endpoints = endpoints;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -154,6 +154,7 @@
     resumes: Counter,
     ejections: Counter,
     ended_under: Counter,
+    held_back: Counter,
     words: Family<Why, Counter>,
     duties: Family<Duty, Counter>,
     first: Family<Kind, Histogram>,
@@ -181,6 +182,10 @@
     memory: Gauge,
     dropped: Gauge,
     quarantined: Gauge,
+    evacuated: Gauge,
+    held: Gauge,
+    held_peak: Gauge,
+    held_most: Gauge,
     calls: Family<At, Gauge>,
     unread: Family<At, Gauge>,
 }
@@ -197,6 +202,7 @@
             resumes: Counter::default(),
             ejections: Counter::default(),
             ended_under: Counter::default(),
+            held_back: Counter::default(),
             words: Family::default(),
             duties: Family::default(),
             first: Family::new_with_constructor(histogram),
@@ -229,6 +235,9 @@
         registry.register("resumes", "Streams taken up at another endpoint", self.resumes.clone());
         registry.register("ejections", "Endpoints left out for a while", self.ejections.clone());
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
+        let help =
+            "Requests that a choice took to an endpoint which took no more: it warms up, or its hall is evacuated";
+        registry.register("held_back", help, self.held_back.clone());
         registry.register("refused_words", "What endpoints said and was not taken in, by reason", self.words.clone());
         registry.register("duty_calls", "Calls of the holder of a duty, by duty and outcome", self.duties.clone());
         let seconds = Unit::Seconds;
@@ -256,6 +265,11 @@
         registry.register("log_lines_left_out", "Log lines left out in the last second", state.dropped.clone());
         let help = "Contents refused because endpoints ended under them";
         registry.register("quarantined_contents", help, state.quarantined.clone());
+        let help = "Bytes of bodies held for callers and endpoints that have not taken them";
+        registry.register("held_bytes", help, state.held.clone());
+        registry.register("held_peak_bytes", "Most bytes that were ever held so", state.held_peak.clone());
+        registry.register("held_most_bytes", "Bytes that may be held so", state.held_most.clone());
+        registry.register("evacuated_halls", "Halls whose endpoints get nothing", state.evacuated.clone());
         registry.register("endpoint_calls", "Requests known to be at an endpoint", state.calls.clone());
         registry.register("endpoint_unread_tokens", "Prompt tokens unread at an endpoint", state.unread.clone());
     }
@@ -314,6 +328,16 @@
         self.state.borrow().quarantined.set((contents as u64).cast_signed());
     }
 
+    /// Counts a request that its endpoint could not be sent any more.
+    pub fn note_held_back(&self) {
+        self.held_back.inc();
+    }
+
+    /// Sets how many halls are evacuated.
+    pub fn set_evacuated(&self, halls: usize) {
+        self.state.borrow().evacuated.set((halls as u64).cast_signed());
+    }
+
     /// Counts a call that only the holder of a duty makes.
     pub fn note_duty(&self, duty: &'static str, outcome: CallOutcome) {
         let outcome = match outcome {
@@ -365,6 +389,9 @@
         let view = shared.view.borrow();
         state.instances.set(number(view.entries.len() as u64));
         state.memory.set(resident().unwrap_or_default());
+        state.held.set(number(shared.holdings.held() as u64));
+        state.held_peak.set(number(shared.holdings.peak() as u64));
+        state.held_most.set(number(shared.holdings.most() as u64));
         let (budget, blocked) = shared.log.dropped();
         state.dropped.set(number(budget + blocked));
         state.calls.clear();
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -10,11 +10,12 @@
 use rudder_core::{Event, Phase, Registration};
 use rudder_events::What;
 use rudder_ledger::Document;
+use rudder_model::HallId;
 
 use crate::{
     Dialect, Operation,
     body::AnswerBody,
-    dialect::WordFault,
+    dialect::{Whence, WordFault},
     shared::{Reply, Shared},
 };
 
@@ -32,6 +33,8 @@
 const READ_WAIT: Duration = Duration::from_millis(850);
 /// An operator waits this long for the log to decide.
 const DECIDE_WAIT: Duration = Duration::from_millis(2600);
+/// An order of an evacuation waits this long for proof of the evacuations in force: as long as a new leader may take.
+const PROVE_WAIT: Duration = Duration::from_secs(2);
 /// An endpoint waits this long for its heartbeat to be taken in.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(900);
 
@@ -53,17 +56,19 @@
 ) -> Response<AnswerBody> {
     match shared.dialect.read_operation(request.method(), request.uri()) {
         Operation::Ready => empty(if shared.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }),
-        Operation::Entries(hall) => entries(&shared, hall.as_deref()),
+        Operation::Entries(whence) => entries(&shared, &whence),
         Operation::Replace => replace(&shared, request.into_body()).await,
         Operation::Read => read(&shared, arrived).await,
         Operation::Heartbeat(endpoint) => heartbeat(&shared, &endpoint, request.into_body()).await,
         Operation::Leave(endpoint) => leave(&shared, &endpoint, request.into_body()).await,
+        Operation::Evacuate(hall) => evacuate(&shared, hall.into(), true, arrived).await,
+        Operation::Return(hall) => evacuate(&shared, hall.into(), false, arrived).await,
         Operation::Unknown => empty(StatusCode::NOT_FOUND),
     }
 }
 
-fn entries<D: Dialect>(shared: &Shared<D>, hall: Option<&str>) -> Response<AnswerBody> {
-    let addresses = shared.to_entries(hall);
+fn entries<D: Dialect>(shared: &Shared<D>, whence: &Whence) -> Response<AnswerBody> {
+    let addresses = shared.to_entries(whence);
     if addresses.is_empty() {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -118,6 +123,33 @@
     }
 }
 
+/// Evacuates a hall, or takes that back. The order counts from what was known of all evacuations when it came, so that a
+/// copy of it that is held up undoes nothing that was ordered since; that is proved first.
+async fn evacuate<D: Dialect>(shared: &Shared<D>, hall: HallId, begins: bool, arrived: Moment) -> Response<AnswerBody> {
+    if !shared.places.borrow().knows(&hall) {
+        return fault(StatusCode::NOT_FOUND, "there is no such hall");
+    }
+    let decided = decide_evacuation(shared, hall.clone(), begins, arrived).await;
+    let status = if decided { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    let took_ms = arrived.elapsed().as_millis() as u64;
+    shared.log.write(What::EvacuationOrdered { hall, begins, status: status.as_u16(), took_ms });
+    if decided {
+        json(status, Bytes::from_static(b"{}"))
+    } else {
+        fault(status, "the outcome is unknown; send the same again")
+    }
+}
+
+/// True where the log holds the order.
+async fn decide_evacuation<D: Dialect>(shared: &Shared<D>, hall: HallId, begins: bool, arrived: Moment) -> bool {
+    if !shared.prove(arrived, PROVE_WAIT).await {
+        return false;
+    }
+    let (ticket, reply) = shared.tickets.draw();
+    shared.tell(Event::Evacuate { ticket, hall, begins });
+    matches!(tokio::time::timeout(DECIDE_WAIT, reply).await, Ok(Ok(Reply::Evacuated(true))))
+}
+
 async fn heartbeat<D: Dialect>(shared: &Shared<D>, name: &str, body: Incoming) -> Response<AnswerBody> {
     let Ok(body) = Limited::new(body, HEARTBEAT).collect().await else {
         return refuse_word(shared, name, &WordFault::TooLarge);
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -1,9 +1,14 @@
 //! Settings of the entry.
 
-use std::{collections::BTreeSet, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    path::PathBuf,
+    time::Duration,
+};
 
 use rudder_core::options::DutyOptions;
-use rudder_model::{HallId, InstanceId};
+use rudder_model::{HallId, InstanceId, RegionId};
 
 use crate::Policy;
 
@@ -50,6 +55,8 @@
     pub doors: Doors,
     /// Its hall.
     pub hall: HallId,
+    /// The region of each hall of the deployment, where the settings tell it.
+    pub regions: BTreeMap<HallId, RegionId>,
     /// Instances to start from: their addresses for other instances.
     pub seeds: Vec<InstanceId>,
     /// The system starts for the first time, so the seeds found the log.
@@ -86,6 +93,8 @@
     pub watch: Duration,
     /// Lines logged in a second at most.
     pub log_lines: u32,
+    /// Bytes of memory that the process may take, where the settings tell it.
+    pub memory: Option<usize>,
     /// Duties, where there are any.
     pub duties: Option<Duties>,
     /// Settings of the decisions.
@@ -98,6 +107,7 @@
         Options {
             doors,
             hall,
+            regions: BTreeMap::new(),
             seeds: Vec::new(),
             found: false,
             data: None,
@@ -115,6 +125,7 @@
             start_up: Duration::from_secs(1),
             watch: Duration::from_millis(100),
             log_lines: 600,
+            memory: None,
             duties: None,
             policy: Policy::default(),
         }
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -4,6 +4,8 @@
 
 use rudder_route::scale::Bounds;
 
+use crate::places::Homes;
+
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RouteKind {
@@ -51,6 +53,8 @@
     pub open: bool,
     /// Its streams may be taken up at another endpoint.
     pub resumable: bool,
+    /// Where its requests may be run and kept.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -64,6 +68,15 @@
     }
 }
 
+/// How long endpoints are slow after a start, and what they bear meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WarmUp {
+    /// How long.
+    pub span: Duration,
+    /// Requests a second, from all instances together.
+    pub rate: f64,
+}
+
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
@@ -75,6 +88,8 @@
     pub engine: Option<Engine>,
     /// How many endpoints may be ordered, where any may.
     pub scaling: Option<Bounds>,
+    /// What its endpoints bear after a start, where that is bounded.
+    pub warm_up: Option<WarmUp>,
 }
 
 /// What the engines of a service are able to do.
@@ -118,6 +133,8 @@
     pub name: Arc<str>,
     /// Rank that goes before that of the route.
     pub tier: Option<u8>,
+    /// Where its requests may be run and kept.
+    pub homes: Homes,
 }
 
 /// The shortest and longest pause that the routes of a service allow.
@@ -183,6 +200,16 @@
         /// What is wrong with it.
         why: String,
     },
+    /// What a service says of the start of its endpoints cannot be used.
+    #[error("service {service}: {key}: {why}")]
+    WarmUp {
+        /// The service.
+        service: String,
+        /// The field.
+        key: String,
+        /// What is wrong with it.
+        why: String,
+    },
     /// Two organisations share a key.
     #[error("organisations {0} and {1} share a key")]
     SharedKey(String, String),
@@ -253,6 +280,15 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
     }
 
+    /// The regions that all routes of `host` are bound to together; `None` where one of them is bound to none.
+    pub fn homes_of_host(&self, host: &str) -> Homes {
+        let mut regions = Vec::new();
+        for route in self.routes.get(host)? {
+            regions.extend(route.homes.as_ref()?.iter().cloned());
+        }
+        Some(regions.into())
+    }
+
     /// The pauses that the routes of a service allow, where it has routes that name any.
     pub fn pauses(&self, service: &str) -> Option<Pauses> {
         self.pauses.get(service).copied()
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use rudder_core::tree::Tree;
-use rudder_route::scale::ScaleOptions;
+use rudder_route::{scale::ScaleOptions, slow_start::SlowStart};
 use serde::Deserialize;
 
 /// Why a policy file is refused.
@@ -56,6 +56,8 @@
     pub relays: Tree,
     /// How many engines are ordered.
     pub scaling: ScaleOptions,
+    /// What endpoints get while they warm up.
+    pub slow_start: SlowStart,
 }
 
 /// Engines set apart for streams that suffer from long prompts beside them.
@@ -235,6 +237,7 @@
             ("relays.direct", self.relays.direct, DIRECT_LEAST),
             ("relays.askers", self.relays.askers, 1),
             ("relays.least", self.relays.least, 1),
+            ("slow_start.senders", self.slow_start.senders, 1),
         ])?;
         check_counts(&[("relays.periods", self.relays.periods as usize, 1)])?;
         check_all(&[("relays.periods", f64::from(self.relays.periods))], PERIODS_MOST)
--- a/crates/rudder-gateway/src/roster.rs
+++ b/crates/rudder-gateway/src/roster.rs
@@ -12,8 +12,8 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     services: HashMap<Arc<str>, Vec<Arc<Registration>>>,
-    /// All endpoints, in order: the registry gives them so, and a set of thousands takes far longer to build.
-    names: Vec<EndpointId>,
+    /// All endpoints, in the order of their ids: the registry gives them so, and a set of thousands takes far longer to build.
+    all: Vec<Arc<Registration>>,
     replaced: HashSet<EndpointId>,
 }
 
@@ -22,15 +22,15 @@
     pub fn new(endpoints: impl IntoIterator<Item = Arc<Registration>>) -> Roster {
         let mut roster = Roster::default();
         for registration in endpoints {
-            roster.names.push(registration.endpoint.clone());
+            roster.all.push(registration.clone());
             if registration.phase == Phase::Replaced {
                 roster.replaced.insert(registration.endpoint.clone());
             }
             let of_service = roster.services.entry(registration.service.clone()).or_default();
             of_service.push(registration);
         }
-        if !roster.names.is_sorted() {
-            roster.names.sort_unstable();
+        if !roster.all.is_sorted_by_key(|held| &held.endpoint) {
+            roster.all.sort_unstable_by(|one, other| one.endpoint.cmp(&other.endpoint));
         }
         roster
     }
@@ -52,6 +52,12 @@
 
     /// True where the endpoint is known.
     pub fn knows(&self, endpoint: &EndpointId) -> bool {
-        self.names.binary_search(endpoint).is_ok()
+        self.get(endpoint).is_some()
+    }
+
+    /// The endpoint of this id.
+    pub fn get(&self, endpoint: &EndpointId) -> Option<&Arc<Registration>> {
+        let at = self.all.binary_search_by(|held| held.endpoint.cmp(endpoint)).ok()?;
+        Some(&self.all[at])
     }
 }
--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -14,6 +14,7 @@
     body::AnswerBody,
     call,
     head_clock::{Clocked, HeadClock},
+    holdings::Cut,
     operate,
     plan::Limits,
     shared::{Shared, Stage},
@@ -70,8 +71,10 @@
     }
     let limits = shared.current_plan().map_or_else(Limits::default, |plan| plan.limits);
     let clock = Rc::new(HeadClock::default());
-    let service = service_fn(|request| {
+    let cut = Cut::default();
+    let service = service_fn(|mut request: Request<Incoming>| {
         clock.note_head();
+        request.extensions_mut().insert(cut.clone());
         let (answered, clock) = (answer(shared.clone(), request, door), clock.clone());
         async move {
             let response = answered.await;
@@ -91,11 +94,15 @@
     tokio::select! {
         _ = connection.as_mut() => return,
         () = clock.overrun(limits.head_time) => return,
+        () = cut.notified() => return,
         _ = closing => {}
     }
     // What is under way is finished; an idle connection ends now.
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = cut.notified() => {}
+    }
 }
 
 async fn answer<D: Dialect>(
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -12,7 +12,7 @@
 use rudder_clock::Moment;
 use rudder_core::{Event, Listing, Phase, Registration, peer::Load, tally::Begun};
 use rudder_events::What;
-use rudder_ledger::{Document, Quarantine};
+use rudder_ledger::{Document, Evacuations, Quarantine};
 use rudder_model::{EndpointId, InstanceId};
 use tokio::sync::{oneshot, watch};
 
@@ -21,17 +21,24 @@
     balance::Balance,
     budget::Budget,
     call::to_hex,
-    choose::Fields,
+    choose::{Choice, Fields},
     contents::{Contents, REFUSED_FOR},
+    dialect::Whence,
     health::Health,
+    holdings::Holdings,
     logging::Log,
     metrics::{Metrics, Standing},
+    places::Places,
+    ramp::Ramp,
     reading::Reading,
     recent::{self, Tally},
     roster::Roster,
     upstream::Pool,
 };
 
+/// Instances of a caller's own hall from which on it is told no others: with one alone, its loss would leave none.
+const NEAR_LEAST: usize = 2;
+
 /// What the reducer's view says to traffic.
 #[derive(Clone, Debug, Default)]
 pub struct Published {
@@ -43,12 +50,14 @@
     pub entries: Vec<Listing>,
     /// Contents under which endpoints ended.
     pub quarantine: Arc<Quarantine>,
+    /// Halls whose endpoints get nothing.
+    pub evacuations: Arc<Evacuations>,
 }
 
 impl Published {
     /// Live instances that take callers, and so send to endpoints.
-    pub fn sender_count(&self) -> usize {
-        self.entries.iter().filter(|listing| listing.address.is_some()).count()
+    pub fn senders(&self) -> impl Iterator<Item = InstanceId> + '_ {
+        self.entries.iter().filter(|listing| listing.address.is_some()).map(|listing| listing.name.clone())
     }
 }
 
@@ -134,6 +143,12 @@
     pub contents: RefCell<Contents>,
     /// How fast engines read.
     pub reading: RefCell<Reading>,
+    /// Where requests may go.
+    pub places: RefCell<Places>,
+    /// Endpoints that are warming up.
+    pub ramp: RefCell<Ramp>,
+    /// Bytes held for callers and endpoints.
+    pub holdings: Arc<Holdings>,
     /// Requests sent again.
     pub budget: RefCell<Budget>,
     /// Idle connections to endpoints.
@@ -168,6 +183,9 @@
         Shared {
             dialect,
             name: options.name(),
+            holdings: Holdings::new(options.memory),
+            places: RefCell::new(Places::new(options.regions.clone())),
+            ramp: RefCell::new(Ramp::new(options.name(), started)),
             options,
             started,
             inputs,
@@ -275,6 +293,8 @@
     pub fn publish(&self, published: Published) {
         self.take_document(published.document.as_ref());
         self.take_quarantine(&published.quarantine);
+        self.take_evacuations(&published.evacuations);
+        self.ramp.borrow_mut().set_senders(published.senders().collect(), Moment::now());
         let roster = Rc::new(Roster::new(published.endpoints.iter().cloned()));
         self.balance.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
@@ -313,6 +333,34 @@
         self.metrics.set_quarantined(self.contents.borrow().refused_count());
     }
 
+    /// Takes in which halls are evacuated. The endpoints of one that is no more are cold, whatever they last said.
+    fn take_evacuations(&self, evacuations: &Arc<Evacuations>) {
+        let returned = self.places.borrow_mut().set_evacuations(evacuations.clone());
+        for hall in returned {
+            self.ramp.borrow_mut().note_return(&hall, Moment::now());
+        }
+        self.metrics.set_evacuated(self.places.borrow().evacuated());
+    }
+
+    /// Takes the right to send a request to the endpoint chosen: things may have changed since the choice.
+    pub fn try_take_place(&self, choice: &Choice, now: Moment) -> bool {
+        let roster = self.roster.borrow();
+        // One that is no longer known has ended; the attempt shows it.
+        let Some(held) = roster.get(&choice.endpoint) else { return true };
+        if !self.places.borrow().is_open(&held.hall) {
+            return false;
+        }
+        let plan = self.current_plan();
+        let warm_up = plan.and_then(|plan| plan.services.get(&held.service)?.warm_up);
+        let mut ramp = self.ramp.borrow_mut();
+        let allowed = ramp.use_of(held, warm_up, &self.options.policy.slow_start, now);
+        let taken = ramp.try_take(&held.endpoint, allowed, now);
+        if !taken {
+            self.metrics.note_held_back();
+        }
+        taken
+    }
+
     /// Takes in the work of the other instances at endpoints as of `at`; `None` where it has not changed.
     pub fn take_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
@@ -354,13 +402,33 @@
         }
     }
 
-    /// Addresses for a caller in `hall`: those of its hall, or all where the hall has fewer than two.
-    pub fn to_entries(&self, hall: Option<&str>) -> Vec<Arc<str>> {
+    /// Addresses for a caller: those of its hall, those of its region where the hall has fewer than two, or those of the
+    /// regions that all routes of its host are bound to; all where there are none of these.
+    pub fn to_entries(&self, whence: &Whence) -> Vec<Arc<str>> {
         let view = self.view.borrow();
+        let places = self.places.borrow();
         let live: Vec<&Listing> = view.entries.iter().filter(|listing| listing.takes_callers()).collect();
-        let near: Vec<&Listing> =
-            live.iter().copied().filter(|listing| hall.is_some_and(|hall| *listing.hall == *hall)).collect();
-        let chosen = if near.len() >= 2 { near } else { live };
-        chosen.into_iter().filter_map(|listing| listing.address.as_deref()).map(Arc::from).collect()
+        let pick = |is_meant: &dyn Fn(&Listing) -> bool| -> Vec<&Listing> {
+            live.iter().copied().filter(|listing| is_meant(listing)).collect()
+        };
+        let near = pick(&|listing| whence.hall.as_deref() == Some(&*listing.hall));
+        if near.len() >= NEAR_LEAST {
+            return to_addresses(&near);
+        }
+        let region = whence.hall.as_deref().and_then(|hall| places.region_of(hall)).map(|region| &**region);
+        let region = region.or(whence.region.as_deref());
+        let of_region =
+            pick(&|listing| region.is_some() && places.region_of(&listing.hall).map(|held| &**held) == region);
+        if !of_region.is_empty() {
+            return to_addresses(&of_region);
+        }
+        let plan = self.current_plan();
+        let homes = plan.zip(whence.host.as_deref()).and_then(|(plan, host)| plan.homes_of_host(host));
+        let at_home = pick(&|listing| homes.is_some() && places.allows(homes.as_deref(), &listing.hall));
+        to_addresses([&at_home, &near, &live].into_iter().find(|listings| !listings.is_empty()).unwrap_or(&live))
     }
 }
+
+fn to_addresses(listings: &[&Listing]) -> Vec<Arc<str>> {
+    listings.iter().filter_map(|listing| listing.address.as_deref()).map(Arc::from).collect()
+}
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -21,6 +21,7 @@
     call::{self, Call, Leg, Progress, Resume},
     choose::Choice,
     health::Outcome,
+    holdings::Hold,
     metrics::{Ending, PauseMeter},
     shared::Shared,
 };
@@ -229,8 +230,8 @@
             if part.is_empty() {
                 continue;
             }
-            if self.sender.send(Ok(part)).await.is_err() {
-                return End::Left;
+            if let Err(end) = self.hand_on(&part).await {
+                return end;
             }
         }
         if !self.events.pending().is_empty() {
@@ -242,6 +243,17 @@
         End::Whole
     }
 
+    /// Hands a part on to the caller. While too much is held for others, the endpoint is read no further.
+    async fn hand_on(&mut self, part: &[u8]) -> Result<(), End> {
+        let mut hold = Hold::new(&self.shared.holdings);
+        let fits = tokio::select! {
+            fits = timeout_at(self.call.until, hold.grow(part.len())) => fits,
+            () = self.sender.closed() => return Err(End::Left),
+        };
+        fits.map_err(|_| End::Late)?.map_err(|_| End::Late)?;
+        self.sender.send(Ok(hold.keep(part.to_vec(), Some(self.call.cut.clone())))).await.map_err(|_| End::Left)
+    }
+
     /// True where another endpoint keeps a copy of the stream's memory. A resumable stream goes on anywhere.
     fn has_copy(&self) -> bool {
         let kept = self.progress.last.as_ref().is_some_and(|last| last.keeper.is_some());
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -15,6 +15,8 @@
 /// A connection to an endpoint is given this long to come up. One whose first packet is lost is tried again by
 /// the system after a second only, so another endpoint is the better try.
 pub const CONNECT: Duration = Duration::from_millis(200);
+/// Bytes read from an endpoint before they are passed on, at most; the library would take 400 KB for each connection.
+const READ_MOST: usize = 64 << 10;
 /// A question whether an endpoint has ended is answered within this time, or left open.
 const PROBE: Duration = Duration::from_millis(100);
 /// An idle connection whose endpoint told no time is used again within this.
@@ -125,7 +127,7 @@
     let opened = tokio::time::timeout(bound, TcpStream::connect(target)).await;
     let stream = opened.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())).map_err(fault)?;
     tune(&stream).map_err(fault)?;
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let handshake = http1::Builder::new().max_buf_size(READ_MOST).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| fault(std::io::Error::other(error)))?;
     let task = tokio::task::spawn_local(async move {
         // Its end is seen by the request that it carries.
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -9,6 +9,8 @@
     balance::Balance,
     choose::{Field, Fields, Inputs},
     health::{Health, Outcome},
+    places::Places,
+    ramp::Ramp,
     reading::Reading,
     roster::Roster,
 };
@@ -23,21 +25,37 @@
         hall: format!("hall-{}", number % 3).as_str().into(),
         slots: 64,
         cheap: false,
+        warming: false,
         phase: Phase::Ready,
         sequence: 1,
     };
     (0..count).map(engine).collect()
 }
 
-#[derive(Default)]
 struct Scene {
     balance: Balance,
     health: Health,
     reading: Reading,
+    places: Places,
+    ramp: Ramp,
     plan: Plan,
     policy: Policy,
 }
 
+impl Default for Scene {
+    fn default() -> Self {
+        Scene {
+            balance: Balance::default(),
+            health: Health::default(),
+            reading: Reading::default(),
+            places: Places::default(),
+            ramp: Ramp::new("me".into(), Moment::now()),
+            plan: Plan::default(),
+            policy: Policy::default(),
+        }
+    }
+}
+
 impl Scene {
     fn inputs<'a>(&'a self, hall: &'a rudder_model::HallId, now: Moment) -> Inputs<'a> {
         Inputs {
@@ -45,6 +63,8 @@
             work_age: Duration::ZERO,
             health: &self.health,
             reading: &self.reading,
+            places: &self.places,
+            ramp: &self.ramp,
             hall,
             plan: &self.plan,
             policy: &self.policy,
--- /dev/null
+++ b/crates/rudder-gateway/tests/places.rs
@@ -0,0 +1,268 @@
+//! Where requests may go: evacuated halls, home regions, and endpoints that are warming up.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use rudder_clock::Moment;
+use rudder_core::{Phase, Registration};
+use rudder_gateway::{
+    Plan, Policy, Route, RouteKind, Service,
+    balance::Balance,
+    choose::{self, Choice, Eligibility, Field, Inputs},
+    dialect::{Prompt, PromptPart},
+    health::Health,
+    places::{Places, homes_of},
+    plan::{Engine, Limits, Organisation, Share, WarmUp},
+    ramp::{Ramp, Use},
+    reading::Reading,
+    roster::Roster,
+};
+use rudder_ledger::{Evacuation, Evacuations};
+use rudder_model::{HallId, RegionId};
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Requests a second that a cold endpoint bears.
+const RATE: f64 = 11.0;
+const SPAN: Duration = Duration::from_secs(3);
+
+/// Nine endpoints, three in each of the halls a, b and c.
+fn endpoints() -> Vec<Registration> {
+    let endpoint = |number: usize| Registration {
+        endpoint: format!("e-{number}").into(),
+        born: None,
+        service: "svc".into(),
+        address: format!("10.0.0.{number}:80").into(),
+        hall: ["a", "b", "c"][number % 3].into(),
+        slots: 24,
+        cheap: false,
+        warming: false,
+        phase: Phase::Ready,
+        sequence: 1,
+    };
+    (0..9).map(endpoint).collect()
+}
+
+fn to_route(homes: &[&str]) -> Route {
+    Route {
+        name: "r".into(),
+        host: "h".into(),
+        prefix: "/".into(),
+        kind: RouteKind::Stream,
+        timeout: SECOND * 5,
+        target: SECOND,
+        pause: Some(SECOND),
+        tier: 0,
+        shares: vec![Share { service: "svc".into(), weight: 1 }],
+        attempts: 1,
+        open: false,
+        resumable: false,
+        homes: to_homes(homes),
+    }
+}
+
+fn to_homes(regions: &[&str]) -> Option<Arc<[RegionId]>> {
+    (!regions.is_empty()).then(|| regions.iter().map(|region| RegionId::from(*region)).collect())
+}
+
+fn to_plan(engine: bool) -> Plan {
+    let engine =
+        engine.then_some(Engine { slots: 24, memory: 300_000, copies: true, event_tokens: 5, move_speed: 1_000.0 });
+    let warm_up = Some(WarmUp { span: SPAN, rate: RATE });
+    let service = Service { name: "svc".into(), connections: 100, engine, scaling: None, warm_up };
+    let mut plan = Plan::new(1, Limits::default());
+    plan.services.insert("svc".into(), service);
+    plan
+}
+
+fn evacuated(hall: &str) -> Arc<Evacuations> {
+    let mut evacuations = Evacuations::default();
+    evacuations.apply(1, Evacuation { hall: hall.into(), begins: true, as_of: 0 });
+    Arc::new(evacuations)
+}
+
+/// The halls a and b lie in the north, c in the south.
+fn places() -> Places {
+    let regions = [("a", "north"), ("b", "north"), ("c", "south")];
+    Places::new(regions.into_iter().map(|(hall, region)| (hall.into(), region.into())).collect())
+}
+
+struct Scene {
+    endpoints: Vec<Registration>,
+    places: Places,
+    ramp: Ramp,
+    plan: Plan,
+    policy: Policy,
+    now: Moment,
+}
+
+impl Scene {
+    fn new(engine: bool) -> Scene {
+        let now = Moment::now();
+        let mut ramp = Ramp::new("me".into(), now);
+        ramp.set_senders(vec!["me".into()], now);
+        let policy = Policy::default();
+        Scene { endpoints: endpoints(), places: places(), ramp, plan: to_plan(engine), policy, now: now + SECOND * 10 }
+    }
+
+    /// What is chosen for a request bound to `homes`; with a long answer, for which a copy is kept.
+    fn choose(&self, homes: &[&str]) -> Option<Choice> {
+        let (balance, health, reading, hall) = (Balance::default(), Health::default(), Reading::default(), "a".into());
+        let inputs = Inputs {
+            balance: &balance,
+            work_age: Duration::ZERO,
+            health: &health,
+            reading: &reading,
+            places: &self.places,
+            ramp: &self.ramp,
+            hall: &hall,
+            plan: &self.plan,
+            policy: &self.policy,
+            now: self.now,
+        };
+        let prompt = Prompt {
+            tokens: 5_000,
+            answer: 1_000,
+            guess: None,
+            parts: vec![PromptPart { id: 1, tokens: 2_000 }, PromptPart { id: 2, tokens: 2_000 }],
+        };
+        let prompt = self.plan.services["svc"].engine.map(|_| &prompt);
+        let field = Field::new(Roster::new(self.endpoints.iter().cloned().map(Arc::new)).of("svc"), "svc", &inputs);
+        let homes = to_homes(homes);
+        let eligible = Eligibility { tried: &[], homes: homes.as_deref() };
+        choose::choose(&inputs, &to_route(&[]), "svc", &field, prompt, eligible)
+    }
+
+    fn hall_of(&self, choice: &Choice) -> HallId {
+        let held = self.endpoints.iter().find(|held| held.endpoint == choice.endpoint);
+        held.expect("it is known").hall.clone()
+    }
+
+    /// The halls of 200 choices.
+    fn halls(&self, homes: &[&str]) -> BTreeMap<HallId, u32> {
+        let mut counts = BTreeMap::new();
+        for _ in 0..200 {
+            let Some(choice) = self.choose(homes) else { continue };
+            *counts.entry(self.hall_of(&choice)).or_default() += 1;
+        }
+        counts
+    }
+}
+
+macro_rules! both_kinds {
+    ($($(#[$meta:meta])* $name:ident: $test:expr;)*) => {
+        $(mod $name {
+            use super::*;
+            $(#[$meta])* #[test] fn engines() { let test: fn(Scene) = $test; test(Scene::new(true)); }
+            $(#[$meta])* #[test] fn plain_services() { let test: fn(Scene) = $test; test(Scene::new(false)); }
+        })*
+    };
+}
+
+both_kinds! {
+    an_evacuated_hall_gets_nothing: |mut scene| {
+        scene.places.set_evacuations(evacuated("a"));
+        let halls = scene.halls(&[]);
+        assert!(!halls.contains_key("a") && !halls.is_empty(), "{halls:?}");
+    };
+    /// Not even where it is the last one: its endpoints are not a worse choice, but none.
+    where_all_that_is_left_is_evacuated_nothing_is_chosen: |mut scene| {
+        scene.endpoints.retain(|held| *held.hall == *"a");
+        scene.places.set_evacuations(evacuated("a"));
+        assert_eq!(scene.choose(&[]), None);
+    };
+    what_has_homes_stays_in_them: |scene| {
+        let halls = scene.halls(&["south"]);
+        assert_eq!(halls.keys().map(|hall| &**hall).collect::<Vec<_>>(), ["c"]);
+    };
+    where_its_homes_have_nothing_left_it_goes_nowhere: |mut scene| {
+        scene.endpoints.retain(|held| *held.hall != *"c");
+        assert_eq!(scene.choose(&["south"]), None);
+    };
+    a_hall_of_unknown_region_is_no_home: |mut scene| {
+        scene.places = Places::default();
+        assert_eq!(scene.choose(&["south"]), None);
+        assert!(scene.choose(&[]).is_some());
+    };
+    /// Of all instances together it bears eleven a second, of this one alone all of them.
+    a_cold_endpoint_gets_its_bound_and_no_more: |mut scene| {
+        scene.endpoints.truncate(1);
+        scene.endpoints[0].warming = true;
+        let mut taken = 0;
+        for _ in 0..50 {
+            let Some(choice) = scene.choose(&[]) else { break };
+            let allowed = scene.ramp.use_of(&scene.endpoints[0], Some(WarmUp { span: SPAN, rate: RATE }), &scene.policy.slow_start, scene.now);
+            assert!(scene.ramp.try_take(&choice.endpoint, allowed, scene.now));
+            taken += 1;
+        }
+        assert_eq!(taken, 11);
+        scene.now = scene.now + SECOND * 2;
+        assert!(scene.choose(&[]).is_some());
+    };
+    the_endpoints_of_a_hall_that_comes_back_are_cold: |mut scene| {
+        scene.endpoints.truncate(1);
+        scene.ramp.note_return(&"a".into(), scene.now);
+        let warm_up = Some(WarmUp { span: SPAN, rate: RATE });
+        let use_at = |scene: &Scene, at: Moment| scene.ramp.use_of(&scene.endpoints[0], warm_up, &scene.policy.slow_start, at);
+        assert!(matches!(use_at(&scene, scene.now + SPAN - SECOND / 10), Use::Within(_)));
+        assert_eq!(use_at(&scene, scene.now + SPAN), Use::Free);
+    };
+}
+
+/// What is copied or taken along of a prompt stays in its homes as well.
+#[test]
+fn copies_and_moves_stay_in_the_homes() {
+    let scene = Scene::new(true);
+    let addresses: Vec<&str> =
+        scene.endpoints.iter().filter(|held| *held.hall == *"c").map(|held| &*held.address).collect();
+    for _ in 0..200 {
+        let choice = scene.choose(&["south"]).expect("three are there");
+        for other in [choice.fetch_from.as_deref(), choice.keeper.as_ref().map(|keeper| &*keeper.address)] {
+            assert!(other.is_none_or(|other| addresses.contains(&other)), "{choice:?}");
+        }
+    }
+}
+
+#[test]
+fn one_that_has_just_started_sends_nothing_to_cold_endpoints() {
+    let now = Moment::now();
+    let mut ramp = Ramp::new("me".into(), now);
+    ramp.set_senders(vec!["me".into()], now);
+    let cold = Registration { warming: true, ..endpoints().remove(0) };
+    let warm_up = Some(WarmUp { span: SPAN, rate: RATE });
+    let policy = Policy::default().slow_start;
+    assert_eq!(ramp.use_of(&cold, warm_up, &policy, now + SECOND), Use::Barred);
+    assert!(matches!(ramp.use_of(&cold, warm_up, &policy, now + SECOND * 2), Use::Within(_)));
+    assert_eq!(ramp.use_of(&cold, None, &policy, now), Use::Free, "its service names no bound");
+}
+
+/// A hall's return is learned as the change of what was known; one that has just started knows nothing before.
+#[test]
+fn a_return_is_seen_once() {
+    let mut places = places();
+    assert!(places.set_evacuations(evacuated("a")).is_empty());
+    let mut ended = Evacuations::clone(&evacuated("a"));
+    ended.apply(2, Evacuation { hall: "a".into(), begins: false, as_of: 1 });
+    let ended = Arc::new(ended);
+    assert_eq!(places.set_evacuations(ended.clone()), [HallId::from("a")]);
+    assert!(places.set_evacuations(ended.clone()).is_empty());
+    assert_eq!(Places::default().set_evacuations(ended), [HallId::from("a")]);
+}
+
+macro_rules! homes {
+    ($($name:ident: $route:expr, $organisation:expr => $expected:expr;)*) => {
+        $(#[test] fn $name() {
+            let organisation = Organisation { name: "o".into(), tier: None, homes: to_homes(&$organisation) };
+            let homes = homes_of(&to_route(&$route), Some(&organisation));
+            let names = homes.as_ref().map(|homes| homes.iter().map(|region| &**region).collect::<Vec<&str>>());
+            let expected: Option<Vec<&str>> = $expected;
+            assert_eq!(names, expected);
+        })*
+    };
+}
+
+homes! {
+    without_homes_nothing_is_bound: [], [] => None;
+    a_routes_homes_bind: ["north"], [] => Some(vec!["north"]);
+    an_organisations_homes_bind: [], ["north"] => Some(vec!["north"]);
+    both_bind_together: ["north", "south"], ["south", "east"] => Some(vec!["south"]);
+    homes_without_a_region_in_common_leave_none: ["north"], ["south"] => Some(Vec::new());
+}
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -7,9 +7,11 @@
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
     balance::Balance,
-    choose::{self, Field, Inputs},
+    choose::{self, Eligibility, Field, Inputs},
     health::Health,
+    places::Places,
     plan::{Limits, Share},
+    ramp::Ramp,
     reading::Reading,
     roster::Roster,
 };
@@ -21,7 +23,10 @@
 
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
-    plan.services.insert("app".into(), Service { name: "app".into(), connections: 100, engine: None, scaling: None });
+    plan.services.insert(
+        "app".into(),
+        Service { name: "app".into(), connections: 100, engine: None, scaling: None, warm_up: None },
+    );
     let route = Route {
         name: "lock".into(),
         host: "h".into(),
@@ -35,6 +40,7 @@
         attempts: 1,
         open: false,
         resumable: false,
+        homes: None,
     };
     plan.add_route(route).expect("it fits");
     plan
@@ -49,6 +55,7 @@
         hall: format!("hall-{number}").as_str().into(),
         slots: SLOTS,
         cheap: false,
+        warming: false,
         phase: Phase::Ready,
         sequence: 1,
     };
@@ -74,13 +81,15 @@
             work_age: age,
             health: &Health::default(),
             reading: &Reading::default(),
+            places: &Places::default(),
+            ramp: &Ramp::new("me".into(), Moment::now()),
             hall: &hall,
             plan: &plan,
             policy: &Policy::default(),
             now: Moment::now(),
         };
         let field = Field::new(Roster::new(endpoints.iter().cloned().map(Arc::new)).of("app"), "app", &inputs);
-        let choice = choose::choose(&inputs, route, "app", &field, None, &[]).expect("one is there");
+        let choice = choose::choose(&inputs, route, "app", &field, None, Eligibility::default()).expect("one is there");
         *counts.entry(choice.endpoint.to_string()).or_default() += 1;
     }
     counts
@@ -118,6 +127,8 @@
         work_age: Duration::ZERO,
         health: &health,
         reading: &reading,
+        places: &Places::default(),
+        ramp: &Ramp::new("me".into(), Moment::now()),
         hall: &hall,
         plan: &plan,
         policy: &policy,
@@ -125,7 +136,10 @@
     };
     let route = plan.find("h", "/lock/").expect("a route");
     let field = Field::new(Roster::new(endpoints.iter().cloned().map(Arc::new)).of("app"), "app", &inputs);
-    let choose = |tried: &[EndpointId]| choose::choose(&inputs, route, "app", &field, None, tried);
+    let choose = |tried: &[EndpointId]| {
+        let eligible = Eligibility { tried, homes: None };
+        choose::choose(&inputs, route, "app", &field, None, eligible)
+    };
     assert_eq!(&*choose(&[]).expect("one is there").endpoint, "e-7", "the one in the instance's own hall");
     assert_ne!(&*choose(&["e-7".into()]).expect("others are there").endpoint, "e-7");
     let all_but_one: Vec<EndpointId> =
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -8,12 +8,14 @@
     Plan, Route, RouteKind, Service,
     balance::Balance,
     budget::Budget,
-    choose::{self, Choice, Field, Inputs},
+    choose::{self, Choice, Eligibility, Field, Inputs},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
     lanes,
+    places::Places,
     plan::{Engine, Fault, Limits, Organisation, Share},
     policy::{LanePolicy, Policy},
+    ramp::Ramp,
     reading::Reading,
     recent::{Recent, Tally, suspects},
     roster::Roster,
@@ -35,13 +37,15 @@
         attempts: 1,
         open: false,
         resumable: false,
+        homes: None,
     }
 }
 
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
     let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed: 4000.0 });
-    plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine, scaling: None });
+    plan.services
+        .insert("svc".into(), Service { name: "svc".into(), connections: 100, engine, scaling: None, warm_up: None });
     for route in [route("recap", 1000, 2), route("answer", 400, 1), route("grade", 250, 0)] {
         plan.add_route(route).expect("it fits");
     }
@@ -57,6 +61,7 @@
         hall: "a".into(),
         slots: 64,
         cheap: false,
+        warming: false,
         phase: Phase::Ready,
         sequence: 1,
     };
@@ -183,7 +188,7 @@
     let mut timeless = route("timeless", 1, 1);
     timeless.timeout = Duration::ZERO;
     assert!(matches!(plan.add_route(timeless), Err(Fault::NoTimeout(_))));
-    let organisation = |name: &str| Organisation { name: name.into(), tier: None };
+    let organisation = |name: &str| Organisation { name: name.into(), tier: None, homes: None };
     plan.add_organisation(organisation("one"), vec!["k".into(), "k".into()]).expect("its own key twice");
     assert!(matches!(plan.add_organisation(organisation("two"), vec!["k".into()]), Err(Fault::SharedKey(..))));
 }
@@ -279,6 +284,8 @@
             work_age: Duration::ZERO,
             health: &self.health,
             reading: &self.reading,
+            places: &Places::default(),
+            ramp: &Ramp::new("me".into(), Moment::now()),
             hall: &hall,
             plan: &self.plan,
             policy: &self.policy,
@@ -286,7 +293,7 @@
         };
         let route = self.plan.find("h", path).expect("a route");
         let field = Field::new(Roster::new(self.engines.iter().cloned().map(Arc::new)).of("svc"), "svc", &inputs);
-        choose::choose(&inputs, route, "svc", &field, Some(prompt), tried)
+        choose::choose(&inputs, route, "svc", &field, Some(prompt), Eligibility { tried, homes: None })
     }
 }
 
@@ -304,7 +311,7 @@
         $($(#[$meta])* #[test] fn $name() {
             let mut plan = Plan::new(1, Limits::default());
             let engine = Some(Engine { slots: 64, memory: 300_000, copies: true, event_tokens: $tokens, move_speed: 0.0 });
-            plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine, scaling: None });
+            plan.services.insert("svc".into(), Service { name: "svc".into(), connections: 100, engine, scaling: None, warm_up: None });
             for pause in [$($pause),+] {
                 plan.add_route(route(&format!("p{pause}"), pause, 0)).expect("it fits");
             }
--- a/crates/rudder-model/src/id.rs
+++ b/crates/rudder-model/src/id.rs
@@ -8,6 +8,8 @@
 pub type InstanceId = Arc<str>;
 /// Name of one site.
 pub type HallId = Arc<str>;
+/// Name of a region: halls between which data may move freely.
+pub type RegionId = Arc<str>;
 /// One life of a model engine or plain service replica: its name, and where it tells its start that too. All that is known
 /// of a life is kept under it, see [`life_id`].
 pub type EndpointId = Arc<str>;
--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod queue;
 pub mod scale;
 pub mod site;
+pub mod slow_start;
 
 pub use ask::{Ask, Decision, Ending, Holding};
 pub use options::Options;
