feat(soak): evacuations and cold endpoints, and the judge sees both promises broken

Endpoints stand in two zones by turns; one zone at a time is evacuated and taken back, endpoints go cold and say so with their next heartbeat. Promises: a zone gets nothing from 5 s after the acknowledgement, a cold endpoint no more than it bears.

--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -7,6 +7,9 @@
     history::{Arrival, Call, Kind, Outcome},
 };
 
+/// The time over which requests at a cold endpoint are counted.
+const SECOND: Duration = Duration::from_secs(1);
+
 /// A promise that callers, endpoints and operators can see kept or broken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Promise {
@@ -18,6 +21,10 @@
     NotRun,
     /// An endpoint that leaves gets no new work.
     Drained,
+    /// A zone that is evacuated gets nothing.
+    Evacuated,
+    /// An endpoint that is cold gets no more than it bears.
+    SlowStart,
     /// A configuration that was accepted never reverts, and one that cannot work is never accepted.
     NeverReverts,
     /// A key that was taken away opens nothing.
@@ -42,6 +49,10 @@
     /// An instance that was away is not held to the time from a leave's acknowledgement for so long afterwards: it has still
     /// to learn of it, and its proof may be as old as it was away.
     pub touch: Duration,
+    /// From an evacuation's acknowledgement.
+    pub evacuate: Duration,
+    /// Requests within a second that a cold endpoint bears.
+    pub cold: usize,
     /// From a configuration's acknowledgement until no older one is read.
     pub apply: Duration,
     /// From the acknowledgement of a key's removal.
@@ -70,6 +81,8 @@
         Bounds {
             drain: Duration::from_secs(2),
             touch: Duration::from_secs(3),
+            evacuate: Duration::from_secs(5),
+            cold: 11,
             apply: Duration::from_secs(2),
             revoke: Duration::from_secs(5),
             spread: Duration::from_secs(3),
@@ -123,6 +136,8 @@
         check_call(call, arrived, &mut verdict);
     }
     check_drains(history, bounds, &mut verdict);
+    check_evacuations(history, bounds, &mut verdict);
+    check_slow_starts(history, bounds, &mut verdict);
     check_configuration(history, bounds, &mut verdict);
     check_keys(history, bounds, &arrivals, &mut verdict);
     check_quarantine(history, bounds, &mut verdict);
@@ -153,13 +168,44 @@
     }
 }
 
-fn check_drains(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+/// Tells which arrivals came from an instance that was not there, or not long enough to have learned what is new.
+fn find_away<'a>(history: &'a History, bounds: &Bounds) -> impl Fn(&Arrival) -> bool + use<'a> {
     let instances: BTreeMap<&str, usize> = history.calls.iter().map(|call| (call.id.as_str(), call.instance)).collect();
-    let was_away = |arrival: &Arrival| {
+    let touch = bounds.touch;
+    move |arrival| {
         let Some(instance) = instances.get(arrival.call.as_str()) else { return false };
-        let near = |from: Duration, until: Duration| from <= arrival.at && arrival.at <= until + bounds.touch;
+        let near = |from: Duration, until: Duration| from <= arrival.at && arrival.at <= until + touch;
         history.absences.iter().any(|absence| absence.instance == *instance && near(absence.from, absence.until))
-    };
+    }
+}
+
+fn check_evacuations(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let was_away = find_away(history, bounds);
+    for evacuation in &history.evacuations {
+        let meanwhile = evacuation.from + bounds.evacuate..evacuation.until;
+        let late = |arrival: &&Arrival| {
+            arrival.zone == evacuation.zone && meanwhile.contains(&arrival.at) && !was_away(arrival)
+        };
+        let late = history.arrivals.iter().find(late);
+        verdict.test(Promise::Evacuated, late.is_none(), || format!("{evacuation:?} got {late:?}"));
+    }
+}
+
+fn check_slow_starts(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let was_away = find_away(history, bounds);
+    for cold in &history.colds {
+        let meanwhile = |arrival: &&Arrival| arrival.life == cold.life && (cold.from..cold.until).contains(&arrival.at);
+        let counted = history.arrivals.iter().filter(meanwhile).filter(|arrival| !was_away(arrival));
+        let mut times: Vec<Duration> = counted.map(|arrival| arrival.at).collect();
+        times.sort_unstable();
+        let within = |first: &Duration| times.iter().filter(|at| (*first..*first + SECOND).contains(*at)).count();
+        let most = times.iter().map(within).max().unwrap_or_default();
+        verdict.test(Promise::SlowStart, most <= bounds.cold, || format!("{cold:?} got {most} in a second"));
+    }
+}
+
+fn check_drains(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let was_away = find_away(history, bounds);
     for leave in &history.leaves {
         let late = |arrival: &&Arrival| {
             arrival.life == leave.life && arrival.at > leave.at + bounds.drain && !was_away(arrival)
--- a/crates/rudder-soak/src/history.rs
+++ b/crates/rudder-soak/src/history.rs
@@ -69,6 +69,8 @@
     pub call: String,
     /// The life of the endpoint.
     pub life: String,
+    /// The zone of the endpoint.
+    pub zone: String,
     /// When.
     pub at: Duration,
     /// It began to run.
@@ -86,6 +88,28 @@
     pub at: Duration,
 }
 
+/// A zone that was to get nothing.
+#[derive(Clone, Debug)]
+pub struct Evacuation {
+    /// Which.
+    pub zone: String,
+    /// When that was acknowledged.
+    pub from: Duration,
+    /// When it was taken back.
+    pub until: Duration,
+}
+
+/// A span in which an endpoint was cold, from when all could know it.
+#[derive(Clone, Debug)]
+pub struct Cold {
+    /// The life of the endpoint.
+    pub life: String,
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+}
+
 /// A configuration that was acknowledged or read.
 #[derive(Clone, Debug)]
 pub struct Version {
@@ -148,6 +172,10 @@
     pub arrivals: Vec<Arrival>,
     /// Acknowledged leaves.
     pub leaves: Vec<Leave>,
+    /// Evacuations.
+    pub evacuations: Vec<Evacuation>,
+    /// Endpoints that were cold.
+    pub colds: Vec<Cold>,
     /// Acknowledged configurations, in order of their acknowledgement.
     pub accepted: Vec<Version>,
     /// Configurations read back.
--- a/crates/rudder-soak/src/schedule.rs
+++ b/crates/rudder-soak/src/schedule.rs
@@ -26,6 +26,9 @@
 /// The shortest soak that has any faults, in seconds.
 const SECONDS_LEAST: u64 = 14;
 
+/// The zones that the endpoints stand in by turns.
+pub const ZONES: [&str; 2] = ["a", "b"];
+
 /// How large a soak is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Size {
@@ -142,6 +145,20 @@
         /// For how long.
         span: u64,
     },
+    /// An endpoint goes cold, says so, and bears few requests.
+    Cold {
+        /// Which.
+        endpoint: usize,
+        /// For how long.
+        span: u64,
+    },
+    /// A zone is evacuated, and that is taken back.
+    Evacuate {
+        /// Which of [`ZONES`].
+        zone: usize,
+        /// For how long.
+        span: u64,
+    },
     /// A content that ends each endpoint that begins to run it comes again and again.
     Deadly {
         /// How often.
@@ -203,6 +220,8 @@
             Fault::Mute { .. } => "mute",
             Fault::Lose { .. } => "lose",
             Fault::Cut { .. } => "cut",
+            Fault::Cold { .. } => "cold",
+            Fault::Evacuate { .. } => "evacuate",
             Fault::Deadly { .. } => "deadly",
             Fault::Change { .. } => "change",
             Fault::Race => "race",
@@ -250,7 +269,7 @@
 
     fn fault(&mut self, at: u64) -> Fault {
         let (instance, endpoint, span) = (self.instance(), self.endpoint(), self.span());
-        match self.rng.random_range(0..22) {
+        match self.rng.random_range(0..26) {
             0 | 1 => Fault::Kill { instance, down: span },
             2 => Fault::KillCore { down: span },
             3 => self.wipe(at),
@@ -273,6 +292,8 @@
                 }
             }
             20 => Fault::Invalid,
+            21 | 22 => Fault::Evacuate { zone: self.rng.random_range(0..ZONES.len()), span },
+            23 => Fault::Cold { endpoint, span: span * 3 },
             _ => Fault::TakeKey,
         }
     }
@@ -336,7 +357,9 @@
             | Fault::Leave { endpoint, .. }
             | Fault::Mute { endpoint, .. }
             | Fault::Lose { endpoint, .. }
-            | Fault::Cut { endpoint, .. } => endpoint < endpoints,
+            | Fault::Cut { endpoint, .. }
+            | Fault::Cold { endpoint, .. } => endpoint < endpoints,
+            Fault::Evacuate { zone, .. } => zone < ZONES.len(),
             _ => true,
         };
         ensure!(fits, "the {} at {} ms names an instance or endpoint that there is not", entry.fault.name(), entry.at);
--- a/crates/rudder-soak/tests/check.rs
+++ b/crates/rudder-soak/tests/check.rs
@@ -4,7 +4,7 @@
 
 use rudder_soak::{
     Bounds, History, Promise, check,
-    history::{Absence, Arrival, Call, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version},
+    history::{Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version},
 };
 
 const GOOD: Outcome = Outcome::Answered { status: 200, whole: true, right: true };
@@ -27,7 +27,8 @@
 }
 
 fn arrival(call: &str, life: &str, seconds: f64) -> Arrival {
-    Arrival { call: call.to_owned(), life: life.to_owned(), at: at(seconds), ran: true, deadly: false }
+    let zone = "a".to_owned();
+    Arrival { call: call.to_owned(), life: life.to_owned(), zone, at: at(seconds), ran: true, deadly: false }
 }
 
 /// Calls of each kind every second for half a minute, all served, and one of each other event.
@@ -46,6 +47,8 @@
     history.accepted.extend([2, 3].map(|version| Version { version, at: at(version as f64) }));
     history.read.push(Version { version: 3, at: at(9.0) });
     history.removals.push(Removal { key: "key-9".to_owned(), at: at(1.0) });
+    history.evacuations.push(Evacuation { zone: "b".to_owned(), from: at(6.0), until: at(14.0) });
+    history.colds.push(Cold { life: "e-1".to_owned(), from: at(2.0), until: at(9.0) });
     history.stops.push(Stop { instance: 0, from: at(4.0), until: at(8.0), alone: true });
     history
 }
@@ -85,6 +88,18 @@
         history.absences.push(Absence { instance: 3, from: at(5.0), until: at(7.0) });
         history.arrivals.push(arrival("Again-7", "e-2", 7.5));
     };
+    work_in_an_evacuated_zone: Evacuated, |history| {
+        let late = arrival("Again-12", "e-7", 12.5);
+        history.arrivals.retain(|arrival| arrival.call != late.call);
+        history.arrivals.push(Arrival { zone: "b".to_owned(), ..late });
+    };
+    more_at_a_cold_endpoint_than_it_bears: SlowStart, |history| {
+        for number in 0..9 {
+            let call = call(&format!("more-{number}"), Kind::Again, 4.4, GOOD);
+            history.arrivals.push(arrival(&call.id, "e-1", 4.5));
+            history.calls.push(call);
+        }
+    };
     an_older_configuration_read: NeverReverts, |history| history.read.push(Version { version: 2, at: at(6.0) });
     a_configuration_lost_in_the_end: NeverReverts, |history| history.last = Some(2);
     no_configuration_in_the_end: NeverReverts, |history| history.last = None;
@@ -135,5 +150,5 @@
     history.calls.push(call("full", Kind::Once, 9.0, Outcome::Answered { status: 503, whole: true, right: false }));
     let verdict = check(&history, &Bounds::default());
     assert_eq!(verdict.broken, Vec::new());
-    assert_eq!(verdict.tested.len(), 11, "{:?}", verdict.tested);
+    assert_eq!(verdict.tested.len(), 13, "{:?}", verdict.tested);
 }
