fix(gateway): choices find the idle endpoints that warm up among many

Change: those that an instance may send to while they warm up are drawn beside the others; five instances for each, not four. Test: tests/places.rs, idle endpoints among two hundred.

--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -101,6 +101,7 @@
         let count = self.policy().drawn + self.eligible.tried.len();
         let mut drawn: Vec<&Registration> = session.homes.iter().map(|home| &**home).collect();
         drawn.extend(lane.endpoints.sample(&mut rand::rng(), count).map(|held| &**held));
+        drawn.extend(lane.warming.sample(&mut rand::rng(), count).map(|held| &**held));
         if self.quick {
             drawn.extend(lane.near.sample(&mut rand::rng(), count).map(|held| &**held));
         }
--- a/crates/rudder-gateway/src/choose/field.rs
+++ b/crates/rudder-gateway/src/choose/field.rs
@@ -7,7 +7,7 @@
 
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
-use rudder_model::{HallId, id};
+use rudder_model::id;
 
 use super::Inputs;
 use crate::{
@@ -27,15 +27,19 @@
     pub endpoints: Vec<Arc<Registration>>,
     /// Those of the instance's own hall.
     pub near: Vec<Arc<Registration>>,
+    /// Those that warm up and get some of their requests from here: few of many, so that draws would seldom find them,
+    /// while they stand idle.
+    pub warming: Vec<Arc<Registration>>,
     /// Hash of each endpoint's name.
     keys: Vec<u64>,
 }
 
 impl Lane {
-    fn new(endpoints: Vec<Arc<Registration>>, hall: &HallId) -> Lane {
-        let near = endpoints.iter().filter(|held| held.hall == *hall).cloned().collect();
+    fn new(endpoints: Vec<Arc<Registration>>, inputs: &Inputs) -> Lane {
+        let near = endpoints.iter().filter(|held| held.hall == *inputs.hall).cloned().collect();
+        let warming = endpoints.iter().filter(|held| inputs.use_of(held) != Use::Free).cloned().collect();
         let keys = endpoints.iter().map(|held| id::node_key(&held.endpoint)).collect();
-        Lane { endpoints, near, keys }
+        Lane { endpoints, near, warming, keys }
     }
 
     /// The endpoints with the largest rendezvous weights for `key`, the largest first, without those that `skips` names.
@@ -87,9 +91,9 @@
         let lanes = to_lanes(inputs, service, well);
         let back = endpoints.iter().filter_map(|held| inputs.health.returns_at(&held.endpoint, inputs.now)).min();
         Field {
-            quick: Lane::new(lanes.quick, inputs.hall),
-            bulk: Lane::new(lanes.bulk, inputs.hall),
-            doubtful: Lane::new(doubtful, inputs.hall),
+            quick: Lane::new(lanes.quick, inputs),
+            bulk: Lane::new(lanes.bulk, inputs),
+            doubtful: Lane::new(doubtful, inputs),
             expires: Some(back.unwrap_or(inputs.now + KEEP).min(inputs.now + KEEP)),
         }
     }
--- a/crates/rudder-gateway/src/choose/plain.rs
+++ b/crates/rudder-gateway/src/choose/plain.rs
@@ -45,6 +45,7 @@
     let half = WEIGHED_MOST / 2;
     let near = lane.near.sample(&mut rand::rng(), half);
     let drawn = near.chain(lane.endpoints.sample(&mut rand::rng(), half));
+    let drawn = drawn.chain(lane.warming.sample(&mut rand::rng(), half));
     let mut drawn: Vec<&Registration> = drawn.map(|held| &**held).filter(may_take).collect();
     // A request that may go to none of those takes the first other one that it may go to.
     if drawn.is_empty() {
--- a/crates/rudder-gateway/tests/places.rs
+++ b/crates/rudder-gateway/tests/places.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rudder_clock::Moment;
-use rudder_core::{Phase, Registration};
+use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
     balance::Balance,
@@ -17,7 +17,7 @@
     roster::Roster,
 };
 use rudder_ledger::{Evacuation, Evacuations};
-use rudder_model::{HallId, RegionId};
+use rudder_model::{HallId, RegionId, id};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Requests a second that a cold endpoint bears.
@@ -88,6 +88,7 @@
 
 struct Scene {
     endpoints: Vec<Registration>,
+    balance: Balance,
     places: Places,
     ramp: Ramp,
     plan: Plan,
@@ -101,14 +102,23 @@
         let mut ramp = Ramp::new("me".into(), now);
         ramp.set_senders(vec!["me".into()], now);
         let policy = Policy::default();
-        Scene { endpoints: endpoints(), places: places(), ramp, plan: to_plan(engine), policy, now: now + SECOND * 10 }
+        let balance = Balance::default();
+        Scene {
+            endpoints: endpoints(),
+            balance,
+            places: places(),
+            ramp,
+            plan: to_plan(engine),
+            policy,
+            now: now + SECOND * 10,
+        }
     }
 
     /// What is chosen for a request bound to `homes`; with a long answer, for which a copy is kept.
     fn choose(&self, homes: &[&str]) -> Option<Choice> {
-        let (balance, health, reading, hall) = (Balance::default(), Health::default(), Reading::default(), "a".into());
+        let (health, reading, hall) = (Health::default(), Reading::default(), "a".into());
         let inputs = Inputs {
-            balance: &balance,
+            balance: &self.balance,
             work_age: Duration::ZERO,
             health: &health,
             reading: &reading,
@@ -222,6 +232,28 @@
     }
 }
 
+/// One in three of a large service is idle because it warms up, and this instance may send to a few of those: it finds them,
+/// though the others have all that they can do.
+#[test]
+fn idle_endpoints_that_warm_up_are_found_among_many() {
+    let mut scene = Scene::new(true);
+    scene.endpoints = (0..200)
+        .map(|number| Registration {
+            endpoint: format!("e-{number}").into(),
+            warming: number < 4,
+            ..endpoints().remove(number % 9)
+        })
+        .collect();
+    let load = |held: &Registration| Load { calls: 24, unread: 60_000, ..Load::none(id::endpoint_tag(&held.endpoint)) };
+    let busy: Vec<Load> = scene.endpoints.iter().filter(|held| !held.warming).map(load).collect();
+    scene.balance.set_others(&busy);
+    for _ in 0..50 {
+        let choice = scene.choose(&[]).expect("many are there");
+        let chosen = scene.endpoints.iter().find(|held| held.endpoint == choice.endpoint);
+        assert!(chosen.is_some_and(|held| held.warming), "{choice:?}");
+    }
+}
+
 #[test]
 fn one_that_has_just_started_sends_nothing_to_cold_endpoints() {
     let now = Moment::now();
--- a/crates/rudder-route/src/slow_start.rs
+++ b/crates/rudder-route/src/slow_start.rs
@@ -25,7 +25,7 @@
 
 impl Default for SlowStart {
     fn default() -> Self {
-        SlowStart { senders: 4 }
+        SlowStart { senders: 5 }
     }
 }
 
