fix(core,route): engines at full price stay ordered while there are no cheap ones

Cause: an order for no cheap engines, which is always taken, was taken for a sign that there are some again. Change: only engines that were taken prove that there are some; with none anywhere they are asked for all the same. Test: tests/duties.rs, fails before (orders of 0 and 23 by turns).

--- a/crates/rudder-core/src/duties/scaling.rs
+++ b/crates/rudder-core/src/duties/scaling.rs
@@ -162,7 +162,8 @@
         match outcome {
             CallOutcome::Taken => {
                 standing.taken = Some((count, now));
-                standing.barred = false;
+                // That none are wanted where none are to be had is taken too, and proves nothing.
+                standing.barred &= count == 0;
                 standing.backoff.clear();
             }
             CallOutcome::NoneLeft => {
--- a/crates/rudder-core/tests/duties.rs
+++ b/crates/rudder-core/tests/duties.rs
@@ -248,7 +248,7 @@
 const FIRST: [u32; 3] = [20; 3];
 
 /// Tells the holder how a service stands whose engines are `full` and `cheap` in three halls.
-fn describe(mesh: &mut Mesh, full: [u32; 3], cheap: [u32; 3]) {
+fn describe(mesh: &mut Mesh, demand: Demand, full: [u32; 3], cheap: [u32; 3]) {
     let hall = |at: usize| format!("hall-{at}").as_str().into();
     let bounds = Bounds {
         least: 1,
@@ -258,16 +258,21 @@
         prices: (0..3).map(|at| (hall(at), 1.0)).collect(),
     };
     let halls = (0..3).map(|at| HallEngines { hall: hall(at), full: full[at], cheap: cheap[at], barred: false });
-    let state = ServiceState { service: "svc".into(), bounds, demand: Demand::default(), halls: halls.collect() };
+    let state = ServiceState { service: "svc".into(), bounds, demand, halls: halls.collect() };
     if let Some(number) = mesh.leader() {
         mesh.tell(number, Event::Services(vec![state]));
     }
 }
 
-/// The same several times a second.
+/// The same several times a second, without demand.
 fn describe_for(mesh: &mut Mesh, seconds: u64, full: [u32; 3], cheap: [u32; 3]) {
+    describe_under(mesh, seconds, Demand::default(), full, cheap);
+}
+
+/// The same under a demand.
+fn describe_under(mesh: &mut Mesh, seconds: u64, demand: Demand, full: [u32; 3], cheap: [u32; 3]) {
     for _ in 0..seconds * 2 {
-        describe(mesh, full, cheap);
+        describe(mesh, demand, full, cheap);
         mesh.run(Duration::from_millis(500));
     }
 }
@@ -340,6 +345,26 @@
     assert!(ordered(&mesh, true)[1] >= Some(30), "ordered again");
 }
 
+/// Seen: with cheap engines to be had nowhere, those at full price were ordered and let go by turns, every 0.4 s, and none had
+/// the time to start. An order for no cheap ones, which is always taken, was taken for a sign that there are some again.
+#[test]
+fn engines_at_full_price_stay_ordered_while_there_are_no_cheap_ones() {
+    let mut mesh = start();
+    describe_for(&mut mesh, 5, [0; 3], [30; 3]);
+    mesh.receiver.barred.extend(["hall-0".into(), "hall-1".into(), "hall-2".into()]);
+    let demand = Demand { calls: 400, slots: 24 };
+    describe_under(&mut mesh, 14, demand, [0; 3], [0; 3]);
+    let first = ordered(&mesh, false);
+    assert!(first.iter().flatten().sum::<u32>() >= 30, "{first:?}");
+    for _ in 0..10 {
+        describe_under(&mut mesh, 1, demand, [0; 3], [0; 3]);
+        assert_eq!(ordered(&mesh, false), first);
+    }
+    mesh.receiver.barred.clear();
+    describe_under(&mut mesh, 8, demand, [25; 3], [0; 3]);
+    assert!(ordered(&mesh, true).iter().flatten().sum::<u32>() >= 30, "tried again: {:?}", ordered(&mesh, true));
+}
+
 /// An order that is carried out late, after a newer one, is refused by its fence.
 #[test]
 fn late_orders_do_not_undo_newer_ones() {
--- a/crates/rudder-core/tests/mesh/receiver.rs
+++ b/crates/rudder-core/tests/mesh/receiver.rs
@@ -118,7 +118,9 @@
                 }
                 CallOutcome::Taken
             }
-            DutyCall::Scale { cheap: true, hall, .. } if self.barred.contains(hall) => CallOutcome::NoneLeft,
+            DutyCall::Scale { cheap: true, hall, count, .. } if *count > 0 && self.barred.contains(hall) => {
+                CallOutcome::NoneLeft
+            }
             DutyCall::Scale { hall, cheap, count, .. } => {
                 let other = self.ordered.get(&(hall.clone(), !cheap)).copied().unwrap_or_default();
                 // Both kinds share a bound; an order beyond it is cut.
--- a/crates/rudder-route/src/scale.rs
+++ b/crates/rudder-route/src/scale.rs
@@ -282,9 +282,14 @@
     let floor = if bounds.cheap.is_some() { (f64::from(needed) * options.floor).ceil() as u32 } else { 0 };
     add_full(floor, bounds, &mut places);
     let count = places.iter().filter(|place| place.open).count() as u32;
-    if count > 0 {
-        // Without one of the halls the others have to be enough.
-        let bearing = if options.reserve && count > 1 { count - 1 } else { count };
+    if bounds.cheap.is_some() {
+        // Without one of the halls the others have to be enough. Where none are to be had anywhere, they are asked for all the
+        // same, and those at full price stay until they come.
+        let bearing = match count {
+            0 => places.len() as u32,
+            count if options.reserve && count > 1 => count - 1,
+            count => count,
+        };
         let each = needed.saturating_sub(floor).div_ceil(bearing).max(bounds.least);
         for place in &mut places {
             place.cheap = each.min(bounds.most.saturating_sub(place.full));
