feat: hatchrudder evacuate, and the proof that an order of an evacuation waits for in the reducer

The product's own interface takes the order as well: pools take endpoints of evacuated halls for leaving, a grant there is given back. That an order waits for proof of the evacuations in force moves from the entry into the reducer, so that both entries have it. Test: hatchrudder/tests/processes.rs, nine processes, another leader in between.

--- a/crates/hatchrudder/src/command/mod.rs
+++ b/crates/hatchrudder/src/command/mod.rs
@@ -43,6 +43,7 @@
         "apply" => operate::apply(arguments),
         "label" => operate::label(arguments),
         "mark" => operate::mark(arguments),
+        "evacuate" => operate::evacuate(arguments),
         "soak" => soak::soak(arguments),
         "measure" => measure::measure(arguments),
         "load" => load::load(arguments),
--- a/crates/hatchrudder/src/command/operate.rs
+++ b/crates/hatchrudder/src/command/operate.rs
@@ -1,4 +1,4 @@
-//! `get`, `apply`, `label` and `mark`.
+//! `get`, `apply`, `label`, `mark` and `evacuate`.
 
 use std::{collections::BTreeMap, path::Path};
 
@@ -129,6 +129,23 @@
     Ok(show(kind, name, &changed))
 }
 
+/// Evacuates a hall, or takes that back.
+pub(super) fn evacuate(mut arguments: Arguments) -> Result<bool, Error> {
+    let operator = operator(&mut arguments)?;
+    let words = to_words(arguments)?;
+    let [hall, step] = words.as_slice() else {
+        return Err(Error::Usage("evacuate needs HALL begin|end".to_owned()));
+    };
+    let begins = match step.as_str() {
+        "begin" => true,
+        "end" => false,
+        word => return Err(Error::Usage(format!("{word} is not begin or end"))),
+    };
+    operator.evacuate(hall, begins)?;
+    println!("hall {hall}: {}", if begins { "gets no new work" } else { "gets work again" });
+    Ok(true)
+}
+
 /// Prints a change's number, or why it was not accepted.
 fn show(kind: Kind, name: &str, changed: &rudder_client::Changed) -> bool {
     use rudder_client::Changed;
--- a/crates/hatchrudder/src/help.rs
+++ b/crates/hatchrudder/src/help.rs
@@ -13,6 +13,7 @@
   apply      puts the objects of a file in force
   label      sets labels of an object
   mark       marks an endpoint or instance leaving or stopping
+  evacuate   gives the endpoints of a hall no new work, or takes that back
   measure    the policy on fakes in virtual time, baseline beside present
   load       latency, throughput, streams, changes against running processes
   soak       real processes under faults drawn from a seed, promises checked
@@ -85,6 +86,11 @@
 Marks an endpoint or instance and prints its new number. A leaving endpoint gets no new work within
 three seconds. A stopping instance ends once nothing is in flight.";
 
+const EVACUATE: &str = "usage: hatchrudder evacuate HALL begin|end --entry URL [--key KEY]
+
+Gives the endpoints of a hall no new work, at any instance, or takes that back. What runs there is
+finished. Answered once the order is durable; the same order may be sent again.";
+
 const MEASURE: &str = "usage: hatchrudder measure SCENARIO [--steps] [--load FACTOR] [--json]
        hatchrudder measure decision-cost
 
@@ -152,6 +158,7 @@
         "apply" => APPLY,
         "label" => LABEL,
         "mark" => MARK,
+        "evacuate" => EVACUATE,
         "measure" => MEASURE,
         "load" => LOAD,
         "soak" => SOAK,
--- a/crates/hatchrudder/tests/fleet/mod.rs
+++ b/crates/hatchrudder/tests/fleet/mod.rs
@@ -18,7 +18,7 @@
 
 pub const ADMIN_KEY: &str = "operator-key";
 pub const CALLER_KEY: &str = "caller-key";
-const HALLS: [&str; 3] = ["hervanta", "lielahti", "kaukajarvi"];
+pub const HALLS: [&str; 3] = ["hervanta", "lielahti", "kaukajarvi"];
 /// Generous: it only ends a test that would fail anyway.
 const PATIENCE: Duration = Duration::from_secs(60);
 
--- a/crates/hatchrudder/tests/processes.rs
+++ b/crates/hatchrudder/tests/processes.rs
@@ -4,8 +4,9 @@
 
 use std::thread;
 
-use fleet::{CALLER_KEY, Fleet, selector_change, until};
+use fleet::{CALLER_KEY, Fleet, HALLS, selector_change, until};
 use rudder_client::{Caller, Changed};
+use rudder_model::Ran;
 
 #[test]
 fn a_second_loss_right_after_the_repair_loses_nothing() {
@@ -137,3 +138,25 @@
     assert!(reply.whole, "{reply:?}");
     assert_eq!(fleet.wait_exit("node-8"), Some(0));
 }
+
+/// The order comes to one instance, and all obey it; what runs is finished, and what waits or comes is told that it did not run.
+#[test]
+fn an_evacuated_hall_gets_no_new_work_at_any_instance() {
+    let mut fleet = Fleet::start();
+    let service = fleet.stand_in(&["--service", "--time", "10ms"]);
+    fleet.configure_service(&service);
+    let entry = fleet.addresses["node-8"].clone();
+    let call = || Caller::at(&entry, CALLER_KEY).service("lasku", "slow", "read", None, "");
+    assert!(call().whole, "it serves");
+    let operator = fleet.operator("node-5");
+    operator.evacuate(HALLS[0], true).expect("acknowledged");
+    let refused = until("it gets no more", || Some(call()).filter(|reply| !reply.whole));
+    assert_eq!(refused.ran, Some(Ran::No), "{refused:?}");
+    let leader = fleet.leader();
+    fleet.kill(&leader);
+    fleet.leader();
+    let reply = call();
+    assert!(!reply.whole, "with another leader as well: {reply:?}");
+    fleet.operator("node-9").evacuate(HALLS[0], false).expect("acknowledged");
+    until("it serves again", || call().whole.then_some(()));
+}
--- a/crates/rudder-client/src/operator.rs
+++ b/crates/rudder-client/src/operator.rs
@@ -114,6 +114,40 @@
         Err(last)
     }
 
+    /// Evacuates a hall, so that its endpoints get no new work, or takes that back; sent again while the outcome is unknown.
+    ///
+    /// # Errors
+    /// When no answer could be had, or the entry refuses.
+    pub fn evacuate(&self, hall: &str, begins: bool) -> Result<()> {
+        let url = format!("http://{}/admin/v1/evacuations/{hall}", self.entry);
+        let bearer = format!("Bearer {}", self.key);
+        let mut last = eyre!("not tried");
+        for _ in 0..TRIES {
+            let sent = if begins {
+                self.agent.post(&url).header("authorization", &bearer).send_empty()
+            } else {
+                self.agent.delete(&url).header("authorization", &bearer).call()
+            };
+            let mut answer = match sent {
+                Ok(answer) => answer,
+                Err(error) => {
+                    last = eyre!("send the order to {}: {error}", self.entry);
+                    continue;
+                }
+            };
+            let status = answer.status().as_u16();
+            if status == 200 {
+                return Ok(());
+            }
+            let body: Value = answer.body_mut().read_json().wrap_err("read the answer")?;
+            if status != 503 {
+                bail!("{}: {status}: {body}", self.entry);
+            }
+            last = eyre!("{}: {body}", self.entry);
+        }
+        Err(last)
+    }
+
     /// Puts an object in place of the one with number `replaces`.
     ///
     /// # Errors
--- a/crates/rudder-core/src/asking.rs
+++ b/crates/rudder-core/src/asking.rs
@@ -118,10 +118,15 @@
 
     /// Asks the leader itself at the next chance: a relay's copy may be older than this moment.
     pub fn ask_leader_soon(&mut self) {
-        self.urgent = true;
+        self.want_leader();
         self.ask_soon();
     }
 
+    /// Asks the leader itself with the next question, when that is due.
+    pub fn want_leader(&mut self) {
+        self.urgent = true;
+    }
+
     /// True where it is time for a question: the last one was answered a period ago, or nobody answers it.
     pub fn is_due(&mut self, now: Duration, options: &Options) -> bool {
         let Some(asked) = self.asked_at else { return true };
--- a/crates/rudder-core/src/calls/slots.rs
+++ b/crates/rudder-core/src/calls/slots.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use rudder_events::What;
-use rudder_model::{EndpointId, InstanceId, Mark, Promise, Ran, Refusal, RefusalCode, RequestId};
+use rudder_model::{EndpointId, InstanceId, Promise, Ran, Refusal, RefusalCode, RequestId};
 use rudder_route::{Ending, Holding, held_digest};
 
 use super::{Call, Calls, Context, Phase, admit::stale, to_hex};
@@ -74,7 +74,7 @@
             }
             return;
         }
-        let usable = reach::endpoint(&context.view.config, &endpoint).filter(|held| held.mark == Mark::None);
+        let usable = reach::endpoint(&context.view.config, &endpoint).filter(|held| context.view.is_usable(held));
         let Some(address) = usable.map(|held| held.address.clone()) else {
             return_grant(context, from, request, &endpoint);
             self.ask(context, request);
--- a/crates/rudder-core/src/homes.rs
+++ b/crates/rudder-core/src/homes.rs
@@ -3,8 +3,7 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use rudder_events::What;
-use rudder_ledger::Config;
-use rudder_model::{EndpointId, EndpointKind, InstanceId, Mark, Promises};
+use rudder_model::{EndpointId, EndpointKind, InstanceId, Promises};
 use rudder_route::{Decision, Pool, Spec};
 
 use crate::{
@@ -63,7 +62,7 @@
         out: &mut Vec<Effect>,
     ) {
         let (view, options) = context;
-        let pool = self.pools.entry(id.clone()).or_insert_with(|| to_pool(&view.config, id, options));
+        let pool = self.pools.entry(id.clone()).or_insert_with(|| to_pool(view, id, options));
         let mut decisions = Vec::new();
         match message {
             ToPool::Ask(ask) => pool.ask(now, ask, &mut decisions),
@@ -106,7 +105,7 @@
             self.retired.merge(&pool.promises);
         }
         for (id, pool) in &mut self.pools {
-            pool.configure(&to_specs(&view.config, id));
+            pool.configure(&to_specs(view, id));
             pool.set_reach(|ask| reach::in_pool(&view.config, &ask.class, &ask.org, &ask.model, id));
             pool.drop_entry(now, |ask| view.holds(&ask.entry, ask.request), &mut decisions);
         }
@@ -158,19 +157,20 @@
     }
 }
 
-fn to_pool(config: &Config, id: &PoolId, options: &Options) -> Pool {
+fn to_pool(view: &View, id: &PoolId, options: &Options) -> Pool {
     let mut pool = Pool::new(options.route.clone());
-    pool.configure(&to_specs(config, id));
+    pool.configure(&to_specs(view, id));
     pool
 }
 
-fn to_specs(config: &Config, id: &PoolId) -> Vec<Spec> {
-    let endpoints = reach::iter_endpoints(config).filter(|(_, endpoint)| reach::pool_of(endpoint).as_ref() == Some(id));
+fn to_specs(view: &View, id: &PoolId) -> Vec<Spec> {
+    let endpoints =
+        reach::iter_endpoints(&view.config).filter(|(_, endpoint)| reach::pool_of(endpoint).as_ref() == Some(id));
     let spec = |(name, endpoint): (&str, &rudder_model::Endpoint)| Spec {
         id: EndpointId::from(name),
         slots: endpoint.slots,
         engine: endpoint.kind == EndpointKind::Engine,
-        leaving: endpoint.mark != Mark::None,
+        leaving: !view.is_usable(endpoint),
     };
     endpoints.map(spec).collect()
 }
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod effect;
 pub mod event;
 pub(crate) mod founding;
+pub(crate) mod hall_orders;
 pub mod homes;
 pub mod keyed;
 pub mod lives;
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -13,6 +13,7 @@
     clock::Clock,
     control::Control,
     duties::{self, Duties},
+    hall_orders::{HallOrder, HallOrders},
     homes::Homes,
     keyed,
     orders::Orders,
@@ -55,6 +56,8 @@
     stopping: Option<Duration>,
     exited: bool,
     leaves: Vec<Leave>,
+    /// Orders on halls that wait for proof.
+    hall_orders: HallOrders,
     /// What was found since the last tick.
     findings: Findings,
     /// Those who ask here while another instance leads.
@@ -95,6 +98,7 @@
             stopping: None,
             exited: false,
             leaves: Vec::new(),
+            hall_orders: HallOrders::default(),
             findings: Findings::default(),
             watchers: Watchers::default(),
         }
@@ -175,9 +179,10 @@
                 self.proposals.start(For::Document(ticket), command, now + DOCUMENT_TIMEOUT);
             }
             Event::Evacuate { ticket, hall, begins } => {
-                let as_of = self.view.evacuations.index();
-                let command = Command::Evacuate(Evacuation { hall, begins, as_of });
-                self.proposals.start(For::Evacuation(ticket), command, now + DOCUMENT_TIMEOUT);
+                let until = now + DOCUMENT_TIMEOUT;
+                self.hall_orders.add(HallOrder { ticket, hall, begins, came: now, until });
+                self.view.asking.ask_leader_soon();
+                self.ask(now, out);
             }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
             Event::Loads(loads) => self.view.set_loads(loads),
@@ -223,6 +228,7 @@
         self.watchers.tick(now, out);
         self.ask(now, out);
         self.end_leaves(now, out);
+        self.end_hall_orders(now, out);
         self.view.registry.forget_gone(now);
         self.homes.tick(now, &self.me, &self.view, &self.options, out);
         self.with_calls(now, out, Calls::tick);
@@ -284,6 +290,25 @@
         });
     }
 
+    /// Proposes the orders on halls that may count now.
+    fn propose_hall_orders(&mut self) {
+        let as_of = self.view.evacuations.index();
+        for HallOrder { ticket, hall, begins, until, .. } in self.hall_orders.take_proved(self.view.proved()) {
+            let command = Command::Evacuate(Evacuation { hall, begins, as_of });
+            self.proposals.start(For::Evacuation(ticket), command, until);
+        }
+    }
+
+    /// Answers the orders on halls that have waited in vain for proof; asks for it again for the others.
+    fn end_hall_orders(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        for late in self.hall_orders.take_late(now) {
+            out.push(Effect::Evacuated { ticket: late.ticket, decided: false });
+        }
+        if !self.hall_orders.is_empty() {
+            self.view.asking.want_leader();
+        }
+    }
+
     /// Begins a planned stop: off the lists at once, still serving callers that hold an old list.
     fn stop(&mut self, now: Duration, out: &mut Vec<Effect>) {
         if self.stopping.is_none() {
@@ -320,6 +345,7 @@
                     self.watchers.notify(now, None, out);
                 }
                 self.end_leaves(now, out);
+                self.propose_hall_orders();
             }
             PeerMessage::Notify => self.ask_now(now, out),
             PeerMessage::Elsewhere { leader } => {
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -14,7 +14,9 @@
 
 use rudder_events::What;
 use rudder_ledger::{Config, Delta, Document, Evacuations, Quarantine, QuarantineNews};
-use rudder_model::{EndpointId, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id};
+use rudder_model::{
+    Endpoint, EndpointId, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id,
+};
 
 use crate::{
     Effect, Group, Listing, Me, Options, PeerMessage, Watch, Watched,
@@ -197,6 +199,11 @@
         }
     }
 
+    /// True while an endpoint of the configuration may get new work: it is not marked, and its hall not evacuated.
+    pub fn is_usable(&self, endpoint: &Endpoint) -> bool {
+        endpoint.mark == Mark::None && !self.evacuations.is_evacuated(&endpoint.hall)
+    }
+
     /// True when the start that a request id names is still alive in `name`.
     pub fn is_alive(&self, name: &str, start: u64) -> bool {
         self.directory.get(name).is_some_and(|listing| listing.start == start)
@@ -343,7 +350,8 @@
         }
         let mut urgent = self.take_document(watched.document, promises, out);
         urgent |= self.take_quarantine(watched.quarantine);
-        urgent |= self.take_evacuations(watched.evacuations, out);
+        let moved = self.take_evacuations(watched.evacuations, out);
+        (changed, urgent) = (changed || moved, urgent || moved);
         self.confirm(watched.round, *from == watched.leader);
         let held = self.document.as_ref().map_or(0, |document| document.version);
         // Time counts from the start of this process; a proof from before that cannot be told, and is none.
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -33,8 +33,6 @@
 const READ_WAIT: Duration = Duration::from_millis(850);
 /// An operator waits this long for the log to decide.
 const DECIDE_WAIT: Duration = Duration::from_millis(2600);
-/// An order of an evacuation waits this long for proof of the evacuations in force: as long as a new leader may take.
-const PROVE_WAIT: Duration = Duration::from_secs(2);
 /// An endpoint waits this long for its heartbeat to be taken in.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(900);
 
@@ -61,8 +59,8 @@
         Operation::Read => read(&shared, arrived).await,
         Operation::Heartbeat(endpoint) => heartbeat(&shared, &endpoint, request.into_body()).await,
         Operation::Leave(endpoint) => leave(&shared, &endpoint, request.into_body()).await,
-        Operation::Evacuate(hall) => evacuate(&shared, hall.into(), true, arrived).await,
-        Operation::Return(hall) => evacuate(&shared, hall.into(), false, arrived).await,
+        Operation::Evacuate(hall) => evacuate(&shared, hall.into(), true).await,
+        Operation::Return(hall) => evacuate(&shared, hall.into(), false).await,
         Operation::Unknown => empty(StatusCode::NOT_FOUND),
     }
 }
@@ -123,31 +121,23 @@
     }
 }
 
-/// Evacuates a hall, or takes that back. The order counts from what was known of all evacuations when it came, so that a
-/// copy of it that is held up undoes nothing that was ordered since; that is proved first.
-async fn evacuate<D: Dialect>(shared: &Shared<D>, hall: HallId, begins: bool, arrived: Moment) -> Response<AnswerBody> {
+/// Evacuates a hall, or takes that back.
+async fn evacuate<D: Dialect>(shared: &Shared<D>, hall: HallId, begins: bool) -> Response<AnswerBody> {
     if !shared.places.borrow().knows(&hall) {
         return fault(StatusCode::NOT_FOUND, "there is no such hall");
     }
-    let decided = decide_evacuation(shared, hall.clone(), begins, arrived).await;
+    let came = Moment::now();
+    let (ticket, reply) = shared.tickets.draw();
+    shared.tell(Event::Evacuate { ticket, hall: hall.clone(), begins });
+    let answer = tokio::time::timeout(DECIDE_WAIT, reply).await;
+    let decided = matches!(answer, Ok(Ok(Reply::Evacuated(true))));
     let status = if decided { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
-    let took_ms = arrived.elapsed().as_millis() as u64;
+    let took_ms = came.elapsed().as_millis() as u64;
     shared.log.write(What::EvacuationOrdered { hall, begins, status: status.as_u16(), took_ms });
     if decided {
-        json(status, Bytes::from_static(b"{}"))
-    } else {
-        fault(status, "the outcome is unknown; send the same again")
+        return json(status, Bytes::from_static(b"{}"));
     }
-}
-
-/// True where the log holds the order.
-async fn decide_evacuation<D: Dialect>(shared: &Shared<D>, hall: HallId, begins: bool, arrived: Moment) -> bool {
-    if !shared.prove(arrived, PROVE_WAIT).await {
-        return false;
-    }
-    let (ticket, reply) = shared.tickets.draw();
-    shared.tell(Event::Evacuate { ticket, hall, begins });
-    matches!(tokio::time::timeout(DECIDE_WAIT, reply).await, Ok(Ok(Reply::Evacuated(true))))
+    fault(status, "the outcome is unknown; send the same again")
 }
 
 async fn heartbeat<D: Dialect>(shared: &Shared<D>, name: &str, body: Incoming) -> Response<AnswerBody> {
--- a/crates/rudder-node/src/admin.rs
+++ b/crates/rudder-node/src/admin.rs
@@ -10,6 +10,8 @@
 
 /// Path before all of the operators' interface.
 pub(crate) const PREFIX: &str = "/admin/v1/";
+/// Path before a hall's name.
+const EVACUATIONS: &str = "evacuations/";
 /// Largest change.
 const BODY: usize = 1 << 20;
 
@@ -19,9 +21,11 @@
     let path = path.strip_prefix(PREFIX).unwrap_or_default();
     let (status, body) = match (request.method(), path) {
         (Method::Post, "changes") => change(&mut request, inputs),
+        (Method::Post, path) if path.starts_with(EVACUATIONS) => evacuate(&path[EVACUATIONS.len()..], true, inputs),
+        (Method::Delete, path) if path.starts_with(EVACUATIONS) => evacuate(&path[EVACUATIONS.len()..], false, inputs),
         (Method::Get, "status") => status(inputs),
         (Method::Get, path) => objects(path, inputs),
-        _ => (405, json!({"error": "POST changes, or GET status, KIND or KIND/NAME"})),
+        _ => (405, json!({"error": "POST changes, POST or DELETE evacuations/HALL, or GET status, KIND or KIND/NAME"})),
     };
     let _ = reply::json(request, status, &body);
 }
@@ -51,6 +55,19 @@
     }
 }
 
+/// Evacuates a hall, or takes that back.
+fn evacuate(hall: &str, begins: bool, inputs: &Sender<Input>) -> (u16, Value) {
+    if hall.is_empty() {
+        return (400, json!({"error": "the hall must not be empty"}));
+    }
+    let (answer, receiver) = bounded(1);
+    let _ = inputs.send(Input::Evacuate { hall: hall.into(), begins, answer });
+    match receiver.recv() {
+        Ok(true) => (200, json!({"hall": hall, "evacuated": begins})),
+        _ => (503, json!({"error": "outcome unknown: no leader answered in time; send the same again", "retry": true})),
+    }
+}
+
 fn to_answer(changed: &Changed) -> (u16, Value) {
     let status = match changed {
         Changed::Accepted { .. } => 200,
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -37,6 +37,7 @@
     outlets: Outlets,
     calls: BTreeMap<RequestId, Sender<Verdict>>,
     changes: BTreeMap<u64, Sender<Option<Changed>>>,
+    evacuations: BTreeMap<u64, Sender<bool>>,
     tickets: u64,
     outcomes: BTreeMap<RequestId, Arc<str>>,
     ended: VecDeque<RequestId>,
@@ -54,6 +55,7 @@
             outlets,
             calls: BTreeMap::new(),
             changes: BTreeMap::new(),
+            evacuations: BTreeMap::new(),
             tickets: 0,
             outcomes: BTreeMap::new(),
             ended: VecDeque::new(),
@@ -95,6 +97,11 @@
                 self.changes.insert(self.tickets, answer);
                 self.reduce(Event::Admin { ticket: self.tickets, change });
             }
+            Input::Evacuate { hall, begins, answer } => {
+                self.tickets += 1;
+                self.evacuations.insert(self.tickets, answer);
+                self.reduce(Event::Evacuate { ticket: self.tickets, hall, begins });
+            }
             Input::Query(query, reply) => {
                 // The asker may have gone; then nobody needs the answer.
                 let _ = reply.send(self.answer(query));
@@ -154,8 +161,13 @@
                 self.outlets.metrics.count(&what);
                 self.outlets.log.write(what);
             }
+            Effect::Evacuated { ticket, decided } => {
+                if let Some(waiting) = self.evacuations.remove(&ticket) {
+                    let _ = waiting.send(decided);
+                }
+            }
             // Documents, heartbeats and duties come in through the gateway, which drives the reducer itself.
-            Effect::Documented { .. } | Effect::Evacuated { .. } | Effect::Registered { .. } | Effect::Call { .. } => {}
+            Effect::Documented { .. } | Effect::Registered { .. } | Effect::Call { .. } => {}
             Effect::Exit => self.running = false,
         }
     }
--- a/crates/rudder-node/src/input.rs
+++ b/crates/rudder-node/src/input.rs
@@ -5,7 +5,7 @@
 use crossbeam_channel::Sender;
 use rudder_core::{Event, Listing, PeerMessage, Verdict};
 use rudder_ledger::{Changed, Held};
-use rudder_model::{InstanceId, Kind, ModelId, Promises, RequestId};
+use rudder_model::{HallId, InstanceId, Kind, ModelId, Promises, RequestId};
 
 /// Something for the control thread.
 #[derive(Debug)]
@@ -18,6 +18,15 @@
     Call(RequestId, Event, Sender<Verdict>),
     /// An operator's change, and where its answer goes.
     Change(rudder_ledger::Change, Sender<Option<Changed>>),
+    /// An operator's order to evacuate a hall, or that its evacuation ends, and where the answer goes: the log holds it.
+    Evacuate {
+        /// The hall.
+        hall: HallId,
+        /// It is to be evacuated.
+        begins: bool,
+        /// Where the answer goes.
+        answer: Sender<bool>,
+    },
     /// A question about the state.
     Query(Query, Sender<QueryReply>),
     /// End the thread; the instance stops without a plan.
