--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -29,6 +29,9 @@
 /// to name those who ask them.
 const LEAD_GRACE: Duration = Duration::from_secs(1);
 
+/// Time between two looks through all endpoints, of which there may be thousands: far less than the seconds after which one is
+/// silent.
+const LOOK: Duration = Duration::from_millis(200);
 /// Time between two looks at which endpoints a hall is told of.
 const TAGS_PAUSE: Duration = Duration::from_millis(500);
 
@@ -68,6 +71,8 @@
     watchers: Watchers,
     /// Endpoints that the instances of each hall are told of.
     tags: BTreeMap<HallId, HallTags>,
+    /// When all endpoints were looked through last.
+    looked: Option<Duration>,
     unsnapped: u64,
     announced: Option<Duration>,
 }
@@ -96,6 +101,7 @@
             registry: Registry::default(),
             watchers: Watchers::default(),
             tags: BTreeMap::new(),
+            looked: None,
             unsnapped: 0,
             announced: None,
         }
@@ -352,9 +358,12 @@
     }
 
     fn prune(&mut self, now: Duration, options: &Options) {
-        self.registry.age(now);
-        let watchers = &self.watchers;
-        self.registry.divide(|held| watchers.calls_at(id::endpoint_tag(&held.endpoint)));
+        if self.looked.is_none_or(|looked| now >= looked + LOOK) {
+            self.looked = Some(now);
+            self.registry.age(now);
+            let watchers = &self.watchers;
+            self.registry.divide(|held| watchers.calls_at(id::endpoint_tag(&held.endpoint)));
+        }
         self.watchers.age(now, options.gone);
         let gone = |seen: Duration| now >= seen + options.gone;
         let names = self.live.iter().filter(|(_, seen)| gone(**seen)).map(|(name, _)| name.clone());
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -103,6 +103,9 @@
     pub document: Option<DocumentNews>,
     /// What the asker lacks of the registry.
     pub registry: Option<RegistryNews>,
+    /// Some of what the asker lacks of the registry is not in this answer: it is on its way, or comes with the next. An asker
+    /// that may lack the leave of an endpoint has no proof.
+    pub pending: bool,
     /// What of the registry the asker's hall is not told of; `None` where it is told everything.
     pub scope: Option<Scope>,
     /// What the asker lacks of the contents in quarantine.
@@ -118,6 +121,18 @@
     pub time: Option<Duration>,
 }
 
+impl Watched {
+    fn weight(&self) -> usize {
+        let document = match &self.document {
+            Some(DocumentNews::Whole(document)) => document.body.len() / 100,
+            _ => 0,
+        };
+        let directory = self.directory.as_ref().map_or(0, |news| news.entries.len());
+        let registry = self.registry.as_ref().map_or(0, |news| news.entries.len());
+        1 + document + directory + registry + self.loads.as_ref().map_or(0, Vec::len)
+    }
+}
+
 /// A document that the receiver does not hold.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum DocumentNews {
@@ -249,6 +264,15 @@
 }
 
 impl PeerMessage {
+    /// Entries and hundreds of bytes that it carries: about what it costs to hold until it is sent.
+    pub fn weight(&self) -> usize {
+        match self {
+            PeerMessage::Watched(watched) => watched.weight(),
+            PeerMessage::Watch(watch) => watch.heard.len() + watch.loads.as_ref().map_or(0, Vec::len),
+            _ => 1,
+        }
+    }
+
     /// What it is called in figures.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/crates/rudder-core/src/registry.rs
+++ b/crates/rudder-core/src/registry.rs
@@ -381,7 +381,8 @@
 
     /// What the holder of `version` in `hall` lacks of what `scope` tells it, or of everything; `None` where that is nothing.
     pub fn news_after(&self, version: Version, hall: &HallId, scope: Option<&Scope>) -> Option<RegistryNews> {
-        self.entries.news_of(version, PAGE, |held| match scope {
+        let anew = scope.is_some_and(|scope| scope.widened.iter().any(|widened| widened.version > version));
+        self.entries.news_of(version, PAGE, anew, |held| match scope {
             Some(scope) if !scope.tells(hall, held) => None,
             scope => Some(scope.map_or(0, |scope| scope.told_since(hall, held))),
         })
--- a/crates/rudder-core/src/spread.rs
+++ b/crates/rudder-core/src/spread.rs
@@ -42,6 +42,13 @@
     pub lineage: Vec<Version>,
 }
 
+impl<K, V> News<K, V> {
+    /// True where it says more than that nothing has changed up to its version.
+    pub fn tells(&self) -> bool {
+        self.whole || !self.entries.is_empty() || !self.removed.is_empty()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Item<V> {
     value: V,
@@ -60,11 +67,21 @@
     /// Removals up to this version may be forgotten.
     forgotten: Version,
     lineage: VecDeque<Version>,
+    /// The keys of what leaders told, by the version of its last change: of thousands of entries few have changed since a
+    /// question before.
+    by_change: BTreeSet<(Version, K)>,
 }
 
 impl<K, V> Default for Spread<K, V> {
     fn default() -> Self {
-        Spread { items: BTreeMap::new(), removed: BTreeMap::new(), version: 0, forgotten: 0, lineage: VecDeque::new() }
+        Spread {
+            items: BTreeMap::new(),
+            removed: BTreeMap::new(),
+            version: 0,
+            forgotten: 0,
+            lineage: VecDeque::new(),
+            by_change: BTreeSet::new(),
+        }
     }
 }
 
@@ -112,11 +129,47 @@
             self.lineage.pop_front();
         }
         self.version = term << 32;
-        for item in self.items.values_mut().filter(|item| item.local) {
+        let local: Vec<K> = self.items.iter().filter(|(_, item)| item.local).map(|(key, _)| key.clone()).collect();
+        for key in local {
             self.version += 1;
-            item.changed = self.version;
-            item.local = false;
+            self.mark(&key, self.version, false);
+        }
+    }
+
+    /// Sets the version at which an entry changed last, and whether it was learned here.
+    fn mark(&mut self, key: &K, changed: Version, local: bool) {
+        let Some(item) = self.items.get_mut(key) else { return };
+        self.by_change.remove(&(item.changed, key.clone()));
+        (item.changed, item.local) = (changed, local);
+        if changed > 0 {
+            self.by_change.insert((changed, key.clone()));
+        }
+    }
+
+    fn insert(&mut self, key: K, value: V, changed: Version, local: bool) {
+        self.drop_entry(&key);
+        if changed > 0 {
+            self.by_change.insert((changed, key.clone()));
         }
+        self.items.insert(key, Item { value, changed, local });
+    }
+
+    /// Drops an entry. Returns whether there was one.
+    fn drop_entry(&mut self, key: &K) -> bool {
+        let Some(item) = self.items.remove(key) else { return false };
+        self.by_change.remove(&(item.changed, key.clone()));
+        true
+    }
+
+    fn retain(&mut self, kept: impl Fn(&K, &Item<V>) -> bool) {
+        let by_change = &mut self.by_change;
+        self.items.retain(|key, item| {
+            let keeps = kept(key, item);
+            if !keeps {
+                by_change.remove(&(item.changed, key.clone()));
+            }
+            keeps
+        });
     }
 
     /// The leader's own change of an entry; the same value again is none.
@@ -126,7 +179,7 @@
         }
         self.version += 1;
         self.removed.remove(&key);
-        self.items.insert(key, Item { value, changed: self.version, local: false });
+        self.insert(key, value, self.version, false);
     }
 
     /// The leader's change of a value that nobody else needs to know of; there is no new version of it.
@@ -138,7 +191,7 @@
 
     /// The leader's removal of an entry, where there is one.
     pub fn remove(&mut self, key: &K) {
-        if self.items.remove(key).is_none() {
+        if !self.drop_entry(key) {
             return;
         }
         self.version += 1;
@@ -158,17 +211,17 @@
     /// Puts in what was learned here; the leader's next word on it may replace it.
     pub fn set_local(&mut self, key: K, value: V) {
         let changed = self.items.get(&key).map_or(0, |item| item.changed);
-        self.items.insert(key, Item { value, changed, local: true });
+        self.insert(key, value, changed, true);
     }
 
     /// Drops entries here alone, where `kept` says so; a leader uses [`Spread::remove`].
     pub fn retain_local(&mut self, kept: impl Fn(&K, &V) -> bool) {
-        self.items.retain(|key, item| kept(key, &item.value));
+        self.retain(|key, item| kept(key, &item.value));
     }
 
     /// Drops entries here that no leader has told, and those that `kept` does not name.
     pub fn retain_told(&mut self, kept: impl Fn(&V) -> bool) {
-        self.items.retain(|_, item| item.changed > 0 && kept(&item.value));
+        self.retain(|_, item| item.changed > 0 && kept(&item.value));
     }
 
     /// Takes the entries held for none of what the leader holds, so that all is told again.
@@ -178,15 +231,17 @@
 
     /// What the holder of `held` lacks; `None` where that is nothing, or where it holds something newer.
     pub fn news_after(&self, held: Version) -> Option<News<K, V>> {
-        self.news_of(held, usize::MAX, |_| Some(0))
+        self.news_of(held, usize::MAX, false, |_| Some(0))
     }
 
     /// What the holder of `held` lacks of the entries that it is told of, the oldest `most` of it. `told_since` says of a value
-    /// since which version it is told of it, if at all.
+    /// since which version it is told of it, if at all; `anew` is true where it may be told since after `held` of what has not
+    /// changed since.
     pub fn news_of(
         &self,
         held: Version,
         most: usize,
+        anew: bool,
         told_since: impl Fn(&V) -> Option<Version>,
     ) -> Option<News<K, V>> {
         if held >= self.version {
@@ -194,16 +249,16 @@
         }
         // Who holds nothing lacks no removals.
         let whole = held > 0 && !self.has_prefix(held);
-        let lacks = |item: &Item<V>| {
-            let since = told_since(&item.value)?;
-            (whole || item.changed.max(since) > held).then_some(item.changed.max(since))
+        let to_told = |(at, key): &(Version, K)| {
+            let value = &self.items.get(key)?.value;
+            let changed = told_since(value)?.max(*at);
+            (whole || changed > held).then(|| Told { key: key.clone(), value: value.clone(), changed })
         };
-        let known = self.items.iter().filter(|(_, item)| !item.local || item.changed > 0);
-        let mut entries: Vec<Told<K, V>> = known
-            .filter_map(|(key, item)| {
-                lacks(item).map(|changed| Told { key: key.clone(), value: item.value.clone(), changed })
-            })
-            .collect();
+        let all = whole || anew;
+        let first = if all { 0 } else { held };
+        let known = self.by_change.iter().rev().take_while(|(changed, _)| *changed > first);
+        let mut entries: Vec<Told<K, V>> = known.filter_map(to_told).collect();
+        entries.reverse();
         let version = if whole { self.version } else { truncate(&mut entries, most).unwrap_or(self.version) };
         let removed = self.removed.iter().filter(|(_, at)| !whole && held > 0 && **at > held && **at <= version);
         Some(News {
@@ -245,18 +300,19 @@
             self.forgotten = news.version;
             self.removed.clear();
             let named: BTreeSet<&K> = news.entries.iter().map(|told| &told.key).collect();
-            self.items.retain(|key, item| named.contains(key) || keeps(key, &item.value));
-            for (_, item) in self.items.iter_mut().filter(|(key, _)| !named.contains(key)) {
-                (item.local, item.changed) = (true, 0);
+            self.retain(|key, item| named.contains(key) || keeps(key, &item.value));
+            let kept: Vec<K> = self.items.keys().filter(|key| !named.contains(key)).cloned().collect();
+            for key in kept {
+                self.mark(&key, 0, true);
             }
         }
         for told in news.entries {
             self.take_entry(told, &accepts);
         }
         for (key, version) in news.removed {
-            match self.items.get_mut(&key) {
-                Some(item) if keeps(&key, &item.value) => (item.local, item.changed) = (true, 0),
-                _ => drop(self.items.remove(&key)),
+            match self.items.get(&key) {
+                Some(item) if keeps(&key, &item.value) => self.mark(&key, 0, true),
+                _ => drop(self.drop_entry(&key)),
             }
             self.removed.insert(key, version);
         }
@@ -269,9 +325,9 @@
     fn take_entry(&mut self, told: Told<K, V>, accepts: &impl Fn(&V, &V) -> bool) {
         let Told { key, value, changed } = told;
         self.removed.remove(&key);
-        match self.items.get_mut(&key) {
-            Some(held) if !accepts(&held.value, &value) => (held.changed, held.local) = (changed, true),
-            _ => drop(self.items.insert(key, Item { value, changed, local: false })),
+        match self.items.get(&key) {
+            Some(held) if !accepts(&held.value, &value) => self.mark(&key, changed, true),
+            _ => self.insert(key, value, changed, false),
         }
     }
 }
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -357,7 +357,7 @@
         // Time counts from the start of this process; a proof from before that cannot be told, and is none.
         let age = watched.age;
         let proof = sent.at.checked_sub(age);
-        if watched.complete && held >= watched.newest {
+        if watched.complete && held >= watched.newest && !watched.pending {
             self.proved = self.proved.max(proof);
         }
         if !watched.complete {
@@ -375,9 +375,8 @@
         }
         if let Some(news) = watched.registry {
             // Most versions of a large registry are about endpoints that are not told here.
-            let tells = news.whole || !news.entries.is_empty() || !news.removed.is_empty();
+            self.edition += u64::from(news.tells());
             urgent |= self.registry.take_news(now, news);
-            self.edition += u64::from(tells);
         }
         self.take_scope((me, options), watched.scope, out);
         if let Some(loads) = watched.loads.filter(|_| sent.target != Target::PastRelay) {
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -15,6 +15,8 @@
     loads::{self, Loads},
     past::Past,
     peer::{DocumentNews, Load},
+    registry::RegistryNews,
+    spread::Version,
     subset::Scope,
     tree::Directory,
 };
@@ -36,10 +38,27 @@
     /// The document it was sent last, and when.
     document: u64,
     document_at: Duration,
+    /// What it held of directory and registry when it was sent more of them, and when.
+    directory: Sent,
+    registry: Sent,
     /// Those who ask it, and the version of that list.
     group: Option<(u64, Vec<Listing>)>,
 }
 
+/// What was sent to one that held this version.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sent {
+    held: Version,
+    at: Option<Duration>,
+}
+
+impl Sent {
+    /// True where the holder of `held` may be sent what it lacks: nothing that it still lacks is on its way.
+    fn may_send(&self, now: Duration, held: Version) -> bool {
+        held != self.held || self.at.is_none_or(|at| now >= at + RESEND)
+    }
+}
+
 /// All that ask.
 #[derive(Debug, Default)]
 pub struct Watchers {
@@ -87,11 +106,11 @@
 
 impl Watchers {
     /// Answers a question; who asks has been noted.
-    pub fn answer(&mut self, now: Duration, watch: Watch, group: u64, source: Source) -> Watched {
+    pub fn answer(&mut self, now: Duration, mut watch: Watch, group: u64, source: Source) -> Watched {
         let name = watch.listing.name.clone();
         // Only who takes callers chooses among endpoints, and relays pass the loads on.
         let told = watch.loads.is_some() && (watch.listing.address.is_some() || watch.group.is_some());
-        if let Some(loads) = watch.loads {
+        if let Some(loads) = watch.loads.take() {
             self.loads.tell(now, &name, loads);
         }
         let loads = told.then(|| {
@@ -102,7 +121,15 @@
             loads
         });
         let told = source.scope.as_ref().filter(|_| !source.whole);
+        let (directory_due, registry_due) = self.are_due(now, &watch);
         let registry = source.registry.news_after(watch.registry, &watch.listing.hall, told);
+        let pending = registry
+            .as_ref()
+            .is_some_and(|news| news.tells() && !registry_due || news.version < source.registry.version());
+        let registry = registry.filter(|news| registry_due || !news.tells());
+        let directory = source.directory.news_after(watch.directory).filter(|_| directory_due);
+        let tells = registry.as_ref().is_some_and(RegistryNews::tells);
+        self.note_sent(now, &watch, directory.is_some(), tells);
         let deltas = source.config.deltas_after(watch.index, DELTAS);
         let complete = deltas.len() < DELTAS;
         let last = deltas.last().map_or(watch.index, |delta| delta.held.index);
@@ -115,10 +142,11 @@
             index: if complete { source.config.index.max(watch.index) } else { last },
             complete,
             deltas,
-            directory: source.directory.news_after(watch.directory),
+            directory,
             newest: source.document.map_or(0, |document| document.version),
             document: self.document_for(now, &name, watch.document, source.document),
             registry,
+            pending,
             scope: source.scope,
             quarantine: source.quarantine.news_after(watch.quarantine),
             evacuations: source.evacuations.news_after(watch.evacuations),
@@ -128,11 +156,35 @@
         }
     }
 
+    /// Whether the asker may be sent what it lacks of the directory and of the registry.
+    fn are_due(&self, now: Duration, watch: &Watch) -> (bool, bool) {
+        let Some(held) = self.asking.get(&watch.listing.name) else { return (true, true) };
+        (held.directory.may_send(now, watch.directory), held.registry.may_send(now, watch.registry))
+    }
+
+    fn note_sent(&mut self, now: Duration, watch: &Watch, directory: bool, registry: bool) {
+        let Some(held) = self.asking.get_mut(&watch.listing.name) else { return };
+        if directory {
+            held.directory = Sent { held: watch.directory, at: Some(now) };
+        }
+        if registry {
+            held.registry = Sent { held: watch.registry, at: Some(now) };
+        }
+    }
+
     /// Takes in that `listing` asks. Returns whether anything of it has changed.
     pub fn note(&mut self, now: Duration, listing: &Listing) -> bool {
         let known = self.asking.get_mut(&listing.name).filter(|held| held.listing.start == listing.start);
         let Some(held) = known else {
-            let fresh = Watcher { listing: listing.clone(), seen: now, document: 0, document_at: now, group: None };
+            let fresh = Watcher {
+                listing: listing.clone(),
+                seen: now,
+                document: 0,
+                document_at: now,
+                directory: Sent::default(),
+                registry: Sent::default(),
+                group: None,
+            };
             self.asking.insert(listing.name.clone(), fresh);
             self.version += 1;
             return true;
--- a/crates/rudder-core/tests/registry.rs
+++ b/crates/rudder-core/tests/registry.rs
@@ -152,3 +152,19 @@
     mesh.run(Duration::from_secs(2));
     assert_eq!(phases(&mesh), vec![Some(Phase::Gone); 9]);
 }
+
+/// What an instance lacks is not sent to it twice while it is on its way, as the copies of a start would hold up each other;
+/// and as it may lack the leave of an endpoint, the answer without it proves nothing.
+#[test]
+fn what_is_on_its_way_is_not_sent_again_and_proves_nothing() {
+    let mut mesh = start();
+    let leader = mesh.leader().expect("one leads");
+    let ask = |mesh: &mut Mesh, round: u64| {
+        let watched = mesh.ask(leader, question("10.0.9.9:7000", round, 5));
+        (watched.directory.is_some(), watched.registry.is_some(), watched.pending)
+    };
+    assert_eq!(ask(&mut mesh, 1), (true, true, false));
+    assert_eq!(ask(&mut mesh, 2), (false, false, true));
+    mesh.run(Duration::from_millis(450));
+    assert_eq!(ask(&mut mesh, 3), (true, true, false), "it may have been lost");
+}
--- a/crates/rudder-gateway/benches/publish.rs
+++ b/crates/rudder-gateway/benches/publish.rs
@@ -43,3 +43,14 @@
         black_box((kept, published, roster))
     });
 }
+
+/// The leader's answer to one that lacks one change of these many endpoints.
+#[divan::bench(args = [200, 3_000, 12_000])]
+fn answer(bencher: Bencher, endpoints: usize) {
+    let mut registry = registry(endpoints);
+    registry.lead(Duration::ZERO, 1);
+    let (held, hall) = (registry.version(), "hall-0".into());
+    let first = registry.iter().next().expect("some are there").clone();
+    registry.hear_as_leader(Duration::ZERO, &Registration { sequence: 2, slots: 65, ..Registration::clone(&first) });
+    bencher.bench_local(|| black_box(registry.news_after(held, &hall, None)));
+}
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -35,6 +35,11 @@
 /// A heartbeat may come this much late.
 const HEARTBEAT_LATE: Duration = Duration::from_millis(2600);
 
+/// Entries in messages that may wait for the traffic thread, some 200 bytes each: about as much as may wait for links.
+const BACKLOG_MOST: usize = 60_000;
+/// A message of so many entries goes out whatever waits: leases and the log go on by such.
+const LIGHT: usize = 16;
+
 /// Something for the traffic thread.
 #[derive(Debug)]
 pub enum Notice {
@@ -270,7 +275,7 @@
 
     fn perform(&mut self, effect: Effect) {
         match effect {
-            Effect::Send { to, message } => self.batch.push(Notice::Send(to, message)),
+            Effect::Send { to, message } => self.send(to, message),
             Effect::Save { number, records } => self.save(Job::Append(number, records)),
             Effect::SaveSnapshot { number, snapshot, records } => {
                 self.save(Job::Replace(number, snapshot, records));
@@ -295,6 +300,18 @@
         }
     }
 
+    /// Hands a message to traffic, unless that is so far behind that what waits would take the memory: who needs it asks again.
+    fn send(&mut self, to: InstanceId, message: PeerMessage) {
+        let weight = message.weight();
+        let backlog = &self.standing.backlog;
+        if weight > LIGHT && backlog.load(Ordering::Relaxed) + weight > BACKLOG_MOST {
+            self.standing.left_out.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
+        backlog.fetch_add(weight, Ordering::Relaxed);
+        self.batch.push(Notice::Send(to, message));
+    }
+
     fn save(&self, job: Job) {
         if let Some(disk) = &self.disk {
             let _ = disk.send(job);
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -6,7 +6,7 @@
     cell::RefCell,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -47,6 +47,10 @@
     pub commit: AtomicU64,
     /// Index of the last entry of its log.
     pub last: AtomicU64,
+    /// Entries in messages that wait for the traffic thread.
+    pub backlog: AtomicUsize,
+    /// Messages left out as too much waited.
+    pub left_out: AtomicU64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -178,6 +182,7 @@
     holds: Gauge,
     windows: Gauge,
     late: Gauge,
+    left_out: Gauge,
     instances: Gauge,
     memory: Gauge,
     dropped: Gauge,
@@ -260,6 +265,8 @@
         registry.register("usage_windows_waiting", help, state.windows.clone());
         let help = "Requests told after their window was closed; known where there is a disk";
         registry.register("usage_late_requests", help, state.late.clone());
+        let help = "Messages to instances left out as too much waited for the traffic thread";
+        registry.register("peer_left_out_messages", help, state.left_out.clone());
         registry.register("instances", "Live instances known", state.instances.clone());
         registry.register("resident_bytes", "Memory of the process", state.memory.clone());
         registry.register("log_lines_left_out", "Log lines left out in the last second", state.dropped.clone());
@@ -386,6 +393,7 @@
         state.holds.set(i64::from(shared.holds_duties()));
         state.windows.set(number(standing.windows.load(Ordering::Relaxed)));
         state.late.set(number(standing.late.load(Ordering::Relaxed)));
+        state.left_out.set(number(standing.left_out.load(Ordering::Relaxed)));
         let view = shared.view.borrow();
         state.instances.set(number(view.entries.len() as u64));
         state.memory.set(resident().unwrap_or_default());
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -135,7 +135,10 @@
     while let Some(batch) = notices.recv().await {
         for notice in batch {
             match notice {
-                Notice::Send(to, message) => links.send(&to, message),
+                Notice::Send(to, message) => {
+                    shared.standing.backlog.fetch_sub(message.weight(), Ordering::Relaxed);
+                    links.send(&to, message);
+                }
                 Notice::Published(published) => shared.publish(*published),
                 Notice::Others(others, at) => shared.take_others(others.as_deref(), at),
                 Notice::Proved(proved) => drop(shared.proof.send_replace(Some(proved))),
