--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -128,7 +128,7 @@
             attempts: 1,
             open: false,
             resumable: false,
-            homes: None,
+            residency: None,
         };
         plan.add_route(route).expect("it fits");
     }
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -18,7 +18,7 @@
     Dialect, Plan, Route,
     dialect::CallHead,
     holdings::{Cut, Reads, Unread, read_whole},
-    places::homes_of,
+    places::residency_of,
     shared::Shared,
 };
 
@@ -64,7 +64,7 @@
     let allowed = head.deadline.unwrap_or(DEADLINE).min(route.timeout);
     let until = arrived + allowed;
     let tier = organisation.and_then(|organisation| organisation.tier).unwrap_or(route.tier);
-    let homes = homes_of(&route, organisation);
+    let residency = residency_of(&route, organisation);
     let organisation = organisation.map(|organisation| organisation.name.clone());
     let body = read_body(shared, body, plan.limits.body, until).await?;
     let caller = organisation.as_deref().unwrap_or_default();
@@ -93,7 +93,7 @@
         engine_rank,
         prompt: head.prompt,
         content,
-        homes,
+        residency,
         last_event: head.last_event,
         key: head.key,
         host,
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -103,7 +103,7 @@
 ) -> Result<Result<Leg, Failure>, Refusal> {
     let Some(choice) = pick(shared, call, progress) else {
         progress.connects = CONNECTS;
-        let bound = call.homes.is_some();
+        let bound = call.residency.is_some();
         let why = if bound { "no endpoint is in use where it may go" } else { "no endpoint of its service is in use" };
         return Ok(Err(Failure::Unsent(why)));
     };
@@ -258,7 +258,7 @@
         policy: &shared.options.policy,
         now: Moment::now(),
     };
-    let eligible = Eligibility { tried: &progress.tried, homes: call.homes.as_deref() };
+    let eligible = Eligibility { tried: &progress.tried, residency: call.residency.as_deref() };
     let first = choose::service_of(&call.route, rand::random())?;
     let by_weight = progress.chosen.as_ref().unwrap_or(first);
     let others = call.route.shares.iter().map(|share| &share.service);
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -46,7 +46,7 @@
     dialect::{AnswerHead, CallHead, Forward, Prompt},
     holdings::Cut,
     metrics::Ending,
-    places::Homes,
+    places::Residency,
     shared::{Shared, Stage},
     upstream::Connection,
 };
@@ -84,7 +84,7 @@
     /// What its caller asks for, in short: the same when it comes again under another id.
     pub content: ContentTag,
     /// Where it may be run and kept.
-    pub homes: Homes,
+    pub residency: Residency,
     /// Last event that the caller had when it asked.
     pub last_event: Option<u64>,
     /// Ends its caller's connection.
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -10,7 +10,7 @@
     ended::{check_not_refused, is_risky},
     refusal::{not_run, stopped},
 };
-use crate::{Dialect, Route, RouteKind, choose::Choice, places::homes_of, shared::Shared};
+use crate::{Dialect, Route, RouteKind, choose::Choice, places::residency_of, shared::Shared};
 
 /// Endpoints beyond the route's own bound that a request may go to when it did not run.
 const UNRUN_EXTRA: u32 = 1;
@@ -73,7 +73,8 @@
     if plan.organisations.is_some() && !call.route.open && organisation.is_none() {
         return Err(refusal("the key was taken away"));
     }
-    let is_same = |route: &Route| route.shares == call.route.shares && homes_of(route, organisation) == call.homes;
+    let is_same =
+        |route: &Route| route.shares == call.route.shares && residency_of(route, organisation) == call.residency;
     if !plan.find(&call.host, call.uri.path()).is_some_and(|route| is_same(route)) {
         return Err(refusal("the route has changed"));
     }
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -65,14 +65,14 @@
     /// Endpoints that it must not go to again.
     pub tried: &'a [EndpointId],
     /// The regions that it is bound to; `None` where it is not.
-    pub homes: Option<&'a [RegionId]>,
+    pub residency: Option<&'a [RegionId]>,
 }
 
 impl Eligibility<'_> {
     /// True where the request may go to `held` now.
     pub fn allows(&self, inputs: &Inputs, held: &Registration) -> bool {
         !self.tried.contains(&held.endpoint)
-            && inputs.places.allows(self.homes, &held.hall)
+            && inputs.places.allows(self.residency, &held.hall)
             && inputs.ramp.has_room(&held.endpoint, inputs.use_of(held), inputs.now)
     }
 }
--- a/crates/rudder-gateway/src/places.rs
+++ b/crates/rudder-gateway/src/places.rs
@@ -1,4 +1,4 @@
-//! Where requests may go: halls that are evacuated get nothing, and what has home regions stays in them.
+//! Where requests may go: halls that are evacuated get nothing, and what is bound to regions stays in them.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -8,7 +8,7 @@
 use crate::{Route, plan::Organisation};
 
 /// The regions in which a request may be run and its prompt be kept; `None` where all are.
-pub type Homes = Option<Arc<[RegionId]>>;
+pub type Residency = Option<Arc<[RegionId]>>;
 
 /// Halls, the regions that they lie in, and those that are evacuated.
 #[derive(Debug, Default)]
@@ -53,16 +53,16 @@
         self.regions.get(hall)
     }
 
-    /// True where `hall` lies in one of the `homes`. One whose region is not known does not.
-    pub fn allows(&self, homes: Option<&[RegionId]>, hall: &HallId) -> bool {
-        let Some(homes) = homes else { return true };
-        self.regions.get(hall).is_some_and(|region| homes.contains(region))
+    /// True where `hall` lies in one of the regions of a `residency`. One whose region is not known does not.
+    pub fn allows(&self, residency: Option<&[RegionId]>, hall: &HallId) -> bool {
+        let Some(residency) = residency else { return true };
+        self.regions.get(hall).is_some_and(|region| residency.contains(region))
     }
 }
 
 /// The regions that a request of an organisation on a route is bound to: both bind where both name any.
-pub fn homes_of(route: &Route, organisation: Option<&Organisation>) -> Homes {
-    let of_org = organisation.and_then(|organisation| organisation.homes.clone());
-    let (Some(route), Some(org)) = (&route.homes, &of_org) else { return route.homes.clone().or(of_org) };
+pub fn residency_of(route: &Route, organisation: Option<&Organisation>) -> Residency {
+    let of_org = organisation.and_then(|organisation| organisation.residency.clone());
+    let (Some(route), Some(org)) = (&route.residency, &of_org) else { return route.residency.clone().or(of_org) };
     Some(route.iter().filter(|region| org.contains(region)).cloned().collect())
 }
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -4,7 +4,7 @@
 
 use rudder_route::scale::Bounds;
 
-use crate::places::Homes;
+use crate::places::Residency;
 
 /// What may be repeated of a route's requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,7 +54,7 @@
     /// Its streams may be taken up at another endpoint.
     pub resumable: bool,
     /// Where its requests may be run and kept.
-    pub homes: Homes,
+    pub residency: Residency,
 }
 
 impl Route {
@@ -134,7 +134,7 @@
     /// Rank that goes before that of the route.
     pub tier: Option<u8>,
     /// Where its requests may be run and kept.
-    pub homes: Homes,
+    pub residency: Residency,
 }
 
 /// The shortest and longest pause that the routes of a service allow.
@@ -281,10 +281,10 @@
     }
 
     /// The regions that all routes of `host` are bound to together; `None` where one of them is bound to none.
-    pub fn homes_of_host(&self, host: &str) -> Homes {
+    pub fn residency_of_host(&self, host: &str) -> Residency {
         let mut regions = Vec::new();
         for route in self.routes.get(host)? {
-            regions.extend(route.homes.as_ref()?.iter().cloned());
+            regions.extend(route.residency.as_ref()?.iter().cloned());
         }
         Some(regions.into())
     }
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -423,9 +423,9 @@
             return to_addresses(&of_region);
         }
         let plan = self.current_plan();
-        let homes = plan.zip(whence.host.as_deref()).and_then(|(plan, host)| plan.homes_of_host(host));
-        let at_home = pick(&|listing| homes.is_some() && places.allows(homes.as_deref(), &listing.hall));
-        to_addresses([&at_home, &near, &live].into_iter().find(|listings| !listings.is_empty()).unwrap_or(&live))
+        let residency = plan.zip(whence.host.as_deref()).and_then(|(plan, host)| plan.residency_of_host(host));
+        let resident = pick(&|listing| residency.is_some() && places.allows(residency.as_deref(), &listing.hall));
+        to_addresses([&resident, &near, &live].into_iter().find(|listings| !listings.is_empty()).unwrap_or(&live))
     }
 }
 
--- a/crates/rudder-gateway/tests/places.rs
+++ b/crates/rudder-gateway/tests/places.rs
@@ -10,7 +10,7 @@
     choose::{self, Choice, Eligibility, Field, Inputs},
     dialect::{Prompt, PromptPart},
     health::Health,
-    places::{Places, homes_of},
+    places::{Places, residency_of},
     plan::{Engine, Limits, Organisation, Share, WarmUp},
     ramp::{Ramp, Use},
     reading::Reading,
@@ -56,7 +56,7 @@
         attempts: 1,
         open: false,
         resumable: false,
-        homes: to_homes(homes),
+        residency: to_homes(homes),
     }
 }
 
@@ -138,7 +138,7 @@
         let prompt = self.plan.services["svc"].engine.map(|_| &prompt);
         let field = Field::new(Roster::new(self.endpoints.iter().cloned().map(Arc::new)).of("svc"), "svc", &inputs);
         let homes = to_homes(homes);
-        let eligible = Eligibility { tried: &[], homes: homes.as_deref() };
+        let eligible = Eligibility { tried: &[], residency: homes.as_deref() };
         choose::choose(&inputs, &to_route(&[]), "svc", &field, prompt, eligible)
     }
 
@@ -283,8 +283,8 @@
 macro_rules! homes {
     ($($name:ident: $route:expr, $organisation:expr => $expected:expr;)*) => {
         $(#[test] fn $name() {
-            let organisation = Organisation { name: "o".into(), tier: None, homes: to_homes(&$organisation) };
-            let homes = homes_of(&to_route(&$route), Some(&organisation));
+            let organisation = Organisation { name: "o".into(), tier: None, residency: to_homes(&$organisation) };
+            let homes = residency_of(&to_route(&$route), Some(&organisation));
             let names = homes.as_ref().map(|homes| homes.iter().map(|region| &**region).collect::<Vec<&str>>());
             let expected: Option<Vec<&str>> = $expected;
             assert_eq!(names, expected);
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -40,7 +40,7 @@
         attempts: 1,
         open: false,
         resumable: false,
-        homes: None,
+        residency: None,
     };
     plan.add_route(route).expect("it fits");
     plan
@@ -138,7 +138,7 @@
     let route = plan.find("h", "/lock/").expect("a route");
     let field = Field::new(Roster::new(endpoints.iter().cloned().map(Arc::new)).of("app"), "app", &inputs);
     let choose = |tried: &[EndpointId]| {
-        let eligible = Eligibility { tried, homes: None };
+        let eligible = Eligibility { tried, residency: None };
         choose::choose(&inputs, route, "app", &field, None, eligible)
     };
     assert_eq!(&*choose(&[]).expect("one is there").endpoint, "e-7", "the one in the instance's own hall");
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -37,7 +37,7 @@
         attempts: 1,
         open: false,
         resumable: false,
-        homes: None,
+        residency: None,
     }
 }
 
@@ -189,7 +189,7 @@
     let mut timeless = route("timeless", 1, 1);
     timeless.timeout = Duration::ZERO;
     assert!(matches!(plan.add_route(timeless), Err(Fault::NoTimeout(_))));
-    let organisation = |name: &str| Organisation { name: name.into(), tier: None, homes: None };
+    let organisation = |name: &str| Organisation { name: name.into(), tier: None, residency: None };
     plan.add_organisation(organisation("one"), vec!["k".into(), "k".into()]).expect("its own key twice");
     assert!(matches!(plan.add_organisation(organisation("two"), vec!["k".into()]), Err(Fault::SharedKey(..))));
 }
@@ -294,7 +294,7 @@
         };
         let route = self.plan.find("h", path).expect("a route");
         let field = Field::new(Roster::new(self.engines.iter().cloned().map(Arc::new)).of("svc"), "svc", &inputs);
-        choose::choose(&inputs, route, "svc", &field, Some(prompt), Eligibility { tried, homes: None })
+        choose::choose(&inputs, route, "svc", &field, Some(prompt), Eligibility { tried, residency: None })
     }
 }
 
