feat(gateway): logs tell what endpoints ask for beside their answers

Both are decoded now and logged as asked_to_rest and said_leaving, with rests_total; no decision rests on them yet.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -186,6 +186,18 @@
         /// How long.
         pause: Duration,
     },
+    /// An endpoint turned a request away and wants nothing from this instance for a while.
+    AskedToRest {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// For how long, in milliseconds.
+        rest_ms: u64,
+    },
+    /// An endpoint said in an answer that it leaves, before the registry did.
+    SaidLeaving {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// The outcomes of all instances together make an endpoint suspect: it gets no work while they do.
     Suspect {
         /// The endpoint.
@@ -494,6 +506,8 @@
             | What::EndedUnder { endpoint, .. }
             | What::Endpoint { endpoint, .. }
             | What::Ejected { endpoint, .. }
+            | What::AskedToRest { endpoint, .. }
+            | What::SaidLeaving { endpoint }
             | What::Suspect { endpoint, .. }
             | What::Restored { endpoint }
             | What::Ordered { endpoint, .. } => Some(endpoint),
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -130,6 +130,8 @@
         What::Suspect { endpoint, ended, failed } => {
             format!("leaves {endpoint} out: {failed} of its last {ended} requests failed, over all instances")
         }
+        What::AskedToRest { endpoint, rest_ms } => format!("was asked by {endpoint} to send nothing for {rest_ms} ms"),
+        What::SaidLeaving { endpoint } => format!("was told by {endpoint} that it leaves"),
         What::Ejected { endpoint, why, pause } => format!("leaves {endpoint} out for {pause:?}: {why}"),
         What::DutyHeld { .. } | What::WindowClosed { .. } | What::EnginesWanted { .. } | What::DutyCalled { .. } => {
             to_duty_sentence(what)
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use rudder_clock::{Moment, timeout_at};
+use rudder_core::Phase;
 use rudder_events::What;
 use rudder_model::{EndpointId, Ran};
 
@@ -19,6 +20,7 @@
     Dialect,
     balance::Flight,
     choose::{self, Choice, Eligibility, Inputs},
+    dialect::Wish,
     health::Outcome,
     shared::Shared,
     upstream::{self, Connection},
@@ -158,6 +160,9 @@
     let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
     let (parts, body) = response.into_parts();
     let head = shared.dialect.read_answer(&call.id, &parts);
+    if let Some(wish) = head.wish {
+        note_wish(shared, &choice.endpoint, wish);
+    }
     if !head.own {
         note_outcome(shared, &choice.endpoint, Outcome::Failed);
         log_failure(shared, call, progress, &choice, "it answered another request", Ran::Unknown);
@@ -167,6 +172,25 @@
     Ok(Leg { choice, response, head, connection, flight, sent: now, continued: from.copy })
 }
 
+/// Logs what an endpoint asks of this instance.
+fn note_wish<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, wish: Wish) {
+    let endpoint = endpoint.clone();
+    match wish {
+        Wish::Rest(rest) => {
+            shared.metrics.note_rest();
+            shared
+                .log
+                .write(What::AskedToRest { endpoint, rest_ms: u64::try_from(rest.as_millis()).unwrap_or(u64::MAX) });
+        }
+        Wish::Leave => {
+            let is_news = shared.roster.borrow().get(&endpoint).is_some_and(|held| held.phase <= Phase::Silent);
+            if is_news {
+                shared.log.write(What::SaidLeaving { endpoint });
+            }
+        }
+    }
+}
+
 /// Waits for the head of an answer; where the request may be repeated, no longer than its patience.
 async fn wait_for_head<D: Dialect>(
     shared: &Rc<Shared<D>>,
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -147,6 +147,17 @@
     pub misdirected: bool,
     /// How long the connection may rest.
     pub keep: Option<Duration>,
+    /// What the endpoint asks of this instance.
+    pub wish: Option<Wish>,
+}
+
+/// What an endpoint asks, in an answer, of the instance that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// To send it nothing for this long.
+    Rest(Duration),
+    /// To send it nothing more: it leaves.
+    Leave,
 }
 
 /// Who asks which instances to use.
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -157,6 +157,7 @@
     retries: Counter,
     resumes: Counter,
     ejections: Counter,
+    rests: Counter,
     ended_under: Counter,
     held_back: Counter,
     words: Family<Why, Counter>,
@@ -206,6 +207,7 @@
             retries: Counter::default(),
             resumes: Counter::default(),
             ejections: Counter::default(),
+            rests: Counter::default(),
             ended_under: Counter::default(),
             held_back: Counter::default(),
             words: Family::default(),
@@ -239,6 +241,11 @@
         registry.register("retries", "Requests sent to endpoints again", self.retries.clone());
         registry.register("resumes", "Streams taken up at another endpoint", self.resumes.clone());
         registry.register("ejections", "Endpoints left out for a while", self.ejections.clone());
+        registry.register(
+            "rests",
+            "Answers of endpoints that asked to be sent nothing for a while",
+            self.rests.clone(),
+        );
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
         let help =
             "Requests that a choice took to an endpoint which took no more: it warms up, or its hall is evacuated";
@@ -320,6 +327,11 @@
         self.ejections.inc();
     }
 
+    /// Counts an answer in which an endpoint asked to be sent nothing for a while.
+    pub fn note_rest(&self) {
+        self.rests.inc();
+    }
+
     /// Counts a request under which its endpoint ended.
     pub fn note_ended_under(&self) {
         self.ended_under.inc();
