fix(gateway): endpoints that ask for rest are sent nothing until it is over

Cause: the time in a 503's Retry-After was never read. Endpoints that turn all away have nothing to do, so by their load they were the best choice, and each first, second and third try went back to them. Ruled out: requests that were on their way already (sends up to 3 s later, on standing connections), and second tries alone (42 of 59 were first ones).

Change: the instance keeps the end of each rest by life of an endpoint. One that rests is in no lane, not even as the last resort, and is looked at again where every request is sent, so that a choice made before its word, such as the engine that keeps a stream's copy, does not pass it. Ways weighed: an ejection of the health by outcomes, which is taken as last resort and ends early with one good answer, and so breaks the wish when it matters; telling the other instances, which the endpoint did not ask. Where all rest, callers get the time until the first has rested in place of the usual one.

Why it holds: try_take_place is called by the only function that writes to endpoints.

--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -7,6 +7,7 @@
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
+    backoff::Backoff,
     balance::Balance,
     choose::{self, Eligibility, Field, Inputs},
     dialect::{Prompt, PromptPart},
@@ -34,6 +35,7 @@
     loads: Vec<Load>,
     balance: Balance,
     health: Health,
+    backoff: Backoff,
     reading: Reading,
     places: Places,
     ramp: Ramp,
@@ -74,6 +76,7 @@
             loads,
             balance,
             health: Health::default(),
+            backoff: Backoff::default(),
             reading: Reading::default(),
             places: Places::default(),
             ramp: Ramp::new("me".into(), Moment::now()),
@@ -88,6 +91,7 @@
             balance: &self.balance,
             work_age: Duration::from_millis(200),
             health: &self.health,
+            backoff: &self.backoff,
             reading: &self.reading,
             places: &self.places,
             ramp: &self.ramp,
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -105,9 +105,7 @@
 ) -> Result<Result<Leg, Failure>, Refusal> {
     let Some(choice) = pick(shared, call, progress) else {
         progress.connects = CONNECTS;
-        let bound = call.residency.is_some();
-        let why = if bound { "no endpoint is in use where it may go" } else { "no endpoint of its service is in use" };
-        return Ok(Err(Failure::Unsent(why)));
+        return Ok(Err(Failure::Unsent(nothing_left(shared, call))));
     };
     if progress.sent == 0 {
         check_not_hopeless(shared, call, &choice)?;
@@ -126,6 +124,17 @@
     Ok(send_on(shared, call, progress, choice, connection, from).await)
 }
 
+/// Why there is no endpoint to choose.
+fn nothing_left<D: Dialect>(shared: &Shared<D>, call: &Call) -> &'static str {
+    if shared.rest_of(&call.route).is_some() {
+        "its endpoints have asked for rest"
+    } else if call.residency.is_some() {
+        "no endpoint is in use where it may go"
+    } else {
+        "no endpoint of its service is in use"
+    }
+}
+
 pub(super) async fn send_on<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: &Call,
@@ -172,15 +181,16 @@
     Ok(Leg { choice, response, head, connection, flight, sent: now, continued: from.copy })
 }
 
-/// Logs what an endpoint asks of this instance.
+/// Takes in what an endpoint asks of this instance.
 fn note_wish<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, wish: Wish) {
     let endpoint = endpoint.clone();
     match wish {
         Wish::Rest(rest) => {
+            shared.backoff.borrow_mut().note_rest(&endpoint, rest, Moment::now());
+            shared.fields.borrow_mut().clear();
             shared.metrics.note_rest();
-            shared
-                .log
-                .write(What::AskedToRest { endpoint, rest_ms: u64::try_from(rest.as_millis()).unwrap_or(u64::MAX) });
+            let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+            shared.log.write(What::AskedToRest { endpoint, rest_ms });
         }
         Wish::Leave => {
             let is_news = shared.roster.borrow().get(&endpoint).is_some_and(|held| held.phase <= Phase::Silent);
@@ -267,13 +277,14 @@
     let plan = shared.current_plan()?;
     let roster = shared.roster.borrow().clone();
     let balance = shared.balance.borrow();
-    let health = shared.health.borrow();
+    let (health, backoff) = (shared.health.borrow(), shared.backoff.borrow());
     let reading = shared.reading.borrow();
     let (places, ramp) = (shared.places.borrow(), shared.ramp.borrow());
     let inputs = Inputs {
         balance: &balance,
         work_age: shared.work_age(),
         health: &health,
+        backoff: &backoff,
         reading: &reading,
         places: &places,
         ramp: &ramp,
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -6,7 +6,7 @@
 use rudder_events::What;
 use rudder_model::Ran;
 
-use super::{Failure, Progress};
+use super::{Call, Failure, Progress};
 use crate::{Dialect, body::AnswerBody, shared::Shared};
 
 /// A final answer of the instance itself.
@@ -76,14 +76,15 @@
 }
 
 /// The final answer after the last failure.
-pub(super) fn give_up<D: Dialect>(shared: &Shared<D>, progress: &Progress, failure: &Failure) -> Refusal {
+pub(super) fn give_up<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress, failure: &Failure) -> Refusal {
     let why = match failure {
         Failure::Unsent(why) | Failure::Lost(why) => why,
         Failure::Silent => "the endpoint is silent",
         Failure::Late => "time ran out",
     };
     if progress.ran == 0 {
-        return not_run(why, shared.options.come_back);
+        // Before one of its endpoints has rested, it would be turned away again.
+        return not_run(why, shared.rest_of(&call.route).unwrap_or(shared.options.come_back));
     }
     let status = match failure {
         Failure::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -38,7 +38,7 @@
                 if may_go_on(shared, &call, &mut progress, &failure) {
                     continue;
                 }
-                return spare.ok_or_else(|| give_up(shared, &progress, &failure));
+                return spare.ok_or_else(|| give_up(shared, &call, &progress, &failure));
             }
         };
         if leg.head.not_run || leg.head.misdirected {
@@ -46,7 +46,8 @@
             if may_send_again(shared, &call, &mut progress) {
                 continue;
             }
-            return spare.ok_or_else(|| give_up(shared, &progress, &Failure::Unsent("all its endpoints are full")));
+            return spare
+                .ok_or_else(|| give_up(shared, &call, &progress, &Failure::Unsent("all its endpoints are full")));
         }
         if call.route.kind == RouteKind::Stream && leg.response.status().is_success() {
             return Ok(stream::start(shared, call, progress, leg));
@@ -71,7 +72,7 @@
                 if may_go_on(shared, &call, &mut progress, &failure) {
                     continue;
                 }
-                return spare.ok_or_else(|| give_up(shared, &progress, &failure));
+                return spare.ok_or_else(|| give_up(shared, &call, &progress, &failure));
             }
         }
     }
--- a/crates/rudder-gateway/src/choose/field.rs
+++ b/crates/rudder-gateway/src/choose/field.rs
@@ -83,13 +83,23 @@
         let is_out = |held: &Registration| inputs.health.is_ejected(&held.endpoint, inputs.now);
         let is_well = |held: &Arc<Registration>| held.phase == Phase::Ready && !is_out(held);
         // What may not be used from here at all is in no lane.
-        let is_usable =
-            |held: &&Arc<Registration>| inputs.places.is_open(&held.hall) && inputs.use_of(held) != Use::Barred;
+        let is_usable = |held: &&Arc<Registration>| {
+            inputs.places.is_open(&held.hall)
+                && inputs.use_of(held) != Use::Barred
+                && !inputs.backoff.holds_off(&held.endpoint, inputs.now)
+        };
         let usable = endpoints.iter().filter(is_usable).cloned();
         let (well, rest): (Vec<_>, Vec<_>) = usable.partition(is_well);
         let doubtful = rest.into_iter().filter(|held| held.phase <= Phase::Silent).collect();
         let lanes = to_lanes(inputs, service, well);
-        let back = endpoints.iter().filter_map(|held| inputs.health.returns_at(&held.endpoint, inputs.now)).min();
+        let returns = |held: &Arc<Registration>| {
+            let ends = [
+                inputs.health.returns_at(&held.endpoint, inputs.now),
+                inputs.backoff.rests_until(&held.endpoint, inputs.now),
+            ];
+            ends.into_iter().flatten().min()
+        };
+        let back = endpoints.iter().filter_map(returns).min();
         Field {
             quick: Lane::new(lanes.quick, inputs),
             bulk: Lane::new(lanes.bulk, inputs),
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -17,6 +17,7 @@
 pub use self::field::{Field, Fields, Lane};
 use crate::{
     Plan, Policy,
+    backoff::Backoff,
     balance::Balance,
     dialect::Prompt,
     health::Health,
@@ -35,6 +36,8 @@
     pub work_age: Duration,
     /// Outcomes.
     pub health: &'a Health,
+    /// Endpoints that want nothing.
+    pub backoff: &'a Backoff,
     /// How fast engines read.
     pub reading: &'a Reading,
     /// Where requests may go.
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! the endpoint that [`choose`] picks, over a connection of [`upstream`]; [`stream`] passes events on.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod backoff;
 pub mod balance;
 pub mod body;
 pub mod budget;
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -166,6 +166,7 @@
         }
         shared.pool.borrow_mut().age(Moment::now());
         shared.ramp.borrow_mut().age(Moment::now());
+        shared.backoff.borrow_mut().age(Moment::now());
         shared.tell_begun();
         if shared.standing.leads.load(Ordering::Relaxed) && described.elapsed() >= DESCRIBE {
             described = Moment::now();
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -17,7 +17,8 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
-    Dialect, Options, Plan,
+    Dialect, Options, Plan, Route,
+    backoff::Backoff,
     balance::Balance,
     budget::Budget,
     call::to_hex,
@@ -139,6 +140,8 @@
     pub balance: Rc<RefCell<Balance>>,
     /// Outcomes at endpoints.
     pub health: RefCell<Health>,
+    /// Endpoints that want nothing.
+    pub backoff: RefCell<Backoff>,
     /// What became of contents at endpoints.
     pub contents: RefCell<Contents>,
     /// How fast engines read.
@@ -198,6 +201,7 @@
             others_at: Cell::new(None),
             balance: Rc::default(),
             health: RefCell::default(),
+            backoff: RefCell::default(),
             contents: RefCell::new(Contents::new(started)),
             reading: RefCell::default(),
             budget: RefCell::new(budget),
@@ -344,6 +348,10 @@
 
     /// Takes the right to send a request to the endpoint chosen: things may have changed since the choice.
     pub fn try_take_place(&self, choice: &Choice, now: Moment) -> bool {
+        if self.backoff.borrow().holds_off(&choice.endpoint, now) {
+            self.metrics.note_held_back();
+            return false;
+        }
         let roster = self.roster.borrow();
         // One that is no longer known has ended; the attempt shows it.
         let Some(held) = roster.get(&choice.endpoint) else { return true };
@@ -361,6 +369,22 @@
         taken
     }
 
+    /// How long all endpoints that serve `route` want nothing from this instance; `None` while one of them may want some.
+    pub fn rest_of(&self, route: &Route) -> Option<Duration> {
+        let now = Moment::now();
+        let (roster, backoff, places) = (self.roster.borrow(), self.backoff.borrow(), self.places.borrow());
+        let endpoints = route.shares.iter().flat_map(|share| roster.of(&share.service));
+        let mut soonest: Option<Moment> = None;
+        for held in endpoints {
+            if held.phase > Phase::Silent || !places.is_open(&held.hall) {
+                continue;
+            }
+            let until = backoff.rests_until(&held.endpoint, now)?;
+            soonest = Some(soonest.map_or(until, |soonest| soonest.min(until)));
+        }
+        soonest.map(|until| until.saturating_duration_since(now))
+    }
+
     /// Takes in the work of the other instances at endpoints as of `at`; `None` where it has not changed.
     pub fn take_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -6,6 +6,7 @@
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
     Plan, Policy,
+    backoff::Backoff,
     balance::Balance,
     choose::{Field, Fields, Inputs},
     health::{Health, Outcome},
@@ -36,6 +37,7 @@
 struct Scene {
     balance: Balance,
     health: Health,
+    backoff: Backoff,
     reading: Reading,
     places: Places,
     ramp: Ramp,
@@ -48,6 +50,7 @@
         Scene {
             balance: Balance::default(),
             health: Health::default(),
+            backoff: Backoff::default(),
             reading: Reading::default(),
             places: Places::default(),
             ramp: Ramp::new("me".into(), Moment::now()),
@@ -63,6 +66,7 @@
             balance: &self.balance,
             work_age: Duration::ZERO,
             health: &self.health,
+            backoff: &self.backoff,
             reading: &self.reading,
             places: &self.places,
             ramp: &self.ramp,
--- a/crates/rudder-gateway/tests/places.rs
+++ b/crates/rudder-gateway/tests/places.rs
@@ -6,6 +6,7 @@
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
+    backoff::Backoff,
     balance::Balance,
     choose::{self, Choice, Eligibility, Field, Inputs},
     dialect::{Prompt, PromptPart},
@@ -121,6 +122,7 @@
             balance: &self.balance,
             work_age: Duration::ZERO,
             health: &health,
+            backoff: &Backoff::default(),
             reading: &reading,
             places: &self.places,
             ramp: &self.ramp,
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -6,6 +6,7 @@
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
+    backoff::Backoff,
     balance::Balance,
     choose::{self, Eligibility, Field, Inputs},
     health::Health,
@@ -81,6 +82,7 @@
             balance: &balance,
             work_age: age,
             health: &Health::default(),
+            backoff: &Backoff::default(),
             reading: &Reading::default(),
             places: &Places::default(),
             ramp: &Ramp::new("me".into(), Moment::now()),
@@ -127,6 +129,7 @@
         balance: &balance,
         work_age: Duration::ZERO,
         health: &health,
+        backoff: &Backoff::default(),
         reading: &reading,
         places: &Places::default(),
         ramp: &Ramp::new("me".into(), Moment::now()),
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -6,6 +6,7 @@
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Route, RouteKind, Service,
+    backoff::Backoff,
     balance::Balance,
     budget::Budget,
     choose::{self, Choice, Eligibility, Field, Inputs},
@@ -284,6 +285,7 @@
             balance: &self.balance,
             work_age: Duration::ZERO,
             health: &self.health,
+            backoff: &Backoff::default(),
             reading: &self.reading,
             places: &Places::default(),
             ramp: &Ramp::new("me".into(), Moment::now()),
