fix(gateway): an endpoint whose answer says that it leaves is sent nothing more by this instance

Callers saw nothing yet: their requests went on to an endpoint that had said that it leaves, for as long as its heartbeats did not say so too, and would have been cut off with it (DRAIN, as the platform has it now: in touch with the core or not).

Cause: the same as with rests. What an endpoint says beside its answer had no place in the choice; only the registry's word had, which an instance that is cut off from the core does not get.

Change: the life is held off for good by the instance that has passed such an answer on; a later life of the name is another one. It is remembered for as long as the registry knows it and 60 s longer. Weighed: passing the word on to the core for all. Each instance that gets such an answer knows by itself, the endpoint's own heartbeat reaches the rest, and a word in the name of another would be one more way to lose an endpoint.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -193,7 +193,7 @@
         /// For how long, in milliseconds.
         rest_ms: u64,
     },
-    /// An endpoint said in an answer that it leaves, before the registry did.
+    /// An endpoint said in an answer, for the first time, that it leaves.
     SaidLeaving {
         /// The endpoint.
         endpoint: EndpointId,
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -7,7 +7,6 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use rudder_clock::{Moment, timeout_at};
-use rudder_core::Phase;
 use rudder_events::What;
 use rudder_model::{EndpointId, Ran};
 
@@ -183,17 +182,17 @@
 
 /// Takes in what an endpoint asks of this instance.
 fn note_wish<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, wish: Wish) {
-    let endpoint = endpoint.clone();
+    let (endpoint, now) = (endpoint.clone(), Moment::now());
+    shared.fields.borrow_mut().clear();
     match wish {
         Wish::Rest(rest) => {
-            shared.backoff.borrow_mut().note_rest(&endpoint, rest, Moment::now());
-            shared.fields.borrow_mut().clear();
+            shared.backoff.borrow_mut().note_rest(&endpoint, rest, now);
             shared.metrics.note_rest();
             let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
             shared.log.write(What::AskedToRest { endpoint, rest_ms });
         }
         Wish::Leave => {
-            let is_news = shared.roster.borrow().get(&endpoint).is_some_and(|held| held.phase <= Phase::Silent);
+            let is_news = shared.backoff.borrow_mut().note_leaving(&endpoint, now);
             if is_news {
                 shared.log.write(What::SaidLeaving { endpoint });
             }
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -166,7 +166,8 @@
         }
         shared.pool.borrow_mut().age(Moment::now());
         shared.ramp.borrow_mut().age(Moment::now());
-        shared.backoff.borrow_mut().age(Moment::now());
+        let roster = shared.roster.borrow().clone();
+        shared.backoff.borrow_mut().age(Moment::now(), |endpoint| roster.knows(endpoint));
         shared.tell_begun();
         if shared.standing.leads.load(Ordering::Relaxed) && described.elapsed() >= DESCRIBE {
             described = Moment::now();
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -376,7 +376,7 @@
         let endpoints = route.shares.iter().flat_map(|share| roster.of(&share.service));
         let mut soonest: Option<Moment> = None;
         for held in endpoints {
-            if held.phase > Phase::Silent || !places.is_open(&held.hall) {
+            if held.phase > Phase::Silent || !places.is_open(&held.hall) || backoff.is_leaving(&held.endpoint) {
                 continue;
             }
             let until = backoff.rests_until(&held.endpoint, now)?;
--- a/crates/rudder-gateway/tests/backoff.rs
+++ b/crates/rudder-gateway/tests/backoff.rs
@@ -1,4 +1,4 @@
-//! Rests that endpoints ask for: how long they last, and that a choice keeps them.
+//! What endpoints have asked for: how long a rest lasts, and how long it is remembered that one leaves.
 
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
         }
         for (millis, expected) in &self.held_off {
             assert_eq!(backoff.holds_off(&endpoint, at(*millis)), *expected, "after {millis} ms");
-            backoff.age(at(*millis));
+            backoff.age(at(*millis), |_| false);
             assert_eq!(backoff.holds_off(&endpoint, at(*millis)), *expected, "aged after {millis} ms");
         }
         assert!(!backoff.holds_off("e-2", first), "no other is held off");
@@ -48,3 +48,17 @@
     a_rest_beyond_all_time_is_one_for_good: [(0, Duration::MAX)] => [(86_400_000, true)];
     nothing_was_asked_for: [] => [(0, false)];
 }
+
+/// One that leaves is remembered while it is known, and a while longer, as late heartbeats may bring it back.
+#[test]
+fn one_that_leaves_stays_held_off() {
+    let endpoint: EndpointId = "e-1".into();
+    let (mut backoff, now) = (Backoff::default(), Moment::now());
+    assert!(backoff.note_leaving(&endpoint, now));
+    assert!(!backoff.note_leaving(&endpoint, now), "it is no news");
+    for (seconds, is_known, expected) in [(3600, true, true), (30, false, true), (3600, false, false)] {
+        let now = now + SECOND * seconds;
+        backoff.age(now, |_| is_known);
+        assert_eq!(backoff.holds_off(&endpoint, now), expected, "after {seconds} s, known: {is_known}");
+    }
+}
