fix(gateway): what leaves is looked at again where a request is sent

Callers saw: a long quick stream whose engine ended went on, from its copy, at an engine that had been acknowledged as draining seconds before, and was cut off a second time when that one ended too.

Cause: the engine that keeps a copy is chosen when the stream begins, and the registry's word was looked at in choices only. The same held for any request between its choice and its connection. What was looked at again there was the warm-up and the evacuation; the latter was not counted in held_back, though its help said so.

Change: the one right to write to an endpoint is refused where the registry says that it leaves, has left or was replaced.

Test: no_stream_goes_on_at_an_engine_that_leaves failed before.

--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -247,7 +247,7 @@
             self.rests.clone(),
         );
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
-        let help = "Requests that a choice took to an endpoint which took no more: it warms up, has asked for rest, or its hall is evacuated";
+        let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
         registry.register("refused_words", "What endpoints said and was not taken in, by reason", self.words.clone());
         registry.register("duty_calls", "Calls of the holder of a duty, by duty and outcome", self.duties.clone());
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -355,7 +355,9 @@
         let roster = self.roster.borrow();
         // One that is no longer known has ended; the attempt shows it.
         let Some(held) = roster.get(&choice.endpoint) else { return true };
-        if !self.places.borrow().is_open(&held.hall) {
+        // The choice may be as old as the stream that goes on at the endpoint that keeps its copy.
+        if held.phase > Phase::Silent || !self.places.borrow().is_open(&held.hall) {
+            self.metrics.note_held_back();
             return false;
         }
         let plan = self.current_plan();
