fix(gateway): a stream with nowhere to go on gives its right to a second try back

Callers saw: once a resumable stream had broken off where no other endpoint was left, failures of other requests were passed on to them, since the retry budget of the service was empty for ten seconds.

Cause: the loop that takes a stream up took a new right in each turn, also where nothing had been sent, and did not stop when there was nobody to send to.

Change: it asks may_go_on, as all other requests do: what was not sent uses up no right, and it ends when no endpoint is left or the request may not be sent any more.

--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -37,6 +37,7 @@
 pub use ended::{note_answered, note_if_ended, to_hex};
 pub use permit::may_send_again;
 pub use refusal::Refusal;
+pub use send::may_go_on;
 
 use crate::{
     Dialect, Route, RouteKind,
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -78,8 +78,8 @@
     }
 }
 
-/// True where a failed attempt may be followed by another.
-fn may_go_on<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, failure: &Failure) -> bool {
+/// True where a failed attempt may be followed by another. Where nothing was sent, the right that it had is not used up.
+pub fn may_go_on<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, failure: &Failure) -> bool {
     match failure {
         Failure::Unsent(_) => progress.connects < CONNECTS && Moment::now() < call.until,
         Failure::Silent => true,
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -276,27 +276,30 @@
         if !self.call.route.resumable {
             return None;
         }
-        let mut right = taken;
-        loop {
+        let mut right = taken || call::may_send_again(self.shared, &self.call, &mut self.progress);
+        while right {
             self.events.drop_pending();
-            if !right && !call::may_send_again(self.shared, &self.call, &mut self.progress) {
-                return None;
-            }
-            right = false;
             let last = self.events.last.or(self.call.last_event);
             let from = Resume { last_event: last, copy: false };
             let attempted = call::attempt(self.shared, &self.call, &mut self.progress, from);
-            let attempted = timeout_at(self.call.until, attempted).await.ok()?;
-            let Ok(Ok(leg)) = attempted else { continue };
-            let taken = leg.response.status().is_success() && !leg.head.not_run && !leg.head.misdirected;
-            if taken {
-                self.shared.metrics.note_resume();
-                return Some(leg);
-            }
-            call::log_failure(self.shared, &self.call, &self.progress, &leg.choice, "it does not go on", Ran::No);
-            // What did not run needs no new right of the route.
-            self.progress.ran = self.progress.ran.saturating_sub(1);
+            right = match timeout_at(self.call.until, attempted).await.ok()?.ok()? {
+                Ok(leg) if leg.response.status().is_success() && !leg.head.not_run && !leg.head.misdirected => {
+                    self.shared.metrics.note_resume();
+                    return Some(leg);
+                }
+                Ok(leg) => self.may_resume_after(&leg),
+                Err(failure) => call::may_go_on(self.shared, &self.call, &mut self.progress, &failure),
+            };
         }
+        None
+    }
+
+    /// Takes the right to try another endpoint after one that did not take the stream up.
+    fn may_resume_after(&mut self, leg: &Leg) -> bool {
+        call::log_failure(self.shared, &self.call, &self.progress, &leg.choice, "it does not go on", Ran::No);
+        // What did not run needs no new right of the route.
+        self.progress.ran = self.progress.ran.saturating_sub(1);
+        call::may_send_again(self.shared, &self.call, &mut self.progress)
     }
 
     fn note_end(&self, ending: Ending) {
