fix(gateway): no request is given up for another try where there is no other endpoint

Callers saw: 502 after twice the route's target from the only endpoint that served, while the others rested and its answer was on its way; resumable streams were broken off in the same way.

Cause: the right to one more try was taken before it was known whether anybody could be sent the request. So the endpoint's work was wasted, and so was a right of the retry budget.

Change: may_send_again looks whether there is an endpoint to go to, and a stream takes no right for going on at an engine that is full.

Test: one_that_is_slow_is_waited_for_while_the_others_rest failed before.

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -272,7 +272,8 @@
     });
 }
 
-fn pick<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Option<Choice> {
+/// The endpoint that the request would be sent to now; `None` where there is none that it has not been to.
+pub(super) fn pick<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Option<Choice> {
     let plan = shared.current_plan()?;
     let roster = shared.roster.borrow().clone();
     let balance = shared.balance.borrow();
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -28,10 +28,6 @@
     }
     let before = progress.last.take()?;
     let keeper = before.keeper.as_ref()?;
-    let instances = shared.view.borrow().senders().count();
-    if !shared.budget.borrow_mut().try_take(&before.service, Moment::now(), instances) {
-        return None;
-    }
     note_outcome(shared, &before.endpoint, Outcome::Unreachable);
     let work = shared.balance.borrow().at(&keeper.endpoint);
     if work.calls >= keeper.slots {
@@ -40,6 +36,10 @@
         log_failure(shared, call, progress, &before, "the engine that keeps its copy is full", Ran::Unknown);
         return None;
     }
+    let instances = shared.view.borrow().senders().count();
+    if !shared.budget.borrow_mut().try_take(&before.service, Moment::now(), instances) {
+        return None;
+    }
     let choice = Choice {
         endpoint: keeper.endpoint.clone(),
         born: keeper.born,
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -7,6 +7,7 @@
 
 use super::{
     Call, Progress, Refusal,
+    attempt::pick,
     ended::{check_not_refused, is_risky},
     refusal::{not_run, stopped},
 };
@@ -15,14 +16,15 @@
 /// Endpoints beyond the route's own bound that a request may go to when it did not run.
 const UNRUN_EXTRA: u32 = 1;
 
-/// Takes the right to send a request once more, within the route's bound and the retry budget.
+/// Takes the right to send a request once more, within the route's bound and the retry budget. There is none where no other
+/// endpoint may be sent to: what is under way is better waited for, and the budget is others'.
 pub fn may_send_again<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress) -> bool {
     let now = Moment::now();
     let bound = call.route.attempts.max(1);
     if progress.ran >= bound || progress.sent >= bound + UNRUN_EXTRA || now >= call.until {
         return false;
     }
-    if is_risky(shared, call, progress) {
+    if is_risky(shared, call, progress) || pick(shared, call, progress).is_none() {
         return false;
     }
     let Some(service) = progress.chosen.clone() else { return true };
