--- a/crates/rudder-core/src/calls/end.rs
+++ b/crates/rudder-core/src/calls/end.rs
@@ -9,6 +9,14 @@
 use super::{Calls, Context, Phase, slots::withdraw, to_hex};
 use crate::{Ended, Verdict, keyed, peer::ToPool, reach};
 
+/// How a dispatched call failed, as [`Ended::Failed`] tells it.
+struct Failure {
+    sent: bool,
+    refused: bool,
+    rest: Option<Duration>,
+    produced: u32,
+}
+
 impl Calls {
     /// Takes in that the first token or byte came.
     pub(crate) fn on_first(&mut self, context: &mut Context, request: RequestId, after: Duration) {
@@ -33,8 +41,9 @@
                     }
                 }
             }
-            Ended::Failed { sent, refused, produced } => {
-                self.on_failed(context, request, &endpoint, (sent, refused, produced));
+            Ended::Failed { sent, refused, rest, produced } => {
+                let failure = Failure { sent, refused, rest, produced };
+                self.on_failed(context, request, &endpoint, &failure);
             }
             Ended::Recalled { produced } => {
                 self.tell_home(context, request, ToPool::End(request, Ending::Preempted));
@@ -70,8 +79,8 @@
         call.phase = Phase::Asking { home, sent: context.now };
     }
 
-    fn on_failed(&mut self, context: &mut Context, request: RequestId, endpoint: &EndpointId, how: (bool, bool, u32)) {
-        let (sent, refused, produced) = how;
+    fn on_failed(&mut self, context: &mut Context, request: RequestId, endpoint: &EndpointId, failure: &Failure) {
+        let Failure { sent, refused, rest, produced } = *failure;
         let believed = reach::endpoint(&context.view.config, endpoint).is_some_and(|held| held.believed);
         let Some(call) = self.open.get_mut(&request) else { return };
         let ran = if !sent || (refused && believed) { Ran::No } else { Ran::Unknown };
@@ -82,7 +91,7 @@
             call.ran = Ran::Unknown;
         }
         context.log(What::Failed { request: to_hex(request), endpoint: endpoint.clone(), ran, again });
-        self.tell_home(context, request, ToPool::End(request, Ending::Failed { again, unsent: !sent }));
+        self.tell_home(context, request, ToPool::End(request, Ending::Failed { again, unsent: !sent, rest }));
         if again {
             self.wait_again(context, request, produced);
             return;
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -176,6 +176,8 @@
         sent: bool,
         /// The endpoint itself refused it.
         refused: bool,
+        /// It wants nothing for this long.
+        rest: Option<Duration>,
         /// Output events the caller already has.
         produced: u32,
     },
--- a/crates/rudder-measure/src/run.rs
+++ b/crates/rudder-measure/src/run.rs
@@ -162,7 +162,7 @@
         };
         self.at.remove(&request);
         let mut out = Vec::new();
-        self.pools[pool].end(self.now, request, &Ending::Failed { again: !once, unsent: false }, &mut out);
+        self.pools[pool].end(self.now, request, &Ending::Failed { again: !once, unsent: false, rest: None }, &mut out);
         if once {
             self.calls[request as usize].refused = Some(RefusalCode::EndpointFailed);
         }
@@ -230,7 +230,12 @@
             // The connection is refused: known not to have run.
             let pool = call.pool;
             let mut out = Vec::new();
-            self.pools[pool].end(self.now, request, &Ending::Failed { again: true, unsent: true }, &mut out);
+            self.pools[pool].end(
+                self.now,
+                request,
+                &Ending::Failed { again: true, unsent: true, rest: None },
+                &mut out,
+            );
             self.obey(out);
             return;
         }
--- a/crates/rudder-node/src/upstream.rs
+++ b/crates/rudder-node/src/upstream.rs
@@ -180,7 +180,7 @@
             Err(error) => {
                 let sent = !is_unsent(&error);
                 self.sent |= sent;
-                Ended::Failed { sent, refused: false, produced: self.produced }
+                Ended::Failed { sent, refused: false, rest: None, produced: self.produced }
             }
             Ok(response) => {
                 self.sent = true;
@@ -237,7 +237,8 @@
         let refused = matches!(status, 429 | 503);
         let broken = if self.target.engine { status >= 500 } else { matches!(status, 502 | 504) };
         if refused || broken || !self.is_own(response.headers()) {
-            return Ended::Failed { sent: true, refused, produced: self.produced };
+            let rest = if status == 503 { to_rest(response.headers()) } else { None };
+            return Ended::Failed { sent: true, refused, rest, produced: self.produced };
         }
         let streams = self.target.stream && status == 200;
         if streams {
@@ -245,7 +246,7 @@
         }
         if self.produced > 0 {
             // A stream that has begun cannot go on as a whole answer.
-            return Ended::Failed { sent: true, refused: false, produced: self.produced };
+            return Ended::Failed { sent: true, refused: false, rest: None, produced: self.produced };
         }
         self.whole(response, keyed, start)
     }
@@ -260,7 +261,7 @@
         let content = to_content(response.headers());
         let read = response.into_body().with_config().limit(ANSWER).read_to_vec();
         let Ok(body) = read else {
-            return Ended::Failed { sent: true, refused: false, produced: 0 };
+            return Ended::Failed { sent: true, refused: false, rest: None, produced: 0 };
         };
         let total = start.elapsed();
         let tokens = serde_json::from_slice::<WithUsage>(&body).map_or(0, |with| with.usage.completion_tokens);
@@ -302,7 +303,7 @@
         };
         let produced = self.produced;
         match stop {
-            Stop::Broken => Ended::Failed { sent: true, refused: false, produced },
+            Stop::Broken => Ended::Failed { sent: true, refused: false, rest: None, produced },
             Stop::Recalled => Ended::Recalled { produced },
             Stop::Left => Ended::Left,
             Stop::Whole => {
@@ -374,6 +375,12 @@
     }
 }
 
+/// Seconds for which an endpoint that turned a request away wants nothing.
+fn to_rest(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = headers.get("retry-after")?.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok().filter(|rest| !rest.is_zero())
+}
+
 fn to_content(headers: &HeaderMap) -> String {
     let held = headers.get("content-type").and_then(|value| value.to_str().ok());
     held.unwrap_or("application/octet-stream").to_owned()
--- a/crates/rudder-route/src/ask.rs
+++ b/crates/rudder-route/src/ask.rs
@@ -103,6 +103,9 @@
         again: bool,
         /// No connection could be made, so nothing was sent.
         unsent: bool,
+        /// The endpoint turned it away and wants nothing for this long.
+        #[serde(default)]
+        rest: Option<Duration>,
     },
     /// Stopped on the engine because the pool recalled it.
     Preempted,
--- a/crates/rudder-route/tests/pool.rs
+++ b/crates/rudder-route/tests/pool.rs
@@ -211,7 +211,7 @@
     let mut bench = Bench::new(2, 4, Options::default());
     bench.ask(bench.to_ask(1, "c", 1));
     let first = bench.pool.place_of(1).expect("granted").to_owned();
-    let out = bench.end(1, &Ending::Failed { again: true, unsent: true });
+    let out = bench.end(1, &Ending::Failed { again: true, unsent: true, rest: None });
     assert!(out.iter().any(|decision| matches!(decision, Decision::Eject { why: "unreachable", .. })), "{out:?}");
     assert_ne!(bench.pool.place_of(1), Some(first.as_str()));
     for request in 2..6 {
@@ -225,13 +225,31 @@
     assert!(out.iter().any(|decision| matches!(decision, Decision::Restore { .. })), "{out:?}");
 }
 
+/// A rest is the endpoint's own word, so neither its health nor the ceiling of ejections overrules it.
+#[test]
+fn an_endpoint_that_asks_for_rest_gets_nothing_until_it_is_over() {
+    let mut bench = Bench::new(2, 4, Options::default());
+    bench.ask(bench.to_ask(1, "c", 1));
+    let resting = bench.pool.place_of(1).expect("granted").to_owned();
+    bench.end(1, &Ending::Failed { again: true, unsent: false, rest: Some(MS * 3000) });
+    assert_ne!(bench.pool.place_of(1), Some(resting.as_str()));
+    for request in 2..8 {
+        bench.ask(bench.to_ask(request, "c", 1));
+        assert_ne!(bench.pool.place_of(request), Some(resting.as_str()));
+    }
+    bench.tick(2900);
+    assert!((1..8).all(|request| bench.pool.place_of(request) != Some(resting.as_str())));
+    bench.tick(200);
+    assert!((1..8).any(|request| bench.pool.place_of(request) == Some(resting.as_str())), "it takes work again");
+}
+
 #[test]
 fn suspicion_alone_never_ejects_more_than_the_ceiling() {
     let mut bench = Bench::new(4, 4, Options::default());
     let mut ejected = 0;
     for request in 1..60 {
         bench.ask(bench.to_ask(request, "c", 1));
-        let out = bench.end(request, &Ending::Failed { again: false, unsent: false });
+        let out = bench.end(request, &Ending::Failed { again: false, unsent: false, rest: None });
         ejected += out.iter().filter(|decision| matches!(decision, Decision::Eject { .. })).count();
     }
     assert_eq!(ejected, 2, "half of four");
@@ -242,7 +260,7 @@
     let mut bench = Bench::new(3, 100, Options { eject: false, ..Options::default() });
     let retried = (1..200).filter(|request| {
         bench.ask(bench.to_ask(*request, "c", 1));
-        let out = bench.end(*request, &Ending::Failed { again: true, unsent: false });
+        let out = bench.end(*request, &Ending::Failed { again: true, unsent: false, rest: None });
         let again = !granted(&out).is_empty();
         bench.done(*request);
         again
