fix(route): endpoints that ask for rest are granted nothing in the older entry either

Change: the pool's home keeps the end of the rest with the endpoint; one that rests is not open, for grants, probes and the search for requests to stop in favour of others. One function says whether an endpoint is open, where three places said it. Retry-After is read by one function for both entries. What a home knows is lost when the pool moves to another home.

Test: an_endpoint_that_asks_for_rest_gets_nothing_until_it_is_over failed before.

--- a/crates/rudder-model/src/refusal.rs
+++ b/crates/rudder-model/src/refusal.rs
@@ -100,3 +100,13 @@
         Refusal { code, text: text.into(), retry: None, ran: Ran::Unknown }
     }
 }
+
+/// The time that a `Retry-After` of seconds, fractions included, names; `None` where it names none or one that has passed. More
+/// than can be counted is as long as can be.
+pub fn read_retry_after(value: &str) -> Option<Duration> {
+    let seconds: f64 = value.trim().parse().ok()?;
+    if !seconds.is_finite() || seconds <= 0.0 {
+        return None;
+    }
+    Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+}
--- a/crates/rudder-node/src/upstream.rs
+++ b/crates/rudder-node/src/upstream.rs
@@ -7,7 +7,7 @@
 
 use crossbeam_channel::Receiver;
 use rudder_core::{Dispatch, Ended, Event, Stored, Verdict, calls::to_hex};
-use rudder_model::{Refusal, RequestId};
+use rudder_model::{Refusal, RequestId, refusal::read_retry_after};
 use serde::Deserialize;
 use tiny_http::{Request, Response};
 use ureq::{
@@ -237,7 +237,8 @@
         let refused = matches!(status, 429 | 503);
         let broken = if self.target.engine { status >= 500 } else { matches!(status, 502 | 504) };
         if refused || broken || !self.is_own(response.headers()) {
-            let rest = if status == 503 { to_rest(response.headers()) } else { None };
+            let retry_after = response.headers().get("retry-after").filter(|_| status == 503);
+            let rest = retry_after.and_then(|value| read_retry_after(value.to_str().ok()?));
             return Ended::Failed { sent: true, refused, rest, produced: self.produced };
         }
         let streams = self.target.stream && status == 200;
@@ -375,12 +376,6 @@
     }
 }
 
-/// Seconds for which an endpoint that turned a request away wants nothing.
-fn to_rest(headers: &HeaderMap) -> Option<Duration> {
-    let seconds = headers.get("retry-after")?.to_str().ok()?.trim().parse().ok()?;
-    Duration::try_from_secs_f64(seconds).ok().filter(|rest| !rest.is_zero())
-}
-
 fn to_content(headers: &HeaderMap) -> String {
     let held = headers.get("content-type").and_then(|value| value.to_str().ok());
     held.unwrap_or("application/octet-stream").to_owned()
--- a/crates/rudder-route/src/choose.rs
+++ b/crates/rudder-route/src/choose.rs
@@ -19,7 +19,7 @@
 
     /// Of these, the ones that take work now.
     pub(crate) fn usable<'a>(&'a self, now: Duration, ask: &'a Ask) -> impl Iterator<Item = &'a Site> {
-        self.reachable(ask).filter(move |site| site.health.is_well() || site.health.wants_probe(now))
+        self.reachable(ask).filter(move |site| site.is_open(now))
     }
 
     /// Grants slots as long as a waiting request finds one.
@@ -55,10 +55,7 @@
     }
 
     fn has_room(&self, now: Duration) -> bool {
-        self.sites.values().any(|site| {
-            let open = site.health.is_well() || site.health.wants_probe(now);
-            !site.leaving && open && site.load(self.options.reports) < site.slots
-        })
+        self.sites.values().any(|site| site.is_open(now) && site.load(self.options.reports) < site.slots)
     }
 
     /// A class is due a grant out of turn once it was passed over often or has waited long.
@@ -107,13 +104,13 @@
     }
 
     fn takes(&self, now: Duration, site: &Site, ask: &Ask) -> bool {
-        if site.leaving {
+        if !site.is_open(now) {
             return false;
         }
         let load = site.load(self.options.reports);
         if !site.health.is_well() {
             // A probe is one request that can be repeated if it fails.
-            return site.health.wants_probe(now) && !ask.once && load < site.slots;
+            return !ask.once && load < site.slots;
         }
         let reserved = (f64::from(site.slots) * self.options.reserve).ceil() as u32;
         let slots = if ask.tier == 0 { site.slots } else { site.slots - reserved.min(site.slots - 1) };
--- a/crates/rudder-route/src/pool.rs
+++ b/crates/rudder-route/src/pool.rs
@@ -140,7 +140,12 @@
             Ending::Done { tokens, first, total } => {
                 self.end_done(now, &endpoint, &running, (tokens, first, total), out);
             }
-            Ending::Failed { again, unsent, .. } => self.end_failed(now, &endpoint, running, (again, unsent), out),
+            Ending::Failed { again, unsent, rest } => {
+                if let Some(rest) = rest {
+                    site.note_rest(now, rest);
+                }
+                self.end_failed(now, &endpoint, running, (again, unsent), out);
+            }
             Ending::Preempted => self.requeue(now, running, None, true),
             Ending::Dropped => self.close_usage(&running.ask),
         }
--- a/crates/rudder-route/src/site.rs
+++ b/crates/rudder-route/src/site.rs
@@ -50,6 +50,8 @@
     pub(crate) running: BTreeMap<RequestId, Running>,
     pub(crate) reported: u32,
     pub(crate) health: Health,
+    /// It has asked to be sent nothing until then.
+    rests: Duration,
     prefixes: VecDeque<u64>,
 }
 
@@ -63,6 +65,7 @@
             running: BTreeMap::new(),
             reported: 0,
             health: Health::default(),
+            rests: Duration::ZERO,
             prefixes: VecDeque::new(),
         }
     }
@@ -72,6 +75,16 @@
         self.running.len() as u32
     }
 
+    /// True where it may be sent requests now, be it only to probe it.
+    pub(crate) fn is_open(&self, now: Duration) -> bool {
+        !self.leaving && self.rests <= now && (self.health.is_well() || self.health.wants_probe(now))
+    }
+
+    /// Takes in that it wants nothing for `rest`. An earlier wish for a longer one stands.
+    pub(crate) fn note_rest(&mut self, now: Duration, rest: Duration) {
+        self.rests = self.rests.max(now.saturating_add(rest));
+    }
+
     /// Requests there, by own count or, where pools share the endpoint, by its report if that is more.
     pub(crate) fn load(&self, reports: bool) -> u32 {
         if reports { self.inflight().max(self.reported) } else { self.inflight() }
--- a/crates/rudder-route/tests/pool.rs
+++ b/crates/rudder-route/tests/pool.rs
@@ -225,10 +225,10 @@
     assert!(out.iter().any(|decision| matches!(decision, Decision::Restore { .. })), "{out:?}");
 }
 
-/// A rest is the endpoint's own word, so neither its health nor the ceiling of ejections overrules it.
+/// A rest is the endpoint's own word, and kept also where nothing is ejected.
 #[test]
 fn an_endpoint_that_asks_for_rest_gets_nothing_until_it_is_over() {
-    let mut bench = Bench::new(2, 4, Options::default());
+    let mut bench = Bench::new(2, 4, Options { eject: false, ..Options::default() });
     bench.ask(bench.to_ask(1, "c", 1));
     let resting = bench.pool.place_of(1).expect("granted").to_owned();
     bench.end(1, &Ending::Failed { again: true, unsent: false, rest: Some(MS * 3000) });
