feat(soak): endpoints that shed load, or say in their answers alone that they leave, and the judge holds instances to both

A process that ended, paused or was suspended meanwhile is excused. Bounds are the users'.

Changed counts: names of faults 20 to 21, promises tested 13 to 14.

--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     History,
-    history::{Arrival, Call, Kind, Outcome},
+    history::{Arrival, Call, Kind, Outcome, Wish},
 };
 
 /// The time over which requests at a cold endpoint are counted.
@@ -21,6 +21,8 @@
     NotRun,
     /// An endpoint that leaves gets no new work.
     Drained,
+    /// An endpoint that asked an instance for rest gets none of its calls until that is over.
+    Rested,
     /// A zone that is evacuated gets nothing.
     Evacuated,
     /// An endpoint that is cold gets no more than it bears.
@@ -49,6 +51,10 @@
     /// An instance that was away is not held to the time from a leave's acknowledgement for so long afterwards: it has still
     /// to learn of it, and its proof may be as old as it was away.
     pub touch: Duration,
+    /// From an answer in which an endpoint asked for rest: what was on its way may still come.
+    pub rest_slack: Duration,
+    /// Calls that may reach it afterwards all the same, before the rest is over.
+    pub rest_strays: usize,
     /// From an evacuation's acknowledgement.
     pub evacuate: Duration,
     /// Requests within a second that a cold endpoint bears.
@@ -81,6 +87,8 @@
         Bounds {
             drain: Duration::from_secs(2),
             touch: Duration::from_secs(3),
+            rest_slack: Duration::from_millis(500),
+            rest_strays: 2,
             evacuate: Duration::from_secs(5),
             cold: 11,
             apply: Duration::from_secs(2),
@@ -136,6 +144,7 @@
         check_call(call, arrived, &mut verdict);
     }
     check_drains(history, bounds, &mut verdict);
+    check_wishes(history, bounds, &mut verdict);
     check_evacuations(history, bounds, &mut verdict);
     check_slow_starts(history, bounds, &mut verdict);
     check_configuration(history, bounds, &mut verdict);
@@ -215,6 +224,47 @@
     }
 }
 
+/// Each instance keeps what endpoints have asked of it in their answers, as long as its process runs.
+fn check_wishes(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let calls: BTreeMap<&str, &Call> = history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    let mut met: BTreeMap<(usize, &str), Vec<(&Arrival, Duration)>> = BTreeMap::new();
+    for arrival in &history.arrivals {
+        let Some(call) = calls.get(arrival.call.as_str()) else { continue };
+        met.entry((call.instance, &arrival.life)).or_default().push((arrival, call.sent));
+    }
+    for ((instance, life), arrivals) in met {
+        for (asking, _) in &arrivals {
+            let Some(wish) = asking.wish else { continue };
+            let later = arrivals.iter().filter(|(later, _)| !lost_memory(history, instance, asking.at, later.at));
+            match wish {
+                Wish::Rest(rest) => {
+                    let meanwhile = asking.at + bounds.rest_slack..asking.at + rest;
+                    let strays = later.filter(|(later, _)| meanwhile.contains(&later.at)).count();
+                    verdict.test(Promise::Rested, strays <= bounds.rest_strays, || {
+                        format!("{life} asked instance {instance} for {rest:?} of rest and got {strays}: {asking:?}")
+                    });
+                }
+                Wish::Leave => {
+                    let mut later = later;
+                    let late = later.find(|(_, sent)| *sent > asking.at + bounds.drain);
+                    verdict.test(Promise::Drained, late.is_none(), || {
+                        format!("{life} told instance {instance} that it leaves, and got {late:?}")
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// True where an instance's process was ended, or its time did not go on as usual, between two times.
+fn lost_memory(history: &History, instance: usize, from: Duration, until: Duration) -> bool {
+    let absences = history.absences.iter().map(|absence| (absence.instance, absence.from, absence.until));
+    let stops = history.stops.iter().map(|stop| (stop.instance, stop.from, stop.until));
+    let ends = history.own_ends.iter().map(|end| (end.instance, end.at, end.at));
+    let mut away = absences.chain(stops).chain(ends);
+    away.any(|(held, begin, end)| held == instance && begin <= until && end >= from)
+}
+
 fn check_configuration(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
     for read in &history.read {
         let before = history.accepted.iter().filter(|accepted| accepted.at + bounds.apply < read.at);
--- a/crates/rudder-soak/src/history.rs
+++ b/crates/rudder-soak/src/history.rs
@@ -77,6 +77,17 @@
     pub ran: bool,
     /// It bore a content that ends endpoints.
     pub deadly: bool,
+    /// What the endpoint asked for beside its answer.
+    pub wish: Option<Wish>,
+}
+
+/// What an endpoint asks of the instance that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Wish {
+    /// To send it nothing for this long.
+    Rest(Duration),
+    /// To send it nothing more: it leaves.
+    Leave,
 }
 
 /// An endpoint's word that it takes no more work, acknowledged.
--- a/crates/rudder-soak/src/schedule.rs
+++ b/crates/rudder-soak/src/schedule.rs
@@ -123,6 +123,9 @@
         endpoint: usize,
         /// Until its start.
         down: u64,
+        /// It says so in its answers alone.
+        #[serde(default)]
+        unheard: bool,
     },
     /// An endpoint runs requests and says nothing.
     Mute {
@@ -145,6 +148,15 @@
         /// For how long.
         span: u64,
     },
+    /// An endpoint turns requests away and asks for rest.
+    Shed {
+        /// Which.
+        endpoint: usize,
+        /// For how long.
+        span: u64,
+        /// The rest that it asks for.
+        rest: u64,
+    },
     /// An endpoint goes cold, says so, and bears few requests.
     Cold {
         /// Which.
@@ -220,6 +232,7 @@
             Fault::Mute { .. } => "mute",
             Fault::Lose { .. } => "lose",
             Fault::Cut { .. } => "cut",
+            Fault::Shed { .. } => "shed",
             Fault::Cold { .. } => "cold",
             Fault::Evacuate { .. } => "evacuate",
             Fault::Deadly { .. } => "deadly",
@@ -269,7 +282,7 @@
 
     fn fault(&mut self, at: u64) -> Fault {
         let (instance, endpoint, span) = (self.instance(), self.endpoint(), self.span());
-        match self.rng.random_range(0..26) {
+        match self.rng.random_range(0..28) {
             0 | 1 => Fault::Kill { instance, down: span },
             2 => Fault::KillCore { down: span },
             3 => self.wipe(at),
@@ -278,7 +291,7 @@
             8 => Fault::Stop { instance },
             9 => Fault::Reload { instance },
             10 | 11 => Fault::Crash { endpoint, down: span },
-            12 | 13 => Fault::Leave { endpoint, down: span },
+            12 | 13 => Fault::Leave { endpoint, down: span, unheard: self.rng.random() },
             14 => Fault::Mute { endpoint, span },
             15 => Fault::Lose { endpoint, span },
             16 => Fault::Cut { endpoint, span },
@@ -294,6 +307,7 @@
             20 => Fault::Invalid,
             21 | 22 => Fault::Evacuate { zone: self.rng.random_range(0..ZONES.len()), span },
             23 => Fault::Cold { endpoint, span: span * 3 },
+            24 | 25 => Fault::Shed { endpoint, span, rest: self.span() },
             _ => Fault::TakeKey,
         }
     }
@@ -358,6 +372,7 @@
             | Fault::Mute { endpoint, .. }
             | Fault::Lose { endpoint, .. }
             | Fault::Cut { endpoint, .. }
+            | Fault::Shed { endpoint, .. }
             | Fault::Cold { endpoint, .. } => endpoint < endpoints,
             Fault::Evacuate { zone, .. } => zone < ZONES.len(),
             _ => true,
--- a/crates/rudder-soak/tests/check.rs
+++ b/crates/rudder-soak/tests/check.rs
@@ -4,7 +4,7 @@
 
 use rudder_soak::{
     Bounds, History, Promise, check,
-    history::{Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version},
+    history::{Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version, Wish},
 };
 
 const GOOD: Outcome = Outcome::Answered { status: 200, whole: true, right: true };
@@ -28,7 +28,15 @@
 
 fn arrival(call: &str, life: &str, seconds: f64) -> Arrival {
     let zone = "a".to_owned();
-    Arrival { call: call.to_owned(), life: life.to_owned(), zone, at: at(seconds), ran: true, deadly: false }
+    Arrival {
+        call: call.to_owned(),
+        life: life.to_owned(),
+        zone,
+        at: at(seconds),
+        ran: true,
+        deadly: false,
+        wish: None,
+    }
 }
 
 /// Calls of each kind every second for half a minute, all served, and one of each other event.
@@ -88,6 +96,13 @@
         history.absences.push(Absence { instance: 3, from: at(5.0), until: at(7.0) });
         history.arrivals.push(arrival("Again-7", "e-2", 7.5));
     };
+    new_work_at_an_endpoint_that_told_the_instance_that_it_leaves: Drained, |history| {
+        history.arrivals[0].wish = Some(Wish::Leave);
+    };
+    work_at_an_endpoint_that_rests: Rested, |history| {
+        let asking = history.arrivals.iter_mut().find(|arrival| arrival.call == "Again-10");
+        asking.expect("it is there").wish = Some(Wish::Rest(at(1.5)));
+    };
     work_in_an_evacuated_zone: Evacuated, |history| {
         let late = arrival("Again-12", "e-7", 12.5);
         history.arrivals.retain(|arrival| arrival.call != late.call);
@@ -138,6 +153,17 @@
     assert_eq!(broken_by(spoil), Vec::new());
 }
 
+/// A process that has ended since knows nothing of what it was asked for.
+#[test]
+fn an_instance_that_started_again_does_not_know_what_was_asked_of_the_one_before() {
+    let spoil = |history: &mut History| {
+        let asking = history.arrivals.iter_mut().find(|arrival| arrival.call == "Again-10");
+        asking.expect("it is there").wish = Some(Wish::Rest(at(1.5)));
+        history.absences.push(Absence { instance: 0, from: at(10.1), until: at(10.6) });
+    };
+    assert_eq!(broken_by(spoil), Vec::new());
+}
+
 #[test]
 fn all_promises_kept_are_all_tested() {
     let mut history = kept();
@@ -148,7 +174,9 @@
     history.arrivals.push(arrival("Again-3", "e-2", 3.2));
     history.calls.push(Call { key: "key-9".to_owned(), ..call("other", Kind::Once, 9.0, Outcome::Lost) });
     history.calls.push(call("full", Kind::Once, 9.0, Outcome::Answered { status: 503, whole: true, right: false }));
+    let last = history.arrivals.iter_mut().find(|arrival| arrival.call == "Resume-29");
+    last.expect("it is there").wish = Some(Wish::Rest(at(1.0)));
     let verdict = check(&history, &Bounds::default());
     assert_eq!(verdict.broken, Vec::new());
-    assert_eq!(verdict.tested.len(), 13, "{:?}", verdict.tested);
+    assert_eq!(verdict.tested.len(), 14, "{:?}", verdict.tested);
 }
