test(gateway): one place sets what a choice rests on

The registration of an endpoint stood seven times in tests and benchmarks and the inputs of a choice six times, so that a new input was one more edit in each. tests/support has one of each now. Assertions are the same, and one test more: a field has none that rests or leaves, and one that rests comes back when that is over.

--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -1,24 +1,22 @@
 //! What a choice costs by the number of endpoints, and what is done a few times a second so that it costs no more.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::{rc::Rc, time::Duration};
 
 use divan::{Bencher, black_box};
-use rudder_clock::Moment;
-use rudder_core::{Phase, Registration, peer::Load};
+use rudder_core::{Registration, peer::Load};
 use rudder_gateway::{
-    Plan, Policy, Route, RouteKind, Service,
-    backoff::Backoff,
-    balance::Balance,
-    choose::{self, Eligibility, Field, Inputs},
+    Plan, Route, RouteKind, Service,
+    choose::{self, Eligibility, Field},
     dialect::{Prompt, PromptPart},
-    health::Health,
-    places::Places,
     plan::{Engine, Limits, Share},
-    ramp::Ramp,
-    reading::Reading,
     roster::Roster,
 };
-use rudder_model::{HallId, id};
+use rudder_model::id;
+
+use support::{Known, endpoint, roster};
 
 #[global_allocator]
 static ALLOCATOR: divan::AllocProfiler = divan::AllocProfiler::system();
@@ -33,33 +31,13 @@
 struct Scene {
     roster: Roster,
     loads: Vec<Load>,
-    balance: Balance,
-    health: Health,
-    backoff: Backoff,
-    reading: Reading,
-    places: Places,
-    ramp: Ramp,
-    hall: HallId,
-    plan: Plan,
-    policy: Policy,
+    known: Known,
 }
 
 impl Scene {
     fn new(count: usize, engines: bool) -> Scene {
-        let endpoint = |number: usize| Registration {
-            endpoint: format!("i-{number:08x}").into(),
-            born: None,
-            service: "svc".into(),
-            address: format!("10.0.{}.{}:80", number / 250, number % 250).into(),
-            hall: format!("hall-{}", number % 3).as_str().into(),
-            slots: 64,
-            cheap: false,
-            warming: false,
-            standby: false,
-            phase: Phase::Ready,
-            sequence: 1,
-        };
-        let endpoints: Vec<Registration> = (0..count).map(endpoint).collect();
+        let endpoints: Vec<Registration> =
+            (0..count).map(|number| endpoint(number, &format!("hall-{}", number % 3))).collect();
         let load = |held: &Registration| Load {
             endpoint: id::endpoint_tag(&held.endpoint),
             calls: 9,
@@ -69,41 +47,18 @@
             failed: 0,
         };
         let loads: Vec<Load> = endpoints.iter().step_by(2).map(load).collect();
-        let mut balance = Balance::default();
-        balance.set_others(&loads);
-        Scene {
-            roster: Roster::new(endpoints.iter().cloned().map(Arc::new)),
-            loads,
-            balance,
-            health: Health::default(),
-            backoff: Backoff::default(),
-            reading: Reading::default(),
-            places: Places::default(),
-            ramp: Ramp::new("me".into(), Moment::now()),
+        let mut known = Known {
+            work_age: Duration::from_millis(200),
             hall: "hall-0".into(),
             plan: to_plan(engines),
-            policy: Policy::default(),
-        }
-    }
-
-    fn inputs(&self) -> Inputs<'_> {
-        Inputs {
-            balance: &self.balance,
-            work_age: Duration::from_millis(200),
-            health: &self.health,
-            backoff: &self.backoff,
-            reading: &self.reading,
-            places: &self.places,
-            ramp: &self.ramp,
-            hall: &self.hall,
-            plan: &self.plan,
-            policy: &self.policy,
-            now: Moment::now(),
-        }
+            ..Known::default()
+        };
+        known.balance.set_others(&loads);
+        Scene { roster: roster(&endpoints), loads, known }
     }
 
     fn field(&self) -> Field {
-        Field::new(self.roster.of("svc"), "svc", &self.inputs())
+        Field::new(self.roster.of("svc"), "svc", &self.known.inputs())
     }
 }
 
@@ -147,9 +102,9 @@
 
 fn choose_on(bencher: Bencher, scene: &Scene, path: &str, prompt: Option<&Prompt>) {
     let field = scene.field();
-    let route = scene.plan.find("h", path).expect("a route");
+    let route = scene.known.plan.find("h", path).expect("a route");
     bencher.bench_local(|| {
-        choose::choose(&scene.inputs(), route, "svc", &field, black_box(prompt), Eligibility::default())
+        choose::choose(&scene.known.inputs(), route, "svc", &field, black_box(prompt), Eligibility::default())
     });
 }
 
@@ -178,5 +133,5 @@
 fn take_loads(bencher: Bencher, count: usize) {
     let mut scene = Scene::new(count, true);
     let loads = scene.loads.clone();
-    bencher.bench_local(|| scene.balance.set_others(black_box(&loads)));
+    bencher.bench_local(|| scene.known.balance.set_others(black_box(&loads)));
 }
--- a/crates/rudder-gateway/benches/publish.rs
+++ b/crates/rudder-gateway/benches/publish.rs
@@ -1,11 +1,16 @@
 //! One change of the registry on its way to the traffic thread: copies of all endpoints and the roster made of them.
 
+#[path = "../tests/support/mod.rs"]
+mod support;
+
 use std::{hint::black_box, sync::Arc, time::Duration};
 
 use divan::Bencher;
-use rudder_core::{Phase, Registration, Registry};
+use rudder_core::{Registration, Registry};
 use rudder_gateway::roster::Roster;
 
+use support::endpoint;
+
 fn main() {
     divan::main();
 }
@@ -14,19 +19,8 @@
 fn registry(endpoints: usize) -> Registry {
     let mut registry = Registry::default();
     for number in 0..endpoints {
-        let registration = Registration {
-            endpoint: format!("i-{number:08x}+1792914332612").into(),
-            born: Some(1_792_914_332_612),
-            service: "svc".into(),
-            address: format!("10.0.{}.{}:8080", number / 250, number % 250).into(),
-            hall: "hall-0".into(),
-            slots: 64,
-            cheap: false,
-            warming: false,
-            standby: false,
-            phase: Phase::Ready,
-            sequence: 1,
-        };
+        let name = format!("i-{number:08x}+1792914332612").into();
+        let registration = Registration { endpoint: name, born: Some(1_792_914_332_612), ..endpoint(number, "hall-0") };
         registry.hear(Duration::ZERO, &registration);
     }
     registry
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -1,90 +1,24 @@
 //! Which engines keep a session: the same at all instances, few others when engines come or leave, and evenly spread.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+mod support;
+
+use std::{collections::BTreeMap, time::Duration};
 
-use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
-    Plan, Policy,
-    backoff::Backoff,
-    balance::Balance,
-    choose::{Field, Fields, Inputs},
-    health::{Health, Outcome},
-    places::Places,
-    ramp::Ramp,
-    reading::Reading,
-    roster::Roster,
+    choose::{Field, Fields},
+    health::Outcome,
 };
 use rudder_model::EndpointId;
 
-fn engines(count: usize) -> Vec<Registration> {
-    let engine = |number: usize| Registration {
-        endpoint: format!("e-{number}").into(),
-        born: None,
-        service: "svc".into(),
-        address: format!("10.0.0.{number}:80").into(),
-        hall: format!("hall-{}", number % 3).as_str().into(),
-        slots: 64,
-        cheap: false,
-        warming: false,
-        standby: false,
-        phase: Phase::Ready,
-        sequence: 1,
-    };
-    (0..count).map(engine).collect()
-}
-
-struct Scene {
-    balance: Balance,
-    health: Health,
-    backoff: Backoff,
-    reading: Reading,
-    places: Places,
-    ramp: Ramp,
-    plan: Plan,
-    policy: Policy,
-}
+use support::{Known, endpoint, roster};
 
-impl Default for Scene {
-    fn default() -> Self {
-        Scene {
-            balance: Balance::default(),
-            health: Health::default(),
-            backoff: Backoff::default(),
-            reading: Reading::default(),
-            places: Places::default(),
-            ramp: Ramp::new("me".into(), Moment::now()),
-            plan: Plan::default(),
-            policy: Policy::default(),
-        }
-    }
-}
-
-impl Scene {
-    fn inputs<'a>(&'a self, hall: &'a rudder_model::HallId, now: Moment) -> Inputs<'a> {
-        Inputs {
-            balance: &self.balance,
-            work_age: Duration::ZERO,
-            health: &self.health,
-            backoff: &self.backoff,
-            reading: &self.reading,
-            places: &self.places,
-            ramp: &self.ramp,
-            hall,
-            plan: &self.plan,
-            policy: &self.policy,
-            now,
-        }
-    }
+fn engines(count: usize) -> Vec<Registration> {
+    (0..count).map(|number| endpoint(number, &format!("hall-{}", number % 3))).collect()
 }
 
 fn homes(engines: &[Registration], session: u64, skipped: &str) -> Vec<EndpointId> {
-    let (scene, hall) = (Scene::default(), "hall-0".into());
-    let field = Field::new(
-        Roster::new(engines.iter().cloned().map(Arc::new)).of("svc"),
-        "svc",
-        &scene.inputs(&hall, Moment::now()),
-    );
+    let field = Field::new(roster(engines).of("svc"), "svc", &Known::default().inputs());
     let homes = field.bulk.homes::<2>(session, |held| *held.endpoint == *skipped);
     homes.iter().map(|home| home.endpoint.clone()).collect()
 }
@@ -128,29 +62,44 @@
 
 #[test]
 fn a_field_is_worked_out_anew_when_an_engine_may_come_back() {
-    let (mut scene, hall) = (Scene::default(), "hall-0".into());
-    let roster = Roster::new(engines(3).iter().cloned().map(Arc::new));
-    let (mut fields, service, now) = (Fields::default(), "svc".into(), Moment::now());
-    scene.health.note(&"e-1".into(), Outcome::Unreachable, now);
-    let count = |fields: &mut Fields, scene: &Scene, at: Moment| {
-        fields.of(&service, &roster, &scene.inputs(&hall, at)).bulk.endpoints.len()
+    let (mut known, roster) = (Known::default(), roster(&engines(3)));
+    let (mut fields, service, now) = (Fields::default(), "svc".into(), known.now);
+    known.health.note(&"e-1".into(), Outcome::Unreachable, now);
+    let mut count_after = |millis: u64| {
+        known.now = now + Duration::from_millis(millis);
+        fields.of(&service, &roster, &known.inputs()).bulk.endpoints.len()
     };
-    assert_eq!(count(&mut fields, &scene, now), 2);
-    assert_eq!(count(&mut fields, &scene, now + Duration::from_millis(499)), 2);
-    assert_eq!(count(&mut fields, &scene, now + Duration::from_millis(501)), 3);
+    assert_eq!(count_after(0), 2);
+    assert_eq!(count_after(499), 2);
+    assert_eq!(count_after(501), 3);
 }
 
 #[test]
 fn where_none_is_well_the_doubtful_are_left() {
-    let (mut scene, hall) = (Scene::default(), "hall-0".into());
+    let mut known = Known::default();
     let mut engines = engines(3);
     engines[0].phase = Phase::Silent;
     engines[1].phase = Phase::Leaving;
-    let now = Moment::now();
-    scene.health.note(&"e-2".into(), Outcome::Unreachable, now);
-    let field =
-        Field::new(Roster::new(engines.iter().cloned().map(Arc::new)).of("svc"), "svc", &scene.inputs(&hall, now));
+    known.health.note(&"e-2".into(), Outcome::Unreachable, known.now);
+    let field = Field::new(roster(&engines).of("svc"), "svc", &known.inputs());
     let names: Vec<&str> = field.doubtful.endpoints.iter().map(|held| &*held.endpoint).collect();
     assert!(field.bulk.endpoints.is_empty() && field.quick.endpoints.is_empty());
     assert_eq!(names, ["e-0", "e-2"]);
 }
+
+/// One that rests comes back when its rest is over, and is not among the doubtful meanwhile.
+#[test]
+fn a_field_has_none_that_rests_or_leaves() {
+    let (mut known, roster) = (Known::default(), roster(&engines(3)));
+    let (mut fields, service, now) = (Fields::default(), "svc".into(), known.now);
+    known.backoff.note_rest(&"e-1".into(), Duration::from_millis(150), now);
+    known.backoff.note_leaving(&"e-2".into(), now);
+    let mut count_after = |millis: u64| {
+        known.now = now + Duration::from_millis(millis);
+        let field = fields.of(&service, &roster, &known.inputs());
+        (field.bulk.endpoints.len() + field.quick.endpoints.len(), field.doubtful.endpoints.len())
+    };
+    assert_eq!(count_after(0), (1, 0));
+    assert_eq!(count_after(149), (1, 0));
+    assert_eq!(count_after(151), (2, 0));
+}
--- a/crates/rudder-gateway/tests/places.rs
+++ b/crates/rudder-gateway/tests/places.rs
@@ -1,25 +1,24 @@
 //! Where requests may go: evacuated halls, home regions, and endpoints that are warming up.
 
+mod support;
+
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rudder_clock::Moment;
-use rudder_core::{Phase, Registration, peer::Load};
+use rudder_core::{Registration, peer::Load};
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, Service,
-    backoff::Backoff,
-    balance::Balance,
-    choose::{self, Choice, Eligibility, Field, Inputs},
+    choose::{self, Choice, Eligibility, Field},
     dialect::{Prompt, PromptPart},
-    health::Health,
     places::{Places, residency_of},
     plan::{Engine, Limits, Organisation, Share, WarmUp},
     ramp::{Ramp, Use},
-    reading::Reading,
-    roster::Roster,
 };
 use rudder_ledger::{Evacuation, Evacuations};
 use rudder_model::{HallId, RegionId, id};
 
+use support::{Known, endpoint, roster};
+
 const SECOND: Duration = Duration::from_secs(1);
 /// Requests a second that a cold endpoint bears.
 const RATE: f64 = 11.0;
@@ -27,19 +26,7 @@
 
 /// Nine endpoints, three in each of the halls a, b and c.
 fn endpoints() -> Vec<Registration> {
-    let endpoint = |number: usize| Registration {
-        endpoint: format!("e-{number}").into(),
-        born: None,
-        service: "svc".into(),
-        address: format!("10.0.0.{number}:80").into(),
-        hall: ["a", "b", "c"][number % 3].into(),
-        slots: 24,
-        cheap: false,
-        warming: false,
-        standby: false,
-        phase: Phase::Ready,
-        sequence: 1,
-    };
+    let endpoint = |number| Registration { slots: 24, ..endpoint(number, ["a", "b", "c"][number % 3]) };
     (0..9).map(endpoint).collect()
 }
 
@@ -89,56 +76,28 @@
 
 struct Scene {
     endpoints: Vec<Registration>,
-    balance: Balance,
-    places: Places,
-    ramp: Ramp,
-    plan: Plan,
-    policy: Policy,
-    now: Moment,
+    known: Known,
 }
 
 impl Scene {
     fn new(engine: bool) -> Scene {
-        let now = Moment::now();
-        let mut ramp = Ramp::new("me".into(), now);
-        ramp.set_senders(vec!["me".into()], now);
-        let policy = Policy::default();
-        let balance = Balance::default();
-        Scene {
-            endpoints: endpoints(),
-            balance,
-            places: places(),
-            ramp,
-            plan: to_plan(engine),
-            policy,
-            now: now + SECOND * 10,
-        }
+        let mut known = Known { places: places(), plan: to_plan(engine), ..Known::default() };
+        known.ramp.set_senders(vec!["me".into()], known.now);
+        known.now = known.now + SECOND * 10;
+        Scene { endpoints: endpoints(), known }
     }
 
     /// What is chosen for a request bound to `homes`; with a long answer, for which a copy is kept.
     fn choose(&self, homes: &[&str]) -> Option<Choice> {
-        let (health, reading, hall) = (Health::default(), Reading::default(), "a".into());
-        let inputs = Inputs {
-            balance: &self.balance,
-            work_age: Duration::ZERO,
-            health: &health,
-            backoff: &Backoff::default(),
-            reading: &reading,
-            places: &self.places,
-            ramp: &self.ramp,
-            hall: &hall,
-            plan: &self.plan,
-            policy: &self.policy,
-            now: self.now,
-        };
         let prompt = Prompt {
             tokens: 5_000,
             answer: 1_000,
             guess: None,
             parts: vec![PromptPart { id: 1, tokens: 2_000 }, PromptPart { id: 2, tokens: 2_000 }],
         };
-        let prompt = self.plan.services["svc"].engine.map(|_| &prompt);
-        let field = Field::new(Roster::new(self.endpoints.iter().cloned().map(Arc::new)).of("svc"), "svc", &inputs);
+        let prompt = self.known.plan.services["svc"].engine.map(|_| &prompt);
+        let inputs = self.known.inputs();
+        let field = Field::new(roster(&self.endpoints).of("svc"), "svc", &inputs);
         let homes = to_homes(homes);
         let eligible = Eligibility { tried: &[], residency: homes.as_deref() };
         choose::choose(&inputs, &to_route(&[]), "svc", &field, prompt, eligible)
@@ -172,14 +131,14 @@
 
 both_kinds! {
     an_evacuated_hall_gets_nothing: |mut scene| {
-        scene.places.set_evacuations(evacuated("a"));
+        scene.known.places.set_evacuations(evacuated("a"));
         let halls = scene.halls(&[]);
         assert!(!halls.contains_key("a") && !halls.is_empty(), "{halls:?}");
     };
     /// Not even where it is the last one: its endpoints are not a worse choice, but none.
     where_all_that_is_left_is_evacuated_nothing_is_chosen: |mut scene| {
         scene.endpoints.retain(|held| *held.hall == *"a");
-        scene.places.set_evacuations(evacuated("a"));
+        scene.known.places.set_evacuations(evacuated("a"));
         assert_eq!(scene.choose(&[]), None);
     };
     what_has_homes_stays_in_them: |scene| {
@@ -191,7 +150,7 @@
         assert_eq!(scene.choose(&["south"]), None);
     };
     a_hall_of_unknown_region_is_no_home: |mut scene| {
-        scene.places = Places::default();
+        scene.known.places = Places::default();
         assert_eq!(scene.choose(&["south"]), None);
         assert!(scene.choose(&[]).is_some());
     };
@@ -202,21 +161,21 @@
         let mut taken = 0;
         for _ in 0..50 {
             let Some(choice) = scene.choose(&[]) else { break };
-            let allowed = scene.ramp.use_of(&scene.endpoints[0], Some(WarmUp { span: SPAN, rate: RATE }), &scene.policy.slow_start, scene.now);
-            assert!(scene.ramp.try_take(&choice.endpoint, allowed, scene.now));
+            let allowed = scene.known.ramp.use_of(&scene.endpoints[0], Some(WarmUp { span: SPAN, rate: RATE }), &scene.known.policy.slow_start, scene.known.now);
+            assert!(scene.known.ramp.try_take(&choice.endpoint, allowed, scene.known.now));
             taken += 1;
         }
         assert_eq!(taken, 11);
-        scene.now = scene.now + SECOND * 2;
+        scene.known.now = scene.known.now + SECOND * 2;
         assert!(scene.choose(&[]).is_some());
     };
     the_endpoints_of_a_hall_that_comes_back_are_cold: |mut scene| {
         scene.endpoints.truncate(1);
-        scene.ramp.note_return(&"a".into(), scene.now);
+        scene.known.ramp.note_return(&"a".into(), scene.known.now);
         let warm_up = Some(WarmUp { span: SPAN, rate: RATE });
-        let use_at = |scene: &Scene, at: Moment| scene.ramp.use_of(&scene.endpoints[0], warm_up, &scene.policy.slow_start, at);
-        assert!(matches!(use_at(&scene, scene.now + SPAN - SECOND / 10), Use::Within(_)));
-        assert_eq!(use_at(&scene, scene.now + SPAN), Use::Free);
+        let use_at = |scene: &Scene, at: Moment| scene.known.ramp.use_of(&scene.endpoints[0], warm_up, &scene.known.policy.slow_start, at);
+        assert!(matches!(use_at(&scene, scene.known.now + SPAN - SECOND / 10), Use::Within(_)));
+        assert_eq!(use_at(&scene, scene.known.now + SPAN), Use::Free);
     };
 }
 
@@ -248,7 +207,7 @@
         .collect();
     let load = |held: &Registration| Load { calls: 24, unread: 60_000, ..Load::none(id::endpoint_tag(&held.endpoint)) };
     let busy: Vec<Load> = scene.endpoints.iter().filter(|held| !held.warming).map(load).collect();
-    scene.balance.set_others(&busy);
+    scene.known.balance.set_others(&busy);
     for _ in 0..50 {
         let choice = scene.choose(&[]).expect("many are there");
         let chosen = scene.endpoints.iter().find(|held| held.endpoint == choice.endpoint);
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -1,23 +1,19 @@
 //! The choice among endpoints of a plain service, by counts that are more or less old.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+mod support;
 
-use rudder_clock::Moment;
-use rudder_core::{Phase, Registration, peer::Load};
+use std::{collections::BTreeMap, time::Duration};
+
+use rudder_core::{Registration, peer::Load};
 use rudder_gateway::{
-    Plan, Policy, Route, RouteKind, Service,
-    backoff::Backoff,
-    balance::Balance,
-    choose::{self, Eligibility, Field, Inputs},
-    health::Health,
-    places::Places,
+    Plan, Route, RouteKind, Service,
+    choose::{self, Eligibility, Field},
     plan::{Limits, Share},
-    ramp::Ramp,
-    reading::Reading,
-    roster::Roster,
 };
 use rudder_model::{EndpointId, id};
 
+use support::{Known, endpoint, roster};
+
 const SLOTS: u32 = 6;
 /// Requests that ended in the last five seconds, at each endpoint: 350 a second at six of them.
 const ENDED: u32 = 290;
@@ -25,8 +21,8 @@
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
     plan.services.insert(
-        "app".into(),
-        Service { name: "app".into(), connections: 100, engine: None, scaling: None, warm_up: None },
+        "svc".into(),
+        Service { name: "svc".into(), connections: 100, engine: None, scaling: None, warm_up: None },
     );
     let route = Route {
         name: "lock".into(),
@@ -37,7 +33,7 @@
         target: Duration::from_millis(150),
         pause: None,
         tier: 0,
-        shares: vec![Share { service: "app".into(), weight: 1 }],
+        shares: vec![Share { service: "svc".into(), weight: 1 }],
         attempts: 1,
         open: false,
         resumable: false,
@@ -48,51 +44,26 @@
 }
 
 fn endpoints(count: usize) -> Vec<Registration> {
-    let endpoint = |number: usize| Registration {
-        endpoint: format!("e-{number}").into(),
-        born: None,
-        service: "app".into(),
-        address: format!("10.0.0.{number}:80").into(),
-        hall: format!("hall-{number}").as_str().into(),
-        slots: SLOTS,
-        cheap: false,
-        warming: false,
-        standby: false,
-        phase: Phase::Ready,
-        sequence: 1,
-    };
+    let endpoint = |number| Registration { slots: SLOTS, ..endpoint(number, &format!("hall-{number}")) };
     (0..count).map(endpoint).collect()
 }
 
 /// How many of 600 instances in as many halls choose each endpoint, with `calls` known at each.
 fn choices(calls: &[u32], age: Duration) -> BTreeMap<String, usize> {
-    let (endpoints, plan) = (endpoints(calls.len()), plan());
+    let roster = roster(&endpoints(calls.len()));
     let load = |(number, calls): (usize, &u32)| {
         let tag = id::endpoint_tag(&format!("e-{number}"));
         Load { calls: *calls, ended: ENDED, ..Load::none(tag) }
     };
     let loads: Vec<Load> = calls.iter().enumerate().map(load).collect();
-    let mut balance = Balance::default();
-    balance.set_others(&loads);
-    let route = plan.find("h", "/lock/").expect("a route");
+    let mut known = Known { work_age: age, plan: plan(), ..Known::default() };
+    known.balance.set_others(&loads);
     let mut counts = BTreeMap::new();
     for number in 0..600 {
-        let hall = format!("hall-{}", number % calls.len()).as_str().into();
-        let inputs = Inputs {
-            balance: &balance,
-            work_age: age,
-            health: &Health::default(),
-            backoff: &Backoff::default(),
-            reading: &Reading::default(),
-            places: &Places::default(),
-            ramp: &Ramp::new("me".into(), Moment::now()),
-            hall: &hall,
-            plan: &plan,
-            policy: &Policy::default(),
-            now: Moment::now(),
-        };
-        let field = Field::new(Roster::new(endpoints.iter().cloned().map(Arc::new)).of("app"), "app", &inputs);
-        let choice = choose::choose(&inputs, route, "app", &field, None, Eligibility::default()).expect("one is there");
+        known.hall = format!("hall-{}", number % calls.len()).as_str().into();
+        let (inputs, route) = (known.inputs(), known.plan.find("h", "/lock/").expect("a route"));
+        let field = Field::new(roster.of("svc"), "svc", &inputs);
+        let choice = choose::choose(&inputs, route, "svc", &field, None, Eligibility::default()).expect("one is there");
         *counts.entry(choice.endpoint.to_string()).or_default() += 1;
     }
     counts
@@ -122,27 +93,13 @@
 /// Among hundreds a few are drawn; one that was tried is not chosen again, and the last one left is found.
 #[test]
 fn one_of_hundreds_is_found_that_was_not_tried() {
-    let (endpoints, plan) = (endpoints(300), plan());
-    let (balance, health, reading, policy) = Default::default();
-    let hall = "hall-7".into();
-    let inputs = Inputs {
-        balance: &balance,
-        work_age: Duration::ZERO,
-        health: &health,
-        backoff: &Backoff::default(),
-        reading: &reading,
-        places: &Places::default(),
-        ramp: &Ramp::new("me".into(), Moment::now()),
-        hall: &hall,
-        plan: &plan,
-        policy: &policy,
-        now: Moment::now(),
-    };
-    let route = plan.find("h", "/lock/").expect("a route");
-    let field = Field::new(Roster::new(endpoints.iter().cloned().map(Arc::new)).of("app"), "app", &inputs);
+    let endpoints = endpoints(300);
+    let known = Known { hall: "hall-7".into(), plan: plan(), ..Known::default() };
+    let (inputs, route) = (known.inputs(), known.plan.find("h", "/lock/").expect("a route"));
+    let field = Field::new(roster(&endpoints).of("svc"), "svc", &inputs);
     let choose = |tried: &[EndpointId]| {
         let eligible = Eligibility { tried, residency: None };
-        choose::choose(&inputs, route, "app", &field, None, eligible)
+        choose::choose(&inputs, route, "svc", &field, None, eligible)
     };
     assert_eq!(&*choose(&[]).expect("one is there").endpoint, "e-7", "the one in the instance's own hall");
     assert_ne!(&*choose(&["e-7".into()]).expect("others are there").endpoint, "e-7");
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -1,29 +1,29 @@
 //! The pieces of a decision: budget, health, plan, lanes, choice, events of a stream.
 
+mod support;
+
 use std::{sync::Arc, time::Duration};
 
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
     Plan, Route, RouteKind, Service,
-    backoff::Backoff,
     balance::Balance,
     budget::Budget,
-    choose::{self, Choice, Eligibility, Field, Inputs},
+    choose::{self, Choice, Eligibility, Field},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
     lanes,
-    places::Places,
     plan::{Engine, Fault, Limits, Organisation, Share},
-    policy::{LanePolicy, Policy},
-    ramp::Ramp,
+    policy::LanePolicy,
     reading::Reading,
     recent::{Recent, Tally, suspects},
-    roster::Roster,
     stream::Events,
 };
 use rudder_model::{EndpointId, id};
 
+use support::{Known, endpoint, roster};
+
 fn route(name: &str, pause: u64, tier: u8) -> Route {
     Route {
         name: name.into(),
@@ -54,20 +54,7 @@
 }
 
 fn engines(count: usize) -> Vec<Registration> {
-    let engine = |number: usize| Registration {
-        endpoint: format!("e-{number}").into(),
-        born: None,
-        service: "svc".into(),
-        address: format!("10.0.0.{number}:80").into(),
-        hall: "a".into(),
-        slots: 64,
-        cheap: false,
-        warming: false,
-        standby: false,
-        phase: Phase::Ready,
-        sequence: 1,
-    };
-    (0..count).map(engine).collect()
+    (0..count).map(|number| endpoint(number, "a")).collect()
 }
 
 fn prompt(session: u64) -> Prompt {
@@ -256,23 +243,12 @@
 
 struct Scene {
     engines: Vec<Registration>,
-    balance: Balance,
-    health: Health,
-    reading: Reading,
-    plan: Plan,
-    policy: Policy,
+    known: Known,
 }
 
 impl Scene {
     fn new() -> Scene {
-        Scene {
-            engines: engines(9),
-            balance: Balance::default(),
-            health: Health::default(),
-            reading: Reading::default(),
-            plan: plan(),
-            policy: Policy::default(),
-        }
+        Scene { engines: engines(9), known: Known { plan: plan(), ..Known::default() } }
     }
 
     fn choose(&self, path: &str, prompt: &Prompt, tried: &[Arc<str>]) -> Option<String> {
@@ -280,22 +256,8 @@
     }
 
     fn choice(&self, path: &str, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Choice> {
-        let hall = "a".into();
-        let inputs = Inputs {
-            balance: &self.balance,
-            work_age: Duration::ZERO,
-            health: &self.health,
-            backoff: &Backoff::default(),
-            reading: &self.reading,
-            places: &Places::default(),
-            ramp: &Ramp::new("me".into(), Moment::now()),
-            hall: &hall,
-            plan: &self.plan,
-            policy: &self.policy,
-            now: Moment::now(),
-        };
-        let route = self.plan.find("h", path).expect("a route");
-        let field = Field::new(Roster::new(self.engines.iter().cloned().map(Arc::new)).of("svc"), "svc", &inputs);
+        let (inputs, route) = (self.known.inputs(), self.known.plan.find("h", path).expect("a route"));
+        let field = Field::new(roster(&self.engines).of("svc"), "svc", &inputs);
         choose::choose(&inputs, route, "svc", &field, Some(prompt), Eligibility { tried, residency: None })
     }
 }
@@ -338,8 +300,8 @@
 fn choose_away(move_speed: f64, sessions: bool) -> (Choice, Arc<str>) {
     let mut scene = Scene::new();
     let engine = Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed };
-    scene.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
-    scene.policy.choice.sessions = sessions;
+    scene.known.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
+    scene.known.policy.choice.sessions = sessions;
     let home = scene.choice("/recap/", &prompt(7), &[]).expect("a choice");
     let busy: Vec<Load> = scene
         .engines
@@ -347,7 +309,7 @@
         .filter(|held| held.endpoint == home.endpoint)
         .map(|held| load(&held.endpoint, 30, 90_000))
         .collect();
-    scene.balance.set_others(&busy);
+    scene.known.balance.set_others(&busy);
     (scene.choice("/recap/", &prompt(7), &[]).expect("a choice"), home.address)
 }
 
@@ -356,14 +318,14 @@
 fn quick_streams_leave_a_lane_whose_slots_are_in_use() {
     let mut scene = Scene::new();
     let lane = |scene: &Scene| -> Vec<EndpointId> {
-        let lanes = lanes::divide(&LanePolicy::default(), scene.engines.iter().collect(), "svc", &scene.balance);
+        let lanes = lanes::divide(&LanePolicy::default(), scene.engines.iter().collect(), "svc", &scene.known.balance);
         lanes.quick.iter().map(|held| held.endpoint.clone()).collect()
     };
     let fill = |scene: &mut Scene, calls: u32| {
         let quick = lane(scene);
         let calls_at = |held: &Registration| if quick.contains(&held.endpoint) { calls } else { 3 };
         let loads: Vec<Load> = scene.engines.iter().map(|held| load(&held.endpoint, calls_at(held), 0)).collect();
-        scene.balance.set_others(&loads);
+        scene.known.balance.set_others(&loads);
     };
     for _ in 0..4 {
         fill(&mut scene, 40);
@@ -373,7 +335,7 @@
     fill(&mut scene, 60);
     let chosen = scene.choice("/grade/", &prompt(3), &[]).expect("a choice").endpoint;
     assert!(!lane(&scene).contains(&chosen), "it would wait for a slot in its lane");
-    scene.policy.lanes.overflow = 0.0;
+    scene.known.policy.lanes.overflow = 0.0;
     let chosen = scene.choice("/grade/", &prompt(3), &[]).expect("a choice").endpoint;
     assert!(lane(&scene).contains(&chosen), "switched off");
 }
@@ -392,7 +354,7 @@
 fn the_engine_of_a_session_takes_what_it_lacks_from_the_next() {
     let mut scene = Scene::new();
     let engine = Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed: 280.0 };
-    scene.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
+    scene.known.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
     let home = scene.choice("/recap/", &prompt(7), &[]).expect("a choice");
     let before: Vec<EndpointId> = scene.engines.iter().map(|held| held.endpoint.clone()).collect();
     scene.engines.retain(|held| held.endpoint != home.endpoint);
@@ -422,16 +384,16 @@
     for _ in 0..20 {
         assert_eq!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some(home.as_str()));
     }
-    scene.balance.set_others(&[load(&home, 3, 14_000)]);
+    scene.known.balance.set_others(&[load(&home, 3, 14_000)]);
     let kept = scene.choose("/recap/", &prompt, &[]).expect("a choice");
     assert_eq!(kept, home, "half of 3,800 tokens read again are worse than 14,000 tokens ahead");
-    scene.balance.set_others(&[load(&home, 3, 16_000)]);
+    scene.known.balance.set_others(&[load(&home, 3, 16_000)]);
     let second = scene.choose("/recap/", &prompt, &[]).expect("a choice");
     assert_ne!(second, home, "its second engine may keep some of it and has nothing to read");
     for _ in 0..20 {
         assert_eq!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some(second.as_str()));
     }
-    scene.balance.set_others(&[load(&home, 9, 60_000), load(&second, 9, 60_000)]);
+    scene.known.balance.set_others(&[load(&home, 9, 60_000), load(&second, 9, 60_000)]);
     let third = scene.choose("/recap/", &prompt, &[]).expect("a choice");
     assert!(third != home && third != second);
 }
@@ -450,9 +412,9 @@
         loads.push(load(&home, 1, unread));
         loads
     };
-    scene.balance.set_others(&with_home(20_000));
+    scene.known.balance.set_others(&with_home(20_000));
     assert_eq!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some(home.as_str()));
-    scene.balance.set_others(&with_home(23_000));
+    scene.known.balance.set_others(&with_home(23_000));
     assert_ne!(scene.choose("/recap/", &prompt, &[]).as_deref(), Some(home.as_str()));
 }
 
@@ -464,7 +426,7 @@
     for (number, engine) in scene.engines.iter_mut().enumerate() {
         engine.hall = if number % 3 == 0 { "a".into() } else { "b".into() };
     }
-    let lane = lanes::divide(&LanePolicy::default(), scene.engines.iter().collect(), "svc", &scene.balance).quick;
+    let lane = lanes::divide(&LanePolicy::default(), scene.engines.iter().collect(), "svc", &scene.known.balance).quick;
     let near: Vec<String> =
         lane.iter().filter(|held| &*held.hall == "a").map(|held| held.endpoint.to_string()).collect();
     assert!(!near.is_empty() && near.len() < lane.len(), "the lane has engines in both halls: {near:?}");
@@ -476,7 +438,7 @@
         assert!(near.contains(&chosen), "{chosen}");
     }
     let busy: Vec<Load> = near.iter().map(|endpoint| load(endpoint, 30, 1000)).collect();
-    scene.balance.set_others(&busy);
+    scene.known.balance.set_others(&busy);
     let far = (0..50).filter(|session| {
         let chosen = scene.choose("/grade/", &prompt(session + 2), &[]).expect("a choice");
         !near.contains(&chosen)
@@ -504,7 +466,7 @@
 fn memory_that_is_dear_to_move_is_not_copied() {
     let mut scene = Scene::new();
     let engine = Engine { slots: 64, memory: 300_000, copies: true, event_tokens: 6, move_speed: 280.0 };
-    scene.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
+    scene.known.plan.services.get_mut("svc").expect("it is there").engine = Some(engine);
     let prompt = Prompt { answer: 2000, ..prompt(5) };
     assert_eq!(scene.choice("/grade/", &prompt, &[]).expect("a choice").keeper, None);
 }
@@ -521,7 +483,7 @@
         let chosen = scene.choose("/grade/", &prompt, &[]).expect("a choice");
         *calls.entry(chosen).or_default() += 1;
         let loads: Vec<Load> = calls.iter().map(|(endpoint, calls)| load(endpoint, *calls, 0)).collect();
-        scene.balance.set_others(&loads);
+        scene.known.balance.set_others(&loads);
     }
     assert!(calls.len() >= 6, "{calls:?}");
     let most = calls.values().max().copied().unwrap_or_default();
@@ -547,7 +509,7 @@
     let prompt = prompt(5);
     let home = scene.choose("/recap/", &prompt, &[]).expect("a choice");
     assert_ne!(scene.choose("/recap/", &prompt, &[home.as_str().into()]), Some(home.clone()));
-    scene.health.note(&home.as_str().into(), Outcome::Unreachable, Moment::now());
+    scene.known.health.note(&home.as_str().into(), Outcome::Unreachable, Moment::now());
     assert_ne!(scene.choose("/recap/", &prompt, &[]), Some(home));
     for engine in &mut scene.engines {
         engine.phase = Phase::Leaving;
