--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -224,36 +224,62 @@
     }
 }
 
+/// The calls of one instance that reached one life of an endpoint.
+struct Meeting<'a> {
+    instance: usize,
+    life: &'a str,
+    /// Each arrival, and when its call was sent.
+    arrivals: Vec<(&'a Arrival, Duration)>,
+}
+
 /// Each instance keeps what endpoints have asked of it in their answers, as long as its process runs.
 fn check_wishes(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    for meeting in find_meetings(history) {
+        for (asking, _) in &meeting.arrivals {
+            match asking.wish {
+                Some(Wish::Rest(rest)) => check_rest(history, bounds, &meeting, (asking, rest), verdict),
+                Some(Wish::Leave) => check_leaving(history, bounds, &meeting, asking, verdict),
+                None => {}
+            }
+        }
+    }
+}
+
+fn find_meetings(history: &History) -> Vec<Meeting<'_>> {
     let calls: BTreeMap<&str, &Call> = history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
     let mut met: BTreeMap<(usize, &str), Vec<(&Arrival, Duration)>> = BTreeMap::new();
     for arrival in &history.arrivals {
         let Some(call) = calls.get(arrival.call.as_str()) else { continue };
         met.entry((call.instance, &arrival.life)).or_default().push((arrival, call.sent));
     }
-    for ((instance, life), arrivals) in met {
-        for (asking, _) in &arrivals {
-            let Some(wish) = asking.wish else { continue };
-            let later = arrivals.iter().filter(|(later, _)| !lost_memory(history, instance, asking.at, later.at));
-            match wish {
-                Wish::Rest(rest) => {
-                    let meanwhile = asking.at + bounds.rest_slack..asking.at + rest;
-                    let strays = later.filter(|(later, _)| meanwhile.contains(&later.at)).count();
-                    verdict.test(Promise::Rested, strays <= bounds.rest_strays, || {
-                        format!("{life} asked instance {instance} for {rest:?} of rest and got {strays}: {asking:?}")
-                    });
-                }
-                Wish::Leave => {
-                    let mut later = later;
-                    let late = later.find(|(_, sent)| *sent > asking.at + bounds.drain);
-                    verdict.test(Promise::Drained, late.is_none(), || {
-                        format!("{life} told instance {instance} that it leaves, and got {late:?}")
-                    });
-                }
-            }
-        }
-    }
+    met.into_iter().map(|((instance, life), arrivals)| Meeting { instance, life, arrivals }).collect()
+}
+
+fn check_rest(
+    history: &History,
+    bounds: &Bounds,
+    meeting: &Meeting,
+    (asking, rest): (&Arrival, Duration),
+    verdict: &mut Verdict,
+) {
+    let Meeting { instance, life, arrivals } = meeting;
+    let meanwhile = asking.at + bounds.rest_slack..asking.at + rest;
+    let is_stray = |at: Duration| meanwhile.contains(&at) && !lost_memory(history, *instance, asking.at, at);
+    let strays = arrivals.iter().filter(|(later, _)| is_stray(later.at)).count();
+    verdict.test(Promise::Rested, strays <= bounds.rest_strays, || {
+        format!("{life} asked instance {instance} for {rest:?} of rest and got {strays}: {asking:?}")
+    });
+}
+
+fn check_leaving(history: &History, bounds: &Bounds, meeting: &Meeting, asking: &Arrival, verdict: &mut Verdict) {
+    let Meeting { instance, life, arrivals } = meeting;
+    let is_late = |later: &Arrival, sent: Duration| {
+        sent > asking.at + bounds.drain && !lost_memory(history, *instance, asking.at, later.at)
+    };
+    let late = arrivals.iter().find(|(later, sent)| is_late(later, *sent));
+    verdict.test(Promise::Drained, late.is_none(), || {
+        format!("{life} told instance {instance} that it leaves, and got {late:?}")
+    });
 }
 
 /// True where an instance's process was ended, or its time did not go on as usual, between two times.
