feat(gateway): rate limits that endpoints name are read, logged and counted

The header is decoded once, in the adapter: the lowest of several holds; one that cannot be read (negative, no number, a word) neither names nor ends a limit; neither does another replica's 421.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -198,6 +198,13 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
+    /// An endpoint named another rate limit in an answer than it did before.
+    LimitNamed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Requests a second that it takes from all instances together; `None` where it names no limit any more.
+        per_second: Option<f64>,
+    },
     /// The outcomes of all instances together make an endpoint suspect: it gets no work while they do.
     Suspect {
         /// The endpoint.
@@ -255,6 +262,9 @@
         /// The engine that keeps a copy of its memory, where one does.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         keeper: Option<EndpointId>,
+        /// Requests a second that the endpoint takes from all instances together, as far as is known here.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        limit: Option<f64>,
     },
     /// A request would come late at the best endpoint there is, so it is refused.
     CallHopeless {
@@ -508,6 +518,7 @@
             | What::Ejected { endpoint, .. }
             | What::AskedToRest { endpoint, .. }
             | What::SaidLeaving { endpoint }
+            | What::LimitNamed { endpoint, .. }
             | What::Suspect { endpoint, .. }
             | What::Restored { endpoint }
             | What::Ordered { endpoint, .. } => Some(endpoint),
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -89,15 +89,17 @@
             left_ms,
             fetch_from,
             keeper,
+            limit,
             ..
         } => {
             let connection = if *reused { "a kept" } else { "a new" };
             let fetched = fetch_from.as_ref().map_or(String::new(), |from| format!(", its session taken from {from}"));
             let kept = keeper.as_ref().map_or(String::new(), |keeper| format!(", a copy kept by {keeper}"));
+            let limited = limit.map_or(String::new(), |rate| format!(", within its limit of {rate} requests a second"));
             format!(
                 "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
                  {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left\
-                 {fetched}{kept}"
+                 {fetched}{kept}{limited}"
             )
         }
         What::CallHopeless { endpoint, ahead, wait_ms, target_ms, .. } => format!(
@@ -132,6 +134,12 @@
         }
         What::AskedToRest { endpoint, rest_ms } => format!("was asked by {endpoint} to send nothing for {rest_ms} ms"),
         What::SaidLeaving { endpoint } => format!("was told by {endpoint} that it leaves"),
+        What::LimitNamed { endpoint, per_second: Some(rate) } => {
+            format!("was told by {endpoint} that it takes {rate} requests a second from all instances")
+        }
+        What::LimitNamed { endpoint, per_second: None } => {
+            format!("was told by {endpoint} that it has no limit any more")
+        }
         What::Ejected { endpoint, why, pause } => format!("leaves {endpoint} out for {pause:?}: {why}"),
         What::DutyHeld { .. } | What::WindowClosed { .. } | What::EnginesWanted { .. } | What::DutyCalled { .. } => {
             to_duty_sentence(what)
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
-use rudder_model::{EndpointId, Ran};
+use rudder_model::{EndpointId, Ran, RequestRate};
 
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume, note_begun, note_if_ended,
@@ -19,7 +19,7 @@
     Dialect,
     balance::Flight,
     choose::{self, Choice, Eligibility, Inputs},
-    dialect::Wish,
+    dialect::{LimitNotice, Wish},
     health::Outcome,
     shared::Shared,
     upstream::{self, Connection},
@@ -171,6 +171,10 @@
     if let Some(wish) = head.wish {
         note_wish(shared, &choice.endpoint, wish);
     }
+    // What an answer to another request does not say is no news.
+    if head.own || head.limit != LimitNotice::Unlimited {
+        record_limit(shared, &choice.endpoint, head.limit, now);
+    }
     if !head.own {
         note_outcome(shared, &choice.endpoint, Outcome::Failed);
         log_failure(shared, call, progress, &choice, "it answered another request", Ran::Unknown);
@@ -200,6 +204,17 @@
     }
 }
 
+/// Records what an answer to a request sent at `sent` says of its endpoint's rate limit.
+fn record_limit<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, notice: LimitNotice, sent: Moment) {
+    let mut limits = shared.limits.borrow_mut();
+    if !limits.record_answer(endpoint, notice, sent, Moment::now()) {
+        return;
+    }
+    shared.metrics.note_limit();
+    let per_second = limits.rate(endpoint).map(RequestRate::per_second);
+    shared.log.write(What::LimitNamed { endpoint: endpoint.clone(), per_second });
+}
+
 /// Waits for the head of an answer; where the request may be repeated, no longer than its patience.
 async fn wait_for_head<D: Dialect>(
     shared: &Rc<Shared<D>>,
@@ -269,6 +284,7 @@
         left_ms: left.as_millis() as u64,
         fetch_from: choice.fetch_from.as_deref().map(str::to_owned),
         keeper: choice.keeper.as_ref().map(|keeper| keeper.endpoint.clone()),
+        limit: shared.limits.borrow().rate(&choice.endpoint).map(RequestRate::per_second),
     });
 }
 
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, Uri, request, response};
 use http_body_util::Full;
 use rudder_core::{CallOutcome, DutyCall, Registration, duties::Fence};
-use rudder_model::Born;
+use rudder_model::{Born, RequestRate};
 
 use crate::{Plan, options::Duties, plan::Fault};
 
@@ -149,6 +149,20 @@
     pub keep: Option<Duration>,
     /// What the endpoint asks of this instance.
     pub wish: Option<Wish>,
+    /// What it says of its rate limit.
+    pub limit: LimitNotice,
+}
+
+/// What an answer says of the requests that its endpoint takes from all instances together.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LimitNotice {
+    /// Nothing that can be told.
+    #[default]
+    Unknown,
+    /// Any number.
+    Unlimited,
+    /// No more than this.
+    Limited(RequestRate),
 }
 
 /// What an endpoint asks, in an answer, of the instance that it answers.
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod health;
 pub mod holdings;
 pub mod lanes;
+pub mod limits;
 pub mod logging;
 pub mod metrics;
 pub mod operate;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -158,6 +158,7 @@
     resumes: Counter,
     ejections: Counter,
     rests: Counter,
+    limits: Counter,
     ended_under: Counter,
     held_back: Counter,
     words: Family<Why, Counter>,
@@ -208,6 +209,7 @@
             resumes: Counter::default(),
             ejections: Counter::default(),
             rests: Counter::default(),
+            limits: Counter::default(),
             ended_under: Counter::default(),
             held_back: Counter::default(),
             words: Family::default(),
@@ -246,6 +248,7 @@
             "Answers of endpoints that asked to be sent nothing for a while",
             self.rests.clone(),
         );
+        registry.register("limits_named", "Changes of rate limits that endpoints name", self.limits.clone());
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
         let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
@@ -331,6 +334,11 @@
         self.rests.inc();
     }
 
+    /// Counts a change of the rate limit that an endpoint names.
+    pub fn note_limit(&self) {
+        self.limits.inc();
+    }
+
     /// Counts a request under which its endpoint ended.
     pub fn note_ended_under(&self) {
         self.ended_under.inc();
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -27,6 +27,7 @@
     dialect::Whence,
     health::Health,
     holdings::Holdings,
+    limits::Limits,
     logging::Log,
     metrics::{Metrics, Standing},
     places::Places,
@@ -142,6 +143,8 @@
     pub health: RefCell<Health>,
     /// Endpoints that want nothing.
     pub backoff: RefCell<Backoff>,
+    /// Rate limits of endpoints.
+    pub limits: RefCell<Limits>,
     /// What became of contents at endpoints.
     pub contents: RefCell<Contents>,
     /// How fast engines read.
@@ -202,6 +205,7 @@
             balance: Rc::default(),
             health: RefCell::default(),
             backoff: RefCell::default(),
+            limits: RefCell::default(),
             contents: RefCell::new(Contents::new(started)),
             reading: RefCell::default(),
             budget: RefCell::new(budget),
@@ -302,6 +306,7 @@
         let roster = Rc::new(Roster::new(published.endpoints.iter().cloned()));
         self.balance.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
+        self.limits.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         let before = self.roster.replace(roster.clone());
         if !roster.replaced().is_subset(before.replaced()) {
             self.replaced.send_replace(());
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -62,6 +62,7 @@
         left_ms: 10,
         fetch_from: None,
         keeper: None,
+        limit: None,
     }
 }
 
--- a/crates/rudder-model/src/lib.rs
+++ b/crates/rudder-model/src/lib.rs
@@ -1,4 +1,4 @@
-//! The words every other crate speaks: ids, configuration objects with labels and selectors,
+//! The words every other crate speaks: ids, configuration objects with labels and selectors, rates,
 //! refusals, and the counters that check the promises at run time.
 //!
 //! Nothing here does I/O or keeps time; every type can be sent between processes with `serde`.
@@ -8,6 +8,7 @@
 pub mod label;
 pub mod object;
 pub mod promise;
+pub mod rate;
 pub mod refusal;
 
 pub use id::content_tag;
@@ -18,4 +19,5 @@
 pub use label::{Labels, Match};
 pub use object::{Class, Endpoint, EndpointKind, Instance, Kind, Limits, Mark, Object, Organisation, Selector};
 pub use promise::{Promise, Promises};
+pub use rate::RequestRate;
 pub use refusal::{Ran, Refusal, RefusalCode};
