--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod pool;
 pub mod preempt;
 pub mod queue;
+pub mod rate_limit;
 pub mod scale;
 pub mod site;
 pub mod slow_start;
