--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -15,6 +15,7 @@
     clock::Clock,
     founding::Founding,
     hall_tags::HallTags,
+    limits::Limits,
     registry::{Change, Registration, Registry},
     tree::Directory,
     view::View,
@@ -195,7 +196,7 @@
         now: Duration,
         from: InstanceId,
         mut watch: Watch,
-        clock: &mut Clock,
+        (clock, limits): (&mut Clock, &Limits),
         out: &mut Vec<Effect>,
     ) {
         if !self.replica.leads(now) {
@@ -225,6 +226,7 @@
             quarantine: &self.ledger.quarantine,
             evacuations: &self.ledger.evacuations,
             others: &[],
+            limits,
             time: clock.agreed(now),
         };
         let watched = self.watchers.answer(now, watch, group, source);
--- a/crates/rudder-core/src/effect.rs
+++ b/crates/rudder-core/src/effect.rs
@@ -7,7 +7,7 @@
 use rudder_model::{EndpointId, InstanceId, Refusal, RequestId};
 use rudder_replica::{Record, Snapshot};
 
-use crate::{DutyCall, PeerMessage, duties::Fence};
+use crate::{DutyCall, PeerMessage, duties::Fence, permits::PermitAnswer};
 
 /// Something to do.
 #[derive(Clone, Debug)]
@@ -70,6 +70,13 @@
         /// Taken in, and where it says that the endpoint leaves, known to the leader.
         taken: bool,
     },
+    /// Answer a request that is to be sent to an endpoint with a rate limit.
+    Permitted {
+        /// Identifies the request.
+        ticket: u64,
+        /// The answer.
+        answer: PermitAnswer,
+    },
     /// Look at an endpoint's load and cache events.
     Poll {
         /// The endpoint.
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -6,7 +6,8 @@
 use rudder_model::{ClassId, Digest, EndpointId, HallId, InstanceId, ModelId, RequestId};
 
 use crate::{
-    CallOutcome, PeerMessage, Stored, duties::scaling::ServiceState, peer::Load, registry::Registration, tally::Begun,
+    CallOutcome, PeerMessage, Stored, duties::scaling::ServiceState, limits::LimitReport, peer::Load,
+    permits::PermitRequest, registry::Registration, tally::Begun,
 };
 
 /// Anything that happens to an instance.
@@ -90,6 +91,15 @@
     },
     /// The work that this instance has under way at endpoints.
     Loads(Vec<Load>),
+    /// What an endpoint said of its rate limit in an answer to this instance.
+    Limit(LimitReport),
+    /// A request is to be sent to an endpoint that has a rate limit; [`crate::Effect::Permitted`] answers.
+    AskPermit {
+        /// Identifies the request.
+        ticket: u64,
+        /// What is asked.
+        request: PermitRequest,
+    },
     /// How services stand whose engines are ordered; comes a few times a second at the leader.
     Services(Vec<ServiceState>),
     /// Requests that began to run at endpoints.
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -9,6 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    limits::LimitReport,
+    permits::{PermitAnswer, PermitRequest},
     registry::{Registration, RegistryNews},
     spread::{News, Version},
     subset::Scope,
@@ -63,6 +65,8 @@
     /// Work under way at endpoints, its own and that of those who ask it, where it is not nothing. `None` in a
     /// question past the relay that the asker tells its work to, and where it was told shortly before.
     pub loads: Option<Vec<Load>>,
+    /// What endpoints said of their rate limits to the sender and to those who ask it; told with the loads.
+    pub limits: Vec<LimitReport>,
     /// Those who ask the sender, where it is a relay.
     pub group: Option<Group>,
     /// Time of day by the sender's clock; by the median of its own and its askers', where it is a relay.
@@ -115,6 +119,8 @@
     /// Work under way at endpoints by all instances but the asker and those who ask it; `None` where the question told
     /// none.
     pub loads: Option<Vec<Load>>,
+    /// What endpoints said of their rate limits; told with the loads.
+    pub limits: Vec<LimitReport>,
     /// Version of the asker's group that the answerer holds; 0 for none.
     pub group: u64,
     /// The agreed time of day, where the answerer knows it.
@@ -129,7 +135,7 @@
         };
         let directory = self.directory.as_ref().map_or(0, |news| news.entries.len());
         let registry = self.registry.as_ref().map_or(0, |news| news.entries.len());
-        1 + document + directory + registry + self.loads.as_ref().map_or(0, Vec::len)
+        1 + document + directory + registry + self.loads.as_ref().map_or(0, Vec::len) + self.limits.len()
     }
 }
 
@@ -261,6 +267,24 @@
     Usage(Box<UsageNews>),
     /// Answers [`PeerMessage::Usage`], once the log holds it.
     UsageTaken(UsageTaken),
+    /// To the holder of an endpoint's rate limit: the sender wants to send to the endpoint.
+    AskPermit {
+        /// Counts the sender's questions.
+        ticket: u64,
+        /// The sender's start.
+        start: Start,
+        /// What is asked.
+        request: PermitRequest,
+    },
+    /// Answers [`PeerMessage::AskPermit`].
+    Permit {
+        /// The ticket.
+        ticket: u64,
+        /// The start of the asker.
+        start: Start,
+        /// The answer.
+        answer: PermitAnswer,
+    },
 }
 
 impl PeerMessage {
@@ -268,7 +292,9 @@
     pub fn weight(&self) -> usize {
         match self {
             PeerMessage::Watched(watched) => watched.weight(),
-            PeerMessage::Watch(watch) => watch.heard.len() + watch.loads.as_ref().map_or(0, Vec::len),
+            PeerMessage::Watch(watch) => {
+                watch.heard.len() + watch.loads.as_ref().map_or(0, Vec::len) + watch.limits.len()
+            }
             _ => 1,
         }
     }
@@ -290,6 +316,8 @@
             PeerMessage::FromPool { .. } => "from_pool",
             PeerMessage::Usage(_) => "usage",
             PeerMessage::UsageTaken(_) => "usage_taken",
+            PeerMessage::AskPermit { .. } => "ask_permit",
+            PeerMessage::Permit { .. } => "permit",
         }
     }
 }
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -18,6 +18,7 @@
     keyed,
     orders::Orders,
     peer::FromPool,
+    permits::Permits,
     propose::{For, Proposals},
     registry::{Phase, Registration, Registry},
     tally::Tallies,
@@ -62,6 +63,7 @@
     findings: Findings,
     /// Those who ask here while another instance leads.
     watchers: Watchers,
+    permits: Permits,
 }
 
 /// An endpoint that waits for the acknowledgement of its leave.
@@ -101,6 +103,7 @@
             hall_orders: HallOrders::default(),
             findings: Findings::default(),
             watchers: Watchers::default(),
+            permits: Permits::default(),
         }
     }
 
@@ -186,6 +189,10 @@
             }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
             Event::Loads(loads) => self.view.set_loads(loads),
+            Event::Limit(report) => self.view.limits.record_own(now, report),
+            Event::AskPermit { ticket, request } => {
+                self.permits.ask(now, &self.me, &self.view, (ticket, request), out);
+            }
             Event::Begun(begun) => {
                 if let Some(usage) = &self.options.duties.usage {
                     self.tallies.note(begun, &self.view, usage);
@@ -230,6 +237,8 @@
         self.end_leaves(now, out);
         self.end_hall_orders(now, out);
         self.view.registry.forget_gone(now);
+        self.view.age_limits(now);
+        self.permits.tick(now, out);
         self.homes.tick(now, &self.me, &self.view, &self.options, out);
         self.with_calls(now, out, Calls::tick);
         if self.view.mark_of(&self.me.name) == Mark::Stopping {
@@ -369,6 +378,16 @@
             }
             PeerMessage::FromPool { request, message } => self.on_pool(now, &from, request, message, out),
             PeerMessage::UsageTaken(taken) => self.tallies.on_taken(&from, taken),
+            PeerMessage::AskPermit { ticket, start, request } => {
+                self.view.limits.record_told(now, request.limit);
+                let answer = self.permits.answer(now, &self.me, &self.view, &self.options, &request);
+                out.push(Effect::Send { to: from, message: PeerMessage::Permit { ticket, start, answer } });
+            }
+            PeerMessage::Permit { ticket, start, answer } => {
+                if start == self.me.start {
+                    self.permits.on_answer(ticket, answer, out);
+                }
+            }
             PeerMessage::Watch(watch) if self.may_relay(now, &from) => {
                 self.answer_as_relay(now, from, *watch, out);
             }
@@ -388,6 +407,7 @@
     /// Answers from what this instance, which asks the leader itself, has learned of it.
     fn answer_as_relay(&mut self, now: Duration, from: InstanceId, mut watch: Watch, out: &mut Vec<Effect>) {
         let heard = std::mem::take(&mut watch.heard);
+        self.view.record_limits(now, &watch.limits);
         self.view.clock.note(now, &from, watch.clock);
         let mut news = self.watchers.note(now, &watch.listing);
         for registration in heard {
@@ -430,7 +450,11 @@
             PeerMessage::Founding { replica, members, ask } => {
                 control.on_founding(from, replica, members.as_ref(), ask, out);
             }
-            PeerMessage::Watch(watch) => control.on_watch(now, from, *watch, &mut self.view.clock, out),
+            PeerMessage::Watch(watch) => {
+                self.view.record_limits(now, &watch.limits);
+                let known = (&mut self.view.clock, &self.view.limits);
+                control.on_watch(now, from, *watch, known, out);
+            }
             PeerMessage::Usage(news) if control.leads_since(now).is_some() => self.duties.on_usage(&from, *news),
             PeerMessage::Propose { ticket, start, command } => {
                 control.on_propose(now, &self.me, from, (ticket, start, command), &self.options, out);
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -15,13 +15,14 @@
 use rudder_events::What;
 use rudder_ledger::{Config, Delta, Document, Evacuations, Quarantine, QuarantineNews};
 use rudder_model::{
-    Endpoint, EndpointId, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id,
+    Endpoint, EndpointId, EndpointTag, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id,
 };
 
 use crate::{
     Effect, Group, Listing, Me, Options, PeerMessage, Watch, Watched,
     asking::{Asking, Target},
     clock::Clock,
+    limits::{LimitReport, Limits, Told},
     peer::{DirectoryNews, DocumentNews, Load},
     registry::{Change, Phase, Registration, Registry},
     subset::Scope,
@@ -38,6 +39,8 @@
 const RELAYED: u32 = 8;
 /// The longest such time: what was told counts for half a second longer.
 const LOADS_PAUSE_MOST: Duration = Duration::from_secs(1);
+/// Time between two looks for limits to forget.
+const AGE_LIMITS: Duration = Duration::from_secs(10);
 /// A relay whose answers prove the configuration no younger than this is passed over: it has lost touch.
 const RELAY_OLD: Duration = Duration::from_millis(1500);
 
@@ -51,6 +54,8 @@
     /// Live instances, by name.
     pub directory: Directory,
     proved: Option<Duration>,
+    /// When the latest question was sent that was answered.
+    answered: Option<Duration>,
     pub(crate) asking: Asking,
     was_fresh: bool,
     /// The configuration document in force here.
@@ -75,6 +80,12 @@
     loads: Vec<Load>,
     /// When they were told last.
     loads_told: Option<Duration>,
+    /// Rate limits that endpoints name.
+    pub limits: Limits,
+    /// What of them was told.
+    limits_told: Told,
+    /// When they were last looked through for those to forget.
+    limits_aged: Duration,
     /// When the others' work was as it is known here.
     others_at: Option<Duration>,
     /// The time of day.
@@ -106,6 +117,11 @@
         self.proved.is_some_and(|proved| now < proved + bound)
     }
 
+    /// True while the others list this instance as live: they do for at least `gone` after each question of it that was answered.
+    pub(crate) fn is_listed(&self, now: Duration, gone: Duration) -> bool {
+        self.answered.is_some_and(|answered| now < answered + gone)
+    }
+
     /// Where to send what only the leader can answer.
     pub fn to_leader(&self) -> Option<InstanceId> {
         self.leader().cloned().or_else(|| self.asking.seat_of(&self.to_seats()))
@@ -177,6 +193,23 @@
         self.loads = loads;
     }
 
+    /// Records what endpoints said of their rate limits to one that asks here.
+    pub(crate) fn record_limits(&mut self, now: Duration, reports: &[LimitReport]) {
+        for report in reports {
+            self.limits.record_own(now, *report);
+        }
+    }
+
+    /// Forgets the limits of endpoints that are gone; looks through all endpoints, so seldom.
+    pub(crate) fn age_limits(&mut self, now: Duration) {
+        if self.limits.is_empty() || now < self.limits_aged + AGE_LIMITS {
+            return;
+        }
+        self.limits_aged = now;
+        let known: BTreeSet<EndpointTag> = self.registry.iter().map(|held| id::endpoint_tag(&held.endpoint)).collect();
+        self.limits.age(now, |endpoint| known.contains(&endpoint));
+    }
+
     /// The instance that decides for the pool of `model` in `hall`: by rendezvous hashing over the
     /// live instances of the hall, or of all halls where the hall has none.
     pub fn home(&self, hall: &HallId, model: &str) -> Option<InstanceId> {
@@ -254,6 +287,7 @@
         if with_loads {
             self.loads_told = Some(now);
         }
+        let limits = if with_loads { self.limits.own_news(now, &mut self.limits_told) } else { Vec::new() };
         let watch = Watch {
             round: self.asking.round(),
             listing,
@@ -265,6 +299,7 @@
             evacuations: self.evacuations.index(),
             heard,
             loads: with_loads.then(|| watchers.join_loads(&self.loads)),
+            limits,
             group: self.to_group(watchers, options),
             clock: self.clock.to_reading(now),
         };
@@ -302,6 +337,7 @@
             quarantine: &self.quarantine,
             evacuations: &self.evacuations,
             others: &self.others,
+            limits: &self.limits,
             time: self.clock.agreed(now),
         })
     }
@@ -337,6 +373,7 @@
         out: &mut Vec<Effect>,
     ) -> Learned {
         let Some(sent) = self.asking.sent(watched.round) else { return Learned::default() };
+        self.answered = self.answered.max(Some(sent.at));
         let held = watched.index >= watched.asked;
         assert!(promises.check(Promise::NoRevert, held), "{from} answered with an older configuration");
         let before = self.config.index;
@@ -386,6 +423,9 @@
                 self.others = loads;
             }
         }
+        for report in watched.limits {
+            self.limits.record_told(now, report);
+        }
         if let Some(news) = watched.directory {
             changed |= self.take_directory((me, options), news, out);
         }
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     Effect, Group, Listing, PeerMessage, Registry, Watch, Watched,
+    limits::{LimitReport, Limits, Told},
     loads::{self, Loads},
     past::Past,
     peer::{DocumentNews, Load},
@@ -41,6 +42,8 @@
     /// What it held of directory and registry when it was sent more of them, and when.
     directory: Sent,
     registry: Sent,
+    /// What of the limits it was told.
+    limits: Told,
     /// Those who ask it, and the version of that list.
     group: Option<(u64, Vec<Listing>)>,
 }
@@ -100,6 +103,8 @@
     pub evacuations: &'a Evacuations,
     /// Work of instances that neither ask here nor ask those who do.
     pub others: &'a [Load],
+    /// Rate limits that endpoints name.
+    pub limits: &'a Limits,
     /// The agreed time of day, where it is known.
     pub time: Option<Duration>,
 }
@@ -120,6 +125,7 @@
             }
             loads
         });
+        let limits = if told { self.limit_news(now, &name, &source) } else { Vec::new() };
         let told = source.scope.as_ref().filter(|_| !source.whole);
         let (directory_due, registry_due) = self.are_due(now, &watch);
         let registry = source.registry.news_after(watch.registry, &watch.listing.hall, told);
@@ -151,11 +157,22 @@
             quarantine: source.quarantine.news_after(watch.quarantine),
             evacuations: source.evacuations.news_after(watch.evacuations),
             loads,
+            limits,
             group,
             time: source.time,
         }
     }
 
+    /// What the asker is told of the limits of the endpoints that it is told of.
+    fn limit_news(&mut self, now: Duration, name: &InstanceId, source: &Source) -> Vec<LimitReport> {
+        let Some(held) = self.asking.get_mut(name) else { return Vec::new() };
+        let mut news = source.limits.all_news(now, &mut held.limits);
+        if let Some(tags) = &source.tags {
+            news.retain(|report| tags.contains(&report.endpoint));
+        }
+        news
+    }
+
     /// Whether the asker may be sent what it lacks of the directory and of the registry.
     fn are_due(&self, now: Duration, watch: &Watch) -> (bool, bool) {
         let Some(held) = self.asking.get(&watch.listing.name) else { return (true, true) };
@@ -183,6 +200,7 @@
                 document_at: now,
                 directory: Sent::default(),
                 registry: Sent::default(),
+                limits: Told::default(),
                 group: None,
             };
             self.asking.insert(listing.name.clone(), fresh);
--- /dev/null
+++ b/crates/rudder-core/tests/limits.rs
@@ -0,0 +1,275 @@
+//! Rate limits of endpoints over all instances: who learns of them, and that permits add up to no more, whatever happens to
+//! the instances.
+
+mod mesh;
+
+use std::time::Duration;
+
+use rudder_core::{
+    Event, Phase,
+    limits::LimitReport,
+    permits::{PermitAnswer, PermitRequest},
+};
+use rudder_model::{EndpointTag, RequestRate, id};
+
+use mesh::Mesh;
+
+const SECOND: Duration = Duration::from_secs(1);
+/// Time between two requests of an instance for permits.
+const STEP: Duration = Duration::from_millis(20);
+/// Time over which permits are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// The limit, in requests a second.
+const LIMIT: f64 = 4.0;
+/// Time in which all instances learn of a limit.
+const SPREAD: Duration = Duration::from_secs(2);
+
+fn tag() -> EndpointTag {
+    id::endpoint_tag("e-1")
+}
+
+fn report(requests: Option<f64>) -> LimitReport {
+    let rate = requests.and_then(RequestRate::try_from_per_second);
+    LimitReport { endpoint: tag(), rate, age_ms: 0 }
+}
+
+fn rate_at(mesh: &Mesh, number: usize) -> Option<f64> {
+    let state = mesh.nodes[number].state.as_ref()?;
+    state.view.limits.rate(tag()).map(RequestRate::per_second)
+}
+
+/// Instances in three halls, with an endpoint that has named its limit to one of them.
+fn start(total: usize) -> Mesh {
+    let mut mesh = Mesh::start(total, 3);
+    mesh.run(SECOND * 3);
+    mesh.heartbeat(0, 1, "e-1", Phase::Ready, 1);
+    mesh.run(SECOND);
+    mesh.tell(total - 1, Event::Limit(report(Some(LIMIT))));
+    mesh.run(SPREAD);
+    mesh
+}
+
+/// Instances that all want to send to the endpoint all the time, and the permits that they were granted.
+struct Demand {
+    mesh: Mesh,
+    /// Requests by ticket: who asked.
+    asked: Vec<(u64, usize)>,
+    tickets: u64,
+    /// When each instance may ask again.
+    retry_at: Vec<Duration>,
+    granted: Vec<Duration>,
+}
+
+impl Demand {
+    fn start(total: usize) -> Demand {
+        let retry_at = vec![Duration::ZERO; total];
+        Demand { mesh: start(total), asked: Vec::new(), tickets: 0, retry_at, granted: Vec::new() }
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.mesh.now + span;
+        while self.mesh.now < end {
+            for number in 0..self.retry_at.len() {
+                self.ask(number);
+            }
+            self.mesh.run(STEP);
+            self.take_answers();
+        }
+    }
+
+    fn ask(&mut self, number: usize) {
+        let node = &self.mesh.nodes[number];
+        let waits = self.asked.iter().any(|(_, asker)| *asker == number);
+        if node.state.is_none() || node.paused || waits || self.mesh.now < self.retry_at[number] {
+            return;
+        }
+        self.tickets += 1;
+        self.asked.push((self.tickets, number));
+        let request = PermitRequest { limit: report(Some(LIMIT)), hall: "hall-0".into(), tier: 0, wanted: 1 };
+        self.mesh.tell(number, Event::AskPermit { ticket: self.tickets, request });
+    }
+
+    fn take_answers(&mut self) {
+        let now = self.mesh.now;
+        for (ticket, number) in std::mem::take(&mut self.asked) {
+            match self.mesh.permitted.remove(&ticket) {
+                Some(PermitAnswer::Granted(count)) => self.granted.extend((0..count).map(|_| now)),
+                Some(PermitAnswer::Denied(retry)) => self.retry_at[number] = now + retry,
+                // One that was killed while it waited asks anew.
+                None if self.mesh.nodes[number].state.is_none() => {}
+                None => self.asked.push((ticket, number)),
+            }
+        }
+    }
+
+    /// The holder: the instance that answers.
+    fn holder(&self) -> usize {
+        let count = |number: &usize| self.mesh.sent_by(*number, "permit").messages;
+        (0..self.retry_at.len()).max_by_key(count).expect("there are some")
+    }
+
+    fn check(&self) {
+        let within =
+            |first: &Duration| self.granted.iter().filter(|at| (*first..*first + WINDOW).contains(*at)).count();
+        let most = self.granted.iter().map(within).max().unwrap_or_default();
+        let allowed = 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0;
+        assert!(most as f64 <= allowed, "{most} were granted in {WINDOW:?}, {allowed} may be");
+    }
+
+    /// Permits granted a second since `from`, as a part of the limit.
+    fn used_since(&self, from: Duration) -> f64 {
+        let span = self.mesh.now.saturating_sub(from).as_secs_f64();
+        self.granted.iter().filter(|at| **at >= from).count() as f64 / (span * LIMIT)
+    }
+}
+
+/// Instances lose something while all want permits; the sum holds throughout, and afterwards the limit is used again.
+fn run(total: usize, trouble: impl Fn(&mut Demand)) {
+    let mut demand = Demand::start(total);
+    demand.run(SECOND * 6);
+    trouble(&mut demand);
+    demand.run(SECOND * 4);
+    let from = demand.mesh.now;
+    demand.run(SECOND * 6);
+    demand.check();
+    let used = demand.used_since(from);
+    assert!(used > 0.8, "{used} of the limit is used");
+}
+
+macro_rules! troubles {
+    ($($(#[$meta:meta])* $name:ident: $total:expr, $trouble:expr;)*) => {
+        $($(#[$meta])* #[test] fn $name() {
+            run($total, $trouble);
+        })*
+    };
+}
+
+troubles! {
+    nine_keep_a_limit_together: 9, |_| {};
+    sixty_keep_a_limit_together: 60, |_| {};
+    the_holder_is_killed: 9, |demand| {
+        let holder = demand.holder();
+        demand.mesh.kill(holder);
+    };
+    the_holder_of_sixty_is_killed: 60, |demand| {
+        let holder = demand.holder();
+        demand.mesh.kill(holder);
+    };
+    the_holder_is_killed_and_comes_back: 9, |demand| {
+        let holder = demand.holder();
+        demand.mesh.kill(holder);
+        demand.run(SECOND);
+        demand.mesh.boot(holder);
+    };
+    holders_are_killed_in_series: 9, |demand| {
+        for _ in 0..3 {
+            let holder = demand.holder();
+            demand.mesh.kill(holder);
+            demand.run(SECOND * 2);
+            demand.mesh.boot(holder);
+        }
+    };
+    the_holder_stands_still_for_a_moment: 9, |demand| {
+        let holder = demand.holder();
+        demand.mesh.nodes[holder].paused = true;
+        demand.run(SECOND / 2);
+        demand.mesh.wake(holder);
+    };
+    the_holder_stands_still_for_long: 9, |demand| {
+        let holder = demand.holder();
+        demand.mesh.nodes[holder].paused = true;
+        demand.run(SECOND * 4);
+        demand.mesh.wake(holder);
+    };
+    /// It goes on granting to itself alone, for as long as the others list it.
+    the_holder_is_cut_off: 9, |demand| {
+        let holder = demand.holder();
+        demand.mesh.nodes[holder].cut = true;
+        demand.run(SECOND * 4);
+        demand.mesh.nodes[holder].cut = false;
+    };
+    the_leader_is_killed: 9, |demand| {
+        let leader = demand.mesh.leader().expect("one leads");
+        demand.mesh.kill(leader);
+        demand.run(SECOND * 3);
+        demand.mesh.boot(leader);
+    };
+    all_are_killed: 9, |demand| demand.mesh.restart_all();
+    messages_are_lost: 9, |demand| {
+        demand.mesh.loss = 0.2;
+        demand.run(SECOND * 6);
+        demand.mesh.loss = 0.0;
+    };
+    messages_are_late: 9, |demand| {
+        demand.mesh.delay = Duration::from_millis(120);
+        demand.run(SECOND * 6);
+        demand.mesh.delay = Duration::ZERO;
+    };
+}
+
+/// All instances know the limit that one was told.
+fn assert_known(mesh: &Mesh, expected: Option<f64>) {
+    for number in 0..mesh.nodes.len() {
+        assert_eq!(rate_at(mesh, number), expected, "at instance {number}");
+    }
+}
+
+macro_rules! spreads {
+    ($($(#[$meta:meta])* $name:ident: $total:expr, $turn:expr => $expected:expr;)*) => {
+        $($(#[$meta])* #[test] fn $name() {
+            let mut mesh = start($total);
+            assert_known(&mesh, Some(LIMIT));
+            let turn: fn(&mut Mesh) = $turn;
+            turn(&mut mesh);
+            mesh.run(SPREAD);
+            assert_known(&mesh, $expected);
+        })*
+    };
+}
+
+spreads! {
+    what_one_of_nine_was_told_all_learn: 9, |_| {} => Some(LIMIT);
+    what_one_of_a_hundred_and_twenty_was_told_all_learn: 120, |_| {} => Some(LIMIT);
+    the_latest_limit_replaces_the_one_before: 60, |mesh| mesh.tell(3, Event::Limit(report(Some(0.5)))) => Some(0.5);
+    that_a_limit_ended_all_learn: 60, |mesh| mesh.tell(3, Event::Limit(report(None))) => None;
+    /// It was said before the limit was named, and came late.
+    an_earlier_word_changes_nothing: 9, |mesh| {
+        mesh.tell(3, Event::Limit(LimitReport { age_ms: 60_000, ..report(None) }));
+    } => Some(LIMIT);
+    an_instance_that_starts_later_learns_it: 60, |mesh| {
+        mesh.kill(30);
+        mesh.run(SECOND * 3);
+        mesh.boot(30);
+        mesh.run(SECOND * 5);
+    } => Some(LIMIT);
+    a_new_leader_knows_it: 9, |mesh| {
+        let leader = mesh.leader().expect("one leads");
+        mesh.kill(leader);
+        mesh.run(SECOND * 4);
+        mesh.boot(leader);
+        mesh.run(SECOND * 5);
+    } => Some(LIMIT);
+    the_one_that_was_told_may_be_lost: 9, |mesh| {
+        mesh.kill(8);
+        mesh.run(SECOND * 20);
+        mesh.boot(8);
+        mesh.run(SECOND * 5);
+    } => Some(LIMIT);
+}
+
+/// Once nothing changes, what is told of limits is told seldom.
+#[test]
+fn limits_that_do_not_change_cost_little() {
+    let mut mesh = start(9);
+    mesh.run(SECOND * 10);
+    let bytes = |mesh: &Mesh| mesh.sent_by(8, "watch").bytes;
+    let before = bytes(&mesh);
+    mesh.run(SECOND * 20);
+    let limited = bytes(&mesh) - before;
+    let mut plain = Mesh::start(9, 3);
+    plain.run(SECOND * 17);
+    let before = bytes(&plain);
+    plain.run(SECOND * 20);
+    let unlimited = bytes(&plain) - before;
+    assert!(limited < unlimited + 200, "{limited} bytes in 20 s, {unlimited} without a limit");
+}
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -10,7 +10,7 @@
 use rand_pcg::Pcg32;
 use rudder_core::{
     CallOutcome, DutyCall, Effect, Event, Listing, Me, Options, PeerMessage, Phase, Registration, State, Watch,
-    Watched, options::DutyOptions, tally::Begun,
+    Watched, options::DutyOptions, permits::PermitAnswer, tally::Begun,
 };
 use rudder_ledger::Document;
 use rudder_model::{InstanceId, id};
@@ -116,6 +116,8 @@
     pub evacuated: BTreeMap<u64, bool>,
     /// Answers to heartbeats, by ticket.
     pub registered: BTreeMap<u64, bool>,
+    /// Answers to requests for permits, by ticket.
+    pub permitted: BTreeMap<u64, PermitAnswer>,
     /// What each instance sent, by kind of message.
     pub sent: BTreeMap<(usize, &'static str), Traffic>,
     /// Halls that the instances are divided among.
@@ -166,6 +168,7 @@
         evacuations: 0,
         heard: Vec::new(),
         loads: Some(Vec::new()),
+        limits: Vec::new(),
         group: None,
         clock: Duration::ZERO,
     }
@@ -218,6 +221,7 @@
             documented: BTreeMap::new(),
             evacuated: BTreeMap::new(),
             registered: BTreeMap::new(),
+            permitted: BTreeMap::new(),
             sent: BTreeMap::new(),
             halls,
             loss: 0.0,
@@ -494,6 +498,7 @@
             Effect::Documented { ticket, version } => drop(self.documented.insert(ticket, version)),
             Effect::Evacuated { ticket, decided } => drop(self.evacuated.insert(ticket, decided)),
             Effect::Registered { ticket, taken } => drop(self.registered.insert(ticket, taken)),
+            Effect::Permitted { ticket, answer } => drop(self.permitted.insert(ticket, answer)),
             _ => {}
         }
     }
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -399,6 +399,7 @@
             | Effect::Log(_)
             | Effect::Documented { .. }
             | Effect::Evacuated { .. }
+            | Effect::Permitted { .. }
             | Effect::Registered { .. } => {}
         }
     }
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -7,12 +7,15 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use rudder_clock::{Moment, timeout_at};
+use rudder_core::Event;
 use rudder_events::What;
 use rudder_model::{EndpointId, Ran, RequestRate};
 
 use super::{
-    Call, Failure, Leg, Progress, Refusal, Resume, note_begun, note_if_ended,
-    permit::{check_not_hopeless, check_still_allowed, may_send_again, to_wait},
+    Call, Failure, Leg, Progress, Refusal, Resume,
+    limit::take_permit,
+    note_begun, note_if_ended,
+    permit::{check_not_hopeless, check_still_allowed, may_give_up, to_wait},
     send::WHOLE,
 };
 use crate::{
@@ -21,13 +24,15 @@
     choose::{self, Choice, Eligibility, Inputs},
     dialect::{LimitNotice, Wish},
     health::Outcome,
+    limits::{Permit, Recorded},
     shared::Shared,
     upstream::{self, Connection},
 };
 
-/// Connections that may fail to come up before a request is refused. An endpoint that has ended refuses at once,
-/// so that many cost next to nothing; a rack of them must not be taken for all.
-pub(super) const CONNECTS: u32 = 12;
+/// Attempts that may end before anything is written until a request is refused: no connection comes up, or the endpoint's
+/// rate limit is used up. An endpoint that has ended refuses a connection at once, so that many cost next to nothing; a rack
+/// of them must not be taken for all.
+pub(super) const UNSENT_MOST: u32 = 12;
 
 /// Takes in that an endpoint did not run the request.
 pub(super) async fn note_not_run<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, leg: Leg) {
@@ -103,30 +108,38 @@
     from: Resume,
 ) -> Result<Result<Leg, Failure>, Refusal> {
     let Some(choice) = pick(shared, call, progress) else {
-        progress.connects = CONNECTS;
+        progress.unsent = UNSENT_MOST;
         return Ok(Err(Failure::Unsent(nothing_left(shared, call))));
     };
     if progress.sent == 0 {
         check_not_hopeless(shared, call, &choice)?;
     }
+    let permit = match take_permit(shared, call, &choice).await {
+        Ok(permit) => permit,
+        Err(why) => {
+            progress.unsent += 1;
+            log_failure(shared, call, progress, &choice, why, Ran::No);
+            return Ok(Err(Failure::Unsent(why)));
+        }
+    };
     progress.tried.push(choice.endpoint.clone());
     let connection = match connect(shared, call, &choice).await {
         Ok(connection) => connection,
         Err(why) => {
-            progress.connects += 1;
+            progress.unsent += 1;
             log_failure(shared, call, progress, &choice, why, Ran::No);
             note_outcome(shared, &choice.endpoint, Outcome::Unreachable);
             return Ok(Err(Failure::Unsent(why)));
         }
     };
     check_still_allowed(shared, call, progress)?;
-    Ok(send_on(shared, call, progress, choice, connection, from).await)
+    Ok(send_on(shared, call, progress, (choice, permit), connection, from).await)
 }
 
 /// Why there is no endpoint to choose.
 fn nothing_left<D: Dialect>(shared: &Shared<D>, call: &Call) -> &'static str {
-    if shared.rest_of(&call.route).is_some() {
-        "its endpoints have asked for rest"
+    if shared.blocked_for(&call.route).is_some() {
+        "its endpoints take no more for now"
     } else if call.residency.is_some() {
         "no endpoint is in use where it may go"
     } else {
@@ -138,7 +151,7 @@
     shared: &Rc<Shared<D>>,
     call: &Call,
     progress: &mut Progress,
-    choice: Choice,
+    (choice, permit): (Choice, Option<Permit>),
     mut connection: Connection,
     from: Resume,
 ) -> Result<Leg, Failure> {
@@ -147,7 +160,7 @@
     if left.is_zero() {
         return Err(Failure::Late);
     }
-    if !shared.try_take_place(&choice, now) {
+    if !shared.try_take_place(&choice, permit, now) {
         put_back(shared, &choice.endpoint, connection, None);
         return Err(Failure::Unsent("the endpoint takes no more for now"));
     }
@@ -206,12 +219,16 @@
 
 /// Records what an answer to a request sent at `sent` says of its endpoint's rate limit.
 fn record_limit<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, notice: LimitNotice, sent: Moment) {
-    let mut limits = shared.limits.borrow_mut();
-    if !limits.record_answer(endpoint, notice, sent, Moment::now()) {
+    let recorded = shared.limits.borrow_mut().record_answer(endpoint, notice, sent, Moment::now());
+    let Some(Recorded { changed, report }) = recorded else { return };
+    shared.tell(Event::Limit(report));
+    if !changed {
         return;
     }
+    shared.fields.borrow_mut().clear();
     shared.metrics.note_limit();
-    let per_second = limits.rate(endpoint).map(RequestRate::per_second);
+    shared.metrics.set_limited(shared.limits.borrow().count());
+    let per_second = report.rate.map(RequestRate::per_second);
     shared.log.write(What::LimitNamed { endpoint: endpoint.clone(), per_second });
 }
 
@@ -236,7 +253,7 @@
     let mut answer = std::pin::pin!(outcome);
     let mut answered = timeout_at(patient_until, answer.as_mut()).await;
     let impatient = shared.options.policy.guard.impatience && call.route.may_repeat();
-    if answered.is_err() && impatient && may_send_again(shared, call, progress) {
+    if answered.is_err() && impatient && may_give_up(shared, call, progress) {
         note_outcome(shared, &choice.endpoint, Outcome::Failed);
         log_failure(shared, call, progress, choice, "it is silent", Ran::Unknown);
         return Err(Failure::Silent);
@@ -295,7 +312,7 @@
     let balance = shared.balance.borrow();
     let (health, backoff) = (shared.health.borrow(), shared.backoff.borrow());
     let reading = shared.reading.borrow();
-    let (places, ramp) = (shared.places.borrow(), shared.ramp.borrow());
+    let (places, ramp, limits) = (shared.places.borrow(), shared.ramp.borrow(), shared.limits.borrow());
     let inputs = Inputs {
         balance: &balance,
         work_age: shared.work_age(),
@@ -304,12 +321,14 @@
         reading: &reading,
         places: &places,
         ramp: &ramp,
+        limits: &limits,
         hall: &shared.options.hall,
         plan: &plan,
         policy: &shared.options.policy,
         now: Moment::now(),
     };
-    let eligible = Eligibility { tried: &progress.tried, residency: call.residency.as_deref() };
+    let eligible =
+        Eligibility { tried: &progress.tried, residency: call.residency.as_deref(), unlimited: progress.unlimited };
     let first = choose::service_of(&call.route, rand::random())?;
     let by_weight = progress.chosen.as_ref().unwrap_or(first);
     let others = call.route.shares.iter().map(|share| &share.service);
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -9,6 +9,7 @@
     Call, Leg, Progress, Resume,
     attempt::{connect, log_failure, note_outcome, send_on},
     ended::is_risky,
+    limit::take_permit,
     permit::check_still_allowed,
 };
 use crate::{Dialect, choose::Choice, health::Outcome, shared::Shared};
@@ -51,10 +52,11 @@
         fetch_from: None,
         ..before.clone()
     };
+    let permit = take_permit(shared, call, &choice).await.ok()?;
     let connection = connect(shared, call, &choice).await.ok()?;
     check_still_allowed(shared, call, progress).ok()?;
     let from = Resume { last_event: Some(last_event), copy: true };
-    let leg = send_on(shared, call, progress, choice, connection, from).await.ok()?;
+    let leg = send_on(shared, call, progress, (choice, permit), connection, from).await.ok()?;
     if leg.response.status().is_success() && !leg.head.not_run {
         shared.metrics.note_resume();
         return Some(leg);
--- /dev/null
+++ b/crates/rudder-gateway/src/call/limit.rs
@@ -0,0 +1,55 @@
+//! Permits for requests to endpoints that have a rate limit.
+
+use rudder_clock::Moment;
+use rudder_core::{
+    Event,
+    permits::{PermitAnswer, PermitRequest},
+};
+
+use super::Call;
+use crate::{
+    Dialect,
+    choose::Choice,
+    limits::Permit,
+    metrics::PermitOutcome,
+    shared::{Reply, Shared},
+};
+
+/// Takes the right to send a request to the endpoint chosen, where that has a rate limit; `None` where it has none.
+///
+/// # Errors
+/// Why it may not be sent there.
+pub(super) async fn take_permit<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    choice: &Choice,
+) -> Result<Option<Permit>, &'static str> {
+    let (endpoint, tier, asked) = (&choice.endpoint, call.tier, Moment::now());
+    let Some(request) = to_request(shared, call, choice, asked) else { return Ok(None) };
+    if let Some(permit) = shared.limits.borrow_mut().take_spare(endpoint, tier, asked) {
+        return Ok(Some(permit));
+    }
+    let (ticket, reply) = shared.tickets.draw();
+    shared.tell(Event::AskPermit { ticket, request });
+    let Ok(Reply::Permit(answer)) = reply.await else { return Err("the control thread has ended") };
+    match answer {
+        PermitAnswer::Granted(count) => {
+            shared.metrics.note_permit(PermitOutcome::Granted);
+            Ok(Some(shared.limits.borrow_mut().take_granted(endpoint, tier, count, asked)))
+        }
+        PermitAnswer::Denied(retry) => {
+            shared.metrics.note_permit(PermitOutcome::Denied);
+            shared.limits.borrow_mut().record_denial(endpoint, Moment::now() + retry);
+            shared.fields.borrow_mut().clear();
+            Err("its rate limit is used up")
+        }
+    }
+}
+
+fn to_request<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice, now: Moment) -> Option<PermitRequest> {
+    let limits = shared.limits.borrow();
+    let limit = limits.report(&choice.endpoint, now)?;
+    let roster = shared.roster.borrow();
+    let hall = roster.get(&choice.endpoint).map_or_else(|| shared.options.hall.clone(), |held| held.hall.clone());
+    Some(PermitRequest { limit, hall, tier: call.tier, wanted: limits.wanted(&choice.endpoint, now) })
+}
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -9,6 +9,7 @@
 //! - [`send`]: the loop over endpoints, and the answer;
 //! - [`permit`]: whether it may be sent, for the first time and once more;
 //! - [`attempt`]: one endpoint, from the choice to the head of its answer;
+//! - [`limit`]: permits for endpoints that have a rate limit;
 //! - [`copies`]: going on elsewhere, from a copy of its memory, with a stream whose endpoint has ended;
 //! - [`ended`]: endpoints that end under requests;
 //! - [`refusal`]: final answers of the instance itself.
@@ -17,6 +18,7 @@
 pub mod attempt;
 pub mod copies;
 pub mod ended;
+pub mod limit;
 pub mod permit;
 pub mod refusal;
 pub mod send;
@@ -35,7 +37,7 @@
 pub use attempt::{attempt, log_failure, note_outcome, put_back};
 pub use copies::go_on_from_copy;
 pub use ended::{note_answered, note_if_ended, to_hex};
-pub use permit::may_send_again;
+pub use permit::{may_give_up, may_send_again};
 pub use refusal::Refusal;
 pub use send::may_go_on;
 
@@ -155,7 +157,9 @@
     pub begun: bool,
     /// Endpoints that ended under it.
     pub ended: usize,
-    connects: u32,
+    unsent: u32,
+    /// It goes to endpoints without a rate limit alone.
+    unlimited: bool,
     chosen: Option<Arc<str>>,
 }
 
--- a/crates/rudder-gateway/src/call/permit.rs
+++ b/crates/rudder-gateway/src/call/permit.rs
@@ -32,6 +32,15 @@
     shared.budget.borrow_mut().try_take(&service, now, instances)
 }
 
+/// Takes the right to give up an attempt that is silent for another one. A permit may be denied, and then the request would be
+/// refused while its first endpoint may still answer; so the other attempt goes to an endpoint without a rate limit.
+pub fn may_give_up<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress) -> bool {
+    let before = std::mem::replace(&mut progress.unlimited, true);
+    let may = may_send_again(shared, call, progress);
+    progress.unlimited = may || before;
+    may
+}
+
 /// Refuses a stream of the lowest rank at once where its engine, the best there is, has so much to read
 /// that it would come late and make the streams behind it late too.
 pub(super) fn check_not_hopeless<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -83,8 +83,8 @@
         Failure::Late => "time ran out",
     };
     if progress.ran == 0 {
-        // Before one of its endpoints has rested, it would be turned away again.
-        return not_run(why, shared.rest_of(&call.route).unwrap_or(shared.options.come_back));
+        // Before one of its endpoints takes requests again, it would be turned away once more.
+        return not_run(why, shared.blocked_for(&call.route).unwrap_or(shared.options.come_back));
     }
     let status = match failure {
         Failure::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -8,7 +8,7 @@
 
 use super::{
     Call, Failure, Leg, Progress, Refusal, Resume,
-    attempt::{CONNECTS, attempt, note_not_run, note_outcome, put_back},
+    attempt::{UNSENT_MOST, attempt, note_not_run, note_outcome, put_back},
     may_send_again, note_answered, note_begun, note_if_ended,
     refusal::{give_up, is_promise, outcome_unknown},
     strip_hop_headers,
@@ -81,7 +81,7 @@
 /// True where a failed attempt may be followed by another. Where nothing was sent, the right that it had is not used up.
 pub fn may_go_on<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, failure: &Failure) -> bool {
     match failure {
-        Failure::Unsent(_) => progress.connects < CONNECTS && Moment::now() < call.until,
+        Failure::Unsent(_) => progress.unsent < UNSENT_MOST && Moment::now() < call.until,
         Failure::Silent => true,
         Failure::Lost(_) => call.route.may_repeat() && may_send_again(shared, call, progress),
         Failure::Late => false,
--- a/crates/rudder-gateway/src/choose/field.rs
+++ b/crates/rudder-gateway/src/choose/field.rs
@@ -87,6 +87,7 @@
             inputs.places.is_open(&held.hall)
                 && inputs.use_of(held) != Use::Barred
                 && !inputs.backoff.holds_off(&held.endpoint, inputs.now)
+                && inputs.limits.retry_at(&held.endpoint, inputs.now).is_none()
         };
         let usable = endpoints.iter().filter(is_usable).cloned();
         let (well, rest): (Vec<_>, Vec<_>) = usable.partition(is_well);
@@ -96,6 +97,7 @@
             let ends = [
                 inputs.health.returns_at(&held.endpoint, inputs.now),
                 inputs.backoff.rests_until(&held.endpoint, inputs.now),
+                inputs.limits.retry_at(&held.endpoint, inputs.now),
             ];
             ends.into_iter().flatten().min()
         };
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -21,6 +21,7 @@
     balance::Balance,
     dialect::Prompt,
     health::Health,
+    limits::Limits,
     places::Places,
     plan::Route,
     ramp::{Ramp, Use},
@@ -44,6 +45,8 @@
     pub places: &'a Places,
     /// Endpoints that are warming up.
     pub ramp: &'a Ramp,
+    /// Rate limits of endpoints.
+    pub limits: &'a Limits,
     /// This instance's hall.
     pub hall: &'a HallId,
     /// The configuration.
@@ -69,6 +72,8 @@
     pub tried: &'a [EndpointId],
     /// The regions that it is bound to; `None` where it is not.
     pub residency: Option<&'a [RegionId]>,
+    /// It may go to endpoints without a rate limit alone.
+    pub unlimited: bool,
 }
 
 impl Eligibility<'_> {
@@ -76,6 +81,7 @@
     pub fn allows(&self, inputs: &Inputs, held: &Registration) -> bool {
         !self.tried.contains(&held.endpoint)
             && inputs.places.allows(self.residency, &held.hall)
+            && !(self.unlimited && inputs.limits.rate(&held.endpoint).is_some())
             && inputs.ramp.has_room(&held.endpoint, inputs.use_of(held), inputs.now)
     }
 }
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -8,7 +8,9 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender, unbounded};
 use eyre::{Context as _, Result};
 use rudder_clock::Moment;
-use rudder_core::{Effect, Event, Me, PeerMessage, Registration, State, clock, options::DutyOptions, peer::Load};
+use rudder_core::{
+    Effect, Event, Me, PeerMessage, Registration, State, clock, limits::LimitReport, options::DutyOptions, peer::Load,
+};
 use rudder_events::What;
 use rudder_model::InstanceId;
 use rudder_replica::{Durable, ReplicaId};
@@ -49,6 +51,8 @@
     Published(Box<Published>),
     /// The work of the other instances at endpoints, where it has changed, and when it was so.
     Others(Option<Vec<Load>>, Moment),
+    /// The rate limits of endpoints, as of this time.
+    Limits(Vec<LimitReport>, Moment),
     /// The view is proved the newest as of this time.
     Proved(Moment),
     /// Somebody's ticket is answered.
@@ -66,6 +70,7 @@
     log: Log,
     edition: u64,
     works: u64,
+    limits: u64,
     others_at: Option<Duration>,
     proved: Option<Duration>,
     endpoints: Vec<Arc<Registration>>,
@@ -109,6 +114,7 @@
         log,
         edition: 0,
         works: 0,
+        limits: 0,
         others_at: None,
         proved: None,
         endpoints,
@@ -267,6 +273,12 @@
             (self.works, self.others_at) = (view.works, Some(at));
             self.batch.push(Notice::Others(changed.then(|| view.others.clone()), self.epoch + at));
         }
+        if view.limits.edition() != self.limits {
+            self.limits = view.limits.edition();
+            let now = self.epoch.elapsed();
+            let reports = view.limits.reports(now).collect();
+            self.batch.push(Notice::Limits(reports, self.epoch + now));
+        }
         if view.proved() != self.proved {
             self.proved = view.proved();
             self.batch.extend(self.proved.map(|proved| Notice::Proved(self.epoch + proved)));
@@ -287,6 +299,7 @@
                 self.batch.push(Notice::Reply(ticket, Reply::Evacuated(decided)));
             }
             Effect::Registered { ticket, taken } => self.batch.push(Notice::Reply(ticket, Reply::Registered(taken))),
+            Effect::Permitted { ticket, answer } => self.batch.push(Notice::Reply(ticket, Reply::Permit(answer))),
             Effect::Log(what) => self.log.write(what),
             Effect::Call { ticket, fence, age, call } => {
                 self.batch.push(Notice::Errand(Box::new(Errand { ticket, fence, age, call })));
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -76,6 +76,20 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Permits {
+    outcome: &'static str,
+}
+
+/// What became of a wish to send to an endpoint that has a rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PermitOutcome {
+    /// It may be sent.
+    Granted,
+    /// It may not, or the holder did not answer.
+    Denied,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct At {
     endpoint: String,
@@ -159,6 +173,7 @@
     ejections: Counter,
     rests: Counter,
     limits: Counter,
+    permits: Family<Permits, Counter>,
     ended_under: Counter,
     held_back: Counter,
     words: Family<Why, Counter>,
@@ -190,6 +205,7 @@
     dropped: Gauge,
     quarantined: Gauge,
     evacuated: Gauge,
+    limited: Gauge,
     held: Gauge,
     held_peak: Gauge,
     held_most: Gauge,
@@ -210,6 +226,7 @@
             ejections: Counter::default(),
             rests: Counter::default(),
             limits: Counter::default(),
+            permits: Family::default(),
             ended_under: Counter::default(),
             held_back: Counter::default(),
             words: Family::default(),
@@ -249,6 +266,11 @@
             self.rests.clone(),
         );
         registry.register("limits_named", "Changes of rate limits that endpoints name", self.limits.clone());
+        registry.register(
+            "permits",
+            "Answers to requests for endpoints with a rate limit, by outcome",
+            self.permits.clone(),
+        );
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
         let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
@@ -285,6 +307,7 @@
         registry.register("held_bytes", help, state.held.clone());
         registry.register("held_peak_bytes", "Most bytes that were ever held so", state.held_peak.clone());
         registry.register("held_most_bytes", "Bytes that may be held so", state.held_most.clone());
+        registry.register("limited_endpoints", "Endpoints that have a rate limit", state.limited.clone());
         registry.register("evacuated_halls", "Halls whose endpoints get nothing", state.evacuated.clone());
         registry.register("endpoint_calls", "Requests known to be at an endpoint", state.calls.clone());
         registry.register("endpoint_unread_tokens", "Prompt tokens unread at an endpoint", state.unread.clone());
@@ -339,6 +362,20 @@
         self.limits.inc();
     }
 
+    /// Counts the answer to a request for an endpoint with a rate limit.
+    pub fn note_permit(&self, outcome: PermitOutcome) {
+        let outcome = match outcome {
+            PermitOutcome::Granted => "granted",
+            PermitOutcome::Denied => "denied",
+        };
+        self.permits.get_or_create(&Permits { outcome }).inc();
+    }
+
+    /// Sets how many endpoints have a rate limit.
+    pub fn set_limited(&self, endpoints: usize) {
+        self.state.borrow().limited.set((endpoints as u64).cast_signed());
+    }
+
     /// Counts a request under which its endpoint ended.
     pub fn note_ended_under(&self) {
         self.ended_under.inc();
--- a/crates/rudder-gateway/src/roster.rs
+++ b/crates/rudder-gateway/src/roster.rs
@@ -50,6 +50,11 @@
         &self.replaced
     }
 
+    /// The ids of all endpoints.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
+        self.all.iter().map(|held| &held.endpoint)
+    }
+
     /// True where the endpoint is known.
     pub fn knows(&self, endpoint: &EndpointId) -> bool {
         self.get(endpoint).is_some()
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -141,6 +141,7 @@
                 }
                 Notice::Published(published) => shared.publish(*published),
                 Notice::Others(others, at) => shared.take_others(others.as_deref(), at),
+                Notice::Limits(reports, at) => shared.take_limits(&reports, at),
                 Notice::Proved(proved) => drop(shared.proof.send_replace(Some(proved))),
                 Notice::Reply(ticket, reply) => shared.tickets.reply(ticket, reply),
                 Notice::Errand(errand) => drop(tokio::task::spawn_local(duty::run(shared.clone(), *errand))),
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -10,7 +10,9 @@
 
 use crossbeam_channel::Sender;
 use rudder_clock::Moment;
-use rudder_core::{Event, Listing, Phase, Registration, peer::Load, tally::Begun};
+use rudder_core::{
+    Event, Listing, Phase, Registration, limits::LimitReport, peer::Load, permits::PermitAnswer, tally::Begun,
+};
 use rudder_events::What;
 use rudder_ledger::{Document, Evacuations, Quarantine};
 use rudder_model::{EndpointId, InstanceId};
@@ -27,7 +29,7 @@
     dialect::Whence,
     health::Health,
     holdings::Holdings,
-    limits::Limits,
+    limits::{Limits, Permit},
     logging::Log,
     metrics::{Metrics, Standing},
     places::Places,
@@ -72,6 +74,8 @@
     Registered(bool),
     /// The log holds an order of an evacuation, or nothing is known.
     Evacuated(bool),
+    /// The holder of an endpoint's rate limit has answered.
+    Permit(PermitAnswer),
 }
 
 /// Those who wait for the reducer.
@@ -306,7 +310,7 @@
         let roster = Rc::new(Roster::new(published.endpoints.iter().cloned()));
         self.balance.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
-        self.limits.borrow_mut().retain(|endpoint| roster.knows(endpoint));
+        self.limits.borrow_mut().retain(roster.endpoints());
         let before = self.roster.replace(roster.clone());
         if !roster.replaced().is_subset(before.replaced()) {
             self.replaced.send_replace(());
@@ -352,8 +356,11 @@
     }
 
     /// Takes the right to send a request to the endpoint chosen: things may have changed since the choice.
-    pub fn try_take_place(&self, choice: &Choice, now: Moment) -> bool {
-        if self.backoff.borrow().holds_off(&choice.endpoint, now) {
+    pub fn try_take_place(&self, choice: &Choice, permit: Option<Permit>, now: Moment) -> bool {
+        // A limit may have become known, or a permit have grown old, while a connection was waited for.
+        let is_permitted = permit.is_some_and(|permit| permit.holds(&choice.endpoint, now));
+        let exceeds = !is_permitted && self.limits.borrow().rate(&choice.endpoint).is_some();
+        if exceeds || self.backoff.borrow().holds_off(&choice.endpoint, now) {
             self.metrics.note_held_back();
             return false;
         }
@@ -376,22 +383,35 @@
         taken
     }
 
-    /// How long all endpoints that serve `route` want nothing from this instance; `None` while one of them may want some.
-    pub fn rest_of(&self, route: &Route) -> Option<Duration> {
+    /// How long this instance may send to none of the endpoints that serve `route`, as they want nothing or their rate limits
+    /// are used up; `None` while it may send to one of them.
+    pub fn blocked_for(&self, route: &Route) -> Option<Duration> {
         let now = Moment::now();
         let (roster, backoff, places) = (self.roster.borrow(), self.backoff.borrow(), self.places.borrow());
+        let limits = self.limits.borrow();
         let endpoints = route.shares.iter().flat_map(|share| roster.of(&share.service));
         let mut soonest: Option<Moment> = None;
         for held in endpoints {
             if held.phase > Phase::Silent || !places.is_open(&held.hall) || backoff.is_leaving(&held.endpoint) {
                 continue;
             }
-            let until = backoff.rests_until(&held.endpoint, now)?;
+            let rests_until = backoff.rests_until(&held.endpoint, now);
+            let until = rests_until.max(limits.retry_at(&held.endpoint, now))?;
             soonest = Some(soonest.map_or(until, |soonest| soonest.min(until)));
         }
         soonest.map(|until| until.saturating_duration_since(now))
     }
 
+    /// Records the rate limits of endpoints as all instances know them, as of `at`.
+    pub fn take_limits(&self, reports: &[LimitReport], at: Moment) {
+        let mut limits = self.limits.borrow_mut();
+        for report in reports {
+            limits.record_report(*report, at);
+        }
+        self.metrics.set_limited(limits.count());
+        self.fields.borrow_mut().clear();
+    }
+
     /// Takes in the work of the other instances at endpoints as of `at`; `None` where it has not changed.
     pub fn take_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -193,7 +193,7 @@
                 () = &mut replaced => return End::Broken,
                 () = sleep_until(impatient.unwrap_or(self.call.until)), if impatient.is_some() => {
                     impatient = None;
-                    if call::may_send_again(self.shared, &self.call, &mut self.progress) {
+                    if call::may_give_up(self.shared, &self.call, &mut self.progress) {
                         call::note_outcome(self.shared, &choice.endpoint, Outcome::Failed);
                         return End::Silent;
                     }
--- a/crates/rudder-gateway/tests/limits.rs
+++ b/crates/rudder-gateway/tests/limits.rs
@@ -25,8 +25,12 @@
         for (sent, came, notice) in &self.answers {
             let before = limits.rate(&endpoint);
             let at = |millis: &u64| start + Duration::from_millis(*millis);
-            let is_news = limits.record_answer(&endpoint, *notice, at(sent), at(came));
-            assert_eq!(is_news, limits.rate(&endpoint) != before, "{notice:?} after {came} ms");
+            let recorded = limits.record_answer(&endpoint, *notice, at(sent), at(came));
+            assert_eq!(
+                recorded.is_some_and(|recorded| recorded.changed),
+                limits.rate(&endpoint) != before,
+                "{notice:?} after {came} ms"
+            );
         }
         assert_eq!(limits.rate(&endpoint).map(RequestRate::per_second), self.expected);
         assert_eq!(limits.rate("e-2"), None, "no other is limited");
--- a/crates/rudder-gateway/tests/places.rs
+++ b/crates/rudder-gateway/tests/places.rs
@@ -99,7 +99,7 @@
         let inputs = self.known.inputs();
         let field = Field::new(roster(&self.endpoints).of("svc"), "svc", &inputs);
         let homes = to_homes(homes);
-        let eligible = Eligibility { tried: &[], residency: homes.as_deref() };
+        let eligible = Eligibility { residency: homes.as_deref(), ..Eligibility::default() };
         choose::choose(&inputs, &to_route(&[]), "svc", &field, prompt, eligible)
     }
 
--- a/crates/rudder-gateway/tests/plain.rs
+++ b/crates/rudder-gateway/tests/plain.rs
@@ -98,7 +98,7 @@
     let (inputs, route) = (known.inputs(), known.plan.find("h", "/lock/").expect("a route"));
     let field = Field::new(roster(&endpoints).of("svc"), "svc", &inputs);
     let choose = |tried: &[EndpointId]| {
-        let eligible = Eligibility { tried, residency: None };
+        let eligible = Eligibility { tried, ..Eligibility::default() };
         choose::choose(&inputs, route, "svc", &field, None, eligible)
     };
     assert_eq!(&*choose(&[]).expect("one is there").endpoint, "e-7", "the one in the instance's own hall");
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -258,7 +258,7 @@
     fn choice(&self, path: &str, prompt: &Prompt, tried: &[Arc<str>]) -> Option<Choice> {
         let (inputs, route) = (self.known.inputs(), self.known.plan.find("h", path).expect("a route"));
         let field = Field::new(roster(&self.engines).of("svc"), "svc", &inputs);
-        choose::choose(&inputs, route, "svc", &field, Some(prompt), Eligibility { tried, residency: None })
+        choose::choose(&inputs, route, "svc", &field, Some(prompt), Eligibility { tried, ..Eligibility::default() })
     }
 }
 
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -6,8 +6,8 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
-    Plan, Policy, backoff::Backoff, balance::Balance, choose::Inputs, health::Health, places::Places, ramp::Ramp,
-    reading::Reading, roster::Roster,
+    Plan, Policy, backoff::Backoff, balance::Balance, choose::Inputs, health::Health, limits::Limits, places::Places,
+    ramp::Ramp, reading::Reading, roster::Roster,
 };
 use rudder_model::HallId;
 
@@ -42,6 +42,7 @@
     pub reading: Reading,
     pub places: Places,
     pub ramp: Ramp,
+    pub limits: Limits,
     pub hall: HallId,
     pub plan: Plan,
     pub policy: Policy,
@@ -59,6 +60,7 @@
             reading: Reading::default(),
             places: Places::default(),
             ramp: Ramp::new("me".into(), now),
+            limits: Limits::default(),
             hall: "a".into(),
             plan: Plan::default(),
             policy: Policy::default(),
@@ -78,6 +80,7 @@
             reading: &self.reading,
             places: &self.places,
             ramp: &self.ramp,
+            limits: &self.limits,
             hall: &self.hall,
             plan: &self.plan,
             policy: &self.policy,
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -166,8 +166,8 @@
                     let _ = waiting.send(decided);
                 }
             }
-            // Documents, heartbeats and duties come in through the gateway, which drives the reducer itself.
-            Effect::Documented { .. } | Effect::Registered { .. } | Effect::Call { .. } => {}
+            // Documents, heartbeats, duties and rate limits come in through the gateway, which drives the reducer itself.
+            Effect::Documented { .. } | Effect::Registered { .. } | Effect::Permitted { .. } | Effect::Call { .. } => {}
             Effect::Exit => self.running = false,
         }
     }
