--- a/crates/rudder-core/src/asking.rs
+++ b/crates/rudder-core/src/asking.rs
@@ -98,7 +98,7 @@
         self.sent.get(&round).copied()
     }
 
-    /// Takes in whether this instance leads: it need not ask others who does.
+    /// Records whether this instance leads: it need not ask others who does.
     pub fn note_leads(&mut self, me: &InstanceId, leads: bool) {
         self.leads = leads;
         if !leads && self.leader.as_ref() == Some(me) {
@@ -175,7 +175,7 @@
         seats.get(self.seat % seats.len().max(1)).cloned()
     }
 
-    /// Takes in that an answer to the question of `round` came from `from`, where `leader` leads. Returns whether it is
+    /// Records that an answer to the question of `round` came from `from`, where `leader` leads. Returns whether it is
     /// the newest answer; an older one tells nothing that may go back.
     pub fn note_answer(&mut self, round: u64, from: &InstanceId, leader: InstanceId, group: u64) -> bool {
         if round < self.answered {
@@ -191,7 +191,7 @@
         true
     }
 
-    /// Takes in that `from` cannot answer, and who leads as far as it knows. Without a leader this counts as silence, so
+    /// Records that `from` cannot answer, and who leads as far as it knows. Without a leader this counts as silence, so
     /// that another instance is asked next.
     pub fn on_elsewhere(&mut self, from: &InstanceId, leader: Option<InstanceId>) {
         if self.relay() == Some(from) {
@@ -212,7 +212,7 @@
         }
     }
 
-    /// Takes in that whom was asked last does not answer.
+    /// Records that whom was asked last does not answer.
     fn pass_over(&mut self) {
         self.turn += 1;
         let target = self.sent.get(&self.round).map(|asked| asked.target);
--- a/crates/rudder-core/src/calls/end.rs
+++ b/crates/rudder-core/src/calls/end.rs
@@ -18,14 +18,14 @@
 }
 
 impl Calls {
-    /// Takes in that the first token or byte came.
+    /// Records that the first token or byte came.
     pub(crate) fn on_first(&mut self, context: &mut Context, request: RequestId, after: Duration) {
         let Some(call) = self.open.get_mut(&request) else { return };
         call.first.get_or_insert(context.now.saturating_sub(call.arrived));
         self.tell_home(context, request, ToPool::First(request, after));
     }
 
-    /// Takes in how a dispatched call ended at its endpoint.
+    /// Records how a dispatched call ended at its endpoint.
     pub(crate) fn on_ended(&mut self, context: &mut Context, request: RequestId, ended: Ended) {
         let Some(call) = self.open.get(&request) else { return };
         let Phase::Running { endpoint, .. } = call.phase.clone() else { return };
--- a/crates/rudder-core/src/calls/mod.rs
+++ b/crates/rudder-core/src/calls/mod.rs
@@ -144,7 +144,7 @@
         self.open.is_empty()
     }
 
-    /// Takes in a caller's request.
+    /// Handles a caller's request.
     pub(crate) fn arrive(&mut self, context: &mut Context, arrival: Arrival) {
         let request = arrival.request;
         match admit::admit(context, arrival) {
@@ -163,7 +163,7 @@
         }
     }
 
-    /// Takes in the answer to a claim or to the record of a call's end.
+    /// Records the answer to a claim or to the record of a call's end.
     pub(crate) fn on_answer(
         &mut self,
         context: &mut Context,
--- a/crates/rudder-core/src/calls/slots.rs
+++ b/crates/rudder-core/src/calls/slots.rs
@@ -39,7 +39,7 @@
         context.send_pool(home, &pool, ToPool::Ask(ask));
     }
 
-    /// Takes in what a pool's home says.
+    /// Records what a pool's home says.
     pub(crate) fn on_pool(&mut self, context: &mut Context, from: &InstanceId, request: RequestId, message: FromPool) {
         match message {
             FromPool::Grant(endpoint, waited) => self.on_grant(context, from, request, endpoint, waited),
--- a/crates/rudder-core/src/clock.rs
+++ b/crates/rudder-core/src/clock.rs
@@ -65,7 +65,7 @@
         Clock { own: origin, ..Clock::default() }
     }
 
-    /// Takes in what the origin is by the instance's own clock now. Small changes are the clock being set right and are
+    /// Records what the origin is by the instance's own clock now. Small changes are the clock being set right and are
     /// followed; a jump is only when it has lasted.
     pub fn set_own(&mut self, now: Duration, origin: Duration) {
         if origin.abs_diff(self.own) < JUMP {
@@ -76,7 +76,7 @@
         self.jumped = Some(Reading { origin, at: since });
     }
 
-    /// Takes in the reading that an asker told with its question.
+    /// Records the reading that an asker told with its question.
     pub fn note(&mut self, now: Duration, from: &InstanceId, time: Duration) {
         self.told.insert(from.clone(), Reading { origin: time.saturating_sub(now), at: now });
     }
@@ -112,7 +112,7 @@
         }
     }
 
-    /// Takes in the agreed time of an answer to the question sent at `sent`. An estimate that is better stays.
+    /// Records the agreed time of an answer to the question sent at `sent`. An estimate that is better stays.
     pub fn learn(&mut self, now: Duration, sent: Duration, time: Duration) {
         if self.led_since.is_some() {
             return;
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -133,7 +133,7 @@
         self.take(now, outputs, options, out);
     }
 
-    /// Takes in a message of another replica.
+    /// Handles a message of another replica.
     pub(crate) fn on_replica(&mut self, now: Duration, envelope: Envelope, options: &Options, out: &mut Vec<Effect>) {
         let mut outputs = Vec::new();
         self.replica.receive(now, envelope, &mut outputs);
@@ -233,7 +233,7 @@
         out.push(Effect::Send { to: from, message: PeerMessage::Watched(Box::new(watched)) });
     }
 
-    /// Takes in heartbeats that an instance heard; that an endpoint takes no more work is spread at once.
+    /// Records heartbeats that an instance heard; that an endpoint takes no more work is spread at once.
     fn hear(&mut self, now: Duration, from: &InstanceId, heard: &[Registration], out: &mut Vec<Effect>) {
         let mut left = false;
         for registration in heard {
@@ -244,7 +244,7 @@
         }
     }
 
-    /// Takes in what another founder says, and answers it.
+    /// Records what another founder says, and answers it.
     pub(crate) fn on_founding(
         &mut self,
         from: InstanceId,
@@ -421,7 +421,7 @@
     }
 }
 
-/// Takes in that an instance lives. Most are heard of many times a second and seldom change.
+/// Records that an instance lives. Most are heard of many times a second and seldom change.
 fn note_live(live: &mut BTreeMap<InstanceId, Duration>, directory: &mut Directory, now: Duration, listing: &Listing) {
     match live.get_mut(&listing.name) {
         Some(seen) => *seen = now.max(*seen),
--- a/crates/rudder-core/src/duties/intake.rs
+++ b/crates/rudder-core/src/duties/intake.rs
@@ -56,7 +56,7 @@
         *self = Intake::default();
     }
 
-    /// Takes in a message.
+    /// Handles a message.
     pub(crate) fn note(&mut self, from: &InstanceId, news: UsageNews) {
         self.waiting.insert(news.start, Waiting { from: from.clone(), news });
     }
--- a/crates/rudder-core/src/duties/mod.rs
+++ b/crates/rudder-core/src/duties/mod.rs
@@ -127,12 +127,12 @@
 }
 
 impl Backoff {
-    /// Takes in a success.
+    /// Records a success.
     pub(crate) fn clear(&mut self) {
         *self = Backoff::default();
     }
 
-    /// Takes in a failure; `salt` spreads the waits of different callers.
+    /// Records a failure; `salt` spreads the waits of different callers.
     pub(crate) fn note_failure(&mut self, now: Duration, salt: u64) {
         let wait = (BACKOFF * 2_u32.saturating_pow(self.failures)).min(BACKOFF_MOST);
         let jitter = wait.mul_f64(id::rendezvous("backoff", &salt.to_string()) as f64 / u64::MAX as f64);
@@ -224,7 +224,7 @@
         true
     }
 
-    /// Takes in how services stand, and orders what they lack.
+    /// Records how services stand, and orders what they lack.
     pub(crate) fn on_services(&mut self, mut context: Context, states: Vec<ServiceState>) {
         let options = context.options;
         let Some(scaling) = options.duties.scaling.as_ref().filter(|scaling| scaling.enabled) else { return };
@@ -247,12 +247,12 @@
         self.scaling.clear();
     }
 
-    /// Takes in a message of counts. Only a leader answers it.
+    /// Handles a message of counts. Only a leader answers it.
     pub(crate) fn on_usage(&mut self, from: &InstanceId, news: UsageNews) {
         self.intake.note(from, news);
     }
 
-    /// Takes in how a call ended.
+    /// Records how a call ended.
     pub(crate) fn on_called(&mut self, now: Duration, ticket: u64, outcome: CallOutcome) {
         if outcome == CallOutcome::Outranked {
             self.outranked = self.held;
--- a/crates/rudder-core/src/duties/reports.rs
+++ b/crates/rudder-core/src/duties/reports.rs
@@ -58,7 +58,7 @@
         }
     }
 
-    /// Takes in how a call ended.
+    /// Records how a call ended.
     pub(crate) fn on_called(&mut self, now: Duration, ticket: u64, outcome: CallOutcome) {
         let Some(flying) = self.flying.take_if(|flying| flying.ticket == ticket) else { return };
         if outcome == CallOutcome::Taken {
--- a/crates/rudder-core/src/duties/scaling.rs
+++ b/crates/rudder-core/src/duties/scaling.rs
@@ -153,7 +153,7 @@
         flying.clone().count() >= FLYING_MOST || flying.map(|(held, _)| held).any(same)
     }
 
-    /// Takes in how an order ended.
+    /// Records how an order ended.
     pub(crate) fn on_called(&mut self, now: Duration, ticket: u64, outcome: CallOutcome) {
         let mut standings = self.orders.values_mut();
         let of_ticket = |standing: &&mut Standing| standing.flying.is_some_and(|flying| flying.ticket == ticket);
--- a/crates/rudder-core/src/founding.rs
+++ b/crates/rudder-core/src/founding.rs
@@ -23,7 +23,7 @@
 }
 
 impl Founding {
-    /// Takes in what another founder says.
+    /// Records what another founder says.
     pub(crate) fn note(&mut self, from: InstanceId, replica: ReplicaId, knows_log: bool) {
         self.foreign |= knows_log;
         self.founders.insert(from, replica);
@@ -71,7 +71,7 @@
         }
     }
 
-    /// Takes in that this process has begun the log in `term`.
+    /// Records that this process has begun the log in `term`.
     pub(crate) fn note_began(&mut self, term: u64) {
         self.began = Some(term);
     }
--- a/crates/rudder-core/src/homes.rs
+++ b/crates/rudder-core/src/homes.rs
@@ -50,7 +50,7 @@
         promises
     }
 
-    /// Takes in a message for a pool. A pool asked of this instance is served even when the own view
+    /// Handles a message for a pool. A pool asked of this instance is served even when the own view
     /// names another home: two homes for a moment fill an engine's own queue, they break no promise.
     pub(crate) fn on_message(
         &mut self,
@@ -112,7 +112,7 @@
         send(decisions, out);
     }
 
-    /// Takes in what an endpoint said of itself.
+    /// Records what an endpoint said of itself.
     pub(crate) fn on_polled(
         &mut self,
         now: Duration,
--- a/crates/rudder-core/src/keyed.rs
+++ b/crates/rudder-core/src/keyed.rs
@@ -40,7 +40,7 @@
     context.proposals.start(For::Claim(request), Command::Claim(claim), deadline);
 }
 
-/// Takes in how the key stands after the claim; `None` when no answer came in time.
+/// Records how the key stands after the claim; `None` when no answer came in time.
 pub(crate) fn on_claimed(calls: &mut Calls, context: &mut Context, request: RequestId, standing: Option<Standing>) {
     let Some(call) = calls.open.get_mut(&request) else { return };
     if !matches!(call.phase, Phase::Claiming { .. }) {
--- a/crates/rudder-core/src/lives.rs
+++ b/crates/rudder-core/src/lives.rs
@@ -83,7 +83,7 @@
         self.latest.insert(life.name().into(), next);
     }
 
-    /// Takes in what the leader told of lives: it knows which one replaced which. A later life, heard here first, stays.
+    /// Records what the leader told of lives: it knows which one replaced which. A later life, heard here first, stays.
     /// Returns the lives, known here, that others have followed by it.
     pub fn learn<'a>(&mut self, told: impl Iterator<Item = &'a Arc<Registration>> + Clone) -> Vec<EndpointId> {
         let mut followed = Vec::new();
@@ -112,7 +112,7 @@
 }
 
 impl Life {
-    /// Takes in the word of a life with an earlier start. Returns whether it has outlived this one, which may be `silent`.
+    /// Records the word of a life with an earlier start. Returns whether it has outlived this one, which may be `silent`.
     fn note_doubt(&mut self, now: Duration, said: &Registration, silent: bool) -> bool {
         let speaks = self.doubt.as_mut().filter(|doubt| doubt.life == said.endpoint);
         let Some(doubt) = speaks else {
--- a/crates/rudder-core/src/loads.rs
+++ b/crates/rudder-core/src/loads.rs
@@ -30,7 +30,7 @@
 }
 
 impl Loads {
-    /// Takes in what `from` has under way; it replaces what it said before.
+    /// Records what `from` has under way; it replaces what it said before.
     pub fn tell(&mut self, now: Duration, from: &InstanceId, loads: Vec<Load>) {
         for load in &loads {
             add(&mut self.totals, load);
--- a/crates/rudder-core/src/orders.rs
+++ b/crates/rudder-core/src/orders.rs
@@ -59,14 +59,14 @@
         }
     }
 
-    /// Takes in what an endpoint says it has loaded.
+    /// Records what an endpoint says it has loaded.
     pub(crate) fn on_polled(&mut self, endpoint: &EndpointId, report: Option<&Report>) {
         if let Some(target) = self.targets.get_mut(endpoint) {
             target.loaded = report.map(|report| report.loaded.clone());
         }
     }
 
-    /// Takes in whether an endpoint took an order; if not, it is tried again.
+    /// Records whether an endpoint took an order; if not, it is tried again.
     pub(crate) fn on_ordered(&mut self, endpoint: &EndpointId, taken: bool) {
         if let Some(target) = self.targets.get_mut(endpoint).filter(|_| !taken) {
             target.ordered = None;
--- a/crates/rudder-core/src/past.rs
+++ b/crates/rudder-core/src/past.rs
@@ -22,7 +22,7 @@
 }
 
 impl Past {
-    /// Takes in which document is the newest.
+    /// Records which document is the newest.
     pub fn note(&mut self, newest: &Document) {
         if self.documents.back().is_some_and(|last| last.version >= newest.version) {
             return;
--- a/crates/rudder-core/src/permits.rs
+++ b/crates/rudder-core/src/permits.rs
@@ -106,7 +106,7 @@
         }
     }
 
-    /// Takes in the holder's answer. One that nobody waits for any more is dropped.
+    /// Records the holder's answer. One that nobody waits for any more is dropped.
     pub(crate) fn on_answer(&mut self, ticket: u64, answer: PermitAnswer, out: &mut Vec<Effect>) {
         if self.waiting.remove(&ticket).is_some() {
             out.push(Effect::Permitted { ticket, answer });
--- a/crates/rudder-core/src/propose.rs
+++ b/crates/rudder-core/src/propose.rs
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Takes in an answer; `None` for one that came twice or too late.
+    /// Handles an answer; `None` for one that came twice or too late.
     pub(crate) fn end(&mut self, ticket: u64, answer: Answer) -> Option<(For, Answer)> {
         self.open.remove(&ticket).map(|proposal| (proposal.purpose, answer))
     }
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -129,7 +129,7 @@
         self.tallies.untold()
     }
 
-    /// Takes in one event. Messages of the instance to itself are handled before it returns.
+    /// Handles one event. Messages of the instance to itself are handled before it returns.
     pub fn reduce(&mut self, now: Duration, event: Event, out: &mut Vec<Effect>) {
         let mut events = VecDeque::from([event]);
         while let Some(event) = events.pop_front() {
@@ -271,7 +271,7 @@
         self.ask(now, out);
     }
 
-    /// Takes in a heartbeat. That an endpoint leaves is acknowledged only once the leader knows it: the
+    /// Handles a heartbeat. That an endpoint leaves is acknowledged only once the leader knows it: the
     /// instances it tells then use it no more, and a lost instance cannot take the word with it.
     fn register(&mut self, now: Duration, ticket: u64, registration: Registration, out: &mut Vec<Effect>) {
         let leaves = registration.phase >= Phase::Leaving;
--- a/crates/rudder-core/src/registry/mod.rs
+++ b/crates/rudder-core/src/registry/mod.rs
@@ -176,7 +176,7 @@
         self.entries.values()
     }
 
-    /// Takes in what an endpoint said, at an instance that does not lead.
+    /// Records what an endpoint said, at an instance that does not lead.
     pub fn hear(&mut self, now: Duration, registration: &Registration) -> Change {
         let told = self.whole || self.scope.is_none() || self.entries.get(&registration.endpoint).is_some();
         if !told {
@@ -186,12 +186,12 @@
         self.take_in(now, registration, false, Spread::set_local)
     }
 
-    /// Takes in what an endpoint said, at the leader.
+    /// Records what an endpoint said, at the leader.
     pub fn hear_as_leader(&mut self, now: Duration, registration: &Registration) -> Change {
         self.take_in(now, registration, true, Spread::set)
     }
 
-    /// Takes in what an endpoint said; `leads` at the leader, where `put` puts in what others should know of.
+    /// Records what an endpoint said; `leads` at the leader, where `put` puts in what others should know of.
     fn take_in(
         &mut self,
         now: Duration,
@@ -321,7 +321,7 @@
         }
     }
 
-    /// Takes in what the leader spread. An endpoint's own later word, heard here, stays. Returns whether any endpoint
+    /// Records what the leader spread. An endpoint's own later word, heard here, stays. Returns whether any endpoint
     /// takes no more work now that did before.
     pub fn take_news(&mut self, now: Duration, news: RegistryNews) -> bool {
         let leaves = |told: &Arc<Registration>| {
--- a/crates/rudder-core/src/registry/scope.rs
+++ b/crates/rudder-core/src/registry/scope.rs
@@ -31,7 +31,7 @@
         self.whole && self.scope.is_some()
     }
 
-    /// Takes in what this instance, of `hall`, is not told of. What it was told before is dropped, as it is told no more of
+    /// Records what this instance, of `hall`, is not told of. What it was told before is dropped, as it is told no more of
     /// what becomes of it.
     pub fn set_scope(&mut self, hall: &HallId, scope: Option<Scope>) {
         if scope == self.scope {
--- a/crates/rudder-core/src/spread.rs
+++ b/crates/rudder-core/src/spread.rs
@@ -284,7 +284,7 @@
         held > 0 && held >= self.forgotten && (same || followed)
     }
 
-    /// Takes in news, unless they are older than what is held. `accepts` tells of a held and a told value whether the
+    /// Applies news, unless they are older than what is held. `accepts` tells of a held and a told value whether the
     /// told one replaces it; `keeps` tells which entries stay that the news no longer name.
     pub fn take(&mut self, news: News<K, V>, accepts: impl Fn(&V, &V) -> bool, keeps: impl Fn(&K, &V) -> bool) -> bool {
         if news.version <= self.version {
--- a/crates/rudder-core/src/tally.rs
+++ b/crates/rudder-core/src/tally.rs
@@ -82,7 +82,7 @@
 }
 
 impl Tallies {
-    /// Takes in requests that began here.
+    /// Records requests that began here.
     pub(crate) fn note(&mut self, begun: Vec<Begun>, view: &View, usage: &UsageOptions) {
         for Begun { org, at } in begun {
             let window = window_of(view.clock.at(at), usage.window);
@@ -131,7 +131,7 @@
         self.fresh.values().sum::<u64>() + carried.sum::<u64>()
     }
 
-    /// Takes in the leader's word on a message.
+    /// Records the leader's word on a message.
     pub(crate) fn on_taken(&mut self, from: &InstanceId, taken: UsageTaken) {
         let answers = |carried: &Carried| {
             carried.news.start == taken.start
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -158,7 +158,7 @@
         seats
     }
 
-    /// Takes in an endpoint's heartbeat heard here or by an instance that asks here.
+    /// Records an endpoint's heartbeat heard here or by an instance that asks here.
     pub(crate) fn hear(&mut self, now: Duration, registration: Registration) {
         let change = self.registry.hear(now, &registration);
         if change != Change::None {
@@ -362,7 +362,7 @@
         }
     }
 
-    /// Takes in an answer.
+    /// Handles an answer.
     pub(crate) fn on_watched(
         &mut self,
         now: Duration,
@@ -432,7 +432,7 @@
         Learned { changed, urgent }
     }
 
-    /// Takes in that an answer confirms what the question of `round` carried; only the leader confirms that an endpoint
+    /// Records that an answer confirms what the question of `round` carried; only the leader confirms that an endpoint
     /// takes no more work.
     fn confirm(&mut self, round: u64, by_leader: bool) {
         self.unconfirmed.retain(|_, held| {
@@ -441,7 +441,7 @@
         });
     }
 
-    /// Takes in a document that is above the one in force; the version here only grows.
+    /// Applies a document that is above the one in force; the version here only grows.
     fn take_document(
         &mut self,
         document: Option<DocumentNews>,
@@ -468,7 +468,7 @@
         true
     }
 
-    /// Takes in which contents are refused; an answer that came late tells nothing newer.
+    /// Records which contents are refused; an answer that came late tells nothing newer.
     fn take_quarantine(&mut self, news: Option<QuarantineNews>) -> bool {
         let Some(news) = news else { return false };
         let taken = Arc::make_mut(&mut self.quarantine).take(news);
@@ -476,7 +476,7 @@
         taken
     }
 
-    /// Takes in which halls are evacuated; an answer that came late tells nothing newer.
+    /// Records which halls are evacuated; an answer that came late tells nothing newer.
     fn take_evacuations(&mut self, news: Option<Evacuations>, out: &mut Vec<Effect>) -> bool {
         let Some(news) = news else { return false };
         let taken = Arc::make_mut(&mut self.evacuations).take(news);
@@ -532,7 +532,7 @@
         true
     }
 
-    /// Takes in what of the registry is not told here.
+    /// Records what of the registry is not told here.
     fn take_scope(&mut self, (me, options): (&Me, &Options), scope: Option<Scope>, out: &mut Vec<Effect>) {
         if self.registry.scope() == scope.as_ref() {
             return;
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Takes in that `listing` asks. Returns whether anything of it has changed.
+    /// Records that `listing` asks. Returns whether anything of it has changed.
     pub fn note(&mut self, now: Duration, listing: &Listing) -> bool {
         let known = self.asking.get_mut(&listing.name).filter(|held| held.listing.start == listing.start);
         let Some(held) = known else {
@@ -216,7 +216,7 @@
         true
     }
 
-    /// Takes in the group of a relay. Returns the version that it tells with its members, where they are held.
+    /// Records the group of a relay. Returns the version that it tells with its members, where they are held.
     pub fn note_group(&mut self, name: &InstanceId, group: Option<&Group>) -> Option<&(u64, Vec<Listing>)> {
         let held = self.asking.get_mut(name)?;
         let Some(group) = group else {
--- a/crates/rudder-core/tests/mesh/receiver.rs
+++ b/crates/rudder-core/tests/mesh/receiver.rs
@@ -69,7 +69,7 @@
 }
 
 impl Receiver {
-    /// Takes in a call that `by` writes.
+    /// Records a call that `by` writes.
     pub fn take(&mut self, now: Duration, by: usize, fence: u64, call: DutyCall, reached: bool) -> CallOutcome {
         self.carry_out_late(now);
         let made = Made { at: now, by, fence, call };
--- a/crates/rudder-gateway/src/backoff.rs
+++ b/crates/rudder-gateway/src/backoff.rs
@@ -23,19 +23,19 @@
 }
 
 impl Backoff {
-    /// Takes in that `endpoint` wants nothing for `rest`. An earlier wish for a longer one stands.
-    pub fn note_rest(&mut self, endpoint: &EndpointId, rest: Duration, now: Moment) {
+    /// Records that `endpoint` wants nothing for `rest`. A longer time named before stands.
+    pub fn record_backoff(&mut self, endpoint: &EndpointId, rest: Duration, now: Moment) {
         let until = self.rests.entry(endpoint.clone()).or_insert(now);
         *until = (*until).max(now + rest);
     }
 
-    /// Takes in that `endpoint` leaves. True where it had not said so before.
-    pub fn note_leaving(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
+    /// Records that `endpoint` leaves. True where it had not said so before.
+    pub fn record_leaving(&mut self, endpoint: &EndpointId, now: Moment) -> bool {
         self.leaving.insert(endpoint.clone(), now).is_none()
     }
 
     /// When the rest of `endpoint` ends; `None` where it does not rest.
-    pub fn rests_until(&self, endpoint: &str, now: Moment) -> Option<Moment> {
+    pub fn retry_at(&self, endpoint: &str, now: Moment) -> Option<Moment> {
         self.rests.get(endpoint).copied().filter(|until| now < *until)
     }
 
@@ -45,8 +45,8 @@
     }
 
     /// True while nothing may be sent to `endpoint`.
-    pub fn holds_off(&self, endpoint: &str, now: Moment) -> bool {
-        self.is_leaving(endpoint) || self.rests_until(endpoint, now).is_some()
+    pub fn is_blocked(&self, endpoint: &str, now: Moment) -> bool {
+        self.is_leaving(endpoint) || self.retry_at(endpoint, now).is_some()
     }
 
     /// Forgets rests that have ended, and what has left and is not `known` any more.
--- a/crates/rudder-gateway/src/balance.rs
+++ b/crates/rudder-gateway/src/balance.rs
@@ -43,12 +43,12 @@
         work
     }
 
-    /// Takes in what all other instances together have under way.
+    /// Records what all other instances together have under way.
     pub fn set_others(&mut self, loads: &[Load]) {
         self.others = loads.iter().map(|load| (load.endpoint, load.clone())).collect();
     }
 
-    /// Takes in the end of a request.
+    /// Records the end of a request.
     pub fn note_end(&mut self, endpoint: &EndpointId, failed: bool, now: Moment) {
         self.recent.note(endpoint, failed, now);
     }
@@ -108,7 +108,7 @@
         Flight { balance: balance.clone(), endpoint: endpoint.clone(), unread, held }
     }
 
-    /// Takes in that the first output came, so the prompt has been read.
+    /// Records that the first output came, so the prompt has been read.
     pub fn note_read(&mut self) {
         let unread = std::mem::take(&mut self.unread);
         let mut balance = self.balance.borrow_mut();
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -22,7 +22,7 @@
     Dialect,
     balance::Flight,
     choose::{self, Choice, Eligibility, Inputs},
-    dialect::{LimitNotice, Wish},
+    dialect::{LimitNotice, Pushback},
     health::Outcome,
     limits::{Permit, Recorded},
     shared::Shared,
@@ -34,7 +34,7 @@
 /// of them must not be taken for all.
 pub(super) const UNSENT_MOST: u32 = 12;
 
-/// Takes in that an endpoint did not run the request.
+/// Records that an endpoint did not run the request.
 pub(super) async fn note_not_run<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, leg: Leg) {
     progress.ran = progress.ran.saturating_sub(1);
     let misdirected = leg.head.misdirected;
@@ -63,7 +63,7 @@
     shared.pool.borrow_mut().put(endpoint, connection, keep, Moment::now());
 }
 
-/// Takes in how a request ended at an endpoint.
+/// Records how a request ended at an endpoint.
 pub fn note_outcome<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, outcome: Outcome) {
     let failed = matches!(outcome, Outcome::Failed | Outcome::Unreachable);
     shared.balance.borrow_mut().note_end(endpoint, failed, Moment::now());
@@ -109,7 +109,7 @@
 ) -> Result<Result<Leg, Failure>, Refusal> {
     let Some(choice) = pick(shared, call, progress) else {
         progress.unsent = UNSENT_MOST;
-        return Ok(Err(Failure::Unsent(nothing_left(shared, call))));
+        return Ok(Err(Failure::Unsent(unavailable_reason(shared, call))));
     };
     if progress.sent == 0 {
         check_not_hopeless(shared, call, &choice)?;
@@ -137,7 +137,7 @@
 }
 
 /// Why there is no endpoint to choose.
-fn nothing_left<D: Dialect>(shared: &Shared<D>, call: &Call) -> &'static str {
+fn unavailable_reason<D: Dialect>(shared: &Shared<D>, call: &Call) -> &'static str {
     if shared.blocked_for(&call.route).is_some() {
         "its endpoints take no more for now"
     } else if call.residency.is_some() {
@@ -181,8 +181,8 @@
     let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
     let (parts, body) = response.into_parts();
     let head = shared.dialect.read_answer(&call.id, &parts);
-    if let Some(wish) = head.wish {
-        note_wish(shared, &choice.endpoint, wish);
+    if let Some(pushback) = head.pushback {
+        record_pushback(shared, &choice.endpoint, pushback);
     }
     // What an answer to another request does not say is no news.
     if head.own || head.limit != LimitNotice::Unlimited {
@@ -197,19 +197,19 @@
     Ok(Leg { choice, response, head, connection, flight, sent: now, continued: from.copy })
 }
 
-/// Takes in what an endpoint asks of this instance.
-fn note_wish<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, wish: Wish) {
+/// Records what an endpoint asks of this instance.
+fn record_pushback<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, pushback: Pushback) {
     let (endpoint, now) = (endpoint.clone(), Moment::now());
     shared.fields.borrow_mut().clear();
-    match wish {
-        Wish::Rest(rest) => {
-            shared.backoff.borrow_mut().note_rest(&endpoint, rest, now);
-            shared.metrics.note_rest();
+    match pushback {
+        Pushback::Backoff(rest) => {
+            shared.backoff.borrow_mut().record_backoff(&endpoint, rest, now);
+            shared.metrics.record_backoff();
             let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
             shared.log.write(What::AskedToRest { endpoint, rest_ms });
         }
-        Wish::Leave => {
-            let is_news = shared.backoff.borrow_mut().note_leaving(&endpoint, now);
+        Pushback::Leaving => {
+            let is_news = shared.backoff.borrow_mut().record_leaving(&endpoint, now);
             if is_news {
                 shared.log.write(What::SaidLeaving { endpoint });
             }
--- a/crates/rudder-gateway/src/call/ended.rs
+++ b/crates/rudder-gateway/src/call/ended.rs
@@ -36,7 +36,7 @@
     true
 }
 
-/// Takes in that an endpoint answered a request whole.
+/// Records that an endpoint answered a request whole.
 pub fn note_answered<D: Dialect>(shared: &Shared<D>, call: &Call) {
     let findings = shared.contents.borrow_mut().note_answered(call.content, Moment::now());
     if let Some(findings) = findings {
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -76,7 +76,12 @@
 }
 
 /// The final answer after the last failure.
-pub(super) fn give_up<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress, failure: &Failure) -> Refusal {
+pub(super) fn final_refusal<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    progress: &Progress,
+    failure: &Failure,
+) -> Refusal {
     let why = match failure {
         Failure::Unsent(why) | Failure::Lost(why) => why,
         Failure::Silent => "the endpoint is silent",
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -10,7 +10,7 @@
     Call, Failure, Leg, Progress, Refusal, Resume,
     attempt::{UNSENT_MOST, attempt, note_not_run, note_outcome, put_back},
     may_send_again, note_answered, note_begun, note_if_ended,
-    refusal::{give_up, is_promise, outcome_unknown},
+    refusal::{final_refusal, is_promise, outcome_unknown},
     strip_hop_headers,
 };
 use crate::{
@@ -38,7 +38,7 @@
                 if may_go_on(shared, &call, &mut progress, &failure) {
                     continue;
                 }
-                return spare.ok_or_else(|| give_up(shared, &call, &progress, &failure));
+                return spare.ok_or_else(|| final_refusal(shared, &call, &progress, &failure));
             }
         };
         if leg.head.not_run || leg.head.misdirected {
@@ -46,8 +46,9 @@
             if may_send_again(shared, &call, &mut progress) {
                 continue;
             }
-            return spare
-                .ok_or_else(|| give_up(shared, &call, &progress, &Failure::Unsent("all its endpoints are full")));
+            return spare.ok_or_else(|| {
+                final_refusal(shared, &call, &progress, &Failure::Unsent("all its endpoints are full"))
+            });
         }
         if call.route.kind == RouteKind::Stream && leg.response.status().is_success() {
             return Ok(stream::start(shared, call, progress, leg));
@@ -72,7 +73,7 @@
                 if may_go_on(shared, &call, &mut progress, &failure) {
                     continue;
                 }
-                return spare.ok_or_else(|| give_up(shared, &call, &progress, &failure));
+                return spare.ok_or_else(|| final_refusal(shared, &call, &progress, &failure));
             }
         }
     }
--- a/crates/rudder-gateway/src/choose/field.rs
+++ b/crates/rudder-gateway/src/choose/field.rs
@@ -86,7 +86,7 @@
         let is_usable = |held: &&Arc<Registration>| {
             inputs.places.is_open(&held.hall)
                 && inputs.use_of(held) != Use::Barred
-                && !inputs.backoff.holds_off(&held.endpoint, inputs.now)
+                && !inputs.backoff.is_blocked(&held.endpoint, inputs.now)
                 && inputs.limits.retry_at(&held.endpoint, inputs.now).is_none()
         };
         let usable = endpoints.iter().filter(is_usable).cloned();
@@ -96,7 +96,7 @@
         let returns = |held: &Arc<Registration>| {
             let ends = [
                 inputs.health.returns_at(&held.endpoint, inputs.now),
-                inputs.backoff.rests_until(&held.endpoint, inputs.now),
+                inputs.backoff.retry_at(&held.endpoint, inputs.now),
                 inputs.limits.retry_at(&held.endpoint, inputs.now),
             ];
             ends.into_iter().flatten().min()
--- a/crates/rudder-gateway/src/contents.rs
+++ b/crates/rudder-gateway/src/contents.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Takes in what all instances found. Returns the contents that are refused from now on.
+    /// Records what all instances found. Returns the contents that are refused from now on.
     pub fn publish(&mut self, told: &Arc<Quarantine>, now: Moment) -> Vec<ContentTag> {
         if Arc::ptr_eq(&self.told, told) {
             return Vec::new();
@@ -124,7 +124,7 @@
         over.iter().filter_map(|held| self.note_ended(held.content, &held.endpoint)).collect()
     }
 
-    /// Takes in that `content` was answered whole. Returns what is to be told of it, where endpoints had ended under it.
+    /// Records that `content` was answered whole. Returns what is to be told of it, where endpoints had ended under it.
     pub fn note_answered(&mut self, content: ContentTag, now: Moment) -> Option<Findings> {
         if now >= self.turned + ANSWERED || self.answered.len() >= ANSWERED_MOST {
             self.turned = now;
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -23,7 +23,7 @@
 
 /// Why a word of an endpoint is refused: it comes from another writer, and names no endpoint to use.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum WordFault {
+pub enum ReportError {
     /// It is longer than any endpoint's, or broke off.
     #[error("it is too large or broke off")]
     TooLarge,
@@ -41,15 +41,15 @@
     Service,
 }
 
-impl WordFault {
+impl ReportError {
     /// The fault's name in metrics.
     pub fn reason(&self) -> &'static str {
         match self {
-            WordFault::TooLarge => "too_large",
-            WordFault::Unreadable(_) => "unreadable",
-            WordFault::Value(_) => "value",
-            WordFault::Born => "born",
-            WordFault::Service => "service",
+            ReportError::TooLarge => "too_large",
+            ReportError::Unreadable(_) => "unreadable",
+            ReportError::Value(_) => "value",
+            ReportError::Born => "born",
+            ReportError::Service => "service",
         }
     }
 }
@@ -148,7 +148,7 @@
     /// How long the connection may rest.
     pub keep: Option<Duration>,
     /// What the endpoint asks of this instance.
-    pub wish: Option<Wish>,
+    pub pushback: Option<Pushback>,
     /// What it says of its rate limit.
     pub limit: LimitNotice,
 }
@@ -167,11 +167,11 @@
 
 /// What an endpoint asks, in an answer, of the instance that it answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wish {
+pub enum Pushback {
     /// To send it nothing for this long.
-    Rest(Duration),
+    Backoff(Duration),
     /// To send it nothing more: it leaves.
-    Leave,
+    Leaving,
 }
 
 /// Who asks which instances to use.
@@ -185,7 +185,7 @@
     pub host: Option<String>,
 }
 
-/// What a request at one of the other doors asks for.
+/// What a request at one of the other listeners asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Operation {
     /// Whether this instance takes callers.
@@ -225,20 +225,20 @@
     /// Reads the head of an endpoint's answer to the request `id`.
     fn read_answer(&self, id: &str, head: &response::Parts) -> AnswerHead;
 
-    /// What a request at another door than the callers' asks for.
+    /// What a request at another listener than the callers' asks for.
     fn read_operation(&self, method: &Method, uri: &Uri) -> Operation;
 
     /// Reads a heartbeat of the endpoint `name`.
     ///
     /// # Errors
     /// When it is not what an endpoint says.
-    fn read_heartbeat(&self, name: &str, body: &[u8]) -> Result<Registration, WordFault>;
+    fn read_heartbeat(&self, name: &str, body: &[u8]) -> Result<Registration, ReportError>;
 
     /// Reads an endpoint's word that it ends: the start of the life that does, where it tells it.
     ///
     /// # Errors
     /// When it is not what an endpoint says.
-    fn read_leave(&self, body: &[u8]) -> Result<Option<Born>, WordFault>;
+    fn read_leave(&self, body: &[u8]) -> Result<Option<Born>, ReportError>;
 
     /// The answer to [`Operation::Entries`].
     fn write_entries(&self, addresses: &[Arc<str>], keep: Duration) -> Bytes;
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -97,7 +97,7 @@
         name: name.clone(),
         hall: options.hall.clone(),
         start: rand::random(),
-        address: options.doors.callers.map(|callers| callers.to_string()),
+        address: options.listeners.callers.map(|callers| callers.to_string()),
         epoch: to_origin(epoch),
     };
     let clock = me.epoch;
--- a/crates/rudder-gateway/src/head_clock.rs
+++ b/crates/rudder-gateway/src/head_clock.rs
@@ -25,7 +25,7 @@
 }
 
 impl HeadClock {
-    /// Takes in that bytes came.
+    /// Records that bytes came.
     fn note_bytes(&self) {
         if !self.serving.get() && self.began.get().is_none() {
             self.began.set(Some(Moment::now()));
@@ -33,13 +33,13 @@
         }
     }
 
-    /// Takes in that a head was handed over.
+    /// Records that a head was handed over.
     pub fn note_head(&self) {
         self.began.set(None);
         self.serving.set(true);
     }
 
-    /// Takes in that a request was answered.
+    /// Records that a request was answered.
     pub fn note_answer(&self) {
         self.serving.set(false);
     }
--- a/crates/rudder-gateway/src/health.rs
+++ b/crates/rudder-gateway/src/health.rs
@@ -66,7 +66,7 @@
         self.standings.get(endpoint)?.until.filter(|until| now < *until)
     }
 
-    /// Takes in an outcome. Returns the pause where the endpoint is left out from now on.
+    /// Records an outcome. Returns the pause where the endpoint is left out from now on.
     pub fn note(&mut self, endpoint: &EndpointId, outcome: Outcome, now: Moment) -> Option<Duration> {
         let standing = self.standings.entry(endpoint.clone()).or_default();
         if outcome == Outcome::Good {
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -44,7 +44,7 @@
 pub mod upstream;
 
 pub use dialect::{Dialect, DocumentFault, Operation};
-pub use options::{Doors, Options};
+pub use options::{Listeners, Options};
 pub use plan::{Plan, Route, RouteKind, Service};
 pub use policy::Policy;
 pub use run::run;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -134,7 +134,7 @@
         self.bytes.get_or_create(&label).inc_by(size as u64);
     }
 
-    /// Takes in how many bytes wait for links, and the most that ever did.
+    /// Records how many bytes wait for links, and the most that ever did.
     pub fn note_waiting(&self, bytes: usize, most: usize) {
         self.waiting.set((bytes as u64).cast_signed());
         self.most.set((most as u64).cast_signed());
@@ -353,7 +353,7 @@
     }
 
     /// Counts an answer in which an endpoint asked to be sent nothing for a while.
-    pub fn note_rest(&self) {
+    pub fn record_backoff(&self) {
         self.rests.inc();
     }
 
@@ -414,12 +414,12 @@
         self.duties.get_or_create(&Duty { duty, outcome }).inc();
     }
 
-    /// Takes in the time to the first byte of an answer.
+    /// Records the time to the first byte of an answer.
     pub fn note_first(&self, route: &Route, after: Duration) {
         self.first.get_or_create(&Kind { kind: kind_of(route) }).observe(after.as_secs_f64());
     }
 
-    /// Takes in the time between two parts of a stream.
+    /// Records the time between two parts of a stream.
     pub fn note_pause(&self, pause: Duration) {
         self.pauses.observe(pause.as_secs_f64());
     }
@@ -486,7 +486,7 @@
 }
 
 impl PauseMeter {
-    /// Takes in a part; returns the pause before it, but for the first.
+    /// Records a part; returns the pause before it, but for the first.
     pub fn note(&mut self, now: Moment) -> Option<Duration> {
         let before = self.before.replace(now)?;
         let pause = now.saturating_duration_since(before);
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -1,4 +1,4 @@
-//! The other doors: readiness, entries, configuration documents, heartbeats.
+//! The other listeners: readiness, entries, configuration documents, heartbeats.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -15,7 +15,7 @@
 use crate::{
     Dialect, Operation,
     body::AnswerBody,
-    dialect::{Whence, WordFault},
+    dialect::{ReportError, Whence},
     shared::{Reply, Shared},
 };
 
@@ -142,7 +142,7 @@
 
 async fn heartbeat<D: Dialect>(shared: &Shared<D>, name: &str, body: Incoming) -> Response<AnswerBody> {
     let Ok(body) = Limited::new(body, HEARTBEAT).collect().await else {
-        return refuse_word(shared, name, &WordFault::TooLarge);
+        return refuse_word(shared, name, &ReportError::TooLarge);
     };
     let read = shared.dialect.read_heartbeat(name, &body.to_bytes());
     match read.and_then(|registration| check_word(shared, registration)) {
@@ -153,25 +153,25 @@
 
 /// Checks a heartbeat against what is known: it cannot take a known endpoint to a service that the configuration does not
 /// name, nor leave out a start that the endpoint is known to tell.
-fn check_word<D: Dialect>(shared: &Shared<D>, said: Registration) -> Result<Registration, WordFault> {
+fn check_word<D: Dialect>(shared: &Shared<D>, said: Registration) -> Result<Registration, ReportError> {
     let view = shared.view.borrow();
     let held = view.endpoints.iter().find(|held| held.name() == said.name() && held.phase < Phase::Gone);
     let Some(held) = held else { return Ok(said) };
     if held.born.is_some() && said.born.is_none() {
-        return Err(WordFault::Born);
+        return Err(ReportError::Born);
     }
     let plan = shared.current_plan();
     let named = plan.is_none_or(|plan| plan.services.contains_key(&*said.service));
     if !named && held.service != said.service {
-        return Err(WordFault::Service);
+        return Err(ReportError::Service);
     }
     Ok(said)
 }
 
-/// Takes in that an endpoint ends: the life that it names, or the latest one known where it names none.
+/// Records that an endpoint ends: the life that it names, or the latest one known where it names none.
 async fn leave<D: Dialect>(shared: &Shared<D>, name: &str, body: Incoming) -> Response<AnswerBody> {
     let Ok(body) = Limited::new(body, HEARTBEAT).collect().await else {
-        return refuse_word(shared, name, &WordFault::TooLarge);
+        return refuse_word(shared, name, &ReportError::TooLarge);
     };
     let born = match shared.dialect.read_leave(&body.to_bytes()) {
         Ok(born) => born,
@@ -191,7 +191,7 @@
 }
 
 /// Refuses what an endpoint, or another writer in its name, said; what is known of the endpoint stands.
-fn refuse_word<D: Dialect>(shared: &Shared<D>, name: &str, word: &WordFault) -> Response<AnswerBody> {
+fn refuse_word<D: Dialect>(shared: &Shared<D>, name: &str, word: &ReportError) -> Response<AnswerBody> {
     shared.metrics.note_refused_word(word.reason());
     shared.log.write(What::WordRefused { endpoint: shorten(name), why: word.to_string() });
     fault(StatusCode::BAD_REQUEST, &word.to_string())
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -12,10 +12,10 @@
 
 use crate::Policy;
 
-/// Where an instance listens. Which doors it has is its part in the deployment: one without a door for callers
+/// Where an instance listens. Which listeners it has is its part in the deployment: one without a listener for callers
 /// stands in no list that callers get, and serves the configuration and the lists of instances and endpoints only.
 #[derive(Clone, Debug)]
-pub struct Doors {
+pub struct Listeners {
     /// For callers.
     pub callers: Option<SocketAddr>,
     /// For questions whether it takes callers.
@@ -30,8 +30,8 @@
     pub metrics: Option<SocketAddr>,
 }
 
-impl Doors {
-    /// The doors that are not for callers' requests, each address once: one address may serve several.
+impl Listeners {
+    /// The listeners that are not for callers' requests, each address once: one address may serve several.
     pub fn others(&self) -> BTreeSet<SocketAddr> {
         [self.ready, self.operators, self.directory].into_iter().flatten().collect()
     }
@@ -52,7 +52,7 @@
 #[derive(Clone, Debug)]
 pub struct Options {
     /// Where it listens.
-    pub doors: Doors,
+    pub listeners: Listeners,
     /// Its hall.
     pub hall: HallId,
     /// The region of each hall of the deployment, where the settings tell it.
@@ -105,9 +105,9 @@
 
 impl Options {
     /// The usual settings for the given place.
-    pub fn new(doors: Doors, hall: HallId) -> Options {
+    pub fn new(listeners: Listeners, hall: HallId) -> Options {
         Options {
-            doors,
+            listeners,
             hall,
             regions: BTreeMap::new(),
             seeds: Vec::new(),
@@ -136,6 +136,6 @@
 
     /// Its name among the instances: where others reach it.
     pub fn name(&self) -> InstanceId {
-        InstanceId::from(self.doors.peers.to_string())
+        InstanceId::from(self.listeners.peers.to_string())
     }
 }
--- a/crates/rudder-gateway/src/peers/mod.rs
+++ b/crates/rudder-gateway/src/peers/mod.rs
@@ -117,7 +117,7 @@
     }
 }
 
-/// Takes in the messages of other instances until the runtime ends.
+/// Receives the messages of other instances until the runtime ends.
 pub async fn accept(listener: TcpListener, inputs: Rc<Sender<Event>>, figures: PeerFigures) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
--- a/crates/rudder-gateway/src/ramp.rs
+++ b/crates/rudder-gateway/src/ramp.rs
@@ -48,7 +48,7 @@
         Ramp { me, started, settled: None, senders: Vec::new(), returned: HashMap::new(), sent: HashMap::new() }
     }
 
-    /// Takes in the live instances that send to endpoints.
+    /// Records the live instances that send to endpoints.
     pub fn set_senders(&mut self, senders: Vec<InstanceId>, now: Moment) {
         if !senders.is_empty() {
             self.settled.get_or_insert(now + SETTLE);
@@ -56,7 +56,7 @@
         self.senders = senders;
     }
 
-    /// Takes in that the evacuation of `hall` has ended.
+    /// Records that the evacuation of `hall` has ended.
     pub fn note_return(&mut self, hall: &HallId, now: Moment) {
         self.returned.insert(hall.clone(), now);
     }
--- a/crates/rudder-gateway/src/reading.rs
+++ b/crates/rudder-gateway/src/reading.rs
@@ -18,7 +18,7 @@
 }
 
 impl Reading {
-    /// Takes in that a first event came `after` the request was sent, behind `tokens`.
+    /// Records that a first event came `after` the request was sent, behind `tokens`.
     pub fn note(&mut self, service: &Arc<str>, tokens: u32, after: Duration) {
         if tokens < LOADED {
             return;
--- a/crates/rudder-gateway/src/recent.rs
+++ b/crates/rudder-gateway/src/recent.rs
@@ -64,7 +64,7 @@
 }
 
 impl Recent {
-    /// Takes in the end of a request.
+    /// Records the end of a request.
     pub fn note(&mut self, endpoint: &EndpointId, failed: bool, now: Moment) {
         let second = self.second(now);
         let slots = self.slots.entry(endpoint.clone()).or_default();
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -21,7 +21,7 @@
     logging::Log,
     peers::{self, Links},
     scaling,
-    serve::{self, Door},
+    serve::{self, Listener},
     shared::Shared,
     stop,
 };
@@ -64,17 +64,17 @@
     notices: UnboundedReceiver<Vec<Notice>>,
     reload: impl Fn() -> Result<Vec<InstanceId>>,
 ) -> Result<()> {
-    let doors = shared.options.doors.clone();
+    let listeners = shared.options.listeners.clone();
     let inputs: Rc<Sender<Event>> = Rc::new(shared.inputs.clone());
-    tokio::task::spawn_local(peers::accept(serve::listen(doors.peers)?, inputs, shared.metrics.peers.clone()));
-    for address in doors.others() {
-        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Others));
+    tokio::task::spawn_local(peers::accept(serve::listen(listeners.peers)?, inputs, shared.metrics.peers.clone()));
+    for address in listeners.others() {
+        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Listener::Others));
     }
-    if let Some(address) = doors.metrics {
-        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Metrics));
+    if let Some(address) = listeners.metrics {
+        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Listener::Metrics));
     }
-    if let Some(address) = doors.callers {
-        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Door::Callers));
+    if let Some(address) = listeners.callers {
+        tokio::task::spawn_local(serve::accept(shared.clone(), serve::listen(address)?, Listener::Callers));
     }
     tokio::task::spawn_local(take_notices(shared.clone(), notices));
     tokio::task::spawn_local(keep_house(shared.clone()));
--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -1,4 +1,4 @@
-//! Listening: connections of callers, and of those at the other doors.
+//! Listening: connections of callers, and of those at the other listeners.
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
@@ -28,9 +28,9 @@
 /// The HTTP library's smallest buffer for a head.
 const HEAD_MIN: usize = 8192;
 
-/// Which door a connection came through.
+/// Which listener a connection came through.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Door {
+pub enum Listener {
     /// Callers.
     Callers,
     /// Operators, endpoints, and questions for entries and readiness.
@@ -51,20 +51,20 @@
 }
 
 /// Accepts connections until the runtime ends.
-pub async fn accept<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener, door: Door) {
+pub async fn accept<D: Dialect>(shared: Rc<Shared<D>>, listener: TcpListener, through: Listener) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let shared = shared.clone();
-                tokio::task::spawn_local(async move { serve(shared, stream, door).await });
+                tokio::task::spawn_local(async move { serve(shared, stream, through).await });
             }
             Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
-async fn serve<D: Dialect>(shared: Rc<Shared<D>>, stream: TcpStream, door: Door) {
-    let closed = door == Door::Callers && *shared.stage.borrow() == Stage::Closing;
+async fn serve<D: Dialect>(shared: Rc<Shared<D>>, stream: TcpStream, through: Listener) {
+    let closed = through == Listener::Callers && *shared.stage.borrow() == Stage::Closing;
     if closed || upstream::tune(&stream).is_err() {
         // Closed without having read anything, the caller asks elsewhere; or the caller has gone already.
         return;
@@ -75,7 +75,7 @@
     let service = service_fn(|mut request: Request<Incoming>| {
         clock.note_head();
         request.extensions_mut().insert(cut.clone());
-        let (answered, clock) = (answer(shared.clone(), request, door), clock.clone());
+        let (answered, clock) = (answer(shared.clone(), request, through), clock.clone());
         async move {
             let response = answered.await;
             clock.note_answer();
@@ -108,13 +108,13 @@
 async fn answer<D: Dialect>(
     shared: Rc<Shared<D>>,
     request: Request<Incoming>,
-    door: Door,
+    through: Listener,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let serving = shared.clone();
-    let mut response = match door {
-        Door::Callers => call::handle(shared, request).await,
-        Door::Metrics => operate::metrics(&shared, request.uri().path()),
-        Door::Others => operate::handle(shared, request, Moment::now()).await,
+    let mut response = match through {
+        Listener::Callers => call::handle(shared, request).await,
+        Listener::Metrics => operate::metrics(&shared, request.uri().path()),
+        Listener::Others => operate::handle(shared, request, Moment::now()).await,
     };
     if *serving.stage.borrow() != Stage::Serving {
         response.headers_mut().insert(CONNECTION, http::HeaderValue::from_static("close"));
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -301,7 +301,7 @@
         matches!(tokio::time::timeout(bound, proved).await, Ok(Ok(_)))
     }
 
-    /// Takes in a newer view, reading its document where that is another one.
+    /// Applies a newer view, reading its document where that is another one.
     pub fn publish(&self, published: Published) {
         self.take_document(published.document.as_ref());
         self.take_quarantine(&published.quarantine);
@@ -346,7 +346,7 @@
         self.metrics.set_quarantined(self.contents.borrow().refused_count());
     }
 
-    /// Takes in which halls are evacuated. The endpoints of one that is no more are cold, whatever they last said.
+    /// Records which halls are evacuated. The endpoints of one that is no more are cold, whatever they last said.
     fn take_evacuations(&self, evacuations: &Arc<Evacuations>) {
         let returned = self.places.borrow_mut().set_evacuations(evacuations.clone());
         for hall in returned {
@@ -360,7 +360,7 @@
         // A limit may have become known, or a permit have grown old, while a connection was waited for.
         let is_permitted = permit.is_some_and(|permit| permit.holds(&choice.endpoint, now));
         let exceeds = !is_permitted && self.limits.borrow().rate(&choice.endpoint).is_some();
-        if exceeds || self.backoff.borrow().holds_off(&choice.endpoint, now) {
+        if exceeds || self.backoff.borrow().is_blocked(&choice.endpoint, now) {
             self.metrics.note_held_back();
             return false;
         }
@@ -395,8 +395,8 @@
             if held.phase > Phase::Silent || !places.is_open(&held.hall) || backoff.is_leaving(&held.endpoint) {
                 continue;
             }
-            let rests_until = backoff.rests_until(&held.endpoint, now);
-            let until = rests_until.max(limits.retry_at(&held.endpoint, now))?;
+            let retry_at = backoff.retry_at(&held.endpoint, now);
+            let until = retry_at.max(limits.retry_at(&held.endpoint, now))?;
             soonest = Some(soonest.map_or(until, |soonest| soonest.min(until)));
         }
         soonest.map(|until| until.saturating_duration_since(now))
@@ -412,7 +412,7 @@
         self.fields.borrow_mut().clear();
     }
 
-    /// Takes in the work of the other instances at endpoints as of `at`; `None` where it has not changed.
+    /// Records the work of the other instances at endpoints as of `at`; `None` where it has not changed.
     pub fn take_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
         let Some(others) = others else { return };
--- a/crates/rudder-gateway/src/stop.rs
+++ b/crates/rudder-gateway/src/stop.rs
@@ -17,7 +17,7 @@
 const CLOSE: Duration = Duration::from_millis(300);
 /// New requests are taken for this long, and for this part of the grace at the latest, whatever callers' lists
 /// say: a long stream taken later might be cut off by the end of the grace, and a caller with an older list finds
-/// a closed door at once and takes another instance.
+/// a closed port at once and takes another instance.
 const SERVE: Duration = Duration::from_millis(2800);
 const SERVE_MOST: f64 = 0.35;
 /// Part of the grace after which what is still under way is cut off.
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -42,7 +42,7 @@
 }
 
 impl Events {
-    /// Takes in bytes and returns the whole events that they complete.
+    /// Adds bytes and returns the whole events that they complete.
     pub fn take(&mut self, bytes: &[u8]) -> Bytes {
         self.pending.extend_from_slice(bytes);
         let Some(end) = find_last_end(&self.pending) else { return Bytes::new() };
--- a/crates/rudder-gateway/tests/backoff.rs
+++ b/crates/rudder-gateway/tests/backoff.rs
@@ -8,9 +8,9 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
-/// Whether an endpoint may be sent nothing, so many milliseconds after the first wish.
+/// Whether an endpoint may be sent nothing, so many milliseconds after the first answer.
 struct Case {
-    /// Rests asked for, as milliseconds after the first wish and length.
+    /// Rests asked for, as milliseconds after the first answer and length.
     rests: Vec<(u64, Duration)>,
     /// Whether it is held off then.
     held_off: Vec<(u64, bool)>,
@@ -22,14 +22,14 @@
         let (mut backoff, first) = (Backoff::default(), Moment::now());
         let at = |millis: u64| first + Duration::from_millis(millis);
         for (millis, rest) in &self.rests {
-            backoff.note_rest(&endpoint, *rest, at(*millis));
+            backoff.record_backoff(&endpoint, *rest, at(*millis));
         }
         for (millis, expected) in &self.held_off {
-            assert_eq!(backoff.holds_off(&endpoint, at(*millis)), *expected, "after {millis} ms");
+            assert_eq!(backoff.is_blocked(&endpoint, at(*millis)), *expected, "after {millis} ms");
             backoff.age(at(*millis), |_| false);
-            assert_eq!(backoff.holds_off(&endpoint, at(*millis)), *expected, "aged after {millis} ms");
+            assert_eq!(backoff.is_blocked(&endpoint, at(*millis)), *expected, "aged after {millis} ms");
         }
-        assert!(!backoff.holds_off("e-2", first), "no other is held off");
+        assert!(!backoff.is_blocked("e-2", first), "no other is held off");
     }
 }
 
@@ -54,11 +54,11 @@
 fn one_that_leaves_stays_held_off() {
     let endpoint: EndpointId = "e-1".into();
     let (mut backoff, now) = (Backoff::default(), Moment::now());
-    assert!(backoff.note_leaving(&endpoint, now));
-    assert!(!backoff.note_leaving(&endpoint, now), "it is no news");
+    assert!(backoff.record_leaving(&endpoint, now));
+    assert!(!backoff.record_leaving(&endpoint, now), "it is no news");
     for (seconds, is_known, expected) in [(3600, true, true), (30, false, true), (3600, false, false)] {
         let now = now + SECOND * seconds;
         backoff.age(now, |_| is_known);
-        assert_eq!(backoff.holds_off(&endpoint, now), expected, "after {seconds} s, known: {is_known}");
+        assert_eq!(backoff.is_blocked(&endpoint, now), expected, "after {seconds} s, known: {is_known}");
     }
 }
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -92,8 +92,8 @@
 fn a_field_has_none_that_rests_or_leaves() {
     let (mut known, roster) = (Known::default(), roster(&engines(3)));
     let (mut fields, service, now) = (Fields::default(), "svc".into(), known.now);
-    known.backoff.note_rest(&"e-1".into(), Duration::from_millis(150), now);
-    known.backoff.note_leaving(&"e-2".into(), now);
+    known.backoff.record_backoff(&"e-1".into(), Duration::from_millis(150), now);
+    known.backoff.record_leaving(&"e-2".into(), now);
     let mut count_after = |millis: u64| {
         known.now = now + Duration::from_millis(millis);
         let field = fields.of(&service, &roster, &known.inputs());
--- a/crates/rudder-ledger/src/config.rs
+++ b/crates/rudder-ledger/src/config.rs
@@ -112,7 +112,7 @@
         changed.filter_map(|(_, key)| to_delta(key)).collect()
     }
 
-    /// Takes in one delta; older ones than what stands are passed over. Returns whether it was taken.
+    /// Applies one delta; older ones than what stands are passed over. Returns whether it was taken.
     pub fn take_delta(&mut self, delta: Delta) -> bool {
         let standing = self.get(delta.kind, &delta.name).map_or(0, |held| held.index);
         if delta.held.index <= standing {
--- a/crates/rudder-ledger/src/evacuation.rs
+++ b/crates/rudder-ledger/src/evacuation.rs
@@ -86,7 +86,7 @@
         (held < self.index).then(|| self.clone())
     }
 
-    /// Takes in news, unless they are older than what is held. Returns whether they are newer.
+    /// Applies news, unless they are older than what is held. Returns whether they are newer.
     pub fn take(&mut self, news: Evacuations) -> bool {
         if news.index <= self.index {
             return false;
--- a/crates/rudder-ledger/src/quarantine.rs
+++ b/crates/rudder-ledger/src/quarantine.rs
@@ -102,7 +102,7 @@
         self.records.iter().filter(|(_, record)| record.is_refused()).map(|(content, _)| *content)
     }
 
-    /// Takes in findings at log index `index`. Returns whether instances are to be told.
+    /// Records findings at log index `index`. Returns whether instances are to be told.
     pub fn apply(&mut self, index: u64, findings: &Findings) -> bool {
         let before = self.index;
         for ended in &findings.ended {
@@ -165,7 +165,7 @@
         Some(QuarantineNews { index: self.index, records })
     }
 
-    /// Takes in news, unless they are older than what is held. Returns whether they are newer.
+    /// Applies news, unless they are older than what is held. Returns whether they are newer.
     pub fn take(&mut self, news: QuarantineNews) -> bool {
         if news.index <= self.index {
             return false;
--- a/crates/rudder-load/src/figures.rs
+++ b/crates/rudder-load/src/figures.rs
@@ -18,13 +18,13 @@
 }
 
 impl Figures {
-    /// Takes in a time.
+    /// Records a time.
     pub fn add(&mut self, time: Duration) {
         let micros = u64::try_from(time.as_micros()).unwrap_or(LONGEST);
         self.0.saturating_record(micros);
     }
 
-    /// Takes in all of another distribution.
+    /// Adds all of another distribution.
     pub fn merge(&mut self, other: &Figures) {
         // Both have the same bounds, so nothing is out of range.
         let _ = self.0.add(&other.0);
--- a/crates/rudder-measure/src/engine.rs
+++ b/crates/rudder-measure/src/engine.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Takes in a request.
+    /// Handles a request.
     pub fn enter(&mut self, request: RequestId, tier: u8, prefix: u64, left: f64) {
         self.waiting.push(Job { request, tier, prefix, left, prefill: 0.0, made: 0.0, used: 0.0 });
     }
--- a/crates/rudder-replica/src/replica.rs
+++ b/crates/rudder-replica/src/replica.rs
@@ -80,7 +80,7 @@
 }
 
 impl Durable {
-    /// Takes in a record that became durable after what is held.
+    /// Adds a record that became durable after what is held.
     pub fn take(&mut self, record: Record) {
         match record {
             Record::Hard { term, vote } => (self.term, self.vote) = (term, vote),
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Takes in a snapshot that replaced all that was held; the records after it follow.
+    /// Installs a snapshot that replaced all that was held; the records after it follow.
     pub fn replace(&mut self, snapshot: Snapshot) {
         self.snapshot = snapshot;
         self.entries.clear();
@@ -265,7 +265,7 @@
         Some(self.append_own(now, Payload::Command(ByteBuf::from(command)), out))
     }
 
-    /// Takes in a message.
+    /// Handles a message.
     pub fn receive(&mut self, now: Duration, envelope: Envelope, out: &mut Vec<Output>) {
         if envelope.to != self.id {
             return;
@@ -307,7 +307,7 @@
         self.restore(Snapshot { index: 1, term: 1, members, data }, out);
     }
 
-    /// Takes in that all saves up to `number` are durable.
+    /// Records that all saves up to `number` are durable.
     pub fn on_saved(&mut self, now: Duration, number: u64, out: &mut Vec<Output>) {
         self.saved = self.saved.max(number);
         self.muted = false;
@@ -330,7 +330,7 @@
         }
     }
 
-    /// Takes in that the disk refuses writes: it neither leads nor campaigns until a save succeeds.
+    /// Records that the disk refuses writes: it neither leads nor campaigns until a save succeeds.
     pub fn on_disk_full(&mut self, now: Duration) {
         self.muted = true;
         self.role = Role::Follower;
--- a/crates/rudder-route/src/estimate.rs
+++ b/crates/rudder-route/src/estimate.rs
@@ -17,7 +17,7 @@
 }
 
 impl Mean {
-    /// Takes in a sample; the first ones weigh more, so that the start value is soon forgotten.
+    /// Records a sample; the first ones weigh more, so that the start value is soon forgotten.
     pub fn add(&mut self, sample: f64) {
         self.count = self.count.saturating_add(1);
         let weight = WEIGHT.max(1.0 / f64::from(self.count));
@@ -39,7 +39,7 @@
 }
 
 impl Estimates {
-    /// Takes in what one request turned out to be.
+    /// Records what one request turned out to be.
     pub fn add(&mut self, class: &ClassId, org: &OrgId, tokens: u32, hold: Duration) {
         self.tokens.entry(class.clone()).or_default().add(f64::from(tokens));
         self.org_tokens.entry((class.clone(), org.clone())).or_default().add(f64::from(tokens));
--- a/crates/rudder-route/src/pool.rs
+++ b/crates/rudder-route/src/pool.rs
@@ -88,7 +88,7 @@
         self.queue.for_each_ask(|ask| ask.reach = reach(ask));
     }
 
-    /// Takes in a request. Asking again repeats the grant, in case it was lost on the way.
+    /// Handles a request. Asking again repeats the grant, in case it was lost on the way.
     pub fn ask(&mut self, now: Duration, ask: Ask, out: &mut Vec<Decision>) {
         if let Some(endpoint) = self.granted.get(&ask.request) {
             let (request, entry, endpoint) = (ask.request, ask.entry, endpoint.clone());
@@ -108,7 +108,7 @@
         self.serve(now, out);
     }
 
-    /// Takes in that the caller of a waiting or running request left.
+    /// Records that the caller of a waiting or running request left.
     pub fn withdraw(&mut self, now: Duration, request: RequestId, out: &mut Vec<Decision>) {
         if let Some(waiting) = self.queue.remove(request) {
             self.close_usage(&waiting.ask);
@@ -117,7 +117,7 @@
         self.end(now, request, &Ending::Dropped, out);
     }
 
-    /// Takes in that the first token of a request came, `after` its dispatch.
+    /// Records that the first token of a request came, `after` its dispatch.
     pub fn first_token(&mut self, request: RequestId, after: Duration, out: &mut Vec<Decision>) {
         let Some(endpoint) = self.granted.get(&request).cloned() else { return };
         let Some(site) = self.sites.get_mut(&endpoint) else { return };
@@ -131,7 +131,7 @@
         self.end_probe(&endpoint, after, out);
     }
 
-    /// Takes in how a granted request ended.
+    /// Records how a granted request ended.
     pub fn end(&mut self, now: Duration, request: RequestId, ending: &Ending, out: &mut Vec<Decision>) {
         let Some(endpoint) = self.granted.remove(&request) else { return };
         let Some(site) = self.sites.get_mut(&endpoint) else { return };
@@ -235,14 +235,14 @@
         self.queue.push(now, Waiting { ask, arrived, until, late: Duration::MAX, preempted: count, avoid }, true);
     }
 
-    /// Takes in an endpoint's own report, which lags: requests it works on or holds.
+    /// Records an endpoint's own report, which lags: requests it works on or holds.
     pub fn report(&mut self, endpoint: &str, load: u32) {
         if let Some(site) = self.sites.get_mut(endpoint) {
             site.reported = load;
         }
     }
 
-    /// Takes in that an endpoint did not answer a look at its load.
+    /// Records that an endpoint did not answer a look at its load.
     pub fn missed(&mut self, now: Duration, endpoint: &str, out: &mut Vec<Decision>) {
         let Some(site) = self.sites.get_mut(endpoint) else { return };
         site.health.note_failure();
@@ -250,7 +250,7 @@
         self.put_off(now, endpoint);
     }
 
-    /// Takes in what an endpoint says of its prefix cache: evictions, or `None` after a gap.
+    /// Records what an endpoint says of its prefix cache: evictions, or `None` after a gap.
     pub fn evicted(&mut self, endpoint: &str, prefixes: Option<&[u64]>) {
         if let Some(site) = self.sites.get_mut(endpoint) {
             site.forget_prefixes(prefixes);
@@ -264,7 +264,7 @@
         own.map(|(request, _)| held_digest(*request)).fold(0, u64::wrapping_add) == digest
     }
 
-    /// Takes in all grants that `entry` holds: unknown ones are added, missing ones taken back.
+    /// Records all grants that `entry` holds: unknown ones are added, missing ones taken back.
     pub fn sync(&mut self, now: Duration, entry: &InstanceId, holdings: Vec<Holding>, out: &mut Vec<Decision>) {
         let held: BTreeSet<RequestId> = holdings.iter().map(|holding| holding.ask.request).collect();
         for holding in holdings {
--- a/crates/rudder-route/src/site.rs
+++ b/crates/rudder-route/src/site.rs
@@ -80,7 +80,7 @@
         !self.leaving && self.rests <= now && (self.health.is_well() || self.health.wants_probe(now))
     }
 
-    /// Takes in that it wants nothing for `rest`. An earlier wish for a longer one stands.
+    /// Records that it wants nothing for `rest`. An earlier wish for a longer one stands.
     pub(crate) fn note_rest(&mut self, now: Duration, rest: Duration) {
         self.rests = self.rests.max(now.saturating_add(rest));
     }
--- a/crates/rudder-route/src/slow_start.rs
+++ b/crates/rudder-route/src/slow_start.rs
@@ -78,7 +78,7 @@
         self.times.iter().filter(|sent| now < **sent + share.window).count() < share.count
     }
 
-    /// Takes in that one is sent at `now`.
+    /// Records that one is sent at `now`.
     pub fn note(&mut self, now: Duration, share: Share) {
         self.times.retain(|sent| now < *sent + share.window);
         self.times.push_back(now);
--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     History,
-    history::{Arrival, Call, Kind, Outcome, Wish},
+    history::{Arrival, Call, Kind, Outcome, Pushback},
 };
 
 /// The time over which requests at a cold endpoint are counted.
@@ -54,7 +54,7 @@
     /// From an answer in which an endpoint asked for rest: what was on its way may still come.
     pub rest_slack: Duration,
     /// Calls that may reach it afterwards all the same, before the rest is over.
-    pub rest_strays: usize,
+    pub late_requests: usize,
     /// From an evacuation's acknowledgement.
     pub evacuate: Duration,
     /// Requests within a second that a cold endpoint bears.
@@ -88,7 +88,7 @@
             drain: Duration::from_secs(2),
             touch: Duration::from_secs(3),
             rest_slack: Duration::from_millis(500),
-            rest_strays: 2,
+            late_requests: 2,
             evacuate: Duration::from_secs(5),
             cold: 11,
             apply: Duration::from_secs(2),
@@ -144,7 +144,7 @@
         check_call(call, arrived, &mut verdict);
     }
     check_drains(history, bounds, &mut verdict);
-    check_wishes(history, bounds, &mut verdict);
+    check_pushbacks(history, bounds, &mut verdict);
     check_evacuations(history, bounds, &mut verdict);
     check_slow_starts(history, bounds, &mut verdict);
     check_configuration(history, bounds, &mut verdict);
@@ -225,7 +225,7 @@
 }
 
 /// The calls of one instance that reached one life of an endpoint.
-struct Meeting<'a> {
+struct Exchange<'a> {
     instance: usize,
     life: &'a str,
     /// Each arrival, and when its call was sent.
@@ -233,46 +233,46 @@
 }
 
 /// Each instance keeps what endpoints have asked of it in their answers, as long as its process runs.
-fn check_wishes(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
-    for meeting in find_meetings(history) {
-        for (asking, _) in &meeting.arrivals {
-            match asking.wish {
-                Some(Wish::Rest(rest)) => check_rest(history, bounds, &meeting, (asking, rest), verdict),
-                Some(Wish::Leave) => check_leaving(history, bounds, &meeting, asking, verdict),
+fn check_pushbacks(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    for exchange in find_exchanges(history) {
+        for (asking, _) in &exchange.arrivals {
+            match asking.pushback {
+                Some(Pushback::Backoff(rest)) => check_rest(history, bounds, &exchange, (asking, rest), verdict),
+                Some(Pushback::Leaving) => check_leaving(history, bounds, &exchange, asking, verdict),
                 None => {}
             }
         }
     }
 }
 
-fn find_meetings(history: &History) -> Vec<Meeting<'_>> {
+fn find_exchanges(history: &History) -> Vec<Exchange<'_>> {
     let calls: BTreeMap<&str, &Call> = history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
     let mut met: BTreeMap<(usize, &str), Vec<(&Arrival, Duration)>> = BTreeMap::new();
     for arrival in &history.arrivals {
         let Some(call) = calls.get(arrival.call.as_str()) else { continue };
         met.entry((call.instance, &arrival.life)).or_default().push((arrival, call.sent));
     }
-    met.into_iter().map(|((instance, life), arrivals)| Meeting { instance, life, arrivals }).collect()
+    met.into_iter().map(|((instance, life), arrivals)| Exchange { instance, life, arrivals }).collect()
 }
 
 fn check_rest(
     history: &History,
     bounds: &Bounds,
-    meeting: &Meeting,
+    exchange: &Exchange,
     (asking, rest): (&Arrival, Duration),
     verdict: &mut Verdict,
 ) {
-    let Meeting { instance, life, arrivals } = meeting;
+    let Exchange { instance, life, arrivals } = exchange;
     let meanwhile = asking.at + bounds.rest_slack..asking.at + rest;
-    let is_stray = |at: Duration| meanwhile.contains(&at) && !lost_memory(history, *instance, asking.at, at);
-    let strays = arrivals.iter().filter(|(later, _)| is_stray(later.at)).count();
-    verdict.test(Promise::Rested, strays <= bounds.rest_strays, || {
+    let is_late = |at: Duration| meanwhile.contains(&at) && !lost_memory(history, *instance, asking.at, at);
+    let strays = arrivals.iter().filter(|(later, _)| is_late(later.at)).count();
+    verdict.test(Promise::Rested, strays <= bounds.late_requests, || {
         format!("{life} asked instance {instance} for {rest:?} of rest and got {strays}: {asking:?}")
     });
 }
 
-fn check_leaving(history: &History, bounds: &Bounds, meeting: &Meeting, asking: &Arrival, verdict: &mut Verdict) {
-    let Meeting { instance, life, arrivals } = meeting;
+fn check_leaving(history: &History, bounds: &Bounds, exchange: &Exchange, asking: &Arrival, verdict: &mut Verdict) {
+    let Exchange { instance, life, arrivals } = exchange;
     let is_late = |later: &Arrival, sent: Duration| {
         sent > asking.at + bounds.drain && !lost_memory(history, *instance, asking.at, later.at)
     };
--- a/crates/rudder-soak/src/history.rs
+++ b/crates/rudder-soak/src/history.rs
@@ -78,16 +78,16 @@
     /// It bore a content that ends endpoints.
     pub deadly: bool,
     /// What the endpoint asked for beside its answer.
-    pub wish: Option<Wish>,
+    pub pushback: Option<Pushback>,
 }
 
 /// What an endpoint asks of the instance that it answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Wish {
+pub enum Pushback {
     /// To send it nothing for this long.
-    Rest(Duration),
+    Backoff(Duration),
     /// To send it nothing more: it leaves.
-    Leave,
+    Leaving,
 }
 
 /// An endpoint's word that it takes no more work, acknowledged.
--- a/crates/rudder-soak/tests/check.rs
+++ b/crates/rudder-soak/tests/check.rs
@@ -4,7 +4,9 @@
 
 use rudder_soak::{
     Bounds, History, Promise, check,
-    history::{Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Outcome, OwnEnd, Removal, Stop, Version, Wish},
+    history::{
+        Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Outcome, OwnEnd, Pushback, Removal, Stop, Version,
+    },
 };
 
 const GOOD: Outcome = Outcome::Answered { status: 200, whole: true, right: true };
@@ -35,7 +37,7 @@
         at: at(seconds),
         ran: true,
         deadly: false,
-        wish: None,
+        pushback: None,
     }
 }
 
@@ -97,11 +99,11 @@
         history.arrivals.push(arrival("Again-7", "e-2", 7.5));
     };
     new_work_at_an_endpoint_that_told_the_instance_that_it_leaves: Drained, |history| {
-        history.arrivals[0].wish = Some(Wish::Leave);
+        history.arrivals[0].pushback = Some(Pushback::Leaving);
     };
     work_at_an_endpoint_that_rests: Rested, |history| {
         let asking = history.arrivals.iter_mut().find(|arrival| arrival.call == "Again-10");
-        asking.expect("it is there").wish = Some(Wish::Rest(at(1.5)));
+        asking.expect("it is there").pushback = Some(Pushback::Backoff(at(1.5)));
     };
     work_in_an_evacuated_zone: Evacuated, |history| {
         let late = arrival("Again-12", "e-7", 12.5);
@@ -158,7 +160,7 @@
 fn an_instance_that_started_again_does_not_know_what_was_asked_of_the_one_before() {
     let spoil = |history: &mut History| {
         let asking = history.arrivals.iter_mut().find(|arrival| arrival.call == "Again-10");
-        asking.expect("it is there").wish = Some(Wish::Rest(at(1.5)));
+        asking.expect("it is there").pushback = Some(Pushback::Backoff(at(1.5)));
         history.absences.push(Absence { instance: 0, from: at(10.1), until: at(10.6) });
     };
     assert_eq!(broken_by(spoil), Vec::new());
@@ -175,7 +177,7 @@
     history.calls.push(Call { key: "key-9".to_owned(), ..call("other", Kind::Once, 9.0, Outcome::Lost) });
     history.calls.push(call("full", Kind::Once, 9.0, Outcome::Answered { status: 503, whole: true, right: false }));
     let last = history.arrivals.iter_mut().find(|arrival| arrival.call == "Resume-29");
-    last.expect("it is there").wish = Some(Wish::Rest(at(1.0)));
+    last.expect("it is there").pushback = Some(Pushback::Backoff(at(1.0)));
     let verdict = check(&history, &Bounds::default());
     assert_eq!(verdict.broken, Vec::new());
     assert_eq!(verdict.tested.len(), 14, "{:?}", verdict.tested);
