fix(gateway): the limit of an endpoint outlasts its short absence from the registry

What would be seen: an endpoint that was lost for a moment came back without its limit, and got one request from each instance until an answer named it again. Cause: instances forgot limits with the registry's entry, and the reducer, which keeps them for a minute, tells of a limit only when it changes. Both keep it as long now.

--- a/crates/rudder-gateway/src/limits.rs
+++ b/crates/rudder-gateway/src/limits.rs
@@ -23,6 +23,8 @@
 const AHEAD: Duration = Duration::from_millis(250);
 /// The reducer is told of a limit that has not changed this often.
 const REFRESH: Duration = Duration::from_secs(1);
+/// An endpoint that is not known any more is kept for this long after it last said something of its limit.
+const KEEP: Duration = Duration::from_secs(60);
 
 /// The right to send one request to an endpoint that has a rate limit.
 #[derive(Clone, Copy, Debug)]
@@ -200,13 +202,14 @@
         self.known.values().filter(|known| known.rate.is_some()).count()
     }
 
-    /// Forgets endpoints that are not known any more.
-    pub fn retain<'a>(&mut self, known: impl Iterator<Item = &'a EndpointId>) {
+    /// Forgets endpoints that are not `known` any more. One that was lost a moment ago may come back, and the reducer tells of its
+    /// limit no more than once.
+    pub fn retain<'a>(&mut self, known: impl Iterator<Item = &'a EndpointId>, now: Moment) {
         if self.known.is_empty() {
             return;
         }
         let tags: HashSet<EndpointTag> = known.map(|endpoint| id::endpoint_tag(endpoint)).collect();
-        self.known.retain(|tag, _| tags.contains(tag));
+        self.known.retain(|tag, known| now < known.at + KEEP || tags.contains(tag));
     }
 }
 
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -310,7 +310,8 @@
         let roster = Rc::new(Roster::new(published.endpoints.iter().cloned()));
         self.balance.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
-        self.limits.borrow_mut().retain(roster.endpoints());
+        self.limits.borrow_mut().retain(roster.endpoints(), Moment::now());
+        self.metrics.set_limited(self.limits.borrow().count());
         let before = self.roster.replace(roster.clone());
         if !roster.replaced().is_subset(before.replaced()) {
             self.replaced.send_replace(());
--- a/crates/rudder-gateway/tests/field.rs
+++ b/crates/rudder-gateway/tests/field.rs
@@ -7,9 +7,10 @@
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
     choose::{Field, Fields},
+    dialect::LimitNotice,
     health::Outcome,
 };
-use rudder_model::EndpointId;
+use rudder_model::{EndpointId, RequestRate};
 
 use support::{Known, endpoint, roster};
 
@@ -103,3 +104,21 @@
     assert_eq!(count_after(149), (1, 0));
     assert_eq!(count_after(151), (2, 0));
 }
+
+/// One whose rate limit is used up comes back when its holder may grant again.
+#[test]
+fn a_field_has_none_whose_limit_is_used_up() {
+    let (mut known, roster) = (Known::default(), roster(&engines(3)));
+    let (mut fields, service, now) = (Fields::default(), "svc".into(), known.now);
+    let limit = LimitNotice::Limited(RequestRate::try_from_per_second(1.0).expect("a rate"));
+    known.limits.record_answer(&"e-1".into(), limit, now, now);
+    let mut count_after = |millis: u64, known: &mut Known| {
+        known.now = now + Duration::from_millis(millis);
+        fields.of(&service, &roster, &known.inputs()).bulk.endpoints.len()
+    };
+    assert_eq!(count_after(0, &mut known), 3);
+    known.limits.record_denial("e-1", now + Duration::from_millis(300));
+    assert_eq!(count_after(201, &mut known), 2);
+    assert_eq!(count_after(299, &mut known), 2);
+    assert_eq!(count_after(301, &mut known), 3);
+}
