--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -200,21 +200,21 @@
 /// Records what an endpoint asks of this instance.
 fn record_pushback<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, pushback: Pushback) {
     let (endpoint, now) = (endpoint.clone(), Moment::now());
-    shared.fields.borrow_mut().clear();
     match pushback {
         Pushback::Backoff(rest) => {
             shared.backoff.borrow_mut().record_backoff(&endpoint, rest, now);
-            shared.metrics.record_backoff();
+            shared.metrics.note_rest();
             let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
             shared.log.write(What::AskedToRest { endpoint, rest_ms });
         }
         Pushback::Leaving => {
-            let is_news = shared.backoff.borrow_mut().record_leaving(&endpoint, now);
-            if is_news {
-                shared.log.write(What::SaidLeaving { endpoint });
+            if !shared.backoff.borrow_mut().record_leaving(&endpoint, now) {
+                return;
             }
+            shared.log.write(What::SaidLeaving { endpoint });
         }
     }
+    shared.fields.borrow_mut().clear();
 }
 
 /// Records what an answer to a request sent at `sent` says of its endpoint's rate limit.
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -353,7 +353,7 @@
     }
 
     /// Counts an answer in which an endpoint asked to be sent nothing for a while.
-    pub fn record_backoff(&self) {
+    pub fn note_rest(&self) {
         self.rests.inc();
     }
 
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -358,30 +358,38 @@
 
     /// Takes the right to send a request to the endpoint chosen: things may have changed since the choice.
     pub fn try_take_place(&self, choice: &Choice, permit: Option<Permit>, now: Moment) -> bool {
+        let taken = self.may_send(choice, permit, now) && self.try_take_share(choice, now);
+        if !taken {
+            self.metrics.note_held_back();
+        }
+        taken
+    }
+
+    /// True where the endpoint chosen takes requests, as far as it and its hall are concerned.
+    fn may_send(&self, choice: &Choice, permit: Option<Permit>, now: Moment) -> bool {
         // A limit may have become known, or a permit have grown old, while a connection was waited for.
         let is_permitted = permit.is_some_and(|permit| permit.holds(&choice.endpoint, now));
-        let exceeds = !is_permitted && self.limits.borrow().rate(&choice.endpoint).is_some();
-        if exceeds || self.backoff.borrow().is_blocked(&choice.endpoint, now) {
-            self.metrics.note_held_back();
+        if !is_permitted && self.limits.borrow().rate(&choice.endpoint).is_some() {
+            return false;
+        }
+        if self.backoff.borrow().is_blocked(&choice.endpoint, now) {
             return false;
         }
         let roster = self.roster.borrow();
         // One that is no longer known has ended; the attempt shows it.
         let Some(held) = roster.get(&choice.endpoint) else { return true };
         // The choice may be as old as the stream that goes on at the endpoint that keeps its copy.
-        if held.phase > Phase::Silent || !self.places.borrow().is_open(&held.hall) {
-            self.metrics.note_held_back();
-            return false;
-        }
-        let plan = self.current_plan();
-        let warm_up = plan.and_then(|plan| plan.services.get(&held.service)?.warm_up);
+        held.phase <= Phase::Silent && self.places.borrow().is_open(&held.hall)
+    }
+
+    /// Takes a part of this instance's share of what the endpoint chosen bears while it warms up.
+    fn try_take_share(&self, choice: &Choice, now: Moment) -> bool {
+        let roster = self.roster.borrow();
+        let Some(held) = roster.get(&choice.endpoint) else { return true };
+        let warm_up = self.current_plan().and_then(|plan| plan.services.get(&held.service)?.warm_up);
         let mut ramp = self.ramp.borrow_mut();
         let allowed = ramp.use_of(held, warm_up, &self.options.policy.slow_start, now);
-        let taken = ramp.try_take(&held.endpoint, allowed, now);
-        if !taken {
-            self.metrics.note_held_back();
-        }
-        taken
+        ramp.try_take(&held.endpoint, allowed, now)
     }
 
     /// How long this instance may send to none of the endpoints that serve `route`, as they want nothing or their rate limits
