feat(soak): endpoints that name rate limits, and the judge sums over instances

A fault more (22) and a promise more (15): an endpoint names limits from none at all to many a second in all its answers, and from three seconds after the first it may get no more in four seconds than one and a half times what that allows and five, from all instances that it had told.

--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -25,6 +25,8 @@
     Rested,
     /// A zone that is evacuated gets nothing.
     Evacuated,
+    /// An endpoint that names a rate limit gets no more than it over all instances.
+    Limited,
     /// An endpoint that is cold gets no more than it bears.
     SlowStart,
     /// A configuration that was accepted never reverts, and one that cannot work is never accepted.
@@ -57,6 +59,14 @@
     pub late_requests: usize,
     /// From an evacuation's acknowledgement.
     pub evacuate: Duration,
+    /// From the first answer that names a limit until it is kept.
+    pub limit_settle: Duration,
+    /// Time over which calls at an endpoint with a limit are counted.
+    pub limit_window: Duration,
+    /// Calls in that time, as a multiple of what the limit allows.
+    pub limit_factor: f64,
+    /// Calls in that time beyond that.
+    pub limit_extra: f64,
     /// Requests within a second that a cold endpoint bears.
     pub cold: usize,
     /// From a configuration's acknowledgement until no older one is read.
@@ -90,6 +100,10 @@
             rest_slack: Duration::from_millis(500),
             late_requests: 2,
             evacuate: Duration::from_secs(5),
+            limit_settle: Duration::from_secs(3),
+            limit_window: Duration::from_secs(4),
+            limit_factor: 1.5,
+            limit_extra: 5.0,
             cold: 11,
             apply: Duration::from_secs(2),
             revoke: Duration::from_secs(5),
@@ -145,6 +159,7 @@
     }
     check_drains(history, bounds, &mut verdict);
     check_pushbacks(history, bounds, &mut verdict);
+    check_limits(history, bounds, &mut verdict);
     check_evacuations(history, bounds, &mut verdict);
     check_slow_starts(history, bounds, &mut verdict);
     check_configuration(history, bounds, &mut verdict);
@@ -282,6 +297,37 @@
     });
 }
 
+/// What endpoints bear counts over all instances that they told.
+fn check_limits(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let exchanges = find_exchanges(history);
+    let was_away = find_away(history, bounds);
+    for limit in &history.limits {
+        let exchanges = || exchanges.iter().filter(|exchange| exchange.life == limit.life);
+        let tells = |arrival: &Arrival| arrival.limit.is_some() && (limit.from..limit.until).contains(&arrival.at);
+        let named = exchanges().flat_map(|exchange| &exchange.arrivals).filter(|(arrival, _)| tells(arrival));
+        let Some(first) = named.map(|(arrival, _)| arrival.at).min() else { continue };
+        let kept = first + bounds.limit_settle..limit.until;
+        let mut times: Vec<Duration> = Vec::new();
+        for Exchange { instance, arrivals, .. } in exchanges() {
+            let was_told = |at: Duration| {
+                arrivals.iter().any(|(told, _)| {
+                    tells(told) && told.at + bounds.rest_slack <= at && !lost_memory(history, *instance, told.at, at)
+                })
+            };
+            let counts = |arrival: &Arrival| kept.contains(&arrival.at) && was_told(arrival.at) && !was_away(arrival);
+            times.extend(arrivals.iter().map(|(arrival, _)| arrival).filter(|arrival| counts(arrival)).map(|a| a.at));
+        }
+        let within =
+            |first: &Duration| times.iter().filter(|at| (*first..*first + bounds.limit_window).contains(*at)).count();
+        let most = times.iter().map(within).max().unwrap_or_default();
+        let span = bounds.limit_window.as_secs_f64();
+        let allowed = bounds.limit_factor * limit.limit * span + bounds.limit_extra;
+        verdict.test(Promise::Limited, most as f64 <= allowed, || {
+            format!("{limit:?} got {most} calls in {:?}", bounds.limit_window)
+        });
+    }
+}
+
 /// True where an instance's process was ended, or its time did not go on as usual, between two times.
 fn lost_memory(history: &History, instance: usize, from: Duration, until: Duration) -> bool {
     let absences = history.absences.iter().map(|absence| (absence.instance, absence.from, absence.until));
--- a/crates/rudder-soak/src/history.rs
+++ b/crates/rudder-soak/src/history.rs
@@ -79,6 +79,8 @@
     pub deadly: bool,
     /// What the endpoint asked for beside its answer.
     pub pushback: Option<Pushback>,
+    /// The limit that its answer named, in requests a second.
+    pub limit: Option<f64>,
 }
 
 /// What an endpoint asks of the instance that it answers.
@@ -121,6 +123,19 @@
     pub until: Duration,
 }
 
+/// A span in which an endpoint named a rate limit in all its answers.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// The life of the endpoint.
+    pub life: String,
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+    /// Requests a second that it takes from all instances together.
+    pub limit: f64,
+}
+
 /// A configuration that was acknowledged or read.
 #[derive(Clone, Debug)]
 pub struct Version {
@@ -187,6 +202,8 @@
     pub evacuations: Vec<Evacuation>,
     /// Endpoints that were cold.
     pub colds: Vec<Cold>,
+    /// Limits that endpoints named.
+    pub limits: Vec<Limit>,
     /// Acknowledged configurations, in order of their acknowledgement.
     pub accepted: Vec<Version>,
     /// Configurations read back.
--- a/crates/rudder-soak/src/schedule.rs
+++ b/crates/rudder-soak/src/schedule.rs
@@ -26,6 +26,9 @@
 /// The shortest soak that has any faults, in seconds.
 const SECONDS_LEAST: u64 = 14;
 
+/// Limits that endpoints name, in requests in a thousand seconds: from none at all to more than come.
+const LIMITS: [u64; 6] = [0, 100, 1_000, 1_200, 4_000, 400_000];
+
 /// The zones that the endpoints stand in by turns.
 pub const ZONES: [&str; 2] = ["a", "b"];
 
@@ -157,6 +160,15 @@
         /// The rest that it asks for.
         rest: u64,
     },
+    /// An endpoint names a rate limit in its answers.
+    Limit {
+        /// Which.
+        endpoint: usize,
+        /// For how long.
+        span: u64,
+        /// Requests in a thousand seconds.
+        milli: u64,
+    },
     /// An endpoint goes cold, says so, and bears few requests.
     Cold {
         /// Which.
@@ -233,6 +245,7 @@
             Fault::Lose { .. } => "lose",
             Fault::Cut { .. } => "cut",
             Fault::Shed { .. } => "shed",
+            Fault::Limit { .. } => "limit",
             Fault::Cold { .. } => "cold",
             Fault::Evacuate { .. } => "evacuate",
             Fault::Deadly { .. } => "deadly",
@@ -266,6 +279,10 @@
         self.rng.random_range(0..self.size.endpoints)
     }
 
+    fn limit(&mut self) -> u64 {
+        LIMITS[self.rng.random_range(0..LIMITS.len())]
+    }
+
     fn times(&mut self) -> u32 {
         self.rng.random_range(2..=10)
     }
@@ -282,7 +299,7 @@
 
     fn fault(&mut self, at: u64) -> Fault {
         let (instance, endpoint, span) = (self.instance(), self.endpoint(), self.span());
-        match self.rng.random_range(0..28) {
+        match self.rng.random_range(0..31) {
             0 | 1 => Fault::Kill { instance, down: span },
             2 => Fault::KillCore { down: span },
             3 => self.wipe(at),
@@ -308,6 +325,7 @@
             21 | 22 => Fault::Evacuate { zone: self.rng.random_range(0..ZONES.len()), span },
             23 => Fault::Cold { endpoint, span: span * 3 },
             24 | 25 => Fault::Shed { endpoint, span, rest: self.span() },
+            26..=28 => Fault::Limit { endpoint, span: span * 4, milli: self.limit() },
             _ => Fault::TakeKey,
         }
     }
@@ -373,6 +391,7 @@
             | Fault::Lose { endpoint, .. }
             | Fault::Cut { endpoint, .. }
             | Fault::Shed { endpoint, .. }
+            | Fault::Limit { endpoint, .. }
             | Fault::Cold { endpoint, .. } => endpoint < endpoints,
             Fault::Evacuate { zone, .. } => zone < ZONES.len(),
             _ => true,
--- a/crates/rudder-soak/tests/check.rs
+++ b/crates/rudder-soak/tests/check.rs
@@ -5,7 +5,7 @@
 use rudder_soak::{
     Bounds, History, Promise, check,
     history::{
-        Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Outcome, OwnEnd, Pushback, Removal, Stop, Version,
+        Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Limit, Outcome, OwnEnd, Pushback, Removal, Stop, Version,
     },
 };
 
@@ -38,6 +38,7 @@
         ran: true,
         deadly: false,
         pushback: None,
+        limit: None,
     }
 }
 
@@ -63,6 +64,15 @@
     history
 }
 
+/// Has the endpoint that serves all calls name a limit for a while.
+fn name_limit(history: &mut History, limit: f64) {
+    let (from, until) = (at(8.0), at(19.0));
+    for arrival in history.arrivals.iter_mut().filter(|arrival| (from..until).contains(&arrival.at)) {
+        arrival.limit = Some(limit);
+    }
+    history.limits.push(Limit { life: "e-1".to_owned(), from, until, limit });
+}
+
 /// Which promises are broken once `spoil` has been done to the history.
 fn broken_by(spoil: fn(&mut History)) -> Vec<Promise> {
     let mut history = kept();
@@ -110,6 +120,13 @@
         history.arrivals.retain(|arrival| arrival.call != late.call);
         history.arrivals.push(Arrival { zone: "b".to_owned(), ..late });
     };
+    more_at_an_endpoint_than_its_limit: Limited, |history| name_limit(history, 1.0);
+    more_at_an_endpoint_than_its_limit_from_two_instances: Limited, |history| {
+        name_limit(history, 1.0);
+        for call in history.calls.iter_mut().skip(1).step_by(2) {
+            call.instance = 1;
+        }
+    };
     more_at_a_cold_endpoint_than_it_bears: SlowStart, |history| {
         for number in 0..9 {
             let call = call(&format!("more-{number}"), Kind::Again, 4.4, GOOD);
@@ -166,9 +183,24 @@
     assert_eq!(broken_by(spoil), Vec::new());
 }
 
+/// Four calls a second come, which a limit of four allows, as one of one does for an instance that has just started again.
+#[test]
+fn what_a_limit_allows_breaks_nothing() {
+    assert_eq!(broken_by(|history| name_limit(history, 4.0)), Vec::new());
+    let spoil = |history: &mut History| {
+        name_limit(history, 1.0);
+        for second in 0..6 {
+            let from = at(9.0 + 2.0 * f64::from(second));
+            history.absences.push(Absence { instance: 0, from, until: from + at(0.1) });
+        }
+    };
+    assert_eq!(broken_by(spoil), Vec::new());
+}
+
 #[test]
 fn all_promises_kept_are_all_tested() {
     let mut history = kept();
+    name_limit(&mut history, 4.0);
     for number in 0..4 {
         let arrival = arrival(&format!("deadly-{number}"), &format!("d-{number}"), f64::from(number));
         history.arrivals.push(Arrival { deadly: true, ..arrival });
@@ -180,5 +212,5 @@
     last.expect("it is there").pushback = Some(Pushback::Backoff(at(1.0)));
     let verdict = check(&history, &Bounds::default());
     assert_eq!(verdict.broken, Vec::new());
-    assert_eq!(verdict.tested.len(), 14, "{:?}", verdict.tested);
+    assert_eq!(verdict.tested.len(), 15, "{:?}", verdict.tested);
 }
