--- a/crates/rudder-core/src/limits.rs
+++ b/crates/rudder-core/src/limits.rs
@@ -104,11 +104,6 @@
         self.edition += u64::from(!says_same);
     }
 
-    /// The latest word of one endpoint.
-    pub fn report(&self, now: Duration, endpoint: EndpointTag) -> Option<LimitReport> {
-        self.known.get(&endpoint).map(|known| known.to_report(endpoint, now))
-    }
-
     /// All that is known.
     pub fn reports(&self, now: Duration) -> impl Iterator<Item = LimitReport> {
         self.known.iter().map(move |(endpoint, known)| known.to_report(*endpoint, now))
--- a/crates/rudder-core/src/permits.rs
+++ b/crates/rudder-core/src/permits.rs
@@ -23,7 +23,7 @@
 /// What an endpoint was granted is forgotten when nobody has asked for it for this long.
 const KEEP: Duration = Duration::from_secs(60);
 
-/// A wish to send to an endpoint that has a rate limit.
+/// Asks the holder whether requests may be sent to an endpoint that has a rate limit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitRequest {
     /// What the asker knows of the limit.
@@ -32,7 +32,7 @@
     pub hall: HallId,
     /// How urgent the request is; 0 is the most urgent.
     pub tier: Tier,
-    /// Requests that the asker sends to the endpoint in the time for which permits hold.
+    /// Requests that the asker sent to the endpoint of late, and one at least: about what it will send while permits hold.
     pub wanted: u32,
 }
 
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -147,6 +147,23 @@
     InstanceId::from(format!("10.0.0.{number}:7000"))
 }
 
+/// A ready endpoint of the service `model` with eight slots, alone at its address.
+pub fn registration(endpoint: &str, hall: &str) -> Registration {
+    Registration {
+        endpoint: endpoint.into(),
+        born: None,
+        service: "model".into(),
+        address: endpoint.into(),
+        hall: hall.into(),
+        slots: 8,
+        cheap: false,
+        warming: false,
+        standby: false,
+        phase: Phase::Ready,
+        sequence: 1,
+    }
+}
+
 /// The question of an instance that holds nothing yet.
 pub fn question(asker: &str, round: u64, start: u64) -> Watch {
     let listing = Listing {
@@ -406,37 +423,16 @@
         phase: Phase,
         sequence: u64,
     ) {
-        let registration = Registration {
-            endpoint: endpoint.into(),
-            born: None,
-            service: "model".into(),
-            address: address.into(),
-            hall: "hall-0".into(),
-            slots: 8,
-            cheap: false,
-            warming: false,
-            standby: false,
-            phase,
-            sequence,
-        };
+        let registration =
+            Registration { phase, sequence, address: address.into(), ..registration(endpoint, "hall-0") };
         self.tell(number, Event::Register { ticket, registration });
     }
 
     /// A heartbeat of the life of endpoint "e-1" that began at `born`, at an address of its own, at an instance.
     pub fn life_beat(&mut self, number: usize, born: u64, phase: Phase, sequence: u64) {
-        let registration = Registration {
-            endpoint: id::life_id("e-1", Some(born)),
-            born: Some(born),
-            service: "model".into(),
-            address: format!("at-{born}").into(),
-            hall: "hall-0".into(),
-            slots: 8,
-            cheap: false,
-            warming: false,
-            standby: false,
-            phase,
-            sequence,
-        };
+        let life = id::life_id("e-1", Some(born));
+        let address = format!("at-{born}").into();
+        let registration = Registration { born: Some(born), address, phase, sequence, ..registration(&life, "hall-0") };
         self.tell(number, Event::Register { ticket: 900 + sequence, registration });
     }
 
--- a/crates/rudder-core/tests/subset.rs
+++ b/crates/rudder-core/tests/subset.rs
@@ -18,19 +18,9 @@
 const ENDPOINTS: usize = 700;
 
 fn endpoint(number: usize, phase: Phase, sequence: u64) -> Registration {
-    Registration {
-        endpoint: format!("e-{number}").into(),
-        born: None,
-        service: "model".into(),
-        address: format!("10.0.0.{number}:80").into(),
-        hall: format!("hall-{}", number % HALLS).as_str().into(),
-        slots: 8,
-        cheap: false,
-        warming: false,
-        standby: false,
-        phase,
-        sequence,
-    }
+    let hall = format!("hall-{}", number % HALLS);
+    let address = format!("10.0.0.{number}:80").into();
+    Registration { address, phase, sequence, ..mesh::registration(&format!("e-{number}"), &hall) }
 }
 
 fn beat(mesh: &mut Mesh, number: usize, phase: Phase, sequence: u64) {
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -81,7 +81,7 @@
     outcome: &'static str,
 }
 
-/// What became of a wish to send to an endpoint that has a rate limit.
+/// What the holder of an endpoint's rate limit answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PermitOutcome {
     /// It may be sent.
