feat(gateway): log the rank, memory and pauses of requests, and each decision on a retry

The incident's hypotheses could not be told apart by the logs: call_sent had neither the priority that goes with a request nor the memory that the engine is taken to hold, a broken stream told no pause, and nothing told what the retry budget decided from which figures. call_sent, call_cut and the new retry_asked tell these now; denied_retries_total counts. No decision changes.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -250,6 +250,12 @@
         ahead: u32,
         /// Prompt tokens that it is expected to add.
         unread: u32,
+        /// KV cache tokens that the requests known to be there may need, its own not counted.
+        #[serde(default)]
+        held: u32,
+        /// Its priority at the engine, 0 being the highest, if an engine serves it.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        rank: Option<u8>,
         /// Age of the others' part of that count, in milliseconds.
         others_ms: u64,
         /// The connection had carried requests before.
@@ -266,6 +272,23 @@
         #[serde(default, skip_serializing_if = "Option::is_none")]
         limit: Option<f64>,
     },
+    /// A retry was asked of the retry budget of a service.
+    RetryAsked {
+        /// The request.
+        request: String,
+        /// The service.
+        service: Arc<str>,
+        /// Whether the budget granted it.
+        granted: bool,
+        /// Retries of this instance within the window, this one included if it was granted.
+        retries: u32,
+        /// Retries that the budget allows this instance within the window.
+        allowed: f64,
+        /// Requests of this instance within the window.
+        requests: u32,
+        /// Number of instances that share the fixed part of the budget.
+        instances: u32,
+    },
     /// A request would come late at the best endpoint there is, so it is refused.
     CallHopeless {
         /// The request.
@@ -330,6 +353,10 @@
         why: String,
         /// Events that the caller has.
         events: u64,
+        /// The longest pause so far, the one that it broke off in included, in milliseconds. A stream that its engine
+        /// preempts pauses until it runs again.
+        #[serde(default)]
+        pause_ms: u64,
     },
     /// The machine was suspended.
     Woke {
@@ -492,6 +519,7 @@
             | What::CallSent { request, .. }
             | What::CallFailed { request, .. }
             | What::CallHopeless { request, .. }
+            | What::RetryAsked { request, .. }
             | What::CallAnswered { request, .. }
             | What::CallRefused { request, .. }
             | What::CallCut { request, .. }
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -78,28 +78,12 @@
                  {left_ms} ms allowed"
             )
         }
-        What::CallSent {
-            endpoint,
-            attempt,
-            calls,
-            ahead,
-            unread,
-            others_ms,
-            reused,
-            left_ms,
-            fetch_from,
-            keeper,
-            limit,
-            ..
-        } => {
-            let connection = if *reused { "a kept" } else { "a new" };
-            let fetched = fetch_from.as_ref().map_or(String::new(), |from| format!(", its session taken from {from}"));
-            let kept = keeper.as_ref().map_or(String::new(), |keeper| format!(", a copy kept by {keeper}"));
-            let limited = limit.map_or(String::new(), |rate| format!(", within its limit of {rate} requests a second"));
+        What::CallSent { .. } => to_sent_sentence(what),
+        What::RetryAsked { service, granted, retries, allowed, requests, instances, .. } => {
+            let outcome = if *granted { "granted" } else { "denied" };
             format!(
-                "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
-                 {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left\
-                 {fetched}{kept}{limited}"
+                "a retry at {service} was {outcome}: {retries} of {allowed:.1} allowed for {requests} requests, \
+                 with {instances} instances"
             )
         }
         What::CallHopeless { endpoint, ahead, wait_ms, target_ms, .. } => format!(
@@ -117,8 +101,8 @@
             let back = retry_ms.map_or(String::new(), |retry| format!(", come back in {retry} ms"));
             format!("the instance itself answered {status}: {why}; ran: {ran:?}{back}")
         }
-        What::CallCut { endpoint, why, events, .. } => {
-            format!("broken off at {endpoint} after {events} events: {why}")
+        What::CallCut { endpoint, why, events, pause_ms, .. } => {
+            format!("broken off at {endpoint} after {events} events, longest pause {pause_ms} ms: {why}")
         }
         What::EndedUnder { endpoint, content, .. } => format!("{endpoint} ended while it ran content {content}"),
         What::Woke { after } => format!("woke: its machine had been suspended for {after:?}"),
@@ -148,6 +132,39 @@
     }
 }
 
+/// The sentence of [`What::CallSent`]; empty for other events.
+fn to_sent_sentence(what: &What) -> String {
+    let What::CallSent {
+        endpoint,
+        attempt,
+        calls,
+        ahead,
+        unread,
+        held,
+        rank,
+        others_ms,
+        reused,
+        left_ms,
+        fetch_from,
+        keeper,
+        limit,
+        ..
+    } = what
+    else {
+        return String::new();
+    };
+    let connection = if *reused { "a kept" } else { "a new" };
+    let fetched = fetch_from.as_ref().map_or(String::new(), |from| format!(", its session taken from {from}"));
+    let kept = keeper.as_ref().map_or(String::new(), |keeper| format!(", a copy kept by {keeper}"));
+    let ranked = rank.map_or(String::new(), |rank| format!(", rank {rank} there, {held} tokens of memory in use"));
+    let limited = limit.map_or(String::new(), |rate| format!(", within its limit of {rate} requests a second"));
+    format!(
+        "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
+         {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left\
+         {ranked}{fetched}{kept}{limited}"
+    )
+}
+
 /// Sentences on an instance as a whole: what it knows of the others, and of the configuration.
 fn to_instance_sentence(what: &What) -> String {
     match what {
--- a/crates/rudder-gateway/src/budget.rs
+++ b/crates/rudder-gateway/src/budget.rs
@@ -17,6 +17,19 @@
     retries: VecDeque<Moment>,
 }
 
+/// The answer to a request for a retry, and the state of the service's budget after it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryDecision {
+    /// Whether the retry is granted.
+    pub granted: bool,
+    /// Retries within the window, this one included if it is granted.
+    pub retries: u32,
+    /// Retries allowed within the window.
+    pub allowed: f64,
+    /// Requests within the window.
+    pub requests: u32,
+}
+
 /// Requests and retries of each service within a sliding window.
 #[derive(Debug)]
 pub struct Budget {
@@ -38,15 +51,15 @@
     }
 
     /// Takes one retry from the budget if any is left. The extra retries are shared by `instances`.
-    pub fn try_take(&mut self, service: &Arc<str>, now: Moment, instances: usize) -> bool {
+    pub fn try_take(&mut self, service: &Arc<str>, now: Moment, instances: usize) -> RetryDecision {
         let (ratio, extra) = (self.ratio, f64::from(self.extra) / instances.max(1) as f64);
         let window = self.window(service, now);
         let allowed = (window.requests.len() as f64 * ratio + extra) * SAFETY_FACTOR;
-        if window.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        let granted = window.retries.len() as f64 + 1.0 <= allowed;
+        if granted {
+            window.retries.push_back(now);
         }
-        window.retries.push_back(now);
-        true
+        RetryDecision { granted, retries: window.retries.len() as u32, allowed, requests: window.requests.len() as u32 }
     }
 
     fn window(&mut self, service: &Arc<str>, now: Moment) -> &mut Window {
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -308,6 +308,8 @@
         calls: choice.calls,
         ahead: choice.ahead,
         unread: choice.unread,
+        held: choice.held,
+        rank: call.prompt.as_ref().map(|_| call.engine_rank),
         others_ms: others.as_millis() as u64,
         reused,
         left_ms: left.as_millis() as u64,
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -1,6 +1,6 @@
 //! Whether a request may be sent for the first time, and whether it may be retried.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use rudder_clock::Moment;
 use rudder_events::What;
@@ -27,8 +27,26 @@
         return false;
     }
     let Some(service) = progress.service.clone() else { return true };
+    take_from_budget(shared, call, &service)
+}
+
+/// Takes a retry from the budget of a service if any is left.
+pub(super) fn take_from_budget<D: Dialect>(shared: &Shared<D>, call: &Call, service: &Arc<str>) -> bool {
     let instances = shared.view.borrow().senders().count();
-    shared.budget.borrow_mut().try_take(&service, now, instances)
+    let decision = shared.budget.borrow_mut().try_take(service, Moment::now(), instances);
+    if !decision.granted {
+        shared.metrics.record_denied_retry();
+    }
+    shared.log.write(What::RetryAsked {
+        request: call.id.clone(),
+        service: service.clone(),
+        granted: decision.granted,
+        retries: decision.retries,
+        allowed: decision.allowed,
+        requests: decision.requests,
+        instances: instances as u32,
+    });
+    decision.granted
 }
 
 /// Takes a retry for an attempt whose endpoint is silent. The retry is limited to endpoints without a rate limit: a
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -2,13 +2,12 @@
 
 use std::rc::Rc;
 
-use rudder_clock::Moment;
 use rudder_model::Ran;
 
 use super::{
     Call, EndpointAnswer, Progress, ResumePoint,
     attempt::{connect, log_failure, record_outcome, send_over},
-    checks::check_still_allowed,
+    checks::{check_still_allowed, take_from_budget},
     rate_limit::take_permit,
     termination::is_content_suspect,
 };
@@ -37,8 +36,7 @@
         log_failure(shared, call, progress, &before, "the engine that keeps its copy is full", Ran::Unknown);
         return None;
     }
-    let instances = shared.view.borrow().senders().count();
-    if !shared.budget.borrow_mut().try_take(&before.service, Moment::now(), instances) {
+    if !take_from_budget(shared, call, &before.service) {
         return None;
     }
     let choice = Choice {
@@ -47,6 +45,7 @@
         address: backup.address.clone(),
         calls: work.calls,
         ahead: work.unread,
+        held: work.held,
         unread: 0,
         backup: None,
         fetch_from: None,
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -114,6 +114,8 @@
     pub calls: u32,
     /// Prompt tokens known to await prefill there.
     pub ahead: u32,
+    /// KV cache tokens that the requests in flight there may need.
+    pub held: u32,
     /// Prompt tokens of this request that are not cached there.
     pub unread: u32,
     /// The engine that is to keep a copy of the request's KV cache.
@@ -168,6 +170,7 @@
         service: chosen.service.clone(),
         calls: work.calls,
         ahead: work.unread,
+        held: work.held,
         unread,
         backup: None,
         fetch_from: None,
--- a/crates/rudder-gateway/src/logging.rs
+++ b/crates/rudder-gateway/src/logging.rs
@@ -42,7 +42,14 @@
 
 /// Returns true for lines that are dropped first.
 pub fn is_routine(what: &What) -> bool {
-    matches!(what, What::CallTaken { .. } | What::CallSent { .. } | What::CallAnswered { .. } | What::Left { .. })
+    matches!(
+        what,
+        What::CallTaken { .. }
+            | What::CallSent { .. }
+            | What::CallAnswered { .. }
+            | What::RetryAsked { .. }
+            | What::Left { .. }
+    )
 }
 
 impl Log {
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -168,6 +168,7 @@
     refusals: Family<ReasonLabel, Counter>,
     attempts: Counter,
     retries: Counter,
+    denied_retries: Counter,
     resumes: Counter,
     ejections: Counter,
     backoffs: Counter,
@@ -221,6 +222,7 @@
             refusals: Family::default(),
             attempts: Counter::default(),
             retries: Counter::default(),
+            denied_retries: Counter::default(),
             resumes: Counter::default(),
             ejections: Counter::default(),
             backoffs: Counter::default(),
@@ -257,6 +259,7 @@
         registry.register("refusals", "Final answers of the instance itself, by reason", self.refusals.clone());
         registry.register("attempts", "Requests sent to endpoints", self.attempts.clone());
         registry.register("retries", "Requests sent to endpoints again", self.retries.clone());
+        registry.register("denied_retries", "Retries that the retry budget denied", self.denied_retries.clone());
         registry.register("resumes", "Streams taken up at another endpoint", self.resumes.clone());
         registry.register("ejections", "Endpoints left out for a while", self.ejections.clone());
         registry.register(
@@ -354,6 +357,11 @@
         }
     }
 
+    /// Counts a retry that the retry budget denied.
+    pub fn record_denied_retry(&self) {
+        self.denied_retries.inc();
+    }
+
     /// Counts a stream resumed at another endpoint.
     pub fn record_resume(&self) {
         self.resumes.inc();
@@ -505,4 +513,10 @@
         self.longest = self.longest.max(pause);
         Some(pause)
     }
+
+    /// The longest pause, including the one that lasts at `now`.
+    pub fn longest_at(&self, now: Moment) -> Duration {
+        let current = self.before.map_or(Duration::ZERO, |before| now.saturating_duration_since(before));
+        self.longest.max(current)
+    }
 }
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -335,6 +335,7 @@
             endpoint: endpoint.clone(),
             why: why.to_owned(),
             events: self.events.count,
+            pause_ms: self.pauses.longest_at(Moment::now()).as_millis() as u64,
         });
     }
 }
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -57,6 +57,8 @@
         calls: 0,
         ahead: 0,
         unread: 0,
+        held: 0,
+        rank: None,
         others_ms: 0,
         reused: false,
         left_ms: 10,
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -74,11 +74,11 @@
     for _ in 0..100 {
         budget.note_request(&service, now);
     }
-    let taken = (0..100).filter(|_| budget.try_take(&service, now, 10)).count();
+    let taken = (0..100).filter(|_| budget.try_take(&service, now, 10).granted).count();
     // (100 x 0.2 + 50 / 10) x 0.7
     assert_eq!(taken, 17);
     let later = now + Duration::from_secs(11);
-    let taken = (0..100).filter(|_| budget.try_take(&service, later, 10)).count();
+    let taken = (0..100).filter(|_| budget.try_take(&service, later, 10).granted).count();
     assert_eq!(taken, 3);
 }
 
