--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -82,6 +82,16 @@
     assert_eq!(taken, 3);
 }
 
+/// All instances that restart within a window would otherwise grant the fixed allowance once more.
+#[test]
+fn a_restart_does_not_renew_the_share_of_the_allowance() {
+    let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50);
+    let (service, now): (Arc<str>, _) = ("svc".into(), Moment::now());
+    let taken = |budget: &mut Budget, at| (0..100).filter(|_| budget.try_take(&service, at, 10).granted).count();
+    assert_eq!(taken(&mut budget, now + Duration::from_secs(9)), 0, "an earlier life may have used it");
+    assert_eq!(taken(&mut budget, now + Duration::from_secs(11)), 3);
+}
+
 #[test]
 fn a_failing_endpoint_is_ejected_for_longer_each_time_and_returns() {
     let (mut health, now) = (Health::default(), Moment::now());
@@ -279,6 +289,34 @@
     assert_eq!(order, [0, 1, 2, 3, 5]);
 }
 
+/// An engine that is out of memory must not preempt an urgent stream while a long prompt of a higher organisation runs on.
+#[test]
+fn requests_are_ranked_by_route_and_then_by_organisation() {
+    let plan = plan();
+    let (recap, grade) = (route("recap", 1000, 2), route("grade", 250, 0));
+    assert!(plan.engine_rank(&grade, 1) < plan.engine_rank(&recap, 0));
+    assert!(plan.engine_rank(&grade, 0) < plan.engine_rank(&grade, 1));
+    assert!(plan.engine_rank(&recap, 0) < plan.engine_rank(&recap, 1));
+}
+
+/// Urgent streams must not wait behind less urgent requests at engines that are sent more than they have slots for.
+#[test]
+fn less_urgent_requests_are_refused_before_engines_are_full() {
+    let mut scene = Scene::new();
+    let fill = |scene: &mut Scene, calls: u32| {
+        let loads: Vec<Load> = scene.engines.iter().map(|engine| load(&engine.endpoint, calls, 0)).collect();
+        scene.known.loads.set_others(&loads);
+    };
+    let is_sent =
+        |scene: &Scene| ["/grade/", "/answer/", "/recap/"].map(|path| scene.choice(path, &prompt(5), &[]).is_some());
+    fill(&mut scene, 30);
+    assert_eq!(is_sent(&scene), [true, true, true]);
+    fill(&mut scene, 62);
+    assert_eq!(is_sent(&scene), [true, false, false]);
+    fill(&mut scene, 80);
+    assert_eq!(is_sent(&scene), [false, false, false], "it would wait for a slot behind 16 others");
+}
+
 macro_rules! quick_bounds {
     ($($(#[$meta:meta])* $name:ident: [$($pause:literal),+] of $tokens:literal tokens => $expected:expr;)*) => {
         $($(#[$meta])* #[test] fn $name() {
