fix(gateway): engines rank requests by route, and within a route by organisation

Cause: the rank that goes to an engine put the organisation's priority before the route's, so one long prompt of a higher organisation outlasted every urgent stream of the others. Evidence: at the engine with 163 preempted all were of rank 3 (urgent route, lower organisation) and the only less urgent route there had rank 1. Ruled out: old counts (the engine's requests were known), resumed copies (none there). Change: route first, organisation within a route. Ranks are dense, so organisations with large numbers no longer push all routes into the last one; the sets of tiers are kept with the plan instead of being read over all routes for each request.

--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -82,7 +82,7 @@
     check_quarantine(shared, content, &Progress::default())?;
     let mut headers = parts.headers;
     strip_hop_headers(&mut headers);
-    let engine_rank = plan.engine_rank(&route, tier);
+    let engine_rank = plan.engine_rank(&route, tier, D::RANKS);
     Ok(Call {
         id: head.id,
         arrived,
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -210,6 +210,9 @@
 
 /// Converts between heads and bodies of messages and their typed forms.
 pub trait Dialect: Clone + 'static {
+    /// Number of priorities that endpoints tell apart.
+    const RANKS: u8;
+
     /// Parses and validates a configuration document.
     ///
     /// # Errors
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -1,6 +1,10 @@
 //! The parsed configuration document: routes, services, organisations and limits.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 use rudder_route::scale::Bounds;
 
@@ -158,6 +162,10 @@
     /// Organisations; `None` if the document defines none, and requests need no key.
     pub organisations: Option<Vec<Organisation>>,
     routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    /// The tiers of routes.
+    route_tiers: BTreeSet<u8>,
+    /// The tiers of routes and organisations.
+    tiers: BTreeSet<u8>,
     /// The lowest priority among the routes of each service.
     lowest: HashMap<Arc<str>, u8>,
     /// Range of the pause targets of each service.
@@ -240,6 +248,8 @@
         if routes.iter().any(|other| other.prefix == route.prefix) {
             return Err(Fault::SamePlace { host: route.host.to_string(), prefix: route.prefix.to_string() });
         }
+        self.route_tiers.insert(route.tier);
+        self.tiers.insert(route.tier);
         for share in &route.shares {
             let lowest = self.lowest.entry(share.service.clone()).or_default();
             *lowest = route.tier.max(*lowest);
@@ -266,6 +276,7 @@
         let organisations = self.organisations.get_or_insert_default();
         let index = organisations.len();
         let name = organisation.name.to_string();
+        self.tiers.extend(organisation.tier);
         organisations.push(organisation);
         for key in keys {
             let other = self.keys.insert(key, index).filter(|other| *other != index);
@@ -296,11 +307,16 @@
         self.pauses.get(service).copied()
     }
 
-    /// Priority of a request at an engine: ordered by `tier`, which is the organisation's if it has one, and then by the
-    /// tier of the route.
-    pub fn engine_rank(&self, route: &Route, tier: u8) -> u8 {
-        let tiers = self.routes().map(|route| route.tier).max().unwrap_or_default().saturating_add(1);
-        tier.saturating_mul(tiers).saturating_add(route.tier)
+    /// Priority of a request at an engine that tells `ranks` priorities apart: ordered by the tier of its route, and
+    /// within a route by `tier`, which is the organisation's if it has one. The lowest organisations share a rank if
+    /// there are too few.
+    pub fn engine_rank(&self, route: &Route, tier: u8, ranks: u8) -> u8 {
+        // An engine that is out of memory preempts by this order. Organisations come second, so that a long prompt of
+        // a favoured one does not outlast urgent streams of the others.
+        let per_route = (usize::from(ranks) / self.route_tiers.len().max(1)).max(1);
+        let within = self.tiers.range(..tier).count().min(per_route - 1);
+        let rank = self.route_tiers.range(..route.tier).count() * per_route + within;
+        u8::try_from(rank).unwrap_or(u8::MAX).min(ranks.saturating_sub(1))
     }
 
     /// Whether no other route of the service has a lower priority.
