fix(gateway): shares of the retry allowance no longer add up to more than the whole

Cause: each instance keeps its own window and takes a share of the fixed allowance from it; one that starts again has an empty window and takes its share once more. Evidence: retry_asked shows 45 to 55 granted after each of four restarts, which is the whole allowance each time, shared by nine throughout. Found by reading, the same class: the share of instances that vanish went to the others at once, though it may have been used already, or still be used behind a partition. Ruled out: retries that arrive later than they are counted (0 to 54 ms of 304 retries). Change: no share within the first window after a start, and shares by the largest number of instances of the last ten minutes. Why it holds: a share used before a restart has left the window when the next one is taken. Weighed against: retries counted by one holder, as rate limits are (a round trip before each retry, and none while the holder is away); counts told with the loads (a restart must still wait to hear of itself); no fixed allowance at all (loses what quiet services have). Two tests failed before; the one of the ratio now counts from the second window, as the share does.

--- a/crates/rudder-gateway/src/budget.rs
+++ b/crates/rudder-gateway/src/budget.rs
@@ -1,5 +1,10 @@
 //! The retry budget: retries are limited to a ratio of the requests, plus this instance's share of a fixed allowance for
 //! all instances.
+//!
+//! Nobody counts the retries of all instances, so the shares in force within a window must not add up to more than the
+//! allowance. An instance that has just started takes no share, as its former process may have used it. The share of
+//! instances that vanished is not passed on to the others for a while: they may have used it, or be cut off and use it
+//! still.
 
 use rudder_clock::Moment;
 use std::{
@@ -10,6 +15,8 @@
 
 /// Share of the budget that is used, as the windows of the instances are not aligned.
 const SAFETY_FACTOR: f64 = 0.7;
+/// How long an instance that vanished keeps its share: longer than most partitions last.
+const SHARE_LIFETIME: Duration = Duration::from_secs(600);
 
 #[derive(Debug, Default)]
 struct Window {
@@ -36,13 +43,36 @@
     window: Duration,
     ratio: f64,
     extra: u32,
+    started: Moment,
+    /// Numbers of instances and until when each held, in descending order of the numbers. The last one is the current.
+    instances: VecDeque<(usize, Moment)>,
     services: HashMap<Arc<str>, Window>,
 }
 
 impl Budget {
-    /// A budget of `ratio` retries per request, and `extra` retries for all instances together, in any `window`.
-    pub fn new(window: Duration, ratio: f64, extra: u32) -> Budget {
-        Budget { window, ratio, extra, services: HashMap::new() }
+    /// A budget of `ratio` retries per request, and `extra` retries for all instances together, in any `window`, of an
+    /// instance that started at `started`.
+    pub fn new(window: Duration, ratio: f64, extra: u32, started: Moment) -> Budget {
+        Budget { window, ratio, extra, started, instances: VecDeque::new(), services: HashMap::new() }
+    }
+
+    /// Records the number of live instances that send requests, this one included.
+    pub fn record_instances(&mut self, count: usize, now: Moment) {
+        if let Some((_, until)) = self.instances.back_mut() {
+            *until = now;
+        }
+        while self.instances.back().is_some_and(|(other, _)| *other <= count) {
+            self.instances.pop_back();
+        }
+        self.instances.push_back((count, now));
+    }
+
+    /// The largest number of instances that may hold a share; 0 if none is known yet.
+    pub fn instances(&mut self, now: Moment) -> usize {
+        while self.instances.len() > 1 && self.instances[0].1 + SHARE_LIFETIME < now {
+            self.instances.pop_front();
+        }
+        self.instances.front().map_or(0, |(count, _)| *count)
     }
 
     /// Counts a request for `service`.
@@ -50,9 +80,9 @@
         self.window(service, now).requests.push_back(now);
     }
 
-    /// Takes one retry from the budget if any is left. The extra retries are shared by `instances`.
-    pub fn try_take(&mut self, service: &Arc<str>, now: Moment, instances: usize) -> RetryDecision {
-        let (ratio, extra) = (self.ratio, f64::from(self.extra) / instances.max(1) as f64);
+    /// Takes one retry from the budget if any is left.
+    pub fn try_take(&mut self, service: &Arc<str>, now: Moment) -> RetryDecision {
+        let (ratio, extra) = (self.ratio, self.share(now));
         let window = self.window(service, now);
         let allowed = (window.requests.len() as f64 * ratio + extra) * SAFETY_FACTOR;
         let granted = window.retries.len() as f64 + 1.0 <= allowed;
@@ -62,6 +92,15 @@
         RetryDecision { granted, retries: window.retries.len() as u32, allowed, requests: window.requests.len() as u32 }
     }
 
+    /// This instance's share of the extra retries.
+    fn share(&mut self, now: Moment) -> f64 {
+        let instances = self.instances(now);
+        if instances == 0 || now < self.started + self.window {
+            return 0.0;
+        }
+        f64::from(self.extra) / instances as f64
+    }
+
     fn window(&mut self, service: &Arc<str>, now: Moment) -> &mut Window {
         let span = self.window;
         let window = self.services.entry(service.clone()).or_default();
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -32,8 +32,11 @@
 
 /// Takes a retry from the budget of a service if any is left.
 pub(super) fn take_from_budget<D: Dialect>(shared: &Shared<D>, call: &Call, service: &Arc<str>) -> bool {
-    let instances = shared.view.borrow().senders().count();
-    let decision = shared.budget.borrow_mut().try_take(service, Moment::now(), instances);
+    let now = Moment::now();
+    let mut budget = shared.budget.borrow_mut();
+    let decision = budget.try_take(service, now);
+    let instances = budget.instances(now);
+    drop(budget);
     if !decision.granted {
         shared.metrics.record_denied_retry();
     }
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -189,7 +189,7 @@
         log: Log,
         status: Arc<ControlStatus>,
     ) -> Shared<D> {
-        let budget = Budget::new(options.retry_window, options.retry_ratio, options.retry_extra);
+        let budget = Budget::new(options.retry_window, options.retry_ratio, options.retry_extra, Moment::now());
         Shared {
             dialect,
             name: options.name(),
@@ -307,6 +307,7 @@
         self.apply_document(published.document.as_ref());
         self.apply_quarantine(&published.quarantine);
         self.apply_evacuations(&published.evacuations);
+        self.budget.borrow_mut().record_instances(published.senders().count(), Moment::now());
         self.slow_start.borrow_mut().set_senders(published.senders().collect(), Moment::now());
         let roster = Rc::new(Roster::new(published.endpoints.iter().cloned()));
         self.loads.borrow_mut().retain(|endpoint| roster.knows(endpoint));
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -67,29 +67,59 @@
     Load { calls, unread, ..Load::none(id::endpoint_tag(endpoint)) }
 }
 
+/// A budget of ten seconds' window, and how many of a hundred retries it grants at some second after its start.
+struct Retries {
+    budget: Budget,
+    started: Moment,
+}
+
+impl Retries {
+    fn new(instances: usize) -> Retries {
+        let started = Moment::now();
+        let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50, started);
+        budget.record_instances(instances, started);
+        Retries { budget, started }
+    }
+
+    fn at(&self, second: u64) -> Moment {
+        self.started + Duration::from_secs(second)
+    }
+
+    fn granted_at(&mut self, second: u64) -> usize {
+        let at = self.at(second);
+        (0..100).filter(|_| self.budget.try_take(&"svc".into(), at).granted).count()
+    }
+}
+
 #[test]
 fn retries_are_limited_to_a_ratio_of_the_requests_and_a_share_of_the_extra() {
-    let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50);
-    let (service, now): (Arc<str>, _) = ("svc".into(), Moment::now());
+    let mut retries = Retries::new(10);
     for _ in 0..100 {
-        budget.note_request(&service, now);
+        retries.budget.note_request(&"svc".into(), retries.at(11));
     }
-    let taken = (0..100).filter(|_| budget.try_take(&service, now, 10).granted).count();
     // (100 x 0.2 + 50 / 10) x 0.7
-    assert_eq!(taken, 17);
-    let later = now + Duration::from_secs(11);
-    let taken = (0..100).filter(|_| budget.try_take(&service, later, 10).granted).count();
-    assert_eq!(taken, 3);
+    assert_eq!(retries.granted_at(11), 17);
+    assert_eq!(retries.granted_at(22), 3);
 }
 
 /// All instances that restart within a window would otherwise grant the fixed allowance once more.
 #[test]
 fn a_restart_does_not_renew_the_share_of_the_allowance() {
-    let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50);
-    let (service, now): (Arc<str>, _) = ("svc".into(), Moment::now());
-    let taken = |budget: &mut Budget, at| (0..100).filter(|_| budget.try_take(&service, at, 10).granted).count();
-    assert_eq!(taken(&mut budget, now + Duration::from_secs(9)), 0, "an earlier life may have used it");
-    assert_eq!(taken(&mut budget, now + Duration::from_secs(11)), 3);
+    let mut retries = Retries::new(10);
+    assert_eq!(retries.granted_at(9), 0, "its former process may have used it");
+    assert_eq!(retries.granted_at(11), 3);
+}
+
+/// Both sides of a partition would otherwise share the whole allowance among themselves.
+#[test]
+fn the_share_does_not_grow_at_once_when_instances_vanish() {
+    let mut retries = Retries::new(10);
+    retries.budget.record_instances(5, retries.at(3600));
+    assert_eq!(retries.granted_at(3601), 3);
+    assert_eq!(retries.granted_at(4100), 3);
+    assert_eq!(retries.granted_at(4300), 7, "by then they have ended");
+    retries.budget.record_instances(20, retries.at(4400));
+    assert_eq!(retries.granted_at(4401), 1);
 }
 
 #[test]
