fix(gateway): engines are sent no more than they have room for, by priority

Cause: only the lowest priority of a service was ever refused. All others were sent whatever an engine held; 99 in 100 found 100 requests or more at an engine with 64 slots, where what waits too long is left by its caller, and what comes when the queue is full is rejected, whatever its priority. Ruled out: crowds at idle engines by old counts (none was idle). Change: a request is sent to an engine while fewer requests are in flight there than the slots, four fifths of them for the second priority, and so on; the highest of several may use 1.15 of them, as lower ones that wait hold no slot. A lane without room lends its requests to the other only if they are quick. Streams are refused for the expected wait at each priority but the highest; lower prompts that may be queued do not count, as engines read higher ones first. A refusal for lack of room bears the route's target as Retry-After, so urgent callers return first.

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -16,11 +16,12 @@
     checks::{check_expected_wait, check_still_allowed, expected_wait, take_retry_for_silent},
     rate_limit::take_permit,
     record_begun, record_if_terminated,
+    refusal::not_run,
     send::MAX_BUFFERED_ANSWER,
 };
 use crate::{
     Dialect,
-    choose::{self, Choice, Eligibility, Inputs},
+    choose::{self, Choice, Eligibility, Inputs, Unavailable},
     dialect::{LimitNotice, Pushback},
     health::Outcome,
     limits::{Permit, Recorded},
@@ -33,6 +34,9 @@
 /// is refused. Connections to terminated endpoints fail at once, so the bound is high enough to get past a failed rack.
 pub(super) const MAX_UNSENT_ATTEMPTS: u32 = 12;
 
+/// The reason of a refusal if no engine may be sent one more request of its priority.
+const NO_ROOM: &str = "its engines have no room for its priority";
+
 /// Records that an endpoint did not run the request.
 pub(super) async fn record_not_run<D: Dialect>(
     shared: &Shared<D>,
@@ -116,9 +120,16 @@
     progress: &mut Progress,
     resume: ResumePoint,
 ) -> Result<Result<EndpointAnswer, Failure>, Refusal> {
-    let Some(choice) = choose_endpoint(shared, call, progress) else {
-        progress.unsent_attempts = MAX_UNSENT_ATTEMPTS;
-        return Ok(Err(Failure::NotSent(unavailable_reason(shared, call))));
+    let choice = match choose_endpoint(shared, call, progress) {
+        Ok(choice) => choice,
+        Err(Unavailable::Full) if progress.sent == 0 => {
+            return Err(no_room(call));
+        }
+        Err(unavailable) => {
+            progress.unsent_attempts = MAX_UNSENT_ATTEMPTS;
+            let blocked = shared.blocked_for(&call.route).is_some();
+            return Ok(Err(Failure::NotSent(unavailable_reason(call, unavailable, blocked))));
+        }
     };
     if progress.sent == 0 {
         check_expected_wait(shared, call, &choice)?;
@@ -145,9 +156,17 @@
     Ok(send_over(shared, call, progress, (choice, permit), connection, resume).await)
 }
 
+/// The refusal of a request whose engines have no room. The more urgent the route, the shorter its target, so urgent
+/// callers return first.
+fn no_room(call: &Call) -> Refusal {
+    not_run(NO_ROOM, call.route.target)
+}
+
 /// Why no endpoint can be chosen.
-fn unavailable_reason<D: Dialect>(shared: &Shared<D>, call: &Call) -> &'static str {
-    if shared.blocked_for(&call.route).is_some() {
+fn unavailable_reason(call: &Call, unavailable: Unavailable, blocked: bool) -> &'static str {
+    if unavailable == Unavailable::Full {
+        NO_ROOM
+    } else if blocked {
         "its endpoints take no more for now"
     } else if call.residency.is_some() {
         "no endpoint is in use where it may go"
@@ -320,8 +339,15 @@
 }
 
 /// Chooses an endpoint that has not been tried for the request, if there is one.
-pub(super) fn choose_endpoint<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> Option<Choice> {
-    let plan = shared.current_plan()?;
+///
+/// # Errors
+/// Returns why there is none.
+pub(super) fn choose_endpoint<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    progress: &Progress,
+) -> Result<Choice, Unavailable> {
+    let Some(plan) = shared.current_plan() else { return Err(Unavailable::Absent) };
     let roster = shared.roster.borrow().clone();
     let loads = shared.loads.borrow();
     let (health, backoff) = (shared.health.borrow(), shared.backoff.borrow());
@@ -347,14 +373,19 @@
         residency: call.residency.as_deref(),
         unlimited: progress.unlimited_only,
     };
-    let first = choose::pick_service(&call.route, rand::random())?;
+    let Some(first) = choose::pick_service(&call.route, rand::random()) else { return Err(Unavailable::Absent) };
     let by_weight = progress.service.as_ref().unwrap_or(first);
     let others = call.route.shares.iter().map(|share| &share.service);
-    let mut services = std::iter::once(by_weight).chain(others);
-    services.find_map(|service| {
+    let mut unavailable = Unavailable::Absent;
+    for service in std::iter::once(by_weight).chain(others) {
         let candidates = shared.candidate_cache.borrow_mut().of(service, &roster, &inputs);
-        choose::choose(&inputs, &call.route, service, &candidates, call.prompt.as_ref(), eligible)
-    })
+        match choose::choose(&inputs, &call.route, service, &candidates, call.prompt.as_ref(), eligible) {
+            Ok(choice) => return Ok(choice),
+            Err(Unavailable::Full) => unavailable = Unavailable::Full,
+            Err(Unavailable::Absent) => {}
+        }
+    }
+    Err(unavailable)
 }
 
 pub(super) async fn connect<D: Dialect>(
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -23,7 +23,7 @@
     if progress.possible_runs >= bound || progress.sent >= bound + EXTRA_ATTEMPTS_NOT_RUN || now >= call.deadline {
         return false;
     }
-    if is_content_suspect(shared, call, progress) || choose_endpoint(shared, call, progress).is_none() {
+    if is_content_suspect(shared, call, progress) || choose_endpoint(shared, call, progress).is_err() {
         return false;
     }
     let Some(service) = progress.service.clone() else { return true };
@@ -61,16 +61,19 @@
     taken
 }
 
-/// Refuses a stream of the lowest priority if the prompts queued at its best engine would make it miss its target by
-/// far, and delay the streams behind it.
+/// Refuses a stream if the prompts queued at its best engine would make it miss its target by far, and delay the streams
+/// behind it. Engines process the prompts of higher priorities first, so what lower ones may queue is no wait for it, and
+/// the highest of several priorities is bounded by the slots alone.
 pub(super) fn check_expected_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
     let hopeless = shared.options.policy.guard.hopeless;
-    if call.route.kind != RouteKind::Stream || call.prompt.is_none() || !plan.is_lowest(&call.route, &choice.service) {
+    let is_highest = plan.is_highest(&call.route, &choice.service);
+    if call.route.kind != RouteKind::Stream || call.prompt.is_none() || is_highest {
         return Ok(());
     }
     let wait = expected_wait(shared, choice);
-    if hopeless == 0.0 || wait <= call.route.target.mul_f64(hopeless) {
+    let bound = plan.cumulative_target(&call.route, &choice.service).mul_f64(hopeless);
+    if hopeless == 0.0 || wait <= bound {
         return Ok(());
     }
     shared.log.write(What::CallHopeless {
@@ -80,7 +83,8 @@
         wait_ms: wait.as_millis() as u64,
         target_ms: call.route.target.as_millis() as u64,
     });
-    Err(not_run("its engines have too much to read", wait.saturating_sub(call.route.target / 2)))
+    let excess = (wait + call.route.target.mul_f64(hopeless)).saturating_sub(bound);
+    Err(not_run("its engines have too much to read", excess.saturating_sub(call.route.target / 2)))
 }
 
 /// Estimates how long an engine takes for the prompts queued ahead.
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -8,7 +8,7 @@
 use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
 
-use super::{Backup, Choice, Eligibility, Inputs, Lane, to_choice};
+use super::{Backup, Choice, Eligibility, Inputs, Lane, Unavailable, to_choice};
 use crate::{
     Route,
     dialect::Prompt,
@@ -34,6 +34,8 @@
     engine: Engine,
     prompt: &'a Prompt,
     eligible: Eligibility<'a>,
+    /// Number of priorities of the service above its own.
+    level: usize,
     /// Whether the stream is sensitive to the prefill of long prompts on the same engine.
     quick: bool,
 }
@@ -56,18 +58,33 @@
         eligible: Eligibility<'a>,
     ) -> Request<'a> {
         let quick = lanes::is_quick(&inputs.policy.lanes, inputs.plan, route, service, inputs.prefill);
-        Request { inputs, route, service, engine, prompt, eligible, quick }
+        let level = inputs.plan.level(route, service);
+        Request { inputs, route, service, engine, prompt, eligible, level, quick }
     }
 
-    /// Picks an engine from the request's own lane, or else from the other one.
-    pub(super) fn choose(&self, quick: &Lane, bulk: &Lane) -> Option<Choice> {
+    /// Picks an engine with room from the request's own lane, or else from the other one.
+    pub(super) fn choose(&self, quick: &Lane, bulk: &Lane) -> Result<Choice, Unavailable> {
         let (own, other) = if self.quick { (quick, bulk) } else { (bulk, quick) };
-        self.choose_in(own, other, bulk).or_else(|| self.choose_in(other, own, bulk))
+        let choice = self.choose_in(own, other, bulk).or_else(|| {
+            // A full lane lends its requests to the other one only if they are quick streams: long prompts would
+            // delay those that the quick lane is for.
+            let lends = self.quick || !self.has_eligible(own);
+            lends.then(|| self.choose_in(other, own, bulk)).flatten()
+        });
+        choice.ok_or_else(|| {
+            let exists = self.has_eligible(own) || self.has_eligible(other);
+            if exists { Unavailable::Full } else { Unavailable::Absent }
+        })
     }
 
     fn choose_in(&self, own: &Lane, other: &Lane, bulk: &Lane) -> Option<Choice> {
         let affinity = self.to_affinity(own);
-        let best = self.cheapest(self.sample(own, &affinity), &affinity)?;
+        let mut sample = self.sample(own, &affinity);
+        sample.retain(|engine| self.has_room(engine));
+        if sample.is_empty() {
+            sample.extend(self.find_room(own));
+        }
+        let best = self.cheapest(sample, &affinity)?;
         let chosen = self.overflow(best, other, &affinity).unwrap_or(best);
         let fetch_from = affinity.source_for(chosen).map(|source| source.address.clone());
         let unread = self.tokens_to_prefill(chosen, &affinity);
@@ -109,6 +126,28 @@
         sample
     }
 
+    /// Whether an engine has so few requests in flight that one of this priority may be added.
+    fn has_room(&self, engine: &Registration) -> bool {
+        let guard = &self.inputs.policy.guard;
+        let is_highest = self.inputs.plan.is_highest(self.route, self.service);
+        let full = if is_highest { guard.urgent } else { guard.full };
+        let share = full * (1.0 - guard.headroom).powf(self.level as f64);
+        let slots = engine.slots.max(1);
+        full == 0.0 || f64::from(self.work(engine).calls) < f64::from(slots) * share
+    }
+
+    /// An engine of the lane that has room, if a sample contains none.
+    fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
+        // All instances would find the same engine if all began with the first.
+        let (before, after) = lane.endpoints.split_at(rand::random_range(0..=lane.endpoints.len()));
+        let mut engines = after.iter().chain(before).map(|engine| &**engine);
+        engines.find(|engine| self.is_eligible(engine) && self.has_room(engine))
+    }
+
+    fn has_eligible(&self, lane: &Lane) -> bool {
+        lane.endpoints.iter().any(|engine| self.is_eligible(engine))
+    }
+
     fn is_eligible(&self, engine: &Registration) -> bool {
         self.eligible.allows(self.inputs, engine)
     }
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -124,6 +124,15 @@
     pub fetch_from: Option<Arc<str>>,
 }
 
+/// Why no endpoint can be chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unavailable {
+    /// None may be used for the request.
+    Absent,
+    /// Those that may be used have no room for a request of its priority.
+    Full,
+}
+
 /// Picks the service that a request is first sent to, by weight. `draw` is a uniformly distributed random number.
 pub fn pick_service(route: &Route, draw: u64) -> Option<&Arc<str>> {
     let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
@@ -139,6 +148,9 @@
 }
 
 /// Picks an eligible endpoint of `service` from its `candidates` for a request of `route`.
+///
+/// # Errors
+/// Returns why there is none.
 pub fn choose(
     inputs: &Inputs,
     route: &Route,
@@ -146,18 +158,20 @@
     candidates: &Candidates,
     prompt: Option<&Prompt>,
     eligible: Eligibility,
-) -> Option<Choice> {
+) -> Result<Choice, Unavailable> {
     let engine = inputs.plan.services.get(service).and_then(|service| service.engine);
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => {
             let request = Request::new(inputs, route, service, engine, prompt, eligible);
-            request
-                .choose(&candidates.quick, &candidates.bulk)
-                .or_else(|| request.choose(&candidates.fallback, &candidates.fallback))
+            match request.choose(&candidates.quick, &candidates.bulk) {
+                Err(Unavailable::Absent) => request.choose(&candidates.fallback, &candidates.fallback),
+                chosen => chosen,
+            }
         }
         _ => [&candidates.bulk, &candidates.quick, &candidates.fallback]
             .into_iter()
-            .find_map(|lane| plain::choose(inputs, lane, eligible)),
+            .find_map(|lane| plain::choose(inputs, lane, eligible))
+            .ok_or(Unavailable::Absent),
     }
 }
 
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -143,8 +143,16 @@
 #[serde(default, deny_unknown_fields)]
 #[allow(clippy::struct_excessive_bools, reason = "each switches one mechanism")]
 pub struct GuardPolicy {
-    /// Streams of the lowest priority are rejected at once if their expected wait at the best engine exceeds this
-    /// multiple of their target; 0 disables rejection.
+    /// Requests are sent to an engine while fewer than this multiple of its slots are in flight there, and rejected at
+    /// once if there is no such engine; 0 disables the bound.
+    pub full: f64,
+    /// As `full`, for the highest of several priorities: lower ones that wait or were preempted hold no slot, but count
+    /// as in flight; 0 disables the bound.
+    pub urgent: f64,
+    /// Share of the room of each priority that the next lower one leaves free.
+    pub headroom: f64,
+    /// Streams are rejected at once if their expected wait at the best engine exceeds this multiple of their target and
+    /// those of all lower priorities; 0 disables rejection.
     pub hopeless: f64,
     /// A stream's timeout for its first event is extended by this multiple of the expected wait at its engine.
     pub patience: f64,
@@ -160,12 +168,24 @@
 
 impl Default for GuardPolicy {
     fn default() -> Self {
-        GuardPolicy { hopeless: 0.7, patience: 4.0, ejection: true, suspects: true, impatience: true, quarantine: true }
+        GuardPolicy {
+            full: 1.0,
+            urgent: 1.15,
+            headroom: 0.2,
+            hopeless: 0.7,
+            patience: 4.0,
+            ejection: true,
+            suspects: true,
+            impatience: true,
+            quarantine: true,
+        }
     }
 }
 
 /// Longest time for which demand is held, in seconds.
 const MAX_HOLD_SECONDS: f64 = 86_400.0;
+/// Largest share of the slots that a priority leaves to the next higher one: with all of them, it would get none.
+const MAX_HEADROOM: f64 = 0.9;
 /// Largest factor of a time or speed.
 const MAX_FACTOR: f64 = 1000.0;
 
@@ -224,11 +244,14 @@
         ];
         let factors = [
             ("choice.copy_speed", self.choice.copy_speed),
+            ("guard.full", self.guard.full),
+            ("guard.urgent", self.guard.urgent),
             ("guard.hopeless", self.guard.hopeless),
             ("guard.patience", self.guard.patience),
         ];
         check_values(&shares, 1.0)?;
         check_values(&factors, MAX_FACTOR)?;
+        check_values(&[("guard.headroom", self.guard.headroom)], MAX_HEADROOM)?;
         check_values(&[("scaling.pressing", self.scaling.overload_factor)], MAX_FACTOR)?;
         check_values(&[("scaling.hold", self.scaling.hold_seconds)], MAX_HOLD_SECONDS)?;
         check_counts(&[
--- a/crates/rudder-gateway/tests/placement.rs
+++ b/crates/rudder-gateway/tests/placement.rs
@@ -100,7 +100,7 @@
         let candidates = Candidates::new(roster(&self.endpoints).of("svc"), "svc", &inputs);
         let residency = to_residency(regions);
         let eligible = Eligibility { residency: residency.as_deref(), ..Eligibility::default() };
-        choose::choose(&inputs, &to_route(&[]), "svc", &candidates, prompt, eligible)
+        choose::choose(&inputs, &to_route(&[]), "svc", &candidates, prompt, eligible).ok()
     }
 
     fn hall_of(&self, choice: &Choice) -> HallId {
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -233,7 +233,11 @@
     assert_eq!([is_quick("/grade/"), is_quick("/answer/"), is_quick("/recap/")], [true, false, false]);
     assert!(lanes::quick_bound(&policy, &plan, "svc", &PrefillSpeeds::default()).is_some());
     assert!(lanes::quick_bound(&policy, &plan, "another", &PrefillSpeeds::default()).is_none());
-    assert!(plan.is_lowest(plan.find("h", "/recap/").expect("a route"), "svc"));
+    let at = |path: &str| {
+        let route = plan.find("h", path).expect("a route");
+        (plan.level(route, "svc"), plan.cumulative_target(route, "svc").as_millis())
+    };
+    assert_eq!([at("/grade/"), at("/answer/"), at("/recap/")], [(0, 1650), (1, 1400), (2, 1000)]);
 }
 
 #[test]
@@ -307,6 +311,7 @@
             Some(prompt),
             Eligibility { tried, ..Eligibility::default() },
         )
+        .ok()
     }
 }
 
@@ -337,6 +342,20 @@
     assert_eq!(is_sent(&scene), [true, false, false]);
     fill(&mut scene, 80);
     assert_eq!(is_sent(&scene), [false, false, false], "it would wait for a slot behind 16 others");
+    scene.known.policy.guard.full = 0.0;
+    scene.known.policy.guard.urgent = 0.0;
+    assert_eq!(is_sent(&scene), [true, true, true], "the bound is disabled");
+}
+
+/// Headroom must not add up to all slots of an engine, and an engine that reports none takes one request at a time.
+#[test]
+fn every_priority_has_room_at_an_idle_engine() {
+    let mut scene = Scene::new();
+    for tier in 3..12 {
+        scene.known.plan.add_route(route(&format!("tier-{tier}"), 1000, tier)).expect("a valid route");
+    }
+    scene.engines.iter_mut().for_each(|engine| engine.slots = 0);
+    assert!(scene.choice("/tier-11/", &prompt(5), &[]).is_some());
 }
 
 macro_rules! quick_bounds {
