fix(gateway): shed less urgent requests while more urgent ones are refused

Cause: the holder of a limit keeps a share for each waiting priority, and an engine with room for one request takes whichever comes; nothing made the less urgent ones wait while urgent ones got nothing. Change: each instance counts what it sent and refused for lack of capacity, by service and priority, over five seconds; while more than one in twenty of a priority are refused, three at least, lower ones are refused at once and told to return after their target. Less urgent ones are served again within five seconds of the last refusal.

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -13,7 +13,7 @@
 
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
-    checks::{check_expected_wait, check_still_allowed, expected_wait, take_retry_for_silent},
+    checks::{check_expected_wait, check_still_allowed, expected_wait, record_demand, take_retry_for_silent},
     rate_limit::take_permit,
     record_begun, record_if_terminated,
     refusal::not_run,
@@ -123,11 +123,15 @@
     let choice = match choose_endpoint(shared, call, progress) {
         Ok(choice) => choice,
         Err(Unavailable::Full) if progress.sent == 0 => {
+            record_demand(shared, call, None, true);
             return Err(no_room(call));
         }
         Err(unavailable) => {
             progress.unsent_attempts = MAX_UNSENT_ATTEMPTS;
             let blocked = shared.blocked_for(&call.route).is_some();
+            if progress.sent == 0 && blocked {
+                record_demand(shared, call, None, true);
+            }
             return Ok(Err(Failure::NotSent(unavailable_reason(call, unavailable, blocked))));
         }
     };
@@ -198,6 +202,7 @@
     progress.possible_runs += 1;
     if progress.service.is_none() {
         shared.budget.borrow_mut().note_request(&choice.service, now);
+        record_demand(shared, call, Some(&choice.service), false);
         progress.service = Some(choice.service.clone());
     }
     log_sent(shared, call, progress, &choice, connection.carried > 0, left);
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -61,6 +61,35 @@
     taken
 }
 
+/// Refuses a request whose services refuse more urgent ones for lack of capacity.
+pub(super) fn check_not_shed<D: Dialect>(shared: &Shared<D>, call: &Call) -> Result<(), Refusal> {
+    let Some(plan) = shared.current_plan() else { return Ok(()) };
+    let now = Moment::now();
+    let shedding = shared.shedding.borrow();
+    let is_shed = shared.options.policy.guard.shedding
+        && call.prompt.is_some()
+        && call.route.shares.iter().all(|share| {
+            let level = plan.level(&call.route, &share.service);
+            shedding.is_shed(&share.service, level, now)
+        });
+    drop(shedding);
+    if !is_shed {
+        return Ok(());
+    }
+    record_demand(shared, call, None, true);
+    Err(not_run("more urgent requests are refused", call.route.target))
+}
+
+/// Records for load shedding that a request was sent to `service` for the first time, or refused for lack of capacity.
+pub(super) fn record_demand<D: Dialect>(shared: &Shared<D>, call: &Call, service: Option<&Arc<str>>, refused: bool) {
+    let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return };
+    let now = Moment::now();
+    let mut shedding = shared.shedding.borrow_mut();
+    for share in call.route.shares.iter().filter(|share| service.is_none_or(|service| *service == share.service)) {
+        shedding.record(&share.service, plan.level(&call.route, &share.service), refused, now);
+    }
+}
+
 /// Refuses a stream if the prompts queued at its best engine would make it miss its target by far, and delay the streams
 /// behind it. Engines process the prompts of higher priorities first, so what lower ones may queue is no wait for it, and
 /// the highest of several priorities is bounded by the slots alone.
@@ -83,6 +112,7 @@
         wait_ms: wait.as_millis() as u64,
         target_ms: call.route.target.as_millis() as u64,
     });
+    record_demand(shared, call, Some(&choice.service), true);
     let excess = (wait + call.route.target.mul_f64(hopeless)).saturating_sub(bound);
     Err(not_run("its engines have too much to read", excess.saturating_sub(call.route.target / 2)))
 }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -9,6 +9,7 @@
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
     attempt::{MAX_UNSENT_ATTEMPTS, attempt, record_not_run, record_outcome, return_connection},
+    checks::check_not_shed,
     record_answered, record_begun, record_if_terminated,
     refusal::{final_refusal, outcome_unknown, promises_not_run},
     strip_hop_headers, take_retry,
@@ -28,6 +29,7 @@
 
 /// Sends a request until it is answered or no retry is left.
 pub(super) async fn send<D: Dialect>(shared: &Rc<Shared<D>>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
+    check_not_shed(shared, &call)?;
     let mut progress = Progress::default();
     let resume = ResumePoint { last_event: call.last_event, from_copy: false };
     let mut fallback: Option<Response<AnswerBody>> = None;
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod scaling;
 pub mod serve;
 pub mod shared;
+pub mod shedding;
 pub mod slow_start;
 pub mod stop;
 pub mod stream;
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -154,6 +154,8 @@
     /// Streams are rejected at once if their expected wait at the best engine exceeds this multiple of their target and
     /// those of all lower priorities; 0 disables rejection.
     pub hopeless: f64,
+    /// Requests for engines are rejected at once while the service rejects more urgent ones for lack of capacity.
+    pub shedding: bool,
     /// A stream's timeout for its first event is extended by this multiple of the expected wait at its engine.
     pub patience: f64,
     /// Endpoints are ejected for a while after failures that this instance observes.
@@ -173,6 +175,7 @@
             urgent: 1.15,
             headroom: 0.2,
             hopeless: 0.7,
+            shedding: true,
             patience: 4.0,
             ejection: true,
             suspects: true,
--- a/crates/rudder-gateway/src/recent.rs
+++ b/crates/rudder-gateway/src/recent.rs
@@ -44,22 +44,49 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Bucket {
     second: u64,
     tally: Tally,
 }
 
-/// Recent outcomes of this instance at all endpoints, in buckets of one second.
+/// Counts over the last [`SPAN`] seconds, in buckets of one second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Window {
+    buckets: [Bucket; SPAN as usize],
+}
+
+impl Window {
+    /// Adds to the bucket of `second`, the current one.
+    pub fn add(&mut self, tally: Tally, second: u64) {
+        let bucket = &mut self.buckets[(second % SPAN) as usize];
+        if bucket.second != second {
+            *bucket = Bucket { second, tally: Tally::default() };
+        }
+        bucket.tally.add(tally);
+    }
+
+    /// The sum up to `second`, the current one.
+    pub fn sum(&self, second: u64) -> Tally {
+        let oldest = second.saturating_sub(SPAN - 1);
+        let mut sum = Tally::default();
+        for bucket in self.buckets.iter().filter(|bucket| bucket.second >= oldest) {
+            sum.add(bucket.tally);
+        }
+        sum
+    }
+}
+
+/// Recent outcomes of this instance at all endpoints.
 #[derive(Debug)]
 pub struct RecentOutcomes {
     started: Moment,
-    buckets: HashMap<EndpointId, [Bucket; SPAN as usize]>,
+    windows: HashMap<EndpointId, Window>,
 }
 
 impl Default for RecentOutcomes {
     fn default() -> Self {
-        RecentOutcomes { started: Moment::now(), buckets: HashMap::new() }
+        RecentOutcomes { started: Moment::now(), windows: HashMap::new() }
     }
 }
 
@@ -67,41 +94,28 @@
     /// Records the end of a request.
     pub fn note(&mut self, endpoint: &EndpointId, failed: bool, now: Moment) {
         let second = self.second(now);
-        let buckets = self.buckets.entry(endpoint.clone()).or_default();
-        let bucket = &mut buckets[(second % SPAN) as usize];
-        if bucket.second != second {
-            *bucket = Bucket { second, tally: Tally::default() };
-        }
-        bucket.tally.add(Tally { ended: 1, failed: u32::from(failed) });
+        let window = self.windows.entry(endpoint.clone()).or_default();
+        window.add(Tally { ended: 1, failed: u32::from(failed) }, second);
     }
 
     /// Requests that recently ended at `endpoint`.
     pub fn at(&self, endpoint: &str, now: Moment) -> Tally {
-        let oldest = self.second(now).saturating_sub(SPAN - 1);
-        let mut sum = Tally::default();
-        for bucket in self.buckets.get(endpoint).into_iter().flatten() {
-            if bucket.second >= oldest {
-                sum.add(bucket.tally);
-            }
-        }
-        sum
+        self.windows.get(endpoint).map_or(Tally::default(), |window| window.sum(self.second(now)))
     }
 
     /// Endpoints with recent outcomes, or with outcomes not yet dropped by [`RecentOutcomes::age`].
     pub fn endpoints(&self) -> impl Iterator<Item = &EndpointId> {
-        self.buckets.keys()
+        self.windows.keys()
     }
 
     /// Drops endpoints without recent outcomes.
     pub fn age(&mut self, now: Moment) {
-        let oldest = self.second(now).saturating_sub(SPAN - 1);
-        self.buckets
-            .retain(|_, buckets| buckets.iter().any(|bucket| bucket.tally.ended > 0 && bucket.second >= oldest));
+        let second = self.second(now);
+        self.windows.retain(|_, window| window.sum(second).ended > 0);
     }
 
     fn second(&self, now: Moment) -> u64 {
-        // Counts from 1, so that the empty bucket 0 is never current.
-        now.saturating_duration_since(self.started).as_secs() + 1
+        now.saturating_duration_since(self.started).as_secs()
     }
 }
 
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -36,6 +36,7 @@
     prefill::PrefillSpeeds,
     recent::{self, Tally},
     roster::Roster,
+    shedding::Shedding,
     slow_start::SlowStartState,
     upstream::Pool,
 };
@@ -157,6 +158,8 @@
     pub placement: RefCell<Placement>,
     /// Endpoints that are warming up.
     pub slow_start: RefCell<SlowStartState>,
+    /// Requests refused for lack of capacity, by priority.
+    pub shedding: RefCell<Shedding>,
     /// Bytes buffered for callers and endpoints.
     pub buffers: Arc<BufferQuota>,
     /// The retry budget.
@@ -196,6 +199,7 @@
             buffers: BufferQuota::new(options.memory),
             placement: RefCell::new(Placement::new(options.regions.clone())),
             slow_start: RefCell::new(SlowStartState::new(options.name(), started)),
+            shedding: RefCell::default(),
             options,
             started,
             events,
