fix(gateway): permits for limited endpoints go by the route's priority

The same order as at engines, looked for elsewhere: the holder of a rate limit ordered requests by the organisation's priority where it has one, so a less urgent kind of a favoured organisation went before an urgent kind of the others.

--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -89,7 +89,6 @@
         deadline,
         route,
         organisation,
-        tier,
         engine_rank,
         prompt: head.prompt,
         content,
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -79,8 +79,6 @@
     pub route: Arc<Route>,
     /// The organisation that owns its key.
     pub organisation: Option<Arc<str>>,
-    /// Its priority; 0 is the highest.
-    pub tier: u8,
     /// Its priority within an engine.
     pub engine_rank: u8,
     /// Its prompt, if an engine serves it.
--- a/crates/rudder-gateway/src/call/rate_limit.rs
+++ b/crates/rudder-gateway/src/call/rate_limit.rs
@@ -24,7 +24,7 @@
     call: &Call,
     choice: &Choice,
 ) -> Result<Option<Permit>, &'static str> {
-    let (endpoint, tier, asked) = (&choice.endpoint, call.tier, Moment::now());
+    let (endpoint, tier, asked) = (&choice.endpoint, call.route.tier, Moment::now());
     let Some(request) = to_request(shared, call, choice, asked) else { return Ok(None) };
     if let Some(permit) = shared.limits.borrow_mut().take_spare(endpoint, tier, asked) {
         return Ok(Some(permit));
@@ -53,5 +53,5 @@
     let hall = roster
         .get(&choice.endpoint)
         .map_or_else(|| shared.options.hall.clone(), |registration| registration.hall.clone());
-    Some(PermitRequest { limit, hall, tier: call.tier, wanted: limits.wanted(&choice.endpoint, now) })
+    Some(PermitRequest { limit, hall, tier: call.route.tier, wanted: limits.wanted(&choice.endpoint, now) })
 }
