fix(gateway): requests of lower priority do not take the room of higher ones

Cause: the bound counted all requests at an engine, so 20 long prompts that waited there, and which engines put behind all others, took the room of those that go before them. Reports between instances tell no priorities. Change: the requests at an engine are taken to be mixed as this instance's own, at the engine and over its service, and only those of the same and higher priorities count; twice the room is the most of all together, as an engine's queue is short. The bound of its own for the highest priority goes. Ways: a field more in each report (the leader's largest cost is reports, and instances of the version before cannot read it); the mix of the engine alone (three requests at most engines).

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -25,7 +25,7 @@
     dialect::{LimitNotice, Pushback},
     health::Outcome,
     limits::{Permit, Recorded},
-    loads::InFlight,
+    loads::{Demand, InFlight},
     shared::Shared,
     upstream::{self, Connection},
 };
@@ -209,9 +209,13 @@
     progress.last_choice = Some(choice.clone());
     let request = call.to_request(&shared.dialect, &choice, left, resume);
     let prompt = call.prompt.as_ref();
-    let unread = choice.unread;
-    let memory = prompt.map_or(0, |prompt| prompt.tokens + prompt.expected_answer());
-    let flight = InFlight::start(&shared.loads, &choice.endpoint, unread, memory);
+    let demand = Demand {
+        service: choice.service.clone(),
+        level: shared.current_plan().map_or(0, |plan| plan.level(&call.route, &choice.service)),
+        unread: choice.unread,
+        held: prompt.map_or(0, |prompt| prompt.tokens + prompt.expected_answer()),
+    };
+    let flight = InFlight::start(&shared.loads, &choice.endpoint, demand);
     let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
     let (parts, body) = response.into_parts();
     let head = shared.dialect.read_answer(&call.id, &parts);
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -22,6 +22,8 @@
 const BACKUP_SAMPLES: usize = 2;
 /// Factor by which the sample of a lane grows when its crowded engines are to be skipped.
 const OVERFLOW_SAMPLE_FACTOR: usize = 4;
+/// Largest number of requests of all priorities at an engine, as a multiple of its room: its queue is short.
+const MAX_CROWDING: f64 = 2.0;
 /// Share of a session's tokens assumed missing from the caches of its top-ranked engines. All other engines are assumed
 /// to lack them all.
 const MISSING_SHARES: [f64; 2] = [0.0, 0.5];
@@ -129,11 +131,14 @@
     /// Whether an engine has so few requests in flight that one of this priority may be added.
     fn has_room(&self, engine: &Registration) -> bool {
         let guard = &self.inputs.policy.guard;
-        let is_highest = self.inputs.plan.is_highest(self.route, self.service);
-        let full = if is_highest { guard.urgent } else { guard.full };
-        let share = full * (1.0 - guard.headroom).powf(self.level as f64);
-        let slots = engine.slots.max(1);
-        full == 0.0 || f64::from(self.work(engine).calls) < f64::from(slots) * share
+        if guard.full == 0.0 {
+            return true;
+        }
+        // Lower priorities yield their slots, but what waits for one takes a place in the engine's queue.
+        let calls = self.inputs.loads.calls_from(self.level, &engine.endpoint, self.service);
+        let room = f64::from(engine.slots.max(1)) * guard.full;
+        let share = (1.0 - guard.headroom).powf(self.level as f64);
+        calls < room * share && f64::from(self.work(engine).calls) < room * MAX_CROWDING
     }
 
     /// An engine of the lane that has room, if a sample contains none.
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     collections::{HashMap, HashSet},
     rc::Rc,
+    sync::Arc,
 };
 
 use rudder_clock::Moment;
@@ -12,10 +13,38 @@
 
 use crate::recent::{RecentOutcomes, Tally};
 
+/// Priority levels that are counted apart; lower ones count as the last.
+const LEVELS: usize = 4;
+/// Weight of a service's mix of priorities in that of an endpoint, in requests: an instance has few of its own at one.
+const MIX_WEIGHT: f64 = 4.0;
+
+/// This instance's requests in flight by priority level; level 0 is the highest.
+#[derive(Clone, Copy, Debug, Default)]
+struct Mix([u32; LEVELS]);
+
+impl Mix {
+    fn count(&mut self, level: usize) -> &mut u32 {
+        &mut self.0[level.min(LEVELS - 1)]
+    }
+
+    fn total(self) -> f64 {
+        f64::from(self.0.iter().sum::<u32>())
+    }
+
+    /// Requests below a level.
+    fn below(self, level: usize) -> f64 {
+        f64::from(self.0.iter().skip(level + 1).sum::<u32>())
+    }
+}
+
 /// In-flight work and recent outcomes at all endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointLoads {
     own: HashMap<EndpointId, Load>,
+    /// The priorities of the own requests by endpoint.
+    mixes: HashMap<EndpointId, Mix>,
+    /// The priorities of the own requests by service.
+    service_mixes: HashMap<Arc<str>, Mix>,
     /// The sum of the other instances' last reports.
     others: HashMap<EndpointTag, Load>,
     recent: RecentOutcomes,
@@ -44,6 +73,17 @@
         work
     }
 
+    /// Estimated number of requests at `endpoint` whose priority is not below `level`. Reports tell no priorities, so the
+    /// other instances' requests are taken to be mixed as this one's.
+    pub fn calls_from(&self, level: usize, endpoint: &str, service: &str) -> f64 {
+        let calls = f64::from(self.at(endpoint).calls);
+        let Some(service) = self.service_mixes.get(service).filter(|mix| mix.total() > 0.0) else { return calls };
+        let mix = self.mixes.get(endpoint).copied().unwrap_or_default();
+        let prior = service.below(level) / service.total();
+        let below = (mix.below(level) + prior * MIX_WEIGHT) / (mix.total() + MIX_WEIGHT);
+        calls * (1.0 - below)
+    }
+
     /// Records the sum of the other instances' loads.
     pub fn set_others(&mut self, loads: &[Load]) {
         self.others = loads.iter().map(|load| (load.endpoint, load.clone())).collect();
@@ -81,6 +121,8 @@
     /// Drops endpoints that are unknown and have no work.
     pub fn retain(&mut self, known: impl Fn(&EndpointId) -> bool) {
         self.own.retain(|endpoint, load| load.calls > 0 || known(endpoint));
+        self.mixes.retain(|_, mix| mix.total() > 0.0);
+        self.service_mixes.retain(|_, mix| mix.total() > 0.0);
     }
 
     fn entry(&mut self, endpoint: &EndpointId) -> &mut Load {
@@ -88,30 +130,44 @@
     }
 }
 
+/// What a request adds to the load of its endpoint.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    /// The service.
+    pub service: Arc<str>,
+    /// Number of priorities of the service above its own.
+    pub level: usize,
+    /// Prompt tokens to process.
+    pub unread: u32,
+    /// Tokens of the KV cache that it may need.
+    pub held: u32,
+}
+
 /// A request in flight at an endpoint. It is removed from the loads on drop.
 #[derive(Debug)]
 pub struct InFlight {
     loads: Rc<RefCell<EndpointLoads>>,
     endpoint: EndpointId,
-    unread: u32,
-    held: u32,
+    demand: Demand,
 }
 
 impl InFlight {
-    /// Counts a request with `unread` prompt tokens to process that needs up to `held` tokens of the KV cache.
-    pub fn start(loads: &Rc<RefCell<EndpointLoads>>, endpoint: &EndpointId, unread: u32, held: u32) -> InFlight {
+    /// Counts a request.
+    pub fn start(loads: &Rc<RefCell<EndpointLoads>>, endpoint: &EndpointId, demand: Demand) -> InFlight {
         let mut borrowed = loads.borrow_mut();
         let load = borrowed.entry(endpoint);
         load.calls += 1;
-        load.unread += unread;
-        load.held += held;
+        load.unread += demand.unread;
+        load.held += demand.held;
+        *borrowed.mixes.entry(endpoint.clone()).or_default().count(demand.level) += 1;
+        *borrowed.service_mixes.entry(demand.service.clone()).or_default().count(demand.level) += 1;
         drop(borrowed);
-        InFlight { loads: loads.clone(), endpoint: endpoint.clone(), unread, held }
+        InFlight { loads: loads.clone(), endpoint: endpoint.clone(), demand }
     }
 
     /// Records the first output, so that the prompt has been processed.
     pub fn note_read(&mut self) {
-        let unread = std::mem::take(&mut self.unread);
+        let unread = std::mem::take(&mut self.demand.unread);
         let mut loads = self.loads.borrow_mut();
         let load = loads.entry(&self.endpoint);
         load.unread = load.unread.saturating_sub(unread);
@@ -124,6 +180,12 @@
         let mut loads = self.loads.borrow_mut();
         let load = loads.entry(&self.endpoint);
         load.calls = load.calls.saturating_sub(1);
-        load.held = load.held.saturating_sub(self.held);
+        load.held = load.held.saturating_sub(self.demand.held);
+        let loads = &mut *loads;
+        let mixes = [loads.mixes.get_mut(&self.endpoint), loads.service_mixes.get_mut(&self.demand.service)];
+        for mix in mixes.into_iter().flatten() {
+            let count = mix.count(self.demand.level);
+            *count = count.saturating_sub(1);
+        }
     }
 }
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -143,12 +143,9 @@
 #[serde(default, deny_unknown_fields)]
 #[allow(clippy::struct_excessive_bools, reason = "each switches one mechanism")]
 pub struct GuardPolicy {
-    /// Requests are sent to an engine while fewer than this multiple of its slots are in flight there, and rejected at
-    /// once if there is no such engine; 0 disables the bound.
+    /// Requests are sent to an engine while fewer of the same and higher priorities than this multiple of its slots are
+    /// in flight there, and rejected at once if there is no such engine; 0 disables the bound.
     pub full: f64,
-    /// As `full`, for the highest of several priorities: lower ones that wait or were preempted hold no slot, but count
-    /// as in flight; 0 disables the bound.
-    pub urgent: f64,
     /// Share of the room of each priority that the next lower one leaves free.
     pub headroom: f64,
     /// Streams are rejected at once if their expected wait at the best engine exceeds this multiple of their target and
@@ -172,7 +169,6 @@
     fn default() -> Self {
         GuardPolicy {
             full: 1.0,
-            urgent: 1.15,
             headroom: 0.2,
             hopeless: 0.7,
             shedding: true,
@@ -248,7 +244,6 @@
         let factors = [
             ("choice.copy_speed", self.choice.copy_speed),
             ("guard.full", self.guard.full),
-            ("guard.urgent", self.guard.urgent),
             ("guard.hopeless", self.guard.hopeless),
             ("guard.patience", self.guard.patience),
         ];
