--- a/crates/rudder-core/src/subset.rs
+++ b/crates/rudder-core/src/subset.rs
@@ -18,7 +18,8 @@
     registry::{Phase, Registration},
 };
 
-/// Endpoints of a service in a hall that are in use by default; enough for the requests of a few hundred instances.
+/// Endpoints of a service in a hall that are in use by default; enough for the requests of a few hundred instances, and
+/// to spread their sessions over many engines.
 const DEFAULT_USED: usize = 256;
 /// With this many endpoints of its own, a hall doesn't receive those of other halls.
 const LOCAL_MIN_USED: usize = DEFAULT_USED / 2;
--- a/crates/rudder-core/src/usage.rs
+++ b/crates/rudder-core/src/usage.rs
@@ -12,7 +12,8 @@
 
 use crate::{Effect, Me, PeerMessage, options::UsageOptions, view::View};
 
-/// Minimum interval between updates of one instance.
+/// Minimum interval between updates of one instance. An instance that is killed loses the requests counted since its
+/// last update.
 const SEND_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval between updates for each live instance, which limits the leader to about 300 updates per second.
 const SEND_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(3300);
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -27,7 +27,8 @@
 /// Minimum interval between notifications; updates in between share one.
 const NOTIFY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time for which an update counts as in flight and is not sent again to the same watcher.
+/// Time for which an update counts as in flight and is not sent again to the same watcher. When many instances start at
+/// once, copies would delay each other.
 const RESEND_INTERVAL: Duration = Duration::from_millis(400);
 
 /// An instance that sends watch requests to this one.
--- a/crates/rudder-gateway/src/contents.rs
+++ b/crates/rudder-gateway/src/contents.rs
@@ -10,11 +10,11 @@
 use rudder_ledger::{EndedUnder, Findings, Quarantine};
 use rudder_model::{ContentTag, EndpointId, id::endpoint_tag};
 
-/// Time that a content is refused after it was quarantined. The first crash after that starts a new period.
+/// Time that a content is refused after it was quarantined, by which a faulty engine is repaired. The first crash after that starts a new period.
 pub const REFUSED_FOR: Duration = Duration::from_secs(86_400);
 /// Length of a generation of answered contents, of which the current and the previous one are kept.
 const GENERATION_SPAN: Duration = Duration::from_secs(30);
-/// Maximum number of answered contents in a generation.
+/// Maximum number of answered contents in a generation: about 9 KB. Popular contents are soon answered again.
 const MAX_ANSWERED: usize = 512;
 
 /// Maximum number of broken connections to keep. A restart of their endpoint is known within seconds.
--- a/crates/rudder-route/src/scale.rs
+++ b/crates/rudder-route/src/scale.rs
@@ -23,7 +23,7 @@
 /// Under load, on-demand engines are released in one hall at a time, this far apart, as the prompts of their sessions
 /// must be processed again elsewhere.
 const RELEASE_INTERVAL: Duration = Duration::from_secs(4);
-/// Surplus spot engines are kept for this time. A hall that lost its engines has new ones sooner than that, but may
+/// Surplus spot engines are kept for this time, as new ones take about ten seconds to start. A hall that lost its engines has new ones sooner than that, but may
 /// lose those as well.
 const SPARE_TIMEOUT: Duration = Duration::from_secs(30);
 
