refactor(gateway): bounded search for room; names and comments that a first reader stumbles over

The search for an engine with room examines 128 at most, so that a refusal costs the same in a lane of thousands.

--- a/crates/rudder-gateway/src/budget.rs
+++ b/crates/rudder-gateway/src/budget.rs
@@ -44,7 +44,7 @@
     ratio: f64,
     extra: u32,
     started: Moment,
-    /// Numbers of instances and until when each held, in descending order of the numbers. The last one is the current.
+    /// Numbers of live instances and when each was last true, the largest first; the last one is the current number.
     instances: VecDeque<(usize, Moment)>,
     services: HashMap<Arc<str>, Window>,
 }
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -80,7 +80,8 @@
     Err(not_run("more urgent requests are refused", call.route.target))
 }
 
-/// Records for load shedding that a request was sent to `service` for the first time, or refused for lack of capacity.
+/// Records for load shedding that a request was sent for the first time, or refused for lack of capacity: at `service`, or
+/// at all services of its route.
 pub(super) fn record_demand<D: Dialect>(shared: &Shared<D>, call: &Call, service: Option<&Arc<str>>, refused: bool) {
     let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return };
     let now = Moment::now();
@@ -113,8 +114,9 @@
         target_ms: call.route.target.as_millis() as u64,
     });
     record_demand(shared, call, Some(&choice.service), true);
-    let excess = (wait + call.route.target.mul_f64(hopeless)).saturating_sub(bound);
-    Err(not_run("its engines have too much to read", excess.saturating_sub(call.route.target / 2)))
+    let lower = bound.saturating_sub(call.route.target.mul_f64(hopeless));
+    let own_wait = wait.saturating_sub(lower);
+    Err(not_run("its engines have too much to read", own_wait.saturating_sub(call.route.target / 2)))
 }
 
 /// Estimates how long an engine takes for the prompts queued ahead.
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -24,6 +24,8 @@
 const OVERFLOW_SAMPLE_FACTOR: usize = 4;
 /// Largest number of requests of all priorities at an engine, as a multiple of its room: its queue is short.
 const MAX_CROWDING: f64 = 2.0;
+/// Engines examined for room if a sample has none, so that a refusal costs the same in a lane of thousands.
+const MAX_EXAMINED: usize = 128;
 /// Share of a session's tokens assumed missing from the caches of its top-ranked engines. All other engines are assumed
 /// to lack them all.
 const MISSING_SHARES: [f64; 2] = [0.0, 0.5];
@@ -135,7 +137,7 @@
             return true;
         }
         // Lower priorities yield their slots, but what waits for one takes a place in the engine's queue.
-        let calls = self.inputs.loads.calls_from(self.level, &engine.endpoint, self.service);
+        let calls = self.inputs.loads.calls_at_or_above(self.level, &engine.endpoint, self.service);
         let room = f64::from(engine.slots.max(1)) * guard.full;
         let share = (1.0 - guard.headroom).powf(self.level as f64);
         calls < room * share && f64::from(self.work(engine).calls) < room * MAX_CROWDING
@@ -145,7 +147,7 @@
     fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
         // All instances would find the same engine if all began with the first.
         let (before, after) = lane.endpoints.split_at(rand::random_range(0..=lane.endpoints.len()));
-        let mut engines = after.iter().chain(before).map(|engine| &**engine);
+        let mut engines = after.iter().chain(before).map(|engine| &**engine).take(MAX_EXAMINED);
         engines.find(|engine| self.is_eligible(engine) && self.has_room(engine))
     }
 
--- a/crates/rudder-gateway/src/contents.rs
+++ b/crates/rudder-gateway/src/contents.rs
@@ -10,7 +10,8 @@
 use rudder_ledger::{EndedUnder, Findings, Quarantine};
 use rudder_model::{ContentTag, EndpointId, id::endpoint_tag};
 
-/// Time that a content is refused after it was quarantined, by which a faulty engine is repaired. The first crash after that starts a new period.
+/// Time that a content is refused after it was quarantined, by which a faulty engine is repaired. The first crash after
+/// that starts a new period.
 pub const REFUSED_FOR: Duration = Duration::from_secs(86_400);
 /// Length of a generation of answered contents, of which the current and the previous one are kept.
 const GENERATION_SPAN: Duration = Duration::from_secs(30);
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -75,7 +75,7 @@
 
     /// Estimated number of requests at `endpoint` whose priority is not below `level`. Reports tell no priorities, so the
     /// other instances' requests are taken to be mixed as this one's.
-    pub fn calls_from(&self, level: usize, endpoint: &str, service: &str) -> f64 {
+    pub fn calls_at_or_above(&self, level: usize, endpoint: &str, service: &str) -> f64 {
         let calls = f64::from(self.at(endpoint).calls);
         let Some(service) = self.service_mixes.get(service).filter(|mix| mix.total() > 0.0) else { return calls };
         let mix = self.mixes.get(endpoint).copied().unwrap_or_default();
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -357,7 +357,7 @@
     let mut flights: Vec<InFlight> = [0, 0, 2, 2, 2, 2, 2, 2].map(start).into();
     loads.borrow_mut().set_others(&[load("e-1", 40, 0), load("e-2", 40, 0)]);
     let calls =
-        |endpoint: &str| [0, 1, 2].map(|level| loads.borrow().calls_from(level, endpoint, "svc").round() as u32);
+        |endpoint: &str| [0, 1, 2].map(|level| loads.borrow().calls_at_or_above(level, endpoint, "svc").round() as u32);
     assert_eq!(calls("e-1"), [12, 12, 48], "three in four are of the lowest priority");
     assert_eq!(calls("e-2"), [10, 10, 40], "as they are over the whole service");
     flights.clear();
