fix(gateway): a first start takes its share of the retry allowance at once

An instance that starts with the system for the first time has no former process whose share could be in use, and its settings say so (bootstrap, true only then); only a restart waits now. The tests are as they were; the one of restarts asserts both.

--- a/crates/rudder-gateway/src/budget.rs
+++ b/crates/rudder-gateway/src/budget.rs
@@ -2,7 +2,7 @@
 //! all instances.
 //!
 //! Nobody counts the retries of all instances, so the shares in force within a window must not add up to more than the
-//! allowance. An instance that has just started takes no share, as its former process may have used it. The share of
+//! allowance. An instance that has restarted takes no share at first, as its former process may have used it. The share of
 //! instances that vanished is not passed on to the others for a while: they may have used it, or be cut off and use it
 //! still.
 
@@ -43,7 +43,8 @@
     window: Duration,
     ratio: f64,
     extra: u32,
-    started: Moment,
+    /// From when on this instance takes its share.
+    shares_from: Moment,
     /// Numbers of live instances and when each was last true, the largest first; the last one is the current number.
     instances: VecDeque<(usize, Moment)>,
     services: HashMap<Arc<str>, Window>,
@@ -51,9 +52,10 @@
 
 impl Budget {
     /// A budget of `ratio` retries per request, and `extra` retries for all instances together, in any `window`, of an
-    /// instance that started at `started`.
-    pub fn new(window: Duration, ratio: f64, extra: u32, started: Moment) -> Budget {
-        Budget { window, ratio, extra, started, instances: VecDeque::new(), services: HashMap::new() }
+    /// instance that starts at `started`. `restarted` is false if the instance runs for the first time.
+    pub fn new(window: Duration, ratio: f64, extra: u32, started: Moment, restarted: bool) -> Budget {
+        let shares_from = if restarted { started + window } else { started };
+        Budget { window, ratio, extra, shares_from, instances: VecDeque::new(), services: HashMap::new() }
     }
 
     /// Records the number of live instances that send requests, this one included.
@@ -95,7 +97,7 @@
     /// This instance's share of the extra retries.
     fn share(&mut self, now: Moment) -> f64 {
         let instances = self.instances(now);
-        if instances == 0 || now < self.started + self.window {
+        if instances == 0 || now < self.shares_from {
             return 0.0;
         }
         f64::from(self.extra) / instances as f64
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -192,7 +192,13 @@
         log: Log,
         status: Arc<ControlStatus>,
     ) -> Shared<D> {
-        let budget = Budget::new(options.retry_window, options.retry_ratio, options.retry_extra, Moment::now());
+        let budget = Budget::new(
+            options.retry_window,
+            options.retry_ratio,
+            options.retry_extra,
+            Moment::now(),
+            !options.bootstrap,
+        );
         Shared {
             dialect,
             name: options.name(),
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -74,9 +74,9 @@
 }
 
 impl Retries {
-    fn new(instances: usize) -> Retries {
+    fn new(instances: usize, restarted: bool) -> Retries {
         let started = Moment::now();
-        let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50, started);
+        let mut budget = Budget::new(Duration::from_secs(10), 0.2, 50, started, restarted);
         budget.record_instances(instances, started);
         Retries { budget, started }
     }
@@ -93,7 +93,7 @@
 
 #[test]
 fn retries_are_limited_to_a_ratio_of_the_requests_and_a_share_of_the_extra() {
-    let mut retries = Retries::new(10);
+    let mut retries = Retries::new(10, true);
     for _ in 0..100 {
         retries.budget.note_request(&"svc".into(), retries.at(11));
     }
@@ -105,15 +105,16 @@
 /// All instances that restart within a window would otherwise grant the fixed allowance once more.
 #[test]
 fn a_restart_does_not_renew_the_share_of_the_allowance() {
-    let mut retries = Retries::new(10);
+    let mut retries = Retries::new(10, true);
     assert_eq!(retries.granted_at(9), 0, "its former process may have used it");
     assert_eq!(retries.granted_at(11), 3);
+    assert_eq!(Retries::new(10, false).granted_at(1), 3, "a system that starts for the first time has none");
 }
 
 /// Both sides of a partition would otherwise share the whole allowance among themselves.
 #[test]
 fn the_share_does_not_grow_at_once_when_instances_vanish() {
-    let mut retries = Retries::new(10);
+    let mut retries = Retries::new(10, true);
     retries.budget.record_instances(5, retries.at(3600));
     assert_eq!(retries.granted_at(3601), 3);
     assert_eq!(retries.granted_at(4100), 3);
