fix(core): replicas that are no voters redirect to the leader that their instance follows

Cause: an instance with a disk answers watch requests from its replica. A replica that is no voter hears of no leader, so it redirected to none although its instance followed one. Seeds that were exchanged for such instances sent everyone who started nowhere: after a power loss 12 of 16 instances knew no leader, two voters among them, and an acknowledged document was not read back. Ruled out: the membership did not change, the log was whole at the voters. Reads of the document and the search for a leader are logged.

Test: seeds_with_spare_disks_redirect_to_the_leader_that_they_follow failed before, passes now.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -12,10 +12,8 @@
 
 use crate::{
     Effect, Listing, Me, Options, PeerMessage, RelayGroup, WatchRequest,
-    clock::Clock,
     founding::Founding,
     hall_tags::HallTags,
-    limits::Limits,
     registry::{Change, Registration, Registry},
     tree::Directory,
     view::View,
@@ -156,14 +154,14 @@
         me: &Me,
         from: InstanceId,
         proposal: (u64, Start, Command),
-        options: &Options,
+        (view, options): (&View, &Options),
         out: &mut Vec<Effect>,
     ) {
         let (ticket, start, command) = proposal;
         let stamped = Stamped { time: me.epoch + now, proposer: from.clone(), command };
         let mut outputs = Vec::new();
         let Some(index) = self.propose(now, &stamped, &mut outputs) else {
-            self.send_redirect(from, out);
+            self.send_redirect(from, view.leader(), out);
             return;
         };
         let term = self.replica.term();
@@ -199,13 +197,14 @@
         now: Duration,
         from: InstanceId,
         mut watch: WatchRequest,
-        (clock, limits): (&mut Clock, &Limits),
+        view: &mut View,
         out: &mut Vec<Effect>,
     ) {
         if !self.replica.leads(now) {
-            self.send_redirect(from, out);
+            self.send_redirect(from, view.leader(), out);
             return;
         }
+        let (clock, limits) = (&mut view.clock, &view.limits);
         // The leader's own clock is already part of the median.
         if from != self.name {
             clock.record_reading(now, &from, watch.clock);
@@ -284,9 +283,12 @@
         }
     }
 
-    fn send_redirect(&self, to: InstanceId, out: &mut Vec<Effect>) {
-        // A leader without a lease must not redirect to itself.
-        let leader = self.replica.leader().filter(|name| **name != self.name).cloned();
+    /// Redirects to the leader that this replica knows, or else to the one that the instance follows: a replica that is
+    /// no voter hears of no leader.
+    fn send_redirect(&self, to: InstanceId, followed: Option<&InstanceId>, out: &mut Vec<Effect>) {
+        // A leader without a lease must not redirect to itself, nor anyone to the instance that asks.
+        let is_other = |name: &&InstanceId| **name != self.name && **name != to;
+        let leader = self.replica.leader().filter(is_other).or_else(|| followed.filter(is_other)).cloned();
         out.push(Effect::Send { to, message: PeerMessage::Redirect { leader } });
     }
 
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -452,12 +452,12 @@
             }
             PeerMessage::WatchRequest(watch) => {
                 self.view.record_limits(now, &watch.limits);
-                let known = (&mut self.view.clock, &self.view.limits);
-                control.on_watch(now, from, *watch, known, out);
+                control.on_watch(now, from, *watch, &mut self.view, out);
             }
             PeerMessage::Usage(update) if control.leads_since(now).is_some() => self.duties.on_usage(&from, *update),
             PeerMessage::Propose { ticket, start, command } => {
-                control.on_propose(now, &self.me, from, (ticket, start, command), &self.options, out);
+                let known = (&self.view, &self.options);
+                control.on_propose(now, &self.me, from, (ticket, start, command), known, out);
             }
             _ => {}
         }
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -40,6 +40,8 @@
 const MAX_LOAD_INTERVAL: Duration = Duration::from_secs(1);
 /// Interval between removals of rate limits of unknown endpoints.
 const LIMIT_PRUNE_INTERVAL: Duration = Duration::from_secs(10);
+/// Interval between log lines of an instance that knows no leader.
+const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// A relay whose replies prove nothing more recent than this is skipped.
 const MAX_RELAY_PROOF_AGE: Duration = Duration::from_millis(1500);
 
@@ -92,6 +94,8 @@
     remote_loads_at: Option<Duration>,
     /// The agreed time of day.
     pub clock: Clock,
+    /// Time of the last log line of the search for a leader.
+    search_logged_at: Option<Duration>,
 }
 
 /// The effect of a watch reply.
@@ -275,6 +279,7 @@
         let leaves = self.unconfirmed.values().any(|held| held.registration.phase >= Phase::Leaving);
         let leader = self.to_leader();
         let (target, to) = self.upstream.begin_round(now, me, leaves, leader);
+        self.log_search(now, to.as_ref(), out);
         let Some(to) = to else { return };
         let listing = Listing {
             name: me.name.clone(),
@@ -359,6 +364,17 @@
         pending.into_iter().map(|unconfirmed| unconfirmed.registration.clone()).collect()
     }
 
+    /// Logs whom this instance asks while it knows no leader.
+    fn log_search(&mut self, now: Duration, asked: Option<&InstanceId>, out: &mut Vec<Effect>) {
+        let is_due = self.search_logged_at.is_none_or(|logged| now >= logged + SEARCH_LOG_INTERVAL);
+        if self.leader().is_some() || !is_due {
+            return;
+        }
+        self.search_logged_at = Some(now);
+        let candidates = self.leader_candidates().len() as u32;
+        out.push(Effect::Log(What::LeaderSearch { asked: asked.map(ToString::to_string), candidates }));
+    }
+
     fn log_freshness(&mut self, now: Duration, bound: Duration, out: &mut Vec<Effect>) {
         let fresh = self.is_fresh(now, bound);
         if fresh != self.was_fresh {
--- a/crates/rudder-core/tests/seeds.rs
+++ b/crates/rudder-core/tests/seeds.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use mesh::{Mesh, name};
+use mesh::{Layout, Mesh, name};
 
 const MAX_AGE: Duration = Duration::from_secs(1);
 
@@ -48,3 +48,21 @@
     mesh.run(Duration::from_secs(4));
     assert!(mesh.is_fresh(8, MAX_AGE));
 }
+
+/// Guards against seeds that have a disk but are no voters: such a replica hears of no leader, while its instance follows
+/// one, so it has to redirect to that one. Otherwise instances that start know only seeds that send them nowhere.
+#[test]
+fn seeds_with_spare_disks_redirect_to_the_leader_that_they_follow() {
+    let mut mesh = Mesh::start_as(Layout { total: 12, disks: 6, ..Layout::default() });
+    mesh.run(Duration::from_secs(4));
+    for number in 0..12 {
+        mesh.kill(number);
+        mesh.nodes[number].seeds = vec![name(3), name(4), name(5)];
+    }
+    for number in 0..12 {
+        mesh.boot(number);
+    }
+    mesh.run(Duration::from_secs(4));
+    assert!(mesh.leader().is_some());
+    assert_eq!(stale(&mesh), Vec::<usize>::new(), "instances that have not found the leader");
+}
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -426,6 +426,22 @@
         /// Why, where it was refused.
         why: String,
     },
+    /// An operator read the configuration document.
+    DocumentRead {
+        /// The version returned; 0 if there is none.
+        version: u64,
+        /// HTTP status of the answer.
+        status: u16,
+        /// Age of the proof that the version is the newest, in milliseconds; `None` without a proof.
+        proof_ms: Option<u64>,
+    },
+    /// This instance knows no leader and asks others for it.
+    LeaderSearch {
+        /// The instance asked now; `None` if no other instance is known.
+        asked: Option<String>,
+        /// Number of instances that may know the leader.
+        candidates: u32,
+    },
     /// Settings were read anew.
     Reloaded {
         /// What came of it.
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -111,14 +111,16 @@
 
 /// Returns the document once it is proved to be the newest as of this request.
 async fn read<D: Dialect>(shared: &Shared<D>, arrived: Moment) -> Response<AnswerBody> {
-    if !shared.wait_for_proof(arrived, READ_PROOF_TIMEOUT).await {
-        return error_response(StatusCode::SERVICE_UNAVAILABLE, "the newest configuration is not known here");
-    }
+    let proved = shared.wait_for_proof(arrived, READ_PROOF_TIMEOUT).await;
     let document = shared.view.borrow().document.clone();
-    match document {
-        Some(document) => json(StatusCode::OK, Bytes::copy_from_slice(&document.body)),
-        None => error_response(StatusCode::SERVICE_UNAVAILABLE, "there is no configuration yet"),
-    }
+    let (version, response) = match document.filter(|_| proved) {
+        Some(document) => (document.version, json(StatusCode::OK, Bytes::copy_from_slice(&document.body))),
+        None if proved => (0, error_response(StatusCode::SERVICE_UNAVAILABLE, "there is no configuration yet")),
+        None => (0, error_response(StatusCode::SERVICE_UNAVAILABLE, "the newest configuration is not known here")),
+    };
+    let proof_ms = shared.proof_age().map(|age| age.as_millis() as u64);
+    shared.log.write(What::DocumentRead { version, status: response.status().as_u16(), proof_ms });
+    response
 }
 
 /// Begins or ends the evacuation of a hall.
