feat(gateway): contended services, the load that endpoints report, and details of loads

Services whose endpoints report their pace, or all services where the settings say so, count as contended; the mechanisms for them come next. Loads of their endpoints carry requests by priority level and room for learned speeds; loads of all other services are encoded as before.

--- a/crates/rudder-core/src/loads.rs
+++ b/crates/rudder-core/src/loads.rs
@@ -47,7 +47,7 @@
         for total in self.totals.values() {
             let mut other = total.clone();
             if let Some(load) = own.get(&total.endpoint) {
-                subtract(&mut other, load);
+                other.subtract(load);
             }
             if !other.is_none() {
                 others.push(other);
@@ -86,7 +86,7 @@
     fn subtract_report(&mut self, report: Option<Report>) {
         for load in report.map(|report| report.loads).unwrap_or_default() {
             let Some(total) = self.totals.get_mut(&load.endpoint) else { continue };
-            subtract(total, &load);
+            total.subtract(&load);
             if total.is_none() {
                 self.totals.remove(&load.endpoint);
             }
@@ -104,18 +104,5 @@
 }
 
 fn add(totals: &mut BTreeMap<EndpointTag, Load>, load: &Load) {
-    let total = totals.entry(load.endpoint).or_insert_with(|| Load::none(load.endpoint));
-    total.calls = total.calls.saturating_add(load.calls);
-    total.unread = total.unread.saturating_add(load.unread);
-    total.held = total.held.saturating_add(load.held);
-    total.ended = total.ended.saturating_add(load.ended);
-    total.failed = total.failed.saturating_add(load.failed);
-}
-
-fn subtract(total: &mut Load, load: &Load) {
-    total.calls = total.calls.saturating_sub(load.calls);
-    total.unread = total.unread.saturating_sub(load.unread);
-    total.held = total.held.saturating_sub(load.held);
-    total.ended = total.ended.saturating_sub(load.ended);
-    total.failed = total.failed.saturating_sub(load.failed);
+    totals.entry(load.endpoint).or_insert_with(|| Load::none(load.endpoint)).add(load);
 }
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -162,6 +162,61 @@
 /// Changes of the directory since the version that the receiver holds.
 pub type DirectoryDelta = MapDelta<InstanceId, Listing>;
 
+/// Priority levels that load details count apart; lower ones count as the last.
+pub const LEVELS: usize = 4;
+
+/// Tokens processed and the time that it took.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TokenTime {
+    /// Tokens.
+    pub tokens: u32,
+    /// Time in milliseconds.
+    pub millis: u32,
+}
+
+/// A sum of relative processing times that an endpoint has reported.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceSum {
+    /// Sum of the reported times, in percent of the usual one.
+    pub percent: u32,
+    /// Number of reports.
+    pub reports: u32,
+}
+
+/// Figures of an endpoint that are exchanged for contended services only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadDetail {
+    /// Requests in flight by priority level, the most urgent first.
+    pub levels: [u32; LEVELS],
+    /// Output generated recently: tokens after the first event of each stream.
+    pub output: TokenTime,
+    /// Prompts processed recently.
+    pub prefill: TokenTime,
+    /// Paces that the endpoint has reported recently.
+    pub pace: PaceSum,
+}
+
+impl LoadDetail {
+    /// Combines two details field by field.
+    fn combine(self, other: LoadDetail, by: impl Fn(u32, u32) -> u32) -> LoadDetail {
+        let time =
+            |a: TokenTime, b: TokenTime| TokenTime { tokens: by(a.tokens, b.tokens), millis: by(a.millis, b.millis) };
+        let mut levels = self.levels;
+        for (level, other) in levels.iter_mut().zip(other.levels) {
+            *level = by(*level, other);
+        }
+        LoadDetail {
+            levels,
+            output: time(self.output, other.output),
+            prefill: time(self.prefill, other.prefill),
+            pace: PaceSum {
+                percent: by(self.pace.percent, other.pace.percent),
+                reports: by(self.pace.reports, other.pace.reports),
+            },
+        }
+    }
+}
+
 /// In-flight requests and recent failures at one endpoint.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -177,17 +232,41 @@
     pub ended: u32,
     /// Recently ended requests that the endpoint failed.
     pub failed: u32,
+    /// Further figures of endpoints of contended services.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub detail: Option<Box<LoadDetail>>,
 }
 
 impl Load {
     /// Returns an empty load of `endpoint`.
     pub fn none(endpoint: EndpointTag) -> Load {
-        Load { endpoint, calls: 0, unread: 0, held: 0, ended: 0, failed: 0 }
+        Load { endpoint, calls: 0, unread: 0, held: 0, ended: 0, failed: 0, detail: None }
     }
 
     /// Returns whether there is nothing to report.
     pub fn is_none(&self) -> bool {
-        self.calls == 0 && self.ended == 0
+        self.calls == 0 && self.ended == 0 && self.detail.is_none()
+    }
+
+    /// Adds another load of the same endpoint.
+    pub fn add(&mut self, other: &Load) {
+        self.combine(other, u32::saturating_add);
+    }
+
+    /// Subtracts a load that is part of this one.
+    pub fn subtract(&mut self, part: &Load) {
+        self.combine(part, u32::saturating_sub);
+    }
+
+    fn combine(&mut self, other: &Load, by: impl Fn(u32, u32) -> u32) {
+        self.calls = by(self.calls, other.calls);
+        self.unread = by(self.unread, other.unread);
+        self.held = by(self.held, other.held);
+        self.ended = by(self.ended, other.ended);
+        self.failed = by(self.failed, other.failed);
+        let Some(other) = other.detail.as_deref() else { return };
+        let detail = self.detail.as_deref().copied().unwrap_or_default().combine(*other, by);
+        self.detail = (detail != LoadDetail::default()).then(|| Box::new(detail));
     }
 }
 
--- a/crates/rudder-core/tests/loads.rs
+++ b/crates/rudder-core/tests/loads.rs
@@ -3,12 +3,22 @@
 use std::{collections::BTreeMap, time::Duration};
 
 use quickcheck::quickcheck;
-use rudder_core::{loads::Loads, peer::Load};
+use rudder_core::{
+    loads::Loads,
+    peer::{Load, LoadDetail, PaceSum, TokenTime},
+};
 use rudder_model::InstanceId;
 
 fn load(endpoint: u8, calls: u32) -> Load {
     let (ended, failed) = (calls * 3, calls * 2);
-    Load { endpoint: u32::from(endpoint), calls, unread: calls * 100, held: calls * 7, ended, failed }
+    let detail = LoadDetail {
+        levels: [calls, 0, calls * 2, calls * 3],
+        output: TokenTime { tokens: calls * 5, millis: calls * 30 },
+        prefill: TokenTime { tokens: calls * 11, millis: calls },
+        pace: PaceSum { percent: calls * 100, reports: calls },
+    };
+    let detail = Some(Box::new(detail));
+    Load { endpoint: u32::from(endpoint), calls, unread: calls * 100, held: calls * 7, ended, failed, detail }
 }
 
 fn name(instance: u8) -> InstanceId {
--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -45,6 +45,7 @@
             held: 60_000,
             ended: 40,
             failed: 0,
+            detail: None,
         };
         let loads: Vec<Load> = endpoints.iter().step_by(2).map(load).collect();
         let mut known = Known {
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -219,6 +219,9 @@
     let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
     let (parts, body) = response.into_parts();
     let head = shared.dialect.read_answer(&call.id, &parts);
+    if head.id_matches && head.load.is_some_and(|load| load.pace.is_some()) {
+        shared.contention.borrow_mut().record_pace(&choice.service, Moment::now());
+    }
     if let Some(pushback) = head.pushback {
         record_pushback(shared, &choice.endpoint, pushback);
     }
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -136,8 +136,21 @@
     pub resume_from: Option<&'a str>,
 }
 
+/// The load that an endpoint reports in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// How long work takes there at present, as a multiple of the usual time.
+    pub pace: Option<f64>,
+}
+
 /// The parsed head of an endpoint's answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct AnswerHead {
     /// The answer names the id of the request.
     pub id_matches: bool,
@@ -147,6 +160,8 @@
     pub misdirected: bool,
     /// How long the connection may be idle.
     pub keep_alive: Option<Duration>,
+    /// The load that the endpoint reports.
+    pub load: Option<LoadReport>,
     /// What the endpoint asks this instance to do.
     pub pushback: Option<Pushback>,
     /// What the endpoint reports of its rate limit.
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -8,13 +8,11 @@
 };
 
 use rudder_clock::Moment;
-use rudder_core::peer::Load;
+use rudder_core::peer::{LEVELS, Load, LoadDetail};
 use rudder_model::{EndpointId, EndpointTag, id};
 
 use crate::recent::{RecentOutcomes, Tally};
 
-/// Priority levels that are counted apart; lower ones count as the last.
-const LEVELS: usize = 4;
 /// Weight of a service's mix of priorities in that of an endpoint, in requests: an instance has few of its own at one.
 const MIX_WEIGHT: f64 = 4.0;
 
@@ -103,21 +101,29 @@
         tally
     }
 
-    /// This instance's work, to be reported to the other instances.
-    pub fn to_loads(&mut self, now: Moment) -> Vec<Load> {
+    /// This instance's work, to be reported to the other instances. Loads of endpoints that `is_contended` selects have
+    /// details.
+    pub fn to_loads(&mut self, now: Moment, is_contended: impl Fn(&EndpointId) -> bool) -> Vec<Load> {
         self.recent.age(now);
         let mut endpoints: HashSet<&EndpointId> = self.recent.endpoints().collect();
         endpoints.extend(self.own.iter().filter(|(_, load)| load.calls > 0).map(|(endpoint, _)| endpoint));
         let to_load = |endpoint: &EndpointId| {
             let own = self.own.get(endpoint).cloned().unwrap_or_else(|| Load::none(id::endpoint_tag(endpoint)));
             let Tally { ended, failed } = self.recent.at(endpoint, now);
-            Load { ended, failed, ..own }
+            let detail = is_contended(endpoint).then(|| Box::new(self.detail_of(endpoint)));
+            Load { ended, failed, detail, ..own }
         };
         let mut loads: Vec<Load> = endpoints.into_iter().map(to_load).collect();
         loads.sort_by_key(|load| load.endpoint);
         loads
     }
 
+    /// Details of this instance's work at `endpoint`.
+    fn detail_of(&self, endpoint: &EndpointId) -> LoadDetail {
+        let Mix(levels) = self.mixes.get(endpoint).copied().unwrap_or_default();
+        LoadDetail { levels, ..LoadDetail::default() }
+    }
+
     /// Drops endpoints that are unknown and have no work.
     pub fn retain(&mut self, known: impl Fn(&EndpointId) -> bool) {
         self.own.retain(|endpoint, load| load.calls > 0 || known(endpoint));
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -99,6 +99,8 @@
     pub memory: Option<usize>,
     /// Duties, if any.
     pub duties: Option<Duties>,
+    /// Whether the mechanisms for contended services apply to all services.
+    pub contended: bool,
     /// Policy of routing decisions.
     pub policy: Policy,
 }
@@ -130,6 +132,7 @@
             log_lines: 600,
             memory: None,
             duties: None,
+            contended: false,
             policy: Policy::default(),
         }
     }
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -58,6 +58,33 @@
     pub scaling: ScaleOptions,
     /// Slow start of endpoints that warm up.
     pub slow_start: SlowStart,
+    /// Mechanisms for contended services.
+    pub contention: ContentionPolicy,
+}
+
+/// Switches of the mechanisms that apply to contended services only.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(default, deny_unknown_fields)]
+#[allow(clippy::struct_excessive_bools, reason = "each switches one mechanism")]
+pub struct ContentionPolicy {
+    /// Speeds and pace are learned for each endpoint and exchanged between instances.
+    pub condition: bool,
+    /// Engines are compared by the predicted time to the first event, and lanes are formed by speed.
+    pub timing: bool,
+    /// One admission decision by priority over the requests of all instances.
+    pub admission: bool,
+    /// Refused callers are scheduled to return.
+    pub returns: bool,
+    /// Fair shares between organisations.
+    pub shares: bool,
+    /// Directory answers weighted by the capacity of instances.
+    pub spread: bool,
+}
+
+impl Default for ContentionPolicy {
+    fn default() -> Self {
+        ContentionPolicy { condition: true, timing: true, admission: true, returns: true, shares: true, spread: true }
+    }
 }
 
 /// Engines reserved for streams that are sensitive to the prefill of long prompts.
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -7,7 +7,7 @@
 use rudder_clock::{Moment, WakeWatch, note_wake};
 use rudder_core::Event;
 use rudder_events::What;
-use rudder_model::InstanceId;
+use rudder_model::{EndpointId, InstanceId};
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
@@ -172,7 +172,13 @@
             described = Moment::now();
             shared.send_event(Event::Services(scaling::service_states(&shared)));
         }
-        let loads = shared.loads.borrow_mut().to_loads(Moment::now());
+        let contention = shared.contention.borrow();
+        let now = Moment::now();
+        let is_contended = |endpoint: &EndpointId| {
+            roster.get(endpoint).is_some_and(|known| contention.is_contended(&known.service, now))
+        };
+        let loads = shared.loads.borrow_mut().to_loads(now, is_contended);
+        drop(contention);
         if loads != reported {
             reported.clone_from(&loads);
             shared.send_event(Event::Loads(loads));
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -25,6 +25,7 @@
     buffers::BufferQuota,
     call::to_hex,
     choose::{CandidateCache, Choice},
+    contention::Contention,
     contents::{Contents, REFUSED_FOR},
     dialect::EntriesQuery,
     health::Health,
@@ -158,6 +159,8 @@
     pub placement: RefCell<Placement>,
     /// Endpoints that are warming up.
     pub slow_start: RefCell<SlowStartState>,
+    /// Contended services.
+    pub contention: RefCell<Contention>,
     /// Requests refused for lack of capacity, by priority.
     pub shedding: RefCell<Shedding>,
     /// Bytes buffered for callers and endpoints.
@@ -206,6 +209,7 @@
             placement: RefCell::new(Placement::new(options.regions.clone())),
             slow_start: RefCell::new(SlowStartState::new(options.name(), started)),
             shedding: RefCell::default(),
+            contention: RefCell::new(Contention::new(options.contended)),
             options,
             started,
             events,
@@ -261,6 +265,11 @@
         }
     }
 
+    /// Whether the mechanisms for contended services apply to this service.
+    pub fn is_contended(&self, service: &str) -> bool {
+        self.contention.borrow().is_contended(service, Moment::now())
+    }
+
     /// Age of the proof that the plan is the newest, if there has been one.
     pub fn proof_age(&self) -> Option<Duration> {
         self.proof.borrow().map(Moment::elapsed)
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -187,7 +187,10 @@
 fn reported_outcomes_count_like_own_ones() {
     let (mut endpoint_loads, now) = (EndpointLoads::default(), Moment::now());
     endpoint_loads.note_end(&"e-1".into(), true, now);
-    assert_eq!(endpoint_loads.to_loads(now), vec![Load { ended: 1, failed: 1, ..Load::none(id::endpoint_tag("e-1")) }]);
+    assert_eq!(
+        endpoint_loads.to_loads(now, |_| false),
+        vec![Load { ended: 1, failed: 1, ..Load::none(id::endpoint_tag("e-1")) }]
+    );
     endpoint_loads.set_others(&[Load { ended: 5, failed: 2, ..Load::none(id::endpoint_tag("e-1")) }]);
     assert_eq!(endpoint_loads.tally("e-1", now), Tally { ended: 6, failed: 3 });
 }
