feat(route): on-demand engines make room for the spot engines that are to replace them

Cause: after two halls lost their spot engines, on-demand engines filled the halls' bounds. All of them were kept until spot engines serve in their place, and those found no room: 40 engines a hall stayed at full price. Those beyond the ones that still carry demand are released now, where the settings declare services contended.

--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -14,6 +14,7 @@
 use rudder_events::What;
 use rudder_model::InstanceId;
 use rudder_replica::{Durable, ReplicaId};
+use rudder_route::scale::ScaleOptions;
 use rudder_store::disk::{self, Job, Report};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -180,7 +181,9 @@
 /// The duties of the settings, with the scaling options of the policy.
 fn duty_options(options: &Options) -> DutyOptions {
     let Some(duties) = &options.duties else { return DutyOptions::default() };
-    let scaling = duties.core.scaling.as_ref().map(|_| options.policy.scaling.clone());
+    let policy = &options.policy;
+    let gradual_release = options.contended && policy.contention.release;
+    let scaling = duties.core.scaling.as_ref().map(|_| ScaleOptions { gradual_release, ..policy.scaling.clone() });
     DutyOptions { scaling, ..duties.core.clone() }
 }
 
--- a/crates/rudder-route/src/scale.rs
+++ b/crates/rudder-route/src/scale.rs
@@ -95,6 +95,11 @@
     pub on_demand_share: f64,
     /// Orders additional spot engines, so that those left after the loss of one hall are enough.
     pub reserve: bool,
+    /// On-demand engines beyond those that still carry the demand are released before all spot engines serve again.
+    /// Otherwise a hall whose bound is taken up by on-demand engines has no room for the spot engines that are to replace
+    /// them.
+    #[serde(skip)]
+    pub gradual_release: bool,
 }
 
 impl Default for ScaleOptions {
@@ -106,6 +111,7 @@
             hold_seconds: 120.0,
             on_demand_share: 0.0,
             reserve: true,
+            gradual_release: false,
         }
     }
 }
@@ -157,7 +163,7 @@
             return Vec::new();
         }
         let mut targets = spread(needs, bounds, halls, options);
-        self.keep_on_demand_until_replaced(now, needs, bounds, (demand, halls), &mut targets);
+        self.keep_on_demand_until_replaced(now, needs, bounds, (demand, halls), &mut targets, options);
         self.keep_spare_spot(now, halls, &mut targets);
         for target in &mut targets {
             // Spot engines are ordered only within the bound on both kinds together.
@@ -232,20 +238,31 @@
         bounds: &Bounds,
         (demand, halls): (Demand, &[HallEngines]),
         targets: &mut [DesiredEngines],
+        options: &ScaleOptions,
     ) {
         let planned: u32 = targets.iter().filter_map(|target| target.on_demand).sum();
         let spot: u32 = halls.iter().map(|current| current.spot).sum();
-        let short = needs.initial.max(needs.urgent) > planned + spot;
+        // Surplus on-demand engines that still carry demand.
+        let mut carrying = needs.initial.max(needs.urgent).saturating_sub(planned + spot);
         let busy = demand.calls > 0;
         for (target, current) in targets.iter_mut().zip(halls) {
-            let surplus = current.on_demand.saturating_sub(target.on_demand.unwrap_or_default());
+            let wanted = target.on_demand.unwrap_or_default();
+            let surplus = current.on_demand.saturating_sub(wanted);
             if surplus == 0 {
                 continue;
             }
             let paused = busy && self.last_release.is_some_and(|at| now < at + RELEASE_INTERVAL);
-            if short || paused {
-                target.on_demand = Some(current.on_demand.min(bounds.max));
-            } else {
+            let kept = match carrying {
+                _ if paused => surplus,
+                0 => 0,
+                count if options.gradual_release => surplus.min(count),
+                _ => surplus,
+            };
+            carrying = if options.gradual_release { carrying.saturating_sub(kept) } else { carrying };
+            if kept > 0 {
+                target.on_demand = Some((wanted + kept).min(bounds.max));
+            }
+            if kept < surplus {
                 self.last_release = Some(now);
             }
         }
--- a/crates/rudder-route/tests/scale.rs
+++ b/crates/rudder-route/tests/scale.rs
@@ -117,6 +117,24 @@
             .collect();
         assert_eq!(steps, [[0, 20, 20], [0, 20, 20], [0, 0, 20], [0, 0, 0]]);
     };
+    // Guards against on-demand engines that fill a hall's bound for good: spot engines are to replace them, but find no
+    // room while all are kept.
+    on_demand_engines_make_room_for_spot_engines_after_a_reclaim: || {
+        let options = ScaleOptions { gradual_release: true, ..ScaleOptions::default() };
+        let mut scaler = started([20; 3]);
+        let mut current = halls([0, 40, 40], [40, 0, 0]);
+        let mut spot_room = 0;
+        for now in [5, 9, 13] {
+            let targets = scaler.plan(at(now), &bounds(), demand(30), &current, &options);
+            assert!(on_demand(&targets).iter().sum::<u32>() + 40 >= 60, "the operator's count still applies");
+            for (hall, target) in current.iter_mut().zip(&targets) {
+                hall.on_demand = target.on_demand.unwrap_or_default();
+            }
+            spot_room = spot(&targets)[1] + spot(&targets)[2];
+        }
+        assert_eq!(current.iter().map(|hall| hall.on_demand).sum::<u32>(), 20);
+        assert!(spot_room >= 50, "room for {spot_room} spot engines");
+    };
     rising_demand_orders_more_engines_at_once: || {
         let mut scaler = started([20; 3]);
         let targets = plan(&mut scaler, 5, demand(72), &halls([0; 3], [30; 3]));
