--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -363,7 +363,7 @@
     let roster = shared.roster.borrow().clone();
     let loads = shared.loads.borrow();
     let (health, backoff) = (shared.health.borrow(), shared.backoff.borrow());
-    let prefill = shared.prefill.borrow();
+    let (prefill, conditions) = (shared.prefill.borrow(), shared.conditions.borrow());
     let (placement, slow_start, limits) =
         (shared.placement.borrow(), shared.slow_start.borrow(), shared.limits.borrow());
     let inputs = Inputs {
@@ -372,6 +372,7 @@
         health: &health,
         backoff: &backoff,
         prefill: &prefill,
+        conditions: &conditions,
         placement: &placement,
         slow_start: &slow_start,
         limits: &limits,
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -18,6 +18,7 @@
 use crate::{
     Plan, Policy,
     backoff::Backoff,
+    condition::Conditions,
     dialect::Prompt,
     health::Health,
     limits::RateLimits,
@@ -41,6 +42,8 @@
     pub backoff: &'a Backoff,
     /// Prefill speeds of engines.
     pub prefill: &'a PrefillSpeeds,
+    /// Speeds and pace of the engines of contended services.
+    pub conditions: &'a Conditions,
     /// Regions of halls and evacuated halls.
     pub placement: &'a Placement,
     /// Slow start of cold endpoints.
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod buffers;
 pub mod call;
 pub mod choose;
+pub mod condition;
 pub mod contention;
 pub mod contents;
 pub mod dialect;
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -25,6 +25,7 @@
     buffers::BufferQuota,
     call::to_hex,
     choose::{CandidateCache, Choice},
+    condition::Conditions,
     contention::Contention,
     contents::{Contents, REFUSED_FOR},
     dialect::EntriesQuery,
@@ -155,6 +156,8 @@
     pub contents: RefCell<Contents>,
     /// Prefill speed of engines.
     pub prefill: RefCell<PrefillSpeeds>,
+    /// Speeds and pace of the engines of contended services.
+    pub conditions: RefCell<Conditions>,
     /// Regions and evacuations of halls.
     pub placement: RefCell<Placement>,
     /// Endpoints that are warming up.
@@ -226,6 +229,7 @@
             limits: RefCell::default(),
             contents: RefCell::new(Contents::new(started)),
             prefill: RefCell::default(),
+            conditions: RefCell::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
             replaced: watch::Sender::new(()),
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -6,8 +6,8 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
-    Plan, Policy, backoff::Backoff, choose::Inputs, health::Health, limits::RateLimits, loads::EndpointLoads,
-    placement::Placement, prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
+    Plan, Policy, backoff::Backoff, choose::Inputs, condition::Conditions, health::Health, limits::RateLimits,
+    loads::EndpointLoads, placement::Placement, prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
 };
 use rudder_model::HallId;
 
@@ -40,6 +40,7 @@
     pub health: Health,
     pub backoff: Backoff,
     pub prefill: PrefillSpeeds,
+    pub conditions: Conditions,
     pub placement: Placement,
     pub slow_start: SlowStartState,
     pub limits: RateLimits,
@@ -58,6 +59,7 @@
             health: Health::default(),
             backoff: Backoff::default(),
             prefill: PrefillSpeeds::default(),
+            conditions: Conditions::default(),
             placement: Placement::default(),
             slow_start: SlowStartState::new("me".into(), now),
             limits: RateLimits::default(),
@@ -78,6 +80,7 @@
             health: &self.health,
             backoff: &self.backoff,
             prefill: &self.prefill,
+            conditions: &self.conditions,
             placement: &self.placement,
             slow_start: &self.slow_start,
             limits: &self.limits,
--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admit;
+pub mod condition;
 pub mod endpoint;
 pub mod estimate;
 pub mod health;
