feat(route): predicted times and speed classes of engines

The cost of an engine is counted in prompt tokens, which says nothing about engines of different speeds. A pure module predicts the first event, the gap between events and the delay of other streams from an engine's speed and pace, and classes engines as fast or slow with hysteresis.

--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admit;
 pub mod condition;
 pub mod endpoint;
+pub mod engine_cost;
 pub mod estimate;
 pub mod health;
 pub mod options;
