feat(gateway): engines of contended services are chosen by predicted times

Costs in prompt tokens are blind to the speed of an engine, and a request preferred its session's engine even when the wait there alone missed its target; it was then refused for that wait. For contended services, engines are now compared by the predicted first event and the delay of others, and one that meets the targets of the route wins over one that misses them.

The quick lane is made of fast engines, by speed classes with hysteresis, since slow ones miss a short gap target beside prefill or in a passing slowdown. Other requests use engines of the quick lane that are idle.

call_sent contains the predicted time, and a histogram compares it with the actual one. Services that aren't contended are chosen for and divided as before.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -250,6 +250,9 @@
         ahead: u32,
         /// Prompt tokens that it is expected to add.
         unread: u32,
+        /// Predicted time to its first event, in milliseconds, where its service is contended.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        predicted_ms: Option<u64>,
         /// KV cache tokens that the requests known to be there may need, its own not counted.
         #[serde(default)]
         held: u32,
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -140,6 +140,7 @@
         calls,
         ahead,
         unread,
+        predicted_ms,
         held,
         rank,
         others_ms,
@@ -157,11 +158,12 @@
     let fetched = fetch_from.as_ref().map_or(String::new(), |from| format!(", its session taken from {from}"));
     let kept = keeper.as_ref().map_or(String::new(), |keeper| format!(", a copy kept by {keeper}"));
     let ranked = rank.map_or(String::new(), |rank| format!(", rank {rank} there, {held} tokens of memory in use"));
+    let predicted = predicted_ms.map_or(String::new(), |time| format!(", first event predicted after {time} ms"));
     let limited = limit.map_or(String::new(), |rate| format!(", within its limit of {rate} requests a second"));
     format!(
         "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
          {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left\
-         {ranked}{fetched}{kept}{limited}"
+         {ranked}{predicted}{fetched}{kept}{limited}"
     )
 }
 
--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -10,11 +10,13 @@
 use rudder_gateway::{
     Plan, Route, RouteKind, Service,
     choose::{self, Candidates, Eligibility},
+    contention::Contention,
     dialect::{Prompt, PromptPart},
     plan::{Engine, Limits, Share},
     roster::Roster,
 };
 use rudder_model::id;
+use rudder_route::condition::EngineSpeed;
 
 use support::{Known, endpoint, roster};
 
@@ -22,6 +24,8 @@
 static ALLOCATOR: divan::AllocProfiler = divan::AllocProfiler::system();
 
 const ENDPOINTS: [usize; 4] = [20, 200, 3_000, 12_000];
+/// Endpoints of a contended service: those of one deployment, and the most.
+const CONTENDED: [usize; 2] = [90, 12_000];
 
 fn main() {
     divan::main();
@@ -58,6 +62,22 @@
         Scene { roster: roster(&endpoints), loads, known }
     }
 
+    /// The same as a contended service. With `overloaded`, all endpoints would miss the targets of requests.
+    fn contended(count: usize, overloaded: bool) -> Scene {
+        let mut scene = Scene::new(count, true);
+        scene.known.contention = Contention::new(true);
+        for engine in scene.roster.of("svc") {
+            let speed = EngineSpeed { prefill_speed: 110.0, samples: 50, ..EngineSpeed::default() };
+            scene.known.conditions.set(&engine.endpoint, speed);
+        }
+        if overloaded {
+            let tags = scene.roster.of("svc").iter().map(|engine| id::endpoint_tag(&engine.endpoint));
+            scene.loads = tags.map(|tag| Load { calls: 30, unread: 200_000, ..Load::none(tag) }).collect();
+            scene.known.loads.set_others(&scene.loads);
+        }
+        scene
+    }
+
     fn candidates(&self) -> Candidates {
         Candidates::new(self.roster.of("svc"), "svc", &self.known.inputs())
     }
@@ -119,6 +139,28 @@
     choose_on(bencher, &Scene::new(count, true), "/quick/", Some(&prompt(7)));
 }
 
+#[divan::bench(args = CONTENDED)]
+fn contended_long_prompt(bencher: Bencher, count: usize) {
+    choose_on(bencher, &Scene::contended(count, false), "/slow/", Some(&prompt(7)));
+}
+
+#[divan::bench(args = CONTENDED)]
+fn contended_quick_stream(bencher: Bencher, count: usize) {
+    choose_on(bencher, &Scene::contended(count, false), "/quick/", Some(&prompt(7)));
+}
+
+/// The longest search: no endpoint meets the targets.
+#[divan::bench(args = CONTENDED)]
+fn contended_overload(bencher: Bencher, count: usize) {
+    choose_on(bencher, &Scene::contended(count, true), "/quick/", Some(&prompt(7)));
+}
+
+#[divan::bench(args = CONTENDED)]
+fn contended_divide_lanes(bencher: Bencher, count: usize) {
+    let scene = Scene::contended(count, false);
+    bencher.bench_local(|| Rc::new(scene.candidates()));
+}
+
 #[divan::bench(args = ENDPOINTS)]
 fn plain_call(bencher: Bencher, count: usize) {
     choose_on(bencher, &Scene::new(count, false), "/slow/", None);
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -339,6 +339,7 @@
         calls: choice.calls,
         ahead: choice.ahead,
         unread: choice.unread,
+        predicted_ms: choice.predicted.map(|predicted| predicted.as_millis() as u64),
         held: choice.held,
         rank: call.prompt.as_ref().map(|_| call.engine_rank),
         others_ms: others.as_millis() as u64,
@@ -364,6 +365,7 @@
     let loads = shared.loads.borrow();
     let (health, backoff) = (shared.health.borrow(), shared.backoff.borrow());
     let (prefill, conditions) = (shared.prefill.borrow(), shared.conditions.borrow());
+    let contention = shared.contention.borrow();
     let (placement, slow_start, limits) =
         (shared.placement.borrow(), shared.slow_start.borrow(), shared.limits.borrow());
     let inputs = Inputs {
@@ -373,6 +375,7 @@
         backoff: &backoff,
         prefill: &prefill,
         conditions: &conditions,
+        contention: &contention,
         placement: &placement,
         slow_start: &slow_start,
         limits: &limits,
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -47,6 +47,7 @@
         ahead: work.unread,
         held: work.held,
         unread: 0,
+        predicted: None,
         backup: None,
         fetch_from: None,
         ..before.clone()
--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -9,7 +9,7 @@
 use rudder_core::{Phase, Registration};
 use rudder_model::id;
 
-use super::Inputs;
+use super::{Inputs, SpeedClasses};
 use crate::{
     lanes::{self, Lanes},
     roster::Roster,
@@ -30,17 +30,19 @@
     /// The endpoints in slow start that this instance may send to. They are sampled separately, as a sample of all
     /// endpoints would rarely include them.
     pub warming: Vec<Arc<Registration>>,
+    /// Number of endpoints that are not slow; they come first.
+    pub fast: usize,
     /// Rendezvous hash key of each endpoint.
     keys: Vec<u64>,
 }
 
 impl Lane {
-    fn new(endpoints: Vec<Arc<Registration>>, inputs: &Inputs) -> Lane {
+    fn new(endpoints: Vec<Arc<Registration>>, fast: usize, inputs: &Inputs) -> Lane {
         let local = endpoints.iter().filter(|endpoint| endpoint.hall == *inputs.hall).cloned().collect();
         let is_warming = |endpoint: &&Arc<Registration>| inputs.allowance(endpoint) != Allowance::Unlimited;
         let warming = endpoints.iter().filter(is_warming).cloned().collect();
         let keys = endpoints.iter().map(|registration| id::node_key(&registration.endpoint)).collect();
-        Lane { endpoints, local, warming, keys }
+        Lane { endpoints, local, warming, fast, keys }
     }
 
     /// The `COUNT` endpoints with the largest rendezvous weights for `key`, in descending order, without those that
@@ -84,8 +86,18 @@
 }
 
 impl Candidates {
-    /// Computes the candidates of `service` from its endpoints.
+    /// Computes the candidates of `service` from its endpoints, without knowledge of their earlier speed classes.
     pub fn new(endpoints: &[Arc<Registration>], service: &str, inputs: &Inputs) -> Candidates {
+        Candidates::with_classes(endpoints, service, inputs, &mut SpeedClasses::default())
+    }
+
+    /// Computes the candidates of `service` from its endpoints, and updates their speed classes.
+    pub fn with_classes(
+        endpoints: &[Arc<Registration>],
+        service: &str,
+        inputs: &Inputs,
+        classes: &mut SpeedClasses,
+    ) -> Candidates {
         let is_ejected = |registration: &Registration| inputs.health.is_ejected(&registration.endpoint, inputs.now);
         let is_healthy =
             |registration: &Arc<Registration>| registration.phase == Phase::Ready && !is_ejected(registration);
@@ -98,8 +110,10 @@
         };
         let usable = endpoints.iter().filter(is_usable).cloned();
         let (healthy, unhealthy): (Vec<_>, Vec<_>) = usable.partition(is_healthy);
-        let fallback = unhealthy.into_iter().filter(|registration| registration.phase <= Phase::Silent).collect();
-        let lanes = to_lanes(inputs, service, healthy);
+        let is_fallback = |registration: &Arc<Registration>| registration.phase <= Phase::Silent;
+        let fallback: Vec<_> = unhealthy.into_iter().filter(is_fallback).collect();
+        classes.update(endpoints, service, inputs);
+        let lanes = to_lanes(inputs, service, healthy, classes);
         let retry_at = |registration: &Arc<Registration>| {
             let times = [
                 inputs.health.retry_at(&registration.endpoint, inputs.now),
@@ -111,27 +125,35 @@
         let earliest_retry = endpoints.iter().filter_map(retry_at).min();
         let max_expiry = inputs.now + MAX_AGE;
         Candidates {
-            quick: Lane::new(lanes.quick, inputs),
-            bulk: Lane::new(lanes.bulk, inputs),
-            fallback: Lane::new(fallback, inputs),
+            quick: Lane::new(lanes.quick, 0, inputs),
+            bulk: Lane::new(lanes.bulk, lanes.fast, inputs),
+            fallback: Lane::new(fallback, 0, inputs),
             expires: Some(earliest_retry.unwrap_or(max_expiry).min(max_expiry)),
         }
     }
 }
 
 /// Divides the healthy endpoints if the service has both quick and other routes.
-fn to_lanes(inputs: &Inputs, service: &str, healthy: Vec<Arc<Registration>>) -> Lanes<Arc<Registration>> {
+fn to_lanes(
+    inputs: &Inputs,
+    service: &str,
+    healthy: Vec<Arc<Registration>>,
+    classes: &SpeedClasses,
+) -> Lanes<Arc<Registration>> {
     let policy = &inputs.policy.lanes;
     if !policy.enabled || lanes::quick_bound(policy, inputs.plan, service, inputs.prefill).is_none() {
-        return Lanes { quick: Vec::new(), bulk: healthy };
+        let fast = healthy.len();
+        return Lanes { quick: Vec::new(), bulk: healthy, fast };
     }
-    lanes::divide(policy, healthy, service, inputs.loads)
+    lanes::divide_by_speed(policy, healthy, service, inputs.loads, |engine| classes.of(&engine.endpoint))
 }
 
 /// Recently computed candidates by service.
 #[derive(Debug, Default)]
 pub struct CandidateCache {
     cached: HashMap<Arc<str>, Rc<Candidates>>,
+    /// Speed classes by service. They outlive the entries, as a class depends on the one before.
+    classes: HashMap<Arc<str>, SpeedClasses>,
 }
 
 impl CandidateCache {
@@ -146,7 +168,8 @@
         if let Some(candidates) = self.cached.get(service).filter(is_valid) {
             return candidates.clone();
         }
-        let candidates = Rc::new(Candidates::new(roster.of(service), service, inputs));
+        let classes = self.classes.entry(service.clone()).or_default();
+        let candidates = Rc::new(Candidates::with_classes(roster.of(service), service, inputs, classes));
         self.cached.insert(service.clone(), candidates.clone());
         candidates
     }
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -25,27 +25,29 @@
 /// Largest number of requests of all priorities at an engine, as a multiple of its room: its queue is short.
 const MAX_CROWDING: f64 = 2.0;
 /// Engines examined for room if a sample has none, so that a refusal costs the same in a lane of thousands.
-const MAX_EXAMINED: usize = 128;
+pub(super) const MAX_EXAMINED: usize = 128;
 /// Share of a session's tokens assumed missing from the caches of its top-ranked engines. All other engines are assumed
 /// to lack them all.
 const MISSING_SHARES: [f64; 2] = [0.0, 0.5];
 
 /// A request for an engine.
 pub(super) struct Request<'a> {
-    inputs: &'a Inputs<'a>,
-    route: &'a Route,
-    service: &'a str,
-    engine: Engine,
-    prompt: &'a Prompt,
+    pub(super) inputs: &'a Inputs<'a>,
+    pub(super) route: &'a Route,
+    pub(super) service: &'a str,
+    pub(super) engine: Engine,
+    pub(super) prompt: &'a Prompt,
     eligible: Eligibility<'a>,
     /// Number of priorities of the service above its own.
-    level: usize,
+    pub(super) level: usize,
     /// Whether the stream is sensitive to the prefill of long prompts on the same engine.
-    quick: bool,
+    pub(super) quick: bool,
+    /// Whether engines are compared by predicted times.
+    timed: bool,
 }
 
 /// The engines that a session has affinity to.
-struct Affinity {
+pub(super) struct Affinity {
     /// Engines most likely to have the session's prompt parts cached, the likeliest first.
     engines: Vec<Arc<Registration>>,
     /// Whether other engines fetch those parts from them, as that is faster than prefill.
@@ -63,7 +65,8 @@
     ) -> Request<'a> {
         let quick = lanes::is_quick(&inputs.policy.lanes, inputs.plan, route, service, inputs.prefill);
         let level = inputs.plan.level(route, service);
-        Request { inputs, route, service, engine, prompt, eligible, level, quick }
+        let timed = inputs.is_timed(service);
+        Request { inputs, route, service, engine, prompt, eligible, level, quick, timed }
     }
 
     /// Picks an engine with room from the request's own lane, or else from the other one.
@@ -83,29 +86,39 @@
 
     fn choose_in(&self, own: &Lane, other: &Lane, bulk: &Lane) -> Option<Choice> {
         let affinity = self.to_affinity(own);
-        let mut sample = self.sample(own, &affinity);
-        sample.retain(|engine| self.has_room(engine));
-        if sample.is_empty() {
-            sample.extend(self.find_room(own));
-        }
-        let best = self.cheapest(sample, &affinity)?;
-        let chosen = self.overflow(best, other, &affinity).unwrap_or(best);
+        let (chosen, predicted) = if self.timed {
+            let estimate = self.choose_timed(own, other, &affinity)?;
+            (estimate.engine, Some(estimate.first))
+        } else {
+            (self.choose_by_tokens(own, other, &affinity)?, None)
+        };
         let fetch_from = affinity.source_for(chosen).map(|source| source.address.clone());
         let unread = self.tokens_to_prefill(chosen, &affinity);
         let backups = if own.endpoints.len() > 1 { own } else { bulk };
         let backup = if self.needs_backup() { self.sample_backup(backups, chosen) } else { None };
-        Some(Choice { backup, fetch_from, ..to_choice(self.inputs, chosen, unread) })
+        Some(Choice { predicted, backup, fetch_from, ..to_choice(self.inputs, chosen, unread) })
+    }
+
+    /// Picks an engine with room by the prompt tokens to process there.
+    fn choose_by_tokens<'e>(&self, own: &'e Lane, other: &'e Lane, affinity: &'e Affinity) -> Option<&'e Registration> {
+        let mut sample = self.sample(own, affinity);
+        sample.retain(|engine| self.has_room(engine));
+        if sample.is_empty() {
+            sample.extend(self.find_room(own));
+        }
+        let best = self.cheapest(sample, affinity)?;
+        Some(self.overflow(best, other, affinity).unwrap_or(best))
     }
 
-    fn policy(&self) -> &'a ChoicePolicy {
+    pub(super) fn policy(&self) -> &'a ChoicePolicy {
         &self.inputs.policy.choice
     }
 
-    fn lanes(&self) -> &'a LanePolicy {
+    pub(super) fn lanes(&self) -> &'a LanePolicy {
         &self.inputs.policy.lanes
     }
 
-    fn work(&self, engine: &Registration) -> Work {
+    pub(super) fn work(&self, engine: &Registration) -> Work {
         self.inputs.loads.at(&engine.endpoint)
     }
 
@@ -118,7 +131,7 @@
 
     /// The engines whose costs are compared: those of the session and a random sample. If all engines were compared,
     /// all instances would send to the same one until the next exchange of load reports.
-    fn sample<'e>(&self, lane: &'e Lane, affinity: &'e Affinity) -> Vec<&'e Registration> {
+    pub(super) fn sample<'e>(&self, lane: &'e Lane, affinity: &'e Affinity) -> Vec<&'e Registration> {
         let count = self.policy().drawn + self.eligible.tried.len();
         let mut sample: Vec<&Registration> = affinity.engines.iter().map(|engine| &**engine).collect();
         sample.extend(lane.endpoints.sample(&mut rand::rng(), count).map(|engine| &**engine));
@@ -131,7 +144,7 @@
     }
 
     /// Whether an engine has so few requests in flight that one of this priority may be added.
-    fn has_room(&self, engine: &Registration) -> bool {
+    pub(super) fn has_room(&self, engine: &Registration) -> bool {
         let guard = &self.inputs.policy.guard;
         if guard.full == 0.0 {
             return true;
@@ -144,7 +157,7 @@
     }
 
     /// An engine of the lane that has room, if a sample contains none.
-    fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
+    pub(super) fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
         // All instances would find the same engine if all began with the first.
         let (before, after) = lane.endpoints.split_at(rand::random_range(0..=lane.endpoints.len()));
         let mut engines = after.iter().chain(before).map(|engine| &**engine).take(MAX_EXAMINED);
@@ -155,7 +168,7 @@
         lane.endpoints.iter().any(|engine| self.is_eligible(engine))
     }
 
-    fn is_eligible(&self, engine: &Registration) -> bool {
+    pub(super) fn is_eligible(&self, engine: &Registration) -> bool {
         self.eligible.allows(self.inputs, engine)
     }
 
@@ -179,7 +192,7 @@
     }
 
     /// Tokens of the session's prompt parts that an engine is assumed not to have cached.
-    fn missing_tokens(&self, engine: &Registration, affinity: &Affinity) -> u32 {
+    pub(super) fn missing_tokens(&self, engine: &Registration, affinity: &Affinity) -> u32 {
         let rank = affinity.engines.iter().position(|other| other.endpoint == engine.endpoint);
         let share = rank.map_or(1.0, |rank| MISSING_SHARES[rank]);
         (f64::from(self.prompt.session_tokens()) * share) as u32
@@ -212,7 +225,7 @@
     }
 
     /// Whether so many slots are in use that a request might queue for one.
-    fn is_crowded(&self, engine: &Registration) -> bool {
+    pub(super) fn is_crowded(&self, engine: &Registration) -> bool {
         let overflow = self.lanes().overflow;
         overflow > 0.0 && f64::from(self.work(engine).calls) >= f64::from(engine.slots) * overflow
     }
@@ -246,7 +259,7 @@
 impl Affinity {
     /// The engine from which another one fetches the session's prompt parts: the likeliest to have them cached. That
     /// engine itself fetches from the next, which may have served the session before the set of engines changed.
-    fn source_for(&self, engine: &Registration) -> Option<&Registration> {
+    pub(super) fn source_for(&self, engine: &Registration) -> Option<&Registration> {
         let others = self.engines.iter().map(|other| &**other).filter(|other| other.endpoint != engine.endpoint);
         others.into_iter().find(|_| self.fetches)
     }
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -6,6 +6,8 @@
 mod candidates;
 mod engine;
 mod plain;
+mod speed_classes;
+mod timed;
 
 use std::{sync::Arc, time::Duration};
 
@@ -15,10 +17,12 @@
 
 pub use self::candidates::{CandidateCache, Candidates, Lane};
 use self::engine::Request;
+pub use self::speed_classes::SpeedClasses;
 use crate::{
     Plan, Policy,
     backoff::Backoff,
     condition::Conditions,
+    contention::Contention,
     dialect::Prompt,
     health::Health,
     limits::RateLimits,
@@ -44,6 +48,8 @@
     pub prefill: &'a PrefillSpeeds,
     /// Speeds and pace of the engines of contended services.
     pub conditions: &'a Conditions,
+    /// The contended services.
+    pub contention: &'a Contention,
     /// Regions of halls and evacuated halls.
     pub placement: &'a Placement,
     /// Slow start of cold endpoints.
@@ -61,6 +67,11 @@
 }
 
 impl Inputs<'_> {
+    /// Whether the engines of `service` are compared by predicted times.
+    pub fn is_timed(&self, service: &str) -> bool {
+        self.policy.contention.timing && self.contention.is_contended(service, self.now)
+    }
+
     /// How many requests this instance may send to an endpoint while it warms up.
     pub fn allowance(&self, registration: &Registration) -> Allowance {
         let warm_up = self.plan.services.get(&registration.service).and_then(|service| service.warm_up);
@@ -121,6 +132,8 @@
     pub held: u32,
     /// Prompt tokens of this request that are not cached there.
     pub unread: u32,
+    /// Predicted time from sending the request to its first event, for engines of contended services.
+    pub predicted: Option<Duration>,
     /// The engine that is to keep a copy of the request's KV cache.
     pub backup: Option<Backup>,
     /// Address of the engine from which it fetches the cached part of the prompt.
@@ -189,6 +202,7 @@
         ahead: work.unread,
         held: work.held,
         unread,
+        predicted: None,
         backup: None,
         fetch_from: None,
     }
--- /dev/null
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -0,0 +1,172 @@
+//! Choice among the engines of a contended service: the one with the lowest cost, as a time.
+//!
+//! An engine is late if the first event is predicted after the route's target, or if the gaps between the events are
+//! predicted to miss theirs. A late engine is chosen only if no other one is found.
+
+use std::{sync::Arc, time::Duration};
+
+use rand::seq::IndexedRandom as _;
+use rudder_core::Registration;
+use rudder_route::engine_cost::{self, EngineDemand, EngineWork};
+
+use super::{
+    Lane,
+    engine::{Affinity, MAX_EXAMINED, Request},
+};
+
+/// Scale of the relative lateness of an engine as an integer.
+const LATENESS_SCALE: f64 = 1_000_000.0;
+
+/// Rank of an engine for a request. Lateness is the larger ratio of a predicted time and its target, in millionths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Rank {
+    /// Both targets are met with some margin, at this cost.
+    InTime(Duration),
+    /// Both targets are met without the margin.
+    Tight(u64),
+    /// A target is missed.
+    Late(u64),
+}
+
+/// An engine, and what is predicted for the request there.
+#[derive(Clone, Copy)]
+pub(super) struct Estimate<'e> {
+    /// The engine.
+    pub engine: &'e Registration,
+    /// Predicted time from sending to the first event.
+    pub first: Duration,
+    rank: Rank,
+}
+
+impl Estimate<'_> {
+    fn is_in_time(&self) -> bool {
+        matches!(self.rank, Rank::InTime(_))
+    }
+
+    fn is_late(&self) -> bool {
+        matches!(self.rank, Rank::Late(_))
+    }
+}
+
+impl Request<'_> {
+    /// Picks an engine with room: one of the request's own lane if it meets the targets, or else one of either lane that
+    /// does, or else the one that misses them by least.
+    pub(super) fn choose_timed<'e>(
+        &self,
+        own: &'e Lane,
+        other: &'e Lane,
+        affinity: &'e Affinity,
+    ) -> Option<Estimate<'e>> {
+        let mut sample = self.sample(own, affinity);
+        if !self.quick {
+            let idle = other.endpoints.sample(&mut rand::rng(), self.policy().drawn).map(|engine| &**engine);
+            sample.extend(idle.filter(|engine| self.is_idle(engine) && self.is_eligible(engine)));
+        }
+        sample.retain(|engine| self.has_room(engine));
+        let best = self.best(sample.into_iter(), affinity);
+        let is_late = |best: Option<Estimate>| best.is_none_or(|best| best.is_late());
+        let suits = |best: &Estimate| best.is_in_time() && !(self.quick && self.is_crowded(best.engine));
+        if best.as_ref().is_some_and(suits) {
+            return best;
+        }
+        let found = self.find_in_time(own, other, affinity).filter(|found| found.is_in_time() || is_late(best));
+        found.or(best).or_else(|| self.find_room(own).map(|engine| self.estimate(engine, affinity)))
+    }
+
+    /// The best of a few engines in time: of the own lane, or else of the other one. Without any, the first one found that
+    /// meets the targets without the margin: the best of all would get the requests of all instances.
+    fn find_in_time<'e>(&self, own: &'e Lane, other: &'e Lane, affinity: &Affinity) -> Option<Estimate<'e>> {
+        let (fast, slow) = other.endpoints.split_at(other.fast.min(other.endpoints.len()));
+        let may_overflow = self.lanes().overflow > 0.0;
+        let parts: [&[Arc<Registration>]; 3] = match (self.quick, may_overflow) {
+            (true, true) => [&own.endpoints, fast, slow],
+            (true, false) => [&own.endpoints, &[], &[]],
+            (false, _) => [&own.endpoints, &other.endpoints, &[]],
+        };
+        let mut tight = None;
+        for (index, engines) in parts.into_iter().enumerate() {
+            let is_own = index == 0;
+            let is_open = |engine: &&Registration| {
+                let suits = if self.quick { !self.is_crowded(engine) } else { is_own || self.is_idle(engine) };
+                suits && self.is_eligible(engine) && self.has_room(engine)
+            };
+            let estimates = examined(engines).filter(is_open).map(|engine| self.estimate(engine, affinity));
+            let timely = estimates.filter(|estimate| {
+                tight = tight.or(Some(*estimate).filter(|estimate| !estimate.is_late()));
+                estimate.is_in_time()
+            });
+            let best = timely.take(self.policy().drawn.max(1)).min_by_key(|estimate| estimate.rank);
+            if best.is_some() {
+                return best;
+            }
+        }
+        tight
+    }
+
+    fn best<'e>(&self, engines: impl Iterator<Item = &'e Registration>, affinity: &Affinity) -> Option<Estimate<'e>> {
+        let estimates = engines.map(|engine| self.estimate(engine, affinity));
+        estimates.min_by_key(|estimate| (estimate.rank, rand::random::<u32>()))
+    }
+
+    /// Whether so few slots are in use that the engine may be used for requests of the other lane.
+    fn is_idle(&self, engine: &Registration) -> bool {
+        let idle = f64::from(engine.slots) * self.inputs.policy.timing.idle;
+        f64::from(self.work(engine).calls) < idle
+    }
+
+    fn estimate<'e>(&self, engine: &'e Registration, affinity: &Affinity) -> Estimate<'e> {
+        let inputs = self.inputs;
+        let (options, policy) = (&inputs.policy.timing, self.policy());
+        let speed = inputs.conditions.speed(&engine.endpoint, self.service, inputs.now);
+        let work = self.engine_work(engine);
+        let missing = self.missing_tokens(engine, affinity);
+        let is_fetched = affinity.source_for(engine).is_some();
+        let demand = EngineDemand {
+            own: self.prompt.own_tokens(),
+            missing: if is_fetched { 0 } else { missing },
+            answer: self.prompt.expected_answer(),
+            event: self.engine.event_tokens,
+        };
+        let transfer = if is_fetched { f64::from(missing) / self.engine.move_speed / 1000.0 } else { 0.0 };
+        let first = engine_cost::first_event(&speed, &work, &demand) + Duration::from_secs_f64(transfer);
+        let gap = engine_cost::event_gap(&speed, &work, demand.event);
+        let lateness = ratio(first, self.route.target).max(self.route.pause.map_or(0.0, |target| ratio(gap, target)));
+        let is_remote = self.quick && engine.hall != *inputs.hall;
+        let is_full = self.work(engine).held + self.prompt.tokens > self.engine.memory;
+        let extra = if is_full { policy.memory_cost } else { 0 } + if is_remote { policy.far_cost } else { 0 };
+        let harm = engine_cost::harm(options, &speed, &work, &demand);
+        let cost = first + harm + engine_cost::prefill_time(&speed, f64::from(extra));
+        let millionths = (lateness * LATENESS_SCALE) as u64;
+        let rank = if lateness > 1.0 {
+            Rank::Late(millionths)
+        } else if first > self.route.target.mul_f64(options.target_share) {
+            Rank::Tight(millionths)
+        } else {
+            Rank::InTime(cost)
+        };
+        Estimate { engine, first, rank }
+    }
+
+    /// Work at an engine, as far as it is known. Engines process the prompts of higher priorities first, so those of
+    /// lower ones are not ahead; their tokens are assumed to be in proportion to their number.
+    fn engine_work(&self, engine: &Registration) -> EngineWork {
+        let loads = self.inputs.loads;
+        let (calls, unread) = (f64::from(self.work(engine).calls), f64::from(self.work(engine).unread));
+        let rivals = loads.calls_at_or_above(self.level, &engine.endpoint, self.service);
+        let share = if calls > 0.0 { (rivals / calls).min(1.0) } else { 1.0 };
+        let unreported = loads.unreported(&engine.endpoint, self.inputs.work_age);
+        EngineWork { ahead: unread * share, unread, calls, rivals, slots: engine.slots, unreported }
+    }
+}
+
+/// A predicted time as a multiple of its target.
+fn ratio(predicted: Duration, target: Duration) -> f64 {
+    // A target of zero cannot be met, and all engines are to be compared by their predicted times.
+    predicted.as_secs_f64() / target.as_secs_f64().max(0.001)
+}
+
+/// A bounded number of engines from a random one on, as all instances would otherwise send to the same.
+fn examined(engines: &[Arc<Registration>]) -> impl Iterator<Item = &Registration> {
+    let (before, after) = engines.split_at(rand::random_range(0..=engines.len()));
+    after.iter().chain(before).map(|engine| &**engine).take(MAX_EXAMINED)
+}
--- a/crates/rudder-gateway/src/condition.rs
+++ b/crates/rudder-gateway/src/condition.rs
@@ -14,6 +14,11 @@
 }
 
 impl Conditions {
+    /// Sets the speed of an engine.
+    pub fn set(&mut self, endpoint: &EndpointId, speed: EngineSpeed) {
+        self.engines.insert(endpoint.clone(), speed);
+    }
+
     /// Speed of the engine `endpoint` of `service`: the median of the service if no sample of the engine is known.
     pub fn speed(&self, endpoint: &EndpointId, service: &str, _now: Moment) -> EngineSpeed {
         self.engines.get(endpoint).or_else(|| self.medians.get(service)).copied().unwrap_or_default()
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -8,6 +8,7 @@
 
 use rudder_core::Registration;
 use rudder_model::{HallId, id};
+use rudder_route::engine_cost::SpeedClass;
 
 use crate::{Plan, Route, loads::EndpointLoads, policy::LanePolicy, prefill::PrefillSpeeds};
 
@@ -45,20 +46,44 @@
     pub quick: Vec<E>,
     /// For all other requests.
     pub bulk: Vec<E>,
+    /// Number of engines of the other lane that are not slow; they come first.
+    pub fast: usize,
 }
 
-/// Divides the engines of `service` into lanes.
-pub fn divide<E>(policy: &LanePolicy, mut engines: Vec<E>, service: &str, loads: &EndpointLoads) -> Lanes<E>
+/// Divides the engines of `service` into lanes without regard to their speeds.
+pub fn divide<E>(policy: &LanePolicy, engines: Vec<E>, service: &str, loads: &EndpointLoads) -> Lanes<E>
+where
+    E: Clone + Deref<Target = Registration>,
+{
+    divide_by_speed(policy, engines, service, loads, |_| SpeedClass::Fast)
+}
+
+/// Divides the engines of `service` into lanes. The quick lane has slow engines only if its smallest share exceeds the
+/// number of the others.
+pub fn divide_by_speed<E>(
+    policy: &LanePolicy,
+    mut engines: Vec<E>,
+    service: &str,
+    loads: &EndpointLoads,
+    class: impl Fn(&Registration) -> SpeedClass,
+) -> Lanes<E>
 where
     E: Clone + Deref<Target = Registration>,
 {
     if engines.len() < 2 {
-        return Lanes { quick: engines.clone(), bulk: engines };
+        let fast = engines.len();
+        return Lanes { quick: engines.clone(), bulk: engines, fast };
     }
     engines.sort_by_cached_key(|engine| id::rendezvous(service, &engine.endpoint));
-    interleave_halls(&mut engines);
-    let bulk = engines.split_off(quick_count(policy, &engines, loads));
-    Lanes { quick: engines, bulk }
+    let (mut ranked, mut slow): (Vec<_>, Vec<_>) =
+        engines.into_iter().partition(|engine| class(engine) == SpeedClass::Fast);
+    interleave_halls(&mut ranked);
+    interleave_halls(&mut slow);
+    let fast = ranked.len();
+    ranked.append(&mut slow);
+    let bulk = ranked.split_off(quick_count(policy, &ranked, fast, loads));
+    let fast = fast.saturating_sub(ranked.len());
+    Lanes { quick: ranked, bulk, fast }
 }
 
 /// Ranks the first engine of each hall before the second of any, so that the quick lane is spread evenly over the halls.
@@ -75,9 +100,14 @@
     ranked.extend(rounds.into_iter().map(|(_, engine)| engine));
 }
 
-/// Number of the ranked engines that form the quick lane.
-fn quick_count<E: Deref<Target = Registration>>(policy: &LanePolicy, ranked: &[E], loads: &EndpointLoads) -> usize {
-    let max = ((ranked.len() as f64 * policy.largest) as usize).max(1);
+/// Number of the ranked engines that form the quick lane. It doesn't grow past the `fast` ones, which come first.
+fn quick_count<E: Deref<Target = Registration>>(
+    policy: &LanePolicy,
+    ranked: &[E],
+    fast: usize,
+    loads: &EndpointLoads,
+) -> usize {
+    let max = ((ranked.len() as f64 * policy.largest) as usize).max(1).min(fast);
     let min = if ranked.len() >= MIN_ENGINES_FOR_TWO { 2 } else { 1 };
     let mut count = ((ranked.len() as f64 * policy.smallest).round() as usize).max(min);
     let mut calls: u32 = ranked[..count].iter().map(|engine| loads.at(&engine.endpoint).calls).sum();
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -5,13 +5,14 @@
     collections::{HashMap, HashSet},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use rudder_clock::Moment;
 use rudder_core::peer::{LEVELS, Load, LoadDetail};
 use rudder_model::{EndpointId, EndpointTag, id};
 
-use crate::recent::{RecentOutcomes, Tally};
+use crate::recent::{RecentOutcomes, SPAN, Tally};
 
 /// Weight of a service's mix of priorities in that of an endpoint, in requests: an instance has few of its own at one.
 const MIX_WEIGHT: f64 = 4.0;
@@ -71,6 +72,13 @@
         work
     }
 
+    /// Estimated number of requests that other instances have sent to `endpoint` in the `age` of their reports, at the
+    /// rate at which requests have ended there.
+    pub fn unreported(&self, endpoint: &str, age: Duration) -> f64 {
+        let ended = self.others.get(&id::endpoint_tag(endpoint)).map_or(0, |load| load.ended);
+        f64::from(ended) * age.as_secs_f64() / SPAN as f64
+    }
+
     /// Estimated number of requests at `endpoint` whose priority is not below `level`. Reports tell no priorities, so the
     /// other instances' requests are taken to be mixed as this one's.
     pub fn calls_at_or_above(&self, level: usize, endpoint: &str, service: &str) -> f64 {
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -24,6 +24,10 @@
 
 /// Histogram buckets of latencies in seconds; they cover the targets of routes.
 const LATENCY_BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.42, 0.8, 1.2, 2.5, 5.0, 15.0];
+/// Histogram buckets of the time to the first event as a multiple of the predicted one.
+const PREDICTION_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 8.0, 16.0];
+/// Lower bound of predicted times in that ratio: below, it tells nothing about the engine.
+const MIN_PREDICTION: Duration = Duration::from_millis(1);
 /// Bytes per page in `/proc/self/statm`.
 const PAGE_SIZE: i64 = 4096;
 
@@ -181,6 +185,7 @@
     first_byte: Family<KindLabel, Histogram>,
     total: Family<KindLabel, Histogram>,
     pauses: Histogram,
+    prediction: Histogram,
     /// Metrics of messages between instances.
     pub peers: PeerMetrics,
     state: RefCell<Gauges>,
@@ -235,6 +240,7 @@
             first_byte: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
             pauses: histogram(),
+            prediction: Histogram::new(PREDICTION_BUCKETS),
             peers: PeerMetrics::default(),
             state: RefCell::default(),
         };
@@ -291,6 +297,8 @@
         );
         registry.register_with_unit("total", "From arrival to the end", seconds.clone(), self.total.clone());
         registry.register_with_unit("pause", "Between parts of a stream", seconds, self.pauses.clone());
+        let help = "From sending to the first event as a multiple of the predicted time, for contended services";
+        registry.register("first_event_prediction", help, self.prediction.clone());
         self.peers.register(registry);
         let state = self.state.borrow();
         registry.register("open_requests", "Requests under way", state.open_requests.clone());
@@ -439,6 +447,11 @@
         self.first_byte.get_or_create(&KindLabel { kind: kind_label(route) }).observe(after.as_secs_f64());
     }
 
+    /// Records the predicted and the actual time from sending a request to its first event.
+    pub fn record_prediction(&self, predicted: Duration, actual: Duration) {
+        self.prediction.observe(actual.as_secs_f64() / predicted.as_secs_f64().max(MIN_PREDICTION.as_secs_f64()));
+    }
+
     /// Records the pause between two parts of a stream.
     pub fn record_pause(&self, pause: Duration) {
         self.pauses.observe(pause.as_secs_f64());
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 
 use rudder_core::tree::Tree;
-use rudder_route::{scale::ScaleOptions, slow_start::SlowStart};
+use rudder_route::{engine_cost::TimingOptions, scale::ScaleOptions, slow_start::SlowStart};
 use serde::Deserialize;
 
 /// An error in a policy file.
@@ -60,6 +60,8 @@
     pub slow_start: SlowStart,
     /// Mechanisms for contended services.
     pub contention: ContentionPolicy,
+    /// Choice among the engines of contended services by predicted times.
+    pub timing: TimingOptions,
 }
 
 /// Switches of the mechanisms that apply to contended services only.
@@ -265,11 +267,18 @@
             ("lanes.largest", self.lanes.largest),
             ("lanes.smallest", self.lanes.smallest),
             ("choice.again_most", self.choice.again_most),
+            ("timing.target_share", self.timing.target_share),
+            ("timing.slow", self.timing.slow),
+            ("timing.recovered", self.timing.recovered),
+            ("timing.idle", self.timing.idle),
             ("scaling.slots", self.scaling.target_utilisation),
             ("scaling.floor", self.scaling.on_demand_share),
         ];
         let factors = [
             ("choice.copy_speed", self.choice.copy_speed),
+            ("timing.stream_delay", self.timing.stream_delay),
+            ("timing.read_again", self.timing.read_again),
+            ("timing.gap_margin", self.timing.gap_margin),
             ("guard.full", self.guard.full),
             ("guard.hopeless", self.guard.hopeless),
             ("guard.patience", self.guard.patience),
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -223,6 +223,9 @@
                     .metrics
                     .record_first_byte(&self.call.route, now.saturating_duration_since(self.call.arrived));
                 self.shared.prefill.borrow_mut().note(&choice.service, tokens, after);
+                if let Some(predicted) = choice.predicted {
+                    self.shared.metrics.record_prediction(predicted, after);
+                }
             }
             if let Some(pause) = self.pauses.record(Moment::now()) {
                 self.shared.metrics.record_pause(pause);
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -57,6 +57,7 @@
         calls: 0,
         ahead: 0,
         unread: 0,
+        predicted_ms: None,
         held: 0,
         rank: None,
         others_ms: 0,
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -6,8 +6,9 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
-    Plan, Policy, backoff::Backoff, choose::Inputs, condition::Conditions, health::Health, limits::RateLimits,
-    loads::EndpointLoads, placement::Placement, prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
+    Plan, Policy, backoff::Backoff, choose::Inputs, condition::Conditions, contention::Contention, health::Health,
+    limits::RateLimits, loads::EndpointLoads, placement::Placement, prefill::PrefillSpeeds, roster::Roster,
+    slow_start::SlowStartState,
 };
 use rudder_model::HallId;
 
@@ -41,6 +42,7 @@
     pub backoff: Backoff,
     pub prefill: PrefillSpeeds,
     pub conditions: Conditions,
+    pub contention: Contention,
     pub placement: Placement,
     pub slow_start: SlowStartState,
     pub limits: RateLimits,
@@ -60,6 +62,7 @@
             backoff: Backoff::default(),
             prefill: PrefillSpeeds::default(),
             conditions: Conditions::default(),
+            contention: Contention::default(),
             placement: Placement::default(),
             slow_start: SlowStartState::new("me".into(), now),
             limits: RateLimits::default(),
@@ -81,6 +84,7 @@
             backoff: &self.backoff,
             prefill: &self.prefill,
             conditions: &self.conditions,
+            contention: &self.contention,
             placement: &self.placement,
             slow_start: &self.slow_start,
             limits: &self.limits,
