feat(gateway): a silent engine is left only for one that is predicted to be sooner

Sends to engines with long queues were abandoned as silent and sent again while the first engine went on with the prefill. For contended services, a send is now abandoned only if the predicted first event at another engine is sooner than the remaining predicted time at the first. A request that is overdue is taken to remain so for as long again, so that an engine that hangs is left, and the comparison is repeated until the deadline.

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -13,7 +13,9 @@
 
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
-    checks::{check_expected_wait, check_still_allowed, expected_wait, record_demand, take_retry_for_silent},
+    checks::{
+        check_expected_wait, check_still_allowed, expected_wait, is_other_sooner, record_demand, take_retry_for_silent,
+    },
     rate_limit::take_permit,
     record_begun, record_if_terminated,
     refusal::not_run,
@@ -295,10 +297,18 @@
     let mut answer = std::pin::pin!(outcome);
     let mut answered = timeout_at(silence_deadline, answer.as_mut()).await;
     let may_abandon = shared.options.policy.guard.impatience && call.route.may_repeat();
-    if answered.is_err() && may_abandon && take_retry_for_silent(shared, call, progress) {
-        record_outcome(shared, &choice.endpoint, Outcome::Failed);
-        log_failure(shared, call, progress, choice, "it is silent", Ran::Unknown);
-        return Err(Failure::Unresponsive);
+    while answered.is_err() && may_abandon {
+        if is_other_sooner(shared, call, progress, choice, sent) && take_retry_for_silent(shared, call, progress) {
+            record_outcome(shared, &choice.endpoint, Outcome::Failed);
+            log_failure(shared, call, progress, choice, "it is silent", Ran::Unknown);
+            return Err(Failure::Unresponsive);
+        }
+        let now = Moment::now();
+        if choice.predicted.is_none() || now >= call.deadline {
+            break;
+        }
+        // The other engines may become sooner than this one.
+        answered = timeout_at(call.deadline.min(now + call.silence_timeout()), answer.as_mut()).await;
     }
     if answered.is_err() {
         answered = timeout_at(call.deadline, answer).await;
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -4,6 +4,7 @@
 
 use rudder_clock::Moment;
 use rudder_events::What;
+use rudder_route::engine_cost::is_sooner;
 
 use super::{
     Call, Progress, Refusal,
@@ -61,6 +62,20 @@
     taken
 }
 
+/// Whether another engine is predicted to send the first event before a silent one does, to which the request was sent at
+/// `sent`. Without a prediction, it is assumed to.
+pub(super) fn is_other_sooner<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    progress: &Progress,
+    choice: &Choice,
+    sent: Moment,
+) -> bool {
+    let Some(predicted) = choice.predicted else { return true };
+    let Ok(Choice { predicted: Some(other), .. }) = choose_endpoint(shared, call, progress) else { return true };
+    is_sooner(other, predicted, sent.elapsed())
+}
+
 /// Refuses a request whose services refuse more urgent ones for lack of capacity.
 pub(super) fn check_not_shed<D: Dialect>(shared: &Shared<D>, call: &Call) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
