--- a/crates/rudder-core/tests/loads.rs
+++ b/crates/rudder-core/tests/loads.rs
@@ -4,7 +4,7 @@
 
 use quickcheck::quickcheck;
 use rudder_core::{
-    loads::Loads,
+    loads::{Loads, merge},
     peer::{Load, LoadDetail, PaceSum, TokenTime},
 };
 use rudder_model::InstanceId;
@@ -60,3 +60,16 @@
     loads.clear();
     assert!(loads.total_excluding(&name(3)).is_empty());
 }
+
+/// An instance reports the details of a service only while it is contended, so a report may lose them.
+#[test]
+fn details_of_a_report_end_with_the_report_that_follows() {
+    let mut loads = Loads::default();
+    let plain = Load { detail: None, ..load(1, 3) };
+    loads.record(Duration::ZERO, &name(1), vec![load(1, 3)]);
+    loads.record(Duration::ZERO, &name(2), vec![plain.clone()]);
+    let relayed = merge(&loads.total(), vec![load(1, 2)]);
+    assert_eq!(relayed, vec![Load { detail: load(1, 5).detail, ..load(1, 8) }]);
+    loads.record(Duration::ZERO, &name(1), vec![plain.clone()]);
+    assert_eq!(loads.total_excluding(&name(2)), vec![plain]);
+}
