feat(gateway): speeds and pace of engines are learned and exchanged

What is learned of an engine ends with its life, and late samples are dropped.

Nothing is recorded for services that are not contended. Gauges count the engines whose speed is known and the slow ones, and call_sent lines tell the speed and pace of the chosen engine.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -271,6 +271,15 @@
         /// Requests a second that the endpoint takes from all instances together, as far as is known here.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         limit: Option<f64>,
+        /// Lasting time per output token of the engine, in microseconds, as known here, in a contended service.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        token_us: Option<u64>,
+        /// Lasting prefill speed of the engine in tokens per millisecond, likewise.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        prefill_speed: Option<f64>,
+        /// Present time of work there as a multiple of the lasting one, likewise.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pace: Option<f64>,
     },
     /// A retry was asked of the retry budget of a service.
     RetryAsked {
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -148,6 +148,9 @@
         fetch_from,
         keeper,
         limit,
+        token_us,
+        prefill_speed,
+        pace,
         ..
     } = what
     else {
@@ -157,11 +160,17 @@
     let fetched = fetch_from.as_ref().map_or(String::new(), |from| format!(", its session taken from {from}"));
     let kept = keeper.as_ref().map_or(String::new(), |keeper| format!(", a copy kept by {keeper}"));
     let ranked = rank.map_or(String::new(), |rank| format!(", rank {rank} there, {held} tokens of memory in use"));
+    let timed = match (token_us, prefill_speed, pace) {
+        (Some(token), Some(prefill), Some(pace)) => {
+            format!(", {token} us per output token and {prefill} prompt tokens per ms there, at a pace of {pace}")
+        }
+        _ => String::new(),
+    };
     let limited = limit.map_or(String::new(), |rate| format!(", within its limit of {rate} requests a second"));
     format!(
         "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
          {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left\
-         {ranked}{fetched}{kept}{limited}"
+         {ranked}{fetched}{kept}{limited}{timed}"
     )
 }
 
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -222,6 +222,10 @@
     if head.id_matches && head.load.is_some_and(|load| load.pace.is_some()) {
         shared.contention.borrow_mut().record_pace(&choice.service, Moment::now());
     }
+    let report = head.load.filter(|_| head.id_matches && shared.learns_speeds(&choice.service));
+    if let Some(report) = report {
+        shared.conditions.borrow_mut().record_report(&choice.endpoint, &report, Moment::now());
+    }
     if let Some(pushback) = head.pushback {
         record_pushback(shared, &choice.endpoint, pushback);
     }
@@ -332,6 +336,8 @@
     left: Duration,
 ) {
     let others = shared.others_age();
+    let uses_speed = call.prompt.is_some() && shared.learns_speeds(&choice.service);
+    let speed = uses_speed.then(|| shared.conditions.borrow().speed(&choice.endpoint, &choice.service, Moment::now()));
     shared.log.write(What::CallSent {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
@@ -347,9 +353,17 @@
         fetch_from: choice.fetch_from.as_deref().map(str::to_owned),
         keeper: choice.backup.as_ref().map(|backup| backup.endpoint.clone()),
         limit: shared.limits.borrow().rate(&choice.endpoint).map(RequestRate::per_second),
+        token_us: speed.map(|speed| speed.token_time.as_micros() as u64),
+        prefill_speed: speed.map(|speed| round(speed.prefill_speed)),
+        pace: speed.map(|speed| round(speed.pace)),
     });
 }
 
+/// Rounds to hundredths, which are enough in a log line.
+fn round(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 /// Chooses an endpoint that has not been tried for the request, if there is one.
 ///
 /// # Errors
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -101,16 +101,16 @@
         tally
     }
 
-    /// This instance's work, to be reported to the other instances. Loads of endpoints that `is_contended` selects have
-    /// details.
-    pub fn to_loads(&mut self, now: Moment, is_contended: impl Fn(&EndpointId) -> bool) -> Vec<Load> {
+    /// This instance's work, to be reported to the other instances. Loads of endpoints of contended
+    /// services have details: those that `detail` returns, and the requests by priority level.
+    pub fn to_loads(&mut self, now: Moment, detail: impl Fn(&EndpointId) -> Option<LoadDetail>) -> Vec<Load> {
         self.recent.age(now);
         let mut endpoints: HashSet<&EndpointId> = self.recent.endpoints().collect();
         endpoints.extend(self.own.iter().filter(|(_, load)| load.calls > 0).map(|(endpoint, _)| endpoint));
         let to_load = |endpoint: &EndpointId| {
             let own = self.own.get(endpoint).cloned().unwrap_or_else(|| Load::none(id::endpoint_tag(endpoint)));
             let Tally { ended, failed } = self.recent.at(endpoint, now);
-            let detail = is_contended(endpoint).then(|| Box::new(self.detail_of(endpoint)));
+            let detail = detail(endpoint).map(|detail| Box::new(self.with_levels(endpoint, detail)));
             Load { ended, failed, detail, ..own }
         };
         let mut loads: Vec<Load> = endpoints.into_iter().map(to_load).collect();
@@ -118,10 +118,10 @@
         loads
     }
 
-    /// Details of this instance's work at `endpoint`.
-    fn detail_of(&self, endpoint: &EndpointId) -> LoadDetail {
+    /// The detail with this instance's requests in flight at `endpoint` by priority level.
+    fn with_levels(&self, endpoint: &EndpointId, detail: LoadDetail) -> LoadDetail {
         let Mix(levels) = self.mixes.get(endpoint).copied().unwrap_or_default();
-        LoadDetail { levels, ..LoadDetail::default() }
+        LoadDetail { levels, ..detail }
     }
 
     /// Drops endpoints that are unknown and have no work.
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -20,7 +20,7 @@
 use rudder_clock::Moment;
 use rudder_core::CallOutcome;
 
-use crate::{Dialect, RouteKind, plan::Route, shared::Shared};
+use crate::{Dialect, RouteKind, condition::ConditionCounts, plan::Route, shared::Shared};
 
 /// Histogram buckets of latencies in seconds; they cover the targets of routes.
 const LATENCY_BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.42, 0.8, 1.2, 2.5, 5.0, 15.0];
@@ -206,6 +206,9 @@
     quarantined_contents: Gauge,
     evacuated_halls: Gauge,
     limited_endpoints: Gauge,
+    timed_engines: Gauge,
+    slow_engines: Gauge,
+    slowed_engines: Gauge,
     held_bytes: Gauge,
     held_peak: Gauge,
     held_limit: Gauge,
@@ -323,6 +326,12 @@
         registry.register("held_peak_bytes", "Most bytes that were ever held so", state.held_peak.clone());
         registry.register("held_most_bytes", "Bytes that may be held so", state.held_limit.clone());
         registry.register("limited_endpoints", "Endpoints that have a rate limit", state.limited_endpoints.clone());
+        let help = "Engines of contended services whose speed is known";
+        registry.register("timed_engines", help, state.timed_engines.clone());
+        let help = "Engines that are lastingly slower than the median of their contended service";
+        registry.register("slow_engines", help, state.slow_engines.clone());
+        let help = "Engines of contended services that are slower now than they usually are";
+        registry.register("slowed_engines", help, state.slowed_engines.clone());
         registry.register("evacuated_halls", "Halls whose endpoints get nothing", state.evacuated_halls.clone());
         registry.register("endpoint_calls", "Requests known to be at an endpoint", state.endpoint_calls.clone());
         registry.register("endpoint_unread_tokens", "Prompt tokens unread at an endpoint", state.unread_tokens.clone());
@@ -396,6 +405,19 @@
         self.state.borrow().limited_endpoints.set((endpoints as u64).cast_signed());
     }
 
+    /// Sets the numbers of engines by condition.
+    fn set_conditions(&self, counts: ConditionCounts) {
+        let state = self.state.borrow();
+        let gauges = [
+            (&state.timed_engines, counts.known),
+            (&state.slow_engines, counts.slow),
+            (&state.slowed_engines, counts.slowed),
+        ];
+        for (gauge, engines) in gauges {
+            gauge.set((engines as u64).cast_signed());
+        }
+    }
+
     /// Counts a request whose endpoint terminated while serving it.
     pub fn record_ended_under(&self) {
         self.ended_under.inc();
@@ -454,6 +476,7 @@
     }
 
     fn set_gauges<D: Dialect>(&self, shared: &Shared<D>) {
+        self.set_conditions(shared.conditions.borrow().counts(Moment::now()));
         let state = self.state.borrow();
         let number = |count: u64| count.cast_signed();
         state.open_requests.set(number(shared.open_requests.get()));
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -172,13 +172,15 @@
             described = Moment::now();
             shared.send_event(Event::Services(scaling::service_states(&shared)));
         }
-        let contention = shared.contention.borrow();
         let now = Moment::now();
-        let is_contended = |endpoint: &EndpointId| {
-            roster.get(endpoint).is_some_and(|known| contention.is_contended(&known.service, now))
+        shared.conditions.borrow_mut().update(now);
+        let (contention, conditions) = (shared.contention.borrow(), shared.conditions.borrow());
+        let detail = |endpoint: &EndpointId| {
+            let known = roster.get(endpoint)?;
+            contention.is_contended(&known.service, now).then(|| conditions.detail(endpoint, now))
         };
-        let loads = shared.loads.borrow_mut().to_loads(now, is_contended);
-        drop(contention);
+        let loads = shared.loads.borrow_mut().to_loads(now, detail);
+        drop((contention, conditions));
         if loads != reported {
             reported.clone_from(&loads);
             shared.send_event(Event::Loads(loads));
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -157,7 +157,7 @@
     /// Prefill speed of engines.
     pub prefill: RefCell<PrefillSpeeds>,
     /// Speeds and pace of the engines of contended services.
-    pub conditions: RefCell<Conditions>,
+    pub conditions: Rc<RefCell<Conditions>>,
     /// Regions and evacuations of halls.
     pub placement: RefCell<Placement>,
     /// Endpoints that are warming up.
@@ -229,7 +229,7 @@
             limits: RefCell::default(),
             contents: RefCell::new(Contents::new(started)),
             prefill: RefCell::default(),
-            conditions: RefCell::default(),
+            conditions: Rc::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
             replaced: watch::Sender::new(()),
@@ -274,6 +274,11 @@
         self.contention.borrow().is_contended(service, Moment::now())
     }
 
+    /// Whether speeds of the engines of this service are learned and used.
+    pub fn learns_speeds(&self, service: &str) -> bool {
+        self.options.policy.contention.condition && self.is_contended(service)
+    }
+
     /// Age of the proof that the plan is the newest, if there has been one.
     pub fn proof_age(&self) -> Option<Duration> {
         self.proof.borrow().map(Moment::elapsed)
@@ -334,6 +339,7 @@
         self.slow_start.borrow_mut().set_senders(published.senders().collect(), Moment::now());
         let roster = Rc::new(Roster::new(published.endpoints.iter().cloned()));
         self.loads.borrow_mut().retain(|endpoint| roster.knows(endpoint));
+        self.conditions.borrow_mut().set_roster(roster.clone());
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.limits.borrow_mut().retain(roster.endpoints(), Moment::now());
         self.metrics.set_limited(self.limits.borrow().count());
@@ -453,6 +459,7 @@
     /// Records the load of the other instances at endpoints as of `at`; `None` if it has not changed.
     pub fn apply_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
+        self.conditions.borrow_mut().set_others(others, at);
         let Some(others) = others else { return };
         self.loads.borrow_mut().set_others(others);
         self.update_suspects();
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -5,7 +5,7 @@
 //! when the first one terminates, also on routes that allow one run, since it continues the same run. A stream that
 //! breaks off and cannot be resumed closes its caller's connection, so that it does not look complete.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::Response;
@@ -13,6 +13,7 @@
 use rudder_clock::{Moment, sleep_until, timeout_at};
 use rudder_events::What;
 use rudder_model::Ran;
+use rudder_route::condition::FirstEvent;
 use tokio::sync::mpsc;
 
 use crate::{
@@ -21,6 +22,8 @@
     buffers::Reservation,
     call::{self, Call, EndpointAnswer, Progress, ResumePoint},
     choose::Choice,
+    condition::OutputMeter,
+    dialect::AnswerHead,
     health::Outcome,
     metrics::{PauseMeter, RequestOutcome},
     shared::Shared,
@@ -190,6 +193,7 @@
         let timeout = may_abandon.then(|| self.call.silence_timeout());
         let mut silent_at = timeout.map(|timeout| Moment::now() + timeout);
         let mut began = resumed;
+        let mut meter = self.output_meter(&choice);
         let shared = self.shared.clone();
         let mut replaced = std::pin::pin!(shared.wait_replaced(&choice.endpoint));
         loop {
@@ -223,6 +227,9 @@
                     .metrics
                     .record_first_byte(&self.call.route, now.saturating_duration_since(self.call.arrived));
                 self.shared.prefill.borrow_mut().note(&choice.service, tokens, after);
+                if !resumed {
+                    self.record_first(&choice, &head, after);
+                }
             }
             if let Some(pause) = self.pauses.record(Moment::now()) {
                 self.shared.metrics.record_pause(pause);
@@ -233,7 +240,12 @@
                 began = true;
                 call::record_begun(self.shared, &self.call, &mut self.progress, Moment::now());
             }
+            let counted = self.events.count;
             let whole = self.events.push(&bytes);
+            let read = Moment::now();
+            if let Some(meter) = &mut meter {
+                meter.record(self.events.count - counted, read);
+            }
             let part = if whole_events { whole } else { bytes };
             if part.is_empty() {
                 continue;
@@ -241,6 +253,9 @@
             if let Err(end) = self.forward(&part).await {
                 return end;
             }
+            if let Some(meter) = &mut meter {
+                meter.record_forward(read, Moment::now());
+            }
         }
         if !self.events.pending().is_empty() {
             call::record_outcome(self.shared, &choice.endpoint, Outcome::Failed);
@@ -251,6 +266,26 @@
         End::Complete
     }
 
+    /// The meter of the output speed of an engine of a contended service.
+    fn output_meter(&self, choice: &Choice) -> Option<OutputMeter> {
+        let engine = self.shared.current_plan()?.services.get(&choice.service)?.engine?;
+        let is_learned = self.shared.learns_speeds(&choice.service);
+        is_learned.then(|| OutputMeter::start(&self.shared.conditions, &choice.endpoint, engine.event_tokens))
+    }
+
+    /// Records the first event of a stream, if its engine had a free slot and no larger prompts of others to process.
+    fn record_first(&self, choice: &Choice, head: &AnswerHead, after: Duration) {
+        let plan = self.shared.current_plan();
+        let engine = plan.as_ref().and_then(|plan| plan.services.get(&choice.service)?.engine);
+        let Some(engine) = engine.filter(|_| self.shared.learns_speeds(&choice.service)) else { return };
+        let is_waiting = head.load.is_some_and(|load| load.waiting > 0) || choice.calls >= engine.slots;
+        if is_waiting || choice.ahead > choice.unread || choice.fetch_from.is_some() {
+            return;
+        }
+        let first = FirstEvent { tokens: choice.ahead + choice.unread, output: engine.event_tokens, after };
+        self.shared.conditions.borrow_mut().record_first(&choice.endpoint, &choice.service, first, Moment::now());
+    }
+
     /// Sends a part to the caller. Waits, without reading from the endpoint, while too many bytes are buffered.
     async fn forward(&mut self, part: &[u8]) -> Result<(), End> {
         let mut hold = Reservation::new(&self.shared.buffers);
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -65,6 +65,9 @@
         fetch_from: None,
         keeper: None,
         limit: None,
+        token_us: None,
+        prefill_speed: None,
+        pace: None,
     }
 }
 
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -188,7 +188,7 @@
     let (mut endpoint_loads, now) = (EndpointLoads::default(), Moment::now());
     endpoint_loads.note_end(&"e-1".into(), true, now);
     assert_eq!(
-        endpoint_loads.to_loads(now, |_| false),
+        endpoint_loads.to_loads(now, |_| None),
         vec![Load { ended: 1, failed: 1, ..Load::none(id::endpoint_tag("e-1")) }]
     );
     endpoint_loads.set_others(&[Load { ended: 5, failed: 2, ..Load::none(id::endpoint_tag("e-1")) }]);
