--- a/crates/rudder-gateway/benches/choice.rs
+++ b/crates/rudder-gateway/benches/choice.rs
@@ -66,10 +66,9 @@
     fn contended(count: usize, overloaded: bool) -> Scene {
         let mut scene = Scene::new(count, true);
         scene.known.contention = Contention::new(true);
-        for engine in scene.roster.of("svc") {
-            let speed = EngineSpeed { prefill_speed: 110.0, samples: 50, ..EngineSpeed::default() };
-            scene.known.conditions.set(&engine.endpoint, speed);
-        }
+        let engines: Vec<Registration> = scene.roster.of("svc").iter().map(|engine| (**engine).clone()).collect();
+        let speed = EngineSpeed { prefill_speed: 110.0, samples: 8, ..EngineSpeed::default() };
+        scene.known.set_speeds(&engines, |_| speed);
         if overloaded {
             let tags = scene.roster.of("svc").iter().map(|engine| id::endpoint_tag(&engine.endpoint));
             scene.loads = tags.map(|tag| Load { calls: 30, unread: 200_000, ..Load::none(tag) }).collect();
--- a/crates/rudder-gateway/tests/timing.rs
+++ b/crates/rudder-gateway/tests/timing.rs
@@ -109,9 +109,7 @@
     }
 
     fn set_speeds(&mut self, speed: impl Fn(&Registration) -> EngineSpeed) {
-        for engine in &self.engines {
-            self.known.conditions.set(&engine.endpoint, speed(engine));
-        }
+        self.known.set_speeds(&self.engines, speed);
     }
 
     /// Sets the requests and the unread tokens at each engine.
@@ -256,7 +254,6 @@
                 let base = if is_slow(engine) { SLOW } else { FAST };
                 speed(base * (0.85 + 0.3 * noise(seed)))
             });
-            scene.known.now = scene.known.now + Duration::from_millis(250);
             let candidates = cache.of(&"svc".into(), &roster, &scene.known.inputs());
             let quick = names(&candidates.quick);
             assert_eq!(*expected.get_or_insert_with(|| quick.clone()), quick, "instance {instance}, round {round}");
@@ -271,7 +268,6 @@
     let (roster, mut cache) = (roster(&scene.engines), CandidateCache::default());
     let mut is_quick = |relative: f64| {
         scene.set_speeds(|engine| speed(if number(&engine.endpoint) < 30 { relative } else { 1.0 }));
-        scene.known.now = scene.known.now + Duration::from_millis(250);
         let candidates = cache.of(&"svc".into(), &roster, &scene.known.inputs());
         candidates.quick.endpoints.iter().any(|engine| number(&engine.endpoint) < 30)
     };
--- a/crates/rudder-route/src/engine_cost.rs
+++ b/crates/rudder-route/src/engine_cost.rs
@@ -12,6 +12,8 @@
 const CHUNK_TOKENS: u32 = 1_024;
 /// Longest time that is predicted; it bounds the result for speeds near zero.
 const MAX_TIME: Duration = Duration::from_secs(600);
+/// Updates of a speed, two a second, from which an engine is classed: of fewer, a slow phase of 600 ms may be a large part.
+const MIN_SAMPLES: u32 = 8;
 /// Largest factor by which a slow engine has to be faster than required to be fast again.
 const MAX_GAP_FACTOR: f64 = 2.0;
 /// Largest number of requests that other instances are assumed to have sent since their last report.
@@ -36,8 +38,7 @@
     /// the speeds that instances learn.
     pub recovered: f64,
     /// An engine is slow, too, if the event gaps at its lasting speed times this factor miss the shortest target. Token
-    /// times contain the prefill that passed between the steps, so a larger factor would exclude engines that are only
-    /// busy.
+    /// times of engines that are busy with prefill contain some of it, so a larger factor would exclude them.
     pub gap_margin: f64,
     /// Share of the slots up to which an engine of the quick lane is idle and takes other requests, too: so few requests
     /// do not make the lane grow.
@@ -167,9 +168,9 @@
 }
 
 impl SpeedScale {
-    /// The scale of a service with engines of these speeds; `None` if none is known.
+    /// The scale of a service with engines of these speeds; `None` if too little is known of all.
     pub fn new(speeds: &[EngineSpeed], event_tokens: u32, gap: Duration) -> Option<SpeedScale> {
-        let known = || speeds.iter().filter(|speed| speed.samples > 0);
+        let known = || speeds.iter().filter(|speed| speed.samples >= MIN_SAMPLES);
         let mut times: Vec<Duration> = known().map(|speed| speed.token_time).collect();
         let mut prefills: Vec<f64> = known().map(|speed| speed.prefill_speed).collect();
         let middle = times.len() / 2;
@@ -182,9 +183,9 @@
         Some(SpeedScale { median, event_tokens, gap })
     }
 
-    /// The class of an engine that was of the class `before`. An engine of unknown speed is fast.
+    /// The class of an engine that was of the class `before`. An engine of which too little is known is fast.
     pub fn class(&self, options: &TimingOptions, speed: &EngineSpeed, before: SpeedClass) -> SpeedClass {
-        if speed.samples == 0 {
+        if speed.samples < MIN_SAMPLES {
             return SpeedClass::Fast;
         }
         let (limit, factor) = match before {
