--- a/crates/rudder-gateway/src/condition.rs
+++ b/crates/rudder-gateway/src/condition.rs
@@ -171,11 +171,10 @@
                     self.learned.entry(endpoint.clone()).or_default().update(&work);
                 }
             }
-            let Some(first) = endpoints.first() else { continue };
-            let learned = endpoints.iter().filter_map(|registration| self.learned.get(&registration.endpoint));
-            if learned.clone().next().is_some() {
-                let usual = Usual::of(learned);
-                self.usual.insert(first.service.clone(), usual);
+            let learned = endpoints.iter().filter_map(|known| self.learned.get(&known.endpoint).copied());
+            let learned: Vec<Condition> = learned.collect();
+            if let Some(first) = endpoints.first().filter(|_| !learned.is_empty()) {
+                self.usual.insert(first.service.clone(), Usual::of(&learned));
             }
         }
     }
--- a/crates/rudder-route/src/condition.rs
+++ b/crates/rudder-route/src/condition.rs
@@ -198,9 +198,9 @@
 
 impl Usual {
     /// The medians of these engines. Where none has a value, it is the initial one.
-    pub fn of<'a>(engines: impl Iterator<Item = &'a Condition> + Clone) -> Usual {
+    pub fn of(engines: &[Condition]) -> Usual {
         let initial = Usual::default();
-        let median_of = |value: fn(&Condition) -> Lasting| median(engines.clone().filter_map(|one| value(one).value()));
+        let median_of = |value: fn(&Condition) -> Lasting| median(engines.iter().filter_map(|one| value(one).value()));
         Usual {
             token_millis: median_of(|one| one.token).unwrap_or(initial.token_millis),
             prefill_millis: median_of(|one| one.prefill).unwrap_or(initial.prefill_millis),
--- a/crates/rudder-route/tests/condition.rs
+++ b/crates/rudder-route/tests/condition.rs
@@ -51,7 +51,7 @@
 fn a_quarter_of_the_engines_at_half_speed_are_slow_but_at_their_usual_pace() {
     let engines: Vec<Condition> =
         (0..8).map(|number| condition(vec![if number < 2 { work(1200, 182) } else { work(600, 100) }; 20])).collect();
-    let usual = Usual::of(engines.iter());
+    let usual = Usual::of(&engines);
     let (slow, fast) = (engines[0].speed(&usual, report(182)), engines[7].speed(&usual, report(100)));
     assert_near(token_millis(&slow), 12.0, 0.01);
     assert_near(slow.pace, 1.0, 0.01);
