--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -25,7 +25,7 @@
 /// Largest number of requests of all priorities at an engine, as a multiple of its room: its queue is short.
 const MAX_CROWDING: f64 = 2.0;
 /// Engines examined for room if a sample has none, so that a refusal costs the same in a lane of thousands.
-pub(super) const MAX_EXAMINED: usize = 128;
+const MAX_EXAMINED: usize = 128;
 /// Share of a session's tokens assumed missing from the caches of its top-ranked engines. All other engines are assumed
 /// to lack them all.
 const MISSING_SHARES: [f64; 2] = [0.0, 0.5];
--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -11,9 +11,15 @@
 
 use super::{
     Lane,
-    engine::{Affinity, MAX_EXAMINED, Request},
+    engine::{Affinity, Request},
 };
 
+/// Engines of the own lane that are examined if a sample has none in time: all in a service of usual size, and a bounded
+/// number in one of thousands, so that a choice costs the same under overload.
+const MAX_OWN_EXAMINED: usize = 96;
+/// As [`MAX_OWN_EXAMINED`], for the fast and for the slow engines of the other lane.
+const MAX_OTHER_EXAMINED: usize = 32;
+
 /// Scale of the relative lateness of an engine as an integer.
 const LATENESS_SCALE: f64 = 1_000_000.0;
 
@@ -90,7 +96,8 @@
                 let suits = if self.quick { !self.is_crowded(engine) } else { is_own || self.is_idle(engine) };
                 suits && self.is_eligible(engine) && self.has_room(engine)
             };
-            let estimates = examined(engines).filter(is_open).map(|engine| self.estimate(engine, affinity));
+            let max = if is_own { MAX_OWN_EXAMINED } else { MAX_OTHER_EXAMINED };
+            let estimates = examined(engines, max).filter(is_open).map(|engine| self.estimate(engine, affinity));
             let timely = estimates.filter(|estimate| {
                 tight = tight.or(Some(*estimate).filter(|estimate| !estimate.is_late()));
                 estimate.is_in_time()
@@ -165,8 +172,8 @@
     predicted.as_secs_f64() / target.as_secs_f64().max(0.001)
 }
 
-/// A bounded number of engines from a random one on, as all instances would otherwise send to the same.
-fn examined(engines: &[Arc<Registration>]) -> impl Iterator<Item = &Registration> {
+/// At most `max` engines from a random one on, as all instances would otherwise send to the same.
+fn examined(engines: &[Arc<Registration>], max: usize) -> impl Iterator<Item = &Registration> {
     let (before, after) = engines.split_at(rand::random_range(0..=engines.len()));
-    after.iter().chain(before).map(|engine| &**engine).take(MAX_EXAMINED)
+    after.iter().chain(before).map(|engine| &**engine).take(max)
 }
