--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -13,7 +13,9 @@
 
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
-    checks::{check_expected_wait, check_still_allowed, expected_wait, record_demand, take_retry_for_silent},
+    checks::{
+        check_expected_wait, check_still_allowed, expected_wait, is_other_sooner, record_demand, take_retry_for_silent,
+    },
     rate_limit::take_permit,
     record_begun, record_if_terminated,
     refusal::not_run,
@@ -222,6 +224,10 @@
     if head.id_matches && head.load.is_some_and(|load| load.pace.is_some()) {
         shared.contention.borrow_mut().record_pace(&choice.service, Moment::now());
     }
+    let report = head.load.filter(|_| head.id_matches && shared.learns_speeds(&choice.service));
+    if let Some(report) = report {
+        shared.conditions.borrow_mut().record_report(&choice.endpoint, &report, Moment::now());
+    }
     if let Some(pushback) = head.pushback {
         record_pushback(shared, &choice.endpoint, pushback);
     }
@@ -295,10 +301,18 @@
     let mut answer = std::pin::pin!(outcome);
     let mut answered = timeout_at(silence_deadline, answer.as_mut()).await;
     let may_abandon = shared.options.policy.guard.impatience && call.route.may_repeat();
-    if answered.is_err() && may_abandon && take_retry_for_silent(shared, call, progress) {
-        record_outcome(shared, &choice.endpoint, Outcome::Failed);
-        log_failure(shared, call, progress, choice, "it is silent", Ran::Unknown);
-        return Err(Failure::Unresponsive);
+    while answered.is_err() && may_abandon {
+        if is_other_sooner(shared, call, progress, choice, sent) && take_retry_for_silent(shared, call, progress) {
+            record_outcome(shared, &choice.endpoint, Outcome::Failed);
+            log_failure(shared, call, progress, choice, "it is silent", Ran::Unknown);
+            return Err(Failure::Unresponsive);
+        }
+        let now = Moment::now();
+        if choice.predicted.is_none() || now >= call.deadline {
+            break;
+        }
+        // The other engines may become sooner than this one.
+        answered = timeout_at(call.deadline.min(now + call.silence_timeout()), answer.as_mut()).await;
     }
     if answered.is_err() {
         answered = timeout_at(call.deadline, answer).await;
@@ -332,6 +346,8 @@
     left: Duration,
 ) {
     let others = shared.others_age();
+    let uses_speed = call.prompt.is_some() && shared.learns_speeds(&choice.service);
+    let speed = uses_speed.then(|| shared.conditions.borrow().speed(&choice.endpoint, &choice.service, Moment::now()));
     shared.log.write(What::CallSent {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
@@ -339,6 +355,7 @@
         calls: choice.calls,
         ahead: choice.ahead,
         unread: choice.unread,
+        predicted_ms: choice.predicted.map(|predicted| predicted.as_millis() as u64),
         held: choice.held,
         rank: call.prompt.as_ref().map(|_| call.engine_rank),
         others_ms: others.as_millis() as u64,
@@ -347,9 +364,17 @@
         fetch_from: choice.fetch_from.as_deref().map(str::to_owned),
         keeper: choice.backup.as_ref().map(|backup| backup.endpoint.clone()),
         limit: shared.limits.borrow().rate(&choice.endpoint).map(RequestRate::per_second),
+        token_us: speed.map(|speed| speed.token_time.as_micros() as u64),
+        prefill_speed: speed.map(|speed| round(speed.prefill_speed)),
+        pace: speed.map(|speed| round(speed.pace)),
     });
 }
 
+/// Rounds to hundredths, which are enough in a log line.
+fn round(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
+
 /// Chooses an endpoint that has not been tried for the request, if there is one.
 ///
 /// # Errors
@@ -363,7 +388,8 @@
     let roster = shared.roster.borrow().clone();
     let loads = shared.loads.borrow();
     let (health, backoff) = (shared.health.borrow(), shared.backoff.borrow());
-    let prefill = shared.prefill.borrow();
+    let (prefill, conditions) = (shared.prefill.borrow(), shared.conditions.borrow());
+    let contention = shared.contention.borrow();
     let (placement, slow_start, limits) =
         (shared.placement.borrow(), shared.slow_start.borrow(), shared.limits.borrow());
     let inputs = Inputs {
@@ -372,6 +398,8 @@
         health: &health,
         backoff: &backoff,
         prefill: &prefill,
+        conditions: &conditions,
+        contention: &contention,
         placement: &placement,
         slow_start: &slow_start,
         limits: &limits,
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -5,13 +5,14 @@
     collections::{HashMap, HashSet},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use rudder_clock::Moment;
 use rudder_core::peer::{LEVELS, Load, LoadDetail};
 use rudder_model::{EndpointId, EndpointTag, id};
 
-use crate::recent::{RecentOutcomes, Tally};
+use crate::recent::{RecentOutcomes, SPAN, Tally};
 
 /// Weight of a service's mix of priorities in that of an endpoint, in requests: an instance has few of its own at one.
 const MIX_WEIGHT: f64 = 4.0;
@@ -71,6 +72,13 @@
         work
     }
 
+    /// Estimated number of requests that other instances have sent to `endpoint` in the `age` of their reports, at the
+    /// rate at which requests have ended there.
+    pub fn unreported(&self, endpoint: &str, age: Duration) -> f64 {
+        let ended = self.others.get(&id::endpoint_tag(endpoint)).map_or(0, |load| load.ended);
+        f64::from(ended) * age.as_secs_f64() / SPAN as f64
+    }
+
     /// Estimated number of requests at `endpoint` whose priority is not below `level`. Reports tell no priorities, so the
     /// other instances' requests are taken to be mixed as this one's.
     pub fn calls_at_or_above(&self, level: usize, endpoint: &str, service: &str) -> f64 {
@@ -101,16 +109,16 @@
         tally
     }
 
-    /// This instance's work, to be reported to the other instances. Loads of endpoints that `is_contended` selects have
-    /// details.
-    pub fn to_loads(&mut self, now: Moment, is_contended: impl Fn(&EndpointId) -> bool) -> Vec<Load> {
+    /// This instance's work, to be reported to the other instances. Loads of endpoints of contended
+    /// services have details: those that `detail` returns, and the requests by priority level.
+    pub fn to_loads(&mut self, now: Moment, detail: impl Fn(&EndpointId) -> Option<LoadDetail>) -> Vec<Load> {
         self.recent.age(now);
         let mut endpoints: HashSet<&EndpointId> = self.recent.endpoints().collect();
         endpoints.extend(self.own.iter().filter(|(_, load)| load.calls > 0).map(|(endpoint, _)| endpoint));
         let to_load = |endpoint: &EndpointId| {
             let own = self.own.get(endpoint).cloned().unwrap_or_else(|| Load::none(id::endpoint_tag(endpoint)));
             let Tally { ended, failed } = self.recent.at(endpoint, now);
-            let detail = is_contended(endpoint).then(|| Box::new(self.detail_of(endpoint)));
+            let detail = detail(endpoint).map(|detail| Box::new(self.with_levels(endpoint, detail)));
             Load { ended, failed, detail, ..own }
         };
         let mut loads: Vec<Load> = endpoints.into_iter().map(to_load).collect();
@@ -118,10 +126,10 @@
         loads
     }
 
-    /// Details of this instance's work at `endpoint`.
-    fn detail_of(&self, endpoint: &EndpointId) -> LoadDetail {
+    /// The detail with this instance's requests in flight at `endpoint` by priority level.
+    fn with_levels(&self, endpoint: &EndpointId, detail: LoadDetail) -> LoadDetail {
         let Mix(levels) = self.mixes.get(endpoint).copied().unwrap_or_default();
-        LoadDetail { levels, ..LoadDetail::default() }
+        LoadDetail { levels, ..detail }
     }
 
     /// Drops endpoints that are unknown and have no work.
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -20,10 +20,14 @@
 use rudder_clock::Moment;
 use rudder_core::CallOutcome;
 
-use crate::{Dialect, RouteKind, plan::Route, shared::Shared};
+use crate::{Dialect, RouteKind, condition::ConditionCounts, plan::Route, shared::Shared};
 
 /// Histogram buckets of latencies in seconds; they cover the targets of routes.
 const LATENCY_BUCKETS: [f64; 12] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.42, 0.8, 1.2, 2.5, 5.0, 15.0];
+/// Histogram buckets of the time to the first event as a multiple of the predicted one.
+const PREDICTION_BUCKETS: [f64; 9] = [0.1, 0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 8.0, 16.0];
+/// Lower bound of predicted times in that ratio: below, it tells nothing about the engine.
+const MIN_PREDICTION: Duration = Duration::from_millis(1);
 /// Bytes per page in `/proc/self/statm`.
 const PAGE_SIZE: i64 = 4096;
 
@@ -181,6 +185,7 @@
     first_byte: Family<KindLabel, Histogram>,
     total: Family<KindLabel, Histogram>,
     pauses: Histogram,
+    prediction: Histogram,
     /// Metrics of messages between instances.
     pub peers: PeerMetrics,
     state: RefCell<Gauges>,
@@ -206,6 +211,9 @@
     quarantined_contents: Gauge,
     evacuated_halls: Gauge,
     limited_endpoints: Gauge,
+    timed_engines: Gauge,
+    slow_engines: Gauge,
+    slowed_engines: Gauge,
     held_bytes: Gauge,
     held_peak: Gauge,
     held_limit: Gauge,
@@ -235,6 +243,7 @@
             first_byte: Family::new_with_constructor(histogram),
             total: Family::new_with_constructor(histogram),
             pauses: histogram(),
+            prediction: Histogram::new(PREDICTION_BUCKETS),
             peers: PeerMetrics::default(),
             state: RefCell::default(),
         };
@@ -291,6 +300,8 @@
         );
         registry.register_with_unit("total", "From arrival to the end", seconds.clone(), self.total.clone());
         registry.register_with_unit("pause", "Between parts of a stream", seconds, self.pauses.clone());
+        let help = "From sending to the first event as a multiple of the predicted time, for contended services";
+        registry.register("first_event_prediction", help, self.prediction.clone());
         self.peers.register(registry);
         let state = self.state.borrow();
         registry.register("open_requests", "Requests under way", state.open_requests.clone());
@@ -323,6 +334,12 @@
         registry.register("held_peak_bytes", "Most bytes that were ever held so", state.held_peak.clone());
         registry.register("held_most_bytes", "Bytes that may be held so", state.held_limit.clone());
         registry.register("limited_endpoints", "Endpoints that have a rate limit", state.limited_endpoints.clone());
+        let help = "Engines of contended services whose speed is known";
+        registry.register("timed_engines", help, state.timed_engines.clone());
+        let help = "Engines that are lastingly slower than the median of their contended service";
+        registry.register("slow_engines", help, state.slow_engines.clone());
+        let help = "Engines of contended services that are slower now than they usually are";
+        registry.register("slowed_engines", help, state.slowed_engines.clone());
         registry.register("evacuated_halls", "Halls whose endpoints get nothing", state.evacuated_halls.clone());
         registry.register("endpoint_calls", "Requests known to be at an endpoint", state.endpoint_calls.clone());
         registry.register("endpoint_unread_tokens", "Prompt tokens unread at an endpoint", state.unread_tokens.clone());
@@ -396,6 +413,19 @@
         self.state.borrow().limited_endpoints.set((endpoints as u64).cast_signed());
     }
 
+    /// Sets the numbers of engines by condition.
+    fn set_conditions(&self, counts: ConditionCounts) {
+        let state = self.state.borrow();
+        let gauges = [
+            (&state.timed_engines, counts.known),
+            (&state.slow_engines, counts.slow),
+            (&state.slowed_engines, counts.slowed),
+        ];
+        for (gauge, engines) in gauges {
+            gauge.set((engines as u64).cast_signed());
+        }
+    }
+
     /// Counts a request whose endpoint terminated while serving it.
     pub fn record_ended_under(&self) {
         self.ended_under.inc();
@@ -439,6 +469,11 @@
         self.first_byte.get_or_create(&KindLabel { kind: kind_label(route) }).observe(after.as_secs_f64());
     }
 
+    /// Records the predicted and the actual time from sending a request to its first event.
+    pub fn record_prediction(&self, predicted: Duration, actual: Duration) {
+        self.prediction.observe(actual.as_secs_f64() / predicted.as_secs_f64().max(MIN_PREDICTION.as_secs_f64()));
+    }
+
     /// Records the pause between two parts of a stream.
     pub fn record_pause(&self, pause: Duration) {
         self.pauses.observe(pause.as_secs_f64());
@@ -454,6 +489,7 @@
     }
 
     fn set_gauges<D: Dialect>(&self, shared: &Shared<D>) {
+        self.set_conditions(shared.conditions.borrow().counts(Moment::now()));
         let state = self.state.borrow();
         let number = |count: u64| count.cast_signed();
         state.open_requests.set(number(shared.open_requests.get()));
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -57,6 +57,7 @@
         calls: 0,
         ahead: 0,
         unread: 0,
+        predicted_ms: None,
         held: 0,
         rank: None,
         others_ms: 0,
@@ -65,6 +66,9 @@
         fetch_from: None,
         keeper: None,
         limit: None,
+        token_us: None,
+        prefill_speed: None,
+        pace: None,
     }
 }
 
--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -7,7 +7,9 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admit;
+pub mod condition;
 pub mod endpoint;
+pub mod engine_cost;
 pub mod estimate;
 pub mod health;
 pub mod options;
