--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -141,7 +141,8 @@
         let is_remote = self.quick && engine.hall != *inputs.hall;
         let is_full = self.work(engine).held + self.prompt.tokens > self.engine.memory;
         let extra = if is_full { policy.memory_cost } else { 0 } + if is_remote { policy.far_cost } else { 0 };
-        let harm = engine_cost::harm(options, &speed, &work, &demand);
+        // A session that moves costs as much when its parts are fetched: they evict others, which are processed again.
+        let harm = engine_cost::harm(options, &speed, &work, &EngineDemand { missing, ..demand });
         let cost = first + harm + engine_cost::prefill_time(&speed, f64::from(extra));
         let millionths = (lateness * LATENESS_SCALE) as u64;
         let rank = if lateness > 1.0 {
--- a/crates/rudder-gateway/tests/timing.rs
+++ b/crates/rudder-gateway/tests/timing.rs
@@ -264,18 +264,29 @@
     }
 }
 
-/// An engine near the limit would change its lane with each sample.
-#[test]
-fn an_engine_near_the_limit_keeps_its_class() {
+/// An engine near a limit would change its lane with each sample. `seen` are the classes while a third of the engines has
+/// these speeds one after the other.
+fn check_classes<const N: usize>(gap_margin: f64, speeds: [f64; N], seen: [bool; N]) {
     let mut scene = Scene::new();
+    scene.known.policy.timing.gap_margin = gap_margin;
     let (roster, mut cache) = (roster(&scene.engines), CandidateCache::default());
     let mut is_quick = |relative: f64| {
         scene.set_speeds(|engine| speed(if number(&engine.endpoint) < 30 { relative } else { 1.0 }));
         let candidates = cache.of(&"svc".into(), &roster, &scene.known.inputs());
         candidates.quick.endpoints.iter().any(|engine| number(&engine.endpoint) < 30)
     };
-    let seen = [0.78, 0.72, 0.78, 0.72, 0.82, 0.9, 0.78].map(&mut is_quick);
-    assert_eq!(seen, [true, false, false, false, false, true, true]);
+    assert_eq!(speeds.map(&mut is_quick), seen);
+}
+
+#[test]
+fn an_engine_near_the_limit_keeps_its_class() {
+    let speeds = [0.78, 0.72, 0.78, 0.72, 0.82, 0.9, 0.78];
+    check_classes(1.5, speeds, [true, false, false, false, false, true, true]);
+}
+
+#[test]
+fn an_engine_near_the_gap_target_keeps_its_class() {
+    check_classes(3.0, [0.85, 0.8, 0.85, 0.9, 0.95, 0.85], [true, false, false, false, true, true]);
 }
 
 /// Without figures, nothing tells a slow engine from a new one.
--- a/crates/rudder-route/src/engine_cost.rs
+++ b/crates/rudder-route/src/engine_cost.rs
@@ -37,8 +37,8 @@
     /// A slow engine stays slow until it has reached this share. The distance to `slow` exceeds the differences between
     /// the speeds that instances learn.
     pub recovered: f64,
-    /// An engine is slow, too, if the event gaps at its lasting speed times this factor miss the shortest target. Token
-    /// times of engines that are busy with prefill contain some of it, so a larger factor would exclude them.
+    /// An engine is slow, too, if the event gaps at its lasting speed times this factor miss the shortest target. It has
+    /// to bear a passing slowdown, which more than doubles the gaps, and some prefill of others between the steps.
     pub gap_margin: f64,
     /// Share of the slots up to which an engine of the quick lane is idle and takes other requests, too: so few requests
     /// do not make the lane grow.
@@ -53,7 +53,7 @@
             read_again: 4.0,
             slow: 0.75,
             recovered: 0.85,
-            gap_margin: 1.5,
+            gap_margin: 3.0,
             idle: 0.25,
         }
     }
@@ -159,8 +159,8 @@
 /// The speeds with which those of an engine are compared.
 #[derive(Clone, Copy, Debug)]
 pub struct SpeedScale {
-    /// Median of the service.
-    pub median: EngineSpeed,
+    /// Median token time of the service.
+    pub median: Duration,
     /// Tokens of an event.
     pub event_tokens: u32,
     /// The shortest gap target of the service.
@@ -170,16 +170,10 @@
 impl SpeedScale {
     /// The scale of a service with engines of these speeds; `None` if too little is known of all.
     pub fn new(speeds: &[EngineSpeed], event_tokens: u32, gap: Duration) -> Option<SpeedScale> {
-        let known = || speeds.iter().filter(|speed| speed.samples >= MIN_SAMPLES);
-        let mut times: Vec<Duration> = known().map(|speed| speed.token_time).collect();
-        let mut prefills: Vec<f64> = known().map(|speed| speed.prefill_speed).collect();
-        let middle = times.len() / 2;
-        if times.is_empty() {
-            return None;
-        }
-        let token_time = *times.select_nth_unstable(middle).1;
-        let prefill_speed = *prefills.select_nth_unstable_by(middle, f64::total_cmp).1;
-        let median = EngineSpeed { token_time, prefill_speed, ..EngineSpeed::default() };
+        let known = speeds.iter().filter(|speed| speed.samples >= MIN_SAMPLES);
+        let mut times: Vec<Duration> = known.map(|speed| speed.token_time).collect();
+        let middle = times.len().checked_sub(1)? / 2;
+        let median = *times.select_nth_unstable(middle).1;
         Some(SpeedScale { median, event_tokens, gap })
     }
 
@@ -197,11 +191,9 @@
         if is_slow { SpeedClass::Slow } else { SpeedClass::Fast }
     }
 
-    /// Speed relative to the median. Token times of busy engines contain the prefill between the steps and prefill
-    /// speeds of idle ones the fixed costs of short prompts, so the geometric mean of both is taken.
+    /// Speed relative to the median, by token times: prefill speeds are learned from few prompts, and instances that
+    /// class engines differently send the same session to different ones.
     fn relative(&self, speed: &EngineSpeed) -> f64 {
-        let output = self.median.token_time.as_secs_f64() / speed.token_time.as_secs_f64();
-        let prefill = speed.prefill_speed / self.median.prefill_speed;
-        (output * prefill).sqrt()
+        self.median.as_secs_f64() / speed.token_time.as_secs_f64()
     }
 }
