--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -6,6 +6,7 @@
 //! type with [`Options::baseline`].
 #![deny(missing_docs, unsafe_code)]
 
+pub mod admission;
 pub mod admit;
 pub mod endpoint;
 pub mod estimate;
