feat(core): load reports carry the recent demand for contended services

An instance sees few refusals of its own, so it would admit less urgent requests for seconds while others refuse urgent ones. One entry per contended service, tagged as an endpoint of its name, sums what instances admit and refuse by priority. All halls receive it. Loads without it are encoded as before.

--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -7,7 +7,8 @@
 use rudder_ledger::{Answer, Attempt, Command, Delta, Document, Evacuations, Patch, QuarantineNews};
 use rudder_model::{EndpointId, EndpointTag, HallId, InstanceId, ModelId, Refusal, RequestId, Start};
 use rudder_replica::{Envelope, Members, ReplicaId};
-use rudder_route::{GrantOutcome, HeldGrant, SlotRequest};
+pub use rudder_route::admission::LEVELS;
+use rudder_route::{GrantOutcome, HeldGrant, SlotRequest, admission::Demand};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -162,9 +163,6 @@
 /// Changes of the directory since the version that the receiver holds.
 pub type DirectoryDelta = MapDelta<InstanceId, Listing>;
 
-/// Priority levels that load details count apart; lower ones count as the last.
-pub const LEVELS: usize = 4;
-
 /// Tokens processed and the time that it took.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenTime {
@@ -194,6 +192,9 @@
     pub prefill: TokenTime,
     /// Paces that the endpoint has reported recently.
     pub pace: PaceSum,
+    /// Recent demand, in the entry of a service, which is tagged as an endpoint of its name.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub demand: Option<Demand>,
 }
 
 impl LoadDetail {
@@ -205,6 +206,7 @@
         for (level, other) in levels.iter_mut().zip(other.levels) {
             *level = by(*level, other);
         }
+        let demand = self.demand.unwrap_or_default().combine(other.demand.unwrap_or_default(), &by);
         LoadDetail {
             levels,
             output: time(self.output, other.output),
@@ -213,6 +215,7 @@
                 percent: by(self.pace.percent, other.pace.percent),
                 reports: by(self.pace.reports, other.pace.reports),
             },
+            demand: (demand != Demand::default()).then_some(demand),
         }
     }
 }
@@ -243,6 +246,17 @@
         Load { endpoint, calls: 0, unread: 0, held: 0, ended: 0, failed: 0, detail: None }
     }
 
+    /// Returns the entry of a service.
+    pub fn of_service(service: EndpointTag, demand: Demand) -> Load {
+        let detail = LoadDetail { demand: Some(demand), ..LoadDetail::default() };
+        Load { detail: Some(Box::new(detail)), ..Load::none(service) }
+    }
+
+    /// Returns whether this is the entry of a service, which all halls receive.
+    pub fn is_of_service(&self) -> bool {
+        self.detail.as_ref().is_some_and(|detail| detail.demand.is_some())
+    }
+
     /// Returns whether there is nothing to report.
     pub fn is_none(&self) -> bool {
         self.calls == 0 && self.ended == 0 && self.detail.is_none()
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -121,7 +121,7 @@
         let loads = send_loads.then(|| {
             let mut loads = loads::merge(source.remote_loads, self.loads.total_excluding(&name));
             if let Some(tags) = &source.load_tags {
-                loads.retain(|load| tags.contains(&load.endpoint));
+                loads.retain(|load| tags.contains(&load.endpoint) || load.is_of_service());
             }
             loads
         });
--- a/crates/rudder-core/tests/loads.rs
+++ b/crates/rudder-core/tests/loads.rs
@@ -8,6 +8,7 @@
     peer::{Load, LoadDetail, PaceSum, TokenTime},
 };
 use rudder_model::InstanceId;
+use rudder_route::admission::Demand;
 
 fn load(endpoint: u8, calls: u32) -> Load {
     let (ended, failed) = (calls * 3, calls * 2);
@@ -16,6 +17,7 @@
         output: TokenTime { tokens: calls * 5, millis: calls * 30 },
         prefill: TokenTime { tokens: calls * 11, millis: calls },
         pace: PaceSum { percent: calls * 100, reports: calls },
+        demand: Some(Demand { admitted: [calls, 0, calls, 0], refused: [0, calls * 2, 0, 0] }),
     };
     let detail = Some(Box::new(detail));
     Load { endpoint: u32::from(endpoint), calls, unread: calls * 100, held: calls * 7, ended, failed, detail }
@@ -60,3 +62,16 @@
     loads.clear();
     assert!(loads.total_excluding(&name(3)).is_empty());
 }
+
+/// Instances of another version must still read the reports, and services that are not contended cost no more bytes.
+#[test]
+fn loads_without_detail_or_demand_are_encoded_without_them() {
+    let fields = |load: &Load| {
+        let bytes = rmp_serde::to_vec(load).expect("plain data");
+        let detail = load.detail.as_ref().map(|detail| rmp_serde::to_vec(detail).expect("plain data")[0] & 0x0f);
+        (bytes[0] & 0x0f, detail)
+    };
+    assert_eq!(fields(&Load::none(1)), (6, None));
+    assert_eq!(fields(&Load { detail: Some(Box::default()), ..Load::none(1) }), (7, Some(4)));
+    assert_eq!(fields(&Load::of_service(1, Demand::default())), (7, Some(5)));
+}
