feat(events): refusals for lack of capacity are logged with their inputs

The reason text of a refusal does not tell which figures led to it. The event carries the predicted wait, the time left, the work at the service's engines, the demand of all instances by priority and the age of the reports.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -302,6 +302,35 @@
         /// The route's target, in milliseconds.
         target_ms: u64,
     },
+    /// A request to a contended service is refused for lack of capacity.
+    CallOverCapacity {
+        /// The request.
+        request: String,
+        /// The service.
+        service: Arc<str>,
+        /// Its priority level, 0 being the highest.
+        level: u8,
+        /// Why.
+        reason: String,
+        /// Predicted time to its first event at the chosen engine, in milliseconds; `None` if none was chosen.
+        predicted_ms: Option<u64>,
+        /// The route's target, in milliseconds.
+        target_ms: u64,
+        /// Time left, in milliseconds.
+        left_ms: u64,
+        /// Slots taken at the service's engines.
+        taken: u32,
+        /// Slots of the service's engines.
+        slots: u32,
+        /// Requests that wait at the service's engines.
+        waiting: u32,
+        /// Requests that all instances recently sent, by level.
+        admitted: Vec<u32>,
+        /// Requests that all instances recently refused for lack of capacity, by level.
+        refused: Vec<u32>,
+        /// Age of the other instances' part of these figures, in milliseconds; `None` if they have not reported.
+        report_ms: Option<u64>,
+    },
     /// An attempt at an endpoint failed.
     CallFailed {
         /// The request.
@@ -535,6 +564,7 @@
             | What::CallSent { request, .. }
             | What::CallFailed { request, .. }
             | What::CallHopeless { request, .. }
+            | What::CallOverCapacity { request, .. }
             | What::RetryAsked { request, .. }
             | What::CallAnswered { request, .. }
             | What::CallRefused { request, .. }
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -90,6 +90,7 @@
             "the best engine, {endpoint}, has {ahead} prompt tokens to read first: about {wait_ms} ms, \
              too long for a target of {target_ms} ms"
         ),
+        What::CallOverCapacity { .. } => to_capacity_sentence(what),
         What::CallFailed { endpoint, attempt, why, ran, .. } => {
             format!("attempt {attempt} at {endpoint} failed: {why}; ran: {ran:?}")
         }
@@ -132,6 +133,35 @@
     }
 }
 
+/// The sentence of [`What::CallOverCapacity`]; empty for other events.
+fn to_capacity_sentence(what: &What) -> String {
+    let What::CallOverCapacity {
+        service,
+        level,
+        reason,
+        predicted_ms,
+        target_ms,
+        left_ms,
+        taken,
+        slots,
+        waiting,
+        admitted,
+        refused,
+        report_ms,
+        ..
+    } = what
+    else {
+        return String::new();
+    };
+    let predicted = predicted_ms.map_or(String::new(), |wait| format!("first event after about {wait} ms, "));
+    let age = report_ms.map_or("no reports of others".to_owned(), |age| format!("others' part {age} ms old"));
+    format!(
+        "refused for lack of capacity of {service} ({reason}) at priority level {level}: {predicted}target {target_ms} ms, \
+         {left_ms} ms left; {taken} of {slots} slots taken, {waiting} requests wait; by level, {admitted:?} were lately \
+         sent and {refused:?} refused ({age})"
+    )
+}
+
 /// The sentence of [`What::CallSent`]; empty for other events.
 fn to_sent_sentence(what: &What) -> String {
     let What::CallSent {
