feat(gateway): contended services use one admission decision by priority

The priorities of other instances' requests were guessed from the own mix, shedding saw the own refusals only, and engines that had rejected a request as full were chosen again. For contended services, the room at engines follows the reported priorities and the instance's share of the room, an engine's rejection counts until the next report, and less urgent requests yield to urgent ones that any instance refuses. A refusal for capacity is built, counted and logged in one place. Other services, and all with the switch off, are treated as before.

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -10,10 +10,14 @@
 use rudder_core::Event;
 use rudder_events::What;
 use rudder_model::{EndpointId, Ran, RequestRate};
+use rudder_route::admission::Reason;
 
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
-    checks::{check_expected_wait, check_still_allowed, expected_wait, record_demand, take_retry_for_silent},
+    checks::{
+        check_admission, check_still_allowed, expected_wait, record_demand, refuse_without_choice,
+        take_retry_for_silent,
+    },
     rate_limit::take_permit,
     record_begun, record_if_terminated,
     refusal::not_run,
@@ -35,7 +39,7 @@
 pub(super) const MAX_UNSENT_ATTEMPTS: u32 = 12;
 
 /// The reason of a refusal if no engine may be sent one more request of its priority.
-const NO_ROOM: &str = "its engines have no room for its priority";
+const NO_ROOM: &str = Reason::Room.text();
 
 /// Records that an endpoint did not run the request.
 pub(super) async fn record_not_run<D: Dialect>(
@@ -56,6 +60,8 @@
     );
     if misdirected {
         record_outcome(shared, &answer.choice.endpoint, Outcome::Replaced);
+    } else if shared.uses_admission(&answer.choice.service) {
+        shared.admission.borrow_mut().record_full(&answer.choice.endpoint, Moment::now());
     }
     let EndpointAnswer { choice, response, head, connection, flight, .. } = answer;
     let (_, body) = response.into_parts();
@@ -122,21 +128,24 @@
 ) -> Result<Result<EndpointAnswer, Failure>, Refusal> {
     let choice = match choose_endpoint(shared, call, progress) {
         Ok(choice) => choice,
-        Err(Unavailable::Full) if progress.sent == 0 => {
+        Err(unavailable @ (Unavailable::Full | Unavailable::Urgent)) if progress.sent == 0 => {
             record_demand(shared, call, None, true);
-            return Err(no_room(call));
+            return Err(no_room(shared, call, unavailable));
         }
         Err(unavailable) => {
             progress.unsent_attempts = MAX_UNSENT_ATTEMPTS;
-            let blocked = shared.blocked_for(&call.route).is_some();
-            if progress.sent == 0 && blocked {
+            let blocked = shared.blocked_for(&call.route);
+            if let Some(retry) = blocked.filter(|_| progress.sent == 0) {
                 record_demand(shared, call, None, true);
+                if let Some(refusal) = refuse_without_choice(shared, call, Reason::Blocked, retry) {
+                    return Err(refusal);
+                }
             }
-            return Ok(Err(Failure::NotSent(unavailable_reason(call, unavailable, blocked))));
+            return Ok(Err(Failure::NotSent(unavailable_reason(call, unavailable, blocked.is_some()))));
         }
     };
     if progress.sent == 0 {
-        check_expected_wait(shared, call, &choice)?;
+        check_admission(shared, call, &choice)?;
     }
     let permit = match take_permit(shared, call, &choice).await {
         Ok(permit) => permit,
@@ -162,16 +171,20 @@
 
 /// The refusal of a request whose engines have no room. The more urgent the route, the shorter its target, so urgent
 /// callers return first.
-fn no_room(call: &Call) -> Refusal {
-    not_run(NO_ROOM, call.route.target)
+fn no_room<D: Dialect>(shared: &Shared<D>, call: &Call, unavailable: Unavailable) -> Refusal {
+    let reason = if unavailable == Unavailable::Urgent { Reason::Urgent } else { Reason::Room };
+    let refusal = refuse_without_choice(shared, call, reason, call.route.target);
+    refusal.unwrap_or_else(|| not_run(NO_ROOM, call.route.target))
 }
 
 /// Why no endpoint can be chosen.
 fn unavailable_reason(call: &Call, unavailable: Unavailable, blocked: bool) -> &'static str {
     if unavailable == Unavailable::Full {
         NO_ROOM
+    } else if unavailable == Unavailable::Urgent {
+        Reason::Urgent.text()
     } else if blocked {
-        "its endpoints take no more for now"
+        Reason::Blocked.text()
     } else if call.residency.is_some() {
         "no endpoint is in use where it may go"
     } else {
@@ -209,9 +222,14 @@
     progress.last_choice = Some(choice.clone());
     let request = call.to_request(&shared.dialect, &choice, left, resume);
     let prompt = call.prompt.as_ref();
+    let level = shared.current_plan().map_or(0, |plan| plan.level(&call.route, &choice.service));
+    if prompt.is_some() && shared.uses_admission(&choice.service) {
+        let first = progress.sent == 1;
+        shared.admission.borrow_mut().record_sent(&choice.service, &choice.endpoint, level, first, now);
+    }
     let demand = Demand {
         service: choice.service.clone(),
-        level: shared.current_plan().map_or(0, |plan| plan.level(&call.route, &choice.service)),
+        level,
         unread: choice.unread,
         held: prompt.map_or(0, |prompt| prompt.tokens + prompt.expected_answer()),
     };
@@ -364,6 +382,7 @@
     let loads = shared.loads.borrow();
     let (health, backoff) = (shared.health.borrow(), shared.backoff.borrow());
     let prefill = shared.prefill.borrow();
+    let (contention, admission) = (shared.contention.borrow(), shared.admission.borrow());
     let (placement, slow_start, limits) =
         (shared.placement.borrow(), shared.slow_start.borrow(), shared.limits.borrow());
     let inputs = Inputs {
@@ -375,6 +394,8 @@
         placement: &placement,
         slow_start: &slow_start,
         limits: &limits,
+        contention: &contention,
+        admission: &admission,
         hall: &shared.options.hall,
         plan: &plan,
         policy: &shared.options.policy,
@@ -393,8 +414,8 @@
         let candidates = shared.candidate_cache.borrow_mut().of(service, &roster, &inputs);
         match choose::choose(&inputs, &call.route, service, &candidates, call.prompt.as_ref(), eligible) {
             Ok(choice) => return Ok(choice),
-            Err(Unavailable::Full) => unavailable = Unavailable::Full,
             Err(Unavailable::Absent) => {}
+            Err(refused) => unavailable = refused,
         }
     }
     Err(unavailable)
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -4,11 +4,12 @@
 
 use rudder_clock::Moment;
 use rudder_events::What;
+use rudder_route::admission::{self, Caller, Level, Reason};
 
 use super::{
     Call, Progress, Refusal,
     attempt::choose_endpoint,
-    refusal::{no_retry, not_run},
+    refusal::{CapacityFigures, no_retry, not_run, refuse_for_capacity},
     termination::{check_quarantine, is_content_suspect},
 };
 use crate::{Dialect, Route, RouteKind, choose::Choice, placement::residency_of, shared::Shared};
@@ -69,6 +70,9 @@
     let is_shed = shared.options.policy.guard.shedding
         && call.prompt.is_some()
         && call.route.shares.iter().all(|share| {
+            if shared.uses_admission(&share.service) {
+                return false;
+            }
             let level = plan.level(&call.route, &share.service);
             shedding.is_shed(&share.service, level, now)
         });
@@ -87,6 +91,9 @@
     let now = Moment::now();
     let mut shedding = shared.shedding.borrow_mut();
     for share in call.route.shares.iter().filter(|share| service.is_none_or(|service| *service == share.service)) {
+        if shared.uses_admission(&share.service) {
+            continue;
+        }
         shedding.record(&share.service, plan.level(&call.route, &share.service), refused, now);
     }
 }
@@ -94,7 +101,7 @@
 /// Refuses a stream if the prompts queued at its best engine would make it miss its target by far, and delay the streams
 /// behind it. Engines process the prompts of higher priorities first, so what lower ones may queue is no wait for it, and
 /// the highest of several priorities is bounded by the slots alone.
-pub(super) fn check_expected_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
+fn check_expected_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
     let hopeless = shared.options.policy.guard.hopeless;
     let is_highest = plan.is_highest(&call.route, &choice.service);
@@ -114,9 +121,75 @@
         target_ms: call.route.target.as_millis() as u64,
     });
     record_demand(shared, call, Some(&choice.service), true);
-    let lower = bound.saturating_sub(call.route.target.mul_f64(hopeless));
-    let own_wait = wait.saturating_sub(lower);
-    Err(not_run("its engines have too much to read", own_wait.saturating_sub(call.route.target / 2)))
+    Err(not_run(Reason::Wait.text(), retry_after_wait(shared, call, choice, wait)))
+}
+
+/// Decides whether a request is sent to the chosen engine: as [`check_expected_wait`] if its service is not contended.
+pub(super) fn check_admission<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
+    let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return Ok(()) };
+    if !shared.uses_admission(&choice.service) {
+        return check_expected_wait(shared, call, choice);
+    }
+    let now = Moment::now();
+    let level = plan.level(&call.route, &choice.service);
+    let is_stream = call.route.kind == RouteKind::Stream;
+    let predicted = if is_stream { predicted_first_event(shared, choice, level) } else { Duration::ZERO };
+    let usage = shared.candidate_cache.borrow().usage(&choice.service);
+    let others = shared.loads.borrow().others_demand(&choice.service);
+    let mut admission = shared.admission.borrow_mut();
+    let request = admission::Request {
+        level,
+        highest: plan.is_highest(&call.route, &choice.service),
+        predicted,
+        caller: Caller {
+            target: call.route.target,
+            gap: call.route.pause,
+            remaining: call.deadline.saturating_duration_since(now),
+        },
+        idle: usage.is_idle() && !admission.is_stale(now),
+    };
+    let decision = admission.decide(&choice.service, &request, &others, now);
+    drop(admission);
+    decision.map_err(|reason| {
+        let retry =
+            if reason == Reason::Wait { retry_after_wait(shared, call, choice, predicted) } else { call.route.target };
+        let figures = CapacityFigures { reason, service: &choice.service, predicted: Some(predicted) };
+        refuse_for_capacity(shared, call, &figures, retry)
+    })
+}
+
+/// Predicted time to the first event of a request at the chosen engine, which processes the prompts of lower priorities
+/// later.
+fn predicted_first_event<D: Dialect>(shared: &Shared<D>, choice: &Choice, level: Level) -> Duration {
+    let loads = shared.loads.borrow();
+    let calls = f64::from(loads.at(&choice.endpoint).calls.max(1));
+    let urgent = loads.known_at_or_above(level, &choice.endpoint, &choice.service) / calls;
+    expected_wait(shared, choice).mul_f64(urgent.min(1.0))
+}
+
+/// When to retry a request that would wait too long: once the wait at its own priority has passed.
+fn retry_after_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice, wait: Duration) -> Duration {
+    let hopeless = shared.options.policy.guard.hopeless;
+    let cumulative = shared.current_plan().map(|plan| plan.cumulative_target(&call.route, &choice.service));
+    let lower = cumulative.unwrap_or_default().saturating_sub(call.route.target).mul_f64(hopeless);
+    wait.saturating_sub(lower).saturating_sub(call.route.target / 2)
+}
+
+/// The refusal of a request for which no service of its route may be used for lack of capacity; `None` if its services
+/// are not contended.
+pub(super) fn refuse_without_choice<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    reason: Reason,
+    retry: Duration,
+) -> Option<Refusal> {
+    call.prompt.as_ref()?;
+    let contended = call.route.shares.iter().filter(|share| shared.uses_admission(&share.service));
+    let refusals = contended.map(|share| {
+        let figures = CapacityFigures { reason, service: &share.service, predicted: None };
+        refuse_for_capacity(shared, call, &figures, retry)
+    });
+    refusals.last()
 }
 
 /// Estimates how long an engine takes for the prompts queued ahead.
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -1,10 +1,12 @@
 //! Error answers of the instance itself.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use http::{HeaderValue, Response, StatusCode, header};
+use rudder_clock::Moment;
 use rudder_events::What;
 use rudder_model::Ran;
+use rudder_route::admission::{Reason, level_index};
 
 use super::{Call, Failure, Progress};
 use crate::{Dialect, body::AnswerBody, shared::Shared};
@@ -50,6 +52,54 @@
     Refusal { status: StatusCode::SERVICE_UNAVAILABLE, why, ran: Ran::No, retry: Some(retry) }
 }
 
+/// Why a request to a contended service is refused for lack of capacity.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct CapacityFigures<'a> {
+    /// The reason.
+    pub reason: Reason,
+    /// The service.
+    pub service: &'a Arc<str>,
+    /// Predicted time to the first event, if an engine was chosen.
+    pub predicted: Option<Duration>,
+}
+
+/// The refusal of a request to a contended service for lack of capacity. It is recorded, counted and logged here, so each
+/// request is refused only once for each service.
+pub(super) fn refuse_for_capacity<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    figures: &CapacityFigures,
+    retry: Duration,
+) -> Refusal {
+    let CapacityFigures { reason, service, predicted } = *figures;
+    let now = Moment::now();
+    let level = shared.current_plan().map_or(0, |plan| plan.level(&call.route, service));
+    let usage = shared.candidate_cache.borrow().usage(service);
+    let others = shared.loads.borrow().others_demand(service);
+    let mut admission = shared.admission.borrow_mut();
+    let demand = admission.demand(service, now).combine(others, u32::saturating_add);
+    let report_age = admission.report_age(now);
+    admission.record_refused(service, level, reason, now);
+    drop(admission);
+    shared.metrics.record_capacity_refusal(level, reason);
+    shared.log.write(What::CallOverCapacity {
+        request: call.id.clone(),
+        service: service.clone(),
+        level: level_index(level) as u8,
+        reason: reason.label().to_owned(),
+        predicted_ms: predicted.map(|wait| wait.as_millis() as u64),
+        target_ms: call.route.target.as_millis() as u64,
+        left_ms: call.deadline.saturating_duration_since(now).as_millis() as u64,
+        taken: usage.taken,
+        slots: usage.slots,
+        waiting: usage.waiting,
+        admitted: demand.admitted.to_vec(),
+        refused: demand.refused.to_vec(),
+        report_ms: report_age.map(|age| age.as_millis() as u64),
+    });
+    not_run(reason.text(), retry)
+}
+
 /// The refusal of a request that is not retried: [`not_run`] if it cannot have run.
 pub(super) fn no_retry(progress: &Progress, why: &'static str, retry: Duration) -> Refusal {
     if progress.possible_runs == 0 { not_run(why, retry) } else { outcome_unknown(why) }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -5,11 +5,13 @@
 use http::{Response, StatusCode};
 use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
+use rudder_model::Ran;
+use rudder_route::admission::Reason;
 
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
     attempt::{MAX_UNSENT_ATTEMPTS, attempt, record_not_run, record_outcome, return_connection},
-    checks::check_not_shed,
+    checks::{check_not_shed, refuse_without_choice},
     record_answered, record_begun, record_if_terminated,
     refusal::{final_refusal, outcome_unknown, promises_not_run},
     strip_hop_headers, take_retry,
@@ -49,7 +51,11 @@
                 continue;
             }
             return fallback.ok_or_else(|| {
-                final_refusal(shared, &call, &progress, &Failure::NotSent("all its endpoints are full"))
+                let refusal = final_refusal(shared, &call, &progress, &Failure::NotSent(Reason::Rejected.text()));
+                let retry = refusal.retry.filter(|_| refusal.ran == Ran::No);
+                let for_capacity =
+                    retry.and_then(|retry| refuse_without_choice(shared, &call, Reason::Rejected, retry));
+                for_capacity.unwrap_or(refusal)
             });
         }
         if call.route.kind == RouteKind::Stream && answer.response.status().is_success() {
--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -8,6 +8,7 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_model::id;
+use rudder_route::admission::Usage;
 
 use super::Inputs;
 use crate::{
@@ -80,6 +81,8 @@
     pub bulk: Lane,
     /// Silent and ejected endpoints, used only if there are no others.
     pub fallback: Lane,
+    /// Work at the healthy endpoints of a service that uses the admission to contended services.
+    pub usage: Usage,
     expires: Option<Moment>,
 }
 
@@ -99,6 +102,7 @@
         let usable = endpoints.iter().filter(is_usable).cloned();
         let (healthy, unhealthy): (Vec<_>, Vec<_>) = usable.partition(is_healthy);
         let fallback = unhealthy.into_iter().filter(|registration| registration.phase <= Phase::Silent).collect();
+        let usage = if inputs.uses_admission(service) { usage_of(&healthy, inputs) } else { Usage::default() };
         let lanes = to_lanes(inputs, service, healthy);
         let retry_at = |registration: &Arc<Registration>| {
             let times = [
@@ -114,11 +118,20 @@
             quick: Lane::new(lanes.quick, inputs),
             bulk: Lane::new(lanes.bulk, inputs),
             fallback: Lane::new(fallback, inputs),
+            usage,
             expires: Some(earliest_retry.unwrap_or(max_expiry).min(max_expiry)),
         }
     }
 }
 
+fn usage_of(endpoints: &[Arc<Registration>], inputs: &Inputs) -> Usage {
+    let mut usage = Usage::default();
+    for registration in endpoints {
+        usage.add(registration.slots, inputs.loads.at(&registration.endpoint).calls);
+    }
+    usage
+}
+
 /// Divides the healthy endpoints if the service has both quick and other routes.
 fn to_lanes(inputs: &Inputs, service: &str, healthy: Vec<Arc<Registration>>) -> Lanes<Arc<Registration>> {
     let policy = &inputs.policy.lanes;
@@ -140,6 +153,11 @@
         self.cached.clear();
     }
 
+    /// Work at the endpoints of a service, as of the last choice.
+    pub fn usage(&self, service: &str) -> Usage {
+        self.cached.get(service).map(|candidates| candidates.usage).unwrap_or_default()
+    }
+
     /// The candidates of a service, computed if there is no valid entry.
     pub fn of(&mut self, service: &Arc<str>, roster: &Roster, inputs: &Inputs) -> Rc<Candidates> {
         let is_valid = |candidates: &&Rc<Candidates>| candidates.expires.is_some_and(|expires| inputs.now < expires);
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -7,6 +7,7 @@
 
 use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
+use rudder_route::admission::{Demand, EngineRoom, Usage};
 
 use super::{Backup, Choice, Eligibility, Inputs, Lane, Unavailable, to_choice};
 use crate::{
@@ -42,6 +43,19 @@
     level: usize,
     /// Whether the stream is sensitive to the prefill of long prompts on the same engine.
     quick: bool,
+    /// Its service, if that is contended and uses admission.
+    contended: Option<Contended>,
+}
+
+/// A contended service.
+#[derive(Clone, Copy)]
+struct Contended {
+    /// Slots of its engines.
+    slots: u32,
+    /// Its engines have capacity for all requests.
+    idle: bool,
+    /// Recent requests of all instances.
+    demand: Demand,
 }
 
 /// The engines that a session has affinity to.
@@ -63,7 +77,28 @@
     ) -> Request<'a> {
         let quick = lanes::is_quick(&inputs.policy.lanes, inputs.plan, route, service, inputs.prefill);
         let level = inputs.plan.level(route, service);
-        Request { inputs, route, service, engine, prompt, eligible, level, quick }
+        Request { inputs, route, service, engine, prompt, eligible, level, quick, contended: None }
+    }
+
+    /// Applies the admission to contended services, if the service uses it. `usage` is the work at its engines.
+    pub(super) fn with_usage(mut self, usage: Usage) -> Request<'a> {
+        let Inputs { loads, admission, now, .. } = *self.inputs;
+        self.contended = self.inputs.uses_admission(self.service).then(|| Contended {
+            slots: usage.slots,
+            idle: usage.is_idle() && !admission.is_stale(now),
+            demand: admission.demand(self.service, now).combine(loads.others_demand(self.service), u32::saturating_add),
+        });
+        self
+    }
+
+    /// Whether the service is contended and refuses more urgent requests, here or at other instances.
+    pub(super) fn must_yield(&self) -> bool {
+        self.contended.is_some_and(|service| !service.idle && service.demand.refused_above(self.level) > 0)
+    }
+
+    /// Whether the service is contended and this is the highest of its priorities.
+    fn is_highest(&self) -> bool {
+        self.contended.is_some() && self.inputs.plan.is_highest(self.route, self.service)
     }
 
     /// Picks an engine with room from the request's own lane, or else from the other one.
@@ -72,7 +107,11 @@
         let choice = self.choose_in(own, other, bulk).or_else(|| {
             // A full lane lends its requests to the other one only if they are quick streams: long prompts would
             // delay those that the quick lane is for.
-            let lends = self.quick || !self.has_eligible(own);
+            // In a contended service, no request is refused while the other lane admits less urgent ones.
+            let lends = self.quick
+                || !self.has_eligible(own)
+                || self.is_highest()
+                || self.contended.is_some_and(|service| service.idle);
             lends.then(|| self.choose_in(other, own, bulk)).flatten()
         });
         choice.ok_or_else(|| {
@@ -136,6 +175,9 @@
         if guard.full == 0.0 {
             return true;
         }
+        if let Some(service) = self.contended {
+            return self.has_shared_room(engine, service);
+        }
         // Lower priorities yield their slots, but what waits for one takes a place in the engine's queue.
         let calls = self.inputs.loads.calls_at_or_above(self.level, &engine.endpoint, self.service);
         let room = f64::from(engine.slots.max(1)) * guard.full;
@@ -143,6 +185,23 @@
         calls < room * share && f64::from(self.work(engine).calls) < room * MAX_CROWDING
     }
 
+    /// As [`Request::has_room`], for a contended service: by the priorities that all instances report, and by this
+    /// instance's share of the room.
+    fn has_shared_room(&self, engine: &Registration, service: Contended) -> bool {
+        let Inputs { loads, admission, now, .. } = *self.inputs;
+        let span = admission.unreported_span(now).as_secs_f64();
+        let share = f64::from(engine.slots) / f64::from(service.slots.max(engine.slots).max(1));
+        let room = EngineRoom {
+            slots: engine.slots,
+            urgent: loads.known_at_or_above(self.level, &engine.endpoint, self.service),
+            total: f64::from(self.work(engine).calls),
+            own: loads.own_at(&engine.endpoint),
+            arrivals: if service.idle { 0.0 } else { service.demand.rate(self.level) * span * share },
+            ..EngineRoom::default()
+        };
+        admission.has_room(&engine.endpoint, self.level, room, now)
+    }
+
     /// An engine of the lane that has room, if a sample contains none.
     fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
         // All instances would find the same engine if all began with the first.
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -17,7 +17,9 @@
 use self::engine::Request;
 use crate::{
     Plan, Policy,
+    admission::Admissions,
     backoff::Backoff,
+    contention::Contention,
     dialect::Prompt,
     health::Health,
     limits::RateLimits,
@@ -47,6 +49,10 @@
     pub slow_start: &'a SlowStartState,
     /// Rate limits of endpoints.
     pub limits: &'a RateLimits,
+    /// Contended services.
+    pub contention: &'a Contention,
+    /// Admission to contended services.
+    pub admission: &'a Admissions,
     /// This instance's hall.
     pub hall: &'a HallId,
     /// The configuration.
@@ -65,6 +71,13 @@
     }
 }
 
+impl Inputs<'_> {
+    /// Whether the admission to contended services applies to `service`.
+    pub fn uses_admission(&self, service: &str) -> bool {
+        self.policy.contention.admission && self.contention.is_contended(service, self.now)
+    }
+}
+
 /// Restrictions of one request on the candidates.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Eligibility<'a> {
@@ -131,6 +144,8 @@
     Absent,
     /// Those that may be used have no room for a request of its priority.
     Full,
+    /// Their service refuses more urgent requests.
+    Urgent,
 }
 
 /// Picks the service that a request is first sent to, by weight. `draw` is a uniformly distributed random number.
@@ -162,7 +177,10 @@
     let engine = inputs.plan.services.get(service).and_then(|service| service.engine);
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => {
-            let request = Request::new(inputs, route, service, engine, prompt, eligible);
+            let request = Request::new(inputs, route, service, engine, prompt, eligible).with_usage(candidates.usage);
+            if request.must_yield() {
+                return Err(Unavailable::Urgent);
+            }
             match request.choose(&candidates.quick, &candidates.bulk) {
                 Err(Unavailable::Absent) => request.choose(&candidates.fallback, &candidates.fallback),
                 chosen => chosen,
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -8,6 +8,7 @@
 //! sends it to the endpoint that [`choose`] selects, over a connection of [`upstream`]. [`stream`] forwards events.
 #![deny(missing_docs, unsafe_code)]
 
+pub mod admission;
 pub mod backoff;
 pub mod body;
 pub mod budget;
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -10,6 +10,7 @@
 use rudder_clock::Moment;
 use rudder_core::peer::{LEVELS, Load, LoadDetail};
 use rudder_model::{EndpointId, EndpointTag, id};
+use rudder_route::admission::{self, Level};
 
 use crate::recent::{RecentOutcomes, Tally};
 
@@ -82,6 +83,34 @@
         calls * (1.0 - below)
     }
 
+    /// Number of requests at `endpoint` whose priority is not below `level`, as the instances report them. Requests
+    /// whose priority is not reported are taken to be mixed as this instance's.
+    pub fn known_at_or_above(&self, level: Level, endpoint: &str, service: &str) -> f64 {
+        let calls = self.at(endpoint).calls;
+        let others = self.others.get(&id::endpoint_tag(endpoint)).and_then(|load| load.detail.as_deref());
+        let Mix(mut levels) = self.mixes.get(endpoint).copied().unwrap_or_default();
+        for (count, other) in levels.iter_mut().zip(others.map(|detail| detail.levels).unwrap_or_default()) {
+            *count += other;
+        }
+        let reported = f64::from(levels.iter().take(admission::level_index(level) + 1).sum::<u32>());
+        let unreported = calls.saturating_sub(levels.iter().sum());
+        if unreported == 0 {
+            return reported;
+        }
+        reported + f64::from(unreported) * self.calls_at_or_above(level, endpoint, service) / f64::from(calls)
+    }
+
+    /// This instance's requests in flight at `endpoint`.
+    pub fn own_at(&self, endpoint: &str) -> u32 {
+        self.own.get(endpoint).map_or(0, |load| load.calls)
+    }
+
+    /// Recent demand for `service` at the other instances.
+    pub fn others_demand(&self, service: &str) -> admission::Demand {
+        let load = self.others.get(&id::endpoint_tag(service));
+        load.and_then(|load| load.detail.as_deref()?.demand).unwrap_or_default()
+    }
+
     /// Records the sum of the other instances' loads.
     pub fn set_others(&mut self, loads: &[Load]) {
         self.others = loads.iter().map(|load| (load.endpoint, load.clone())).collect();
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 
 use rudder_clock::Moment;
 use rudder_core::CallOutcome;
+use rudder_route::admission::{Level, Reason, level_index};
 
 use crate::{Dialect, RouteKind, plan::Route, shared::Shared};
 
@@ -69,6 +70,12 @@
     why: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CapacityLabels {
+    level: u8,
+    why: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct DutyLabels {
     duty: &'static str,
@@ -166,6 +173,7 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     refusals: Family<ReasonLabel, Counter>,
+    capacity_refusals: Family<CapacityLabels, Counter>,
     attempts: Counter,
     retries: Counter,
     denied_retries: Counter,
@@ -220,6 +228,7 @@
             registry: Registry::with_prefix("hatchrudder"),
             requests: Family::default(),
             refusals: Family::default(),
+            capacity_refusals: Family::default(),
             attempts: Counter::default(),
             retries: Counter::default(),
             denied_retries: Counter::default(),
@@ -257,6 +266,11 @@
         let registry = &mut self.registry;
         registry.register("requests", "Requests by kind, tier and outcome", self.requests.clone());
         registry.register("refusals", "Final answers of the instance itself, by reason", self.refusals.clone());
+        registry.register(
+            "capacity_refusals",
+            "Requests to contended services refused for lack of capacity, by priority level and reason",
+            self.capacity_refusals.clone(),
+        );
         registry.register("attempts", "Requests sent to endpoints", self.attempts.clone());
         registry.register("retries", "Requests sent to endpoints again", self.retries.clone());
         registry.register("denied_retries", "Retries that the retry budget denied", self.denied_retries.clone());
@@ -349,6 +363,12 @@
         self.refusals.get_or_create(&ReasonLabel { why }).inc();
     }
 
+    /// Counts a request to a contended service that was refused for lack of capacity.
+    pub fn record_capacity_refusal(&self, level: Level, reason: Reason) {
+        let level = level_index(level) as u8;
+        self.capacity_refusals.get_or_create(&CapacityLabels { level, why: reason.label() }).inc();
+    }
+
     /// Counts an attempt; `again` marks a retry.
     pub fn record_attempt(&self, again: bool) {
         self.attempts.inc();
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -177,7 +177,12 @@
         let is_contended = |endpoint: &EndpointId| {
             roster.get(endpoint).is_some_and(|known| contention.is_contended(&known.service, now))
         };
-        let loads = shared.loads.borrow_mut().to_loads(now, is_contended);
+        let mut loads = shared.loads.borrow_mut().to_loads(now, is_contended);
+        let mut admission = shared.admission.borrow_mut();
+        admission.age_out(now, |service| contention.is_contended(service, now));
+        loads.extend(admission.to_loads(now));
+        loads.sort_by_key(|load| load.endpoint);
+        drop(admission);
         drop(contention);
         if loads != reported {
             reported.clone_from(&loads);
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     Dialect, Options, Plan, Route,
+    admission::Admissions,
     backoff::Backoff,
     budget::Budget,
     buffers::BufferQuota,
@@ -161,6 +162,8 @@
     pub slow_start: RefCell<SlowStartState>,
     /// Contended services.
     pub contention: RefCell<Contention>,
+    /// Admission to contended services.
+    pub admission: RefCell<Admissions>,
     /// Requests refused for lack of capacity, by priority.
     pub shedding: RefCell<Shedding>,
     /// Bytes buffered for callers and endpoints.
@@ -208,6 +211,7 @@
             buffers: BufferQuota::new(options.memory),
             placement: RefCell::new(Placement::new(options.regions.clone())),
             slow_start: RefCell::new(SlowStartState::new(options.name(), started)),
+            admission: RefCell::new(Admissions::new(&options.policy.guard, rand::random(), started)),
             shedding: RefCell::default(),
             contention: RefCell::new(Contention::new(options.contended)),
             options,
@@ -270,6 +274,11 @@
         self.contention.borrow().is_contended(service, Moment::now())
     }
 
+    /// Whether the admission to contended services applies to this service.
+    pub fn uses_admission(&self, service: &str) -> bool {
+        self.options.policy.contention.admission && self.is_contended(service)
+    }
+
     /// Age of the proof that the plan is the newest, if there has been one.
     pub fn proof_age(&self) -> Option<Duration> {
         self.proof.borrow().map(Moment::elapsed)
@@ -327,6 +336,7 @@
         self.apply_quarantine(&published.quarantine);
         self.apply_evacuations(&published.evacuations);
         self.budget.borrow_mut().record_instances(published.senders().count(), Moment::now());
+        self.admission.borrow_mut().set_senders(self.budget.borrow_mut().instances(Moment::now()));
         self.slow_start.borrow_mut().set_senders(published.senders().collect(), Moment::now());
         let roster = Rc::new(Roster::new(published.endpoints.iter().cloned()));
         self.loads.borrow_mut().retain(|endpoint| roster.knows(endpoint));
@@ -449,6 +459,7 @@
     /// Records the load of the other instances at endpoints as of `at`; `None` if it has not changed.
     pub fn apply_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
+        self.admission.borrow_mut().record_report(at, rand::random(), Moment::now());
         let Some(others) = others else { return };
         self.loads.borrow_mut().set_others(others);
         self.update_suspects();
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -6,8 +6,9 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_gateway::{
-    Plan, Policy, backoff::Backoff, choose::Inputs, health::Health, limits::RateLimits, loads::EndpointLoads,
-    placement::Placement, prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
+    Plan, Policy, admission::Admissions, backoff::Backoff, choose::Inputs, contention::Contention, health::Health,
+    limits::RateLimits, loads::EndpointLoads, placement::Placement, policy::GuardPolicy, prefill::PrefillSpeeds,
+    roster::Roster, slow_start::SlowStartState,
 };
 use rudder_model::HallId;
 
@@ -43,6 +44,8 @@
     pub placement: Placement,
     pub slow_start: SlowStartState,
     pub limits: RateLimits,
+    pub contention: Contention,
+    pub admission: Admissions,
     pub hall: HallId,
     pub plan: Plan,
     pub policy: Policy,
@@ -61,6 +64,8 @@
             placement: Placement::default(),
             slow_start: SlowStartState::new("me".into(), now),
             limits: RateLimits::default(),
+            contention: Contention::default(),
+            admission: Admissions::new(&GuardPolicy::default(), 7, now),
             hall: "a".into(),
             plan: Plan::default(),
             policy: Policy::default(),
@@ -81,6 +86,8 @@
             placement: &self.placement,
             slow_start: &self.slow_start,
             limits: &self.limits,
+            contention: &self.contention,
+            admission: &self.admission,
             hall: &self.hall,
             plan: &self.plan,
             policy: &self.policy,
