fix(gateway): a service with rate-limited or full engines is not idle, and blocked engines keep their retry time

With all services contended, less urgent requests took the permits of urgent ones, as the slots of rate-limited engines were free, and callers of a service whose engines all rest were told to return before that ends. The retry time of a request that would wait too long now follows from its prediction, which leaves out lower priorities already.

--- a/crates/rudder-gateway/src/admission.rs
+++ b/crates/rudder-gateway/src/admission.rs
@@ -86,17 +86,21 @@
         self.report_age(now).is_none_or(|age| age > self.options.max_age)
     }
 
+    /// Whether an engine is known to be full by its own answer.
+    pub fn is_full(&self, endpoint: &str, now: Moment) -> bool {
+        self.engines.get(endpoint).is_some_and(|state| self.elapsed(now) < state.full_until)
+    }
+
     /// Whether an engine has room for one more request of `level`. `room` holds the slots, the requests and the expected
     /// arrivals; the rest is filled in.
     pub fn has_room(&self, endpoint: &str, level: Level, room: EngineRoom, now: Moment) -> bool {
-        let elapsed = self.elapsed(now);
-        let state = self.engines.get(endpoint);
-        if state.is_some_and(|state| elapsed < state.full_until) {
+        if self.is_full(endpoint, now) {
             return false;
         }
+        let state = self.engines.get(endpoint);
         let hash = id::rendezvous_key(id::number_key(self.seed), id::node_key(endpoint));
         let room = EngineRoom {
-            recent: state.map_or(0, |state| state.sends.within(self.unreported_span(now), elapsed)),
+            recent: state.map_or(0, |state| state.sends.within(self.unreported_span(now), self.elapsed(now))),
             age: self.report_age(now),
             senders: self.senders,
             draw: (hash >> 11) as f64 / (1_u64 << 53) as f64,
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -121,7 +121,9 @@
         target_ms: call.route.target.as_millis() as u64,
     });
     record_demand(shared, call, Some(&choice.service), true);
-    Err(not_run(Reason::Wait.text(), retry_after_wait(shared, call, choice, wait)))
+    let lower = bound.saturating_sub(call.route.target.mul_f64(hopeless));
+    let own_wait = wait.saturating_sub(lower);
+    Err(not_run(Reason::Wait.text(), own_wait.saturating_sub(call.route.target / 2)))
 }
 
 /// Decides whether a request is sent to the chosen engine: as [`check_expected_wait`] if its service is not contended.
@@ -151,8 +153,9 @@
     let decision = admission.decide(&choice.service, &request, &others, now);
     drop(admission);
     decision.map_err(|reason| {
-        let retry =
-            if reason == Reason::Wait { retry_after_wait(shared, call, choice, predicted) } else { call.route.target };
+        // The prediction is above the target here, and leaves out what lower priorities queue.
+        let after_wait = predicted.saturating_sub(call.route.target / 2);
+        let retry = if reason == Reason::Wait { after_wait } else { call.route.target };
         let figures = CapacityFigures { reason, service: &choice.service, predicted: Some(predicted) };
         refuse_for_capacity(shared, call, &figures, retry)
     })
@@ -167,14 +170,6 @@
     expected_wait(shared, choice).mul_f64(urgent.min(1.0))
 }
 
-/// When to retry a request that would wait too long: once the wait at its own priority has passed.
-fn retry_after_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice, wait: Duration) -> Duration {
-    let hopeless = shared.options.policy.guard.hopeless;
-    let cumulative = shared.current_plan().map(|plan| plan.cumulative_target(&call.route, &choice.service));
-    let lower = cumulative.unwrap_or_default().saturating_sub(call.route.target).mul_f64(hopeless);
-    wait.saturating_sub(lower).saturating_sub(call.route.target / 2)
-}
-
 /// The refusal of a request for which no service of its route may be used for lack of capacity; `None` if its services
 /// are not contended.
 pub(super) fn refuse_without_choice<D: Dialect>(
--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -124,10 +124,16 @@
     }
 }
 
+/// Work at the endpoints whose slots bound what they take: one with a rate limit may take no more while slots are free.
 fn usage_of(endpoints: &[Arc<Registration>], inputs: &Inputs) -> Usage {
     let mut usage = Usage::default();
     for registration in endpoints {
-        usage.add(registration.slots, inputs.loads.at(&registration.endpoint).calls);
+        if inputs.limits.rate(&registration.endpoint).is_some() {
+            continue;
+        }
+        let calls = inputs.loads.at(&registration.endpoint).calls;
+        let is_full = inputs.admission.is_full(&registration.endpoint, inputs.now);
+        usage.add(registration.slots, if is_full { calls.max(registration.slots) } else { calls });
     }
     usage
 }
--- a/crates/rudder-gateway/tests/admission.rs
+++ b/crates/rudder-gateway/tests/admission.rs
@@ -6,6 +6,7 @@
 
 use rudder_core::{
     Registration,
+    limits::LimitReport,
     peer::{LEVELS, Load, LoadDetail},
 };
 use rudder_gateway::{
@@ -15,7 +16,7 @@
     dialect::Prompt,
     plan::{Engine, Limits, Share},
 };
-use rudder_model::id;
+use rudder_model::{RequestRate, id};
 use rudder_route::admission::{Demand, Reason};
 
 use support::{Known, endpoint, roster};
@@ -111,6 +112,19 @@
     assert_eq!(scene.outcomes(), [None, None], "the mechanism is off");
 }
 
+/// Engines that name rate limits have free slots while urgent requests find no permit.
+#[test]
+fn engines_with_rate_limits_do_not_make_a_service_idle() {
+    let mut scene = Scene::new([1, 1, 0, 0]);
+    for engine in &scene.engines {
+        let endpoint = id::endpoint_tag(&engine.endpoint);
+        let report = LimitReport { endpoint, rate: RequestRate::try_from_per_second(4.0), age_ms: 0 };
+        scene.known.limits.record_report(report, scene.known.now);
+    }
+    scene.known.admission.record_refused(&"svc".into(), 0, Reason::Blocked, scene.known.now);
+    assert_eq!(scene.outcomes(), [None, Some(Unavailable::Urgent)]);
+}
+
 /// A request must not be sent again to engines that have just rejected another one as full.
 #[test]
 fn engines_that_rejected_a_request_as_full_get_none_until_the_next_report() {
