fix(gateway): the predicted wait of urgent requests leaves out the prompts of lower ones

Most unread tokens at an engine may belong to few long prompts of a lower priority, so their share by number of requests overstates what is processed first.

--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -162,12 +162,18 @@
 }
 
 /// Predicted time to the first event of a request at the chosen engine, which processes the prompts of lower priorities
-/// later.
+/// later. Unread tokens are not reported by priority: few of the urgent requests still have theirs unread, and those are
+/// taken to be as long as this one's.
 fn predicted_first_event<D: Dialect>(shared: &Shared<D>, choice: &Choice, level: Level) -> Duration {
     let loads = shared.loads.borrow();
-    let calls = f64::from(loads.at(&choice.endpoint).calls.max(1));
-    let urgent = loads.known_at_or_above(level, &choice.endpoint, &choice.service) / calls;
-    expected_wait(shared, choice).mul_f64(urgent.min(1.0))
+    let calls = f64::from(loads.at(&choice.endpoint).calls);
+    let urgent = loads.known_at_or_above(level, &choice.endpoint, &choice.service);
+    let wait = expected_wait(shared, choice);
+    if urgent >= calls || choice.ahead == 0 {
+        return wait;
+    }
+    let by_tokens = urgent * f64::from(choice.unread) / f64::from(choice.ahead);
+    wait.mul_f64(by_tokens.min(urgent / calls))
 }
 
 /// The refusal of a request for which no service of its route may be used for lack of capacity; `None` if its services
