--- a/crates/rudder-route/tests/admission.rs
+++ b/crates/rudder-route/tests/admission.rs
@@ -168,6 +168,13 @@
     an_instance_that_restarted_uses_its_share_of_the_slots: None, 0.0 => 8..=24;
 }
 
+/// The smallest share of an instance must not be taken from an engine that is full.
+#[test]
+fn an_engine_without_free_room_gets_nothing_whatever_the_draw() {
+    let room = EngineRoom { slots: 16, urgent: 16.0, total: 16.0, age: Some(MS), senders: 72, ..EngineRoom::default() };
+    assert!(!room.has_room(0, &AdmissionOptions::default()));
+}
+
 /// A request at an engine: steps that it waited for a slot, and steps that it has run.
 #[derive(Clone, Copy, Default)]
 struct Running {
