fix(gateway): old reports of other instances no longer count for contended services

An instance that was cut off while others refused urgent requests, or while their requests filled the engines, refused by these figures until it was connected again, instead of using its share of the capacity.

--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -46,6 +46,8 @@
     service_mixes: HashMap<Arc<str>, Mix>,
     /// The sum of the other instances' last reports.
     others: HashMap<EndpointTag, Load>,
+    /// Whether those reports are too old to count for contended services, whose loads have details.
+    outdated: bool,
     recent: RecentOutcomes,
 }
 
@@ -64,7 +66,7 @@
     /// All known work at `endpoint`.
     pub fn at(&self, endpoint: &str) -> Work {
         let mut work = Work::default();
-        for load in [self.own.get(endpoint), self.others.get(&id::endpoint_tag(endpoint))].into_iter().flatten() {
+        for load in [self.own.get(endpoint), self.others_at(endpoint)].into_iter().flatten() {
             work.calls += load.calls;
             work.unread += load.unread;
             work.held += load.held;
@@ -87,7 +89,7 @@
     /// whose priority is not reported are taken to be mixed as this instance's.
     pub fn known_at_or_above(&self, level: Level, endpoint: &str, service: &str) -> f64 {
         let calls = self.at(endpoint).calls;
-        let others = self.others.get(&id::endpoint_tag(endpoint)).and_then(|load| load.detail.as_deref());
+        let others = self.others_at(endpoint).and_then(|load| load.detail.as_deref());
         let Mix(mut levels) = self.mixes.get(endpoint).copied().unwrap_or_default();
         for (count, other) in levels.iter_mut().zip(others.map(|detail| detail.levels).unwrap_or_default()) {
             *count += other;
@@ -107,8 +109,7 @@
 
     /// Recent demand for `service` at the other instances.
     pub fn others_demand(&self, service: &str) -> admission::Demand {
-        let load = self.others.get(&id::endpoint_tag(service));
-        load.and_then(|load| load.detail.as_deref()?.demand).unwrap_or_default()
+        self.others_at(service).and_then(|load| load.detail.as_deref()?.demand).unwrap_or_default()
     }
 
     /// Records the sum of the other instances' loads.
@@ -116,6 +117,17 @@
         self.others = loads.iter().map(|load| (load.endpoint, load.clone())).collect();
     }
 
+    /// Records whether the other instances' reports are too old to count for contended services.
+    pub fn set_outdated(&mut self, outdated: bool) {
+        self.outdated = outdated;
+    }
+
+    /// The sum of the other instances' reports for an endpoint, or for a service by its name.
+    fn others_at(&self, endpoint: &str) -> Option<&Load> {
+        let load = self.others.get(&id::endpoint_tag(endpoint));
+        load.filter(|load| !self.outdated || load.detail.is_none())
+    }
+
     /// Records the end of a request.
     pub fn note_end(&mut self, endpoint: &EndpointId, failed: bool, now: Moment) {
         self.recent.note(endpoint, failed, now);
@@ -124,7 +136,7 @@
     /// Recent outcomes at `endpoint`, at this and the other instances.
     pub fn tally(&self, endpoint: &str, now: Moment) -> Tally {
         let mut tally = self.recent.at(endpoint, now);
-        if let Some(load) = self.others.get(&id::endpoint_tag(endpoint)) {
+        if let Some(load) = self.others_at(endpoint) {
             tally.add(Tally { ended: load.ended, failed: load.failed });
         }
         tally
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -172,6 +172,7 @@
             described = Moment::now();
             shared.send_event(Event::Services(scaling::service_states(&shared)));
         }
+        shared.update_outdated();
         let contention = shared.contention.borrow();
         let now = Moment::now();
         let is_contended = |endpoint: &EndpointId| {
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -460,12 +460,20 @@
     pub fn apply_others(&self, others: Option<&[Load]>, at: Moment) {
         self.others_at.set(Some(at));
         self.admission.borrow_mut().record_report(at, rand::random(), Moment::now());
+        self.update_outdated();
         let Some(others) = others else { return };
         self.loads.borrow_mut().set_others(others);
         self.update_suspects();
         self.candidate_cache.borrow_mut().clear();
     }
 
+    /// Lets the other instances' loads at contended services count only while they are recent. An instance that is cut
+    /// off would otherwise refuse by the last counts for as long as it stays so.
+    pub fn update_outdated(&self) {
+        let outdated = self.options.policy.contention.admission && self.admission.borrow().is_stale(Moment::now());
+        self.loads.borrow_mut().set_outdated(outdated);
+    }
+
     /// Ejects the endpoints that fail far more often than the others of their service.
     fn update_suspects(&self) {
         if !self.options.policy.guard.suspects {
--- a/crates/rudder-gateway/tests/admission.rs
+++ b/crates/rudder-gateway/tests/admission.rs
@@ -14,6 +14,7 @@
     choose::{self, Candidates, Eligibility, Unavailable},
     contention::Contention,
     dialect::Prompt,
+    loads::Work,
     plan::{Engine, Limits, Share},
 };
 use rudder_model::{RequestRate, id};
@@ -156,6 +157,37 @@
     assert!((8..=24).contains(&used(&scene)), "there are no reports yet");
 }
 
+/// An instance that is cut off while the engines are full must not refuse all requests until it is connected again.
+#[test]
+fn counts_and_refusals_that_others_reported_long_ago_do_not_count() {
+    let mut scene = Scene::new([64, 0, 0, 0]);
+    let loads = |engine: &Registration| {
+        let detail = Some(Box::new(LoadDetail { levels: [64, 0, 0, 0], ..LoadDetail::default() }));
+        Load { calls: 64, unread: 1_000_000, detail, ..Load::none(id::endpoint_tag(&engine.endpoint)) }
+    };
+    let demand = Demand { refused: [9, 0, 0, 0], ..Demand::default() };
+    let service = Load::of_service(id::endpoint_tag("svc"), demand);
+    scene.known.loads.set_others(&scene.engines.iter().map(loads).chain([service]).collect::<Vec<_>>());
+    scene.known.admission.set_senders(4);
+    scene.known.now = scene.known.now + Duration::from_secs(2);
+    scene.known.loads.set_outdated(true);
+    assert_eq!(scene.outcomes(), [None, None]);
+    assert_eq!(scene.known.loads.at("e-0"), Work::default());
+    scene.known.loads.set_outdated(false);
+    scene.known.admission.record_report(scene.known.now, 3, scene.known.now);
+    assert_eq!(scene.outcomes(), [Some(Unavailable::Full), Some(Unavailable::Urgent)]);
+}
+
+/// Services that are not contended keep the last report of the other instances, as their loads have no details.
+#[test]
+fn old_reports_of_services_that_are_not_contended_still_count() {
+    let mut known = Known::default();
+    known.loads.set_others(&[Load { calls: 9, ended: 4, ..Load::none(id::endpoint_tag("e-0")) }]);
+    known.loads.set_outdated(true);
+    assert_eq!(known.loads.at("e-0").calls, 9);
+    assert_eq!(known.loads.tally("e-0", known.now).ended, 4);
+}
+
 /// What an instance admits and refuses reaches the others, and is no longer sent once it is past.
 #[test]
 fn demand_is_reported_while_it_is_recent() {
