fix(route): callers with too little time left are refused as late, also by idle engines

A caller whose time ended before a wait that all others accept counted as a lack of capacity, and made lower priorities yield. Idle engines took requests whose first event was expected after their deadline.

--- a/crates/rudder-route/src/admission.rs
+++ b/crates/rudder-route/src/admission.rs
@@ -258,8 +258,13 @@
 impl Caller {
     /// How long it waits for the first event.
     pub fn patience(&self) -> Duration {
+        self.unhurried_patience().min(self.remaining)
+    }
+
+    /// How long it would wait for the first event with enough time left.
+    fn unhurried_patience(&self) -> Duration {
         let gap = self.gap.unwrap_or_default();
-        MIN_PATIENCE.max(self.target * TARGETS).max(gap * GAPS).min(self.remaining)
+        MIN_PATIENCE.max(self.target * TARGETS).max(gap * GAPS)
     }
 }
 
@@ -312,7 +317,7 @@
     Urgent,
     /// Its first event would come after the bound on waits.
     Wait,
-    /// Its caller has less time left than the request would take without much waiting.
+    /// Its caller has too little time left; with more, it would be sent.
     Late,
     /// Engines rejected it as full.
     Rejected,
@@ -396,20 +401,19 @@
         let Request { level, predicted, caller, .. } = *request;
         let tight = self.waits[level_index(level)].record(predicted, caller.target, now, options);
         if request.idle {
-            return Ok(());
+            return if predicted <= caller.remaining { Ok(()) } else { Err(Reason::Late) };
         }
         if self.yields(level, others, now) {
             return Err(Reason::Urgent);
         }
-        let patience = caller.patience();
-        let bound = match (request.highest, tight) {
+        let bound = |patience: Duration| match (request.highest, tight) {
             (true, _) => patience,
             (false, true) => caller.target.min(patience),
             (false, false) => patience.mul_f64(options.burst).max(caller.target.min(patience)),
         };
         match predicted {
-            wait if wait <= bound => Ok(()),
-            wait if wait <= caller.target => Err(Reason::Late),
+            wait if wait <= bound(caller.patience()) => Ok(()),
+            wait if wait <= bound(caller.unhurried_patience()) => Err(Reason::Late),
             _ => Err(Reason::Wait),
         }
     }
--- a/crates/rudder-route/tests/admission.rs
+++ b/crates/rudder-route/tests/admission.rs
@@ -74,6 +74,30 @@
     assert!(!admission.yields(1, &none, SECOND));
 }
 
+/// Its wait is above the target, but every other caller would accept it, so it must not make an instance refuse them.
+#[test]
+fn a_late_caller_that_would_wait_beyond_its_target_says_nothing_about_the_capacity() {
+    let (options, none) = (AdmissionOptions::default(), Demand::default());
+    for level in [0, 1] {
+        let mut late = request(level, MS * 400);
+        late.caller.remaining = MS * 350;
+        let decision = Admission::default().decide(&late, &none, SECOND, &options);
+        assert_eq!(decision, Err(Reason::Late), "level {level}");
+        late.caller.remaining = SECOND * 5;
+        assert_eq!(Admission::default().decide(&late, &none, SECOND, &options), Ok(()), "level {level}");
+    }
+}
+
+/// Free slots don't help a caller whose time ends before the prompts ahead are processed.
+#[test]
+fn a_request_that_its_caller_cannot_wait_for_is_refused_by_idle_engines_too() {
+    let (options, none) = (AdmissionOptions::default(), Demand::default());
+    let mut late = Request { idle: true, ..request(0, MS * 700) };
+    assert_eq!(Admission::default().decide(&late, &none, SECOND, &options), Ok(()));
+    late.caller.remaining = MS * 600;
+    assert_eq!(Admission::default().decide(&late, &none, SECOND, &options), Err(Reason::Late));
+}
+
 #[test]
 fn nothing_is_refused_while_less_than_half_of_the_slots_are_taken() {
     let (mut usage, options, none) = (Usage::default(), AdmissionOptions::default(), Demand::default());
