--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -9,7 +9,7 @@
 use rudder_core::Registration;
 use rudder_route::admission::{Demand, EngineRoom, Usage};
 
-use super::{Backup, Choice, Eligibility, Inputs, Lane, Unavailable, to_choice};
+use super::{Backup, Candidates, Choice, Eligibility, Inputs, Lane, Unavailable, to_choice};
 use crate::{
     Route,
     dialect::Prompt,
@@ -210,6 +210,11 @@
         engines.find(|engine| self.is_eligible(engine) && self.has_room(engine))
     }
 
+    /// Whether there is an engine that may be used, with room or without.
+    pub(super) fn has_any(&self, candidates: &Candidates) -> bool {
+        [&candidates.quick, &candidates.bulk, &candidates.fallback].into_iter().any(|lane| self.has_eligible(lane))
+    }
+
     fn has_eligible(&self, lane: &Lane) -> bool {
         lane.endpoints.iter().any(|engine| self.is_eligible(engine))
     }
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -178,15 +178,14 @@
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => {
             let request = Request::new(inputs, route, service, engine, prompt, eligible).with_usage(candidates.usage);
-            let chosen = match request.choose(&candidates.quick, &candidates.bulk) {
-                Err(Unavailable::Absent) => request.choose(&candidates.fallback, &candidates.fallback),
-                chosen => chosen,
-            };
             // Without any engine that may be used, the reason is that, and when one will be.
-            if request.must_yield() && chosen != Err(Unavailable::Absent) {
+            if request.must_yield() && request.has_any(candidates) {
                 return Err(Unavailable::Urgent);
             }
-            chosen
+            match request.choose(&candidates.quick, &candidates.bulk) {
+                Err(Unavailable::Absent) => request.choose(&candidates.fallback, &candidates.fallback),
+                chosen => chosen,
+            }
         }
         _ => [&candidates.bulk, &candidates.quick, &candidates.fallback]
             .into_iter()
