fix(gateway): requests that may have run no longer yield to more urgent ones

A stream whose engine ended was cut, and a silent request lost its retry, when a single more urgent request was refused anywhere. Load shedding, which admission replaces, left them alone.

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -405,6 +405,7 @@
         tried: &progress.tried,
         residency: call.residency.as_deref(),
         unlimited: progress.unlimited_only,
+        may_have_run: progress.possible_runs > 0,
     };
     let Some(first) = choose::pick_service(&call.route, rand::random()) else { return Err(Unavailable::Absent) };
     let by_weight = progress.service.as_ref().unwrap_or(first);
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -81,7 +81,7 @@
         return Ok(());
     }
     record_demand(shared, call, None, true);
-    Err(not_run("more urgent requests are refused", call.route.target))
+    Err(not_run(Reason::Urgent.text(), call.route.target))
 }
 
 /// Records for load shedding that a request was sent for the first time, or refused for lack of capacity: at `service`, or
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -87,6 +87,8 @@
     pub residency: Option<&'a [RegionId]>,
     /// Exclude endpoints with a rate limit.
     pub unlimited: bool,
+    /// An endpoint may have run it already, so it does not yield to more urgent requests any more.
+    pub may_have_run: bool,
 }
 
 impl Eligibility<'_> {
@@ -179,7 +181,7 @@
         (Some(engine), Some(prompt)) => {
             let request = Request::new(inputs, route, service, engine, prompt, eligible).with_usage(candidates.usage);
             // Without any engine that may be used, the reason is that, and when one will be.
-            if request.must_yield() && request.has_any(candidates) {
+            if !eligible.may_have_run && request.must_yield() && request.has_any(candidates) {
                 return Err(Unavailable::Urgent);
             }
             match request.choose(&candidates.quick, &candidates.bulk) {
--- a/crates/rudder-gateway/tests/admission.rs
+++ b/crates/rudder-gateway/tests/admission.rs
@@ -71,10 +71,14 @@
     }
 
     fn choose(&self, path: &str) -> Result<String, Unavailable> {
+        self.choose_among(path, Eligibility::default())
+    }
+
+    fn choose_among(&self, path: &str, eligible: Eligibility) -> Result<String, Unavailable> {
         let (inputs, route) = (self.known.inputs(), self.known.plan.find("h", path).expect("a route"));
         let candidates = Candidates::new(roster(&self.engines).of("svc"), "svc", &inputs);
         let prompt = Prompt { tokens: 900, ..Prompt::default() };
-        let chosen = choose::choose(&inputs, route, "svc", &candidates, Some(&prompt), Eligibility::default());
+        let chosen = choose::choose(&inputs, route, "svc", &candidates, Some(&prompt), eligible);
         chosen.map(|choice| choice.endpoint.to_string())
     }
 
@@ -113,6 +117,16 @@
     assert_eq!(scene.outcomes(), [None, None], "the mechanism is off");
 }
 
+/// A stream whose engine ends is continued elsewhere; refusing it would waste what was done and cut it at its caller.
+#[test]
+fn requests_that_have_run_do_not_yield() {
+    let mut scene = Scene::new([20, 20, 0, 0]);
+    scene.known.admission.record_refused(&"svc".into(), 0, Reason::Room, scene.known.now);
+    assert_eq!(scene.choose(LOWER), Err(Unavailable::Urgent));
+    let again = Eligibility { may_have_run: true, ..Eligibility::default() };
+    assert!(scene.choose_among(LOWER, again).is_ok());
+}
+
 /// Engines that name rate limits have free slots while urgent requests find no permit.
 #[test]
 fn engines_with_rate_limits_do_not_make_a_service_idle() {
