fix(route): lower priorities yield in proportion to the refusals of higher ones

One refusal of a more urgent request at any instance made all lower ones yield for half a second.

The property that no lower request is admitted while any more urgent one is refused is replaced by the exact bound: a request yields if and only if the share of a more urgent level that is refused exceeds what its draw allows.

--- a/crates/rudder-gateway/src/admission.rs
+++ b/crates/rudder-gateway/src/admission.rs
@@ -136,20 +136,28 @@
         self.services.get(service).map(|admission| admission.demand(self.elapsed(now))).unwrap_or_default()
     }
 
-    /// Decides on a request for which an engine has room.
+    /// Updates the shares of the requests that yield to more urgent ones. `others` is the recent demand of the other
+    /// instances for a service.
+    pub fn update_yielding(&mut self, others: impl Fn(&str) -> Demand, now: Moment) {
+        let elapsed = self.elapsed(now);
+        for (service, admission) in &mut self.services {
+            admission.update_yielding(others(service), elapsed, &self.options);
+        }
+    }
+
+    /// Whether a request with this uniform draw from 0 to 1 yields to more urgent ones of its service.
+    pub fn yields(&self, service: &str, level: Level, draw: f64) -> bool {
+        self.services.get(service).is_some_and(|admission| admission.yields(level, draw))
+    }
+
+    /// Decides on a request that does not yield to more urgent ones, and for which an engine has room.
     ///
     /// # Errors
     /// Why it is refused.
-    pub fn decide(
-        &mut self,
-        service: &Arc<str>,
-        request: &Request,
-        others: &Demand,
-        now: Moment,
-    ) -> Result<(), Reason> {
+    pub fn decide(&mut self, service: &Arc<str>, request: &Request, now: Moment) -> Result<(), Reason> {
         let elapsed = self.elapsed(now);
         let admission = self.services.entry(service.clone()).or_default();
-        admission.decide(request, others, elapsed, &self.options)
+        admission.decide(request, elapsed, &self.options)
     }
 
     /// The recent demand of this instance, to be reported to the other instances.
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -406,6 +406,7 @@
         residency: call.residency.as_deref(),
         unlimited: progress.unlimited_only,
         may_have_run: progress.possible_runs > 0,
+        yield_draw: progress.yield_draw,
     };
     let Some(first) = choose::pick_service(&call.route, rand::random()) else { return Err(Unavailable::Absent) };
     let by_weight = progress.service.as_ref().unwrap_or(first);
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -137,7 +137,6 @@
     let is_stream = call.route.kind == RouteKind::Stream;
     let predicted = if is_stream { predicted_first_event(shared, choice, level) } else { Duration::ZERO };
     let usage = shared.candidate_cache.borrow().usage(&choice.service);
-    let others = shared.loads.borrow().others_demand(&choice.service);
     let mut admission = shared.admission.borrow_mut();
     let request = admission::Request {
         level,
@@ -150,7 +149,7 @@
         },
         idle: usage.is_idle() && !admission.is_stale(now),
     };
-    let decision = admission.decide(&choice.service, &request, &others, now);
+    let decision = admission.decide(&choice.service, &request, now);
     drop(admission);
     decision.map_err(|reason| {
         // The prediction is above the target here, and leaves out what lower priorities queue.
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -158,6 +158,8 @@
     unsent_attempts: u32,
     /// Only endpoints without a rate limit are eligible.
     unlimited_only: bool,
+    /// Uniform draw from 0 to 1 that decides whether it yields to more urgent requests.
+    yield_draw: f64,
     service: Option<Arc<str>>,
 }
 
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -32,7 +32,7 @@
 /// Sends a request until it is answered or no retry is left.
 pub(super) async fn send<D: Dialect>(shared: &Rc<Shared<D>>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
     check_not_shed(shared, &call)?;
-    let mut progress = Progress::default();
+    let mut progress = Progress { yield_draw: rand::random(), ..Progress::default() };
     let resume = ResumePoint { last_event: call.last_event, from_copy: false };
     let mut fallback: Option<Response<AnswerBody>> = None;
     loop {
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -91,9 +91,10 @@
         self
     }
 
-    /// Whether the service is contended and refuses more urgent requests, here or at other instances.
+    /// Whether the service is contended and this request yields to more urgent ones, which all instances together refuse.
     pub(super) fn must_yield(&self) -> bool {
-        self.contended.is_some_and(|service| !service.idle && service.demand.refused_above(self.level) > 0)
+        let yields = || self.inputs.admission.yields(self.service, self.level, self.eligible.yield_draw);
+        self.contended.is_some_and(|service| !service.idle && yields())
     }
 
     /// Whether the service is contended and this is the highest of its priorities.
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -89,6 +89,9 @@
     pub unlimited: bool,
     /// An endpoint may have run it already, so it does not yield to more urgent requests any more.
     pub may_have_run: bool,
+    /// Uniform draw from 0 to 1, kept for all attempts, that decides whether it yields to more urgent requests. The lower,
+    /// the more readily it does.
+    pub yield_draw: f64,
 }
 
 impl Eligibility<'_> {
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -181,6 +181,7 @@
         let mut loads = shared.loads.borrow_mut().to_loads(now, is_contended);
         let mut admission = shared.admission.borrow_mut();
         admission.age_out(now, |service| contention.is_contended(service, now));
+        admission.update_yielding(|service| shared.loads.borrow().others_demand(service), now);
         loads.extend(admission.to_loads(now));
         loads.sort_by_key(|load| load.endpoint);
         drop(admission);
--- a/crates/rudder-gateway/tests/admission.rs
+++ b/crates/rudder-gateway/tests/admission.rs
@@ -66,6 +66,7 @@
             Load { calls: levels.iter().sum(), detail, ..Load::none(id::endpoint_tag(&engine.endpoint)) }
         };
         known.loads.set_others(&engines.iter().map(to_load).collect::<Vec<_>>());
+        known.now = known.now + Duration::from_secs(1);
         known.admission.record_report(known.now, 3, known.now);
         Scene { engines, known }
     }
@@ -82,6 +83,14 @@
         chosen.map(|choice| choice.endpoint.to_string())
     }
 
+    /// Updates the shares of the requests that yield, at an instance that has sent requests before.
+    fn update_yielding(&mut self) {
+        let Known { loads, admission, now, .. } = &mut self.known;
+        admission.record_sent(&"svc".into(), &"e-0".into(), 1, true, *now);
+        admission.options.settling = Duration::from_micros(1);
+        admission.update_yielding(|service| loads.others_demand(service), *now);
+    }
+
     /// The outcomes of an urgent request and of a lower one.
     fn outcomes(&self) -> [Option<Unavailable>; 2] {
         [URGENT, LOWER].map(|path| self.choose(path).err())
@@ -108,6 +117,7 @@
     let demand = Demand { refused: [1, 0, 0, 0], ..Demand::default() };
     let service = Load::of_service(id::endpoint_tag("svc"), demand);
     scene.known.loads.set_others(std::slice::from_ref(&service));
+    scene.update_yielding();
     assert_eq!(scene.outcomes(), [None, None], "the engines are idle");
     let busy = |engine: &Registration| Load { calls: 40, ..Load::none(id::endpoint_tag(&engine.endpoint)) };
     let loads: Vec<Load> = scene.engines.iter().map(busy).chain([service]).collect();
@@ -122,6 +132,7 @@
 fn requests_that_have_run_do_not_yield() {
     let mut scene = Scene::new([20, 20, 0, 0]);
     scene.known.admission.record_refused(&"svc".into(), 0, Reason::Room, scene.known.now);
+    scene.update_yielding();
     assert_eq!(scene.choose(LOWER), Err(Unavailable::Urgent));
     let again = Eligibility { may_have_run: true, ..Eligibility::default() };
     assert!(scene.choose_among(LOWER, again).is_ok());
@@ -137,6 +148,7 @@
         scene.known.limits.record_report(report, scene.known.now);
     }
     scene.known.admission.record_refused(&"svc".into(), 0, Reason::Blocked, scene.known.now);
+    scene.update_yielding();
     assert_eq!(scene.outcomes(), [None, Some(Unavailable::Urgent)]);
 }
 
@@ -185,9 +197,12 @@
     scene.known.admission.set_senders(4);
     scene.known.now = scene.known.now + Duration::from_secs(2);
     scene.known.loads.set_outdated(true);
+    scene.update_yielding();
     assert_eq!(scene.outcomes(), [None, None]);
     assert_eq!(scene.known.loads.at("e-0"), Work::default());
     scene.known.loads.set_outdated(false);
+    scene.known.now = scene.known.now + Duration::from_secs(1);
+    scene.update_yielding();
     scene.known.admission.record_report(scene.known.now, 3, scene.known.now);
     assert_eq!(scene.outcomes(), [Some(Unavailable::Full), Some(Unavailable::Urgent)]);
 }
--- a/crates/rudder-route/src/admission.rs
+++ b/crates/rudder-route/src/admission.rs
@@ -18,7 +18,7 @@
 /// Length of a bucket of [`DemandWindow`].
 const BUCKET: Duration = Duration::from_millis(100);
 /// Buckets of [`DemandWindow`]. Together they are longer than a report takes to arrive, so that the reports of a steady
-/// refusal leave no gap, and short, as less urgent requests are refused for that long.
+/// refusal leave no gap, and short, so that a new load is noticed soon.
 const BUCKETS: usize = 5;
 /// Time over which [`DemandWindow`] counts.
 pub const DEMAND_SPAN: Duration = BUCKET.saturating_mul(BUCKETS as u32);
@@ -54,6 +54,14 @@
     pub burst: f64,
     /// Share of the target below which a wait relaxes a tightened bound. At the target itself, the bound would alternate.
     pub relaxed: f64,
+    /// Share of the more urgent requests that may be refused before less urgent ones yield. In a deployment of many
+    /// instances some requests are refused at all times, for reasons that less urgent ones have no part in.
+    pub tolerated: f64,
+    /// Share of the more urgent requests that are refused from which all less urgent ones yield.
+    pub strict: f64,
+    /// Time constant with which the share of requests that yield follows the refusals. Without it, the age of the reports
+    /// makes that share alternate between none and all.
+    pub settling: Duration,
 }
 
 impl Default for AdmissionOptions {
@@ -69,6 +77,9 @@
             memory: Duration::from_secs(1),
             burst: 0.5,
             relaxed: 0.5,
+            tolerated: 0.02,
+            strict: 0.2,
+            settling: Duration::from_secs(1),
         }
     }
 }
@@ -162,9 +173,16 @@
         self
     }
 
-    /// Requests refused whose level is above `level`.
-    pub fn refused_above(&self, level: Level) -> u32 {
-        self.refused.iter().take(level_index(level)).sum()
+    /// Share of the requests of `level` that yield to more urgent ones: it grows with the largest share that is refused of
+    /// a level above. Were it all or nothing, single refusals would switch whole priorities off and on.
+    fn yielding_share(&self, level: Level, options: &AdmissionOptions) -> f64 {
+        let counts = self.refused.iter().zip(self.admitted).take(level_index(level));
+        let shares = counts.filter(|(refused, _)| **refused > 0).map(|(refused, admitted)| {
+            let refused = f64::from(*refused);
+            refused / (refused + f64::from(admitted))
+        });
+        let refused = shares.fold(0.0, f64::max);
+        ((refused - options.tolerated) / (options.strict - options.tolerated)).clamp(0.0, 1.0)
     }
 
     /// Requests of `level` or above that arrive per second.
@@ -237,6 +255,31 @@
     }
 }
 
+/// The shares of the requests of each level that yield to more urgent ones.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Yielding {
+    shares: [f64; LEVELS],
+    /// Time of the last update.
+    at: Duration,
+}
+
+impl Yielding {
+    /// Brings the shares up to date with the recent demand of all instances.
+    pub fn update(&mut self, demand: &Demand, now: Duration, options: &AdmissionOptions) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        let weight = 1.0 - (-elapsed / options.settling.as_secs_f64()).exp();
+        for (level, share) in self.shares.iter_mut().enumerate() {
+            *share += (demand.yielding_share(level, options) - *share) * weight;
+        }
+        self.at = now;
+    }
+
+    /// The share of the requests of `level`.
+    pub fn share(&self, level: Level) -> f64 {
+        self.shares[level_index(level)]
+    }
+}
+
 /// What a caller tolerates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Caller {
@@ -362,6 +405,7 @@
 pub struct Admission {
     window: DemandWindow,
     waits: [StandingWait; LEVELS],
+    yielding: Yielding,
 }
 
 impl Admission {
@@ -382,30 +426,26 @@
         self.window.sum(now)
     }
 
-    /// Whether more urgent requests are refused, here or, by `others`, at other instances.
-    pub fn yields(&self, level: Level, others: &Demand, now: Duration) -> bool {
-        self.demand(now).refused_above(level) > 0 || others.refused_above(level) > 0
+    /// Updates the shares of the requests that yield to more urgent ones, by the demand here and at `others`.
+    pub fn update_yielding(&mut self, others: Demand, now: Duration, options: &AdmissionOptions) {
+        self.yielding.update(&self.demand(now).combine(others, u32::saturating_add), now, options);
     }
 
-    /// Decides on a request for which an engine has room.
+    /// Whether a request with this uniform draw from 0 to 1 yields to more urgent ones.
+    pub fn yields(&self, level: Level, draw: f64) -> bool {
+        draw < self.yielding.share(level)
+    }
+
+    /// Decides on a request that does not yield, and for which an engine has room.
     ///
     /// # Errors
     /// Why it is refused; the caller records that with [`Admission::record_refused`].
-    pub fn decide(
-        &mut self,
-        request: &Request,
-        others: &Demand,
-        now: Duration,
-        options: &AdmissionOptions,
-    ) -> Result<(), Reason> {
+    pub fn decide(&mut self, request: &Request, now: Duration, options: &AdmissionOptions) -> Result<(), Reason> {
         let Request { level, predicted, caller, .. } = *request;
         let tight = self.waits[level_index(level)].record(predicted, caller.target, now, options);
         if request.idle {
             return if predicted <= caller.remaining { Ok(()) } else { Err(Reason::Late) };
         }
-        if self.yields(level, others, now) {
-            return Err(Reason::Urgent);
-        }
         let bound = |patience: Duration| match (request.highest, tight) {
             (true, _) => patience,
             (false, true) => caller.target.min(patience),
