--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -4,12 +4,15 @@
 
 use rudder_clock::Moment;
 use rudder_events::What;
-use rudder_route::engine_cost::is_sooner;
+use rudder_route::{
+    admission::{self, Caller, Level, Reason},
+    engine_cost::is_sooner,
+};
 
 use super::{
     Call, Progress, Refusal,
     attempt::choose_endpoint,
-    refusal::{no_retry, not_run},
+    refusal::{CapacityFigures, no_retry, not_run, refuse_for_capacity},
     termination::{check_quarantine, is_content_suspect},
 };
 use crate::{Dialect, Route, RouteKind, choose::Choice, placement::residency_of, shared::Shared};
@@ -84,6 +87,9 @@
     let is_shed = shared.options.policy.guard.shedding
         && call.prompt.is_some()
         && call.route.shares.iter().all(|share| {
+            if shared.uses_admission(&share.service) {
+                return false;
+            }
             let level = plan.level(&call.route, &share.service);
             shedding.is_shed(&share.service, level, now)
         });
@@ -92,7 +98,7 @@
         return Ok(());
     }
     record_demand(shared, call, None, true);
-    Err(not_run("more urgent requests are refused", call.route.target))
+    Err(not_run(Reason::Urgent.text(), call.route.target))
 }
 
 /// Records for load shedding that a request was sent for the first time, or refused for lack of capacity: at `service`, or
@@ -102,6 +108,9 @@
     let now = Moment::now();
     let mut shedding = shared.shedding.borrow_mut();
     for share in call.route.shares.iter().filter(|share| service.is_none_or(|service| *service == share.service)) {
+        if shared.uses_admission(&share.service) {
+            continue;
+        }
         shedding.record(&share.service, plan.level(&call.route, &share.service), refused, now);
     }
 }
@@ -109,7 +118,7 @@
 /// Refuses a stream if the prompts queued at its best engine would make it miss its target by far, and delay the streams
 /// behind it. Engines process the prompts of higher priorities first, so what lower ones may queue is no wait for it, and
 /// the highest of several priorities is bounded by the slots alone.
-pub(super) fn check_expected_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
+fn check_expected_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
     let hopeless = shared.options.policy.guard.hopeless;
     let is_highest = plan.is_highest(&call.route, &choice.service);
@@ -131,7 +140,76 @@
     record_demand(shared, call, Some(&choice.service), true);
     let lower = bound.saturating_sub(call.route.target.mul_f64(hopeless));
     let own_wait = wait.saturating_sub(lower);
-    Err(not_run("its engines have too much to read", own_wait.saturating_sub(call.route.target / 2)))
+    Err(not_run(Reason::Wait.text(), own_wait.saturating_sub(call.route.target / 2)))
+}
+
+/// Decides whether a request is sent to the chosen engine: as [`check_expected_wait`] if its service is not contended.
+pub(super) fn check_admission<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
+    let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return Ok(()) };
+    if !shared.uses_admission(&choice.service) {
+        return check_expected_wait(shared, call, choice);
+    }
+    let now = Moment::now();
+    let level = plan.level(&call.route, &choice.service);
+    let is_stream = call.route.kind == RouteKind::Stream;
+    let predicted = if is_stream { predicted_first_event(shared, choice, level) } else { Duration::ZERO };
+    let usage = shared.candidate_cache.borrow().usage(&choice.service);
+    let mut admission = shared.admission.borrow_mut();
+    let request = admission::Request {
+        level,
+        highest: plan.is_highest(&call.route, &choice.service),
+        predicted,
+        caller: Caller {
+            target: call.route.target,
+            gap: call.route.pause,
+            remaining: call.deadline.saturating_duration_since(now),
+        },
+        idle: usage.is_idle() && !admission.is_stale(now),
+    };
+    let decision = admission.decide(&choice.service, &request, now);
+    drop(admission);
+    decision.map_err(|reason| {
+        // The prediction is above the target here, and leaves out what lower priorities queue.
+        let after_wait = predicted.saturating_sub(call.route.target / 2);
+        let retry = if reason == Reason::Wait { after_wait } else { call.route.target };
+        let figures = CapacityFigures { reason, service: &choice.service, predicted: Some(predicted) };
+        refuse_for_capacity(shared, call, &figures, retry)
+    })
+}
+
+/// Predicted time to the first event of a request at the chosen engine: as predicted by the choice, or else the wait for
+/// the prompts ahead. Engines process those of lower priorities later. Unread tokens are not reported by priority: few of the urgent requests still have theirs unread, and those are
+/// taken to be as long as this one's.
+fn predicted_first_event<D: Dialect>(shared: &Shared<D>, choice: &Choice, level: Level) -> Duration {
+    if let Some(predicted) = choice.predicted {
+        return predicted;
+    }
+    let loads = shared.loads.borrow();
+    let calls = f64::from(loads.at(&choice.endpoint).calls);
+    let urgent = loads.known_at_or_above(level, &choice.endpoint, &choice.service);
+    let wait = expected_wait(shared, choice);
+    if urgent >= calls || choice.ahead == 0 {
+        return wait;
+    }
+    let by_tokens = urgent * f64::from(choice.unread) / f64::from(choice.ahead);
+    wait.mul_f64(by_tokens.min(urgent / calls))
+}
+
+/// The refusal of a request for which no service of its route may be used for lack of capacity; `None` if its services
+/// are not contended.
+pub(super) fn refuse_without_choice<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    reason: Reason,
+    retry: Duration,
+) -> Option<Refusal> {
+    call.prompt.as_ref()?;
+    let contended = call.route.shares.iter().filter(|share| shared.uses_admission(&share.service));
+    let refusals = contended.map(|share| {
+        let figures = CapacityFigures { reason, service: &share.service, predicted: None };
+        refuse_for_capacity(shared, call, &figures, retry)
+    });
+    refusals.last()
 }
 
 /// Estimates how long an engine takes for the prompts queued ahead.
--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -8,6 +8,7 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration};
 use rudder_model::id;
+use rudder_route::admission::Usage;
 
 use super::{Inputs, SpeedClasses};
 use crate::{
@@ -82,6 +83,8 @@
     pub bulk: Lane,
     /// Silent and ejected endpoints, used only if there are no others.
     pub fallback: Lane,
+    /// Work at the healthy endpoints of a service that uses the admission to contended services.
+    pub usage: Usage,
     expires: Option<Moment>,
 }
 
@@ -112,6 +115,7 @@
         let (healthy, unhealthy): (Vec<_>, Vec<_>) = usable.partition(is_healthy);
         let is_fallback = |registration: &Arc<Registration>| registration.phase <= Phase::Silent;
         let fallback: Vec<_> = unhealthy.into_iter().filter(is_fallback).collect();
+        let usage = if inputs.uses_admission(service) { usage_of(&healthy, inputs) } else { Usage::default() };
         classes.update(endpoints, service, inputs);
         let lanes = to_lanes(inputs, service, healthy, classes);
         let retry_at = |registration: &Arc<Registration>| {
@@ -128,11 +132,26 @@
             quick: Lane::new(lanes.quick, 0, inputs),
             bulk: Lane::new(lanes.bulk, lanes.fast, inputs),
             fallback: Lane::new(fallback, 0, inputs),
+            usage,
             expires: Some(earliest_retry.unwrap_or(max_expiry).min(max_expiry)),
         }
     }
 }
 
+/// Work at the endpoints whose slots bound what they take: one with a rate limit may take no more while slots are free.
+fn usage_of(endpoints: &[Arc<Registration>], inputs: &Inputs) -> Usage {
+    let mut usage = Usage::default();
+    for registration in endpoints {
+        if inputs.limits.rate(&registration.endpoint).is_some() {
+            continue;
+        }
+        let calls = inputs.loads.at(&registration.endpoint).calls;
+        let is_full = inputs.admission.is_full(&registration.endpoint, inputs.now);
+        usage.add(registration.slots, if is_full { calls.max(registration.slots) } else { calls });
+    }
+    usage
+}
+
 /// Divides the healthy endpoints if the service has both quick and other routes.
 fn to_lanes(
     inputs: &Inputs,
@@ -162,6 +181,11 @@
         self.cached.clear();
     }
 
+    /// Work at the endpoints of a service, as of the last choice.
+    pub fn usage(&self, service: &str) -> Usage {
+        self.cached.get(service).map(|candidates| candidates.usage).unwrap_or_default()
+    }
+
     /// The candidates of a service, computed if there is no valid entry.
     pub fn of(&mut self, service: &Arc<str>, roster: &Roster, inputs: &Inputs) -> Rc<Candidates> {
         let is_valid = |candidates: &&Rc<Candidates>| candidates.expires.is_some_and(|expires| inputs.now < expires);
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -7,8 +7,9 @@
 
 use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
+use rudder_route::admission::{Demand, EngineRoom, Usage};
 
-use super::{Backup, Choice, Eligibility, Inputs, Lane, Unavailable, to_choice};
+use super::{Backup, Candidates, Choice, Eligibility, Inputs, Lane, Unavailable, to_choice};
 use crate::{
     Route,
     dialect::Prompt,
@@ -44,6 +45,19 @@
     pub(super) quick: bool,
     /// Whether engines are compared by predicted times.
     timed: bool,
+    /// Its service, if that is contended and uses admission.
+    contended: Option<Contended>,
+}
+
+/// A contended service.
+#[derive(Clone, Copy)]
+struct Contended {
+    /// Slots of its engines.
+    slots: u32,
+    /// Its engines have capacity for all requests.
+    idle: bool,
+    /// Recent requests of all instances.
+    demand: Demand,
 }
 
 /// The engines that a session has affinity to.
@@ -66,7 +80,29 @@
         let quick = lanes::is_quick(&inputs.policy.lanes, inputs.plan, route, service, inputs.prefill);
         let level = inputs.plan.level(route, service);
         let timed = inputs.is_timed(service);
-        Request { inputs, route, service, engine, prompt, eligible, level, quick, timed }
+        Request { inputs, route, service, engine, prompt, eligible, level, quick, timed, contended: None }
+    }
+
+    /// Applies the admission to contended services, if the service uses it. `usage` is the work at its engines.
+    pub(super) fn with_usage(mut self, usage: Usage) -> Request<'a> {
+        let Inputs { loads, admission, now, .. } = *self.inputs;
+        self.contended = self.inputs.uses_admission(self.service).then(|| Contended {
+            slots: usage.slots,
+            idle: usage.is_idle() && !admission.is_stale(now),
+            demand: admission.demand(self.service, now).combine(loads.others_demand(self.service), u32::saturating_add),
+        });
+        self
+    }
+
+    /// Whether the service is contended and this request yields to more urgent ones, which all instances together refuse.
+    pub(super) fn must_yield(&self) -> bool {
+        let yields = || self.inputs.admission.yields(self.service, self.level, self.eligible.yield_draw);
+        self.contended.is_some_and(|service| !service.idle && yields())
+    }
+
+    /// Whether the service is contended and this is the highest of its priorities.
+    fn is_highest(&self) -> bool {
+        self.contended.is_some() && self.inputs.plan.is_highest(self.route, self.service)
     }
 
     /// Picks an engine with room from the request's own lane, or else from the other one.
@@ -75,7 +111,11 @@
         let choice = self.choose_in(own, other, bulk).or_else(|| {
             // A full lane lends its requests to the other one only if they are quick streams: long prompts would
             // delay those that the quick lane is for.
-            let lends = self.quick || !self.has_eligible(own);
+            // In a contended service, no request is refused while the other lane admits less urgent ones.
+            let lends = self.quick
+                || !self.has_eligible(own)
+                || self.is_highest()
+                || self.contended.is_some_and(|service| service.idle);
             lends.then(|| self.choose_in(other, own, bulk)).flatten()
         });
         choice.ok_or_else(|| {
@@ -149,6 +189,9 @@
         if guard.full == 0.0 {
             return true;
         }
+        if let Some(service) = self.contended {
+            return self.has_shared_room(engine, service);
+        }
         // Lower priorities yield their slots, but what waits for one takes a place in the engine's queue.
         let calls = self.inputs.loads.calls_at_or_above(self.level, &engine.endpoint, self.service);
         let room = f64::from(engine.slots.max(1)) * guard.full;
@@ -156,6 +199,23 @@
         calls < room * share && f64::from(self.work(engine).calls) < room * MAX_CROWDING
     }
 
+    /// As [`Request::has_room`], for a contended service: by the priorities that all instances report, and by this
+    /// instance's share of the room.
+    fn has_shared_room(&self, engine: &Registration, service: Contended) -> bool {
+        let Inputs { loads, admission, now, .. } = *self.inputs;
+        let span = admission.unreported_span(now).as_secs_f64();
+        let share = f64::from(engine.slots) / f64::from(service.slots.max(engine.slots).max(1));
+        let room = EngineRoom {
+            slots: engine.slots,
+            urgent: loads.known_at_or_above(self.level, &engine.endpoint, self.service),
+            total: f64::from(self.work(engine).calls),
+            own: loads.own_at(&engine.endpoint),
+            arrivals: if service.idle { 0.0 } else { service.demand.rate(self.level) * span * share },
+            ..EngineRoom::default()
+        };
+        admission.has_room(&engine.endpoint, self.level, room, now)
+    }
+
     /// An engine of the lane that has room, if a sample contains none.
     pub(super) fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
         // All instances would find the same engine if all began with the first.
@@ -164,6 +224,11 @@
         engines.find(|engine| self.is_eligible(engine) && self.has_room(engine))
     }
 
+    /// Whether there is an engine that may be used, with room or without.
+    pub(super) fn has_any(&self, candidates: &Candidates) -> bool {
+        [&candidates.quick, &candidates.bulk, &candidates.fallback].into_iter().any(|lane| self.has_eligible(lane))
+    }
+
     fn has_eligible(&self, lane: &Lane) -> bool {
         lane.endpoints.iter().any(|engine| self.is_eligible(engine))
     }
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -20,6 +20,7 @@
 pub use self::speed_classes::SpeedClasses;
 use crate::{
     Plan, Policy,
+    admission::Admissions,
     backoff::Backoff,
     condition::Conditions,
     contention::Contention,
@@ -56,6 +57,8 @@
     pub slow_start: &'a SlowStartState,
     /// Rate limits of endpoints.
     pub limits: &'a RateLimits,
+    /// Admission to contended services.
+    pub admission: &'a Admissions,
     /// This instance's hall.
     pub hall: &'a HallId,
     /// The configuration.
@@ -79,6 +82,13 @@
     }
 }
 
+impl Inputs<'_> {
+    /// Whether the admission to contended services applies to `service`.
+    pub fn uses_admission(&self, service: &str) -> bool {
+        self.policy.contention.admission && self.contention.is_contended(service, self.now)
+    }
+}
+
 /// Restrictions of one request on the candidates.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Eligibility<'a> {
@@ -88,6 +98,11 @@
     pub residency: Option<&'a [RegionId]>,
     /// Exclude endpoints with a rate limit.
     pub unlimited: bool,
+    /// An endpoint may have run it already, so it does not yield to more urgent requests any more.
+    pub may_have_run: bool,
+    /// Uniform draw from 0 to 1, kept for all attempts, that decides whether it yields to more urgent requests. The lower,
+    /// the more readily it does.
+    pub yield_draw: f64,
 }
 
 impl Eligibility<'_> {
@@ -147,6 +162,8 @@
     Absent,
     /// Those that may be used have no room for a request of its priority.
     Full,
+    /// Their service refuses more urgent requests.
+    Urgent,
 }
 
 /// Picks the service that a request is first sent to, by weight. `draw` is a uniformly distributed random number.
@@ -178,7 +195,11 @@
     let engine = inputs.plan.services.get(service).and_then(|service| service.engine);
     match (engine, prompt) {
         (Some(engine), Some(prompt)) => {
-            let request = Request::new(inputs, route, service, engine, prompt, eligible);
+            let request = Request::new(inputs, route, service, engine, prompt, eligible).with_usage(candidates.usage);
+            // Without any engine that may be used, the reason is that, and when one will be.
+            if !eligible.may_have_run && request.must_yield() && request.has_any(candidates) {
+                return Err(Unavailable::Urgent);
+            }
             match request.choose(&candidates.quick, &candidates.bulk) {
                 Err(Unavailable::Absent) => request.choose(&candidates.fallback, &candidates.fallback),
                 chosen => chosen,
--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -160,7 +160,7 @@
     fn engine_work(&self, engine: &Registration) -> EngineWork {
         let loads = self.inputs.loads;
         let (calls, unread) = (f64::from(self.work(engine).calls), f64::from(self.work(engine).unread));
-        let rivals = loads.calls_at_or_above(self.level, &engine.endpoint, self.service);
+        let rivals = loads.known_at_or_above(self.level, &engine.endpoint, self.service);
         let share = if calls > 0.0 { (rivals / calls).min(1.0) } else { 1.0 };
         let unreported = loads.unreported(&engine.endpoint, self.inputs.work_age);
         EngineWork { ahead: unread * share, unread, calls, rivals, slots: engine.slots, unreported }
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -172,6 +172,7 @@
             described = Moment::now();
             shared.send_event(Event::Services(scaling::service_states(&shared)));
         }
+        shared.update_outdated();
         let now = Moment::now();
         shared.conditions.borrow_mut().update(now);
         let (contention, conditions) = (shared.contention.borrow(), shared.conditions.borrow());
@@ -179,8 +180,13 @@
             let known = roster.get(endpoint)?;
             contention.is_contended(&known.service, now).then(|| conditions.detail(endpoint, now))
         };
-        let loads = shared.loads.borrow_mut().to_loads(now, detail);
-        drop((contention, conditions));
+        let mut loads = shared.loads.borrow_mut().to_loads(now, detail);
+        let mut admission = shared.admission.borrow_mut();
+        admission.age_out(now, |service| contention.is_contended(service, now));
+        admission.update_yielding(|service| shared.loads.borrow().others_demand(service), now);
+        loads.extend(admission.to_loads(now));
+        loads.sort_by_key(|load| load.endpoint);
+        drop((admission, contention, conditions));
         if loads != reported {
             reported.clone_from(&loads);
             shared.send_event(Event::Loads(loads));
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -9,9 +9,9 @@
     peer::{Load, LoadDetail, PaceSum, TokenTime},
 };
 use rudder_gateway::{
-    Plan, Policy, backoff::Backoff, choose::Inputs, condition::Conditions, contention::Contention, health::Health,
-    limits::RateLimits, loads::EndpointLoads, placement::Placement, prefill::PrefillSpeeds, roster::Roster,
-    slow_start::SlowStartState,
+    Plan, Policy, admission::Admissions, backoff::Backoff, choose::Inputs, condition::Conditions,
+    contention::Contention, health::Health, limits::RateLimits, loads::EndpointLoads, placement::Placement,
+    policy::GuardPolicy, prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
 };
 use rudder_model::{HallId, id};
 use rudder_route::condition::EngineSpeed;
@@ -50,6 +50,7 @@
     pub placement: Placement,
     pub slow_start: SlowStartState,
     pub limits: RateLimits,
+    pub admission: Admissions,
     pub hall: HallId,
     pub plan: Plan,
     pub policy: Policy,
@@ -70,6 +71,7 @@
             placement: Placement::default(),
             slow_start: SlowStartState::new("me".into(), now),
             limits: RateLimits::default(),
+            admission: Admissions::new(&GuardPolicy::default(), 7, now),
             hall: "a".into(),
             plan: Plan::default(),
             policy: Policy::default(),
@@ -130,6 +132,7 @@
             placement: &self.placement,
             slow_start: &self.slow_start,
             limits: &self.limits,
+            admission: &self.admission,
             hall: &self.hall,
             plan: &self.plan,
             policy: &self.policy,
