fix(route): a policy whose speed shares are both zero no longer panics

The ratio of the shares was not a number for an engine that was classed as slow by its gap target, and a duration cannot be multiplied by that.

--- a/crates/rudder-route/src/engine_cost.rs
+++ b/crates/rudder-route/src/engine_cost.rs
@@ -184,6 +184,8 @@
         }
         let (limit, factor) = match before {
             SpeedClass::Fast => (options.slow, 1.0),
+            // Both shares can be zero in a policy, and a factor that is not a number has no product with a duration.
+            SpeedClass::Slow if options.slow == 0.0 => (options.recovered, 1.0),
             SpeedClass::Slow => (options.recovered, (options.recovered / options.slow).clamp(1.0, MAX_GAP_FACTOR)),
         };
         let gap = speed.token_time.mul_f64(f64::from(self.event_tokens) * options.gap_margin * factor);
