--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -7,14 +7,14 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
-    Plan, Route, RouteKind, Service,
+    Plan, Route, Service,
     budget::Budget,
     choose::{self, Candidates, Choice, Eligibility},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
     lanes,
     loads::{Demand, EndpointLoads, InFlight},
-    plan::{Engine, Fault, Limits, Organisation, Share},
+    plan::{Engine, Fault, Limits, Organisation},
     policy::LanePolicy,
     prefill::PrefillSpeeds,
     recent::{RecentOutcomes, Tally, suspects},
@@ -22,24 +22,10 @@
 };
 use rudder_model::{EndpointId, id};
 
-use support::{Known, endpoint, roster};
+use support::{Known, endpoint, roster, stream_route};
 
 fn route(name: &str, pause: u64, tier: u8) -> Route {
-    Route {
-        name: name.into(),
-        host: "h".into(),
-        prefix: format!("/{name}/").into(),
-        kind: RouteKind::Stream,
-        timeout: Duration::from_secs(5),
-        target: Duration::from_millis(pause),
-        pause: Some(Duration::from_millis(pause)),
-        tier,
-        shares: vec![Share { service: "svc".into(), weight: 1 }],
-        attempts: 1,
-        open: false,
-        resumable: false,
-        residency: None,
-    }
+    Route { timeout: Duration::from_secs(5), ..stream_route(name, pause, pause, tier) }
 }
 
 fn plan() -> Plan {
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -9,13 +9,33 @@
     peer::{Load, LoadDetail, PaceSum, TokenTime},
 };
 use rudder_gateway::{
-    Plan, Policy, backoff::Backoff, choose::Inputs, condition::Conditions, contention::Contention, health::Health,
-    limits::RateLimits, loads::EndpointLoads, placement::Placement, prefill::PrefillSpeeds, roster::Roster,
-    slow_start::SlowStartState,
+    Plan, Policy, Route, RouteKind, backoff::Backoff, choose::Inputs, condition::Conditions, contention::Contention,
+    health::Health, limits::RateLimits, loads::EndpointLoads, placement::Placement, plan::Share,
+    prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
 };
 use rudder_model::{HallId, id};
 use rudder_route::condition::EngineSpeed;
 
+/// A route of streams to the service `svc`. `target` and `pause` are the targets of the first event and of the gaps, in
+/// milliseconds.
+pub fn stream_route(name: &str, target: u64, pause: u64, tier: u8) -> Route {
+    Route {
+        name: name.into(),
+        host: "h".into(),
+        prefix: format!("/{name}/").into(),
+        kind: RouteKind::Stream,
+        timeout: Duration::from_secs(15),
+        target: Duration::from_millis(target),
+        pause: Some(Duration::from_millis(pause)),
+        tier,
+        shares: vec![Share { service: "svc".into(), weight: 1 }],
+        attempts: 1,
+        open: false,
+        resumable: false,
+        residency: None,
+    }
+}
+
 /// A ready endpoint of the service `svc` with 64 slots and an address of its own.
 pub fn endpoint(number: usize, hall: &str) -> Registration {
     Registration {
--- a/crates/rudder-gateway/tests/timing.rs
+++ b/crates/rudder-gateway/tests/timing.rs
@@ -6,46 +6,28 @@
 
 use rudder_core::{Registration, peer::Load};
 use rudder_gateway::{
-    Plan, Route, RouteKind, Service,
+    Plan, Service,
     choose::{self, CandidateCache, Candidates, Choice, Eligibility, Lane},
     contention::Contention,
     dialect::{Prompt, PromptPart},
-    plan::{Engine, Limits, Share},
+    plan::{Engine, Limits},
 };
 use rudder_model::{EndpointId, id};
 use rudder_route::{condition::EngineSpeed, engine_cost::is_sooner};
 
-use support::{Known, endpoint, roster};
+use support::{Known, endpoint, roster, stream_route};
 
 const ENGINES: usize = 90;
 /// Lasting speeds of the two kinds of engines, relative to the usual one.
 const SLOW: f64 = 0.55;
 const FAST: f64 = 1.2;
 
-fn route(name: &str, target: u64, pause: u64, tier: u8) -> Route {
-    Route {
-        name: name.into(),
-        host: "h".into(),
-        prefix: format!("/{name}/").into(),
-        kind: RouteKind::Stream,
-        timeout: Duration::from_secs(15),
-        target: Duration::from_millis(target),
-        pause: Some(Duration::from_millis(pause)),
-        tier,
-        shares: vec![Share { service: "svc".into(), weight: 1 }],
-        attempts: 1,
-        open: false,
-        resumable: false,
-        residency: None,
-    }
-}
-
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
     let engine = Some(Engine { slots: 16, memory: 352_746, copies: false, event_tokens: 5, move_speed: 0.0 });
     let service = Service { name: "svc".into(), connections: 100, engine, scaling: None, warm_up: None };
     plan.services.insert("svc".into(), service);
-    for route in [route("drafts", 300, 200, 1), route("chat", 150, 120, 0)] {
+    for route in [stream_route("drafts", 300, 200, 1), stream_route("chat", 150, 120, 0)] {
         plan.add_route(route).expect("a valid route");
     }
     plan
