--- a/crates/rudder-gateway/tests/timing.rs
+++ b/crates/rudder-gateway/tests/timing.rs
@@ -165,6 +165,32 @@
     assert!(!chosen.iter().any(|choice| is_slow_now(scene.engine(choice))));
 }
 
+/// An engine can prefill a short prompt in time and still be too slow for the gaps of its stream. Ranked by the first event
+/// alone, it would win against busier engines that meet both targets.
+#[test]
+fn quick_streams_avoid_engines_that_miss_the_gap_target_with_a_first_event_in_time() {
+    let mut scene = Scene::new();
+    let misses_gaps = |engine: &Registration| number(&engine.endpoint) % 5 == 1;
+    // Five tokens take 27 ms, or 125 ms at this pace; the targets are 120 ms for gaps and 150 ms for the first event.
+    scene.set_speeds(|engine| EngineSpeed { pace: if misses_gaps(engine) { 4.6 } else { 1.0 }, ..speed(FAST) });
+    let prompt = Prompt { tokens: 60, max_answer: 290, answer_hint: None, parts: Vec::new() };
+    scene.set_loads(|engine| if misses_gaps(engine) { (0, 0) } else { (6, 14_000) });
+    let lanes = scene.candidates();
+    assert!(lanes.quick.endpoints.iter().any(|engine| misses_gaps(engine)), "the lane has both kinds");
+    for _ in 0..200 {
+        let choice = scene.choose("/chat/", &prompt);
+        assert!(!misses_gaps(scene.engine(&choice)), "{choice:?}");
+        assert!(choice.predicted.is_some_and(|predicted| predicted <= Duration::from_millis(150)), "{choice:?}");
+    }
+    // The first events there are in time: without another engine, one of them is chosen with such a prediction.
+    scene.engines.retain(|engine| misses_gaps(engine));
+    let route = scene.known.plan.find("h", "/chat/").expect("a route");
+    let only =
+        choose::choose(&scene.known.inputs(), route, "svc", &scene.candidates(), Some(&prompt), Eligibility::default());
+    let predicted = only.expect("a choice").predicted.expect("a prediction");
+    assert!(predicted <= Duration::from_millis(150), "{predicted:?}");
+}
+
 /// Requests were refused for the wait at their session's engine while others were free. The second number of tokens is
 /// processed within the target, but not within the margin for it.
 #[test]
