--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -67,9 +67,10 @@
 }
 
 impl Inputs<'_> {
-    /// Whether the engines of `service` are compared by predicted times.
+    /// Whether the engines of `service` are compared by predicted times. These need the learned conditions of engines.
     pub fn is_timed(&self, service: &str) -> bool {
-        self.policy.contention.timing && self.contention.is_contended(service, self.now)
+        let contention = &self.policy.contention;
+        contention.timing && contention.condition && self.contention.is_contended(service, self.now)
     }
 
     /// How many requests this instance may send to an endpoint while it warms up.
--- a/crates/rudder-gateway/tests/timing.rs
+++ b/crates/rudder-gateway/tests/timing.rs
@@ -321,6 +321,20 @@
     assert!(scene.candidates().quick.endpoints.iter().any(|engine| is_slow(engine)));
 }
 
+/// Without the condition of engines, predictions would be based on the assumed initial speeds.
+#[test]
+fn without_timing_or_condition_nothing_is_predicted() {
+    for (condition, timing) in [(false, true), (true, false), (false, false)] {
+        let mut scene = Scene::new();
+        scene.known.policy.contention.condition = condition;
+        scene.known.policy.contention.timing = timing;
+        let quick = names(&scene.candidates().quick);
+        assert!(scene.choices("/chat/", 50).iter().all(|choice| choice.predicted.is_none()));
+        scene.known.contention = Contention::default();
+        assert_eq!(names(&scene.candidates().quick), quick, "condition {condition}, timing {timing}");
+    }
+}
+
 macro_rules! given_up {
     ($($(#[$meta:meta])* $name:ident: other $other:literal, predicted $predicted:literal, after $elapsed:literal => $expected:literal;)*) => {
         $($(#[$meta])* #[test] fn $name() {
