fix(gateway): the speed of an engine that has ended no longer counts

Engines that report their end stay in the registry for two minutes. Their speeds counted in the median of their service, which is that of engines without samples, in the limits of the lanes, and in the metrics.

--- a/crates/rudder-gateway/src/condition.rs
+++ b/crates/rudder-gateway/src/condition.rs
@@ -6,7 +6,10 @@
 use std::{cell::RefCell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use rudder_clock::Moment;
-use rudder_core::peer::{Load, LoadDetail, PaceSum, TokenTime};
+use rudder_core::{
+    Phase,
+    peer::{Load, LoadDetail, PaceSum, TokenTime},
+};
 use rudder_model::{EndpointId, EndpointTag, id};
 use rudder_route::condition::{Condition, EngineSpeed, FirstEvent, GapMeter, RecentSum, RecentWork, Sum, Usual};
 
@@ -167,7 +170,7 @@
             for registration in endpoints {
                 let endpoint = &registration.endpoint;
                 let work = self.recent(endpoint, now);
-                if work != RecentWork::default() && is_current(&roster, endpoint) {
+                if work != RecentWork::default() && registration.phase < Phase::Gone {
                     self.learned.entry(endpoint.clone()).or_default().update(&work);
                 }
             }
@@ -211,9 +214,9 @@
     }
 }
 
-/// Whether an endpoint is known and no later life of its name has replaced it.
+/// Whether an endpoint is known and has not ended.
 fn is_current(roster: &Roster, endpoint: &EndpointId) -> bool {
-    roster.knows(endpoint) && !roster.replaced().contains(endpoint)
+    roster.get(endpoint).is_some_and(|known| known.phase < Phase::Gone)
 }
 
 fn to_work(detail: &LoadDetail) -> RecentWork {
@@ -225,7 +228,7 @@
     }
 }
 
-/// Measures the output speed of one stream's engine. A rest of the stream that is no whole block is recorded on drop.
+/// Measures the output speed of one stream's engine. Gaps after the last complete block are recorded on drop.
 #[derive(Debug)]
 pub struct OutputMeter {
     conditions: Rc<RefCell<Conditions>>,
--- a/crates/rudder-gateway/tests/condition.rs
+++ b/crates/rudder-gateway/tests/condition.rs
@@ -72,21 +72,23 @@
     assert_eq!(conditions.speed(engine, SERVICE, later).pace.to_bits(), 1.0_f64.to_bits());
 }
 
-/// The next life of an engine may run elsewhere, and late samples of the last one must not bring it back.
+/// The next life of an engine may run elsewhere, engines that have ended must not count in the median of their service, and
+/// late samples must not bring them back.
 #[test]
 fn what_was_learned_ends_with_the_life_of_an_engine() {
-    let mut engines = engines(2);
+    let mut engines = engines(3);
     let (mut conditions, now) = (conditions(&engines), Moment::now());
     for engine in &engines {
         conditions.record_output(&engine.endpoint, Sum { units: 100, total: 2000 }, now);
     }
     conditions.update(now);
-    assert_eq!(conditions.counts(now).known, 2);
+    assert_eq!(conditions.counts(now).known, 3);
     engines[0].phase = Phase::Replaced;
+    engines[1].phase = Phase::Gone;
     let gone = engines.pop().expect("an engine");
     conditions.set_roster(Rc::new(support::roster(&engines)));
     let later = now + Duration::from_secs(1);
-    for endpoint in [&engines[0].endpoint, &gone.endpoint] {
+    for endpoint in [&engines[0].endpoint, &engines[1].endpoint, &gone.endpoint] {
         conditions.record_output(endpoint, Sum { units: 100, total: 2000 }, later);
         conditions.record_report(endpoint, &pace(2.5), later);
         assert_eq!(conditions.detail(endpoint, later), LoadDetail::default());
