--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -30,7 +30,8 @@
     /// The endpoints in slow start that this instance may send to. They are sampled separately, as a sample of all
     /// endpoints would rarely include them.
     pub warming: Vec<Arc<Registration>>,
-    /// Number of endpoints that are not slow; they come first.
+    /// Number of endpoints that are not slow; they come first. Only set for [`Candidates::bulk`], whose fast engines are
+    /// preferred by quick streams; 0 for the others.
     pub fast: usize,
     /// Rendezvous hash key of each endpoint.
     keys: Vec<u64>,
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -46,7 +46,7 @@
     pub quick: Vec<E>,
     /// For all other requests.
     pub bulk: Vec<E>,
-    /// Number of engines of the other lane that are not slow; they come first.
+    /// Number of engines of `bulk` that are not slow; they come first.
     pub fast: usize,
 }
 
