--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -168,6 +168,16 @@
     assert_eq!(recent.endpoints().count(), 0);
 }
 
+/// What other instances have sent since their reports must be counted, or all would send to the same engines.
+#[test]
+fn unreported_requests_follow_from_the_rate_of_ends() {
+    let mut endpoint_loads = EndpointLoads::default();
+    endpoint_loads.set_others(&[Load { ended: 50, ..Load::none(id::endpoint_tag("e-1")) }]);
+    let unreported = |endpoint: &str| endpoint_loads.unreported(endpoint, Duration::from_millis(200));
+    assert!((unreported("e-1") - 2.0).abs() < 1e-9, "ends are those of five seconds");
+    assert_eq!(unreported("e-2").to_bits(), 0.0_f64.to_bits());
+}
+
 /// A single instance sends too few requests to an endpoint to detect its failure soon.
 #[test]
 fn reported_outcomes_count_like_own_ones() {
--- a/crates/rudder-route/tests/engine_cost.rs
+++ b/crates/rudder-route/tests/engine_cost.rs
@@ -52,3 +52,51 @@
         }
     }
 }
+
+const DEMAND: EngineDemand = EngineDemand { own: 1_000, missing: 500, answer: 50, event: EVENT_TOKENS };
+const IDLE: EngineWork = EngineWork { ahead: 0.0, unread: 0.0, calls: 0.0, rivals: 0.0, slots: 16, unreported: 0.0 };
+
+/// Compares times to the microsecond.
+fn assert_micros(actual: Duration, expected: u128) {
+    assert_eq!((actual + Duration::from_nanos(500)).as_micros(), expected);
+}
+
+macro_rules! first_events {
+    ($($(#[$meta:meta])* $name:ident: $pace:literal, $work:expr => $micros:literal;)*) => {$(
+        $(#[$meta])*
+        #[test]
+        fn $name() {
+            let speed = EngineSpeed { pace: $pace, ..speed(6_000) };
+            assert_micros(first_event(&speed, &$work, &DEMAND), $micros);
+        }
+    )*};
+}
+
+first_events! {
+    an_idle_engine_takes_its_prefill_and_an_event: 1.0, IDLE => 45_000;
+    a_slowed_engine_takes_longer_for_both: 2.0, IDLE => 90_000;
+    prompts_ahead_are_waited_for: 1.0, EngineWork { ahead: 2_000.0, ..IDLE } => 65_000;
+    requests_that_no_report_shows_yet_are_waited_for: 1.0, EngineWork { unreported: 2.0, ..IDLE } => 65_000;
+    /// Without an exchange, the age of the reports grows without bound.
+    the_number_of_unreported_requests_is_bounded: 1.0, EngineWork { unreported: 1e9, ..IDLE } => 125_000;
+    a_full_engine_frees_its_next_slot_after_a_part_of_a_turn: 1.0,
+        EngineWork { calls: 16.0, rivals: 16.0, ..IDLE } => 63_750;
+    requests_in_the_queue_get_their_slots_first: 1.0, EngineWork { calls: 32.0, rivals: 32.0, ..IDLE } => 363_750;
+    /// Less urgent requests in the queue do not delay an urgent one.
+    lower_priorities_in_the_queue_are_passed: 1.0, EngineWork { calls: 32.0, rivals: 4.0, ..IDLE } => 63_750;
+}
+
+/// Prefill passes between the steps of an event in chunks, so a long queue lengthens a gap by a bounded time.
+#[test]
+fn a_gap_holds_the_prefill_of_its_steps() {
+    assert_micros(event_gap(&speed(6_000), &EngineWork { unread: 2_000.0, ..IDLE }, EVENT_TOKENS), 50_000);
+    assert_micros(event_gap(&speed(6_000), &EngineWork { unread: 1e9, ..IDLE }, EVENT_TOKENS), 81_200);
+}
+
+/// Requests that wait for a slot are not delayed by prefill between steps.
+#[test]
+fn prefill_harms_the_running_streams_only() {
+    let harm_of = |calls| harm(&TimingOptions::default(), &speed(6_000), &EngineWork { calls, ..IDLE }, &DEMAND);
+    assert_micros(harm_of(10.0), 35_000);
+    assert_micros(harm_of(40.0), 44_000);
+}
