--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -7,14 +7,14 @@
 use rudder_clock::Moment;
 use rudder_core::{Phase, Registration, peer::Load};
 use rudder_gateway::{
-    Plan, Route, RouteKind, Service,
+    Plan, Route, Service,
     budget::Budget,
     choose::{self, Candidates, Choice, Eligibility},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
     lanes,
     loads::{Demand, EndpointLoads, InFlight},
-    plan::{Engine, Fault, Limits, Organisation, Share},
+    plan::{Engine, Fault, Limits, Organisation},
     policy::LanePolicy,
     prefill::PrefillSpeeds,
     recent::{RecentOutcomes, Tally, suspects},
@@ -22,24 +22,10 @@
 };
 use rudder_model::{EndpointId, id};
 
-use support::{Known, endpoint, roster};
+use support::{Known, endpoint, roster, stream_route};
 
 fn route(name: &str, pause: u64, tier: u8) -> Route {
-    Route {
-        name: name.into(),
-        host: "h".into(),
-        prefix: format!("/{name}/").into(),
-        kind: RouteKind::Stream,
-        timeout: Duration::from_secs(5),
-        target: Duration::from_millis(pause),
-        pause: Some(Duration::from_millis(pause)),
-        tier,
-        shares: vec![Share { service: "svc".into(), weight: 1 }],
-        attempts: 1,
-        open: false,
-        resumable: false,
-        residency: None,
-    }
+    Route { timeout: Duration::from_secs(5), ..stream_route(name, pause, pause, tier) }
 }
 
 fn plan() -> Plan {
@@ -182,6 +168,16 @@
     assert_eq!(recent.endpoints().count(), 0);
 }
 
+/// What other instances have sent since their reports must be counted, or all would send to the same engines.
+#[test]
+fn unreported_requests_follow_from_the_rate_of_ends() {
+    let mut endpoint_loads = EndpointLoads::default();
+    endpoint_loads.set_others(&[Load { ended: 50, ..Load::none(id::endpoint_tag("e-1")) }]);
+    let unreported = |endpoint: &str| endpoint_loads.unreported(endpoint, Duration::from_millis(200));
+    assert!((unreported("e-1") - 2.0).abs() < 1e-9, "ends are those of five seconds");
+    assert_eq!(unreported("e-2").to_bits(), 0.0_f64.to_bits());
+}
+
 /// A single instance sends too few requests to an endpoint to detect its failure soon.
 #[test]
 fn reported_outcomes_count_like_own_ones() {
--- a/crates/rudder-gateway/tests/timing.rs
+++ b/crates/rudder-gateway/tests/timing.rs
@@ -6,46 +6,28 @@
 
 use rudder_core::{Registration, peer::Load};
 use rudder_gateway::{
-    Plan, Route, RouteKind, Service,
+    Plan, Service,
     choose::{self, CandidateCache, Candidates, Choice, Eligibility, Lane},
     contention::Contention,
     dialect::{Prompt, PromptPart},
-    plan::{Engine, Limits, Share},
+    plan::{Engine, Limits},
 };
 use rudder_model::{EndpointId, id};
 use rudder_route::{condition::EngineSpeed, engine_cost::is_sooner};
 
-use support::{Known, endpoint, roster};
+use support::{Known, endpoint, roster, stream_route};
 
 const ENGINES: usize = 90;
 /// Lasting speeds of the two kinds of engines, relative to the usual one.
 const SLOW: f64 = 0.55;
 const FAST: f64 = 1.2;
 
-fn route(name: &str, target: u64, pause: u64, tier: u8) -> Route {
-    Route {
-        name: name.into(),
-        host: "h".into(),
-        prefix: format!("/{name}/").into(),
-        kind: RouteKind::Stream,
-        timeout: Duration::from_secs(15),
-        target: Duration::from_millis(target),
-        pause: Some(Duration::from_millis(pause)),
-        tier,
-        shares: vec![Share { service: "svc".into(), weight: 1 }],
-        attempts: 1,
-        open: false,
-        resumable: false,
-        residency: None,
-    }
-}
-
 fn plan() -> Plan {
     let mut plan = Plan::new(1, Limits::default());
     let engine = Some(Engine { slots: 16, memory: 352_746, copies: false, event_tokens: 5, move_speed: 0.0 });
     let service = Service { name: "svc".into(), connections: 100, engine, scaling: None, warm_up: None };
     plan.services.insert("svc".into(), service);
-    for route in [route("drafts", 300, 200, 1), route("chat", 150, 120, 0)] {
+    for route in [stream_route("drafts", 300, 200, 1), stream_route("chat", 150, 120, 0)] {
         plan.add_route(route).expect("a valid route");
     }
     plan
@@ -183,6 +165,32 @@
     assert!(!chosen.iter().any(|choice| is_slow_now(scene.engine(choice))));
 }
 
+/// An engine can prefill a short prompt in time and still be too slow for the gaps of its stream. Ranked by the first event
+/// alone, it would win against busier engines that meet both targets.
+#[test]
+fn quick_streams_avoid_engines_that_miss_the_gap_target_with_a_first_event_in_time() {
+    let mut scene = Scene::new();
+    let misses_gaps = |engine: &Registration| number(&engine.endpoint) % 5 == 1;
+    // Five tokens take 27 ms, or 125 ms at this pace; the targets are 120 ms for gaps and 150 ms for the first event.
+    scene.set_speeds(|engine| EngineSpeed { pace: if misses_gaps(engine) { 4.6 } else { 1.0 }, ..speed(FAST) });
+    let prompt = Prompt { tokens: 60, max_answer: 290, answer_hint: None, parts: Vec::new() };
+    scene.set_loads(|engine| if misses_gaps(engine) { (0, 0) } else { (6, 14_000) });
+    let lanes = scene.candidates();
+    assert!(lanes.quick.endpoints.iter().any(|engine| misses_gaps(engine)), "the lane has both kinds");
+    for _ in 0..200 {
+        let choice = scene.choose("/chat/", &prompt);
+        assert!(!misses_gaps(scene.engine(&choice)), "{choice:?}");
+        assert!(choice.predicted.is_some_and(|predicted| predicted <= Duration::from_millis(150)), "{choice:?}");
+    }
+    // The first events there are in time: without another engine, one of them is chosen with such a prediction.
+    scene.engines.retain(|engine| misses_gaps(engine));
+    let route = scene.known.plan.find("h", "/chat/").expect("a route");
+    let only =
+        choose::choose(&scene.known.inputs(), route, "svc", &scene.candidates(), Some(&prompt), Eligibility::default());
+    let predicted = only.expect("a choice").predicted.expect("a prediction");
+    assert!(predicted <= Duration::from_millis(150), "{predicted:?}");
+}
+
 /// Requests were refused for the wait at their session's engine while others were free. The second number of tokens is
 /// processed within the target, but not within the margin for it.
 #[test]
@@ -264,6 +272,33 @@
     }
 }
 
+/// A class depends on the one before, so an instance that starts after a peak could keep another division than those that
+/// have seen the peak. Their streams would meet the long prompts of the others until the next peak. The speeds are those of
+/// one deployment: a step takes 6.08 ms and 0.0413 ms for each running request, times 0.55 at a quarter of the engines and
+/// 1.2 at the others.
+#[test]
+fn an_instance_that_starts_after_a_peak_agrees_on_the_lanes() {
+    for running in [0.0, 3.0, 6.0, 10.0, 14.0] {
+        let mut scene = Scene::new();
+        let at = |running: f64| {
+            move |engine: &Registration| {
+                let factor = if is_slow(engine) { 0.55 } else { 1.2 };
+                let token_time = Duration::from_secs_f64((6.08 + 0.0413 * running) * factor / 1000.0);
+                EngineSpeed { token_time, prefill_speed: 110.0 / factor, ..speed(1.0) }
+            }
+        };
+        let roster = roster(&scene.engines);
+        let quick = |scene: &Scene, cache: &mut CandidateCache| {
+            names(&cache.of(&"svc".into(), &roster, &scene.known.inputs()).quick)
+        };
+        let [mut before, mut after] = [CandidateCache::default(), CandidateCache::default()];
+        scene.set_speeds(at(16.0));
+        quick(&scene, &mut before);
+        scene.set_speeds(at(running));
+        assert_eq!(quick(&scene, &mut before), quick(&scene, &mut after), "{running} requests running");
+    }
+}
+
 /// An engine near a limit would change its lane with each sample. `seen` are the classes while a third of the engines has
 /// these speeds one after the other.
 fn check_classes<const N: usize>(gap_margin: f64, speeds: [f64; N], seen: [bool; N]) {
@@ -313,6 +348,20 @@
     assert!(scene.candidates().quick.endpoints.iter().any(|engine| is_slow(engine)));
 }
 
+/// Without the condition of engines, predictions would be based on the assumed initial speeds.
+#[test]
+fn without_timing_or_condition_nothing_is_predicted() {
+    for (condition, timing) in [(false, true), (true, false), (false, false)] {
+        let mut scene = Scene::new();
+        scene.known.policy.contention.condition = condition;
+        scene.known.policy.contention.timing = timing;
+        let quick = names(&scene.candidates().quick);
+        assert!(scene.choices("/chat/", 50).iter().all(|choice| choice.predicted.is_none()));
+        scene.known.contention = Contention::default();
+        assert_eq!(names(&scene.candidates().quick), quick, "condition {condition}, timing {timing}");
+    }
+}
+
 macro_rules! given_up {
     ($($(#[$meta:meta])* $name:ident: other $other:literal, predicted $predicted:literal, after $elapsed:literal => $expected:literal;)*) => {
         $($(#[$meta])* #[test] fn $name() {
