feat(core): exchange the work of the heaviest organisations while capacity is short

Each instance sees few requests, so its own figures tell heavy organisations from others poorly. Watch requests and replies carry sums of the heaviest eight organisations and of the rest in an optional last field, of at most 200 bytes. It is absent while no capacity is short, so messages are encoded as before then.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -228,6 +228,7 @@
             quarantine: &self.ledger.quarantine,
             evacuations: &self.ledger.evacuations,
             remote_loads: &[],
+            remote_work: &[],
             limits,
             time: clock.agreed(now),
         };
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -4,6 +4,7 @@
 
 use rudder_ledger::{Change, Document, Findings};
 use rudder_model::{ClassId, Digest, EndpointId, HallId, InstanceId, ModelId, RequestId};
+use rudder_route::shares::WorkReport;
 
 use crate::{
     CallOutcome, PeerMessage, Stored, duties::scaling::ServiceState, limits::LimitReport, peer::Load,
@@ -91,6 +92,8 @@
     },
     /// In-flight requests of this instance at endpoints.
     Loads(Vec<Load>),
+    /// Recent work of this instance by organisation, for services whose capacity is short.
+    Work(Vec<WorkReport>),
     /// An endpoint reported its rate limit in an answer to this instance.
     Limit(LimitReport),
     /// A request needs a permit for an endpoint with a rate limit; answered by [`crate::Effect::Permitted`].
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`homes`]: the pools scheduled by this instance;
 //! - [`registry`]: endpoints that register themselves by heartbeats;
 //! - [`loads`]: in-flight requests at endpoints, over all instances;
+//! - [`work`]: work by organisation, over all instances;
 //! - [`limits`]: rate limits reported by endpoints; [`permits`]: permits to send to such endpoints;
 //! - `founding`: founding of the log;
 //! - [`clock`]: the time of day that all instances agree on;
@@ -53,6 +54,7 @@
 pub mod usage;
 pub mod view;
 pub mod watchers;
+pub mod work;
 
 pub use duties::{CallOutcome, DutyCall};
 pub use effect::{Dispatch, Effect, Stored, Verdict};
--- a/crates/rudder-core/src/loads.rs
+++ b/crates/rudder-core/src/loads.rs
@@ -14,7 +14,7 @@
 use crate::peer::Load;
 
 /// How long the report of an instance counts.
-const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
+pub(crate) const REPORT_LIFETIME: Duration = Duration::from_millis(1500);
 
 #[derive(Debug)]
 struct Report {
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -7,7 +7,7 @@
 use rudder_ledger::{Answer, Attempt, Command, Delta, Document, Evacuations, Patch, QuarantineNews};
 use rudder_model::{EndpointId, EndpointTag, HallId, InstanceId, ModelId, Refusal, RequestId, Start};
 use rudder_replica::{Envelope, Members, ReplicaId};
-use rudder_route::{GrantOutcome, HeldGrant, SlotRequest};
+use rudder_route::{GrantOutcome, HeldGrant, SlotRequest, shares::WorkReport};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -73,6 +73,10 @@
     pub group: Option<RelayGroup>,
     /// The sender's time of day; a relay sends the median of its own clock and its watchers' clocks.
     pub clock: Duration,
+    /// Work by organisation of the sender and of its watchers, for services whose capacity is short; sent together with
+    /// the loads.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub work: Vec<WorkReport>,
 }
 
 /// The watchers of a relay.
@@ -126,6 +130,9 @@
     pub group: u64,
     /// The agreed time of day, if the replier knows it.
     pub time: Option<Duration>,
+    /// Work by organisation of all instances except the watcher and its own watchers; sent together with the loads.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub work: Vec<WorkReport>,
 }
 
 impl WatchReply {
@@ -136,7 +143,12 @@
         };
         let directory = self.directory.as_ref().map_or(0, |delta| delta.entries.len());
         let registry = self.registry.as_ref().map_or(0, |delta| delta.entries.len());
-        1 + document + directory + registry + self.loads.as_ref().map_or(0, Vec::len) + self.limits.len()
+        1 + document
+            + directory
+            + registry
+            + self.loads.as_ref().map_or(0, Vec::len)
+            + self.limits.len()
+            + self.work.len()
     }
 }
 
@@ -377,7 +389,10 @@
         match self {
             PeerMessage::WatchReply(reply) => reply.weight(),
             PeerMessage::WatchRequest(request) => {
-                request.heartbeats.len() + request.loads.as_ref().map_or(0, Vec::len) + request.limits.len()
+                request.heartbeats.len()
+                    + request.loads.as_ref().map_or(0, Vec::len)
+                    + request.limits.len()
+                    + request.work.len()
             }
             _ => 1,
         }
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -189,6 +189,7 @@
             }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
             Event::Loads(loads) => self.view.set_loads(loads),
+            Event::Work(work) => self.view.set_work(work),
             Event::Limit(report) => self.view.limits.record_own(now, report),
             Event::AskPermit { ticket, request } => {
                 self.permits.ask(now, &self.me, &self.view, (ticket, request), out);
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -17,6 +17,7 @@
 use rudder_model::{
     Endpoint, EndpointId, EndpointTag, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id,
 };
+use rudder_route::shares::WorkReport;
 
 use crate::{
     Effect, Listing, Me, Options, PeerMessage, RelayGroup, WatchReply, WatchRequest,
@@ -72,6 +73,8 @@
     pub evacuations: Arc<Evacuations>,
     /// Loads of all other instances.
     pub remote_loads: Vec<Load>,
+    /// Work by organisation of all other instances.
+    pub remote_work: Vec<WorkReport>,
     /// Incremented on every change of the directory, document, registry, quarantine or evacuations.
     pub revision: u64,
     /// Incremented on every change of `remote_loads`.
@@ -82,7 +85,9 @@
     heartbeat_count: u64,
     /// Loads of this instance.
     own_loads: Vec<Load>,
-    /// Time of their last report.
+    /// Work of this instance by organisation.
+    own_work: Vec<WorkReport>,
+    /// Time of the last report of loads and work.
     loads_sent_at: Option<Duration>,
     /// Rate limits reported by endpoints.
     pub limits: Limits,
@@ -199,6 +204,11 @@
         self.own_loads = loads;
     }
 
+    /// Sets the work of this instance by organisation.
+    pub(crate) fn set_work(&mut self, work: Vec<WorkReport>) {
+        self.own_work = work;
+    }
+
     /// Records rate limits that endpoints reported to a watcher.
     pub(crate) fn record_limits(&mut self, now: Duration, reports: &[LimitReport]) {
         for report in reports {
@@ -313,6 +323,7 @@
             limits,
             group: self.to_group(watchers, options),
             clock: self.clock.reading(now),
+            work: if with_loads { watchers.total_work(&self.own_work) } else { Vec::new() },
         };
         out.push(Effect::Send { to, message: PeerMessage::WatchRequest(Box::new(request)) });
     }
@@ -348,6 +359,7 @@
             quarantine: &self.quarantine,
             evacuations: &self.evacuations,
             remote_loads: &self.remote_loads,
+            remote_work: &self.remote_work,
             limits: &self.limits,
             time: self.clock.agreed(now),
         })
@@ -439,6 +451,7 @@
         self.apply_scope((me, options), reply.scope, out);
         if let Some(loads) = reply.loads.filter(|_| request.target != Target::BypassRelay) {
             self.remote_loads_at = proof.or(self.remote_loads_at);
+            self.remote_work = reply.work;
             if self.remote_loads != loads {
                 self.load_revision += 1;
                 self.remote_loads = loads;
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -9,6 +9,7 @@
 
 use rudder_ledger::{Config, Document, Evacuations, Quarantine};
 use rudder_model::{EndpointTag, InstanceId};
+use rudder_route::shares::WorkReport;
 
 use crate::{
     Effect, Listing, PeerMessage, Registry, RelayGroup, WatchReply, WatchRequest,
@@ -20,6 +21,7 @@
     registry::RegistryDelta,
     subset::Scope,
     tree::Directory,
+    work::{self, WorkTotals},
 };
 
 /// Maximum number of configuration deltas in one reply.
@@ -67,6 +69,7 @@
 pub struct Watchers {
     instances: BTreeMap<InstanceId, Watcher>,
     loads: Loads,
+    work: WorkTotals,
     /// Changes whenever a watcher is added, removed or modified.
     version: u64,
     /// Older documents that watchers may still hold.
@@ -103,6 +106,8 @@
     pub evacuations: &'a Evacuations,
     /// Loads of instances that are neither watchers nor watchers of watchers.
     pub remote_loads: &'a [Load],
+    /// Work by organisation of the same instances.
+    pub remote_work: &'a [WorkReport],
     /// Rate limits reported by endpoints.
     pub limits: &'a Limits,
     /// The agreed time of day, if known.
@@ -117,6 +122,7 @@
         let send_loads = watch.loads.is_some() && (watch.listing.address.is_some() || watch.group.is_some());
         if let Some(loads) = watch.loads.take() {
             self.loads.record(now, &name, loads);
+            self.work.record(now, &name, std::mem::take(&mut watch.work));
         }
         let loads = send_loads.then(|| {
             let mut loads = loads::merge(source.remote_loads, self.loads.total_excluding(&name));
@@ -125,6 +131,8 @@
             }
             loads
         });
+        let work =
+            if send_loads { work::merge(source.remote_work, &self.work.total_excluding(&name)) } else { Vec::new() };
         let limits = if send_loads { self.limit_changes(now, &name, &source) } else { Vec::new() };
         let scope = source.scope.as_ref().filter(|_| !source.unscoped);
         let (directory_due, registry_due) = self.are_updates_due(now, &watch);
@@ -160,6 +168,7 @@
             limits,
             group,
             time: source.time,
+            work,
         }
     }
 
@@ -256,6 +265,7 @@
             self.version += 1;
         }
         self.loads.expire(now);
+        self.work.expire(now);
     }
 
     /// Returns the watchers as a relay group, without its members if the leader already holds version `known`.
@@ -272,6 +282,11 @@
         loads::merge(own, self.loads.total())
     }
 
+    /// Returns the work of all watchers and `own` combined.
+    pub fn total_work(&self, own: &[WorkReport]) -> Vec<WorkReport> {
+        work::merge(own, &self.work.total())
+    }
+
     /// Returns the number of in-flight requests at the endpoint `tag` over all instances.
     pub fn calls_at(&self, tag: EndpointTag) -> u32 {
         self.loads.calls_at(tag)
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -188,6 +188,7 @@
         limits: Vec::new(),
         group: None,
         clock: Duration::ZERO,
+        work: Vec::new(),
     }
 }
 
