feat(gateway): refuse requests of organisations over their share of a contended service

Requests are recorded where load shedding records them, and checked after it. A refusal for fairness is logged with the organisation's work, the fair level and the age of the exchange, and counted.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -302,6 +302,23 @@
         /// The route's target, in milliseconds.
         target_ms: u64,
     },
+    /// A request is refused because its organisation is over its fair share, while others are refused for lack of capacity.
+    CallOverShare {
+        /// The request.
+        request: String,
+        /// Its organisation.
+        organisation: OrgId,
+        /// The service.
+        service: ModelId,
+        /// The organisation's recently admitted work, in tokens, with output tokens weighted.
+        admitted: u64,
+        /// Its recently refused work, in tokens.
+        refused: u64,
+        /// The fair level of admitted work, in tokens.
+        level: u64,
+        /// Age of what was known of other instances, in milliseconds; `None` if only this instance's figures were used.
+        others_ms: Option<u64>,
+    },
     /// An attempt at an endpoint failed.
     CallFailed {
         /// The request.
@@ -535,6 +552,7 @@
             | What::CallSent { request, .. }
             | What::CallFailed { request, .. }
             | What::CallHopeless { request, .. }
+            | What::CallOverShare { request, .. }
             | What::RetryAsked { request, .. }
             | What::CallAnswered { request, .. }
             | What::CallRefused { request, .. }
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -90,6 +90,15 @@
             "the best engine, {endpoint}, has {ahead} prompt tokens to read first: about {wait_ms} ms, \
              too long for a target of {target_ms} ms"
         ),
+        What::CallOverShare { organisation, service, admitted, refused, level, others_ms, .. } => {
+            let basis = others_ms.map_or("by this instance's figures alone".to_owned(), |age| {
+                format!("over all instances, others' part {age} ms old")
+            });
+            format!(
+                "{organisation} was admitted {admitted} tokens of work at {service} and refused {refused}, above the fair \
+                 level of {level} ({basis}), while others were refused for lack of capacity"
+            )
+        }
         What::CallFailed { endpoint, attempt, why, ran, .. } => {
             format!("attempt {attempt} at {endpoint} failed: {why}; ran: {ran:?}")
         }
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -4,10 +4,12 @@
 
 use rudder_clock::Moment;
 use rudder_events::What;
+use rudder_route::shares::Fate;
 
 use super::{
     Call, Progress, Refusal,
     attempt::choose_endpoint,
+    fairness::record_work,
     refusal::{no_retry, not_run},
     termination::{check_quarantine, is_content_suspect},
 };
@@ -80,14 +82,17 @@
     Err(not_run("more urgent requests are refused", call.route.target))
 }
 
-/// Records for load shedding that a request was sent for the first time, or refused for lack of capacity: at `service`, or
+/// Records for load shedding and fair shares that a request was sent for the first time, or refused for lack of capacity: at `service`, or
 /// at all services of its route.
 pub(super) fn record_demand<D: Dialect>(shared: &Shared<D>, call: &Call, service: Option<&Arc<str>>, refused: bool) {
     let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return };
     let now = Moment::now();
+    let fate = if refused { Fate::Short } else { Fate::Admitted };
     let mut shedding = shared.shedding.borrow_mut();
     for share in call.route.shares.iter().filter(|share| service.is_none_or(|service| *service == share.service)) {
-        shedding.record(&share.service, plan.level(&call.route, &share.service), refused, now);
+        let level = plan.level(&call.route, &share.service);
+        shedding.record(&share.service, level, refused, now);
+        record_work(shared, call, (&share.service, level), fate);
     }
 }
 
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -8,6 +8,7 @@
 //! - [`send`]: the retry loop over endpoints;
 //! - [`checks`]: whether a request may be sent or retried;
 //! - [`attempt`](mod@attempt): one attempt, from the choice of an endpoint to the head of its answer;
+//! - [`fairness`]: fair shares between organisations;
 //! - [`rate_limit`]: permits for endpoints that have a rate limit;
 //! - [`copies`]: resumes a stream from a copy of its memory after its endpoint has terminated;
 //! - [`termination`]: endpoints that terminate during a request;
@@ -17,6 +18,7 @@
 pub mod attempt;
 pub mod checks;
 pub mod copies;
+pub mod fairness;
 pub mod rate_limit;
 pub mod refusal;
 pub mod send;
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -10,6 +10,7 @@
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
     attempt::{MAX_UNSENT_ATTEMPTS, attempt, record_not_run, record_outcome, return_connection},
     checks::check_not_shed,
+    fairness::{check_share, record_bounced},
     record_answered, record_begun, record_if_terminated,
     refusal::{final_refusal, outcome_unknown, promises_not_run},
     strip_hop_headers, take_retry,
@@ -30,6 +31,7 @@
 /// Sends a request until it is answered or no retry is left.
 pub(super) async fn send<D: Dialect>(shared: &Rc<Shared<D>>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
     check_not_shed(shared, &call)?;
+    check_share(shared, &call)?;
     let mut progress = Progress::default();
     let resume = ResumePoint { last_event: call.last_event, from_copy: false };
     let mut fallback: Option<Response<AnswerBody>> = None;
@@ -48,6 +50,7 @@
             if take_retry(shared, &call, &mut progress) {
                 continue;
             }
+            record_bounced(shared, &call, &progress);
             return fallback.ok_or_else(|| {
                 final_refusal(shared, &call, &progress, &Failure::NotSent("all its endpoints are full"))
             });
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -14,6 +14,7 @@
 use rudder_events::What;
 use rudder_model::InstanceId;
 use rudder_replica::{Durable, ReplicaId};
+use rudder_route::shares::WorkReport;
 use rudder_store::disk::{self, Job, Report};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -51,6 +52,8 @@
     Published(Box<PublishedView>),
     /// The load of the other instances at endpoints as of this time; `None` if it has not changed.
     Others(Option<Vec<Load>>, Moment),
+    /// The work of the other instances by organisation, as of this time. Not sent while there is none.
+    Work(Vec<WorkReport>, Moment),
     /// The rate limits of endpoints, as of this time.
     Limits(Vec<LimitReport>, Moment),
     /// The view is proved to be the newest as of this time.
@@ -72,6 +75,8 @@
     others_edition: u64,
     limits_edition: u64,
     others_at: Option<Duration>,
+    /// The last notice of the other instances' work held some.
+    others_worked: bool,
     proved: Option<Duration>,
     endpoints: Vec<Arc<Registration>>,
     batch: Vec<Notice>,
@@ -116,6 +121,7 @@
         others_edition: 0,
         limits_edition: 0,
         others_at: None,
+        others_worked: false,
         proved: None,
         endpoints,
         batch: Vec::new(),
@@ -272,6 +278,10 @@
             let changed = view.load_revision != self.others_edition;
             (self.others_edition, self.others_at) = (view.load_revision, Some(at));
             self.batch.push(Notice::Others(changed.then(|| view.remote_loads.clone()), self.epoch + at));
+            let has_work = !view.remote_work.is_empty();
+            if std::mem::replace(&mut self.others_worked, has_work) || has_work {
+                self.batch.push(Notice::Work(view.remote_work.clone(), self.epoch + at));
+            }
         }
         if view.limits.edition() != self.limits_edition {
             self.limits_edition = view.limits.edition();
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod scaling;
 pub mod serve;
 pub mod shared;
+pub mod shares;
 pub mod shedding;
 pub mod slow_start;
 pub mod stop;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -176,6 +176,7 @@
     permits: Family<PermitLabel, Counter>,
     ended_under: Counter,
     held_back: Counter,
+    over_share: Counter,
     refused_reports: Family<ReasonLabel, Counter>,
     duties: Family<DutyLabels, Counter>,
     first_byte: Family<KindLabel, Histogram>,
@@ -206,6 +207,7 @@
     quarantined_contents: Gauge,
     evacuated_halls: Gauge,
     limited_endpoints: Gauge,
+    organisations_over: Gauge,
     held_bytes: Gauge,
     held_peak: Gauge,
     held_limit: Gauge,
@@ -230,6 +232,7 @@
             permits: Family::default(),
             ended_under: Counter::default(),
             held_back: Counter::default(),
+            over_share: Counter::default(),
             refused_reports: Family::default(),
             duties: Family::default(),
             first_byte: Family::new_with_constructor(histogram),
@@ -276,6 +279,8 @@
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
         let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
+        let help = "Requests refused because their organisation is over its share";
+        registry.register("over_share", help, self.over_share.clone());
         registry.register(
             "refused_words",
             "What endpoints said and was not taken in, by reason",
@@ -323,6 +328,8 @@
         registry.register("held_peak_bytes", "Most bytes that were ever held so", state.held_peak.clone());
         registry.register("held_most_bytes", "Bytes that may be held so", state.held_limit.clone());
         registry.register("limited_endpoints", "Endpoints that have a rate limit", state.limited_endpoints.clone());
+        let help = "Known organisations over their share, over all services and priorities";
+        registry.register("organisations_over_share", help, state.organisations_over.clone());
         registry.register("evacuated_halls", "Halls whose endpoints get nothing", state.evacuated_halls.clone());
         registry.register("endpoint_calls", "Requests known to be at an endpoint", state.endpoint_calls.clone());
         registry.register("endpoint_unread_tokens", "Prompt tokens unread at an endpoint", state.unread_tokens.clone());
@@ -416,6 +423,11 @@
         self.held_back.inc();
     }
 
+    /// Counts a request refused for fairness.
+    pub fn record_over_share(&self) {
+        self.over_share.inc();
+    }
+
     /// Sets the number of evacuated halls.
     pub fn set_evacuated(&self, halls: usize) {
         self.state.borrow().evacuated_halls.set((halls as u64).cast_signed());
@@ -478,6 +490,8 @@
         state.held_limit.set(number(shared.buffers.most() as u64));
         let (budget, blocked) = shared.log.dropped();
         state.dropped_lines.set(number(budget + blocked));
+        let over = shared.shares.borrow().count_over(Moment::now());
+        state.organisations_over.set(number(over as u64));
         state.endpoint_calls.clear();
         state.unread_tokens.clear();
         let loads = shared.loads.borrow();
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -139,6 +139,7 @@
                 }
                 Notice::Published(published) => shared.publish(*published),
                 Notice::Others(others, at) => shared.apply_others(others.as_deref(), at),
+                Notice::Work(reports, at) => shared.shares.borrow_mut().set_others(&reports, at),
                 Notice::Limits(reports, at) => shared.apply_limits(&reports, at),
                 Notice::Proved(proved) => drop(shared.proof.send_replace(Some(proved))),
                 Notice::Reply(ticket, reply) => shared.tickets.reply(ticket, reply),
@@ -154,6 +155,7 @@
 /// Closes idle connections, discards expired state, and reports load and usage to the reducer.
 async fn run_housekeeping<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut reported = Vec::new();
+    let mut reported_work = Vec::new();
     let mut described = Moment::now();
     let mut watch = WakeWatch::default();
     loop {
@@ -183,5 +185,10 @@
             reported.clone_from(&loads);
             shared.send_event(Event::Loads(loads));
         }
+        let work = shared.shares.borrow_mut().to_reports(now);
+        if work != reported_work {
+            reported_work.clone_from(&work);
+            shared.send_event(Event::Work(work));
+        }
     }
 }
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -37,6 +37,7 @@
     prefill::PrefillSpeeds,
     recent::{self, Tally},
     roster::Roster,
+    shares::Shares,
     shedding::Shedding,
     slow_start::SlowStartState,
     upstream::Pool,
@@ -163,6 +164,8 @@
     pub contention: RefCell<Contention>,
     /// Requests refused for lack of capacity, by priority.
     pub shedding: RefCell<Shedding>,
+    /// Work by organisation of contended services.
+    pub shares: RefCell<Shares>,
     /// Bytes buffered for callers and endpoints.
     pub buffers: Arc<BufferQuota>,
     /// The retry budget.
@@ -208,6 +211,7 @@
             buffers: BufferQuota::new(options.memory),
             placement: RefCell::new(Placement::new(options.regions.clone())),
             slow_start: RefCell::new(SlowStartState::new(options.name(), started)),
+            shares: RefCell::new(Shares::new(started)),
             shedding: RefCell::default(),
             contention: RefCell::new(Contention::new(options.contended)),
             options,
