--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -7,11 +7,13 @@
 use rudder_route::{
     admission::{self, Caller, Level, Reason},
     engine_cost::is_sooner,
+    shares::Fate,
 };
 
 use super::{
     Call, Progress, Refusal,
     attempt::choose_endpoint,
+    fairness::record_work,
     refusal::{CapacityFigures, no_retry, not_run, refuse_for_capacity},
     termination::{check_quarantine, is_content_suspect},
 };
@@ -101,17 +103,20 @@
     Err(not_run(Reason::Urgent.text(), call.route.target))
 }
 
-/// Records for load shedding that a request was sent for the first time, or refused for lack of capacity: at `service`, or
+/// Records for load shedding and fair shares that a request was sent for the first time, or refused for lack of capacity: at `service`, or
 /// at all services of its route.
 pub(super) fn record_demand<D: Dialect>(shared: &Shared<D>, call: &Call, service: Option<&Arc<str>>, refused: bool) {
     let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return };
     let now = Moment::now();
+    let fate = if refused { Fate::Short } else { Fate::Admitted };
     let mut shedding = shared.shedding.borrow_mut();
     for share in call.route.shares.iter().filter(|share| service.is_none_or(|service| *service == share.service)) {
+        let level = plan.level(&call.route, &share.service);
+        record_work(shared, call, (&share.service, level), fate);
         if shared.uses_admission(&share.service) {
             continue;
         }
-        shedding.record(&share.service, plan.level(&call.route, &share.service), refused, now);
+        shedding.record(&share.service, level, refused, now);
     }
 }
 
@@ -169,6 +174,9 @@
     let decision = admission.decide(&choice.service, &request, now);
     drop(admission);
     decision.map_err(|reason| {
+        if reason != Reason::Late {
+            record_work(shared, call, (&choice.service, level), Fate::Short);
+        }
         // The prediction is above the target here, and leaves out what lower priorities queue.
         let after_wait = predicted.saturating_sub(call.route.target / 2);
         let retry = if reason == Reason::Wait { after_wait } else { call.route.target };
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -39,6 +39,7 @@
     prefill::PrefillSpeeds,
     recent::{self, Tally},
     roster::Roster,
+    shares::Shares,
     shedding::Shedding,
     slow_start::SlowStartState,
     upstream::Pool,
@@ -169,6 +170,8 @@
     pub admission: RefCell<Admissions>,
     /// Requests refused for lack of capacity, by priority.
     pub shedding: RefCell<Shedding>,
+    /// Work by organisation of contended services.
+    pub shares: RefCell<Shares>,
     /// Bytes buffered for callers and endpoints.
     pub buffers: Arc<BufferQuota>,
     /// The retry budget.
@@ -215,6 +218,7 @@
             placement: RefCell::new(Placement::new(options.regions.clone())),
             slow_start: RefCell::new(SlowStartState::new(options.name(), started)),
             admission: RefCell::new(Admissions::new(&options.policy.guard, rand::random(), started)),
+            shares: RefCell::new(Shares::new(started)),
             shedding: RefCell::default(),
             contention: RefCell::new(Contention::new(options.contended)),
             options,
