feat(route): schedule of the times at which refused callers return

Callers that are refused together are told the same time, return together and are refused again. The schedule gives each a time of its own: slots are spaced by the rate of admissions of the level and the lower ones, start behind those of higher levels, and lie at random within the slot. Callers for whom no slot is free are spread over the last fifth of the time that they wait, so that any instance tells by the age of a return whether it was scheduled.

Promises expire, and are bounded in number.

Repeated attempts that another instance refused are recognised by the time that they state, compared with the largest one of the route. Recognition is off while the stated times vary for other reasons.

--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -7,8 +7,10 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admit;
+pub mod decay;
 pub mod endpoint;
 pub mod estimate;
+pub mod first_deadline;
 pub mod health;
 pub mod options;
 pub mod pool;
@@ -16,6 +18,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod request;
+pub mod returns;
 pub mod scale;
 pub mod schedule;
 pub mod slow_start;
