feat(gateway): refused callers of contended services return on schedule

Refusals for lack of capacity tell a fixed time, so that callers refused together return together and are refused again.

Refusals log position and whether the time was scheduled, returns their age and outcome, and returns_total counts them by level and outcome.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -342,6 +342,23 @@
         ran: Ran,
         /// When the caller was told to come back, in milliseconds.
         retry_ms: Option<u64>,
+        /// Whether a time was free for it in the schedule, if its service is contended and it lacked capacity.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        scheduled: Option<bool>,
+        /// Its position among the scheduled callers of the same and higher priorities.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        position: Option<u32>,
+    },
+    /// A caller that had been refused for lack of capacity came again.
+    CallReturned {
+        /// The request.
+        request: String,
+        /// `due`, `early` or `unscheduled`.
+        arrival: Arc<str>,
+        /// Time since its refusal, in milliseconds; since its first attempt if another instance refused it.
+        age_ms: u64,
+        /// Whether it was admitted.
+        admitted: bool,
     },
     /// An answer under way was broken off, or its caller left.
     CallCut {
@@ -538,6 +555,7 @@
             | What::RetryAsked { request, .. }
             | What::CallAnswered { request, .. }
             | What::CallRefused { request, .. }
+            | What::CallReturned { request, .. }
             | What::CallCut { request, .. }
             | What::EndedUnder { request, .. }
             | What::Left { request } => Some(request),
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -97,10 +97,20 @@
             "{endpoint} answered {status}: first byte after {first_ms} ms, all after {total_ms} ms, \
              longest pause {pause_ms} ms"
         ),
-        What::CallRefused { status, why, ran, retry_ms, .. } => {
+        What::CallRefused { status, why, ran, retry_ms, scheduled, position, .. } => {
             let back = retry_ms.map_or(String::new(), |retry| format!(", come back in {retry} ms"));
+            let place = position.map_or(String::new(), |position| format!(" at position {position}"));
+            let back = match scheduled {
+                Some(true) => format!("{back}, scheduled{place}"),
+                Some(false) => format!("{back}, unscheduled"),
+                None => back,
+            };
             format!("the instance itself answered {status}: {why}; ran: {ran:?}{back}")
         }
+        What::CallReturned { arrival, age_ms, admitted, .. } => {
+            let outcome = if *admitted { "admitted" } else { "refused again" };
+            format!("had been refused before: came {arrival} after {age_ms} ms and was {outcome}")
+        }
         What::CallCut { endpoint, why, events, pause_ms, .. } => {
             format!("broken off at {endpoint} after {events} events, longest pause {pause_ms} ms: {why}")
         }
--- a/crates/rudder-events/tests/merge.rs
+++ b/crates/rudder-events/tests/merge.rs
@@ -13,7 +13,15 @@
 
 fn refused(request: &str) -> What {
     let why = "its engines have too much to read".to_owned();
-    What::CallRefused { request: request.to_owned(), status: 503, why, ran: Ran::No, retry_ms: Some(700) }
+    What::CallRefused {
+        request: request.to_owned(),
+        status: 503,
+        why,
+        ran: Ran::No,
+        retry_ms: Some(700),
+        scheduled: None,
+        position: None,
+    }
 }
 
 #[test]
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -19,6 +19,7 @@
     buffers::{BodyError, BodyKind, Disconnect, read_whole},
     dialect::CallHead,
     placement::residency_of,
+    returns::recognise,
     shared::Shared,
 };
 
@@ -83,7 +84,7 @@
     let mut headers = parts.headers;
     strip_hop_headers(&mut headers);
     let engine_rank = plan.engine_rank(&route, tier, D::RANKS);
-    Ok(Call {
+    let mut call = Call {
         id: head.id,
         arrived,
         deadline,
@@ -97,11 +98,14 @@
         key: head.key,
         host,
         cut: parts.extensions.remove::<Disconnect>().unwrap_or_default(),
+        returned: None,
         method: parts.method,
         uri: parts.uri,
         headers,
         body,
-    })
+    };
+    call.returned = recognise(shared, &call, head.deadline);
+    Ok(call)
 }
 
 fn host_of(parts: &request::Parts) -> String {
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -16,7 +16,6 @@
     checks::{check_expected_wait, check_still_allowed, expected_wait, record_demand, take_retry_for_silent},
     rate_limit::take_permit,
     record_begun, record_if_terminated,
-    refusal::not_run,
     send::MAX_BUFFERED_ANSWER,
 };
 use crate::{
@@ -26,6 +25,7 @@
     health::Outcome,
     limits::{Permit, Recorded},
     loads::{Demand, InFlight},
+    returns::capacity_refusal,
     shared::Shared,
     upstream::{self, Connection},
 };
@@ -35,7 +35,7 @@
 pub(super) const MAX_UNSENT_ATTEMPTS: u32 = 12;
 
 /// The reason of a refusal if no engine may be sent one more request of its priority.
-const NO_ROOM: &str = "its engines have no room for its priority";
+pub(super) const NO_ROOM: &str = "its engines have no room for its priority";
 
 /// Records that an endpoint did not run the request.
 pub(super) async fn record_not_run<D: Dialect>(
@@ -124,7 +124,7 @@
         Ok(choice) => choice,
         Err(Unavailable::Full) if progress.sent == 0 => {
             record_demand(shared, call, None, true);
-            return Err(no_room(call));
+            return Err(no_room(shared, call));
         }
         Err(unavailable) => {
             progress.unsent_attempts = MAX_UNSENT_ATTEMPTS;
@@ -162,8 +162,8 @@
 
 /// The refusal of a request whose engines have no room. The more urgent the route, the shorter its target, so urgent
 /// callers return first.
-fn no_room(call: &Call) -> Refusal {
-    not_run(NO_ROOM, call.route.target)
+fn no_room<D: Dialect>(shared: &Shared<D>, call: &Call) -> Refusal {
+    capacity_refusal(shared, call, NO_ROOM, call.route.target, Duration::ZERO)
 }
 
 /// Why no endpoint can be chosen.
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -8,10 +8,12 @@
 use super::{
     Call, Progress, Refusal,
     attempt::choose_endpoint,
-    refusal::{no_retry, not_run},
+    refusal::no_retry,
     termination::{check_quarantine, is_content_suspect},
 };
-use crate::{Dialect, Route, RouteKind, choose::Choice, placement::residency_of, shared::Shared};
+use crate::{
+    Dialect, Route, RouteKind, choose::Choice, placement::residency_of, returns::capacity_refusal, shared::Shared,
+};
 
 /// Attempts beyond the route's bound that are allowed while earlier attempts did not run.
 const EXTRA_ATTEMPTS_NOT_RUN: u32 = 1;
@@ -77,7 +79,7 @@
         return Ok(());
     }
     record_demand(shared, call, None, true);
-    Err(not_run("more urgent requests are refused", call.route.target))
+    Err(capacity_refusal(shared, call, "more urgent requests are refused", call.route.target, Duration::ZERO))
 }
 
 /// Records for load shedding that a request was sent for the first time, or refused for lack of capacity: at `service`, or
@@ -116,7 +118,8 @@
     record_demand(shared, call, Some(&choice.service), true);
     let lower = bound.saturating_sub(call.route.target.mul_f64(hopeless));
     let own_wait = wait.saturating_sub(lower);
-    Err(not_run("its engines have too much to read", own_wait.saturating_sub(call.route.target / 2)))
+    let base = own_wait.saturating_sub(call.route.target / 2);
+    Err(capacity_refusal(shared, call, "its engines have too much to read", base, Duration::ZERO))
 }
 
 /// Estimates how long an engine takes for the prompts queued ahead.
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -31,6 +31,7 @@
 use rudder_clock::Moment;
 use rudder_events::What;
 use rudder_model::{ContentTag, EndpointId, id::name_of};
+use rudder_route::returns::Return;
 
 pub use admit::strip_hop_headers;
 pub use attempt::{attempt, log_failure, record_outcome, return_connection};
@@ -49,6 +50,7 @@
     loads::InFlight,
     metrics::RequestOutcome,
     placement::Residency,
+    returns::Pending,
     shared::{Shared, Stage},
     upstream::Connection,
 };
@@ -91,6 +93,8 @@
     pub last_event: Option<u64>,
     /// Closes the caller's connection.
     pub cut: Disconnect,
+    /// It was refused before, as far as is known.
+    pub returned: Option<Return>,
     key: Option<String>,
     host: String,
     method: Method,
@@ -211,7 +215,16 @@
     body: Incoming,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let call = admit::read(shared, arrived, parts, head, body).await?;
-    send::send(shared, call).await
+    let pending = Pending::of(shared, &call);
+    let answer = send::send(shared, call).await;
+    let admitted = match &answer {
+        Ok(_) => Some(true),
+        Err(refusal) => refusal.told.map(|_| false),
+    };
+    if let (Some(pending), Some(admitted)) = (pending, admitted) {
+        pending.record(shared, admitted);
+    }
+    answer
 }
 
 impl Call {
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -5,9 +5,13 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use rudder_events::What;
 use rudder_model::Ran;
+use rudder_route::returns::Told;
 
-use super::{Call, Failure, Progress};
-use crate::{Dialect, body::AnswerBody, shared::Shared};
+use super::{Call, Failure, Progress, attempt::NO_ROOM};
+use crate::{Dialect, body::AnswerBody, returns::capacity_refusal, shared::Shared};
+
+/// The reason of a refusal after all engines that were tried rejected the request as full.
+pub(super) const ALL_FULL: &str = "all its endpoints are full";
 
 /// An error answer of the instance itself.
 #[derive(Clone, Debug)]
@@ -20,6 +24,8 @@
     pub ran: Ran,
     /// When the caller may retry.
     pub retry: Option<Duration>,
+    /// The time scheduled for a caller of a contended service that was refused for lack of capacity.
+    pub told: Option<Told>,
 }
 
 /// Records a refusal and turns it into a response.
@@ -31,6 +37,8 @@
         why: refusal.why.to_owned(),
         ran: refusal.ran,
         retry_ms: refusal.retry.map(|retry| retry.as_millis() as u64),
+        scheduled: refusal.told.map(|told| told.position.is_some()),
+        position: refusal.told.and_then(|told| told.position),
     });
     let text = format!("{{\"error\":\"{}\"}}", refusal.why);
     let mut response = Response::new(AnswerBody::whole(text));
@@ -46,8 +54,8 @@
 }
 
 /// A refusal that states that the request did not run and when to retry it.
-pub(super) fn not_run(why: &'static str, retry: Duration) -> Refusal {
-    Refusal { status: StatusCode::SERVICE_UNAVAILABLE, why, ran: Ran::No, retry: Some(retry) }
+pub(crate) fn not_run(why: &'static str, retry: Duration) -> Refusal {
+    Refusal { status: StatusCode::SERVICE_UNAVAILABLE, why, ran: Ran::No, retry: Some(retry), told: None }
 }
 
 /// The refusal of a request that is not retried: [`not_run`] if it cannot have run.
@@ -57,12 +65,12 @@
 
 /// The refusal of a request that may have run.
 pub(super) fn outcome_unknown(why: &'static str) -> Refusal {
-    Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None }
+    Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None, told: None }
 }
 
 /// The refusal of a request for a fault of its own.
 pub(super) fn denied(status: StatusCode, why: &'static str) -> Refusal {
-    Refusal { status, why, ran: Ran::No, retry: None }
+    Refusal { status, why, ran: Ran::No, retry: None, told: None }
 }
 
 /// Returns true for statuses that callers take as a statement that the request did not run.
@@ -84,17 +92,22 @@
     failure: &Failure,
 ) -> Refusal {
     let why = match failure {
-        Failure::NotSent(why) | Failure::OutcomeUnknown(why) => why,
+        Failure::NotSent(why) | Failure::OutcomeUnknown(why) => *why,
         Failure::Unresponsive => "the endpoint is silent",
         Failure::DeadlineExceeded => "time ran out",
     };
     if progress.possible_runs == 0 {
         // An earlier retry would be refused again, as no endpoint accepts requests before then.
-        return not_run(why, shared.blocked_for(&call.route).unwrap_or(shared.options.retry_after));
+        let blocked = shared.blocked_for(&call.route);
+        let base = blocked.unwrap_or(shared.options.retry_after);
+        if blocked.is_some() || [NO_ROOM, ALL_FULL].contains(&why) {
+            return capacity_refusal(shared, call, why, base, blocked.unwrap_or_default());
+        }
+        return not_run(why, base);
     }
     let status = match failure {
         Failure::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    Refusal { status, why, ran: Ran::Unknown, retry: None }
+    Refusal { status, why, ran: Ran::Unknown, retry: None, told: None }
 }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -11,7 +11,7 @@
     attempt::{MAX_UNSENT_ATTEMPTS, attempt, record_not_run, record_outcome, return_connection},
     checks::check_not_shed,
     record_answered, record_begun, record_if_terminated,
-    refusal::{final_refusal, outcome_unknown, promises_not_run},
+    refusal::{ALL_FULL, final_refusal, outcome_unknown, promises_not_run},
     strip_hop_headers, take_retry,
 };
 use crate::{
@@ -48,9 +48,7 @@
             if take_retry(shared, &call, &mut progress) {
                 continue;
             }
-            return fallback.ok_or_else(|| {
-                final_refusal(shared, &call, &progress, &Failure::NotSent("all its endpoints are full"))
-            });
+            return fallback.ok_or_else(|| final_refusal(shared, &call, &progress, &Failure::NotSent(ALL_FULL)));
         }
         if call.route.kind == RouteKind::Stream && answer.response.status().is_success() {
             return Ok(stream::start(shared, call, progress, answer));
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod policy;
 pub mod prefill;
 pub mod recent;
+pub mod returns;
 pub mod roster;
 pub mod run;
 pub mod scaling;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 
 use rudder_clock::Moment;
 use rudder_core::CallOutcome;
+use rudder_route::returns::LEVELS;
 
 use crate::{Dialect, RouteKind, plan::Route, shared::Shared};
 
@@ -80,6 +81,23 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReturnLabels {
+    level: usize,
+    outcome: &'static str,
+}
+
+/// What becomes of callers of contended services that are told to return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReturnOutcome {
+    /// Returned and admitted.
+    Admitted,
+    /// Returned and refused again.
+    Refused,
+    /// Told to return although no time was free.
+    Unscheduled,
+}
+
 /// The answer of the holder of an endpoint's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PermitOutcome {
@@ -174,6 +192,7 @@
     backoffs: Counter,
     limit_changes: Counter,
     permits: Family<PermitLabel, Counter>,
+    returns: Family<ReturnLabels, Counter>,
     ended_under: Counter,
     held_back: Counter,
     refused_reports: Family<ReasonLabel, Counter>,
@@ -228,6 +247,7 @@
             backoffs: Counter::default(),
             limit_changes: Counter::default(),
             permits: Family::default(),
+            returns: Family::default(),
             ended_under: Counter::default(),
             held_back: Counter::default(),
             refused_reports: Family::default(),
@@ -273,6 +293,8 @@
             "Answers to requests for endpoints with a rate limit, by outcome",
             self.permits.clone(),
         );
+        let help = "Callers of contended services told to return, by priority level and outcome";
+        registry.register("returns", help, self.returns.clone());
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
         let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
@@ -391,6 +413,16 @@
         self.permits.get_or_create(&PermitLabel { outcome }).inc();
     }
 
+    /// Counts a caller that was told to return or has returned.
+    pub fn record_return(&self, level: usize, outcome: ReturnOutcome) {
+        let outcome = match outcome {
+            ReturnOutcome::Admitted => "admitted",
+            ReturnOutcome::Refused => "refused",
+            ReturnOutcome::Unscheduled => "unscheduled",
+        };
+        self.returns.get_or_create(&ReturnLabels { level: level.min(LEVELS - 1), outcome }).inc();
+    }
+
     /// Sets the number of endpoints with a rate limit.
     pub fn set_limited(&self, endpoints: usize) {
         self.state.borrow().limited_endpoints.set((endpoints as u64).cast_signed());
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use rudder_events::What;
 use rudder_ledger::{Document, Evacuations, Quarantine};
 use rudder_model::{EndpointId, InstanceId};
+use rudder_route::returns::ReturnSettings;
 use tokio::sync::{oneshot, watch};
 
 use crate::{
@@ -36,6 +37,7 @@
     placement::Placement,
     prefill::PrefillSpeeds,
     recent::{self, Tally},
+    returns::ReturnSchedules,
     roster::Roster,
     shedding::Shedding,
     slow_start::SlowStartState,
@@ -163,6 +165,8 @@
     pub contention: RefCell<Contention>,
     /// Requests refused for lack of capacity, by priority.
     pub shedding: RefCell<Shedding>,
+    /// When refused callers of contended services return.
+    pub returns: RefCell<ReturnSchedules>,
     /// Bytes buffered for callers and endpoints.
     pub buffers: Arc<BufferQuota>,
     /// The retry budget.
@@ -209,6 +213,7 @@
             placement: RefCell::new(Placement::new(options.regions.clone())),
             slow_start: RefCell::new(SlowStartState::new(options.name(), started)),
             shedding: RefCell::default(),
+            returns: RefCell::new(ReturnSchedules::new(ReturnSettings::default(), started)),
             contention: RefCell::new(Contention::new(options.contended)),
             options,
             started,
@@ -485,7 +490,10 @@
             return;
         }
         match self.dialect.read_document(&document.body) {
-            Ok(plan) => *self.plan.borrow_mut() = Some(Rc::new(plan)),
+            Ok(plan) => {
+                self.returns.borrow_mut().retain(&plan);
+                *self.plan.borrow_mut() = Some(Rc::new(plan));
+            }
             // The instance that proposed it could parse it, but may run another version.
             Err(error) => spdlog::error!("cannot parse configuration document {}: {error}", document.version),
         }
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -70,7 +70,15 @@
 
 fn refusal(number: u32) -> What {
     let why = "full".to_owned();
-    What::CallRefused { request: format!("r-{number}"), status: 503, why, ran: Ran::No, retry_ms: Some(300) }
+    What::CallRefused {
+        request: format!("r-{number}"),
+        status: 503,
+        why,
+        ran: Ran::No,
+        retry_ms: Some(300),
+        scheduled: None,
+        position: None,
+    }
 }
 
 #[test]
