fix(route): told times leave room for the network

A caller counts less time left than the instance that refuses it, so that the latest time could exceed the third that it waits. Scheduled returns that the network delays could pass for unscheduled ones; a gap now parts the two.

--- a/crates/rudder-route/src/returns.rs
+++ b/crates/rudder-route/src/returns.rs
@@ -18,6 +18,11 @@
 pub const HONOURED: f64 = 1.0 / 3.0;
 /// Share of the time that callers wait at most over which unscheduled ones are spread.
 const LATE_SHARE: f64 = 0.2;
+/// Share of the time that callers wait at most in which scheduled times lie. The gap up to the unscheduled ones holds the
+/// round trips by which a return is later than told.
+const SCHEDULED_SHARE: f64 = 0.75;
+/// Time by which a caller may count less time left than this instance, for the network and the rounding of the header.
+const MARGIN: Duration = Duration::from_millis(60);
 /// Time after which a promise that nobody keeps expires: a caller needs a round trip and perhaps a new connection.
 pub const EXPIRY: Duration = Duration::from_millis(300);
 /// Reservations begin at least this long before a request is due: a request admitted then is still in its prefill when
@@ -206,8 +211,7 @@
             return Told { after, position: promise.scheduled.then(|| self.position(promise.level, promise.due)) };
         }
         let level = refused.level.min(LEVELS - 1);
-        let limit = refused.remaining.mul_f64(HONOURED);
-        let last = now + limit.mul_f64(1.0 - LATE_SHARE);
+        let last = now + longest(refused).mul_f64(SCHEDULED_SHARE);
         let start = self.lines[..=level].iter().map(|line| line.next).max().unwrap_or_default();
         let start = start.max(now + refused.shortest.max(not_before));
         // Longer slots than the time in which callers return would block the schedule for long after the rate has risen.
@@ -226,7 +230,7 @@
     /// The time that a request is told for which none is free: spread over the last part of the time that its caller
     /// waits, or `not_before` if that is later.
     pub fn late(refused: &Attempt, not_before: Duration, draw: f64) -> Duration {
-        refused.remaining.mul_f64(HONOURED * (1.0 - LATE_SHARE * draw)).max(not_before)
+        longest(refused).mul_f64(1.0 - LATE_SHARE * draw).max(not_before)
     }
 
     /// Drops the promise to a caller that didn't wait and was admitted.
@@ -316,6 +320,11 @@
     }
 }
 
+/// The longest time that the caller of a refused request waits.
+fn longest(refused: &Attempt) -> Duration {
+    refused.remaining.saturating_sub(MARGIN).mul_f64(HONOURED)
+}
+
 impl Promise {
     /// Whether this is the promise to the caller of a request. Another caller may send the same content, but a returning
     /// one has less time left than before.
