--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -15,12 +15,11 @@
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
     checks::{
-        check_admission, check_still_allowed, expected_wait, is_other_sooner, record_demand, refuse_without_choice,
+        check_admission, check_still_allowed, expected_wait, is_other_sooner, record_demand, record_without_choice,
         take_retry_for_silent,
     },
     rate_limit::take_permit,
     record_begun, record_if_terminated,
-    refusal::not_run,
     send::MAX_BUFFERED_ANSWER,
 };
 use crate::{
@@ -30,6 +29,7 @@
     health::Outcome,
     limits::{Permit, Recorded},
     loads::{Demand, InFlight},
+    returns::capacity_refusal,
     shared::Shared,
     upstream::{self, Connection},
 };
@@ -39,7 +39,7 @@
 pub(super) const MAX_UNSENT_ATTEMPTS: u32 = 12;
 
 /// The reason of a refusal if no engine may be sent one more request of its priority.
-const NO_ROOM: &str = Reason::Room.text();
+pub(super) const NO_ROOM: &str = Reason::Room.text();
 
 /// Records that an endpoint did not run the request.
 pub(super) async fn record_not_run<D: Dialect>(
@@ -137,8 +137,8 @@
             let blocked = shared.blocked_for(&call.route);
             if let Some(retry) = blocked.filter(|_| progress.sent == 0) {
                 record_demand(shared, call, None, true);
-                if let Some(refusal) = refuse_without_choice(shared, call, Reason::Blocked, retry) {
-                    return Err(refusal);
+                if record_without_choice(shared, call, Reason::Blocked) {
+                    return Err(capacity_refusal(shared, call, Reason::Blocked.text(), retry, retry));
                 }
             }
             return Ok(Err(Failure::NotSent(unavailable_reason(call, unavailable, blocked.is_some()))));
@@ -173,8 +173,8 @@
 /// callers return first.
 fn no_room<D: Dialect>(shared: &Shared<D>, call: &Call, unavailable: Unavailable) -> Refusal {
     let reason = if unavailable == Unavailable::Urgent { Reason::Urgent } else { Reason::Room };
-    let refusal = refuse_without_choice(shared, call, reason, call.route.target);
-    refusal.unwrap_or_else(|| not_run(NO_ROOM, call.route.target))
+    record_without_choice(shared, call, reason);
+    capacity_refusal(shared, call, reason.text(), call.route.target, Duration::ZERO)
 }
 
 /// Why no endpoint can be chosen.
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -14,10 +14,12 @@
     Call, Progress, Refusal,
     attempt::choose_endpoint,
     fairness::record_work,
-    refusal::{CapacityFigures, no_retry, not_run, refuse_for_capacity},
+    refusal::{CapacityFigures, no_retry, record_capacity_refusal},
     termination::{check_quarantine, is_content_suspect},
 };
-use crate::{Dialect, Route, RouteKind, choose::Choice, placement::residency_of, shared::Shared};
+use crate::{
+    Dialect, Route, RouteKind, choose::Choice, placement::residency_of, returns::capacity_refusal, shared::Shared,
+};
 
 /// Attempts beyond the route's bound that are allowed while earlier attempts did not run.
 const EXTRA_ATTEMPTS_NOT_RUN: u32 = 1;
@@ -100,11 +102,11 @@
         return Ok(());
     }
     record_demand(shared, call, None, true);
-    Err(not_run(Reason::Urgent.text(), call.route.target))
+    Err(capacity_refusal(shared, call, Reason::Urgent.text(), call.route.target, Duration::ZERO))
 }
 
-/// Records for load shedding and fair shares that a request was sent for the first time, or refused for lack of capacity: at `service`, or
-/// at all services of its route.
+/// Records for load shedding and fair shares that a request was sent for the first time, or refused for lack of capacity:
+/// at `service`, or at all services of its route.
 pub(super) fn record_demand<D: Dialect>(shared: &Shared<D>, call: &Call, service: Option<&Arc<str>>, refused: bool) {
     let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return };
     let now = Moment::now();
@@ -145,7 +147,8 @@
     record_demand(shared, call, Some(&choice.service), true);
     let lower = bound.saturating_sub(call.route.target.mul_f64(hopeless));
     let own_wait = wait.saturating_sub(lower);
-    Err(not_run(Reason::Wait.text(), own_wait.saturating_sub(call.route.target / 2)))
+    let base = own_wait.saturating_sub(call.route.target / 2);
+    Err(capacity_refusal(shared, call, Reason::Wait.text(), base, Duration::ZERO))
 }
 
 /// Decides whether a request is sent to the chosen engine: as [`check_expected_wait`] if its service is not contended.
@@ -181,13 +184,14 @@
         let after_wait = predicted.saturating_sub(call.route.target / 2);
         let retry = if reason == Reason::Wait { after_wait } else { call.route.target };
         let figures = CapacityFigures { reason, service: &choice.service, predicted: Some(predicted) };
-        refuse_for_capacity(shared, call, &figures, retry)
+        record_capacity_refusal(shared, call, &figures);
+        capacity_refusal(shared, call, reason.text(), retry, Duration::ZERO)
     })
 }
 
 /// Predicted time to the first event of a request at the chosen engine: as predicted by the choice, or else the wait for
-/// the prompts ahead. Engines process those of lower priorities later. Unread tokens are not reported by priority: few of the urgent requests still have theirs unread, and those are
-/// taken to be as long as this one's.
+/// the prompts ahead. Engines process those of lower priorities later. Unread tokens are not reported by priority: few of
+/// the urgent requests still have theirs unread, and those are taken to be as long as this one's.
 fn predicted_first_event<D: Dialect>(shared: &Shared<D>, choice: &Choice, level: Level) -> Duration {
     if let Some(predicted) = choice.predicted {
         return predicted;
@@ -203,21 +207,16 @@
     wait.mul_f64(by_tokens.min(urgent / calls))
 }
 
-/// The refusal of a request for which no service of its route may be used for lack of capacity; `None` if its services
-/// are not contended.
-pub(super) fn refuse_without_choice<D: Dialect>(
-    shared: &Shared<D>,
-    call: &Call,
-    reason: Reason,
-    retry: Duration,
-) -> Option<Refusal> {
-    call.prompt.as_ref()?;
-    let contended = call.route.shares.iter().filter(|share| shared.uses_admission(&share.service));
-    let refusals = contended.map(|share| {
-        let figures = CapacityFigures { reason, service: &share.service, predicted: None };
-        refuse_for_capacity(shared, call, &figures, retry)
-    });
-    refusals.last()
+/// Records a refusal for lack of capacity at all contended services of a route, of which none may be used. Returns whether
+/// there are any.
+pub(super) fn record_without_choice<D: Dialect>(shared: &Shared<D>, call: &Call, reason: Reason) -> bool {
+    let contended = |service: &Arc<str>| call.prompt.is_some() && shared.uses_admission(service);
+    let mut any = false;
+    for share in call.route.shares.iter().filter(|share| contended(&share.service)) {
+        record_capacity_refusal(shared, call, &CapacityFigures { reason, service: &share.service, predicted: None });
+        any = true;
+    }
+    any
 }
 
 /// Estimates how long an engine takes for the prompts queued ahead.
--- a/crates/rudder-gateway/src/call/fairness.rs
+++ b/crates/rudder-gateway/src/call/fairness.rs
@@ -6,9 +6,10 @@
 use rudder_events::What;
 use rudder_route::shares::{Excess, Fate, WORK_UNIT};
 
-use super::{Call, Progress, Refusal, refusal::not_run};
+use super::{Call, Progress, Refusal};
 use crate::{
     Dialect,
+    returns::capacity_refusal,
     shared::Shared,
     shares::{group_of, units_of},
 };
@@ -62,7 +63,8 @@
     }
     shared.metrics.record_over_share();
     log_over_share(shared, call, (organisation, service), excess);
-    Err(not_run("its organisation is over its share", OVER_SHARE_RETRY_AFTER.max(call.route.target)))
+    let retry = OVER_SHARE_RETRY_AFTER.max(call.route.target);
+    Err(capacity_refusal(shared, call, "its organisation is over its share", retry, Duration::ZERO))
 }
 
 fn log_over_share<D: Dialect>(
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -6,10 +6,16 @@
 use rudder_clock::Moment;
 use rudder_events::What;
 use rudder_model::Ran;
-use rudder_route::admission::{Reason, level_index};
+use rudder_route::{
+    admission::{Reason, level_index},
+    returns::Told,
+};
 
-use super::{Call, Failure, Progress};
-use crate::{Dialect, body::AnswerBody, shared::Shared};
+use super::{Call, Failure, Progress, attempt::NO_ROOM};
+use crate::{Dialect, body::AnswerBody, returns::capacity_refusal, shared::Shared};
+
+/// The reason of a refusal after all engines that were tried rejected the request as full.
+pub(super) const ALL_FULL: &str = Reason::Rejected.text();
 
 /// An error answer of the instance itself.
 #[derive(Clone, Debug)]
@@ -22,6 +28,8 @@
     pub ran: Ran,
     /// When the caller may retry.
     pub retry: Option<Duration>,
+    /// The time scheduled for a caller of a contended service that was refused for lack of capacity.
+    pub told: Option<Told>,
 }
 
 /// Records a refusal and turns it into a response.
@@ -33,6 +41,8 @@
         why: refusal.why.to_owned(),
         ran: refusal.ran,
         retry_ms: refusal.retry.map(|retry| retry.as_millis() as u64),
+        scheduled: refusal.told.map(|told| told.position.is_some()),
+        position: refusal.told.and_then(|told| told.position),
     });
     let text = format!("{{\"error\":\"{}\"}}", refusal.why);
     let mut response = Response::new(AnswerBody::whole(text));
@@ -48,8 +58,8 @@
 }
 
 /// A refusal that states that the request did not run and when to retry it.
-pub(super) fn not_run(why: &'static str, retry: Duration) -> Refusal {
-    Refusal { status: StatusCode::SERVICE_UNAVAILABLE, why, ran: Ran::No, retry: Some(retry) }
+pub(crate) fn not_run(why: &'static str, retry: Duration) -> Refusal {
+    Refusal { status: StatusCode::SERVICE_UNAVAILABLE, why, ran: Ran::No, retry: Some(retry), told: None }
 }
 
 /// Why a request to a contended service is refused for lack of capacity.
@@ -63,14 +73,9 @@
     pub predicted: Option<Duration>,
 }
 
-/// The refusal of a request to a contended service for lack of capacity. It is recorded, counted and logged here, so each
-/// request is refused only once for each service.
-pub(super) fn refuse_for_capacity<D: Dialect>(
-    shared: &Shared<D>,
-    call: &Call,
-    figures: &CapacityFigures,
-    retry: Duration,
-) -> Refusal {
+/// Records, counts and logs that a contended service refuses a request for lack of capacity; once for each request and
+/// service.
+pub(super) fn record_capacity_refusal<D: Dialect>(shared: &Shared<D>, call: &Call, figures: &CapacityFigures) {
     let CapacityFigures { reason, service, predicted } = *figures;
     let now = Moment::now();
     let level = shared.current_plan().map_or(0, |plan| plan.level(&call.route, service));
@@ -97,7 +102,6 @@
         refused: demand.refused.to_vec(),
         report_ms: report_age.map(|age| age.as_millis() as u64),
     });
-    not_run(reason.text(), retry)
 }
 
 /// The refusal of a request that is not retried: [`not_run`] if it cannot have run.
@@ -107,12 +111,12 @@
 
 /// The refusal of a request that may have run.
 pub(super) fn outcome_unknown(why: &'static str) -> Refusal {
-    Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None }
+    Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None, told: None }
 }
 
 /// The refusal of a request for a fault of its own.
 pub(super) fn denied(status: StatusCode, why: &'static str) -> Refusal {
-    Refusal { status, why, ran: Ran::No, retry: None }
+    Refusal { status, why, ran: Ran::No, retry: None, told: None }
 }
 
 /// Returns true for statuses that callers take as a statement that the request did not run.
@@ -134,17 +138,22 @@
     failure: &Failure,
 ) -> Refusal {
     let why = match failure {
-        Failure::NotSent(why) | Failure::OutcomeUnknown(why) => why,
+        Failure::NotSent(why) | Failure::OutcomeUnknown(why) => *why,
         Failure::Unresponsive => "the endpoint is silent",
         Failure::DeadlineExceeded => "time ran out",
     };
     if progress.possible_runs == 0 {
         // An earlier retry would be refused again, as no endpoint accepts requests before then.
-        return not_run(why, shared.blocked_for(&call.route).unwrap_or(shared.options.retry_after));
+        let blocked = shared.blocked_for(&call.route);
+        let base = blocked.unwrap_or(shared.options.retry_after);
+        if blocked.is_some() || [NO_ROOM, ALL_FULL].contains(&why) {
+            return capacity_refusal(shared, call, why, base, blocked.unwrap_or_default());
+        }
+        return not_run(why, base);
     }
     let status = match failure {
         Failure::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    Refusal { status, why, ran: Ran::Unknown, retry: None }
+    Refusal { status, why, ran: Ran::Unknown, retry: None, told: None }
 }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -11,10 +11,10 @@
 use super::{
     Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
     attempt::{MAX_UNSENT_ATTEMPTS, attempt, record_not_run, record_outcome, return_connection},
-    checks::{check_not_shed, refuse_without_choice},
+    checks::{check_not_shed, record_without_choice},
     fairness::{check_share, record_bounced},
     record_answered, record_begun, record_if_terminated,
-    refusal::{final_refusal, outcome_unknown, promises_not_run},
+    refusal::{ALL_FULL, final_refusal, outcome_unknown, promises_not_run},
     strip_hop_headers, take_retry,
 };
 use crate::{
@@ -54,11 +54,11 @@
             }
             record_bounced(shared, &call, &progress);
             return fallback.ok_or_else(|| {
-                let refusal = final_refusal(shared, &call, &progress, &Failure::NotSent(Reason::Rejected.text()));
-                let retry = refusal.retry.filter(|_| refusal.ran == Ran::No);
-                let for_capacity =
-                    retry.and_then(|retry| refuse_without_choice(shared, &call, Reason::Rejected, retry));
-                for_capacity.unwrap_or(refusal)
+                let refusal = final_refusal(shared, &call, &progress, &Failure::NotSent(ALL_FULL));
+                if refusal.ran == Ran::No {
+                    record_without_choice(shared, &call, Reason::Rejected);
+                }
+                refusal
             });
         }
         if call.route.kind == RouteKind::Stream && answer.response.status().is_success() {
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -19,7 +19,7 @@
 
 use rudder_clock::Moment;
 use rudder_core::CallOutcome;
-use rudder_route::admission::{Level, Reason, level_index};
+use rudder_route::admission::{LEVELS, Level, Reason, level_index};
 
 use crate::{Dialect, RouteKind, condition::ConditionCounts, plan::Route, shared::Shared};
 
@@ -91,6 +91,23 @@
     outcome: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReturnLabels {
+    level: usize,
+    outcome: &'static str,
+}
+
+/// What becomes of callers of contended services that are told to return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReturnOutcome {
+    /// Returned and admitted.
+    Admitted,
+    /// Returned and refused again.
+    Refused,
+    /// Told to return although no time was free.
+    Unscheduled,
+}
+
 /// The answer of the holder of an endpoint's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PermitOutcome {
@@ -186,6 +203,7 @@
     backoffs: Counter,
     limit_changes: Counter,
     permits: Family<PermitLabel, Counter>,
+    returns: Family<ReturnLabels, Counter>,
     ended_under: Counter,
     held_back: Counter,
     over_share: Counter,
@@ -247,6 +265,7 @@
             backoffs: Counter::default(),
             limit_changes: Counter::default(),
             permits: Family::default(),
+            returns: Family::default(),
             ended_under: Counter::default(),
             held_back: Counter::default(),
             over_share: Counter::default(),
@@ -299,6 +318,8 @@
             "Answers to requests for endpoints with a rate limit, by outcome",
             self.permits.clone(),
         );
+        let help = "Callers of contended services told to return, by priority level and outcome";
+        registry.register("returns", help, self.returns.clone());
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
         let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
@@ -435,6 +456,16 @@
         self.permits.get_or_create(&PermitLabel { outcome }).inc();
     }
 
+    /// Counts a caller that was told to return or has returned.
+    pub fn record_return(&self, level: usize, outcome: ReturnOutcome) {
+        let outcome = match outcome {
+            ReturnOutcome::Admitted => "admitted",
+            ReturnOutcome::Refused => "refused",
+            ReturnOutcome::Unscheduled => "unscheduled",
+        };
+        self.returns.get_or_create(&ReturnLabels { level: level.min(LEVELS - 1), outcome }).inc();
+    }
+
     /// Sets the number of endpoints with a rate limit.
     pub fn set_limited(&self, endpoints: usize) {
         self.state.borrow().limited_endpoints.set((endpoints as u64).cast_signed());
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use rudder_events::What;
 use rudder_ledger::{Document, Evacuations, Quarantine};
 use rudder_model::{EndpointId, InstanceId};
+use rudder_route::returns::ReturnSettings;
 use tokio::sync::{oneshot, watch};
 
 use crate::{
@@ -38,6 +39,7 @@
     placement::Placement,
     prefill::PrefillSpeeds,
     recent::{self, Tally},
+    returns::ReturnSchedules,
     roster::Roster,
     shares::Shares,
     shedding::Shedding,
@@ -172,6 +174,8 @@
     pub shedding: RefCell<Shedding>,
     /// Work by organisation of contended services.
     pub shares: RefCell<Shares>,
+    /// When refused callers of contended services return.
+    pub returns: RefCell<ReturnSchedules>,
     /// Bytes buffered for callers and endpoints.
     pub buffers: Arc<BufferQuota>,
     /// The retry budget.
@@ -220,6 +224,7 @@
             admission: RefCell::new(Admissions::new(&options.policy.guard, rand::random(), started)),
             shares: RefCell::new(Shares::new(started)),
             shedding: RefCell::default(),
+            returns: RefCell::new(ReturnSchedules::new(ReturnSettings::default(), started)),
             contention: RefCell::new(Contention::new(options.contended)),
             options,
             started,
@@ -519,7 +524,10 @@
             return;
         }
         match self.dialect.read_document(&document.body) {
-            Ok(plan) => *self.plan.borrow_mut() = Some(Rc::new(plan)),
+            Ok(plan) => {
+                self.returns.borrow_mut().retain(&plan);
+                *self.plan.borrow_mut() = Some(Rc::new(plan));
+            }
             // The instance that proposed it could parse it, but may run another version.
             Err(error) => spdlog::error!("cannot parse configuration document {}: {error}", document.version),
         }
