feat(gateway): long sessions wait for a slot at their own engines

A request may now wait at its session's engines for up to 1.5 times their slots, and engines are compared by cost, which includes the prefill of a session that moves. A first event after its target no longer excludes an engine.

--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -63,7 +63,7 @@
 /// The engines that a session has affinity to.
 pub(super) struct Affinity {
     /// Engines most likely to have the session's prompt parts cached, the likeliest first.
-    engines: Vec<Arc<Registration>>,
+    pub(super) engines: Vec<Arc<Registration>>,
     /// Whether other engines fetch those parts from them, as that is faster than prefill.
     fetches: bool,
 }
--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -1,7 +1,8 @@
 //! Choice among the engines of a contended service: the one with the lowest cost, as a time.
 //!
-//! An engine is late if the first event is predicted after the route's target, or if the gaps between the events are
-//! predicted to miss theirs. A late engine is chosen only if no other one is found.
+//! An engine is late if the gaps between the events are predicted to miss their target. A late engine is chosen only if no
+//! other one is found. A first event after its target doesn't exclude an engine: under load all requests would leave the
+//! engines of their sessions, and the prompts processed again elsewhere would take up the remaining capacity.
 
 use std::{sync::Arc, time::Duration};
 
@@ -20,18 +21,13 @@
 /// As [`MAX_OWN_EXAMINED`], for the fast and for the slow engines of the other lane.
 const MAX_OTHER_EXAMINED: usize = 32;
 
-/// Scale of the relative lateness of an engine as an integer.
-const LATENESS_SCALE: f64 = 1_000_000.0;
-
-/// Rank of an engine for a request. Lateness is the larger ratio of a predicted time and its target, in millionths.
+/// Rank of an engine for a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Rank {
-    /// Both targets are met with some margin, at this cost.
+    /// The gaps between the events are in time, at this cost.
     InTime(Duration),
-    /// Both targets are met without the margin.
-    Tight(u64),
-    /// A target is missed.
-    Late(u64),
+    /// The gaps miss their target, at this cost.
+    Late(Duration),
 }
 
 /// An engine, and what is predicted for the request there.
@@ -48,15 +44,11 @@
     fn is_in_time(&self) -> bool {
         matches!(self.rank, Rank::InTime(_))
     }
-
-    fn is_late(&self) -> bool {
-        matches!(self.rank, Rank::Late(_))
-    }
 }
 
 impl Request<'_> {
-    /// Picks an engine with room: one of the request's own lane if it meets the targets, or else one of either lane that
-    /// does, or else the one that misses them by least.
+    /// Picks an engine with room: one of the request's own lane if it is in time, or else one of either lane that is, or
+    /// else the one with the lowest cost.
     pub(super) fn choose_timed<'e>(
         &self,
         own: &'e Lane,
@@ -68,19 +60,19 @@
             let idle = other.endpoints.sample(&mut rand::rng(), self.policy().drawn).map(|engine| &**engine);
             sample.extend(idle.filter(|engine| self.is_idle(engine) && self.is_eligible(engine)));
         }
-        sample.retain(|engine| self.has_room(engine));
+        sample.retain(|engine| self.has_room(engine) || self.may_queue(engine, affinity));
         let best = self.best(sample.into_iter(), affinity);
-        let is_late = |best: Option<Estimate>| best.is_none_or(|best| best.is_late());
         let suits = |best: &Estimate| best.is_in_time() && !(self.quick && self.is_crowded(best.engine));
         if best.as_ref().is_some_and(suits) {
             return best;
         }
-        let found = self.find_in_time(own, other, affinity).filter(|found| found.is_in_time() || is_late(best));
-        found.or(best).or_else(|| self.find_room(own).map(|engine| self.estimate(engine, affinity)))
+        self.find_in_time(own, other, affinity)
+            .or(best)
+            .or_else(|| self.find_room(own).map(|engine| self.estimate(engine, affinity)))
     }
 
-    /// The best of a few engines in time: of the own lane, or else of the other one. Without any, the first one found that
-    /// meets the targets without the margin: the best of all would get the requests of all instances.
+    /// The best of a few engines in time, of the own lane or else of the other one: the best of all would get the requests
+    /// of all instances.
     fn find_in_time<'e>(&self, own: &'e Lane, other: &'e Lane, affinity: &Affinity) -> Option<Estimate<'e>> {
         let (fast, slow) = other.endpoints.split_at(other.fast.min(other.endpoints.len()));
         let may_overflow = self.lanes().overflow > 0.0;
@@ -89,7 +81,6 @@
             (true, false) => [&own.endpoints, &[], &[]],
             (false, _) => [&own.endpoints, &other.endpoints, &[]],
         };
-        let mut tight = None;
         for (index, engines) in parts.into_iter().enumerate() {
             let is_own = index == 0;
             let is_open = |engine: &&Registration| {
@@ -98,16 +89,13 @@
             };
             let max = if is_own { MAX_OWN_EXAMINED } else { MAX_OTHER_EXAMINED };
             let estimates = examined(engines, max).filter(is_open).map(|engine| self.estimate(engine, affinity));
-            let timely = estimates.filter(|estimate| {
-                tight = tight.or(Some(*estimate).filter(|estimate| !estimate.is_late()));
-                estimate.is_in_time()
-            });
+            let timely = estimates.filter(Estimate::is_in_time);
             let best = timely.take(self.policy().drawn.max(1)).min_by_key(|estimate| estimate.rank);
             if best.is_some() {
                 return best;
             }
         }
-        tight
+        None
     }
 
     fn best<'e>(&self, engines: impl Iterator<Item = &'e Registration>, affinity: &Affinity) -> Option<Estimate<'e>> {
@@ -115,6 +103,15 @@
         estimates.min_by_key(|estimate| (estimate.rank, rand::random::<u32>()))
     }
 
+    /// Whether the request may wait for a slot at an engine of its session: the wait is shorter than processing a long
+    /// session again elsewhere.
+    fn may_queue(&self, engine: &Registration, affinity: &Affinity) -> bool {
+        let rivals = self.inputs.loads.known_at_or_above(self.level, &engine.endpoint, self.service);
+        let bound = f64::from(engine.slots) * self.inputs.policy.timing.queue;
+        let is_long = self.prompt.session_tokens() >= self.policy().fetch_least;
+        is_long && rivals < bound && affinity.engines.iter().any(|own| own.endpoint == engine.endpoint)
+    }
+
     /// Whether so few slots are in use that the engine may be used for requests of the other lane.
     fn is_idle(&self, engine: &Registration) -> bool {
         let idle = f64::from(engine.slots) * self.inputs.policy.timing.idle;
@@ -137,21 +134,14 @@
         let transfer = if is_fetched { f64::from(missing) / self.engine.move_speed / 1000.0 } else { 0.0 };
         let first = engine_cost::first_event(&speed, &work, &demand) + Duration::from_secs_f64(transfer);
         let gap = engine_cost::event_gap(&speed, &work, demand.event);
-        let lateness = ratio(first, self.route.target).max(self.route.pause.map_or(0.0, |target| ratio(gap, target)));
         let is_remote = self.quick && engine.hall != *inputs.hall;
         let is_full = self.work(engine).held + self.prompt.tokens > self.engine.memory;
         let extra = if is_full { policy.memory_cost } else { 0 } + if is_remote { policy.far_cost } else { 0 };
         // A session that moves costs as much when its parts are fetched: they evict others, which are processed again.
         let harm = engine_cost::harm(options, &speed, &work, &EngineDemand { missing, ..demand });
         let cost = first + harm + engine_cost::prefill_time(&speed, f64::from(extra));
-        let millionths = (lateness * LATENESS_SCALE) as u64;
-        let rank = if lateness > 1.0 {
-            Rank::Late(millionths)
-        } else if first > self.route.target.mul_f64(options.target_share) {
-            Rank::Tight(millionths)
-        } else {
-            Rank::InTime(cost)
-        };
+        let is_late = self.route.pause.is_some_and(|target| gap > target);
+        let rank = if is_late { Rank::Late(cost) } else { Rank::InTime(cost) };
         Estimate { engine, first, rank }
     }
 
@@ -167,12 +157,6 @@
     }
 }
 
-/// A predicted time as a multiple of its target.
-fn ratio(predicted: Duration, target: Duration) -> f64 {
-    // A target of zero cannot be met, and all engines are to be compared by their predicted times.
-    predicted.as_secs_f64() / target.as_secs_f64().max(0.001)
-}
-
 /// At most `max` engines from a random one on, as all instances would otherwise send to the same.
 fn examined(engines: &[Arc<Registration>], max: usize) -> impl Iterator<Item = &Registration> {
     let (before, after) = engines.split_at(rand::random_range(0..=engines.len()));
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -277,7 +277,6 @@
             ("lanes.largest", self.lanes.largest),
             ("lanes.smallest", self.lanes.smallest),
             ("choice.again_most", self.choice.again_most),
-            ("timing.target_share", self.timing.target_share),
             ("timing.slow", self.timing.slow),
             ("timing.recovered", self.timing.recovered),
             ("timing.idle", self.timing.idle),
@@ -292,6 +291,7 @@
             ("guard.full", self.guard.full),
             ("guard.hopeless", self.guard.hopeless),
             ("guard.patience", self.guard.patience),
+            ("timing.queue", self.timing.queue),
         ];
         check_values(&shares, 1.0)?;
         check_values(&factors, MAX_FACTOR)?;
--- a/crates/rudder-route/src/engine_cost.rs
+++ b/crates/rudder-route/src/engine_cost.rs
@@ -23,9 +23,8 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(default, deny_unknown_fields)]
 pub struct TimingOptions {
-    /// Share of the target within which the first event has to be expected: the rest is for the network, and for
-    /// requests that are sent at the same time.
-    pub target_share: f64,
+    /// Requests of its priority and above that may be at an engine of a long session, as a multiple of its slots.
+    pub queue: f64,
     /// Cost of the delay of one running stream, as a share of the delay: most gaps have some time left before their
     /// target.
     pub stream_delay: f64,
@@ -48,7 +47,7 @@
 impl Default for TimingOptions {
     fn default() -> Self {
         TimingOptions {
-            target_share: 0.8,
+            queue: 1.5,
             stream_delay: 0.1,
             read_again: 4.0,
             slow: 0.75,
