feat(gateway): engines beyond the sample are examined where the best one is late

A request that found only late engines in its sample took one while others were free, which the test of three times the load shows.

--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -40,12 +40,6 @@
     rank: Rank,
 }
 
-impl Estimate<'_> {
-    fn is_in_time(&self) -> bool {
-        matches!(self.rank, Rank::InTime(_))
-    }
-}
-
 impl Request<'_> {
     /// Picks an engine with room: one of the request's own lane if it is in time, or else one of either lane that is, or
     /// else the one with the lowest cost.
@@ -62,18 +56,19 @@
         }
         sample.retain(|engine| self.has_room(engine) || self.may_queue(engine, affinity));
         let best = self.best(sample.into_iter(), affinity);
-        let suits = |best: &Estimate| best.is_in_time() && !(self.quick && self.is_crowded(best.engine));
-        if best.as_ref().is_some_and(suits) {
+        let is_crowded = |best: &Estimate| self.quick && self.is_crowded(best.engine);
+        if best.as_ref().is_some_and(|best| self.is_timely(best) && !is_crowded(best)) {
             return best;
         }
-        self.find_in_time(own, other, affinity)
-            .or(best)
-            .or_else(|| self.find_room(own).map(|engine| self.estimate(engine, affinity)))
+        // Another engine is chosen only if its cost is lower, or if the best one may have no slot.
+        let is_better = |found: &Estimate| best.is_none_or(|best| is_crowded(&best) || found.rank < best.rank);
+        let found = self.find_timely(own, other, affinity).filter(is_better);
+        found.or(best).or_else(|| self.find_room(own).map(|engine| self.estimate(engine, affinity)))
     }
 
     /// The best of a few engines in time, of the own lane or else of the other one: the best of all would get the requests
     /// of all instances.
-    fn find_in_time<'e>(&self, own: &'e Lane, other: &'e Lane, affinity: &Affinity) -> Option<Estimate<'e>> {
+    fn find_timely<'e>(&self, own: &'e Lane, other: &'e Lane, affinity: &Affinity) -> Option<Estimate<'e>> {
         let (fast, slow) = other.endpoints.split_at(other.fast.min(other.endpoints.len()));
         let may_overflow = self.lanes().overflow > 0.0;
         let parts: [&[Arc<Registration>]; 3] = match (self.quick, may_overflow) {
@@ -89,7 +84,7 @@
             };
             let max = if is_own { MAX_OWN_EXAMINED } else { MAX_OTHER_EXAMINED };
             let estimates = examined(engines, max).filter(is_open).map(|engine| self.estimate(engine, affinity));
-            let timely = estimates.filter(Estimate::is_in_time);
+            let timely = estimates.filter(|estimate| self.is_timely(estimate));
             let best = timely.take(self.policy().drawn.max(1)).min_by_key(|estimate| estimate.rank);
             if best.is_some() {
                 return best;
@@ -98,6 +93,11 @@
         None
     }
 
+    /// Whether the first event and the gaps are predicted to be in time.
+    fn is_timely(&self, estimate: &Estimate) -> bool {
+        matches!(estimate.rank, Rank::InTime(_)) && estimate.first <= self.route.target
+    }
+
     fn best<'e>(&self, engines: impl Iterator<Item = &'e Registration>, affinity: &Affinity) -> Option<Estimate<'e>> {
         let estimates = engines.map(|engine| self.estimate(engine, affinity));
         estimates.min_by_key(|estimate| (estimate.rank, rand::random::<u32>()))
