--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -57,7 +57,9 @@
         sample.retain(|engine| self.has_room(engine) || self.may_queue(engine, affinity));
         let best = self.best(sample.into_iter(), affinity);
         let is_crowded = |best: &Estimate| self.quick && self.is_crowded(best.engine);
-        if best.as_ref().is_some_and(|best| self.is_timely(best) && !is_crowded(best)) {
+        let bound = self.route.target.mul_f64(self.inputs.policy.timing.search);
+        let suits = |best: &Estimate| matches!(best.rank, Rank::InTime(_)) && best.first <= bound && !is_crowded(best);
+        if best.as_ref().is_some_and(suits) {
             return best;
         }
         // Another engine is chosen only if its cost is lower, or if the best one may have no slot.
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -292,6 +292,7 @@
             ("guard.hopeless", self.guard.hopeless),
             ("guard.patience", self.guard.patience),
             ("timing.queue", self.timing.queue),
+            ("timing.search", self.timing.search),
         ];
         check_values(&shares, 1.0)?;
         check_values(&factors, MAX_FACTOR)?;
--- a/crates/rudder-route/src/engine_cost.rs
+++ b/crates/rudder-route/src/engine_cost.rs
@@ -25,6 +25,10 @@
 pub struct TimingOptions {
     /// Requests of its priority and above that may be at an engine of a long session, as a multiple of its slots.
     pub queue: f64,
+    /// Engines beyond the sample are examined if the best first event is predicted after this multiple of the target. What
+    /// is known of them is some hundred milliseconds old, and all instances find the same ones, so a slightly late engine
+    /// of the session is better.
+    pub search: f64,
     /// Cost of the delay of one running stream, as a share of the delay: most gaps have some time left before their
     /// target.
     pub stream_delay: f64,
@@ -48,6 +52,7 @@
     fn default() -> Self {
         TimingOptions {
             queue: 1.5,
+            search: 1.5,
             stream_delay: 0.1,
             read_again: 4.0,
             slow: 0.75,
