feat(gateway): new requests leave room for callers that are due

Cause: the schedule told callers when to return, but nothing kept room for them, so those who came when told met the same full engines. Requests of contended services now count those due at all instances as taken, by the engine's share of the slots. The switch of the distribution of callers, which no code reads, is removed.

Test: new_requests_leave_room_for_callers_that_are_due.

--- a/crates/rudder-gateway/src/admission.rs
+++ b/crates/rudder-gateway/src/admission.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Number of instances that send requests.
+    pub fn senders(&self) -> usize {
+        self.senders
+    }
+
     /// Records the number of instances that send requests.
     pub fn set_senders(&mut self, senders: usize) {
         self.senders = senders;
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -29,7 +29,7 @@
     health::Outcome,
     limits::{Permit, Recorded},
     loads::{Demand, InFlight},
-    returns::capacity_refusal,
+    returns::{capacity_refusal, reserved_room},
     shared::Shared,
     upstream::{self, Connection},
 };
@@ -431,6 +431,7 @@
         unlimited: progress.unlimited_only,
         may_have_run: progress.possible_runs > 0,
         yield_draw: progress.yield_draw,
+        reserved: 0.0,
     };
     let Some(first) = choose::pick_service(&call.route, rand::random()) else { return Err(Unavailable::Absent) };
     let by_weight = progress.service.as_ref().unwrap_or(first);
@@ -438,6 +439,10 @@
     let mut unavailable = Unavailable::Absent;
     for service in std::iter::once(by_weight).chain(others) {
         let candidates = shared.candidate_cache.borrow_mut().of(service, &roster, &inputs);
+        let eligible = Eligibility {
+            reserved: reserved_room(shared, call, service, plan.level(&call.route, service)),
+            ..eligible
+        };
         match choose::choose(&inputs, &call.route, service, &candidates, call.prompt.as_ref(), eligible) {
             Ok(choice) => return Ok(choice),
             Err(Unavailable::Absent) => {}
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -207,7 +207,7 @@
         let share = f64::from(engine.slots) / f64::from(service.slots.max(engine.slots).max(1));
         let room = EngineRoom {
             slots: engine.slots,
-            urgent: loads.known_at_or_above(self.level, &engine.endpoint, self.service),
+            urgent: loads.known_at_or_above(self.level, &engine.endpoint, self.service) + self.reserved_at(share),
             total: f64::from(self.work(engine).calls),
             own: loads.own_at(&engine.endpoint),
             arrivals: if service.idle { 0.0 } else { service.demand.rate(self.level) * span * share },
@@ -216,6 +216,12 @@
         admission.has_room(&engine.endpoint, self.level, room, now)
     }
 
+    /// Requests that are due at an engine with this share of the service's slots. Callers return to any instance, so all
+    /// instances are taken to have as many due as this one.
+    fn reserved_at(&self, share: f64) -> f64 {
+        self.eligible.reserved * self.inputs.admission.senders() as f64 * share
+    }
+
     /// An engine of the lane that has room, if a sample contains none.
     pub(super) fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
         // All instances would find the same engine if all began with the first.
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -99,6 +99,8 @@
     pub residency: Option<&'a [RegionId]>,
     /// Exclude endpoints with a rate limit.
     pub unlimited: bool,
+    /// Requests of this instance that are due at the service and for which this one leaves room.
+    pub reserved: f64,
     /// An endpoint may have run it already, so it does not yield to more urgent requests any more.
     pub may_have_run: bool,
     /// Uniform draw from 0 to 1, kept for all attempts, that decides whether it yields to more urgent requests. The lower,
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -79,23 +79,13 @@
     pub returns: bool,
     /// Fair shares between organisations.
     pub shares: bool,
-    /// Directory answers weighted by the capacity of instances.
-    pub spread: bool,
     /// On-demand engines make room for the spot engines that are to replace them.
     pub release: bool,
 }
 
 impl Default for ContentionPolicy {
     fn default() -> Self {
-        ContentionPolicy {
-            condition: true,
-            timing: true,
-            admission: true,
-            returns: true,
-            shares: true,
-            spread: true,
-            release: true,
-        }
+        ContentionPolicy { condition: true, timing: true, admission: true, returns: true, shares: true, release: true }
     }
 }
 
--- a/crates/rudder-gateway/tests/admission.rs
+++ b/crates/rudder-gateway/tests/admission.rs
@@ -230,3 +230,14 @@
     assert_eq!(demand, Demand { admitted: [0, 1, 0, 0], refused: [1, 0, 0, 0] });
     assert_eq!(scene.known.admission.to_loads(now + Duration::from_secs(1)).count(), 0);
 }
+
+/// New requests would take the room of callers that were told to return, and those would be refused again.
+#[test]
+fn new_requests_leave_room_for_callers_that_are_due() {
+    let mut scene = Scene::new([40, 0, 0, 0]);
+    scene.known.admission.set_senders(4);
+    let with = |reserved: f64| Eligibility { reserved, ..Eligibility::default() };
+    assert!(scene.choose_among(URGENT, with(0.0)).is_ok());
+    assert!(scene.choose_among(URGENT, with(10.0)).is_ok(), "10 due at each of 4 instances are 10 at each engine");
+    assert_eq!(scene.choose_among(URGENT, with(30.0)), Err(Unavailable::Full));
+}
