--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -70,10 +70,12 @@
 }
 
 impl Inputs<'_> {
-    /// Whether the engines of `service` are compared by predicted times. These need the learned conditions of engines.
+    /// Whether the engines of `service` are compared by predicted times. These need the learned conditions of engines, and
+    /// engines whose speeds differ: where they are alike, long prompts that are lent to the quick lane cost its streams more
+    /// than they gain.
     pub fn is_timed(&self, service: &str) -> bool {
         let contention = &self.policy.contention;
-        contention.timing && contention.condition && self.contention.is_contended(service, self.now)
+        contention.timing && contention.condition && self.contention.is_paced(service, self.now)
     }
 
     /// How many requests this instance may send to an endpoint while it warms up.
--- a/crates/rudder-gateway/src/contention.rs
+++ b/crates/rudder-gateway/src/contention.rs
@@ -33,6 +33,11 @@
 
     /// Whether a service is contended.
     pub fn is_contended(&self, service: &str, now: Moment) -> bool {
-        self.everywhere || self.paced.get(service).is_some_and(|at| now.saturating_duration_since(*at) < PACE_VALIDITY)
+        self.everywhere || self.is_paced(service, now)
+    }
+
+    /// Whether endpoints of a service report their pace, so that their speeds differ and vary.
+    pub fn is_paced(&self, service: &str, now: Moment) -> bool {
+        self.paced.get(service).is_some_and(|at| now.saturating_duration_since(*at) < PACE_VALIDITY)
     }
 }
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -58,6 +58,13 @@
     Roster::new(endpoints.iter().cloned().map(Arc::new))
 }
 
+/// The service `svc` is contended, as its endpoints have reported their pace.
+pub fn paced() -> Contention {
+    let mut contention = Contention::default();
+    contention.record_pace(&"svc".into(), Moment::now());
+    contention
+}
+
 /// The state from which an instance chooses an endpoint; empty by default.
 pub struct Known {
     pub loads: EndpointLoads,
