--- a/crates/rudder-core/tests/seeds.rs
+++ b/crates/rudder-core/tests/seeds.rs
@@ -13,6 +13,18 @@
     (0..mesh.nodes.len()).filter(|number| !mesh.is_fresh(*number, MAX_AGE)).collect()
 }
 
+/// Kills all instances and starts them again with these seeds.
+fn restart_all(mesh: &mut Mesh, seeds: [usize; 3]) {
+    let total = mesh.nodes.len();
+    for number in 0..total {
+        mesh.kill(number);
+        mesh.nodes[number].seeds = seeds.map(name).to_vec();
+    }
+    for number in 0..total {
+        mesh.boot(number);
+    }
+}
+
 #[test]
 fn a_first_start_founds_one_log_and_all_learn_of_it() {
     let mut mesh = Mesh::start(9, 3);
@@ -26,13 +38,7 @@
 fn all_find_the_leader_through_seeds_without_disks() {
     let mut mesh = Mesh::start(9, 3);
     mesh.run(Duration::from_secs(4));
-    for number in 0..9 {
-        mesh.kill(number);
-        mesh.nodes[number].seeds = vec![name(4), name(5), name(6)];
-    }
-    for number in 0..9 {
-        mesh.boot(number);
-    }
+    restart_all(&mut mesh, [4, 5, 6]);
     mesh.run(Duration::from_secs(4));
     assert!(mesh.leader().is_some());
     assert_eq!(stale(&mesh), Vec::<usize>::new(), "instances that have not found the leader");
@@ -55,13 +61,7 @@
 fn seeds_with_spare_disks_redirect_to_the_leader_that_they_follow() {
     let mut mesh = Mesh::start_as(Layout { total: 12, disks: 6, ..Layout::default() });
     mesh.run(Duration::from_secs(4));
-    for number in 0..12 {
-        mesh.kill(number);
-        mesh.nodes[number].seeds = vec![name(3), name(4), name(5)];
-    }
-    for number in 0..12 {
-        mesh.boot(number);
-    }
+    restart_all(&mut mesh, [3, 4, 5]);
     mesh.run(Duration::from_secs(4));
     assert!(mesh.leader().is_some());
     assert_eq!(stale(&mesh), Vec::<usize>::new(), "instances that have not found the leader");
--- a/crates/rudder-gateway/tests/admission.rs
+++ b/crates/rudder-gateway/tests/admission.rs
@@ -10,17 +10,17 @@
     peer::{LEVELS, Load, LoadDetail},
 };
 use rudder_gateway::{
-    Plan, Route, RouteKind, Service,
+    Plan, Service,
     choose::{self, Candidates, Eligibility, Unavailable},
     contention::Contention,
     dialect::Prompt,
     loads::Work,
-    plan::{Engine, Limits, Share},
+    plan::{Engine, Limits},
 };
 use rudder_model::{RequestRate, id};
 use rudder_route::admission::{Demand, Reason};
 
-use support::{Known, endpoint, roster};
+use support::{Known, endpoint, roster, stream_route};
 
 const URGENT: &str = "/chat/";
 const LOWER: &str = "/drafts/";
@@ -31,21 +31,7 @@
     let service = Service { name: "svc".into(), connections: 100, engine, scaling: None, warm_up: None };
     plan.services.insert("svc".into(), service);
     for (tier, name) in ["chat", "drafts"].into_iter().enumerate() {
-        let route = Route {
-            name: name.into(),
-            host: "h".into(),
-            prefix: format!("/{name}/").into(),
-            kind: RouteKind::Stream,
-            timeout: Duration::from_secs(5),
-            target: Duration::from_millis(300),
-            pause: Some(Duration::from_millis(200)),
-            tier: tier as u8,
-            shares: vec![Share { service: "svc".into(), weight: 1 }],
-            attempts: 1,
-            open: false,
-            resumable: false,
-            residency: None,
-        };
+        let route = stream_route(name, 300, 200, tier as u8);
         plan.add_route(route).expect("a valid route");
     }
     plan
