fix(gateway): predict waits by priority, so that long prompts do not fill the engines in a burst

Cause: the predicted wait was blind to priority, in three ways. A long prompt was taken to wait only for what was queued when it was sent, although every more urgent prompt that arrives later is processed first. A request of the middle priority was refused for prompts that the engine processes after its own. And the speed of prefill was learned from all tokens ahead, so urgent requests, which overtake these, made engines look faster than they are.

Now the wait counts the prompts of the request's own priority and above, and grows with the rate at which more urgent ones arrive; requests that are not of the lowest priority are refused only if they would wait for longer than half of their callers' patience; the lowest may wait half of its target (0.7 before).

The sum of targets is no longer used; its assertion is replaced by one on which priorities have lower ones.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -309,7 +309,16 @@
         endpoint: EndpointId,
         /// Prompt tokens unread there.
         ahead: u32,
-        /// Expected time to read them, in milliseconds.
+        /// Those of them that are read before the request's own, by priority.
+        #[serde(default)]
+        queued: u32,
+        /// Tokens of more urgent prompts that all instances send per second.
+        #[serde(default)]
+        urgent_rate: u64,
+        /// Tokens that all engines of the service read per second.
+        #[serde(default)]
+        capacity: u64,
+        /// Expected wait for them, in milliseconds.
         wait_ms: u64,
         /// The route's target, in milliseconds.
         target_ms: u64,
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -86,9 +86,9 @@
                  with {instances} instances"
             )
         }
-        What::CallHopeless { endpoint, ahead, wait_ms, target_ms, .. } => format!(
-            "the best engine, {endpoint}, has {ahead} prompt tokens to read first: about {wait_ms} ms, \
-             too long for a target of {target_ms} ms"
+        What::CallHopeless { endpoint, ahead, queued, urgent_rate, capacity, wait_ms, target_ms, .. } => format!(
+            "the best engine, {endpoint}, has {queued} of its {ahead} prompt tokens to read first, while more urgent ones \
+             come at {urgent_rate} of {capacity} a second: about {wait_ms} ms, too long for a target of {target_ms} ms"
         ),
         What::CallOverCapacity { .. } => to_capacity_sentence(what),
         What::CallOverShare { organisation, service, admitted, refused, level, others_ms, .. } => {
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -223,6 +223,9 @@
     let request = call.to_request(&shared.dialect, &choice, left, resume);
     let prompt = call.prompt.as_ref();
     let level = shared.current_plan().map_or(0, |plan| plan.level(&call.route, &choice.service));
+    if prompt.is_some() {
+        shared.arrivals.borrow_mut().record(&choice.service, level, choice.unread, now);
+    }
     if prompt.is_some() && shared.uses_admission(&choice.service) {
         let first = progress.sent == 1;
         shared.admission.borrow_mut().record_sent(&choice.service, &choice.endpoint, level, first, now);
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -7,6 +7,7 @@
 use rudder_route::{
     admission::{self, Caller, Level, Reason},
     engine_cost::is_sooner,
+    queue_wait::{Backlog, WaitBounds},
     shares::Fate,
 };
 
@@ -122,35 +123,43 @@
     }
 }
 
-/// Refuses a stream if the prompts queued at its best engine would make it miss its target by far, and delay the streams
-/// behind it. Engines process the prompts of higher priorities first, so what lower ones may queue is no wait for it, and
-/// the highest of several priorities is bounded by the slots alone.
+/// Refuses a stream if the prompts that its best engine processes first would make it miss its target by far, and delay the
+/// streams behind it. Requests of higher priorities than the lowest may be late, as long as their callers wait, rather than
+/// be refused while less urgent ones are served. The highest of several priorities is bounded by the slots alone.
 fn check_expected_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
     let hopeless = shared.options.policy.guard.hopeless;
     let is_highest = plan.is_highest(&call.route, &choice.service);
-    if call.route.kind != RouteKind::Stream || call.prompt.is_none() || is_highest {
+    if call.route.kind != RouteKind::Stream || call.prompt.is_none() || is_highest || hopeless == 0.0 {
         return Ok(());
     }
-    let wait = expected_wait(shared, choice);
-    let bound = plan.cumulative_target(&call.route, &choice.service).mul_f64(hopeless);
-    if hopeless == 0.0 || wait <= bound {
+    let backlog = backlog_at(shared, choice, plan.level(&call.route, &choice.service));
+    let (wait, target) = (backlog.wait(), call.route.target);
+    let is_lowest = !plan.has_lower(&call.route, &choice.service);
+    let bounds = WaitBounds { target: hopeless, patience: shared.admission.borrow().options.burst };
+    if wait <= bounds.longest(&caller_of(call, Moment::now()), is_lowest) {
         return Ok(());
     }
     shared.log.write(What::CallHopeless {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
         ahead: choice.ahead,
+        queued: choice.queued,
+        urgent_rate: backlog.rate as u64,
+        capacity: backlog.capacity as u64,
         wait_ms: wait.as_millis() as u64,
-        target_ms: call.route.target.as_millis() as u64,
+        target_ms: target.as_millis() as u64,
     });
     record_demand(shared, call, Some(&choice.service), true);
-    let lower = bound.saturating_sub(call.route.target.mul_f64(hopeless));
-    let own_wait = wait.saturating_sub(lower);
-    let base = own_wait.saturating_sub(call.route.target / 2);
+    let base = if is_lowest { wait.saturating_sub(target / 2) } else { target };
     Err(capacity_refusal(shared, call, Reason::Wait.text(), base, Duration::ZERO))
 }
 
+/// What the caller of a request tolerates.
+fn caller_of(call: &Call, now: Moment) -> Caller {
+    Caller { target: call.route.target, gap: call.route.pause, remaining: call.deadline.saturating_duration_since(now) }
+}
+
 /// Decides whether a request is sent to the chosen engine: as [`check_expected_wait`] if its service is not contended.
 pub(super) fn check_admission<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan().filter(|_| call.prompt.is_some()) else { return Ok(()) };
@@ -167,11 +176,7 @@
         level,
         highest: plan.is_highest(&call.route, &choice.service),
         predicted,
-        caller: Caller {
-            target: call.route.target,
-            gap: call.route.pause,
-            remaining: call.deadline.saturating_duration_since(now),
-        },
+        caller: caller_of(call, now),
         idle: usage.is_idle() && !admission.is_stale(now),
     };
     let decision = admission.decide(&choice.service, &request, now);
@@ -219,6 +224,19 @@
     any
 }
 
+/// The prompts that are processed before those of a request of `level` at the chosen engine. All instances are taken to
+/// send as many urgent ones as this one.
+fn backlog_at<D: Dialect>(shared: &Shared<D>, choice: &Choice, level: Level) -> Backlog {
+    let prefill = shared.prefill.borrow();
+    let engines = shared.candidate_cache.borrow().count(&choice.service);
+    let rate = shared.arrivals.borrow().rate_above(&choice.service, level, Moment::now());
+    Backlog {
+        queued: prefill.time_for(&choice.service, choice.queued),
+        rate: rate * shared.admission.borrow().senders().max(1) as f64,
+        capacity: prefill.speed(&choice.service) * 1000.0 * engines as f64,
+    }
+}
+
 /// Estimates how long an engine takes for the prompts queued ahead.
 pub(super) fn expected_wait<D: Dialect>(shared: &Shared<D>, choice: &Choice) -> Duration {
     shared.prefill.borrow().time_for(&choice.service, choice.ahead)
--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -187,6 +187,11 @@
         self.cached.get(service).map(|candidates| candidates.usage).unwrap_or_default()
     }
 
+    /// Number of healthy endpoints of a service, as of the last choice.
+    pub fn count(&self, service: &str) -> usize {
+        self.cached.get(service).map_or(0, |lanes| lanes.quick.endpoints.len() + lanes.bulk.endpoints.len())
+    }
+
     /// The candidates of a service, computed if there is no valid entry.
     pub fn of(&mut self, service: &Arc<str>, roster: &Roster, inputs: &Inputs) -> Rc<Candidates> {
         let is_valid = |candidates: &&Rc<Candidates>| candidates.expires.is_some_and(|expires| inputs.now < expires);
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -136,7 +136,8 @@
         let unread = self.tokens_to_prefill(chosen, &affinity);
         let backups = if own.endpoints.len() > 1 { own } else { bulk };
         let backup = if self.needs_backup() { self.sample_backup(backups, chosen) } else { None };
-        Some(Choice { predicted, backup, fetch_from, ..to_choice(self.inputs, chosen, unread) })
+        let queued = self.inputs.loads.unread_at_or_above(self.level, &chosen.endpoint, self.service);
+        Some(Choice { queued, predicted, backup, fetch_from, ..to_choice(self.inputs, chosen, unread) })
     }
 
     /// Picks an engine with room by the prompt tokens to process there.
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -148,6 +148,8 @@
     pub calls: u32,
     /// Prompt tokens known to await prefill there.
     pub ahead: u32,
+    /// Those of them that the engine processes before the request: of its priority or above.
+    pub queued: u32,
     /// KV cache tokens that the requests in flight there may need.
     pub held: u32,
     /// Prompt tokens of this request that are not cached there.
@@ -226,6 +228,7 @@
         service: chosen.service.clone(),
         calls: work.calls,
         ahead: work.unread,
+        queued: work.unread,
         held: work.held,
         unread,
         predicted: None,
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod admission;
+pub mod arrivals;
 pub mod backoff;
 pub mod body;
 pub mod budget;
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -18,7 +18,7 @@
 /// Weight of a service's mix of priorities in that of an endpoint, in requests: an instance has few of its own at one.
 const MIX_WEIGHT: f64 = 4.0;
 
-/// This instance's requests in flight by priority level; level 0 is the highest.
+/// This instance's requests in flight, or their unread tokens, by priority level; level 0 is the highest.
 #[derive(Clone, Copy, Debug, Default)]
 struct Mix([u32; LEVELS]);
 
@@ -45,6 +45,10 @@
     mixes: HashMap<EndpointId, Mix>,
     /// The priorities of the own requests by service.
     service_mixes: HashMap<Arc<str>, Mix>,
+    /// The own unread tokens by endpoint and priority.
+    unread_mixes: HashMap<EndpointId, Mix>,
+    /// The own unread tokens by service and priority.
+    service_unread: HashMap<Arc<str>, Mix>,
     /// The sum of the other instances' last reports.
     others: HashMap<EndpointTag, Load>,
     /// Whether those reports are too old to count for contended services, whose loads have details.
@@ -93,6 +97,16 @@
         calls * (1.0 - below)
     }
 
+    /// Estimated number of prompt tokens that await prefill at `endpoint` and are not of a priority below `level`. Reports
+    /// tell no priorities, so the other instances' tokens are taken to be mixed as this one's.
+    pub fn unread_at_or_above(&self, level: usize, endpoint: &str, service: &str) -> u32 {
+        let own = self.unread_mixes.get(endpoint).copied().unwrap_or_default();
+        let others = (f64::from(self.at(endpoint).unread) - own.total()).max(0.0);
+        let mix = self.service_unread.get(service).filter(|mix| mix.total() > 0.0);
+        let share = mix.map_or(1.0, |mix| 1.0 - mix.below(level) / mix.total());
+        (own.total() - own.below(level) + others * share) as u32
+    }
+
     /// Number of requests at `endpoint` whose priority is not below `level`, as the instances report them. Requests
     /// whose priority is not reported are taken to be mixed as this instance's.
     pub fn known_at_or_above(&self, level: Level, endpoint: &str, service: &str) -> f64 {
@@ -178,6 +192,8 @@
         self.own.retain(|endpoint, load| load.calls > 0 || known(endpoint));
         self.mixes.retain(|_, mix| mix.total() > 0.0);
         self.service_mixes.retain(|_, mix| mix.total() > 0.0);
+        self.unread_mixes.retain(|_, mix| mix.total() > 0.0);
+        self.service_unread.retain(|_, mix| mix.total() > 0.0);
     }
 
     fn entry(&mut self, endpoint: &EndpointId) -> &mut Load {
@@ -216,6 +232,8 @@
         load.held += demand.held;
         *borrowed.mixes.entry(endpoint.clone()).or_default().count(demand.level) += 1;
         *borrowed.service_mixes.entry(demand.service.clone()).or_default().count(demand.level) += 1;
+        *borrowed.unread_mixes.entry(endpoint.clone()).or_default().count(demand.level) += demand.unread;
+        *borrowed.service_unread.entry(demand.service.clone()).or_default().count(demand.level) += demand.unread;
         drop(borrowed);
         InFlight { loads: loads.clone(), endpoint: endpoint.clone(), demand }
     }
@@ -224,8 +242,14 @@
     pub fn note_read(&mut self) {
         let unread = std::mem::take(&mut self.demand.unread);
         let mut loads = self.loads.borrow_mut();
+        let loads = &mut *loads;
         let load = loads.entry(&self.endpoint);
         load.unread = load.unread.saturating_sub(unread);
+        let mixes = [loads.unread_mixes.get_mut(&self.endpoint), loads.service_unread.get_mut(&self.demand.service)];
+        for mix in mixes.into_iter().flatten() {
+            let tokens = mix.count(self.demand.level);
+            *tokens = tokens.saturating_sub(unread);
+        }
     }
 }
 
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -1,7 +1,7 @@
 //! The parsed configuration document: routes, services, organisations and limits.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -166,8 +166,8 @@
     route_tiers: BTreeSet<u8>,
     /// The tiers of routes and organisations.
     tiers: BTreeSet<u8>,
-    /// The longest target among the routes of each tier, by service.
-    targets: HashMap<Arc<str>, BTreeMap<u8, Duration>>,
+    /// The tiers of the routes of each service.
+    service_tiers: HashMap<Arc<str>, BTreeSet<u8>>,
     /// Range of the pause targets of each service.
     pauses: HashMap<Arc<str>, Pauses>,
     /// Index into `organisations` by API key.
@@ -251,9 +251,7 @@
         self.route_tiers.insert(route.tier);
         self.tiers.insert(route.tier);
         for share in &route.shares {
-            let targets = self.targets.entry(share.service.clone()).or_default();
-            let longest = targets.entry(route.tier).or_default();
-            *longest = route.target.max(*longest);
+            self.service_tiers.entry(share.service.clone()).or_default().insert(route.tier);
         }
         if let Some(pause) = route.pause {
             for share in &route.shares {
@@ -322,19 +320,18 @@
 
     /// Number of priorities among the routes of the service that are higher than this route's.
     pub fn level(&self, route: &Route, service: &str) -> usize {
-        self.targets.get(service).map_or(0, |targets| targets.range(..route.tier).count())
+        self.service_tiers.get(service).map_or(0, |tiers| tiers.range(..route.tier).count())
     }
 
     /// Whether other routes of the service have a lower priority, and none a higher one.
     pub fn is_highest(&self, route: &Route, service: &str) -> bool {
-        let tiers = self.targets.get(service).map_or(0, BTreeMap::len);
+        let tiers = self.service_tiers.get(service).map_or(0, BTreeSet::len);
         tiers > 1 && self.level(route, service) == 0
     }
 
-    /// The target of a route, plus the longest target of each lower priority of the service.
-    pub fn cumulative_target(&self, route: &Route, service: &str) -> Duration {
-        let lower = self.targets.get(service).into_iter().flatten().filter(|(tier, _)| **tier > route.tier);
-        route.target + lower.map(|(_, target)| *target).sum::<Duration>()
+    /// Whether other routes of the service have a lower priority than this one.
+    pub fn has_lower(&self, route: &Route, service: &str) -> bool {
+        self.service_tiers.get(service).is_some_and(|tiers| tiers.range(route.tier..).count() > 1)
     }
 
     /// Index of the organisation that `key` belongs to.
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -199,7 +199,7 @@
         GuardPolicy {
             full: 1.0,
             headroom: 0.2,
-            hopeless: 0.7,
+            hopeless: 0.5,
             shedding: true,
             patience: 4.0,
             ejection: true,
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -22,6 +22,7 @@
 use crate::{
     Dialect, Options, Plan, Route,
     admission::Admissions,
+    arrivals::Arrivals,
     backoff::Backoff,
     budget::Budget,
     buffers::BufferQuota,
@@ -170,6 +171,8 @@
     pub contention: RefCell<Contention>,
     /// Admission to contended services.
     pub admission: RefCell<Admissions>,
+    /// Rates of prompt tokens, by priority.
+    pub arrivals: RefCell<Arrivals>,
     /// Requests refused for lack of capacity, by priority.
     pub shedding: RefCell<Shedding>,
     /// Work by organisation of contended services.
@@ -223,6 +226,7 @@
             slow_start: RefCell::new(SlowStartState::new(options.name(), started)),
             admission: RefCell::new(Admissions::new(&options.policy.guard, rand::random(), started)),
             shares: RefCell::new(Shares::new(started)),
+            arrivals: RefCell::default(),
             shedding: RefCell::default(),
             returns: RefCell::new(ReturnSchedules::new(ReturnSettings::default(), started)),
             contention: RefCell::new(Contention::new(options.contended)),
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -221,7 +221,7 @@
             if self.first_byte.is_none() {
                 let now = Moment::now();
                 self.first_byte = Some(now);
-                let tokens = choice.ahead + choice.unread;
+                let tokens = choice.queued + choice.unread;
                 let after = now.saturating_duration_since(sent);
                 self.shared
                     .metrics
--- /dev/null
+++ b/crates/rudder-gateway/tests/arrivals.rs
@@ -0,0 +1,24 @@
+//! Rates of prompt tokens by priority.
+
+use std::{sync::Arc, time::Duration};
+
+use rudder_clock::Moment;
+use rudder_gateway::arrivals::Arrivals;
+
+/// A burst must count within the time in which it would fill the engines, and not for long after its end.
+#[test]
+fn the_rate_of_urgent_prompts_follows_a_burst() {
+    let (mut arrivals, start) = (Arrivals::default(), Moment::now());
+    let service: Arc<str> = "svc".into();
+    let at = |millis: u64| start + Duration::from_millis(millis);
+    for tenth in 0..10 {
+        arrivals.record(&service, 0, 1_000, at(tenth * 100));
+        arrivals.record(&service, 2, 50_000, at(tenth * 100));
+    }
+    let rate = |level: usize, millis: u64| arrivals.rate_above("svc", level, at(millis));
+    assert!((8_000.0..12_000.0).contains(&rate(1, 950)), "{}", rate(1, 950));
+    assert!((rate(2, 950) - rate(1, 950)).abs() < 1.0, "its own priority and lower ones do not count");
+    assert!(rate(0, 950).abs() < 1.0, "nothing is above the highest priority");
+    assert!(rate(1, 2_900) < 300.0, "{}", rate(1, 2_900));
+    assert!(arrivals.rate_above("another", 1, at(950)).abs() < 1.0);
+}
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -235,9 +235,9 @@
     assert!(lanes::quick_bound(&policy, &plan, "another", &PrefillSpeeds::default()).is_none());
     let at = |path: &str| {
         let route = plan.find("h", path).expect("a route");
-        (plan.level(route, "svc"), plan.cumulative_target(route, "svc").as_millis())
+        (plan.level(route, "svc"), plan.is_highest(route, "svc"), plan.has_lower(route, "svc"))
     };
-    assert_eq!([at("/grade/"), at("/answer/"), at("/recap/")], [(0, 1650), (1, 1400), (2, 1000)]);
+    assert_eq!([at("/grade/"), at("/answer/"), at("/recap/")], [(0, true, true), (1, false, true), (2, false, false)]);
 }
 
 #[test]
@@ -364,6 +364,25 @@
     assert_eq!(calls("e-1"), [40, 40, 40], "without own requests, nothing is known of the mix");
 }
 
+/// Urgent requests must not be refused, nor the engine's speed misjudged, for prompts that the engine processes after theirs.
+#[test]
+fn prompts_of_lower_priority_are_not_ahead_of_urgent_ones() {
+    let loads = Rc::new(RefCell::new(EndpointLoads::default()));
+    let start = |level: usize, unread: u32| {
+        let demand = Demand { service: "svc".into(), level, unread, held: 0 };
+        InFlight::start(&loads, &"e-1".into(), demand)
+    };
+    let mut flights = vec![start(1, 2_000), start(2, 3_000), start(2, 3_000)];
+    loads.borrow_mut().set_others(&[load("e-1", 9, 40_000), load("e-2", 9, 40_000)]);
+    let ahead = |endpoint: &str| [0, 1, 2].map(|level| loads.borrow().unread_at_or_above(level, endpoint, "svc"));
+    assert_eq!(ahead("e-1"), [0, 12_000, 48_000], "a quarter is of the middle priority, here and at the others");
+    assert_eq!(ahead("e-2"), [0, 10_000, 40_000]);
+    flights.remove(0).note_read();
+    assert_eq!(ahead("e-1"), [0, 0, 46_000], "a prompt that has been processed is not ahead");
+    flights.clear();
+    assert_eq!(ahead("e-2"), [40_000; 3], "without own prompts, nothing is known of the mix");
+}
+
 /// Headroom must not add up to all slots of an engine, and an engine that reports none takes one request at a time.
 #[test]
 fn every_priority_has_room_at_an_idle_engine() {
--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod pool;
 pub mod preempt;
 pub mod queue;
+pub mod queue_wait;
 pub mod rate_limit;
 pub mod request;
 pub mod returns;
