fix(gateway): spread the returns of refused callers over the time that they honour

What callers saw: a request that was refused for lack of room was told to return after its target, came back into the same overload together with all others refused at that moment, and was refused for the last time.

Cause: all callers of a route were told the same time.

A caller that returns after its target is late in any case, so it is told a time between its target and a third of what it has left, the longest that callers honour. A time before the target is told as it is.

--- a/crates/rudder-gateway/src/returns.rs
+++ b/crates/rudder-gateway/src/returns.rs
@@ -6,7 +6,7 @@
 use rudder_events::What;
 use rudder_route::{
     first_deadline::FirstDeadline,
-    returns::{Arrival, Attempt, Return, ReturnSettings, Returns, Told},
+    returns::{Arrival, Attempt, HONOURED, Return, ReturnSettings, Returns, Told},
 };
 
 use crate::{
@@ -145,8 +145,11 @@
     base: Duration,
     not_before: Duration,
 ) -> Refusal {
-    let Some(request) = scheduled(shared, call) else { return not_run(why, base) };
     let draw = rand::random_range(0.0..1.0);
+    let Some(request) = scheduled(shared, call) else {
+        let remaining = call.deadline.saturating_duration_since(Moment::now());
+        return not_run(why, spread(base, call.route.target, remaining, draw));
+    };
     let told = shared.returns.borrow_mut().schedule(&request, call.returned, not_before, draw, Moment::now());
     if told.position.is_none() && call.returned.is_none() {
         shared.metrics.record_return(request.attempt.level, ReturnOutcome::Unscheduled);
@@ -154,6 +157,13 @@
     Refusal { told: Some(told), ..not_run(why, told.after) }
 }
 
+/// A time from `base` to the latest that callers honour. A caller that returns after its `target` is late in any case, and
+/// callers that are refused together and return together are refused again. An earlier time is told as it is.
+pub fn spread(base: Duration, target: Duration, remaining: Duration, draw: f64) -> Duration {
+    let latest = remaining.mul_f64(HONOURED);
+    if base < target { base } else { base + latest.saturating_sub(base).mul_f64(draw) }
+}
+
 /// Room that a new request must leave at a service to those due, in requests of this instance; 0 for requests that are
 /// due themselves.
 pub fn reserved_room<D: Dialect>(shared: &Shared<D>, call: &Call, service: &str, level: usize) -> f64 {
--- a/crates/rudder-gateway/tests/returns.rs
+++ b/crates/rudder-gateway/tests/returns.rs
@@ -5,7 +5,7 @@
 use rudder_clock::Moment;
 use rudder_gateway::{
     Plan,
-    returns::{ReturnSchedules, Scheduled},
+    returns::{ReturnSchedules, Scheduled, spread},
 };
 use rudder_route::returns::{Arrival, Attempt, Return, ReturnSettings};
 
@@ -110,3 +110,22 @@
     let seen = restarted.recognise(&request(0, left), Some(left), now + SECOND * 4);
     assert_eq!(arrival(seen), Some(Arrival::Due));
 }
+
+macro_rules! spreads {
+    ($($(#[$meta:meta])* $name:ident: $base:expr, $remaining:expr, $draw:expr => $expected:expr;)*) => {
+        $($(#[$meta])* #[test] fn $name() {
+            let millis = Duration::from_millis;
+            assert_eq!(spread(millis($base), millis(400), millis($remaining), $draw).as_millis(), $expected);
+        })*
+    };
+}
+
+spreads! {
+    /// Callers refused together would return together, into the same overload, and be refused again.
+    the_last_return_is_the_latest_that_callers_honour: 400, 3_000, 1.0 => 1_000;
+    the_first_return_is_at_the_target: 400, 3_000, 0.0 => 400;
+    returns_lie_between: 400, 3_000, 0.5 => 700;
+    /// It can still be in time.
+    an_earlier_return_is_told_as_it_is: 100, 3_000, 0.9 => 100;
+    a_caller_with_little_time_returns_at_the_base: 400, 900, 1.0 => 400;
+}
