fix(gateway): urgent prompts of one step use the other lane when their own is full

What callers saw: requests of the middle priority were refused for lack of room although half of the engines, those reserved for quick streams, processed hardly any prompts.

Cause: a full lane lent its requests to the other one only if they were quick streams.

Such a request now uses an engine of the other lane that processes its prompt within one step, so the streams there are delayed by one chunk.

Test: `urgent_prompts_of_one_step_use_the_other_lane_when_their_own_is_full` fails without the change.

--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -3,7 +3,7 @@
 //! The shared prompt parts of a session are assumed to be cached at the engines that a hash of the session selects.
 //! Quick streams have a lane of their own and overflow to the other lane when it is crowded.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use rand::seq::IndexedRandom as _;
 use rudder_core::Registration;
@@ -118,12 +118,29 @@
                 || self.contended.is_some_and(|service| service.idle);
             lends.then(|| self.choose_in(other, own, bulk)).flatten()
         });
+        let choice = choice.or_else(|| self.choose_between_steps(other));
         choice.ok_or_else(|| {
             let exists = self.has_eligible(own) || self.has_eligible(other);
             if exists { Unavailable::Full } else { Unavailable::Absent }
         })
     }
 
+    /// Picks an engine of the other lane for a request that its own lane has no room for, unless it is of the lowest
+    /// priority. One that processes the prompt within a single step hardly delays its streams.
+    fn choose_between_steps(&self, other: &Lane) -> Option<Choice> {
+        if !self.inputs.plan.has_lower(self.route, self.service) {
+            return None;
+        }
+        let affinity = self.to_affinity(other);
+        let is_free = |engine: &&Registration| {
+            let unread = self.work(engine).unread.saturating_add(self.tokens_to_prefill(engine, &affinity));
+            unread <= lanes::PREFILL_CHUNK_TOKENS && self.is_eligible(engine) && self.has_room(engine)
+        };
+        let free: Vec<_> = examined(&other.endpoints, MAX_EXAMINED).filter(is_free).take(self.policy().drawn).collect();
+        let chosen = self.cheapest(free, &affinity)?;
+        Some(self.to_choice(chosen, None, &affinity, other))
+    }
+
     fn choose_in(&self, own: &Lane, other: &Lane, bulk: &Lane) -> Option<Choice> {
         let affinity = self.to_affinity(own);
         let (chosen, predicted) = if self.timed {
@@ -132,12 +149,22 @@
         } else {
             (self.choose_by_tokens(own, other, &affinity)?, None)
         };
-        let fetch_from = affinity.source_for(chosen).map(|source| source.address.clone());
-        let unread = self.tokens_to_prefill(chosen, &affinity);
         let backups = if own.endpoints.len() > 1 { own } else { bulk };
+        Some(self.to_choice(chosen, predicted, &affinity, backups))
+    }
+
+    fn to_choice(
+        &self,
+        chosen: &Registration,
+        predicted: Option<Duration>,
+        affinity: &Affinity,
+        backups: &Lane,
+    ) -> Choice {
+        let fetch_from = affinity.source_for(chosen).map(|source| source.address.clone());
+        let unread = self.tokens_to_prefill(chosen, affinity);
         let backup = if self.needs_backup() { self.sample_backup(backups, chosen) } else { None };
         let queued = self.inputs.loads.unread_at_or_above(self.level, &chosen.endpoint, self.service);
-        Some(Choice { queued, predicted, backup, fetch_from, ..to_choice(self.inputs, chosen, unread) })
+        Choice { queued, predicted, backup, fetch_from, ..to_choice(self.inputs, chosen, unread) }
     }
 
     /// Picks an engine with room by the prompt tokens to process there.
@@ -225,10 +252,7 @@
 
     /// An engine of the lane that has room, if a sample contains none.
     pub(super) fn find_room<'e>(&self, lane: &'e Lane) -> Option<&'e Registration> {
-        // All instances would find the same engine if all began with the first.
-        let (before, after) = lane.endpoints.split_at(rand::random_range(0..=lane.endpoints.len()));
-        let mut engines = after.iter().chain(before).map(|engine| &**engine).take(MAX_EXAMINED);
-        engines.find(|engine| self.is_eligible(engine) && self.has_room(engine))
+        examined(&lane.endpoints, MAX_EXAMINED).find(|engine| self.is_eligible(engine) && self.has_room(engine))
     }
 
     /// Whether there is an engine that may be used, with room or without.
@@ -336,3 +360,9 @@
         others.into_iter().find(|_| self.fetches)
     }
 }
+
+/// At most `max` engines from a random one on, as all instances would otherwise find the same.
+pub(super) fn examined(engines: &[Arc<Registration>], max: usize) -> impl Iterator<Item = &Registration> {
+    let (before, after) = engines.split_at(rand::random_range(0..=engines.len()));
+    after.iter().chain(before).map(|engine| &**engine).take(max)
+}
--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -12,7 +12,7 @@
 
 use super::{
     Lane,
-    engine::{Affinity, Request},
+    engine::{Affinity, Request, examined},
 };
 
 /// Engines of the own lane that are examined if a sample has none in time: all in a service of usual size, and a bounded
@@ -158,9 +158,3 @@
         EngineWork { ahead: unread * share, unread, calls, rivals, slots: engine.slots, unreported }
     }
 }
-
-/// At most `max` engines from a random one on, as all instances would otherwise send to the same.
-fn examined(engines: &[Arc<Registration>], max: usize) -> impl Iterator<Item = &Registration> {
-    let (before, after) = engines.split_at(rand::random_range(0..=engines.len()));
-    after.iter().chain(before).map(|engine| &**engine).take(max)
-}
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -13,7 +13,7 @@
 use crate::{Plan, Route, loads::EndpointLoads, policy::LanePolicy, prefill::PrefillSpeeds};
 
 /// Prompt tokens that an engine processes between two tokens of its streams (chunked prefill): the usual chunk size.
-const PREFILL_CHUNK_TOKENS: u32 = 2_048;
+pub const PREFILL_CHUNK_TOKENS: u32 = 2_048;
 /// Number of engines from which the quick lane has at least two, so that it survives the loss of one.
 const MIN_ENGINES_FOR_TWO: usize = 6;
 
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -383,6 +383,31 @@
     assert_eq!(ahead("e-2"), [40_000; 3], "without own prompts, nothing is known of the mix");
 }
 
+/// Engines reserved for quick streams must not process little while urgent requests are refused for lack of room at the
+/// others. A prompt longer than a step would delay the streams.
+#[test]
+fn urgent_prompts_of_one_step_use_the_other_lane_when_their_own_is_full() {
+    let mut scene = Scene::new();
+    let lanes = Candidates::new(roster(&scene.engines).of("svc"), "svc", &scene.known.inputs());
+    let quick: Vec<EndpointId> = lanes.quick.endpoints.iter().map(|engine| engine.endpoint.clone()).collect();
+    let fill = |scene: &mut Scene, unread: u32| {
+        let to_load = |engine: &Registration| {
+            let is_quick = quick.contains(&engine.endpoint);
+            load(&engine.endpoint, if is_quick { 20 } else { 62 }, if is_quick { unread } else { 40_000 })
+        };
+        let loads: Vec<Load> = scene.engines.iter().map(to_load).collect();
+        scene.known.loads.set_others(&loads);
+    };
+    let short = Prompt { tokens: 1_800, max_answer: 30, answer_hint: None, parts: Vec::new() };
+    fill(&mut scene, 0);
+    let chosen = scene.choose("/answer/", &short, &[]);
+    assert!(chosen.is_some_and(|engine| quick.iter().any(|id| **id == *engine)));
+    assert_eq!(scene.choose("/answer/", &prompt(5), &[]), None, "a long prompt takes several steps");
+    assert_eq!(scene.choose("/recap/", &short, &[]), None, "it is of the lowest priority");
+    fill(&mut scene, 1_000);
+    assert_eq!(scene.choose("/answer/", &short, &[]), None, "another prompt is processed there");
+}
+
 /// Headroom must not add up to all slots of an engine, and an engine that reports none takes one request at a time.
 #[test]
 fn every_priority_has_room_at_an_idle_engine() {
