fix(gateway): shed less urgent requests by the refusals of all instances

What callers saw: right after an overload some instances served long prompts of the lowest priority while the callers of others were still refused urgent requests.

Cause: each instance shed by its own refusals.

Instances now report what they sent and refused in the last five seconds, by priority, while any of them refuses, in the form in which contended services report their demand, and each sheds by the sum. A few refusals at one of many instances no longer shed anything. A line `shedding` tells when a service begins and ends to shed, with the counts.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -205,6 +205,17 @@
         /// Requests a second that it takes from all instances together; `None` where it names no limit any more.
         per_second: Option<f64>,
     },
+    /// A service begins or ends to refuse requests in favour of more urgent ones that all instances refuse.
+    Shedding {
+        /// The service.
+        service: Arc<str>,
+        /// The most urgent priority level that is refused now; none if requests of all levels are served.
+        level: Option<u8>,
+        /// Requests of all instances of late that were sent, by level.
+        admitted: Vec<u32>,
+        /// Those refused for lack of capacity.
+        refused: Vec<u32>,
+    },
     /// The outcomes of all instances together make an endpoint suspect: it gets no work while they do.
     Suspect {
         /// The endpoint.
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -5,9 +5,10 @@
 use crossbeam_channel::{Sender, unbounded};
 use eyre::{Context as _, Result};
 use rudder_clock::{Moment, WakeWatch, note_wake};
-use rudder_core::Event;
+use rudder_core::{Event, peer::Load};
 use rudder_events::What;
 use rudder_model::{EndpointId, InstanceId};
+use rudder_route::admission::level_index;
 use tokio::{
     signal::unix::{SignalKind, signal},
     sync::mpsc::{UnboundedReceiver, unbounded_channel},
@@ -187,6 +188,7 @@
         admission.age_out(now, |service| contention.is_contended(service, now));
         admission.update_yielding(|service| shared.loads.borrow().others_demand(service), now);
         loads.extend(admission.to_loads(now));
+        loads.extend(update_shedding(&shared, now));
         loads.sort_by_key(|load| load.endpoint);
         drop((admission, contention, conditions));
         if loads != reported {
@@ -200,3 +202,17 @@
         }
     }
 }
+
+/// Applies what the other instances refuse for lack of capacity, and returns what this instance reports of it.
+fn update_shedding<D: Dialect>(shared: &Shared<D>, now: Moment) -> Vec<Load> {
+    let mut shedding = shared.shedding.borrow_mut();
+    for change in shedding.update(|service| shared.loads.borrow().others_demand(service), now) {
+        shared.log.write(What::Shedding {
+            service: change.service,
+            level: change.level.map(|level| level_index(level) as u8),
+            admitted: change.demand.admitted.to_vec(),
+            refused: change.demand.refused.to_vec(),
+        });
+    }
+    shedding.to_loads(now, |service| !shared.uses_admission(service)).collect()
+}
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -530,6 +530,7 @@
         match self.dialect.read_document(&document.body) {
             Ok(plan) => {
                 self.returns.borrow_mut().retain(&plan);
+                self.shedding.borrow_mut().retain(|service| plan.services.contains_key(service));
                 *self.plan.borrow_mut() = Some(Rc::new(plan));
             }
             // The instance that proposed it could parse it, but may run another version.
