fix(gateway): instances that know the same counts share the free slots of an engine

What callers saw (uneven deployment, steady load of 1.5 to 3 times the usual): up to 435 of 2,205 chat streams, the highest priority, got no first event within 2 s and were given up by their callers, while drafts began at other engines.

Cause: counts of other instances are 100 to 300 ms old, and the room for what all instances send within that age was computed as if they spread over all engines. They choose the engine that looks best, and all find the same. Nor did the predicted wait for a slot count requests that no report shows yet.

Evidence (three times the load, logs of all 72 instances, 1 to 6 s): the streams that were given up went to engines known to hold 11 requests in the median, of 16 slots, which held 38; those answered went to engines known to hold 12, which held 21. Engines swing between 12 and 48 requests within a second. Ruled out: drafts beside them (none in the median).

Requests without a long session now use only this instance's share of the free slots, as the admission already does where more arrive than fit. Long sessions spread as evenly as their hashes and keep their engines. Unreported requests count for the predicted wait for a slot.

--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -27,6 +27,8 @@
 const MAX_CROWDING: f64 = 2.0;
 /// Engines examined for room if a sample has none, so that a refusal costs the same in a lane of thousands.
 const MAX_EXAMINED: usize = 128;
+/// Arrivals at an engine that are not known: they may exceed any number of free slots.
+const UNBOUNDED: f64 = f64::INFINITY;
 /// Share of a session's tokens assumed missing from the caches of its top-ranked engines. All other engines are assumed
 /// to lack them all.
 const MISSING_SHARES: [f64; 2] = [0.0, 0.5];
@@ -233,17 +235,24 @@
         let Inputs { loads, admission, now, .. } = *self.inputs;
         let span = admission.unreported_span(now).as_secs_f64();
         let share = f64::from(engine.slots) / f64::from(service.slots.max(engine.slots).max(1));
+        let arrivals = if self.is_long_session() { service.demand.rate(self.level) * span * share } else { UNBOUNDED };
         let room = EngineRoom {
             slots: engine.slots,
             urgent: loads.known_at_or_above(self.level, &engine.endpoint, self.service) + self.reserved_at(share),
             total: f64::from(self.work(engine).calls),
             own: loads.own_at(&engine.endpoint),
-            arrivals: if service.idle { 0.0 } else { service.demand.rate(self.level) * span * share },
+            arrivals: if service.idle { 0.0 } else { arrivals },
             ..EngineRoom::default()
         };
         admission.has_room(&engine.endpoint, self.level, room, now)
     }
 
+    /// Whether the request goes to the engines of its session if it can, as that has many tokens. Such requests spread as
+    /// evenly as the sessions do. All others go to the engines that look best, and all instances find the same ones.
+    pub(super) fn is_long_session(&self) -> bool {
+        self.prompt.session_tokens() >= self.policy().fetch_least
+    }
+
     /// Requests that are due at an engine with this share of the service's slots. Callers return to any instance, so all
     /// instances are taken to have as many due as this one.
     fn reserved_at(&self, share: f64) -> f64 {
--- a/crates/rudder-gateway/src/choose/timed.rs
+++ b/crates/rudder-gateway/src/choose/timed.rs
@@ -110,8 +110,7 @@
     fn may_queue(&self, engine: &Registration, affinity: &Affinity) -> bool {
         let rivals = self.inputs.loads.known_at_or_above(self.level, &engine.endpoint, self.service);
         let bound = f64::from(engine.slots) * self.inputs.policy.timing.queue;
-        let is_long = self.prompt.session_tokens() >= self.policy().fetch_least;
-        is_long && rivals < bound && affinity.engines.iter().any(|own| own.endpoint == engine.endpoint)
+        self.is_long_session() && rivals < bound && affinity.engines.iter().any(|own| own.endpoint == engine.endpoint)
     }
 
     /// Whether so few slots are in use that the engine may be used for requests of the other lane.
--- a/crates/rudder-gateway/tests/timing.rs
+++ b/crates/rudder-gateway/tests/timing.rs
@@ -2,18 +2,24 @@
 
 mod support;
 
-use std::{cell::Cell, collections::BTreeSet, time::Duration};
+use std::{
+    cell::Cell,
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use rudder_core::{Registration, peer::Load};
 use rudder_gateway::{
     Plan, Service,
+    admission::Admissions,
     choose::{self, CandidateCache, Candidates, Choice, Eligibility, Lane},
     contention::Contention,
     dialect::{Prompt, PromptPart},
     plan::{Engine, Limits},
+    policy::GuardPolicy,
 };
 use rudder_model::{EndpointId, id};
-use rudder_route::{condition::EngineSpeed, engine_cost::is_sooner};
+use rudder_route::{admission::Demand, condition::EngineSpeed, engine_cost::is_sooner};
 
 use support::{Known, endpoint, paced, roster, stream_route};
 
@@ -248,6 +254,54 @@
 }
 
 /// A stream of pseudo-random numbers between 0 and 1.
+/// Instances that send requests in [`sent_by_the_same_counts`].
+const SENDERS: u64 = 72;
+
+/// Quick streams that each engine gets from all instances while they know the same counts, which are 200 ms old. Each
+/// instance sends three.
+fn sent_by_the_same_counts(scene: &mut Scene) -> HashMap<EndpointId, u32> {
+    let mut sent: HashMap<EndpointId, u32> = HashMap::new();
+    let service = "svc".into();
+    for seed in 0..SENDERS {
+        let now = scene.known.now;
+        let mut admission = Admissions::new(&GuardPolicy::default(), seed, now);
+        admission.set_senders(SENDERS as usize);
+        let reported = now;
+        scene.known.now = now + Duration::from_millis(200);
+        admission.record_report(reported, seed, scene.known.now);
+        scene.known.admission = admission;
+        for session in 0..3 {
+            let route = scene.known.plan.find("h", "/chat/").expect("a route");
+            let prompt = chat(100 + seed * 10 + session);
+            let candidates = scene.candidates();
+            let chosen =
+                choose::choose(&scene.known.inputs(), route, "svc", &candidates, Some(&prompt), Eligibility::default());
+            let Ok(choice) = chosen else { continue };
+            scene.known.admission.record_sent(&service, &choice.endpoint, 0, true, scene.known.now);
+            *sent.entry(choice.endpoint).or_default() += 1;
+        }
+    }
+    sent
+}
+
+/// All instances would find the same few engines best until the next report, and send each of them several times what it
+/// has slots for.
+#[test]
+fn instances_with_the_same_counts_share_the_free_slots() {
+    let mut scene = Scene::new();
+    let calls = |engine: &Registration| if number(&engine.endpoint) % 11 == 1 { 4 } else { 14 };
+    let to_load =
+        |engine: &Registration| Load { calls: calls(engine), ..Load::none(id::endpoint_tag(&engine.endpoint)) };
+    let demand = Demand { admitted: [216, 0, 0, 0], ..Demand::default() };
+    let service = Load::of_service(id::endpoint_tag("svc"), demand);
+    let loads: Vec<Load> = scene.engines.iter().map(to_load).chain([service]).collect();
+    scene.known.loads.set_others(&loads);
+    let sent = sent_by_the_same_counts(&mut scene);
+    let total = |engine: &Registration| calls(engine) + sent.get(&engine.endpoint).copied().unwrap_or_default();
+    let totals: Vec<u32> = scene.engines.iter().map(total).collect();
+    assert!(totals.iter().all(|total| *total <= 2 * 16), "{totals:?}");
+}
+
 fn noise(seed: u64) -> f64 {
     (id::number_key(seed) >> 11) as f64 / (1u64 << 53) as f64
 }
--- a/crates/rudder-route/src/engine_cost.rs
+++ b/crates/rudder-route/src/engine_cost.rs
@@ -119,11 +119,13 @@
 /// of its own, and the output of one event.
 pub fn first_event(speed: &EngineSpeed, work: &EngineWork, demand: &EngineDemand) -> Duration {
     let own = f64::from(demand.own) + f64::from(demand.missing);
-    let unreported = work.unreported.clamp(0.0, MAX_UNREPORTED) * f64::from(demand.own);
+    let sent = work.unreported.clamp(0.0, MAX_UNREPORTED);
+    let unreported = sent * f64::from(demand.own);
     let slots = f64::from(work.slots.max(1));
+    let calls = work.calls + sent;
     // The requests in the slots are assumed to be like this one and spread evenly over their running time.
-    let turns = ((work.rivals.min(work.calls) + 1.0 - slots) / slots).max(1.0 / slots);
-    let slot_wait = if work.calls < slots { Duration::ZERO } else { output_time(speed, demand.answer).mul_f64(turns) };
+    let turns = ((work.rivals.min(work.calls) + sent + 1.0 - slots) / slots).max(1.0 / slots);
+    let slot_wait = if calls < slots { Duration::ZERO } else { output_time(speed, demand.answer).mul_f64(turns) };
     let time = slot_wait + prefill_time(speed, work.ahead + unreported + own) + output_time(speed, demand.event);
     time.min(MAX_TIME)
 }
--- a/crates/rudder-route/tests/engine_cost.rs
+++ b/crates/rudder-route/tests/engine_cost.rs
@@ -79,6 +79,9 @@
     requests_that_no_report_shows_yet_are_waited_for: 1.0, EngineWork { unreported: 2.0, ..IDLE } => 65_000;
     /// Without an exchange, the age of the reports grows without bound.
     the_number_of_unreported_requests_is_bounded: 1.0, EngineWork { unreported: 1e9, ..IDLE } => 125_000;
+    /// They are sent by counts that show free slots.
+    unreported_requests_take_the_free_slots: 1.0,
+        EngineWork { calls: 11.0, rivals: 11.0, unreported: 8.0, ..IDLE } => 200_000;
     a_full_engine_frees_its_next_slot_after_a_part_of_a_turn: 1.0,
         EngineWork { calls: 16.0, rivals: 16.0, ..IDLE } => 63_750;
     requests_in_the_queue_get_their_slots_first: 1.0, EngineWork { calls: 32.0, rivals: 32.0, ..IDLE } => 363_750;
