--- a/crates/rudder-gateway/src/shedding.rs
+++ b/crates/rudder-gateway/src/shedding.rs
@@ -85,7 +85,8 @@
         for service in services {
             let reported = others(&service);
             self.others.insert(service.clone(), reported);
-            let level = (1..LEVELS).find(|level| self.is_shed(&service, *level, now));
+            let levels = self.services.get(&service).map_or(0, Vec::len);
+            let level = (1..levels).find(|level| self.is_shed(&service, *level, now));
             if self.shed.get(&service).copied() == level {
                 continue;
             }
