--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -140,7 +140,7 @@
         };
         let free: Vec<_> = examined(&other.endpoints, MAX_EXAMINED).filter(is_free).take(self.policy().drawn).collect();
         let chosen = self.cheapest(free, &affinity)?;
-        Some(self.to_choice(chosen, None, &affinity, other))
+        Some(self.complete_choice(chosen, None, &affinity, other))
     }
 
     fn choose_in(&self, own: &Lane, other: &Lane, bulk: &Lane) -> Option<Choice> {
@@ -152,10 +152,11 @@
             (self.choose_by_tokens(own, other, &affinity)?, None)
         };
         let backups = if own.endpoints.len() > 1 { own } else { bulk };
-        Some(self.to_choice(chosen, predicted, &affinity, backups))
+        Some(self.complete_choice(chosen, predicted, &affinity, backups))
     }
 
-    fn to_choice(
+    /// Adds to a chosen engine what depends on the prompt: what it processes, fetches and copies.
+    fn complete_choice(
         &self,
         chosen: &Registration,
         predicted: Option<Duration>,
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -177,8 +177,9 @@
     pub full: f64,
     /// Share of the room of each priority that the next lower one leaves free.
     pub headroom: f64,
-    /// Streams are rejected at once if their expected wait at the best engine exceeds this multiple of their target and
-    /// those of all lower priorities; 0 disables rejection.
+    /// Streams of the lowest priority are rejected at once if their expected wait at the best engine exceeds this multiple of
+    /// their target. Those of the highest priority wait for slots alone, and all others for up to half of their callers'
+    /// patience. 0 disables rejection.
     pub hopeless: f64,
     /// Requests for engines are rejected at once while the service rejects more urgent ones for lack of capacity.
     pub shedding: bool,
