fix(gateway): the rates of prompt tokens of services that are gone are dropped

Found in the last reading: the rates by service grew with each service that a configuration ever named, as the counts for shedding did before. They are dropped with the configuration that no longer names the service.

Test: a_service_that_is_no_longer_configured_is_forgotten.

--- a/crates/rudder-gateway/src/arrivals.rs
+++ b/crates/rudder-gateway/src/arrivals.rs
@@ -32,6 +32,11 @@
         levels[level].add(f64::from(tokens), elapsed, SPAN);
     }
 
+    /// Drops services that are unknown.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.services.retain(|service, _| is_known(service));
+    }
+
     /// Tokens per second of the priorities above `level`.
     pub fn rate_above(&self, service: &str, level: usize, now: Moment) -> f64 {
         let elapsed = now.saturating_duration_since(self.started);
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -531,6 +531,7 @@
             Ok(plan) => {
                 self.returns.borrow_mut().retain(&plan);
                 self.shedding.borrow_mut().retain(|service| plan.services.contains_key(service));
+                self.arrivals.borrow_mut().retain(|service| plan.services.contains_key(service));
                 *self.plan.borrow_mut() = Some(Rc::new(plan));
             }
             // The instance that proposed it could parse it, but may run another version.
--- a/crates/rudder-gateway/tests/arrivals.rs
+++ b/crates/rudder-gateway/tests/arrivals.rs
@@ -22,3 +22,16 @@
     assert!(rate(1, 2_900) < 300.0, "{}", rate(1, 2_900));
     assert!(arrivals.rate_above("another", 1, at(950)).abs() < 1.0);
 }
+
+/// State of services that are gone would grow with the changes of the configuration.
+#[test]
+fn a_service_that_is_no_longer_configured_is_forgotten() {
+    let (mut arrivals, now) = (Arrivals::default(), Moment::now());
+    let (kept, gone): (Arc<str>, Arc<str>) = ("kept".into(), "gone".into());
+    for service in [&kept, &gone] {
+        arrivals.record(service, 0, 1_000, now);
+    }
+    arrivals.retain(|service| service == "kept");
+    assert!(arrivals.rate_above("kept", 1, now) > 1_000.0);
+    assert!(arrivals.rate_above("gone", 1, now) < 1.0);
+}
