fix(gateway): predict waits from the engines and the urgent prompts of the same lane

What callers saw (bursts in which the load rises in two or three steps): requests of the middle priority were refused as "too much to read" within a second of the last step, at queues that engines work off in time.

Cause: the predicted wait grows with the share of the capacity that more urgent prompts take. Both were counted over all engines of the service, but quick streams go to a lane of their own: at an engine of the other lane, the streams of the highest priority seemed to take up to half of the capacity, with a rate that differed from instance to instance by 54,000 to 276,000 tokens a second; prompts of the lowest priority seemed to have the quick lane's capacity as well.

Rates are recorded by lane now, and the capacity is that of the engines of the lane that was chosen.

Ruled out (trials): learning the speed of prefill from waits without the overtaking prompts.

--- a/crates/rudder-gateway/src/arrivals.rs
+++ b/crates/rudder-gateway/src/arrivals.rs
@@ -1,18 +1,20 @@
-//! Prompt tokens that this instance lately sent to the engines of each service, by priority.
+//! Prompt tokens that this instance lately sent to the engines of each service, by lane and priority.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use rudder_clock::Moment;
 use rudder_route::decay::DecayedSum;
 
+use crate::lanes::LaneKind;
+
 /// Time in which tokens lose 1/e of their weight: short, so that a burst of urgent requests is noticed at once.
 const SPAN: Duration = Duration::from_millis(500);
 
-/// Rates of prompt tokens by service and priority level; level 0 is the most urgent.
+/// Rates of prompt tokens by service, lane and priority level; level 0 is the most urgent.
 #[derive(Debug)]
 pub struct Arrivals {
     started: Moment,
-    services: HashMap<Arc<str>, Vec<DecayedSum>>,
+    services: HashMap<Arc<str>, HashMap<LaneKind, Vec<DecayedSum>>>,
 }
 
 impl Default for Arrivals {
@@ -22,10 +24,10 @@
 }
 
 impl Arrivals {
-    /// Records `tokens` to prefill that were sent to an engine.
-    pub fn record(&mut self, service: &Arc<str>, level: usize, tokens: u32, now: Moment) {
+    /// Records `tokens` to prefill that were sent to an engine of `lane`.
+    pub fn record(&mut self, service: &Arc<str>, lane: LaneKind, level: usize, tokens: u32, now: Moment) {
         let elapsed = now.saturating_duration_since(self.started);
-        let levels = self.services.entry(service.clone()).or_default();
+        let levels = self.services.entry(service.clone()).or_default().entry(lane).or_default();
         if levels.len() <= level {
             levels.resize(level + 1, DecayedSum::default());
         }
@@ -37,10 +39,11 @@
         self.services.retain(|service, _| is_known(service));
     }
 
-    /// Tokens per second of the priorities above `level`.
-    pub fn rate_above(&self, service: &str, level: usize, now: Moment) -> f64 {
+    /// Tokens per second of the priorities above `level` that were sent to the engines of `lane`.
+    pub fn rate_above(&self, service: &str, lane: LaneKind, level: usize, now: Moment) -> f64 {
         let elapsed = now.saturating_duration_since(self.started);
-        let above = self.services.get(service).into_iter().flatten().take(level);
+        let levels = self.services.get(service).and_then(|lanes| lanes.get(&lane));
+        let above = levels.into_iter().flatten().take(level);
         above.map(|sum| sum.at(elapsed, SPAN)).sum::<f64>() / SPAN.as_secs_f64()
     }
 }
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -224,7 +224,7 @@
     let prompt = call.prompt.as_ref();
     let level = shared.level(&call.route, &choice.service);
     if prompt.is_some() {
-        shared.arrivals.borrow_mut().record(&choice.service, level, choice.unread, now);
+        shared.arrivals.borrow_mut().record(&choice.service, choice.lane, level, choice.unread, now);
     }
     if prompt.is_some() && shared.uses_admission(&choice.service) {
         let first = progress.sent == 1;
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -224,16 +224,15 @@
     any
 }
 
-/// The prompts that are processed before those of a request of `level` at the chosen engine. All instances are taken to
-/// send as many urgent ones as this one.
+/// The prompts that are processed before those of a request of `level` at the chosen engine. Only those sent to the engines
+/// of its lane compete for their capacity. All instances are taken to send as many urgent ones as this one.
 pub(super) fn backlog_at<D: Dialect>(shared: &Shared<D>, choice: &Choice, level: Level) -> Backlog {
     let prefill = shared.prefill.borrow();
-    let engines = shared.candidate_cache.borrow().count(&choice.service);
-    let rate = shared.arrivals.borrow().rate_above(&choice.service, level, Moment::now());
+    let rate = shared.arrivals.borrow().rate_above(&choice.service, choice.lane, level, Moment::now());
     Backlog {
         queued: prefill.time_for(&choice.service, choice.queued),
         rate: rate * shared.admission.borrow().senders().max(1) as f64,
-        capacity: prefill.speed(&choice.service) * 1000.0 * engines as f64,
+        capacity: prefill.speed(&choice.service) * 1000.0 * choice.lane_size as f64,
     }
 }
 
--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -12,7 +12,7 @@
 
 use super::{Inputs, SpeedClasses};
 use crate::{
-    lanes::{self, Lanes},
+    lanes::{self, LaneKind, Lanes},
     roster::Roster,
     slow_start::Allowance,
 };
@@ -24,6 +24,8 @@
 /// A set of endpoints to choose from.
 #[derive(Debug, Default)]
 pub struct Lane {
+    /// Which lane this is.
+    pub kind: LaneKind,
     /// The endpoints, in the order of their rank.
     pub endpoints: Vec<Arc<Registration>>,
     /// The endpoints in this instance's own hall.
@@ -39,12 +41,12 @@
 }
 
 impl Lane {
-    fn new(endpoints: Vec<Arc<Registration>>, fast: usize, inputs: &Inputs) -> Lane {
+    fn new(kind: LaneKind, endpoints: Vec<Arc<Registration>>, fast: usize, inputs: &Inputs) -> Lane {
         let local = endpoints.iter().filter(|endpoint| endpoint.hall == *inputs.hall).cloned().collect();
         let is_warming = |endpoint: &&Arc<Registration>| inputs.allowance(endpoint) != Allowance::Unlimited;
         let warming = endpoints.iter().filter(is_warming).cloned().collect();
         let keys = endpoints.iter().map(|registration| id::node_key(&registration.endpoint)).collect();
-        Lane { endpoints, local, warming, fast, keys }
+        Lane { kind, endpoints, local, warming, fast, keys }
     }
 
     /// The `COUNT` endpoints with the largest rendezvous weights for `key`, in descending order, without those that
@@ -130,9 +132,9 @@
         let earliest_retry = endpoints.iter().filter_map(retry_at).min();
         let max_expiry = inputs.now + MAX_AGE;
         Candidates {
-            quick: Lane::new(lanes.quick, 0, inputs),
-            bulk: Lane::new(lanes.bulk, lanes.fast, inputs),
-            fallback: Lane::new(fallback, 0, inputs),
+            quick: Lane::new(LaneKind::Quick, lanes.quick, 0, inputs),
+            bulk: Lane::new(LaneKind::Bulk, lanes.bulk, lanes.fast, inputs),
+            fallback: Lane::new(LaneKind::Bulk, fallback, 0, inputs),
             usage,
             expires: Some(earliest_retry.unwrap_or(max_expiry).min(max_expiry)),
         }
@@ -187,11 +189,6 @@
         self.cached.get(service).map(|candidates| candidates.usage).unwrap_or_default()
     }
 
-    /// Number of healthy endpoints of a service, as of the last choice.
-    pub fn count(&self, service: &str) -> usize {
-        self.cached.get(service).map_or(0, |lanes| lanes.quick.endpoints.len() + lanes.bulk.endpoints.len())
-    }
-
     /// The candidates of a service, computed if there is no valid entry.
     pub fn of(&mut self, service: &Arc<str>, roster: &Roster, inputs: &Inputs) -> Rc<Candidates> {
         let is_valid = |candidates: &&Rc<Candidates>| candidates.expires.is_some_and(|expires| inputs.now < expires);
--- a/crates/rudder-gateway/src/choose/engine.rs
+++ b/crates/rudder-gateway/src/choose/engine.rs
@@ -140,45 +140,49 @@
         };
         let free: Vec<_> = examined(&other.endpoints, MAX_EXAMINED).filter(is_free).take(self.policy().drawn).collect();
         let chosen = self.cheapest(free, &affinity)?;
-        Some(self.complete_choice(chosen, None, &affinity, other))
+        Some(self.complete_choice(chosen, None, &affinity, (other, other)))
     }
 
     fn choose_in(&self, own: &Lane, other: &Lane, bulk: &Lane) -> Option<Choice> {
         let affinity = self.to_affinity(own);
-        let (chosen, predicted) = if self.timed {
-            let estimate = self.choose_timed(own, other, &affinity)?;
-            (estimate.engine, Some(estimate.first))
-        } else {
-            (self.choose_by_tokens(own, other, &affinity)?, None)
-        };
         let backups = if own.endpoints.len() > 1 { own } else { bulk };
-        Some(self.complete_choice(chosen, predicted, &affinity, backups))
+        if self.timed {
+            let estimate = self.choose_timed(own, other, &affinity)?;
+            return Some(self.complete_choice(estimate.engine, Some(estimate.first), &affinity, (own, backups)));
+        }
+        let (chosen, lane) = self.choose_by_tokens(own, other, &affinity)?;
+        Some(self.complete_choice(chosen, None, &affinity, (lane, backups)))
     }
 
-    /// Adds to a chosen engine what depends on the prompt: what it processes, fetches and copies.
+    /// Adds to an engine chosen from `lane` what depends on the prompt: what it processes, fetches and copies.
     fn complete_choice(
         &self,
         chosen: &Registration,
         predicted: Option<Duration>,
         affinity: &Affinity,
-        backups: &Lane,
+        (lane, backups): (&Lane, &Lane),
     ) -> Choice {
         let fetch_from = affinity.source_for(chosen).map(|source| source.address.clone());
         let unread = self.tokens_to_prefill(chosen, affinity);
         let backup = if self.needs_backup() { self.sample_backup(backups, chosen) } else { None };
         let queued = self.inputs.loads.unread_at_or_above(self.level, &chosen.endpoint, self.service);
-        Choice { queued, predicted, backup, fetch_from, ..to_choice(self.inputs, chosen, unread) }
+        Choice { queued, predicted, backup, fetch_from, ..to_choice(self.inputs, chosen, lane, unread) }
     }
 
-    /// Picks an engine with room by the prompt tokens to process there.
-    fn choose_by_tokens<'e>(&self, own: &'e Lane, other: &'e Lane, affinity: &'e Affinity) -> Option<&'e Registration> {
+    /// Picks an engine with room by the prompt tokens to process there. Returns its lane, too.
+    fn choose_by_tokens<'e>(
+        &self,
+        own: &'e Lane,
+        other: &'e Lane,
+        affinity: &'e Affinity,
+    ) -> Option<(&'e Registration, &'e Lane)> {
         let mut sample = self.sample(own, affinity);
         sample.retain(|engine| self.has_room(engine));
         if sample.is_empty() {
             sample.extend(self.find_room(own));
         }
         let best = self.cheapest(sample, affinity)?;
-        Some(self.overflow(best, other, affinity).unwrap_or(best))
+        Some(self.overflow(best, other, affinity).map_or((best, own), |engine| (engine, other)))
     }
 
     pub(super) fn policy(&self) -> &'a ChoicePolicy {
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -26,6 +26,7 @@
     contention::Contention,
     dialect::Prompt,
     health::Health,
+    lanes::LaneKind,
     limits::RateLimits,
     loads::EndpointLoads,
     placement::Placement,
@@ -144,6 +145,10 @@
     pub address: Arc<str>,
     /// Its service.
     pub service: Arc<str>,
+    /// The lane that it is in.
+    pub lane: LaneKind,
+    /// Number of endpoints in that lane.
+    pub lane_size: usize,
     /// Requests known to be in flight there.
     pub calls: u32,
     /// Prompt tokens known to await prefill there.
@@ -219,13 +224,15 @@
     }
 }
 
-fn to_choice(inputs: &Inputs, chosen: &Registration, unread: u32) -> Choice {
+fn to_choice(inputs: &Inputs, chosen: &Registration, lane: &Lane, unread: u32) -> Choice {
     let work = inputs.loads.at(&chosen.endpoint);
     Choice {
         endpoint: chosen.endpoint.clone(),
         born: chosen.born,
         address: chosen.address.clone(),
         service: chosen.service.clone(),
+        lane: lane.kind,
+        lane_size: lane.endpoints.len(),
         calls: work.calls,
         ahead: work.unread,
         queued: work.unread,
--- a/crates/rudder-gateway/src/choose/plain.rs
+++ b/crates/rudder-gateway/src/choose/plain.rs
@@ -35,7 +35,7 @@
         .iter()
         .filter(is_tied)
         .min_by_key(|registration| (is_remote(registration), rand::random::<u32>()))?;
-    Some(to_choice(inputs, chosen, 0))
+    Some(to_choice(inputs, chosen, lane, 0))
 }
 
 /// The eligible endpoints to compare.
--- a/crates/rudder-gateway/src/lanes.rs
+++ b/crates/rudder-gateway/src/lanes.rs
@@ -39,6 +39,16 @@
     route.pause.is_some_and(|pause| bound.is_some_and(|bound| pause <= bound))
 }
 
+/// The lanes of a service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub enum LaneKind {
+    /// For streams with short pause targets.
+    Quick,
+    /// For all other requests, and for those of plain services.
+    #[default]
+    Bulk,
+}
+
 /// The engines of a service by lane, in the order of their rank.
 #[derive(Debug)]
 pub struct Lanes<E> {
--- a/crates/rudder-gateway/tests/policy.rs
+++ b/crates/rudder-gateway/tests/policy.rs
@@ -12,7 +12,7 @@
     choose::{self, Candidates, Choice, Eligibility},
     dialect::{Prompt, PromptPart},
     health::{Health, Outcome},
-    lanes,
+    lanes::{self, LaneKind},
     loads::{Demand, EndpointLoads, InFlight},
     plan::{Engine, Fault, Limits, Organisation},
     policy::LanePolicy,
@@ -408,6 +408,36 @@
     assert_eq!(scene.choose("/answer/", &short, &[]), None, "another prompt is processed there");
 }
 
+/// The wait at an engine was predicted from the capacity of engines that other requests use.
+#[test]
+fn a_choice_names_the_lane_that_the_engine_is_in() {
+    let mut scene = Scene::new();
+    let short = Prompt { tokens: 1_800, max_answer: 30, answer_hint: None, parts: Vec::new() };
+    // The lane of the choice, and whether its size is that of the lane.
+    let lane = |scene: &Scene, path: &str| {
+        let lanes = Candidates::new(roster(&scene.engines).of("svc"), "svc", &scene.known.inputs());
+        let choice = scene.choice(path, &short, &[]).expect("a choice");
+        let engines = if choice.lane == LaneKind::Quick { &lanes.quick } else { &lanes.bulk }.endpoints.len();
+        (choice.lane, choice.lane_size == engines)
+    };
+    assert_eq!(lane(&scene, "/grade/"), (LaneKind::Quick, true));
+    assert_eq!(lane(&scene, "/recap/"), (LaneKind::Bulk, true));
+    let fill = |scene: &mut Scene, calls: [u32; 2]| {
+        let quick = Candidates::new(roster(&scene.engines).of("svc"), "svc", &scene.known.inputs()).quick.endpoints;
+        let is_quick = |engine: &Registration| quick.iter().any(|own| own.endpoint == engine.endpoint);
+        let to_load = |engine: &Registration| load(&engine.endpoint, calls[usize::from(!is_quick(engine))], 0);
+        let loads: Vec<Load> = scene.engines.iter().map(to_load).collect();
+        scene.known.loads.set_others(&loads);
+    };
+    fill(&mut scene, [20, 62]);
+    assert_eq!(lane(&scene, "/answer/"), (LaneKind::Quick, true), "a prompt of one step is lent to the other lane");
+    // The lane grows to its largest size first.
+    for _ in 0..4 {
+        fill(&mut scene, [60, 3]);
+    }
+    assert_eq!(lane(&scene, "/grade/"), (LaneKind::Bulk, true), "a quick stream overflows");
+}
+
 /// Headroom must not add up to all slots of an engine, and an engine that reports none takes one request at a time.
 #[test]
 fn every_priority_has_room_at_an_idle_engine() {
