fix(gateway): urgent requests may wait for four fifths of their callers' patience

What callers saw (bursts in which the load rises in two steps, x 3 and then x 4): a tenth of the requests of the middle priority was refused within a second of the last step, while requests that were sent at the same time were answered in time.

Cause: a request was refused when its predicted wait exceeded half of its caller's patience, 1.5 s of 3 s. Less urgent requests are served until the step, so urgent ones are refused while the capacity that the former take is still in use, and before the engines have worked off what came with the step.

The bound is now 0.8 of the patience, for the priorities between the lowest and the highest (`guard.waiting`). The rest is a margin for predictions that are too short while the load rises.

In three steps the last one alone brings more urgent streams than there are slots; the rest of the refusals are for lack of slots. That stays open.

--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -19,7 +19,8 @@
     termination::{check_quarantine, is_content_suspect},
 };
 use crate::{
-    Dialect, Route, RouteKind, choose::Choice, placement::residency_of, returns::capacity_refusal, shared::Shared,
+    Dialect, Route, RouteKind, choose::Choice, placement::residency_of, policy::GuardPolicy, returns::capacity_refusal,
+    shared::Shared,
 };
 
 /// Attempts beyond the route's bound that are allowed while earlier attempts did not run.
@@ -128,7 +129,7 @@
 /// be refused while less urgent ones are served. The highest of several priorities is bounded by the slots alone.
 fn check_expected_wait<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<(), Refusal> {
     let Some(plan) = shared.current_plan() else { return Ok(()) };
-    let hopeless = shared.options.policy.guard.hopeless;
+    let GuardPolicy { hopeless, waiting, .. } = shared.options.policy.guard;
     let is_highest = plan.is_highest(&call.route, &choice.service);
     if call.route.kind != RouteKind::Stream || call.prompt.is_none() || is_highest || hopeless == 0.0 {
         return Ok(());
@@ -136,7 +137,7 @@
     let backlog = backlog_at(shared, choice, plan.level(&call.route, &choice.service));
     let (wait, target) = (backlog.wait(), call.route.target);
     let is_lowest = !plan.has_lower(&call.route, &choice.service);
-    let bounds = WaitBounds { target: hopeless, patience: shared.admission.borrow().options.burst };
+    let bounds = WaitBounds { target: hopeless, patience: waiting };
     if wait <= bounds.longest(&caller_of(call, Moment::now()), is_lowest) {
         return Ok(());
     }
--- a/crates/rudder-gateway/src/policy.rs
+++ b/crates/rudder-gateway/src/policy.rs
@@ -178,9 +178,11 @@
     /// Share of the room of each priority that the next lower one leaves free.
     pub headroom: f64,
     /// Streams of the lowest priority are rejected at once if their expected wait at the best engine exceeds this multiple of
-    /// their target. Those of the highest priority wait for slots alone, and all others for up to half of their callers'
-    /// patience. 0 disables rejection.
+    /// their target. Those of the highest priority wait for slots alone. 0 disables rejection of all priorities.
     pub hopeless: f64,
+    /// Streams of all other priorities are rejected at once if their expected wait exceeds this share of their callers'
+    /// patience. The rest is a margin: predictions are too short while the load rises.
+    pub waiting: f64,
     /// Requests for engines are rejected at once while the service rejects more urgent ones for lack of capacity.
     pub shedding: bool,
     /// A stream's timeout for its first event is extended by this multiple of the expected wait at its engine.
@@ -201,6 +203,7 @@
             full: 1.0,
             headroom: 0.2,
             hopeless: 0.5,
+            waiting: 0.8,
             shedding: true,
             patience: 4.0,
             ejection: true,
@@ -271,6 +274,7 @@
             ("timing.slow", self.timing.slow),
             ("timing.recovered", self.timing.recovered),
             ("timing.idle", self.timing.idle),
+            ("guard.waiting", self.guard.waiting),
             ("scaling.slots", self.scaling.target_utilisation),
             ("scaling.floor", self.scaling.on_demand_share),
         ];
--- a/crates/rudder-gateway/tests/settings.rs
+++ b/crates/rudder-gateway/tests/settings.rs
@@ -42,6 +42,7 @@
     a_share_above_one: "[lanes]\nlargest = 1.5\n" => "lanes.largest: 1.5 is not between 0 and 1";
     a_negative_factor: "[guard]\npatience = -1\n" => "guard.patience: -1 is not between 0 and 1000";
     headroom_that_leaves_nothing: "[guard]\nheadroom = 1\n" => "guard.headroom: 1 is not between 0 and 0.9";
+    a_wait_beyond_the_patience: "[guard]\nwaiting = 1.1\n" => "guard.waiting";
     an_infinite_factor: "[guard]\nhopeless = inf\n" => "guard.hopeless";
     not_a_number: "[lanes]\nfill = nan\n" => "lanes.fill";
     relays_without_clients: "[relays]\naskers = 0\n" => "relays.askers: 0 is not between 1 and 100000";
