--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -329,10 +329,10 @@
         /// Those of them that are read before the request's own, by priority.
         #[serde(default)]
         queued: u32,
-        /// Tokens of more urgent prompts that all instances send per second.
+        /// Tokens of more urgent prompts that all instances send to the engines of its lane per second.
         #[serde(default)]
         urgent_rate: u64,
-        /// Tokens that all engines of the service read per second.
+        /// Tokens that all engines of that lane read per second.
         #[serde(default)]
         capacity: u64,
         /// Expected wait for them, in milliseconds.
--- a/crates/rudder-route/src/queue_wait.rs
+++ b/crates/rudder-route/src/queue_wait.rs
@@ -10,14 +10,14 @@
 /// the whole capacity.
 const MAX_URGENT_SHARE: f64 = 0.9;
 
-/// The prompts that the engines of a service process before those of a request.
+/// The prompts that the engines of a lane process before those of a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Backlog {
     /// Time that the chosen engine takes for those of the request's priority and above that it has.
     pub queued: Duration,
-    /// Tokens of more urgent prompts that all instances send per second.
+    /// Tokens of more urgent prompts that all instances send to these engines per second.
     pub rate: f64,
-    /// Tokens per second that all engines of the service process.
+    /// Tokens per second that all engines of the lane process.
     pub capacity: f64,
 }
 
