--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -471,5 +471,7 @@
         return Ok(connection);
     }
     let bound = upstream::CONNECT_TIMEOUT.min(call.deadline.saturating_duration_since(now));
-    upstream::connect(&choice.address, bound).await.map_err(|_| "it cannot be reached")
+    upstream::connect(shared.options.listeners.origin(), &choice.address, bound)
+        .await
+        .map_err(|_| "it cannot be reached")
 }
--- a/crates/rudder-gateway/src/call/termination.rs
+++ b/crates/rudder-gateway/src/call/termination.rs
@@ -18,7 +18,8 @@
     progress: &mut Progress,
     choice: &Choice,
 ) -> bool {
-    if !shared.is_replaced(&choice.endpoint) && !upstream::refuses_connections(&choice.address).await {
+    let origin = shared.options.listeners.origin();
+    if !shared.is_replaced(&choice.endpoint) && !upstream::refuses_connections(origin, &choice.address).await {
         shared.contents.borrow_mut().note_broken(call.content, &choice.endpoint);
         return false;
     }
--- a/crates/rudder-gateway/src/duty.rs
+++ b/crates/rudder-gateway/src/duty.rs
@@ -71,7 +71,8 @@
 
 async fn send<D: Dialect>(shared: &Shared<D>, duties: &Duties, task: &DutyTask) -> CallResult {
     let request = shared.dialect.write_duty(duties, task.fence, &task.call);
-    let Ok(mut connection) = upstream::connect(&duties.receiver.to_string(), CONNECT_TIMEOUT).await else {
+    let origin = shared.options.listeners.origin();
+    let Ok(mut connection) = upstream::connect(origin, &duties.receiver.to_string(), CONNECT_TIMEOUT).await else {
         return CallResult::without_answer(CallOutcome::Unknown);
     };
     if !shared.holds_duties() {
--- a/crates/rudder-gateway/src/options.rs
+++ b/crates/rudder-gateway/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     path::PathBuf,
     time::Duration,
 };
@@ -31,6 +31,11 @@
 }
 
 impl Listeners {
+    /// The local address of this instance's connections.
+    pub fn origin(&self) -> IpAddr {
+        self.peers.ip()
+    }
+
     /// The distinct addresses of the listeners for readiness, operators and the directory, which may share one.
     pub fn control(&self) -> BTreeSet<SocketAddr> {
         [self.ready, self.operators, self.directory].into_iter().flatten().collect()
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -1,7 +1,12 @@
 //! HTTP/1 connections to endpoints. Each carries one request at a time and is reused once the answer has been read
 //! whole.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -11,7 +16,10 @@
 use rudder_clock::Moment;
 use rudder_model::EndpointId;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::JoinHandle};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+};
 
 /// Timeout for opening a connection. TCP resends a lost SYN only after a second, so another endpoint is faster.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -119,16 +127,14 @@
     pub source: std::io::Error,
 }
 
-/// Opens a connection.
+/// Opens a connection from the local address `origin`, by which the other side can tell instances apart.
 ///
 /// # Errors
 /// Fails if the connection is not open within `bound`.
-pub async fn connect(address: &str, bound: Duration) -> Result<Connection, ConnectError> {
-    let fault = |source: std::io::Error| ConnectError { address: address.to_owned(), source };
-    let target: SocketAddr =
-        address.parse().map_err(|_| fault(std::io::Error::new(std::io::ErrorKind::InvalidInput, "not an address")))?;
-    let opened = tokio::time::timeout(bound, TcpStream::connect(target)).await;
-    let stream = opened.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())).map_err(fault)?;
+pub async fn connect(origin: IpAddr, address: &str, bound: Duration) -> Result<Connection, ConnectError> {
+    let fault = |source: io::Error| ConnectError { address: address.to_owned(), source };
+    let opened = tokio::time::timeout(bound, open(origin, address)).await;
+    let stream = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(fault)?;
     configure_socket(&stream).map_err(fault)?;
     let handshake = http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| fault(std::io::Error::other(error)))?;
@@ -139,12 +145,21 @@
     Ok(Connection { sender, _guard: AbortOnDrop(task), carried: 0 })
 }
 
-/// Returns true if connections to `address` are refused, so that no process listens there. A timeout proves nothing, as
-/// a packet may have been lost.
-pub async fn refuses_connections(address: &str) -> bool {
-    let Ok(target) = address.parse::<SocketAddr>() else { return false };
-    let probe = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(target)).await;
-    matches!(probe, Ok(Err(error)) if error.kind() == std::io::ErrorKind::ConnectionRefused)
+async fn open(origin: IpAddr, address: &str) -> io::Result<TcpStream> {
+    let target: SocketAddr =
+        address.parse().map_err(|_| io::Error::new(io::ErrorKind::InvalidInput, "not an address"))?;
+    let socket = if target.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if origin.is_ipv4() == target.is_ipv4() {
+        socket.bind(SocketAddr::new(origin, 0))?;
+    }
+    socket.connect(target).await
+}
+
+/// Returns true if connections from `origin` to `address` are refused, so that no process listens there. A timeout proves
+/// nothing, as a packet may have been lost.
+pub async fn refuses_connections(origin: IpAddr, address: &str) -> bool {
+    let probe = tokio::time::timeout(PROBE_TIMEOUT, open(origin, address)).await;
+    matches!(probe, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
 /// Disables Nagle's algorithm and enables the detection of dead peers.
