feat(gateway): an instance notices that it reaches no endpoint

Three endpoints lost in a row, or silence of all with requests in flight, put the links in doubt; others are then probed until a new connection stays open. Logs tell when the links were lost, how many endpoints were lost and probed, and when they are back; a gauge says so too.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -477,6 +477,18 @@
         /// Why.
         why: String,
     },
+    /// This instance reaches no endpoint any more.
+    EndpointsLost {
+        /// Endpoints that could not be reached, one after the other.
+        lost: u32,
+        /// Endpoints probed then, all in vain.
+        tried: u32,
+    },
+    /// This instance reaches endpoints again.
+    EndpointsReached {
+        /// How long it reached none.
+        after: Duration,
+    },
     /// An endpoint ended, connections to it are refused, while a request was under way there.
     EndedUnder {
         /// The request.
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -244,6 +244,10 @@
             let order = if *begins { "evacuate" } else { "end the evacuation of" };
             format!("an operator's order to {order} {hall} was answered {status} after {took_ms} ms")
         }
+        What::EndpointsLost { lost, tried } => {
+            format!("reaches no endpoint: lost {lost} in a row, then probed {tried} more in vain")
+        }
+        What::EndpointsReached { after } => format!("reaches endpoints again after {after:?}"),
         What::Fresh { fresh: true, .. } => "can prove its configuration the newest again".to_owned(),
         What::Fresh { fresh: false, .. } => "can no longer prove its configuration the newest".to_owned(),
         What::Documented { version, before } => format!("configuration {version} is in force, {before} before"),
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -28,6 +28,7 @@
     dialect::{LimitNotice, Pushback},
     health::Outcome,
     limits::{Permit, Recorded},
+    link_probe,
     loads::{Demand, InFlight},
     returns::{capacity_refusal, reserved_room},
     shared::Shared,
@@ -162,6 +163,7 @@
             progress.unsent_attempts += 1;
             log_failure(shared, call, progress, &choice, why, Ran::No);
             record_outcome(shared, &choice.endpoint, Outcome::Unreachable);
+            link_probe::record_lost(shared, &choice.endpoint);
             return Ok(Err(Failure::NotSent(why)));
         }
     };
@@ -238,6 +240,7 @@
     };
     let flight = InFlight::start(&shared.loads, &choice.endpoint, demand);
     let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
+    link_probe::record_answer(shared, &connection);
     let (parts, body) = response.into_parts();
     let head = shared.dialect.read_answer(&call.id, &parts);
     if head.id_matches && head.load.is_some_and(|load| load.pace.is_some()) {
@@ -346,6 +349,7 @@
             }
             record_outcome(shared, &choice.endpoint, Outcome::Failed);
             log_failure(shared, call, progress, choice, why, Ran::Unknown);
+            link_probe::record_lost(shared, &choice.endpoint);
             record_if_terminated(shared, call, progress, choice).await;
             Err(Failure::OutcomeUnknown("the endpoint broke off"))
         }
--- /dev/null
+++ b/crates/rudder-gateway/src/link_probe.rs
@@ -0,0 +1,107 @@
+//! Feeds [`Reachability`](crate::reachability::Reachability) with what becomes of connections, and probes the links to
+//! endpoints when they are in doubt.
+
+use std::{net::IpAddr, rc::Rc, sync::Arc, time::Duration};
+
+use futures_util::future::join_all;
+use rand::seq::IndexedRandom as _;
+use rudder_clock::Moment;
+use rudder_core::{Phase, Registration};
+use rudder_events::What;
+use rudder_model::EndpointId;
+
+use crate::{
+    Dialect,
+    reachability::MIN_LOST,
+    shared::{PublishedView, Shared},
+    upstream::{self, Connection},
+};
+
+/// Endpoints probed at once.
+const PROBES: usize = 2;
+/// Time between probes of an isolated instance.
+const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+/// Timeout for opening a probe's connection.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// How long a probe's connection must stay open: a link may accept connections and reset them at once.
+const PROBE_HOLD: Duration = Duration::from_millis(60);
+
+/// Records that an endpoint could not be reached, and probes the links if it is one of several.
+pub fn record_lost<D: Dialect>(shared: &Rc<Shared<D>>, endpoint: &EndpointId) {
+    let known = ready_endpoints(&shared.view.borrow()).take(MIN_LOST).count();
+    if shared.reachability.borrow_mut().record_lost(endpoint, known, Moment::now()) {
+        tokio::task::spawn_local(probe_links(shared.clone()));
+    }
+}
+
+/// Probes the links if all endpoints are silent.
+pub fn check_silence<D: Dialect>(shared: &Rc<Shared<D>>) {
+    let in_flight = shared.loads.borrow().has_own();
+    if shared.reachability.borrow_mut().check_silence(in_flight, Moment::now()) {
+        tokio::task::spawn_local(probe_links(shared.clone()));
+    }
+}
+
+/// Records an answer's head that came over `connection`.
+pub fn record_answer<D: Dialect>(shared: &Shared<D>, connection: &Connection) {
+    let now = Moment::now();
+    if connection.carried > 1 {
+        // Open connections may live on while new ones fail.
+        shared.reachability.borrow_mut().record_heard(now);
+        return;
+    }
+    record_reached(shared, now);
+}
+
+fn record_reached<D: Dialect>(shared: &Shared<D>, now: Moment) {
+    let Some(after) = shared.reachability.borrow_mut().record_reached(now) else { return };
+    shared.metrics.set_isolated(false);
+    shared.log.write(What::EndpointsReached { after });
+}
+
+/// Probes endpoints until one can be reached.
+async fn probe_links<D: Dialect>(shared: Rc<Shared<D>>) {
+    loop {
+        let targets = choose_targets(&shared);
+        let tried = targets.len();
+        let origin = shared.options.listeners.origin();
+        let probes = targets.into_iter().map(async |target| (target.clone(), probe(origin, &target).await));
+        let outcomes = join_all(probes).await;
+        let now = Moment::now();
+        let mut reached = false;
+        for (target, connection) in outcomes {
+            let Some(connection) = connection else { continue };
+            reached = true;
+            shared.pool.borrow_mut().put(&target.endpoint, connection, None, now);
+        }
+        if reached || shared.reachability.borrow().is_connected() {
+            return record_reached(&shared, now);
+        }
+        if let Some(lost) = shared.reachability.borrow_mut().record_unreached(now) {
+            shared.metrics.set_isolated(true);
+            shared.log.write(What::EndpointsLost { lost: lost as u32, tried: tried as u32 });
+        }
+        tokio::time::sleep(PROBE_INTERVAL).await;
+    }
+}
+
+/// Endpoints to probe: some that were not lost yet, if there are any.
+fn choose_targets<D: Dialect>(shared: &Shared<D>) -> Vec<Arc<Registration>> {
+    let view = shared.view.borrow();
+    let reachability = shared.reachability.borrow();
+    let is_lost = |known: &&Arc<Registration>| reachability.is_lost(&known.endpoint);
+    let (lost, others): (Vec<_>, Vec<_>) = ready_endpoints(&view).partition(is_lost);
+    let preferred = if others.is_empty() { &lost } else { &others };
+    preferred.sample(&mut rand::rng(), PROBES).map(|target| Arc::clone(target)).collect()
+}
+
+fn ready_endpoints(view: &PublishedView) -> impl Iterator<Item = &Arc<Registration>> {
+    view.endpoints.iter().filter(|known| known.phase == Phase::Ready)
+}
+
+/// Opens a connection that stays open.
+async fn probe(origin: IpAddr, target: &Registration) -> Option<Connection> {
+    let connection = upstream::connect(origin, &target.address, PROBE_TIMEOUT).await.ok()?;
+    tokio::time::sleep(PROBE_HOLD).await;
+    connection.is_open().then_some(connection)
+}
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -124,6 +124,11 @@
         reported + f64::from(unreported) * self.calls_at_or_above(level, endpoint, service) / f64::from(calls)
     }
 
+    /// Whether this instance has requests in flight.
+    pub fn has_own(&self) -> bool {
+        self.own.values().any(|load| load.calls > 0)
+    }
+
     /// This instance's requests in flight at `endpoint`.
     pub fn own_at(&self, endpoint: &str) -> u32 {
         self.own.get(endpoint).map_or(0, |load| load.calls)
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -231,6 +231,7 @@
     holds_duties: Gauge,
     unreported_windows: Gauge,
     late_requests: Gauge,
+    isolated: Gauge,
     dropped_messages: Gauge,
     instances: Gauge,
     resident_bytes: Gauge,
@@ -347,6 +348,7 @@
         registry.register("open_requests", "Requests under way", state.open_requests.clone());
         registry.register("idle_connections", "Idle connections to endpoints", state.idle_connections.clone());
         registry.register("ready", "Takes callers", state.ready.clone());
+        registry.register("isolated", "Reaches no endpoint", state.isolated.clone());
         registry.register("document_version", "Version of the configuration in force", state.document_version.clone());
         let help = "Age of the proof that the configuration is the newest, in ms; -1 for none";
         registry.register("proof_age_milliseconds", help, state.proof_age.clone());
@@ -489,6 +491,11 @@
         self.ended_under.inc();
     }
 
+    /// Sets whether no endpoint can be reached.
+    pub fn set_isolated(&self, isolated: bool) {
+        self.state.borrow().isolated.set(i64::from(isolated));
+    }
+
     /// Counts a rejected report of an endpoint.
     pub fn record_refused_report(&self, why: &'static str) {
         self.refused_reports.get_or_create(&ReasonLabel { why }).inc();
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -18,7 +18,7 @@
 use crate::{
     Dialect, Options, driver,
     driver::Notice,
-    duty,
+    duty, link_probe,
     logging::Log,
     peers::{self, Links},
     scaling,
@@ -175,6 +175,7 @@
             described = Moment::now();
             shared.send_event(Event::Services(scaling::service_states(&shared)));
         }
+        link_probe::check_silence(&shared);
         shared.update_outdated();
         let now = Moment::now();
         shared.conditions.borrow_mut().update(now);
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -39,6 +39,7 @@
     metrics::{ControlStatus, Metrics},
     placement::Placement,
     prefill::PrefillSpeeds,
+    reachability::Reachability,
     recent::{self, Tally},
     returns::ReturnSchedules,
     roster::Roster,
@@ -151,6 +152,8 @@
     pub others_at: Cell<Option<Moment>>,
     /// Requests in flight at endpoints.
     pub loads: Rc<RefCell<EndpointLoads>>,
+    /// Whether endpoints can be reached from here.
+    pub reachability: RefCell<Reachability>,
     /// Recent outcomes at endpoints, and ejections.
     pub health: RefCell<Health>,
     /// Endpoints that have asked for a backoff or are leaving.
@@ -241,6 +244,7 @@
             proof: watch::Sender::new(None),
             others_at: Cell::new(None),
             loads: Rc::default(),
+            reachability: RefCell::new(Reachability::new(started)),
             health: RefCell::default(),
             backoff: RefCell::default(),
             limits: RefCell::default(),
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -218,6 +218,7 @@
             };
             let Ok(bytes) = frame.into_data() else { continue };
             silent_at = timeout.map(|timeout| Moment::now() + timeout);
+            self.shared.reachability.borrow_mut().record_heard(Moment::now());
             if self.first_byte.is_none() {
                 let now = Moment::now();
                 self.first_byte = Some(now);
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -175,6 +175,11 @@
 }
 
 impl Connection {
+    /// Whether the other side has not closed it.
+    pub fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
