fix(gateway): an instance that reaches no endpoint passes requests to one that does

What callers saw: at instances that had lost their links to all endpoints 75 of 204 first tries were served, 149 of 150 at the others; refused at once where connections are reset, after 1.8 s where they hang.

Cause: an instance had no other way to an endpoint than its own links, and learned with each request anew that they fail.

Fix: once probes confirm that no endpoint can be reached, requests go to another instance, of the same hall if it has two that serve, else of the region. A request takes one such hop at most; an instance that reaches no endpoint either rejects it, and up to four are tried. The hop carries the attempts that may have run, so "not run" is said only where nobody has sent the request, and the bounds on attempts hold; a hop is taken from known instances only. Resumable streams go on by the same way. Requests wait for probes under way, 260 ms at most, rather than be sent over links in doubt.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -246,6 +246,18 @@
         proof_ms: u64,
         /// Time that the caller and the route allow, in milliseconds.
         left_ms: u64,
+        /// The instance that passed it on, if one did.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        via: Option<InstanceId>,
+    },
+    /// A request was passed to another instance, as this one reaches no endpoint.
+    CallPassed {
+        /// The request.
+        request: String,
+        /// The other instance.
+        to: InstanceId,
+        /// Attempts that may have run before.
+        runs: u32,
     },
     /// A request went out to an endpoint.
     CallSent {
@@ -651,6 +663,7 @@
             | What::Done { request, .. }
             | What::Refused { request, .. }
             | What::CallTaken { request, .. }
+            | What::CallPassed { request, .. }
             | What::CallSent { request, .. }
             | What::CallFailed { request, .. }
             | What::CallHopeless { request, .. }
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -71,11 +71,12 @@
         }
         What::Refused { code, text, ran, .. } => format!("refused ({code:?}, ran: {ran:?}): {text}"),
         What::Left { .. } => "the caller left".to_owned(),
-        What::CallTaken { route, org, content, version, proof_ms, left_ms, .. } => {
+        What::CallTaken { route, org, content, version, proof_ms, left_ms, via, .. } => {
             let org = org.as_deref().unwrap_or("nobody");
+            let via = via.as_ref().map_or(String::new(), |via| format!(", passed on by {via}"));
             format!(
                 "taken on route {route} for {org}, content {content}, by configuration {version} (proved {proof_ms} ms ago), \
-                 {left_ms} ms allowed"
+                 {left_ms} ms allowed{via}"
             )
         }
         What::CallSent { .. } => to_sent_sentence(what),
@@ -244,6 +245,7 @@
             let order = if *begins { "evacuate" } else { "end the evacuation of" };
             format!("an operator's order to {order} {hall} was answered {status} after {took_ms} ms")
         }
+        What::CallPassed { to, runs, .. } => format!("passed to {to}; attempts that may have run before: {runs}"),
         What::EndpointsLost { lost, tried } => {
             format!("reaches no endpoint: lost {lost} in a row, then probed {tried} more in vain")
         }
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -11,7 +11,8 @@
 
 use super::{
     Call, Progress, Refusal,
-    refusal::{denied, not_run},
+    hop::read_hop,
+    refusal::{denied, not_run, unready},
     termination::{check_quarantine, to_hex},
 };
 use crate::{
@@ -48,14 +49,15 @@
     head: CallHead,
     body: Incoming,
 ) -> Result<Call, Refusal> {
+    let hop = read_hop(shared, &mut parts)?;
     let retry_after = shared.recovery_time();
     let host = host_of(&parts);
     let path = parts.uri.path();
-    let Some(mut plan) = shared.current_plan() else { return Err(not_run("no configuration yet", retry_after)) };
+    let Some(mut plan) = shared.current_plan() else { return Err(unready("no configuration yet", retry_after)) };
     let mut admitted = admit(&plan, &head, &host, path);
     if admitted.is_err() && !shared.is_fresh(shared.options.max_denial_proof_age) {
         if !shared.wait_for_proof(arrived, DENIAL_PROOF_TIMEOUT).await {
-            return Err(not_run("the configuration may be old", retry_after));
+            return Err(unready("the configuration may be old", retry_after));
         }
         plan = shared.current_plan().unwrap_or(plan);
         admitted = admit(&plan, &head, &host, path);
@@ -79,6 +81,7 @@
         version: plan.version,
         proof_ms: shared.proof_age().unwrap_or_default().as_millis() as u64,
         left_ms: allowed.as_millis() as u64,
+        via: hop.as_ref().map(|hop| hop.from.clone()),
     });
     check_quarantine(shared, content, &Progress::default())?;
     let mut headers = parts.headers;
@@ -99,6 +102,7 @@
         host,
         cut: parts.extensions.remove::<Disconnect>().unwrap_or_default(),
         returned: None,
+        hop,
         method: parts.method,
         uri: parts.uri,
         headers,
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -13,7 +13,7 @@
 use rudder_route::admission::Reason;
 
 use super::{
-    Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
+    Call, EndpointAnswer, Failure, HopNeed, Progress, Refusal, ResumePoint,
     checks::{
         backlog_at, check_admission, check_still_allowed, expected_wait, is_other_sooner, record_demand,
         record_without_choice, take_retry_for_silent,
@@ -161,6 +161,7 @@
         Ok(connection) => connection,
         Err(why) => {
             progress.unsent_attempts += 1;
+            progress.hop_need = progress.hop_need.max(HopNeed::Possible);
             log_failure(shared, call, progress, &choice, why, Ran::No);
             record_outcome(shared, &choice.endpoint, Outcome::Unreachable);
             link_probe::record_lost(shared, &choice.endpoint);
@@ -215,11 +216,12 @@
     shared.metrics.record_attempt(progress.sent > 0);
     progress.sent += 1;
     progress.possible_runs += 1;
-    if progress.service.is_none() {
+    let is_first = progress.sent == 1;
+    if progress.service.is_none() && is_first {
         shared.budget.borrow_mut().note_request(&choice.service, now);
         record_demand(shared, call, Some(&choice.service), false);
-        progress.service = Some(choice.service.clone());
     }
+    progress.service.get_or_insert_with(|| choice.service.clone());
     log_sent(shared, call, progress, &choice, connection.carried > 0, left);
     progress.last_choice = Some(choice.clone());
     let request = call.to_request(&shared.dialect, &choice, left, resume);
@@ -229,8 +231,7 @@
         shared.arrivals.borrow_mut().record(&choice.service, choice.lane, level, choice.unread, now);
     }
     if prompt.is_some() && shared.uses_admission(&choice.service) {
-        let first = progress.sent == 1;
-        shared.admission.borrow_mut().record_sent(&choice.service, &choice.endpoint, level, first, now);
+        shared.admission.borrow_mut().record_sent(&choice.service, &choice.endpoint, level, is_first, now);
     }
     let demand = Demand {
         service: choice.service.clone(),
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -15,6 +15,7 @@
     Call, Progress, Refusal,
     attempt::choose_endpoint,
     fairness::record_work,
+    hop::must_pass_on,
     refusal::{CapacityFigures, no_retry, record_capacity_refusal},
     termination::{check_quarantine, is_content_suspect},
 };
@@ -33,7 +34,10 @@
     if progress.possible_runs >= bound || progress.sent >= bound + EXTRA_ATTEMPTS_NOT_RUN || now >= call.deadline {
         return false;
     }
-    if is_content_suspect(shared, call, progress) || choose_endpoint(shared, call, progress).is_err() {
+    if is_content_suspect(shared, call, progress) {
+        return false;
+    }
+    if !must_pass_on(shared, call, progress) && choose_endpoint(shared, call, progress).is_err() {
         return false;
     }
     let Some(service) = progress.service.clone() else { return true };
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -7,6 +7,7 @@
 //! - [`admit`]: reads a request and checks its route and key;
 //! - [`send`]: the retry loop over endpoints;
 //! - [`checks`]: whether a request may be sent or retried;
+//! - [`hop`]: passes a request to another instance if this one reaches no endpoint;
 //! - [`attempt`](mod@attempt): one attempt, from the choice of an endpoint to the head of its answer;
 //! - [`fairness`]: fair shares between organisations;
 //! - [`rate_limit`]: permits for endpoints that have a rate limit;
@@ -19,6 +20,7 @@
 pub mod checks;
 pub mod copies;
 pub mod fairness;
+pub mod hop;
 pub mod rate_limit;
 pub mod refusal;
 pub mod send;
@@ -39,6 +41,7 @@
 pub use attempt::{attempt, log_failure, record_outcome, return_connection};
 pub use checks::{take_retry, take_retry_for_silent};
 pub use copies::resume_from_copy;
+pub use hop::{Hop, HopAnswer, must_pass_on, pass_on};
 pub use refusal::{Refusal, Subject};
 pub use send::take_retry_after;
 pub use termination::{record_answered, record_if_terminated, to_hex};
@@ -97,6 +100,8 @@
     pub cut: Disconnect,
     /// It was refused before, as far as is known.
     pub returned: Option<Return>,
+    /// How it came here, if another instance passed it on.
+    pub hop: Option<Hop>,
     key: Option<String>,
     host: String,
     method: Method,
@@ -146,6 +151,18 @@
     pub from_copy: bool,
 }
 
+/// Whether a request needs another instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+enum HopNeed {
+    /// No connection to an endpoint has failed.
+    #[default]
+    None,
+    /// One has failed.
+    Possible,
+    /// No other instance could serve the request either.
+    Vain,
+}
+
 /// The attempts made for a request so far.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -162,6 +179,7 @@
     /// Endpoints that terminated while they served it.
     pub terminated_endpoints: usize,
     unsent_attempts: u32,
+    hop_need: HopNeed,
     /// Only endpoints without a rate limit are eligible.
     unlimited_only: bool,
     /// Uniform draw from 0 to 1 that decides whether it yields to more urgent requests.
@@ -194,10 +212,11 @@
     let (parts, body) = request.into_parts();
     let head = shared.dialect.read_call(&parts);
     let id = head.id.clone();
+    let is_hop = parts.headers.contains_key(hop::HOP);
     let mut open = OpenRequest { shared: shared.clone(), id: id.clone(), arrived, answered: false };
     let read = match *shared.stage.borrow() {
         // The request arrived while its connection was being closed.
-        Stage::Closing => Err(refusal::not_run("the instance is stopping", STOPPING_RETRY_AFTER)),
+        Stage::Closing => Err(refusal::unready("the instance is stopping", STOPPING_RETRY_AFTER)),
         Stage::Serving | Stage::Draining => Ok(()),
     };
     let answer = match read {
@@ -206,6 +225,7 @@
     };
     open.answered = true;
     answer.unwrap_or_else(|refusal| {
+        let refusal = if is_hop { refusal.for_instance() } else { refusal };
         shared.metrics.record_end(None, RequestOutcome::Refused, arrived.elapsed());
         refusal::refuse(&shared, &id, &refusal)
     })
--- a/crates/rudder-gateway/src/call/refusal.rs
+++ b/crates/rudder-gateway/src/call/refusal.rs
@@ -11,7 +11,7 @@
     returns::Told,
 };
 
-use super::{Call, Failure, Progress, attempt::NO_ROOM};
+use super::{Call, Failure, HopNeed, Progress, attempt::NO_ROOM, hop::ISOLATED};
 use crate::{Dialect, body::AnswerBody, returns::capacity_refusal, shared::Shared};
 
 /// The reason of a refusal after all engines that were tried rejected the request as full.
@@ -32,6 +32,15 @@
     pub told: Option<Told>,
     /// What was refused; `None` before its route is known.
     pub subject: Option<Subject>,
+    /// The reason lies with this instance, so another one may serve the request.
+    pub instance_bound: bool,
+}
+
+impl Refusal {
+    /// The refusal as another instance gets it that passed the request on.
+    pub(super) fn for_instance(self) -> Refusal {
+        if self.instance_bound && self.ran == Ran::No { misdirected(self.why) } else { self }
+    }
 }
 
 /// The route and the priority of a refused request.
@@ -87,9 +96,15 @@
         retry: Some(retry),
         told: None,
         subject: None,
+        instance_bound: false,
     }
 }
 
+/// As [`not_run`], if another instance may serve the request.
+pub(super) fn unready(why: &'static str, retry: Duration) -> Refusal {
+    Refusal { instance_bound: true, ..not_run(why, retry) }
+}
+
 /// Why a request to a contended service is refused for lack of capacity.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct CapacityFigures<'a> {
@@ -134,17 +149,22 @@
 
 /// The refusal of a request that is not retried: [`not_run`] if it cannot have run.
 pub(super) fn no_retry(progress: &Progress, why: &'static str, retry: Duration) -> Refusal {
-    if progress.possible_runs == 0 { not_run(why, retry) } else { outcome_unknown(why) }
+    if progress.possible_runs == 0 { unready(why, retry) } else { outcome_unknown(why) }
 }
 
 /// The refusal of a request that may have run.
 pub(super) fn outcome_unknown(why: &'static str) -> Refusal {
-    Refusal { status: StatusCode::BAD_GATEWAY, why, ran: Ran::Unknown, retry: None, told: None, subject: None }
+    Refusal { ran: Ran::Unknown, ..denied(StatusCode::BAD_GATEWAY, why) }
 }
 
 /// The refusal of a request for a fault of its own.
 pub(super) fn denied(status: StatusCode, why: &'static str) -> Refusal {
-    Refusal { status, why, ran: Ran::No, retry: None, told: None, subject: None }
+    Refusal { status, why, ran: Ran::No, retry: None, told: None, subject: None, instance_bound: false }
+}
+
+/// The refusal of a request that another instance may be able to serve.
+pub(super) fn misdirected(why: &'static str) -> Refusal {
+    denied(StatusCode::MISDIRECTED_REQUEST, why)
 }
 
 /// Returns true for statuses that callers take as a statement that the request did not run.
@@ -170,6 +190,13 @@
         Failure::Unresponsive => "the endpoint is silent",
         Failure::DeadlineExceeded => "time ran out",
     };
+    let is_unsent = matches!(failure, Failure::NotSent(_));
+    if is_unsent
+        && progress.hop_need != HopNeed::None
+        && call.hop.as_ref().is_some_and(|hop| hop.runs == progress.possible_runs)
+    {
+        return misdirected(ISOLATED);
+    }
     if progress.possible_runs == 0 {
         // An earlier retry would be refused again, as no endpoint accepts requests before then.
         let blocked = shared.blocked_for(&call.route);
@@ -183,5 +210,5 @@
         Failure::DeadlineExceeded => StatusCode::GATEWAY_TIMEOUT,
         _ => StatusCode::BAD_GATEWAY,
     };
-    Refusal { status, why, ran: Ran::Unknown, retry: None, told: None, subject: None }
+    Refusal { status, ..outcome_unknown(why) }
 }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -5,14 +5,15 @@
 use http::{Response, StatusCode};
 use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
-use rudder_model::Ran;
+use rudder_model::{EndpointId, Ran};
 use rudder_route::admission::Reason;
 
 use super::{
-    Call, EndpointAnswer, Failure, Progress, Refusal, ResumePoint,
+    Call, EndpointAnswer, Failure, HopNeed, Progress, Refusal, ResumePoint,
     attempt::{MAX_UNSENT_ATTEMPTS, attempt, record_not_run, record_outcome, return_connection},
     checks::{check_not_shed, record_without_choice},
     fairness::{check_share, record_bounced},
+    hop::{HopAnswer, ISOLATED, must_pass_on, pass_on},
     record_answered, record_begun, record_if_terminated,
     refusal::{ALL_FULL, final_refusal, outcome_unknown, promises_not_run},
     strip_hop_headers, take_retry,
@@ -22,9 +23,10 @@
     body::AnswerBody,
     buffers::{BodyKind, read_whole},
     health::Outcome,
+    link_probe,
     metrics::RequestOutcome,
     shared::Shared,
-    stream,
+    stream::{self, Source},
 };
 
 /// Largest answer in bytes that is buffered before it is forwarded.
@@ -32,12 +34,37 @@
 
 /// Sends a request until it is answered or no retry is left.
 pub(super) async fn send<D: Dialect>(shared: &Rc<Shared<D>>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
-    check_not_shed(shared, &call)?;
-    check_share(shared, &call)?;
-    let mut progress = Progress { yield_draw: rand::random(), ..Progress::default() };
+    if !shared.reachability.borrow().is_isolated() {
+        check_not_shed(shared, &call)?;
+        check_share(shared, &call)?;
+    }
+    let runs = call.hop.as_ref().map_or(0, |hop| hop.runs);
+    let mut progress = Progress { yield_draw: rand::random(), sent: runs, possible_runs: runs, ..Progress::default() };
     let resume = ResumePoint { last_event: call.last_event, from_copy: false };
     let mut fallback: Option<Response<AnswerBody>> = None;
     loop {
+        link_probe::wait_verdict(shared).await;
+        if must_pass_on(shared, &call, &progress) {
+            let passed = match pass_on(shared, &call, &mut progress, call.last_event).await {
+                Ok(answer) if call.route.kind == RouteKind::Stream && answer.response.status().is_success() => {
+                    return Ok(stream::start(shared, call, progress, Source::Instance(answer)));
+                }
+                Ok(answer) => relay_hop(shared, &call, answer).await,
+                Err(failure) => Err(failure),
+            };
+            let failure = match passed {
+                Ok(response) => return Ok(response),
+                Err(failure) => failure,
+            };
+            if take_retry_after(shared, &call, &mut progress, &failure) {
+                continue;
+            }
+            return fallback.ok_or_else(|| final_refusal(shared, &call, &progress, &failure));
+        }
+        if shared.reachability.borrow().is_isolated() {
+            progress.hop_need = HopNeed::Vain;
+            return fallback.ok_or_else(|| final_refusal(shared, &call, &progress, &Failure::NotSent(ISOLATED)));
+        }
         let answer = match attempt(shared, &call, &mut progress, resume).await? {
             Ok(answer) => answer,
             Err(failure) => {
@@ -62,7 +89,7 @@
             });
         }
         if call.route.kind == RouteKind::Stream && answer.response.status().is_success() {
-            return Ok(stream::start(shared, call, progress, answer));
+            return Ok(stream::start(shared, call, progress, Source::from(answer)));
         }
         // A plain service begins to run a request at once.
         record_begun(shared, &call, &mut progress, answer.sent);
@@ -98,13 +125,35 @@
     failure: &Failure,
 ) -> bool {
     match failure {
-        Failure::NotSent(_) => progress.unsent_attempts < MAX_UNSENT_ATTEMPTS && Moment::now() < call.deadline,
+        Failure::NotSent(_) => {
+            let has_target = progress.unsent_attempts < MAX_UNSENT_ATTEMPTS || must_pass_on(shared, call, progress);
+            has_target && Moment::now() < call.deadline
+        }
         Failure::Unresponsive => true,
         Failure::OutcomeUnknown(_) => call.route.may_repeat() && take_retry(shared, call, progress),
         Failure::DeadlineExceeded => false,
     }
 }
 
+/// Reads another instance's whole answer and returns it as the response to the caller.
+async fn relay_hop<D: Dialect>(
+    shared: &Rc<Shared<D>>,
+    call: &Call,
+    answer: HopAnswer,
+) -> Result<Response<AnswerBody>, Failure> {
+    let HopAnswer { instance, response, .. } = answer;
+    let (mut parts, body) = response.into_parts();
+    let whole = read_whole(&shared.buffers, body, MAX_BUFFERED_ANSWER, BodyKind::Answer(call.cut.clone()));
+    let bytes = match timeout_at(call.deadline, whole).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(_)) => return Err(Failure::OutcomeUnknown("the other instance's answer broke off")),
+        Err(_) => return Err(Failure::DeadlineExceeded),
+    };
+    strip_hop_headers(&mut parts.headers);
+    record_answered_by(shared, call, instance, parts.status);
+    Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
+}
+
 /// Reads a whole answer and returns it as the response to the caller.
 async fn relay<D: Dialect>(
     shared: &Shared<D>,
@@ -138,17 +187,22 @@
         record_answered(shared, call);
     }
     strip_hop_headers(&mut parts.headers);
+    record_answered_by(shared, call, choice.endpoint, parts.status);
+    Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
+}
+
+/// Records that an endpoint, or another instance, has answered a request whole.
+fn record_answered_by<D: Dialect>(shared: &Shared<D>, call: &Call, endpoint: EndpointId, status: StatusCode) {
     let took = call.arrived.elapsed();
     let total_ms = took.as_millis() as u64;
     shared.metrics.record_first_byte(&call.route, took);
     shared.metrics.record_end(Some(&call.route), RequestOutcome::Answered, took);
     shared.log.write(What::CallAnswered {
         request: call.id.clone(),
-        endpoint: choice.endpoint,
-        status: parts.status.as_u16(),
+        endpoint,
+        status: status.as_u16(),
         first_ms: total_ms,
         total_ms,
         pause_ms: 0,
     });
-    Ok(Response::from_parts(parts, AnswerBody::whole(bytes)))
 }
--- a/crates/rudder-gateway/src/call/termination.rs
+++ b/crates/rudder-gateway/src/call/termination.rs
@@ -64,7 +64,8 @@
         return Ok(());
     }
     let Some(left) = shared.contents.borrow().refused_for(content, Moment::now()) else { return Ok(()) };
-    Err(no_retry(progress, "endpoints have ended under it", left))
+    let refusal = no_retry(progress, "endpoints have ended under it", left);
+    Err(Refusal { instance_bound: false, ..refusal })
 }
 
 /// Formats a content tag for logs.
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -240,6 +240,10 @@
     /// Turns a caller's headers into those for an endpoint.
     fn write_forward(&self, headers: &mut HeaderMap, forward: &Forward);
 
+    /// Prepares a caller's headers for another instance, which serves the request in the time that is left. `last_event` is
+    /// the last event that the caller has received.
+    fn write_hop(&self, headers: &mut HeaderMap, remaining: Duration, last_event: Option<u64>);
+
     /// Parses the head of an endpoint's answer to the request `id`.
     fn read_answer(&self, id: &str, head: &response::Parts) -> AnswerHead;
 
--- a/crates/rudder-gateway/src/health.rs
+++ b/crates/rudder-gateway/src/health.rs
@@ -107,6 +107,11 @@
         new
     }
 
+    /// Forgets all outcomes of this instance.
+    pub fn reset(&mut self) {
+        self.endpoints.clear();
+    }
+
     /// Drops unknown endpoints.
     pub fn retain(&mut self, known: impl Fn(&EndpointId) -> bool) {
         self.endpoints.retain(|endpoint, _| known(endpoint));
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod loads;
 pub mod logging;
 pub mod metrics;
+pub mod neighbours;
 pub mod operate;
 pub mod options;
 pub mod peers;
--- a/crates/rudder-gateway/src/link_probe.rs
+++ b/crates/rudder-gateway/src/link_probe.rs
@@ -42,6 +42,12 @@
     }
 }
 
+/// Waits while the links are in doubt: a request that is sent meanwhile may be lost with its outcome unknown.
+pub async fn wait_verdict<D: Dialect>(shared: &Shared<D>) {
+    let mut verdicts = shared.probed.subscribe();
+    while shared.reachability.borrow().is_suspected() && verdicts.changed().await.is_ok() {}
+}
+
 /// Records an answer's head that came over `connection`.
 pub fn record_answer<D: Dialect>(shared: &Shared<D>, connection: &Connection) {
     let now = Moment::now();
@@ -54,7 +60,12 @@
 }
 
 fn record_reached<D: Dialect>(shared: &Shared<D>, now: Moment) {
-    let Some(after) = shared.reachability.borrow_mut().record_reached(now) else { return };
+    let isolated_for = shared.reachability.borrow_mut().record_reached(now);
+    shared.probed.send_replace(());
+    let Some(after) = isolated_for else { return };
+    // Failures of an isolated instance say nothing of its endpoints.
+    shared.health.borrow_mut().reset();
+    shared.candidate_cache.borrow_mut().clear();
     shared.metrics.set_isolated(false);
     shared.log.write(What::EndpointsReached { after });
 }
@@ -78,8 +89,10 @@
             return record_reached(&shared, now);
         }
         if let Some(lost) = shared.reachability.borrow_mut().record_unreached(now) {
+            shared.loads.borrow_mut().forget_outcomes();
             shared.metrics.set_isolated(true);
             shared.log.write(What::EndpointsLost { lost: lost as u32, tried: tried as u32 });
+            shared.probed.send_replace(());
         }
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -155,6 +155,11 @@
         load.filter(|load| !self.outdated || load.detail.is_none())
     }
 
+    /// Forgets the recent outcomes of this instance's requests.
+    pub fn forget_outcomes(&mut self) {
+        self.recent.clear();
+    }
+
     /// Records the end of a request.
     pub fn note_end(&mut self, endpoint: &EndpointId, failed: bool, now: Moment) {
         self.recent.note(endpoint, failed, now);
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -117,6 +117,26 @@
     Denied,
 }
 
+/// The outcome of a request passed between instances.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HopOutcome {
+    /// The other instance answered.
+    Answered,
+    /// The other instance cannot be reached, or reaches no endpoint either.
+    Unfit,
+    /// The other instance broke off, or did not answer in time.
+    Failed,
+    /// Another instance passed it on to this one.
+    Received,
+    /// It was marked as passed on, but came from no known instance.
+    Rejected,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct HopLabel {
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EndpointLabel {
     endpoint: String,
@@ -205,6 +225,7 @@
     permits: Family<PermitLabel, Counter>,
     returns: Family<ReturnLabels, Counter>,
     ended_under: Counter,
+    hops: Family<HopLabel, Counter>,
     held_back: Counter,
     over_share: Counter,
     refused_reports: Family<ReasonLabel, Counter>,
@@ -268,6 +289,7 @@
             permits: Family::default(),
             returns: Family::default(),
             ended_under: Counter::default(),
+            hops: Family::default(),
             held_back: Counter::default(),
             over_share: Counter::default(),
             refused_reports: Family::default(),
@@ -322,6 +344,8 @@
         let help = "Callers of contended services told to return, by priority level and outcome";
         registry.register("returns", help, self.returns.clone());
         registry.register("ended_under", "Requests under which their endpoint ended", self.ended_under.clone());
+        let help = "Requests passed between instances of which one reaches no endpoint, by outcome";
+        registry.register("hops", help, self.hops.clone());
         let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
         let help = "Requests refused because their organisation is over its share";
@@ -491,6 +515,18 @@
         self.ended_under.inc();
     }
 
+    /// Counts a request passed between instances.
+    pub fn record_hop(&self, outcome: HopOutcome) {
+        let outcome = match outcome {
+            HopOutcome::Answered => "answered",
+            HopOutcome::Unfit => "unfit",
+            HopOutcome::Failed => "failed",
+            HopOutcome::Received => "received",
+            HopOutcome::Rejected => "rejected",
+        };
+        self.hops.get_or_create(&HopLabel { outcome }).inc();
+    }
+
     /// Sets whether no endpoint can be reached.
     pub fn set_isolated(&self, isolated: bool) {
         self.state.borrow().isolated.set(i64::from(isolated));
--- /dev/null
+++ b/crates/rudder-gateway/src/neighbours.rs
@@ -0,0 +1,75 @@
+//! The instances to which this one passes requests that it cannot send itself.
+
+use std::{collections::HashMap, time::Duration};
+
+use rand::seq::SliceRandom as _;
+use rudder_clock::Moment;
+use rudder_core::Listing;
+use rudder_model::{HallId, InstanceId};
+
+use crate::placement::Placement;
+
+/// How long an instance that could not serve a request is left out.
+const UNFIT_FOR: Duration = Duration::from_secs(1);
+/// How long an instance that served one is preferred.
+const FIT_FOR: Duration = Duration::from_secs(5);
+/// Instances of one hall that are enough to pass all requests to; with fewer, those of the region share them.
+const MIN_NEAR: usize = 2;
+
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    at: Moment,
+    served: bool,
+}
+
+/// What is known of the other instances as receivers of requests.
+#[derive(Debug, Default)]
+pub struct Neighbours {
+    trials: HashMap<InstanceId, Trial>,
+}
+
+impl Neighbours {
+    /// Records whether an instance was able to serve a request.
+    pub fn record(&mut self, instance: &InstanceId, served: bool, now: Moment) {
+        self.trials.insert(instance.clone(), Trial { at: now, served });
+    }
+
+    /// Drops what is too old to matter.
+    pub fn age(&mut self, now: Moment) {
+        self.trials.retain(|_, trial| now.saturating_duration_since(trial.at) < FIT_FOR);
+    }
+
+    /// Up to `COUNT` of the `others` to try in turn, in random order: those known to serve before the unknown ones, and
+    /// only those of `hall`, or else of its region, if there are enough of them.
+    pub fn select<'a, const COUNT: usize>(
+        &self,
+        others: impl Iterator<Item = &'a Listing>,
+        hall: &HallId,
+        placement: &Placement,
+        now: Moment,
+    ) -> Vec<&'a Listing> {
+        let mut fit: Vec<&Listing> = others.filter(|other| !self.is_unfit(&other.name, now)).collect();
+        let region = placement.region_of(hall);
+        let in_hall = |other: &&Listing| other.hall == *hall;
+        let in_region = |other: &&Listing| region.is_some() && placement.region_of(&other.hall) == region;
+        if fit.iter().filter(|other| in_hall(other)).count() >= MIN_NEAR {
+            fit.retain(in_hall);
+        } else if fit.iter().any(&in_region) {
+            fit.retain(in_region);
+        }
+        fit.shuffle(&mut rand::rng());
+        fit.sort_by_key(|other| !self.is_fit(&other.name, now));
+        fit.truncate(COUNT);
+        fit
+    }
+
+    fn is_unfit(&self, instance: &InstanceId, now: Moment) -> bool {
+        let trial = self.trials.get(instance);
+        trial.is_some_and(|trial| !trial.served && now.saturating_duration_since(trial.at) < UNFIT_FOR)
+    }
+
+    fn is_fit(&self, instance: &InstanceId, now: Moment) -> bool {
+        let trial = self.trials.get(instance);
+        trial.is_some_and(|trial| trial.served && now.saturating_duration_since(trial.at) < FIT_FOR)
+    }
+}
--- a/crates/rudder-gateway/src/reachability.rs
+++ b/crates/rudder-gateway/src/reachability.rs
@@ -53,6 +53,11 @@
         self.state == State::Connected
     }
 
+    /// Whether the links are being probed after they were in use.
+    pub fn is_suspected(&self) -> bool {
+        self.state == State::Suspected
+    }
+
     /// Whether `endpoint` has been lost since any was last reached.
     pub fn is_lost(&self, endpoint: &EndpointId) -> bool {
         self.lost.contains_key(endpoint)
--- a/crates/rudder-gateway/src/recent.rs
+++ b/crates/rudder-gateway/src/recent.rs
@@ -108,6 +108,11 @@
         self.windows.keys()
     }
 
+    /// Forgets all outcomes.
+    pub fn clear(&mut self) {
+        self.windows.clear();
+    }
+
     /// Drops endpoints without recent outcomes.
     pub fn age(&mut self, now: Moment) {
         let second = self.second(now);
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -168,6 +168,7 @@
         }
         shared.pool.borrow_mut().evict_expired(Moment::now());
         shared.slow_start.borrow_mut().age(Moment::now());
+        shared.neighbours.borrow_mut().age(Moment::now());
         let roster = shared.roster.borrow().clone();
         shared.backoff.borrow_mut().age(Moment::now(), |endpoint| roster.knows(endpoint));
         shared.report_begun();
--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -13,7 +13,7 @@
     Dialect,
     body::AnswerBody,
     buffers::Disconnect,
-    call,
+    call::{self, hop::PeerAddress},
     head_timer::{HeadTimer, TimedIo},
     operate,
     plan::Limits,
@@ -69,12 +69,16 @@
         // The caller has disconnected, or can safely retry elsewhere since nothing was read from it.
         return;
     }
+    let peer = stream.peer_addr().map(|peer| PeerAddress(peer.ip())).ok();
     let limits = shared.current_plan().map_or_else(Limits::default, |plan| plan.limits);
     let timer = Rc::new(HeadTimer::default());
     let cut = Disconnect::default();
     let service = service_fn(|mut request: Request<Incoming>| {
         timer.on_head();
         request.extensions_mut().insert(cut.clone());
+        if let Some(peer) = peer {
+            request.extensions_mut().insert(peer);
+        }
         let (answered, timer) = (answer(shared.clone(), request, via), timer.clone());
         async move {
             let response = answered.await;
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -37,6 +38,7 @@
     loads::EndpointLoads,
     logging::Log,
     metrics::{ControlStatus, Metrics},
+    neighbours::Neighbours,
     placement::Placement,
     prefill::PrefillSpeeds,
     reachability::Reachability,
@@ -152,6 +154,10 @@
     pub others_at: Cell<Option<Moment>>,
     /// Requests in flight at endpoints.
     pub loads: Rc<RefCell<EndpointLoads>>,
+    /// The other instances as receivers of requests.
+    pub neighbours: RefCell<Neighbours>,
+    /// Notifies of the outcome of probes of the links.
+    pub probed: watch::Sender<()>,
     /// Whether endpoints can be reached from here.
     pub reachability: RefCell<Reachability>,
     /// Recent outcomes at endpoints, and ejections.
@@ -244,6 +250,8 @@
             proof: watch::Sender::new(None),
             others_at: Cell::new(None),
             loads: Rc::default(),
+            neighbours: RefCell::default(),
+            probed: watch::Sender::new(()),
             reachability: RefCell::new(Reachability::new(started)),
             health: RefCell::default(),
             backoff: RefCell::default(),
@@ -384,6 +392,23 @@
         self.candidate_cache.borrow_mut().clear();
     }
 
+    /// The live instance at this address, if there is one.
+    pub fn instance_at(&self, address: IpAddr) -> Option<InstanceId> {
+        let view = self.view.borrow();
+        let is_at = |name: &str| name.parse::<SocketAddr>().is_ok_and(|known| known.ip() == address);
+        view.entries.iter().find(|listing| is_at(&listing.name)).map(|listing| listing.name.clone())
+    }
+
+    /// The instances to which a request may be passed on, in the order to try them, with their addresses for callers.
+    pub fn hop_targets<const COUNT: usize>(&self) -> Vec<(InstanceId, String)> {
+        let view = self.view.borrow();
+        let others = view.entries.iter().filter(|listing| listing.takes_callers() && listing.name != self.name);
+        let (neighbours, placement) = (self.neighbours.borrow(), self.placement.borrow());
+        let selected = neighbours.select::<COUNT>(others, &self.options.hall, &placement, Moment::now());
+        let with_address = |listing: &&Listing| Some((listing.name.clone(), listing.address.clone()?));
+        selected.iter().filter_map(with_address).collect()
+    }
+
     /// Waits until a later life of the same name has replaced `endpoint`, so that its requests no longer run.
     pub async fn wait_replaced(&self, endpoint: &EndpointId) {
         let mut changes = self.replaced.subscribe();
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -10,6 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use http::Response;
 use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
 use rudder_clock::{Moment, sleep_until, timeout_at};
 use rudder_events::What;
 use rudder_model::Ran;
@@ -20,11 +21,12 @@
     Dialect,
     body::{AnswerBody, Interrupted},
     buffers::Reservation,
-    call::{self, Call, EndpointAnswer, Progress, ResumePoint},
+    call::{self, Call, EndpointAnswer, HopAnswer, Progress, ResumePoint},
     choose::Choice,
     condition::OutputMeter,
     dialect::AnswerHead,
     health::Outcome,
+    link_probe,
     metrics::{PauseMeter, RequestOutcome},
     shared::Shared,
 };
@@ -104,17 +106,41 @@
     DeadlineExceeded,
 }
 
-/// Starts forwarding a stream; the response has the head of the first endpoint's answer.
+/// Where a stream, or a part of it, comes from.
+#[derive(Debug)]
+pub enum Source {
+    /// An endpoint.
+    Endpoint(Box<EndpointAnswer>),
+    /// Another instance, to which the request was passed.
+    Instance(HopAnswer),
+}
+
+impl From<EndpointAnswer> for Source {
+    fn from(answer: EndpointAnswer) -> Source {
+        Source::Endpoint(Box::new(answer))
+    }
+}
+
+impl Source {
+    fn response(&self) -> &Response<Incoming> {
+        match self {
+            Source::Endpoint(answer) => &answer.response,
+            Source::Instance(answer) => &answer.response,
+        }
+    }
+}
+
+/// Starts forwarding a stream; the response has the head of the first answer.
 pub fn start<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: Call,
     progress: Progress,
-    answer: EndpointAnswer,
+    source: Source,
 ) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
     let mut response = Response::new(AnswerBody::Parts(receiver));
-    *response.status_mut() = answer.response.status();
-    *response.headers_mut() = answer.response.headers().clone();
+    *response.status_mut() = source.response().status();
+    *response.headers_mut() = source.response().headers().clone();
     call::strip_hop_headers(response.headers_mut());
     let shared = shared.clone();
     shared.open_requests.set(shared.open_requests.get() + 1);
@@ -128,7 +154,7 @@
             first_byte: None,
             pauses: PauseMeter::default(),
         };
-        relay.run(answer).await;
+        relay.run(source).await;
         drop(relay);
         shared.open_requests.set(shared.open_requests.get() - 1);
     });
@@ -147,29 +173,44 @@
 }
 
 impl<D: Dialect> Relay<'_, D> {
-    async fn run(&mut self, answer: EndpointAnswer) {
-        let mut answer = answer;
+    async fn run(&mut self, source: Source) {
+        let mut source = source;
         loop {
-            let choice = answer.choice.clone();
-            let end = self.relay(answer).await;
+            let (choice, place, end) = match source {
+                Source::Endpoint(answer) => {
+                    let choice = answer.choice.clone();
+                    let end = self.relay(*answer).await;
+                    (Some(choice.clone()), choice.endpoint, end)
+                }
+                Source::Instance(answer) => {
+                    let instance = answer.instance.clone();
+                    (None, instance, self.relay_hop(answer).await)
+                }
+            };
             let why = match &end {
                 End::Complete => {
                     call::record_answered(self.shared, &self.call);
-                    return self.log_answered(&choice.endpoint);
+                    return self.log_answered(&place);
                 }
                 End::CallerLeft => {
                     self.record_end(RequestOutcome::CallerLeft);
-                    return self.log_cut(&choice.endpoint, "the caller left");
+                    return self.log_cut(&place, "the caller left");
                 }
                 End::DeadlineExceeded => "time ran out",
+                End::Interrupted if choice.is_none() => "the other instance broke off",
                 End::Interrupted => "the endpoint broke off",
                 End::Unresponsive => "the endpoint is silent",
             };
-            self.log_cut(&choice.endpoint, why);
-            let ended = matches!(end, End::Interrupted) && self.record_if_terminated(&choice).await;
+            self.log_cut(&place, why);
+            let broken = choice.filter(|_| matches!(end, End::Interrupted));
+            let ended = match &broken {
+                Some(choice) => self.record_if_terminated(choice).await,
+                None => false,
+            };
+            let has_copy = broken.is_some() && self.has_copy();
             let next = match end {
-                End::Interrupted if self.has_copy() && ended => self.resume_from_copy().await,
-                End::Interrupted if self.has_copy() => None,
+                End::Interrupted if has_copy && ended => self.resume_from_copy().await.map(Source::from),
+                End::Interrupted if has_copy => None,
                 End::Interrupted => self.resume(false).await,
                 End::Unresponsive => self.resume(true).await,
                 _ => None,
@@ -179,7 +220,7 @@
                 let _ = self.sender.send(Err(Interrupted)).await;
                 return;
             };
-            answer = next;
+            source = next;
         }
     }
 
@@ -214,6 +255,7 @@
             let Some(frame) = frame else { break };
             let Ok(frame) = frame else {
                 call::record_outcome(self.shared, &choice.endpoint, Outcome::Failed);
+                link_probe::record_lost(self.shared, &choice.endpoint);
                 return End::Interrupted;
             };
             let Ok(bytes) = frame.into_data() else { continue };
@@ -221,12 +263,9 @@
             self.shared.reachability.borrow_mut().record_heard(Moment::now());
             if self.first_byte.is_none() {
                 let now = Moment::now();
-                self.first_byte = Some(now);
+                self.record_first_byte(now);
                 let tokens = choice.queued + choice.unread;
                 let after = now.saturating_duration_since(sent);
-                self.shared
-                    .metrics
-                    .record_first_byte(&self.call.route, now.saturating_duration_since(self.call.arrived));
                 self.shared.prefill.borrow_mut().note(&choice.service, tokens, after);
                 if let Some(predicted) = choice.predicted {
                     self.shared.metrics.record_prediction(predicted, after);
@@ -270,6 +309,43 @@
         End::Complete
     }
 
+    /// Forwards what another instance sends until its part of the stream ends.
+    async fn relay_hop(&mut self, answer: HopAnswer) -> End {
+        let (mut body, _connection) = answer.into_body();
+        loop {
+            let frame = tokio::select! {
+                frame = body.frame() => frame,
+                () = self.sender.closed() => return End::CallerLeft,
+                () = sleep_until(self.call.deadline) => return End::DeadlineExceeded,
+            };
+            let Some(frame) = frame else { break };
+            let Ok(frame) = frame else { return End::Interrupted };
+            let Ok(bytes) = frame.into_data() else { continue };
+            let now = Moment::now();
+            if self.first_byte.is_none() {
+                self.record_first_byte(now);
+            }
+            if let Some(pause) = self.pauses.record(now) {
+                self.shared.metrics.record_pause(pause);
+            }
+            let whole = self.events.push(&bytes);
+            let part = if self.call.route.resumable { whole } else { bytes };
+            if part.is_empty() {
+                continue;
+            }
+            if let Err(end) = self.forward(&part).await {
+                return end;
+            }
+        }
+        if self.events.pending().is_empty() { End::Complete } else { End::Interrupted }
+    }
+
+    fn record_first_byte(&mut self, now: Moment) {
+        self.first_byte = Some(now);
+        let after = now.saturating_duration_since(self.call.arrived);
+        self.shared.metrics.record_first_byte(&self.call.route, after);
+    }
+
     /// The meter of the output speed of an engine of a contended service.
     fn output_meter(&self, choice: &Choice) -> Option<OutputMeter> {
         let engine = self.shared.current_plan()?.services.get(&choice.service)?.engine?;
@@ -319,14 +395,23 @@
     }
 
     /// Resumes the stream at another endpoint, after the last complete event.
-    async fn resume(&mut self, retry_taken: bool) -> Option<EndpointAnswer> {
+    async fn resume(&mut self, retry_taken: bool) -> Option<Source> {
         if !self.call.route.resumable {
             return None;
         }
         let mut has_retry = retry_taken || call::take_retry(self.shared, &self.call, &mut self.progress);
         while has_retry {
+            link_probe::wait_verdict(self.shared).await;
             self.events.drop_pending();
             let last = self.events.last.or(self.call.last_event);
+            if call::must_pass_on(self.shared, &self.call, &self.progress) {
+                has_retry = match self.pass_on(last).await? {
+                    Ok(answer) if answer.response.status().is_success() => return Some(Source::Instance(answer)),
+                    Ok(_) => false,
+                    Err(failure) => call::take_retry_after(self.shared, &self.call, &mut self.progress, &failure),
+                };
+                continue;
+            }
             let resume = ResumePoint { last_event: last, from_copy: false };
             let attempted = call::attempt(self.shared, &self.call, &mut self.progress, resume);
             has_retry = match timeout_at(self.call.deadline, attempted).await.ok()?.ok()? {
@@ -334,7 +419,7 @@
                     if answer.response.status().is_success() && !answer.head.not_run && !answer.head.misdirected =>
                 {
                     self.shared.metrics.record_resume();
-                    return Some(answer);
+                    return Some(Source::from(answer));
                 }
                 Ok(answer) => self.take_retry_after_not_run(&answer),
                 Err(failure) => call::take_retry_after(self.shared, &self.call, &mut self.progress, &failure),
@@ -343,6 +428,12 @@
         None
     }
 
+    /// Passes the rest of the stream to another instance; `None` if time runs out.
+    async fn pass_on(&mut self, last_event: Option<u64>) -> Option<Result<HopAnswer, call::Failure>> {
+        let passed = call::pass_on(self.shared, &self.call, &mut self.progress, last_event);
+        timeout_at(self.call.deadline, passed).await.ok()
+    }
+
     /// Takes a retry after an endpoint that did not resume the stream.
     fn take_retry_after_not_run(&mut self, answer: &EndpointAnswer) -> bool {
         call::log_failure(self.shared, &self.call, &self.progress, &answer.choice, "it does not go on", Ran::No);
