fix(gateway): refused connections are no proof of an endpoint's end where all refuse

Cause: a refused connection passed for the end of its endpoint, by the word of one instance, which may itself be cut off.

Fix: an endpoint that refuses counts as ended only if another one accepts a connection meanwhile; else the broken connection stays unresolved until the registry knows of a later life. The same class as the loss of links: a conclusion on the other side from a failure that is as well explained by this side.

Not covered: an instance cut off from some endpoints while it reaches others.

--- a/crates/rudder-gateway/src/call/termination.rs
+++ b/crates/rudder-gateway/src/call/termination.rs
@@ -6,7 +6,7 @@
 use rudder_model::ContentTag;
 
 use super::{Call, Progress, Refusal, refusal::no_retry};
-use crate::{Dialect, choose::Choice, shared::Shared, upstream};
+use crate::{Dialect, choose::Choice, link_probe, shared::Shared, upstream};
 
 /// A request is not retried once this many endpoints have terminated while serving its content.
 const MAX_TERMINATED_ENDPOINTS: usize = 2;
@@ -18,8 +18,7 @@
     progress: &mut Progress,
     choice: &Choice,
 ) -> bool {
-    let origin = shared.options.listeners.origin();
-    if !shared.is_replaced(&choice.endpoint) && !upstream::refuses_connections(origin, &choice.address).await {
+    if !shared.is_replaced(&choice.endpoint) && !has_terminated(shared, choice).await {
         shared.contents.borrow_mut().note_broken(call.content, &choice.endpoint);
         return false;
     }
@@ -37,6 +36,15 @@
     true
 }
 
+/// Whether an endpoint refuses connections, so that no process listens there, while others can be reached: an instance
+/// whose links are lost is refused by all.
+async fn has_terminated<D: Dialect>(shared: &Shared<D>, choice: &Choice) -> bool {
+    let broke = Moment::now();
+    let origin = shared.options.listeners.origin();
+    upstream::refuses_connections(origin, &choice.address).await
+        && link_probe::reaches_another(shared, &choice.endpoint, broke).await
+}
+
 /// Records that an endpoint answered a request completely, and reports it if endpoints terminated while serving its
 /// content.
 pub fn record_answered<D: Dialect>(shared: &Shared<D>, call: &Call) {
--- a/crates/rudder-gateway/src/link_probe.rs
+++ b/crates/rudder-gateway/src/link_probe.rs
@@ -73,22 +73,13 @@
 /// Probes endpoints until one can be reached.
 async fn probe_links<D: Dialect>(shared: Rc<Shared<D>>) {
     loop {
-        let targets = choose_targets(&shared);
+        let targets = choose_targets(&shared, None);
         let tried = targets.len();
-        let origin = shared.options.listeners.origin();
-        let probes = targets.into_iter().map(async |target| (target.clone(), probe(origin, &target).await));
-        let outcomes = join_all(probes).await;
-        let now = Moment::now();
-        let mut reached = false;
-        for (target, connection) in outcomes {
-            let Some(connection) = connection else { continue };
-            reached = true;
-            shared.pool.borrow_mut().put(&target.endpoint, connection, None, now);
-        }
+        let reached = probe_all(&shared, targets, PROBE_HOLD).await;
         if reached || shared.reachability.borrow().is_connected() {
-            return record_reached(&shared, now);
+            return;
         }
-        if let Some(lost) = shared.reachability.borrow_mut().record_unreached(now) {
+        if let Some(lost) = shared.reachability.borrow_mut().record_unreached(Moment::now()) {
             shared.loads.borrow_mut().forget_outcomes();
             shared.metrics.set_isolated(true);
             shared.log.write(What::EndpointsLost { lost: lost as u32, tried: tried as u32 });
@@ -98,12 +89,40 @@
     }
 }
 
-/// Endpoints to probe: some that were not lost yet, if there are any.
-fn choose_targets<D: Dialect>(shared: &Shared<D>) -> Vec<Arc<Registration>> {
+/// Whether any endpoint other than `endpoint` can be reached. True if there is no other, as nothing speaks against the links
+/// then.
+pub async fn reaches_another<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, since: Moment) -> bool {
+    if shared.reachability.borrow().has_reached_since(since) {
+        return true;
+    }
+    let targets = choose_targets(shared, Some(endpoint));
+    targets.is_empty() || probe_all(shared, targets, Duration::ZERO).await
+}
+
+/// Probes endpoints and keeps the connections to those that can be reached, which stay open for `hold`. Returns whether any
+/// can.
+async fn probe_all<D: Dialect>(shared: &Shared<D>, targets: Vec<Arc<Registration>>, hold: Duration) -> bool {
+    let origin = shared.options.listeners.origin();
+    let probes = targets.into_iter().map(async |target| (target.clone(), probe(origin, &target, hold).await));
+    let mut reached = false;
+    for (target, connection) in join_all(probes).await {
+        let Some(connection) = connection else { continue };
+        reached = true;
+        shared.pool.borrow_mut().put(&target.endpoint, connection, None, Moment::now());
+    }
+    if reached {
+        record_reached(shared, Moment::now());
+    }
+    reached
+}
+
+/// Endpoints to probe, without `except`: some that were not lost yet, if there are any.
+fn choose_targets<D: Dialect>(shared: &Shared<D>, except: Option<&EndpointId>) -> Vec<Arc<Registration>> {
     let view = shared.view.borrow();
     let reachability = shared.reachability.borrow();
     let is_lost = |known: &&Arc<Registration>| reachability.is_lost(&known.endpoint);
-    let (lost, others): (Vec<_>, Vec<_>) = ready_endpoints(&view).partition(is_lost);
+    let eligible = ready_endpoints(&view).filter(|known| Some(&known.endpoint) != except);
+    let (lost, others): (Vec<_>, Vec<_>) = eligible.partition(is_lost);
     let preferred = if others.is_empty() { &lost } else { &others };
     preferred.sample(&mut rand::rng(), PROBES).map(|target| Arc::clone(target)).collect()
 }
@@ -112,9 +131,9 @@
     view.endpoints.iter().filter(|known| known.phase == Phase::Ready)
 }
 
-/// Opens a connection that stays open.
-async fn probe(origin: IpAddr, target: &Registration) -> Option<Connection> {
+/// Opens a connection that stays open for `hold`.
+async fn probe(origin: IpAddr, target: &Registration, hold: Duration) -> Option<Connection> {
     let connection = upstream::connect(origin, &target.address, PROBE_TIMEOUT).await.ok()?;
-    tokio::time::sleep(PROBE_HOLD).await;
+    tokio::time::sleep(hold).await;
     connection.is_open().then_some(connection)
 }
--- a/crates/rudder-gateway/src/reachability.rs
+++ b/crates/rudder-gateway/src/reachability.rs
@@ -35,12 +35,14 @@
     lost: HashMap<EndpointId, Moment>,
     /// When an endpoint was last heard of, or, if later, the first request in flight was sent.
     heard: Moment,
+    /// When a new connection last worked.
+    reached: Option<Moment>,
 }
 
 impl Reachability {
     /// The state of an instance that has just started.
     pub fn new(now: Moment) -> Reachability {
-        Reachability { state: State::Connected, lost: HashMap::new(), heard: now }
+        Reachability { state: State::Connected, lost: HashMap::new(), heard: now, reached: None }
     }
 
     /// Whether no endpoint can be reached.
@@ -63,6 +65,11 @@
         self.lost.contains_key(endpoint)
     }
 
+    /// Whether a new connection has worked since `at`.
+    pub fn has_reached_since(&self, at: Moment) -> bool {
+        self.reached.is_some_and(|reached| reached >= at)
+    }
+
     /// Records a sign of life of any endpoint, also over a connection that was opened long ago.
     pub fn record_heard(&mut self, now: Moment) {
         self.heard = now;
@@ -71,6 +78,7 @@
     /// Records that a new connection works. Returns how long the instance was isolated, if it was.
     pub fn record_reached(&mut self, now: Moment) -> Option<Duration> {
         self.heard = now;
+        self.reached = Some(now);
         self.lost.clear();
         match std::mem::take(&mut self.state) {
             State::Isolated(since) => Some(now.saturating_duration_since(since)),
