fix(gateway): parts of prompts that end endpoints are told apart and refused

What callers saw: requests of which no two were alike ended one endpoint after the other, 36 and 47 in two waves, as they shared one part of their prompts; others were cut with them.

Cause: an endpoint's end was held against whole contents alone. The class is that of repeated crashes before: what has to be remembered is what the failures have in common, by all instances.

Fix: an end is held against each part of the prompt as well, but for the last one, by model. An answer clears all parts that it had; an instance that answered a part in the last three seconds neither reports it nor lets it stand, which keeps the parts that sound requests share. A stream that had more than one event is no suspect. At three endpoints a part is refused as not run for ten minutes, by the same replicated record as contents.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -509,12 +509,15 @@
         endpoint: EndpointId,
         /// The request's content, in hexadecimal.
         content: String,
+        /// The parts of its prompt that others may share, in hexadecimal, unless it had written on them before.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        parts: Vec<String>,
     },
     /// So many endpoints ended under a content that it is refused.
     Quarantined {
-        /// The content, in hexadecimal.
+        /// The content, or the part of a prompt, in hexadecimal.
         content: String,
-        /// For how long after the last of them.
+        /// For how long at most after the last of them; a part is refused for less.
         refused: Duration,
     },
     /// Other halls are evacuated now: their endpoints get nothing from here.
--- a/crates/rudder-gateway/src/call/admit.rs
+++ b/crates/rudder-gateway/src/call/admit.rs
@@ -18,6 +18,7 @@
 use crate::{
     Dialect, Plan, Route,
     buffers::{BodyError, BodyKind, Disconnect, read_whole},
+    contents::RequestTags,
     dialect::CallHead,
     placement::residency_of,
     returns::recognise,
@@ -73,6 +74,7 @@
     let caller = organisation.as_deref().unwrap_or_default();
     let target = parts.uri.path_and_query().map_or(path, PathAndQuery::as_str);
     let content = content_tag(caller, parts.method.as_str(), &host, target, &body);
+    let tags = RequestTags::new(content, head.model.as_deref(), head.prompt.as_ref());
     shared.log.write(What::CallTaken {
         request: head.id.clone(),
         route: route.name.clone(),
@@ -83,7 +85,7 @@
         left_ms: allowed.as_millis() as u64,
         via: hop.as_ref().map(|hop| hop.from.clone()),
     });
-    check_quarantine(shared, content, &Progress::default())?;
+    check_quarantine(shared, &tags, &Progress::default())?;
     let mut headers = parts.headers;
     strip_hop_headers(&mut headers);
     let engine_rank = plan.engine_rank(&route, tier, D::RANKS);
@@ -95,7 +97,7 @@
         organisation,
         engine_rank,
         prompt: head.prompt,
-        content,
+        tags,
         residency,
         last_event: head.last_event,
         key: head.key,
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -351,7 +351,7 @@
             record_outcome(shared, &choice.endpoint, Outcome::Failed);
             log_failure(shared, call, progress, choice, why, Ran::Unknown);
             link_probe::record_lost(shared, &choice.endpoint);
-            record_if_terminated(shared, call, progress, choice).await;
+            record_if_terminated(shared, call, progress, choice, 0).await;
             Err(Failure::OutcomeUnknown("the endpoint broke off"))
         }
         Err(_) => {
--- a/crates/rudder-gateway/src/call/checks.rs
+++ b/crates/rudder-gateway/src/call/checks.rs
@@ -268,5 +268,5 @@
     if !plan.find(&call.host, call.uri.path()).is_some_and(|route| is_same(route)) {
         return Err(refusal("the route has changed"));
     }
-    check_quarantine(shared, call.content, progress)
+    check_quarantine(shared, &call.tags, progress)
 }
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -34,7 +34,7 @@
 use hyper::body::Incoming;
 use rudder_clock::Moment;
 use rudder_events::What;
-use rudder_model::{ContentTag, EndpointId, id::name_of};
+use rudder_model::{EndpointId, id::name_of};
 use rudder_route::returns::Return;
 
 pub use admit::strip_hop_headers;
@@ -51,6 +51,7 @@
     body::AnswerBody,
     buffers::Disconnect,
     choose::Choice,
+    contents::RequestTags,
     dialect::{AnswerHead, CallHead, Forward, Prompt},
     loads::InFlight,
     metrics::RequestOutcome,
@@ -90,8 +91,8 @@
     pub engine_rank: u8,
     /// Its prompt, if an engine serves it.
     pub prompt: Option<Prompt>,
-    /// Digest of its content, which a repetition under another id shares.
-    pub content: ContentTag,
+    /// What it may share with others: a repetition under another id has the same content.
+    pub tags: RequestTags,
     /// The regions in which it may be processed.
     pub residency: Residency,
     /// Last event that the caller had received when it sent the request.
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -176,7 +176,7 @@
         Ok(Some(bytes)) => bytes,
         Ok(None) => {
             record_outcome(shared, &choice.endpoint, Outcome::Failed);
-            record_if_terminated(shared, call, progress, &choice).await;
+            record_if_terminated(shared, call, progress, &choice, 0).await;
             return Err(Failure::OutcomeUnknown("the endpoint's answer broke off"));
         }
         Err(_) => return Err(Failure::DeadlineExceeded),
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -110,6 +110,8 @@
     pub key: Option<String>,
     /// The work for an engine, if the head describes any.
     pub prompt: Option<Prompt>,
+    /// The model that it asks for, if it names one.
+    pub model: Option<String>,
     /// Last event that the caller has received of a stream that it resumes.
     pub last_event: Option<u64>,
 }
--- a/crates/rudder-gateway/src/returns.rs
+++ b/crates/rudder-gateway/src/returns.rs
@@ -121,7 +121,7 @@
     let plan = shared.current_plan()?;
     let attempt = Attempt {
         level: plan.level(&call.route, service),
-        content: call.content,
+        content: call.tags.content,
         remaining: call.deadline.saturating_duration_since(Moment::now()),
         shortest: shared.returns.borrow().shortest(&call.route),
     };
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -422,16 +422,24 @@
 
     /// Reports the contents whose connections broke at endpoints that are now known to have terminated.
     fn report_ended(&self, roster: &Roster) {
-        for findings in self.contents.borrow_mut().take_ended(roster.replaced()) {
+        for findings in self.contents.borrow_mut().take_ended(roster.replaced(), Moment::now()) {
             self.send_event(Event::Findings(findings));
         }
     }
 
     fn apply_quarantine(&self, quarantine: &Arc<Quarantine>) {
+        if self.contents.borrow().is_published(quarantine) {
+            return;
+        }
         let new = self.contents.borrow_mut().publish(quarantine, Moment::now());
         for content in new {
             self.log.write(What::Quarantined { content: to_hex(content), refused: REFUSED_FOR });
         }
+        let instances = self.budget.borrow_mut().instances(Moment::now());
+        let vindicated = self.contents.borrow().vindicated(instances, rand::random(), Moment::now());
+        if let Some(findings) = vindicated {
+            self.send_event(Event::Findings(findings));
+        }
         self.metrics.set_quarantined(self.contents.borrow().refused_count());
     }
 
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -176,6 +176,7 @@
     async fn run(&mut self, source: Source) {
         let mut source = source;
         loop {
+            let events_before = self.events.count;
             let (choice, place, end) = match source {
                 Source::Endpoint(answer) => {
                     let choice = answer.choice.clone();
@@ -204,7 +205,7 @@
             self.log_cut(&place, why);
             let broken = choice.filter(|_| matches!(end, End::Interrupted));
             let ended = match &broken {
-                Some(choice) => self.record_if_terminated(choice).await,
+                Some(choice) => self.record_if_terminated(choice, self.events.count - events_before).await,
                 None => false,
             };
             let has_copy = broken.is_some() && self.has_copy();
@@ -383,8 +384,8 @@
         kept && !self.call.route.resumable
     }
 
-    async fn record_if_terminated(&mut self, choice: &Choice) -> bool {
-        call::record_if_terminated(self.shared, &self.call, &mut self.progress, choice).await
+    async fn record_if_terminated(&mut self, choice: &Choice, events: u64) -> bool {
+        call::record_if_terminated(self.shared, &self.call, &mut self.progress, choice, events).await
     }
 
     async fn resume_from_copy(&mut self) -> Option<EndpointAnswer> {
--- a/crates/rudder-ledger/src/quarantine.rs
+++ b/crates/rudder-ledger/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Contents under which endpoints ended, and those that are refused for it.
+//! Contents under which endpoints ended, and those that are refused for it. A content is a whole request, or a part of a
+//! prompt that requests share.
 //!
 //! A request may end each endpoint that begins to run it, and comes again under other ids, at any instance. So the end of an
 //! endpoint is held against all that was under way there, by content. At [`BOUND`] endpoints a content is in quarantine. One
@@ -102,6 +103,11 @@
         self.records.iter().filter(|(_, record)| record.is_refused()).map(|(content, _)| *content)
     }
 
+    /// Contents under which endpoints ended, as far as is known here.
+    pub fn suspected(&self) -> impl Iterator<Item = ContentTag> {
+        self.records.iter().filter(|(_, record)| !record.endpoints.is_empty()).map(|(content, _)| *content)
+    }
+
     /// Records findings at log index `index`. Returns whether instances are to be told.
     pub fn apply(&mut self, index: u64, findings: &Findings) -> bool {
         let before = self.index;
--- a/crates/rudder-model/src/id.rs
+++ b/crates/rudder-model/src/id.rs
@@ -116,6 +116,14 @@
     hasher.digest()
 }
 
+/// The short form of a part of a prompt for `model`.
+pub fn part_tag(model: &str, part: u64) -> ContentTag {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    hasher.update(&part.to_le_bytes());
+    hasher.update(model.as_bytes());
+    hasher.digest()
+}
+
 /// Stands between the name and the start in the id of a life.
 const LIFE_MARK: char = '+';
 
--- a/crates/rudder-model/src/lib.rs
+++ b/crates/rudder-model/src/lib.rs
@@ -11,11 +11,11 @@
 pub mod rate;
 pub mod refusal;
 
-pub use id::content_tag;
 pub use id::{
     Born, ClassId, ContentTag, Digest, EndpointId, EndpointTag, HallId, InstanceId, ModelId, OrgId, OrgTag, RegionId,
     RequestId, ServiceTag, Start,
 };
+pub use id::{content_tag, part_tag};
 pub use label::{Labels, Match};
 pub use object::{Class, Endpoint, EndpointKind, Instance, Kind, Limits, Mark, Object, Organisation, Selector};
 pub use promise::{Promise, Promises};
