test(soak): instances without links, and parts of prompts that end endpoints

Two faults and their judge: callers of an instance without links have to be served as those of the others from the third second on, within the users' bound; a part reaches endpoints three times more at most, from 3 s after the fifth end. Arrivals name the instance that sent them, as it may not be the one that was called.

--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -33,8 +33,10 @@
     NeverReverts,
     /// A key that was taken away opens nothing.
     KeyTaken,
-    /// A content that ends endpoints stops reaching them.
+    /// A content, or a part of a prompt, that ends endpoints stops reaching them.
     Quarantine,
+    /// Callers of an instance without links to endpoints are served as those of the others.
+    Reached,
     /// Calls sent again stay a share of the calls.
     Budget,
     /// A planned stop cuts nothing off.
@@ -77,6 +79,16 @@
     pub spread: Duration,
     /// Times that such a content may reach endpoints afterwards.
     pub strays: usize,
+    /// Endpoints that end under a part before it counts.
+    pub part_ended: usize,
+    /// From the beginning of an isolation until callers have to be served.
+    pub reach: Duration,
+    /// Share of those served at the other instances that has to be served then.
+    pub reach_ratio: f64,
+    /// Calls at an isolated instance that may fail all the same, and one in so many beyond.
+    pub reach_extra: usize,
+    /// As above.
+    pub reach_part: usize,
     /// Calls sent again, as a share of the calls in a window.
     pub retry_ratio: f64,
     /// Calls sent again beyond that.
@@ -109,6 +121,11 @@
             revoke: Duration::from_secs(5),
             spread: Duration::from_secs(3),
             strays: 3,
+            part_ended: 5,
+            reach: Duration::from_secs(3),
+            reach_ratio: 2.0 / 3.0,
+            reach_extra: 10,
+            reach_part: 50,
             retry_ratio: 0.2,
             retry_extra: 50,
             retry_window: Duration::from_secs(10),
@@ -165,6 +182,8 @@
     check_configuration(history, bounds, &mut verdict);
     check_keys(history, bounds, &arrivals, &mut verdict);
     check_quarantine(history, bounds, &mut verdict);
+    check_parts(history, bounds, &mut verdict);
+    check_reached(history, bounds, &mut verdict);
     check_budget(history, bounds, &mut verdict);
     check_stops(history, bounds, &arrivals, &mut verdict);
     check_served(history, bounds, &mut verdict);
@@ -197,7 +216,7 @@
     let instances: BTreeMap<&str, usize> = history.calls.iter().map(|call| (call.id.as_str(), call.instance)).collect();
     let touch = bounds.touch;
     move |arrival| {
-        let Some(instance) = instances.get(arrival.call.as_str()) else { return false };
+        let Some(instance) = arrival.sender.as_ref().or(instances.get(arrival.call.as_str())) else { return false };
         let near = |from: Duration, until: Duration| from <= arrival.at && arrival.at <= until + touch;
         history.absences.iter().any(|absence| absence.instance == *instance && near(absence.from, absence.until))
     }
@@ -265,7 +284,7 @@
     let mut met: BTreeMap<(usize, &str), Vec<(&Arrival, Duration)>> = BTreeMap::new();
     for arrival in &history.arrivals {
         let Some(call) = calls.get(arrival.call.as_str()) else { continue };
-        met.entry((call.instance, &arrival.life)).or_default().push((arrival, call.sent));
+        met.entry((arrival.sender.unwrap_or(call.instance), &arrival.life)).or_default().push((arrival, call.sent));
     }
     met.into_iter().map(|((instance, life), arrivals)| Exchange { instance, life, arrivals }).collect()
 }
@@ -367,7 +386,8 @@
 }
 
 fn check_quarantine(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
-    let mut reached: Vec<&Arrival> = history.arrivals.iter().filter(|arrival| arrival.deadly).collect();
+    let is_whole = |arrival: &&Arrival| arrival.deadly && arrival.part.is_none();
+    let mut reached: Vec<&Arrival> = history.arrivals.iter().filter(is_whole).collect();
     reached.sort_by_key(|arrival| arrival.at);
     let Some(third) = reached.iter().filter(|arrival| arrival.ran).nth(2) else { return };
     let strays: Vec<_> = reached.iter().filter(|arrival| arrival.at > third.at + bounds.spread).collect();
@@ -376,6 +396,51 @@
     });
 }
 
+fn check_parts(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let mut parts: BTreeMap<&str, Vec<&Arrival>> = BTreeMap::new();
+    for arrival in &history.arrivals {
+        let Some(part) = &arrival.part else { continue };
+        parts.entry(part).or_default().push(arrival);
+    }
+    for (part, mut reached) in parts {
+        reached.sort_by_key(|arrival| arrival.at);
+        let Some(last) = reached.iter().filter(|arrival| arrival.ran).nth(bounds.part_ended - 1) else { continue };
+        let strays: Vec<_> = reached.iter().filter(|arrival| arrival.at > last.at + bounds.spread).collect();
+        verdict.test(Promise::Quarantine, strays.len() <= bounds.strays, || {
+            format!("part {part}, under which endpoints had ended, reached {} more: {strays:?}", strays.len())
+        });
+    }
+}
+
+fn check_reached(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
+    let is_isolated = |instance: usize, at: Duration| {
+        history.isolations.iter().any(|held| held.instance == instance && held.from <= at && at <= held.until)
+    };
+    let good = |call: &&&Call| matches!(call.outcome, Outcome::Answered { status: 200, whole: true, right: true });
+    for isolation in &history.isolations {
+        let meanwhile = |call: &&Call| call.sent >= isolation.from + bounds.reach && call.ended <= isolation.until;
+        let counts = |call: &&Call| {
+            let removed = history.removals.iter().any(|removal| removal.key == call.key);
+            let was_away = lost_memory(history, call.instance, call.sent.saturating_sub(bounds.touch), call.ended);
+            !call.deadly && !removed && !was_away
+        };
+        let calls = || history.calls.iter().filter(meanwhile).filter(counts);
+        let here: Vec<&Call> = calls().filter(|call| call.instance == isolation.instance).collect();
+        let others: Vec<&Call> = calls().filter(|call| !is_isolated(call.instance, call.sent)).collect();
+        if here.is_empty() || others.is_empty() {
+            continue;
+        }
+        let (served, others_served) = (here.iter().filter(good).count(), others.iter().filter(good).count());
+        let ratio = served as f64 / here.len() as f64;
+        let others_ratio = others_served as f64 / others.len() as f64;
+        let few = here.len() - served <= bounds.reach_extra + here.len() / bounds.reach_part;
+        verdict.test(Promise::Reached, few || ratio >= bounds.reach_ratio * others_ratio, || {
+            let (total, others) = (here.len(), others.len());
+            format!("{served} of {total} calls served, {others_served} of {others} at others, during {isolation:?}")
+        });
+    }
+}
+
 fn check_budget(history: &History, bounds: &Bounds, verdict: &mut Verdict) {
     let mut firsts: BTreeMap<&str, Duration> = BTreeMap::new();
     for arrival in &history.arrivals {
--- a/crates/rudder-soak/src/history.rs
+++ b/crates/rudder-soak/src/history.rs
@@ -67,6 +67,8 @@
 pub struct Arrival {
     /// The call's id.
     pub call: String,
+    /// The instance that sent it, which may be another than the one called; `None` where that is not known.
+    pub sender: Option<usize>,
     /// The life of the endpoint.
     pub life: String,
     /// The zone of the endpoint.
@@ -77,6 +79,8 @@
     pub ran: bool,
     /// It bore a content that ends endpoints.
     pub deadly: bool,
+    /// The part of its prompt that ends endpoints, where it bore one.
+    pub part: Option<String>,
     /// What the endpoint asked for beside its answer.
     pub pushback: Option<Pushback>,
     /// The limit that its answer named, in requests a second.
@@ -136,6 +140,17 @@
     pub limit: f64,
 }
 
+/// A span in which an instance had no links to any endpoint.
+#[derive(Clone, Debug)]
+pub struct Isolation {
+    /// Which instance.
+    pub instance: usize,
+    /// From when.
+    pub from: Duration,
+    /// Until when.
+    pub until: Duration,
+}
+
 /// A configuration that was acknowledged or read.
 #[derive(Clone, Debug)]
 pub struct Version {
@@ -204,6 +219,8 @@
     pub colds: Vec<Cold>,
     /// Limits that endpoints named.
     pub limits: Vec<Limit>,
+    /// Instances without links.
+    pub isolations: Vec<Isolation>,
     /// Acknowledged configurations, in order of their acknowledgement.
     pub accepted: Vec<Version>,
     /// Configurations read back.
--- a/crates/rudder-soak/src/schedule.rs
+++ b/crates/rudder-soak/src/schedule.rs
@@ -183,6 +183,22 @@
         /// For how long.
         span: u64,
     },
+    /// An instance has no links to any endpoint.
+    Isolate {
+        /// Which.
+        instance: usize,
+        /// For how long.
+        span: u64,
+        /// How.
+        how: Links,
+    },
+    /// Requests of which no two are alike share a part of their prompts that ends each endpoint that begins to run them.
+    DeadlyPart {
+        /// How often.
+        times: u32,
+        /// Time between two.
+        gap: u64,
+    },
     /// A content that ends each endpoint that begins to run it comes again and again.
     Deadly {
         /// How often.
@@ -207,6 +223,18 @@
     TakeKey,
 }
 
+/// How the links of an instance are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Links {
+    /// They hang.
+    Silent,
+    /// They are reset.
+    Reset,
+    /// Open connections live on, new ones are reset.
+    Kept,
+}
+
 /// A fault and when it begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
@@ -249,6 +277,8 @@
             Fault::Cold { .. } => "cold",
             Fault::Evacuate { .. } => "evacuate",
             Fault::Deadly { .. } => "deadly",
+            Fault::DeadlyPart { .. } => "deadly_part",
+            Fault::Isolate { .. } => "isolate",
             Fault::Change { .. } => "change",
             Fault::Race => "race",
             Fault::Invalid => "invalid",
@@ -283,6 +313,10 @@
         LIMITS[self.rng.random_range(0..LIMITS.len())]
     }
 
+    fn links(&mut self) -> Links {
+        [Links::Silent, Links::Reset, Links::Kept][self.rng.random_range(0..3)]
+    }
+
     fn times(&mut self) -> u32 {
         self.rng.random_range(2..=10)
     }
@@ -299,7 +333,7 @@
 
     fn fault(&mut self, at: u64) -> Fault {
         let (instance, endpoint, span) = (self.instance(), self.endpoint(), self.span());
-        match self.rng.random_range(0..31) {
+        match self.rng.random_range(0..35) {
             0 | 1 => Fault::Kill { instance, down: span },
             2 => Fault::KillCore { down: span },
             3 => self.wipe(at),
@@ -326,7 +360,9 @@
             23 => Fault::Cold { endpoint, span: span * 3 },
             24 | 25 => Fault::Shed { endpoint, span, rest: self.span() },
             26..=28 => Fault::Limit { endpoint, span: span * 4, milli: self.limit() },
-            _ => Fault::TakeKey,
+            29 | 30 => Fault::TakeKey,
+            31 | 32 => Fault::DeadlyPart { times: self.times(), gap: span / 4 },
+            _ => Fault::Isolate { instance, span: span * 3, how: self.links() },
         }
     }
 }
@@ -384,7 +420,8 @@
             | Fault::Pause { instance, .. }
             | Fault::Suspend { instance, .. }
             | Fault::Stop { instance }
-            | Fault::Reload { instance } => instance < instances,
+            | Fault::Reload { instance }
+            | Fault::Isolate { instance, .. } => instance < instances,
             Fault::Crash { endpoint, .. }
             | Fault::Leave { endpoint, .. }
             | Fault::Mute { endpoint, .. }
--- a/crates/rudder-soak/tests/check.rs
+++ b/crates/rudder-soak/tests/check.rs
@@ -5,7 +5,8 @@
 use rudder_soak::{
     Bounds, History, Promise, check,
     history::{
-        Absence, Arrival, Call, Cold, Evacuation, Kind, Leave, Limit, Outcome, OwnEnd, Pushback, Removal, Stop, Version,
+        Absence, Arrival, Call, Cold, Evacuation, Isolation, Kind, Leave, Limit, Outcome, OwnEnd, Pushback, Removal,
+        Stop, Version,
     },
 };
 
@@ -32,11 +33,13 @@
     let zone = "a".to_owned();
     Arrival {
         call: call.to_owned(),
+        sender: None,
         life: life.to_owned(),
         zone,
         at: at(seconds),
         ran: true,
         deadly: false,
+        part: None,
         pushback: None,
         limit: None,
     }
@@ -64,6 +67,17 @@
     history
 }
 
+/// Isolates instance 1 for a while, in which so many of 40 calls there are not served, but those at instance 0 are.
+fn isolate(history: &mut History, failed: usize) {
+    history.isolations.push(Isolation { instance: 1, from: at(8.0), until: at(18.0) });
+    for number in 0..40 {
+        let refused = Outcome::Answered { status: 503, whole: true, right: false };
+        let outcome = if number < failed { refused } else { GOOD };
+        let sent = 11.5 + number as f64 / 10.0;
+        history.calls.push(Call { instance: 1, ..call(&format!("isolated-{number}"), Kind::Once, sent, outcome) });
+    }
+}
+
 /// Has the endpoint that serves all calls name a limit for a while.
 fn name_limit(history: &mut History, limit: f64) {
     let (from, until) = (at(8.0), at(19.0));
@@ -145,6 +159,13 @@
             history.arrivals.push(Arrival { deadly: true, ..arrival });
         }
     };
+    a_part_that_goes_on_ending_endpoints: Quarantine, |history| {
+        for number in 0..12 {
+            let arrival = arrival(&format!("part-{number}"), &format!("d-{number}"), f64::from(number));
+            history.arrivals.push(Arrival { deadly: true, part: Some("p".to_owned()), ..arrival });
+        }
+    };
+    callers_of_an_instance_without_links_not_served: Reached, |history| isolate(history, 24);
     more_sent_again_than_allowed: Budget, |history| {
         for number in 0..90 {
             history.arrivals.push(arrival("Again-5", "e-3", 5.1 + f64::from(number) / 100.0));
@@ -201,6 +222,7 @@
 fn all_promises_kept_are_all_tested() {
     let mut history = kept();
     name_limit(&mut history, 4.0);
+    isolate(&mut history, 10);
     for number in 0..4 {
         let arrival = arrival(&format!("deadly-{number}"), &format!("d-{number}"), f64::from(number));
         history.arrivals.push(Arrival { deadly: true, ..arrival });
@@ -212,5 +234,5 @@
     last.expect("it is there").pushback = Some(Pushback::Backoff(at(1.0)));
     let verdict = check(&history, &Bounds::default());
     assert_eq!(verdict.broken, Vec::new());
-    assert_eq!(verdict.tested.len(), 15, "{:?}", verdict.tested);
+    assert_eq!(verdict.tested.len(), 16, "{:?}", verdict.tested);
 }
--- a/crates/rudder-soak/tests/schedule.rs
+++ b/crates/rudder-soak/tests/schedule.rs
@@ -22,7 +22,7 @@
         let wipes: Vec<u64> = wipes.map(|entry| entry.at).collect();
         assert!(wipes.windows(2).all(|pair| pair[1] >= pair[0] + 9_000), "{wipes:?}");
     }
-    assert_eq!(names.len(), 22, "{names:?}");
+    assert_eq!(names.len(), 24, "{names:?}");
 }
 
 #[test]
