fix(gateway): passed requests are spread over the neighbours that serve

By reading: an instance that had served one request came before all others from then on, so all requests of an isolated instance went to it. Only instances that failed lately come last now. requests_are_spread_over_the_neighbours failed before (600 of 600 at one of six).

--- a/crates/rudder-gateway/src/neighbours.rs
+++ b/crates/rudder-gateway/src/neighbours.rs
@@ -11,8 +11,8 @@
 
 /// How long an instance that could not serve a request is left out.
 const UNFIT_FOR: Duration = Duration::from_secs(1);
-/// How long an instance that served one is preferred.
-const FIT_FOR: Duration = Duration::from_secs(5);
+/// How long it is tried after the others.
+const DOUBTED_FOR: Duration = Duration::from_secs(5);
 /// Instances of one hall that are enough to pass all requests to; with fewer, those of the region share them.
 const MIN_NEAR: usize = 2;
 
@@ -36,11 +36,11 @@
 
     /// Drops what is too old to matter.
     pub fn age(&mut self, now: Moment) {
-        self.trials.retain(|_, trial| now.saturating_duration_since(trial.at) < FIT_FOR);
+        self.trials.retain(|_, trial| now.saturating_duration_since(trial.at) < DOUBTED_FOR);
     }
 
-    /// Up to `COUNT` of the `others` to try in turn, in random order within each group: those known to serve before the
-    /// unknown ones, and then those of `hall`, if there are enough of them, before those of its region. The second half are
+    /// Up to `COUNT` of the `others` to try in turn, in random order within each group: those that did not fail lately before
+    /// those that did, and then those of `hall`, if there are enough of them, before those of its region. The second half are
     /// of other groups than the first, as a whole hall may be unfit.
     pub fn select<'a, const COUNT: usize>(
         &self,
@@ -58,7 +58,7 @@
             _ => 2,
         };
         fit.shuffle(&mut rand::rng());
-        fit.sort_by_key(|other| (!self.is_fit(&other.name, now), rank(other)));
+        fit.sort_by_key(|other| (self.is_doubted(&other.name, now), rank(other)));
         let mut rest = fit.split_off(fit.len().min(COUNT / 2));
         if let Some(first) = fit.first().map(|first| rank(first)) {
             rest.sort_by_key(|other| rank(other) == first);
@@ -73,8 +73,8 @@
         trial.is_some_and(|trial| !trial.served && now.saturating_duration_since(trial.at) < UNFIT_FOR)
     }
 
-    fn is_fit(&self, instance: &InstanceId, now: Moment) -> bool {
+    fn is_doubted(&self, instance: &InstanceId, now: Moment) -> bool {
         let trial = self.trials.get(instance);
-        trial.is_some_and(|trial| trial.served && now.saturating_duration_since(trial.at) < FIT_FOR)
+        trial.is_some_and(|trial| !trial.served && now.saturating_duration_since(trial.at) < DOUBTED_FOR)
     }
 }
