fix(gateway): endpoints that fall over when they reject too much are sent less

What callers would see: endpoints that name few rejections a second (a new rule) fall over one after the other under load; none of our instances read what they say.

Cause: an endpoint that rejected a request for want of room was tried again with the next one, by each instance.

Fix: while an endpoint says that it is brittle, an instance uses its share of the slots, and more of them only while one request of each other instance fits as well. After a rejection it pauses so long that all instances, each by their number and without hearing each other, cause half of what is borne at most, and then sends one request at a time until one is taken.

--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -25,7 +25,7 @@
 use crate::{
     Dialect,
     choose::{self, Choice, Eligibility, Inputs, Unavailable},
-    dialect::{LimitNotice, Pushback},
+    dialect::{AnswerHead, LimitNotice, Pushback},
     health::Outcome,
     limits::{Permit, Recorded},
     link_probe,
@@ -142,7 +142,9 @@
                     return Err(capacity_refusal(shared, call, Reason::Blocked.text(), retry, retry));
                 }
             }
-            return Ok(Err(Failure::NotSent(unavailable_reason(call, unavailable, blocked.is_some()))));
+            let is_brittle = shared.has_brittle(&call.route);
+            let why = if is_brittle { NO_ROOM } else { unavailable_reason(call, unavailable, blocked.is_some()) };
+            return Ok(Err(Failure::NotSent(why)));
         }
     };
     if progress.sent == 0 {
@@ -254,6 +256,9 @@
     if let Some(pushback) = head.pushback {
         record_pushback(shared, &choice.endpoint, pushback);
     }
+    if head.id_matches {
+        record_brittle(shared, &choice, &head);
+    }
     // A missing limit in an answer to another request does not lift the limit.
     if head.id_matches || head.limit != LimitNotice::Unlimited {
         record_limit(shared, &choice.endpoint, head.limit, now);
@@ -287,6 +292,18 @@
     shared.candidate_cache.borrow_mut().clear();
 }
 
+/// Records whether an endpoint bears few rejections, and backs off if it rejected the request.
+fn record_brittle<D: Dialect>(shared: &Shared<D>, choice: &Choice, head: &AnswerHead) {
+    let instances = shared.admission.borrow().senders() as u32;
+    let rejected = head.not_run && !head.misdirected;
+    let mut brittle = shared.brittle.borrow_mut();
+    let pause = brittle.record_answer(&choice.endpoint, head.brittle, rejected, instances, rand::random());
+    drop(brittle);
+    if let Some(pause) = pause {
+        record_pushback(shared, &choice.endpoint, Pushback::Backoff(pause));
+    }
+}
+
 /// Records the rate limit that an endpoint reported in its answer to a request sent at `sent`.
 fn record_limit<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, notice: LimitNotice, sent: Moment) {
     let recorded = shared.limits.borrow_mut().record_answer(endpoint, notice, sent, Moment::now());
@@ -420,6 +437,7 @@
     let (contention, admission) = (shared.contention.borrow(), shared.admission.borrow());
     let (placement, slow_start, limits) =
         (shared.placement.borrow(), shared.slow_start.borrow(), shared.limits.borrow());
+    let brittle = shared.brittle.borrow();
     let inputs = Inputs {
         loads: &loads,
         work_age: shared.work_age(),
@@ -431,6 +449,7 @@
         placement: &placement,
         slow_start: &slow_start,
         limits: &limits,
+        brittle: &brittle,
         admission: &admission,
         hall: &shared.options.hall,
         plan: &plan,
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -22,6 +22,7 @@
     Plan, Policy,
     admission::Admissions,
     backoff::Backoff,
+    brittle::{BrittleEndpoints, Use},
     condition::Conditions,
     contention::Contention,
     dialect::Prompt,
@@ -58,6 +59,8 @@
     pub slow_start: &'a SlowStartState,
     /// Rate limits of endpoints.
     pub limits: &'a RateLimits,
+    /// Endpoints that bear few rejections.
+    pub brittle: &'a BrittleEndpoints,
     /// Admission to contended services.
     pub admission: &'a Admissions,
     /// This instance's hall.
@@ -79,6 +82,21 @@
         contention.timing && contention.condition && self.contention.is_paced(service, self.now)
     }
 
+    /// Whether one more request would hardly be rejected, if the endpoint bears few rejections.
+    fn bears_one_more(&self, registration: &Registration) -> bool {
+        let endpoint = &registration.endpoint;
+        if !self.brittle.is_brittle(endpoint) {
+            return true;
+        }
+        let used = Use {
+            slots: registration.slots,
+            own: self.loads.own_at(endpoint),
+            known: self.loads.at(endpoint).calls,
+            instances: self.admission.senders() as u32,
+        };
+        self.brittle.allows(endpoint, used)
+    }
+
     /// How many requests this instance may send to an endpoint while it warms up.
     pub fn allowance(&self, registration: &Registration) -> Allowance {
         let warm_up = self.plan.services.get(&registration.service).and_then(|service| service.warm_up);
@@ -117,6 +135,7 @@
         !self.tried.contains(&registration.endpoint)
             && inputs.placement.allows(self.residency, &registration.hall)
             && !(self.unlimited && inputs.limits.rate(&registration.endpoint).is_some())
+            && inputs.bears_one_more(registration)
             && inputs.slow_start.has_room(&registration.endpoint, inputs.allowance(registration), inputs.now)
     }
 }
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -168,6 +168,8 @@
     pub pushback: Option<Pushback>,
     /// What the endpoint reports of its rate limit.
     pub limit: LimitNotice,
+    /// Rejections in a second, over all instances, beyond which the endpoint falls over, if it reports that.
+    pub brittle: Option<f64>,
 }
 
 /// What an answer reports of its endpoint's rate limit, which all instances share.
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -25,6 +25,7 @@
     admission::Admissions,
     arrivals::Arrivals,
     backoff::Backoff,
+    brittle::BrittleEndpoints,
     budget::Budget,
     buffers::BufferQuota,
     call::to_hex,
@@ -166,6 +167,8 @@
     pub backoff: RefCell<Backoff>,
     /// Rate limits of endpoints.
     pub limits: RefCell<RateLimits>,
+    /// Endpoints that bear few rejections.
+    pub brittle: RefCell<BrittleEndpoints>,
     /// Outcomes by content, and the quarantine.
     pub contents: RefCell<Contents>,
     /// Prefill speed of engines.
@@ -256,6 +259,7 @@
             health: RefCell::default(),
             backoff: RefCell::default(),
             limits: RefCell::default(),
+            brittle: RefCell::default(),
             contents: RefCell::new(Contents::new(started)),
             prefill: RefCell::default(),
             conditions: Rc::default(),
@@ -381,6 +385,7 @@
         self.loads.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.conditions.borrow_mut().set_roster(roster.clone());
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
+        self.brittle.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.limits.borrow_mut().retain(roster.endpoints(), Moment::now());
         self.metrics.set_limited(self.limits.borrow().count());
         let before = self.roster.replace(roster.clone());
@@ -511,6 +516,13 @@
         soonest.map(|until| until.saturating_duration_since(now))
     }
 
+    /// Whether a request of the route may go to an endpoint that bears few rejections.
+    pub fn has_brittle(&self, route: &Route) -> bool {
+        let (roster, brittle) = (self.roster.borrow(), self.brittle.borrow());
+        let endpoints = route.shares.iter().flat_map(|share| roster.of(&share.service));
+        endpoints.into_iter().any(|registration| brittle.is_brittle(&registration.endpoint))
+    }
+
     /// Records the rate limits of endpoints that all instances share, as of `at`.
     pub fn apply_limits(&self, reports: &[LimitReport], at: Moment) {
         let mut limits = self.limits.borrow_mut();
