--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -188,6 +188,21 @@
     service: Option<Arc<str>>,
 }
 
+impl Progress {
+    /// The progress of a request that came by `hop`, if it was passed on.
+    fn after(hop: Option<&Hop>) -> Progress {
+        let runs = hop.map_or(0, |hop| hop.runs);
+        Progress {
+            sent: runs,
+            possible_runs: runs,
+            // The instance that passed it on has counted it.
+            begun: runs > 0,
+            yield_draw: rand::random(),
+            ..Progress::default()
+        }
+    }
+}
+
 /// Counts a request as open until it is dropped. The HTTP server drops it unanswered when its caller disconnects.
 struct OpenRequest<D: Dialect> {
     shared: Rc<Shared<D>>,
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -38,22 +38,20 @@
         check_not_shed(shared, &call)?;
         check_share(shared, &call)?;
     }
-    let runs = call.hop.as_ref().map_or(0, |hop| hop.runs);
-    let mut progress = Progress { yield_draw: rand::random(), sent: runs, possible_runs: runs, ..Progress::default() };
+    let mut progress = Progress::after(call.hop.as_ref());
     let resume = ResumePoint { last_event: call.last_event, from_copy: false };
     let mut fallback: Option<Response<AnswerBody>> = None;
     loop {
         link_probe::wait_verdict(shared).await;
         if must_pass_on(shared, &call, &progress) {
-            let passed = match pass_on(shared, &call, &mut progress, call.last_event).await {
+            let failure = match pass_on(shared, &call, &mut progress, call.last_event).await {
                 Ok(answer) if call.route.kind == RouteKind::Stream && answer.response.status().is_success() => {
                     return Ok(stream::start(shared, call, progress, Source::Instance(answer)));
                 }
-                Ok(answer) => relay_hop(shared, &call, answer).await,
-                Err(failure) => Err(failure),
-            };
-            let failure = match passed {
-                Ok(response) => return Ok(response),
+                Ok(answer) => match relay_hop(shared, &call, answer).await {
+                    Ok(response) => return Ok(response),
+                    Err(failure) => failure,
+                },
                 Err(failure) => failure,
             };
             if take_retry_after(shared, &call, &mut progress, &failure) {
