fix(gateway): an empty stream that ends with its connection is broken off

What callers would see: a stream without a length or chunks whose endpoint ends after the head looks complete, and the part of its prompt that ended the endpoint counts as answered. Cause: the end of a body that nothing frames is taken for its whole.

--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -8,7 +8,7 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::Response;
+use http::{HeaderMap, Response, header};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use rudder_clock::{Moment, sleep_until, timeout_at};
@@ -92,6 +92,11 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
+/// Whether the end of a body is marked otherwise than by the end of its connection.
+fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
+}
+
 /// How an endpoint's part of a stream ended.
 enum End {
     /// The stream is complete.
@@ -228,6 +233,7 @@
     /// Forwards what one endpoint sends until its part of the stream ends.
     async fn relay(&mut self, answer: EndpointAnswer) -> End {
         let EndpointAnswer { choice, response, head, connection, mut flight, sent, resumed } = answer;
+        let is_framed = is_framed(response.headers());
         let mut body = response.into_body();
         let whole_events = self.call.route.resumable || self.has_copy();
         // A stream that cannot be resumed is not abandoned.
@@ -301,7 +307,9 @@
                 meter.record_forward(read, Moment::now());
             }
         }
-        if !self.events.pending().is_empty() {
+        // Without framing, a connection that closes before the first event is all that shows that the endpoint ended.
+        let is_empty = !is_framed && self.events.count == 0 && self.call.last_event.is_none();
+        if is_empty || !self.events.pending().is_empty() {
             call::record_outcome(self.shared, &choice.endpoint, Outcome::Failed);
             return End::Interrupted;
         }
