--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -5,6 +5,7 @@
 #![deny(unsafe_code)]
 
 mod client;
+mod departure;
 mod evacuation;
 mod http;
 mod node;
@@ -46,6 +47,7 @@
     let place = Place::find();
     let run = match case.as_str() {
         "evacuation" => evacuation::run,
+        "departure" => departure::run,
         _ => {
             eprintln!("there is no case {case}");
             return ExitCode::from(2);
