--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -12,6 +12,7 @@
 mod operator;
 mod record;
 mod replica;
+mod weightless;
 
 use std::{
     net::TcpListener,
@@ -48,6 +49,7 @@
     let run = match case.as_str() {
         "evacuation" => evacuation::run,
         "departure" => departure::run,
+        "weightless" => weightless::run,
         _ => {
             eprintln!("there is no case {case}");
             return ExitCode::from(2);
