--- /dev/null
+++ b/review/standins/src/main.rs
@@ -0,0 +1,135 @@
+//! The cases of the review that are no days of the bench: `review-standins CASE FOLDER`, run at the project's root.
+//!
+//! `TROUBLE=0` in the environment leaves the disruption out. The exit code is 1 if the rule was broken, 0 if it held, and 2 if
+//! the case could not run.
+#![deny(unsafe_code)]
+
+mod client;
+mod evacuation;
+mod http;
+mod node;
+mod operator;
+mod record;
+mod replica;
+
+use std::{
+    net::TcpListener,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    thread,
+    time::{Duration, Instant},
+};
+
+use node::{Node, Place};
+use replica::{Replica, Runs};
+
+/// What a case has shown.
+pub struct Outcome {
+    pub broken: bool,
+    pub lines: Vec<String>,
+}
+
+/// Why a case could not run.
+pub type Unable = String;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, folder] = arguments.as_slice() else {
+        eprintln!("usage: review-standins CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let folder = PathBuf::from(folder);
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    record::note(format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
+    let root = std::env::current_dir().expect("a folder to run in");
+    let place = Place::find();
+    let run = match case.as_str() {
+        "evacuation" => evacuation::run,
+        _ => {
+            eprintln!("there is no case {case}");
+            return ExitCode::from(2);
+        }
+    };
+    let outcome = std::panic::catch_unwind(|| run(&root, &place, trouble));
+    let _ = std::fs::remove_dir_all(&place.folder);
+    match outcome {
+        Ok(Ok(outcome)) => {
+            let mut lines = outcome.lines;
+            lines.push(if outcome.broken { "the rule was broken" } else { "the rule held" }.to_owned());
+            record::write(&folder, &lines);
+            ExitCode::from(u8::from(outcome.broken))
+        }
+        Ok(Err(why)) => {
+            record::write(&folder, &[format!("the case could not run: {why}")]);
+            ExitCode::from(2)
+        }
+        Err(_) => {
+            record::write(&folder, &["the case could not run: a stand-in failed".to_owned()]);
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Waits until `holds` does, for `bound` at most.
+pub fn wait_for(what: &str, bound: Duration, mut holds: impl FnMut() -> bool) -> Result<(), Unable> {
+    let end = Instant::now() + bound;
+    while !holds() {
+        if Instant::now() >= end {
+            return Err(format!("waited in vain: {what}"));
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    Ok(())
+}
+
+/// Names and control addresses of nodes, as the operator's list has them.
+pub fn listed(nodes: &[Node]) -> Vec<(String, std::net::SocketAddr)> {
+    nodes.iter().map(|node| (node.name.clone(), node.control())).collect()
+}
+
+/// The first configuration: one plain service, with a route that may be repeated and one that may not.
+pub fn document(version: u64) -> String {
+    let route = |name: &str, kind: &str, attempts: u32| {
+        format!(
+            r#"{{"name":"r-{name}","host":"{}","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":1000,"target_latency_ms":150,"priority":1,"service":"svc","max_attempts":{attempts},"anonymous":false,"session_affinity":false,"stream_resume":false}}"#,
+            client::HOST
+        )
+    };
+    format!(
+        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"svc","health_path":"/healthz","max_connections":550,"protocol":"h1","tls_enabled":false,"warmup_s":0.0,"warmup_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant-one","api_keys":["{}"],"priority":1}}]}}"#,
+        route("read", "idempotent", 2),
+        route("book", "non_idempotent", 1),
+        client::KEY
+    )
+}
+
+/// Starts all nodes and puts the first configuration in force.
+pub fn start_all(nodes: &mut [Node], root: &Path) -> Result<(), Unable> {
+    if !root.join("target/release/hatchrudder").exists() {
+        return Err("the program of the deploy file is not built".to_owned());
+    }
+    for node in nodes.iter_mut() {
+        node.start(root, true);
+    }
+    let listed = listed(nodes);
+    wait_for("the first configuration is acknowledged", Duration::from_secs(20), || {
+        operator::order(&listed, "/hatchrudder/config/replace", &document(1)).is_some()
+    })?;
+    wait_for("all nodes are ready", Duration::from_secs(20), || nodes.iter().all(Node::is_ready))
+}
+
+/// Starts `count` replicas of the service in each zone.
+pub fn start_replicas(place: &Place, nodes: &[Node], count: u8, work: Duration, answer: usize) -> Runs {
+    let runs = Runs::default();
+    for (number, zone) in node::ZONES.into_iter().enumerate() {
+        for copy in 0..count {
+            let ip = place.ip(100 + number as u8 * 10 + copy);
+            let listener = TcpListener::bind((ip, 0)).expect("a free port");
+            let address = listener.local_addr().expect("it is bound");
+            let id = format!("i-{zone}-{copy}");
+            let replica = Replica { id, service: "svc", zone, address, work, answer, runs: runs.clone() };
+            replica.start(listener, nodes.iter().map(Node::control).collect());
+        }
+    }
+    runs
+}
