--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -26,8 +26,14 @@
     )
 }
 
-/// Sends a request every `gap` to `node` on a kept connection, until `stop`.
-pub fn start(name: String, node: SocketAddr, gap: Duration, stop: Arc<AtomicBool>) -> JoinHandle<()> {
+/// Sends a request of one kind every `gap` to `node` on a kept connection, until `stop`.
+pub fn start(
+    name: String,
+    node: SocketAddr,
+    (method, path): (&'static str, &'static str),
+    gap: Duration,
+    stop: Arc<AtomicBool>,
+) -> JoinHandle<()> {
     thread::spawn(move || {
         let mut connection: Option<Connection> = None;
         for number in 0.. {
@@ -37,7 +43,7 @@
             let id = format!("{name}-{number}");
             let opened = connection.take().or_else(|| Connection::open(node, DEADLINE).ok());
             if let Some(mut open) = opened {
-                let sent = open.send(&request("GET", "/read/x", &id)).and_then(|()| open.read());
+                let sent = open.send(&request(method, path, &id)).and_then(|()| open.read());
                 match sent {
                     Ok((head, _)) => {
                         note(format!("client {name} gets {} for {id}", head.status()));
--- a/review/standins/src/evacuation.rs
+++ b/review/standins/src/evacuation.rs
@@ -11,10 +11,11 @@
 };
 
 use crate::{
-    Outcome, Unable, client, listed,
+    ONE_SERVICE, Outcome, Unable, client, document, listed,
     node::{self, Node, Place, ZONES},
     operator,
     record::{note, now},
+    replica::Runs,
     start_all, start_replicas,
 };
 
@@ -28,13 +29,14 @@
 
 pub fn run(root: &Path, place: &Place, trouble: bool) -> Result<Outcome, Unable> {
     let mut nodes = node::nodes(place, 1, None);
-    start_all(&mut nodes, root)?;
-    let runs = start_replicas(place, &nodes, 2, Duration::from_millis(15), 800);
+    start_all(&mut nodes, root, &document(1, ONE_SERVICE, &["svc"]))?;
+    let runs = Runs::default();
+    let _replicas = start_replicas(place, &nodes, "svc", 2, 100, &runs);
     thread::sleep(Duration::from_secs(3));
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = nodes
         .iter()
-        .map(|node| client::start(node.name.clone(), node.frontend(), Duration::from_millis(40), stop.clone()))
+        .map(|node| client::start(node.name.clone(), node.frontend(), ("GET", "/read/x"), Duration::from_millis(40), stop.clone()))
         .collect();
     thread::sleep(Duration::from_secs(3));
     let zone = ZONES[0];
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -11,11 +11,13 @@
 mod operator;
 mod record;
 mod replica;
+mod weightless;
 
 use std::{
     net::TcpListener,
     path::{Path, PathBuf},
     process::ExitCode,
+    sync::{Arc, Mutex, atomic::AtomicBool},
     thread,
     time::{Duration, Instant},
 };
@@ -45,6 +47,7 @@
     let place = Place::find();
     let run = match case.as_str() {
         "evacuation" => evacuation::run,
+        "weightless" => weightless::run,
         _ => {
             eprintln!("there is no case {case}");
             return ExitCode::from(2);
@@ -87,24 +90,34 @@
     nodes.iter().map(|node| (node.name.clone(), node.control())).collect()
 }
 
-/// The first configuration: one plain service, with a route that may be repeated and one that may not.
-pub fn document(version: u64) -> String {
+/// Where a route leads that has one service.
+pub const ONE_SERVICE: &str = r#""service":"svc""#;
+
+/// A configuration of plain services, with a route that may be repeated and one that may not. Both lead where `target` says.
+pub fn document(version: u64, target: &str, services: &[&str]) -> String {
     let route = |name: &str, kind: &str, attempts: u32| {
         format!(
-            r#"{{"name":"r-{name}","host":"{}","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":1000,"target_latency_ms":150,"priority":1,"service":"svc","max_attempts":{attempts},"anonymous":false,"session_affinity":false,"stream_resume":false}}"#,
+            r#"{{"name":"r-{name}","host":"{}","path_prefix":"/{name}/","route_type":"{kind}","timeout_ms":1000,"target_latency_ms":150,"priority":1,{target},"max_attempts":{attempts},"anonymous":false,"session_affinity":false,"stream_resume":false}}"#,
             client::HOST
         )
     };
+    let service = |name: &&str| {
+        format!(
+            r#"{{"name":"{name}","health_path":"/healthz","max_connections":550,"protocol":"h1","tls_enabled":false,"warmup_s":0.0,"warmup_per_s":0.0}}"#
+        )
+    };
+    let services: Vec<String> = services.iter().map(service).collect();
     format!(
-        r#"{{"version":{version},"routes":[{},{}],"services":[{{"name":"svc","health_path":"/healthz","max_connections":550,"protocol":"h1","tls_enabled":false,"warmup_s":0.0,"warmup_per_s":0.0}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant-one","api_keys":["{}"],"priority":1}}]}}"#,
+        r#"{{"version":{version},"routes":[{},{}],"services":[{}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant-one","api_keys":["{}"],"priority":1}}]}}"#,
         route("read", "idempotent", 2),
         route("book", "non_idempotent", 1),
+        services.join(","),
         client::KEY
     )
 }
 
 /// Starts all nodes and puts the first configuration in force.
-pub fn start_all(nodes: &mut [Node], root: &Path) -> Result<(), Unable> {
+pub fn start_all(nodes: &mut [Node], root: &Path, document: &str) -> Result<(), Unable> {
     if !root.join("target/release/hatchrudder").exists() {
         return Err("the program of the deploy file is not built".to_owned());
     }
@@ -113,23 +126,31 @@
     }
     let listed = listed(nodes);
     wait_for("the first configuration is acknowledged", Duration::from_secs(20), || {
-        operator::order(&listed, "/hatchrudder/config/replace", &document(1)).is_some()
+        operator::order(&listed, "/hatchrudder/config/replace", document).is_some()
     })?;
     wait_for("all nodes are ready", Duration::from_secs(20), || nodes.iter().all(Node::is_ready))
 }
 
-/// Starts `count` replicas of the service in each zone.
-pub fn start_replicas(place: &Place, nodes: &[Node], count: u8, work: Duration, answer: usize) -> Runs {
-    let runs = Runs::default();
-    for (number, zone) in node::ZONES.into_iter().enumerate() {
+/// Starts `count` replicas of a service in each zone; `first` numbers their addresses.
+pub fn start_replicas(place: &Place, nodes: &[Node], service: &'static str, count: u8, first: u8, runs: &Runs) -> Vec<Arc<Replica>> {
+    let mut replicas = Vec::new();
+    for (number, zone) in (0..).zip(node::ZONES) {
         for copy in 0..count {
-            let ip = place.ip(100 + number as u8 * 10 + copy);
-            let listener = TcpListener::bind((ip, 0)).expect("a free port");
-            let address = listener.local_addr().expect("it is bound");
-            let id = format!("i-{zone}-{copy}");
-            let replica = Replica { id, service: "svc", zone, address, work, answer, runs: runs.clone() };
-            replica.start(listener, nodes.iter().map(Node::control).collect());
+            let number = first + number * count + copy;
+            let listener = TcpListener::bind((place.ip(number), 0)).expect("a free port");
+            let replica = Replica {
+                id: format!("i-{service}-{number}"),
+                service,
+                zone,
+                address: listener.local_addr().expect("it is bound"),
+                work: Duration::from_millis(15),
+                answer: 800,
+                runs: runs.clone(),
+                ended: AtomicBool::new(false),
+                connections: Mutex::default(),
+            };
+            replicas.push(replica.start(listener, nodes.iter().map(Node::control).collect()));
         }
     }
-    runs
+    replicas
 }
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -2,8 +2,11 @@
 
 use std::{
     io::{self, BufReader, Write as _},
-    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -15,6 +18,8 @@
 
 /// Requests that a replica works on at once.
 const SLOTS: u32 = 16;
+/// How often a replica looks for new connections.
+const POLL: Duration = Duration::from_millis(2);
 /// Time between heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// How long a replica waits for an acknowledgement until it tries the next node.
@@ -24,6 +29,7 @@
 #[derive(Clone, Debug)]
 pub struct Run {
     pub at: Duration,
+    pub service: &'static str,
     pub zone: &'static str,
     /// The node that sent it, by its address.
     pub from: Option<IpAddr>,
@@ -44,15 +50,25 @@
     /// Its answer's body.
     pub answer: usize,
     pub runs: Runs,
+    /// It has crashed.
+    pub ended: AtomicBool,
+    pub connections: Mutex<Vec<TcpStream>>,
 }
 
 impl Replica {
-    /// Starts it: it serves, and sends heartbeats to the nodes at `control`, for as long as this program runs.
+    /// Starts it: it serves, and sends heartbeats to the nodes at `control`, until it crashes or this program ends.
     pub fn start(self, listener: TcpListener, control: Vec<SocketAddr>) -> Arc<Replica> {
         let replica = Arc::new(self);
         let serving = replica.clone();
+        listener.set_nonblocking(true).expect("a listener can be polled");
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            while !serving.ended.load(Ordering::Relaxed) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(POLL);
+                    continue;
+                };
+                stream.set_nonblocking(false).expect("a stream can block");
+                serving.connections.lock().expect("connections").extend(stream.try_clone().ok());
                 let replica = serving.clone();
                 thread::spawn(move || replica.serve(stream));
             }
@@ -62,9 +78,21 @@
         replica
     }
 
+    /// Ends it without a word: its connections end, and its port refuses new ones.
+    pub fn crash(&self) {
+        note(format!("{} crashes", self.id));
+        self.ended.store(true, Ordering::Relaxed);
+        for connection in self.connections.lock().expect("connections").drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
+        }
+    }
+
     fn beat(&self, control: &[SocketAddr]) {
         let mut next = 0;
         for sequence in 1_u64.. {
+            if self.ended.load(Ordering::Relaxed) {
+                return;
+            }
             let body = format!(
                 r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","capacity_slots":{SLOTS},"state":"ready","warmup_left_ms":0,"sequence":{sequence}}}"#,
                 self.service, self.address, self.zone
@@ -106,8 +134,8 @@
             );
             return stream.write_all(answer.as_bytes());
         }
-        note(format!("{} in {} runs {id} from {}", self.id, self.zone, from.map_or_else(String::new, |ip| ip.to_string())));
-        self.runs.lock().expect("runs").push(Run { at: now(), zone: self.zone, from, id: id.clone() });
+        note(format!("{} of {} in {} runs {id} from {}", self.id, self.service, self.zone, from.map_or_else(String::new, |ip| ip.to_string())));
+        self.runs.lock().expect("runs").push(Run { at: now(), service: self.service, zone: self.zone, from, id: id.clone() });
         thread::sleep(self.work);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nReplica-Signature: {}.{id}\r\nContent-Length: {}\r\n\r\n{}",
