--- a/review/standins/src/departure.rs
+++ b/review/standins/src/departure.rs
@@ -1,4 +1,5 @@
-//! The leader ends right after it has acknowledged that a replica leaves, and nobody else knows of it.
+//! Two replicas leave shortly one after the other. The leader ends right after it has acknowledged the second one's departure,
+//! and nobody else knows of that.
 
 use std::{
     path::Path,
@@ -23,6 +24,10 @@
 const CONNECTIVITY: Duration = Duration::from_millis(3000);
 /// A process that was killed is started again after a short delay.
 const DOWN: Duration = Duration::from_millis(500);
+/// Time between the two departures.
+const APART: Duration = Duration::from_millis(10);
+/// The leader ends so long after the acknowledgement at most.
+const WITHIN: Duration = Duration::from_millis(4);
 /// How long the replica serves on after the acknowledgement.
 const SERVES_ON: Duration = Duration::from_millis(9000);
 
@@ -30,7 +35,7 @@
     let mut nodes = node::nodes(place, 2, Site::League);
     start_all(&mut nodes, root, &document(1, ONE_SERVICE, &["svc"]))?;
     let runs = Runs::default();
-    let replicas = start_replicas(place, &nodes, "svc", 1, 100, &runs);
+    let replicas = start_replicas(place, &nodes, "svc", 5, 100, &runs);
     thread::sleep(Duration::from_secs(3));
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = nodes
@@ -44,9 +49,16 @@
     let leader = (0..nodes.len()).filter(|at| nodes[*at].has_led_last().is_some()).max_by_key(|at| nodes[*at].has_led_last());
     let leader = leader.ok_or("no node says that it leads")?;
     note(format!("{} leads", nodes[leader].name));
-    let leaving = &replicas[(leader + 1) % replicas.len()];
-    let acknowledged = leaving.deregister(nodes[leader].control());
+    let (earlier, leaving) = (&replicas[0], &replicas[replicas.len() - 1]);
+    let control = nodes[leader].control();
+    earlier.fall_silent();
+    leaving.fall_silent();
+    let first = earlier.deregister(control).ok_or("the first departure was not acknowledged")?;
+    note(format!("{} acknowledged at {:.4} s that {} leaves", nodes[leader].name, first.as_secs_f64(), earlier.id));
+    thread::sleep(APART);
+    let acknowledged = leaving.deregister(control);
     if trouble {
+        thread::sleep(wait_before_kill());
         nodes[leader].kill();
     }
     let killed = now();
@@ -59,6 +71,7 @@
         calm = now() + CONNECTIVITY;
     }
     thread::sleep((acknowledged + SERVES_ON).saturating_sub(now()));
+    earlier.crash();
     leaving.crash();
     let end = now();
     thread::sleep(Duration::from_secs(1));
@@ -82,3 +95,10 @@
     ];
     Ok(Outcome { broken: !late.is_empty(), lines })
 }
+
+/// How long after the acknowledgement the leader is killed; `KILL_AFTER_MS` measures how wide the window is.
+fn wait_before_kill() -> Duration {
+    let measured = std::env::var("KILL_AFTER_MS").ok().and_then(|ms| ms.parse().ok());
+    // The end of a process takes some time of its own.
+    measured.map_or(WITHIN / 2, Duration::from_millis)
+}
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -81,11 +81,14 @@
         replica
     }
 
-    /// Says that it leaves without having said that it drains, and serves on. Returns when a node has acknowledged that.
-    pub fn deregister(&self, node: SocketAddr) -> Option<Duration> {
+    /// Sends no more heartbeats, and waits until none is under way.
+    pub fn fall_silent(&self) {
         self.silent.store(true, Ordering::Relaxed);
-        // A heartbeat that is under way arrives first.
         thread::sleep(Duration::from_millis(100));
+    }
+
+    /// Says that it leaves without having said that it drains, and serves on. Returns when the node has acknowledged that.
+    pub fn deregister(&self, node: SocketAddr) -> Option<Duration> {
         let path = format!("/hatchrudder/instances/{}/deregister", self.id);
         let answer = http::exchange(node, PATIENCE, &http::post(&path, ""));
         answer.is_ok_and(|(head, _)| head.status() == 200).then(now)
