--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -43,6 +43,7 @@
             let id = format!("{name}-{number}");
             let opened = connection.take().or_else(|| Connection::open(node, DEADLINE).ok());
             if let Some(mut open) = opened {
+                note(format!("client {name} sends {method} {path} as {id}"));
                 let sent = open.send(&request(method, path, &id)).and_then(|()| open.read());
                 match sent {
                     Ok((head, _)) => {
--- a/review/standins/src/departure.rs
+++ b/review/standins/src/departure.rs
@@ -46,7 +46,8 @@
         })
         .collect();
     thread::sleep(Duration::from_secs(3));
-    let leader = (0..nodes.len()).filter(|at| nodes[*at].has_led_last().is_some()).max_by_key(|at| nodes[*at].has_led_last());
+    let leader =
+        (0..nodes.len()).filter(|at| nodes[*at].has_led_last().is_some()).max_by_key(|at| nodes[*at].has_led_last());
     let leader = leader.ok_or("no node says that it leads")?;
     note(format!("{} leads", nodes[leader].name));
     let (earlier, leaving) = (&replicas[0], &replicas[replicas.len() - 1]);
@@ -63,7 +64,12 @@
     }
     let killed = now();
     let acknowledged = acknowledged.ok_or("the departure was not acknowledged")?;
-    note(format!("{} acknowledged at {:.4} s that {} leaves", nodes[leader].name, acknowledged.as_secs_f64(), leaving.id));
+    note(format!(
+        "{} acknowledged at {:.4} s that {} leaves",
+        nodes[leader].name,
+        acknowledged.as_secs_f64(),
+        leaving.id
+    ));
     let mut calm = acknowledged;
     if trouble {
         thread::sleep(DOWN);
@@ -84,14 +90,32 @@
     let of_leaving = || runs.iter().filter(|run| run.replica == leaving.id);
     let late: Vec<_> = of_leaving().filter(|run| run.at > from && run.at < end).collect();
     for run in late.iter().take(5) {
-        note(format!("broken: {} reached {} {:.3} s after the acknowledgement", run.id, leaving.id, (run.at - acknowledged).as_secs_f64()));
+        note(format!(
+            "broken: {} reached {} {:.3} s after the acknowledgement",
+            run.id,
+            leaving.id,
+            (run.at - acknowledged).as_secs_f64()
+        ));
     }
     let lines = vec![
         format!("runs at {} before it left: {}", leaving.id, of_leaving().filter(|run| run.at < acknowledged).count()),
-        format!("{} acknowledged its departure at {:.4} s, and was killed at {:.4} s: {trouble}", nodes[leader].name, acknowledged.as_secs_f64(), killed.as_secs_f64()),
+        format!(
+            "{} acknowledged its departure at {:.4} s, and was killed at {:.4} s: {trouble}",
+            nodes[leader].name,
+            acknowledged.as_secs_f64(),
+            killed.as_secs_f64()
+        ),
         format!("machines are in touch again from {:.3} s on", calm.as_secs_f64()),
-        format!("requests that machines in touch sent there over {} ms after the acknowledgement: {}", DRAIN.as_millis(), late.len()),
-        format!("requests sent there over {} ms after the acknowledgement in all: {}", DRAIN.as_millis(), of_leaving().filter(|run| run.at > acknowledged + DRAIN).count()),
+        format!(
+            "requests that machines in touch sent there over {} ms after the acknowledgement: {}",
+            DRAIN.as_millis(),
+            late.len()
+        ),
+        format!(
+            "requests sent there over {} ms after the acknowledgement in all: {}",
+            DRAIN.as_millis(),
+            of_leaving().filter(|run| run.at > acknowledged + DRAIN).count()
+        ),
     ];
     Ok(Outcome { broken: !late.is_empty(), lines })
 }
--- a/review/standins/src/evacuation.rs
+++ b/review/standins/src/evacuation.rs
@@ -36,7 +36,15 @@
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = nodes
         .iter()
-        .map(|node| client::start(node.name.clone(), node.frontend(), ("GET", "/read/x"), Duration::from_millis(40), stop.clone()))
+        .map(|node| {
+            client::start(
+                node.name.clone(),
+                node.frontend(),
+                ("GET", "/read/x"),
+                Duration::from_millis(40),
+                stop.clone(),
+            )
+        })
         .collect();
     thread::sleep(Duration::from_secs(3));
     let zone = ZONES[0];
@@ -60,7 +68,8 @@
         nodes[frozen].signal("STOP");
     }
     thread::sleep(Duration::from_millis(200));
-    let finished = operator::order(&frozen_first, &finish, "").ok_or("the end of the evacuation was not acknowledged")?;
+    let finished =
+        operator::order(&frozen_first, &finish, "").ok_or("the end of the evacuation was not acknowledged")?;
     thread::sleep(Duration::from_millis(1500));
     let again = operator::order(&all, &begin, "").ok_or("the second evacuation was not acknowledged")?;
     thread::sleep((frozen_at + FREEZE).saturating_sub(now()));
@@ -86,13 +95,33 @@
         .cloned()
         .collect();
     for run in late.iter().take(5) {
-        note(format!("broken: {} reached {zone} {:.3} s after the acknowledgement", run.id, (run.at - again).as_secs_f64()));
+        note(format!(
+            "broken: {} reached {zone} {:.3} s after the acknowledgement",
+            run.id,
+            (run.at - again).as_secs_f64()
+        ));
     }
     let lines = vec![
         format!("requests run in {zone} before its evacuation: {before}"),
-        format!("evacuation acknowledged at {:.3} s, taken back at {:.3} s, ordered again and acknowledged at {:.3} s", first.as_secs_f64(), finished.as_secs_f64(), again.as_secs_f64()),
-        format!("{} stood still from {:.3} s to {:.3} s: {trouble}", nodes[frozen].name, frozen_at.as_secs_f64(), thawed.as_secs_f64()),
-        format!("requests that nodes in touch sent to {zone} from {:.3} s to {:.3} s, over {} ms after the last acknowledgement: {}", bound.as_secs_f64(), end.as_secs_f64(), EVACUATION.as_millis(), late.len()),
+        format!(
+            "evacuation acknowledged at {:.3} s, taken back at {:.3} s, ordered again and acknowledged at {:.3} s",
+            first.as_secs_f64(),
+            finished.as_secs_f64(),
+            again.as_secs_f64()
+        ),
+        format!(
+            "{} stood still from {:.3} s to {:.3} s: {trouble}",
+            nodes[frozen].name,
+            frozen_at.as_secs_f64(),
+            thawed.as_secs_f64()
+        ),
+        format!(
+            "requests that nodes in touch sent to {zone} from {:.3} s to {:.3} s, over {} ms after the last acknowledgement: {}",
+            bound.as_secs_f64(),
+            end.as_secs_f64(),
+            EVACUATION.as_millis(),
+            late.len()
+        ),
     ];
     Ok(Outcome { broken: !late.is_empty(), lines })
 }
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -134,7 +134,14 @@
 }
 
 /// Starts `count` replicas of a service in each zone; `first` numbers their addresses.
-pub fn start_replicas(place: &Place, nodes: &[Node], service: &'static str, count: u8, first: u8, runs: &Runs) -> Vec<Arc<Replica>> {
+pub fn start_replicas(
+    place: &Place,
+    nodes: &[Node],
+    service: &'static str,
+    count: u8,
+    first: u8,
+    runs: &Runs,
+) -> Vec<Arc<Replica>> {
     let mut replicas = Vec::new();
     for (number, zone) in (0..).zip(node::ZONES) {
         for copy in 0..count {
--- a/review/standins/src/node.rs
+++ b/review/standins/src/node.rs
@@ -110,7 +110,11 @@
         let at = |port: u16| format!("{}:{port}", self.ip);
         let seeds: Vec<String> = self.seeds.iter().map(|ip| format!("\"{ip}:{CONTROL}\"")).collect();
         let zones: Vec<String> = ZONES.iter().map(|zone| format!("\"{zone}\": \"region-1\"")).collect();
-        let data = if self.disk { format!("\"data_directory\": \"{}\",", self.folder.join("data").display()) } else { String::new() };
+        let data = if self.disk {
+            format!("\"data_directory\": \"{}\",", self.folder.join("data").display())
+        } else {
+            String::new()
+        };
         let settings = format!(
             r#"{{
   "node_name": "{name}", "role": "instance", "machine_class": "edge", "served_roles": ["edge", "control", "registry"],
--- a/review/standins/src/replica.rs
+++ b/review/standins/src/replica.rs
@@ -150,8 +150,21 @@
             );
             return stream.write_all(answer.as_bytes());
         }
-        note(format!("{} of {} in {} runs {id} from {}", self.id, self.service, self.zone, from.map_or_else(String::new, |ip| ip.to_string())));
-        self.runs.lock().expect("runs").push(Run { at: now(), replica: self.id.clone(), service: self.service, zone: self.zone, from, id: id.clone() });
+        note(format!(
+            "{} of {} in {} runs {id} from {}",
+            self.id,
+            self.service,
+            self.zone,
+            from.map_or_else(String::new, |ip| ip.to_string())
+        ));
+        self.runs.lock().expect("runs").push(Run {
+            at: now(),
+            replica: self.id.clone(),
+            service: self.service,
+            zone: self.zone,
+            from,
+            id: id.clone(),
+        });
         thread::sleep(self.work);
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nReplica-Signature: {}.{id}\r\nContent-Length: {}\r\n\r\n{}",
