feat: logs of departures that are answered and of registries that are taken over

The logs could not tell who knew of a departure when it was answered: the instance that answers wrote nothing, and a new leader wrote only that it leads. Both now write a line: the answer's status and time, and how many endpoints and departed ones a new leader starts from.

No decision changes.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -14,7 +14,7 @@
     Effect, Listing, Me, Options, PeerMessage, RelayGroup, WatchRequest,
     founding::Founding,
     hall_tags::HallTags,
-    registry::{Change, Registration, Registry},
+    registry::{Change, Phase, Registration, Registry},
     tree::Directory,
     view::View,
     watchers::{Source, Watchers},
@@ -333,10 +333,20 @@
             self.last_seen = self.directory.keys().map(|name| (name.clone(), seen)).collect();
             self.registry = view.registry.clone();
             self.registry.begin_term(now, self.replica.term());
+            out.push(Effect::Log(self.registry_taken()));
             self.watchers.clear();
         }
     }
 
+    fn registry_taken(&self) -> What {
+        let phases = || self.registry.iter().map(|held| held.phase);
+        What::RegistryTaken {
+            term: self.replica.term(),
+            endpoints: phases().count(),
+            departed: phases().filter(|phase| *phase >= Phase::Leaving).count(),
+        }
+    }
+
     fn record_listing(&mut self, now: Duration, listing: &Listing) {
         record_live(&mut self.last_seen, &mut self.directory, now, listing);
     }
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -550,6 +550,26 @@
         /// How long the answer took, in milliseconds.
         took_ms: u64,
     },
+    /// An endpoint reported here that it drains or has ended.
+    DepartureAnswered {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// It has ended; otherwise it drains.
+        ended: bool,
+        /// HTTP status of the answer.
+        status: u16,
+        /// How long the answer took, in microseconds.
+        took_us: u64,
+    },
+    /// A new leader has taken over the registry of endpoints.
+    RegistryTaken {
+        /// The term that it leads in.
+        term: u64,
+        /// Number of endpoints in its own copy.
+        endpoints: usize,
+        /// Number of those that drain or have ended.
+        departed: usize,
+    },
     /// An endpoint joined, changed its standing, or was taken off.
     Endpoint {
         /// The endpoint.
@@ -721,6 +741,7 @@
             | What::CallCut { endpoint, .. }
             | What::EndedUnder { endpoint, .. }
             | What::Endpoint { endpoint, .. }
+            | What::DepartureAnswered { endpoint, .. }
             | What::Ejected { endpoint, .. }
             | What::AskedToRest { endpoint, .. }
             | What::SaidLeaving { endpoint }
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -261,6 +261,13 @@
         What::Evacuations { halls, .. } => {
             format!("learned that these halls are evacuated: {}", halls.join(", "))
         }
+        What::DepartureAnswered { ended, status, took_us, .. } => {
+            let departure = if *ended { "end" } else { "drain" };
+            format!("answers its {departure} with {status} after {took_us} us")
+        }
+        What::RegistryTaken { term, endpoints, departed } => {
+            format!("takes over {endpoints} endpoints in term {term}, {departed} of them departed")
+        }
         What::EvacuationOrdered { hall, begins, status, took_ms } => {
             let order = if *begins { "evacuate" } else { "end the evacuation of" };
             format!("an operator's order to {order} {hall} was answered {status} after {took_ms} ms")
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -206,11 +206,21 @@
 
 async fn register<D: Dialect>(shared: &Shared<D>, registration: Registration) -> Response<AnswerBody> {
     let (ticket, reply) = shared.tickets.issue();
+    let started = Moment::now();
+    let departure = (registration.phase >= Phase::Leaving).then(|| registration.endpoint.clone());
+    let ended = registration.phase >= Phase::Gone;
     shared.send_event(Event::Register { ticket, registration });
-    match tokio::time::timeout(HEARTBEAT_TIMEOUT, reply).await {
-        Ok(Ok(Reply::Registered(true))) => json(StatusCode::OK, shared.dialect.write_heartbeat()),
-        _ => error_response(StatusCode::SERVICE_UNAVAILABLE, "this instance has lost touch with the others"),
+    let answer = tokio::time::timeout(HEARTBEAT_TIMEOUT, reply).await;
+    let accepted = matches!(answer, Ok(Ok(Reply::Registered(true))));
+    let status = if accepted { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    if let Some(endpoint) = departure {
+        let took_us = started.elapsed().as_micros() as u64;
+        shared.log.write(What::DepartureAnswered { endpoint, ended, status: status.as_u16(), took_us });
+    }
+    if accepted {
+        return json(status, shared.dialect.write_heartbeat());
     }
+    error_response(status, "this instance has lost touch with the others")
 }
 
 fn empty(status: StatusCode) -> Response<AnswerBody> {
