fix(core): departures of endpoints are committed before they are acknowledged

Callers saw requests run at an endpoint that had announced its end, over two seconds after the leader had acknowledged that. What such an endpoint still accepts is lost with it.

Cause: a departure counted as confirmed as soon as the leader's registry had it, which is the memory of one process. A new leader starts from its own copy, so what nobody had fetched by then was gone, and the endpoint doesn't repeat it.

Evidence, on the code before: registry_taken of the next leader names 15 endpoints, one departed of two that were acknowledged, and no instance ever logs the other one as gone. So it is neither lost at the change of role nor undone by a later heartbeat.

Departures are now records of the replicated log, proposed by the instance that was asked and acknowledged when committed. A new leader adds them to its copy of the registry before it answers anything, and replies only once it has applied what was committed before its term. So no acknowledged departure is known to fewer than a majority of disks. Those proposed while a record is being committed share the next one. Records end when the leader's registry has forgotten their endpoint.

--- a/crates/rudder-core/src/calls/mod.rs
+++ b/crates/rudder-core/src/calls/mod.rs
@@ -182,7 +182,11 @@
                     context.verdict(*request, Verdict::Release);
                 }
             }
-            Purpose::Admin(_) | Purpose::Document(_) | Purpose::Evacuation(_) | Purpose::Record => {}
+            Purpose::Admin(_)
+            | Purpose::Document(_)
+            | Purpose::Evacuation(_)
+            | Purpose::Departure(_)
+            | Purpose::Record => {}
         }
     }
 }
--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -6,12 +6,13 @@
 };
 
 use rudder_events::What;
-use rudder_ledger::{Answer, Command, Ledger, Stamped};
-use rudder_model::{InstanceId, Start, id};
+use rudder_ledger::{Answer, Command, Departure, Ledger, Stamped};
+use rudder_model::{EndpointId, InstanceId, Start, id};
 use rudder_replica::{Durable, Entry, Envelope, Members, Output, Payload, Replica, ReplicaId, Role, Spare};
 
 use crate::{
     Effect, Listing, Me, Options, PeerMessage, RelayGroup, WatchRequest,
+    departures::{Batch, DepartureQueue},
     founding::Founding,
     hall_tags::HallTags,
     registry::{Change, Phase, Registration, Registry},
@@ -30,7 +31,7 @@
 
 /// A proposal whose proposer waits for it to be applied.
 #[derive(Clone, Debug)]
-struct PendingProposal {
+pub(crate) struct PendingProposal {
     name: InstanceId,
     start: Start,
     ticket: u64,
@@ -46,7 +47,8 @@
     pub ledger: Ledger,
     name: InstanceId,
     /// Proposals that wait to be applied, by log index.
-    pending: BTreeMap<u64, PendingProposal>,
+    pending: BTreeMap<u64, Vec<PendingProposal>>,
+    departures: DepartureQueue,
     /// Live instances; maintained by the leader.
     directory: Directory,
     /// Time of the last sign of life of each of them.
@@ -82,6 +84,7 @@
             ledger,
             name: me.name.clone(),
             pending: BTreeMap::new(),
+            departures: DepartureQueue::default(),
             directory: Directory::default(),
             last_seen: BTreeMap::new(),
             leader_since: None,
@@ -126,6 +129,7 @@
         self.update_role(now, view, options, out);
         if self.replica.leads(now) {
             self.expire(now, options);
+            self.forget_departures(now, me, options, out);
             self.watchers.tick(now, out);
             self.announce(now, view, out);
             let spares = self.to_spares();
@@ -135,16 +139,30 @@
     }
 
     /// Handles a message from another replica.
-    pub(crate) fn on_replica(&mut self, now: Duration, envelope: Envelope, options: &Options, out: &mut Vec<Effect>) {
+    pub(crate) fn on_replica(
+        &mut self,
+        now: Duration,
+        envelope: Envelope,
+        (me, options): (&Me, &Options),
+        out: &mut Vec<Effect>,
+    ) {
         let mut outputs = Vec::new();
         self.replica.receive(now, envelope, &mut outputs);
         self.apply_outputs(now, outputs, options, out);
+        self.record_departures(now, (me, options), out);
     }
 
-    pub(crate) fn on_saved(&mut self, now: Duration, number: u64, options: &Options, out: &mut Vec<Effect>) {
+    pub(crate) fn on_saved(
+        &mut self,
+        now: Duration,
+        number: u64,
+        (me, options): (&Me, &Options),
+        out: &mut Vec<Effect>,
+    ) {
         let mut outputs = Vec::new();
         self.replica.on_saved(now, number, &mut outputs);
         self.apply_outputs(now, outputs, options, out);
+        self.record_departures(now, (me, options), out);
     }
 
     /// Appends a proposal, or redirects to the leader.
@@ -158,6 +176,11 @@
         out: &mut Vec<Effect>,
     ) {
         let (ticket, start, command) = proposal;
+        if let Command::Depart(departures) = command {
+            let proposer = PendingProposal { name: from, start, ticket, term: self.replica.term() };
+            self.on_departures(now, me, (proposer, departures), (view, options), out);
+            return;
+        }
         let stamped = Stamped { time: me.epoch + now, proposer: from.clone(), command };
         let mut outputs = Vec::new();
         let Some(index) = self.propose(now, &stamped, &mut outputs) else {
@@ -165,10 +188,49 @@
             return;
         };
         let term = self.replica.term();
-        self.pending.insert(index, PendingProposal { name: from, start, ticket, term });
+        self.pending.insert(index, vec![PendingProposal { name: from, start, ticket, term }]);
         self.apply_outputs(now, outputs, options, out);
     }
 
+    /// Queues proposed departures, unless all of them are recorded already.
+    fn on_departures(
+        &mut self,
+        now: Duration,
+        me: &Me,
+        (proposer, departures): (PendingProposal, Vec<Departure>),
+        (view, options): (&View, &Options),
+        out: &mut Vec<Effect>,
+    ) {
+        if self.replica.role() != Role::Leader {
+            self.send_redirect(proposer.name, view.leader(), out);
+            return;
+        }
+        if departures.iter().all(|departure| self.departures.is_recorded(departure, &self.ledger.departures)) {
+            send_answer(proposer, Answer::Departed(false), out);
+            return;
+        }
+        self.departures.push(proposer, departures);
+        self.record_departures(now, (me, options), out);
+    }
+
+    /// Appends a record of the queued departures, unless one is being committed.
+    fn record_departures(&mut self, now: Duration, (me, options): (&Me, &Options), out: &mut Vec<Effect>) {
+        let Some(Batch { proposers, departures }) = self.departures.next_batch() else { return };
+        // Proposers retry what is not appended.
+        let Some(index) = self.append(now, me, Command::Depart(departures), options, out) else { return };
+        self.departures.set_recording(index);
+        self.pending.insert(index, proposers);
+    }
+
+    /// Appends a record of departures that the registry no longer remembers, if one is due.
+    fn forget_departures(&mut self, now: Duration, me: &Me, options: &Options, out: &mut Vec<Effect>) {
+        let held = &self.ledger.departures;
+        let is_known = |endpoint: &EndpointId| self.registry.has_departed(endpoint);
+        let Some(forgotten) = self.departures.to_forget(now, held, self.ledger.index, is_known) else { return };
+        let index = self.append(now, me, Command::ForgetDepartures(forgotten), options, out);
+        self.departures.set_forgetting(now, index);
+    }
+
     /// Appends a command of the leader itself, which observes the result in the ledger. Returns its log index, or
     /// `None` if this instance does not lead.
     pub(crate) fn append(
@@ -315,7 +377,8 @@
     }
 
     /// Follows a change of the replica's role. Must precede any reply in the new role: a new leader initialises its
-    /// directory and registry from its view, which would discard anything that it has confirmed before.
+    /// directory and registry from its view, which would discard anything that it has confirmed before. The view may lack
+    /// departures that an earlier leader acknowledged; the log has them.
     pub(crate) fn update_role(&mut self, now: Duration, view: &View, options: &Options, out: &mut Vec<Effect>) {
         let leads = self.replica.role() == Role::Leader;
         if leads == self.leader_since.is_some() {
@@ -323,6 +386,7 @@
         }
         self.leader_since = leads.then_some(now);
         self.pending.clear();
+        self.departures = DepartureQueue::default();
         out.push(Effect::Log(What::Leads { leads, term: self.replica.term() }));
         if leads {
             // Starting from the last known directory keeps instances listed across a change of leader.
@@ -333,6 +397,9 @@
             self.last_seen = self.directory.keys().map(|name| (name.clone(), seen)).collect();
             self.registry = view.registry.clone();
             self.registry.begin_term(now, self.replica.term());
+            for departure in self.ledger.departures.iter() {
+                self.registry.record_departure(now, departure);
+            }
             out.push(Effect::Log(self.registry_taken()));
             self.watchers.clear();
         }
@@ -418,19 +485,31 @@
                 let stamped: Stamped = rmp_serde::from_slice(&bytes).expect("data in the format of this version");
                 let configures =
                     matches!(stamped.command, Command::Change(_) | Command::Document(_) | Command::DocumentPatch(_));
+                let departures = departures_in(&stamped.command);
                 let answer = self.ledger.apply(entry.index, stamped);
-                let notify = configures || matches!(answer, Answer::Found(true) | Answer::Evacuated(true));
+                let departed = self.leader_since.is_some() && self.record_committed(now, &departures);
+                let notify = departed || configures || matches!(answer, Answer::Found(true) | Answer::Evacuated(true));
                 if notify && self.leader_since.is_some() {
                     self.watchers.notify(now, None, out);
                 }
                 Some(answer)
             }
         };
-        let Some(proposer) = self.pending.remove(&entry.index) else { return };
+        self.departures.on_applied(entry.index);
+        let (Some(proposers), Some(answer)) = (self.pending.remove(&entry.index), answer) else { return };
         // The entry at this index may come from another leader.
-        if let Some(answer) = answer.filter(|_| proposer.term == entry.term) {
-            send_answer(proposer, answer, out);
+        for proposer in proposers.into_iter().filter(|proposer| proposer.term == entry.term) {
+            send_answer(proposer, answer.clone(), out);
+        }
+    }
+
+    /// Records committed departures in the leader's registry. Returns whether any of them is news to watchers.
+    fn record_committed(&mut self, now: Duration, departures: &[Departure]) -> bool {
+        let mut news = false;
+        for departure in departures {
+            news |= self.registry.record_departure(now, departure) == Change::Leave;
         }
+        news
     }
 
     fn compact(&mut self, options: &Options, out: &mut Vec<Effect>) {
@@ -466,6 +545,13 @@
     }
 }
 
+fn departures_in(command: &Command) -> Vec<Departure> {
+    match command {
+        Command::Depart(departures) => departures.clone(),
+        _ => Vec::new(),
+    }
+}
+
 fn send_answer(proposer: PendingProposal, answer: Answer, out: &mut Vec<Effect>) {
     let message = PeerMessage::Proposed { ticket: proposer.ticket, start: proposer.start, answer };
     out.push(Effect::Send { to: proposer.name, message });
--- a/crates/rudder-core/src/effect.rs
+++ b/crates/rudder-core/src/effect.rs
@@ -67,7 +67,7 @@
     Registered {
         /// Identifies the waiting connection.
         ticket: u64,
-        /// The heartbeat was recorded and, if it announces a departure, confirmed by the leader.
+        /// The heartbeat was recorded and, if it announces a departure, that is committed.
         accepted: bool,
     },
     /// Answers [`Event::AskOrigin`](crate::Event::AskOrigin).
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -14,7 +14,7 @@
 //! - [`propose`]: proposals to the leader;
 //! - [`calls`]: the requests of callers connected to this instance; [`idempotency`]: their idempotency keys;
 //! - [`homes`]: the pools scheduled by this instance;
-//! - [`registry`]: endpoints that register themselves by heartbeats;
+//! - [`registry`]: endpoints that register themselves by heartbeats; `departures`: their way into the log;
 //! - [`loads`]: in-flight requests at endpoints, over all instances;
 //! - [`work`]: work by organisation, over all instances;
 //! - [`limits`]: rate limits reported by endpoints; [`permits`]: permits to send to such endpoints;
@@ -30,6 +30,7 @@
 pub mod clock;
 pub mod control;
 pub mod delta_map;
+pub(crate) mod departures;
 pub mod document_history;
 pub mod duties;
 pub mod effect;
--- a/crates/rudder-core/src/propose.rs
+++ b/crates/rudder-core/src/propose.rs
@@ -29,6 +29,8 @@
     Claim(RequestId),
     /// A request whose answer waits until its end is recorded.
     Finish(RequestId),
+    /// An endpoint that departs.
+    Departure(u64),
     /// Nobody waits.
     Record,
 }
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -4,7 +4,7 @@
 
 use rudder_events::What;
 use rudder_ledger::{Answer, Command, Evacuation, Findings};
-use rudder_model::{EndpointId, InstanceId, Mark, Promise, Promises};
+use rudder_model::{InstanceId, Mark, Promise, Promises};
 use rudder_replica::{Durable, ReplicaId};
 
 use crate::{
@@ -12,6 +12,7 @@
     calls::{Calls, Context},
     clock::Clock,
     control::Control,
+    departures::departure_of,
     duties::{self, Duties},
     hall_orders::{HallOrder, HallOrders},
     homes::Homes,
@@ -58,7 +59,6 @@
     /// Time at which the planned stop began.
     stopping: Option<Duration>,
     exited: bool,
-    pending_leaves: Vec<PendingLeave>,
     /// Evacuation orders that wait for a freshness proof.
     hall_orders: HallOrders,
     /// Findings since the last tick.
@@ -72,14 +72,6 @@
     origins_revision: u64,
 }
 
-/// A departing endpoint whose departure has not been acknowledged.
-#[derive(Debug)]
-struct PendingLeave {
-    ticket: u64,
-    endpoint: EndpointId,
-    until: Duration,
-}
-
 impl State {
     /// Creates the state of an instance that starts at `now`; `disk` is the content of its data folder.
     pub fn new(now: Duration, me: Me, options: Options, disk: Option<(ReplicaId, Durable)>) -> State {
@@ -106,7 +98,6 @@
             promises: Promises::default(),
             stopping: None,
             exited: false,
-            pending_leaves: Vec::new(),
             hall_orders: HallOrders::default(),
             findings: Findings::default(),
             watchers: Watchers::default(),
@@ -166,7 +157,7 @@
             Event::Peer { from, message } => self.on_peer(now, from, message, out),
             Event::Saved { number } => {
                 if let Some(control) = &mut self.control {
-                    control.on_saved(now, number, &self.options, out);
+                    control.on_saved(now, number, (&self.me, &self.options), out);
                 }
             }
             Event::DiskFull => {
@@ -252,7 +243,6 @@
         self.watchers.age(now, self.options.liveness_timeout);
         self.watchers.tick(now, out);
         self.send_watch_request(now, out);
-        self.answer_leaves(now, out);
         self.answer_hall_orders(now, out);
         self.view.registry.forget_gone(now);
         self.view.prune_limits(now);
@@ -295,34 +285,21 @@
         self.send_watch_request(now, out);
     }
 
-    /// Handles a heartbeat. A departure is acknowledged only once the leader has confirmed it, so that it survives the
-    /// loss of this instance.
+    /// Handles a heartbeat. A departure is acknowledged only once it is committed, as its endpoint may not repeat it: it
+    /// must survive the loss of this instance and of the leader.
     fn register(&mut self, now: Duration, ticket: u64, registration: Registration, out: &mut Vec<Effect>) {
-        let leaving = registration.phase >= Phase::Leaving;
-        let endpoint = registration.endpoint.clone();
+        let departure = (registration.phase >= Phase::Leaving).then(|| departure_of(&registration));
         self.view.record_heartbeat(now, registration);
-        if !leaving {
+        let Some(departure) = departure else {
             let accepted = self.view.is_fresh(now, self.options.max_proof_age);
             out.push(Effect::Registered { ticket, accepted });
             return;
-        }
-        self.pending_leaves.push(PendingLeave { ticket, endpoint, until: now + self.options.leave_timeout });
+        };
+        let until = now + self.options.leave_timeout;
+        self.proposals.start(Purpose::Departure(ticket), Command::Depart(vec![departure]), until);
         self.watch_now(now, out);
     }
 
-    /// Answers departing endpoints once the leader has confirmed the departure or the timeout has passed.
-    fn answer_leaves(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        let view = &self.view;
-        self.pending_leaves.retain(|leave| {
-            let accepted = view.is_confirmed(&leave.endpoint);
-            if accepted || now >= leave.until {
-                out.push(Effect::Registered { ticket: leave.ticket, accepted });
-                return false;
-            }
-            true
-        });
-    }
-
     /// Proposes the evacuation orders that are now covered by a freshness proof.
     fn propose_hall_orders(&mut self) {
         let as_of = self.view.evacuations.index();
@@ -377,7 +354,6 @@
                 if changes.urgent {
                     self.watchers.notify(now, None, out);
                 }
-                self.answer_leaves(now, out);
                 self.propose_hall_orders();
             }
             PeerMessage::StreamsBegun(origins) => self.origins.record_told(now, origins),
@@ -494,7 +470,7 @@
         };
         control.update_role(now, &self.view, &self.options, out);
         match message {
-            PeerMessage::Replica(envelope) => control.on_replica(now, envelope, &self.options, out),
+            PeerMessage::Replica(envelope) => control.on_replica(now, envelope, (&self.me, &self.options), out),
             PeerMessage::Founding { replica, members, ask } => {
                 control.on_founding(from, replica, members.as_ref(), ask, out);
             }
@@ -520,6 +496,9 @@
             (Purpose::Evacuation(ticket), Answer::Evacuated(_)) => {
                 out.push(Effect::Evacuated { ticket, decided: true });
             }
+            (Purpose::Departure(ticket), Answer::Departed(_)) => {
+                out.push(Effect::Registered { ticket, accepted: true });
+            }
             (Purpose::Admin(ticket), Answer::Changed(changed)) => {
                 out.push(Effect::Admin { ticket, answer: Some(changed) });
             }
@@ -537,6 +516,7 @@
                 Purpose::Admin(ticket) => out.push(Effect::Admin { ticket, answer: None }),
                 Purpose::Document(ticket) => out.push(Effect::Documented { ticket, version: None }),
                 Purpose::Evacuation(ticket) => out.push(Effect::Evacuated { ticket, decided: false }),
+                Purpose::Departure(ticket) => out.push(Effect::Registered { ticket, accepted: false }),
                 purpose => self.with_calls(now, out, |calls, context| calls.on_answer(context, &purpose, None)),
             }
         }
--- a/crates/rudder-core/src/registry/mod.rs
+++ b/crates/rudder-core/src/registry/mod.rs
@@ -9,6 +9,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
+use rudder_ledger::Departure;
 use rudder_model::{Born, EndpointId, HallId, id};
 use serde::{Deserialize, Serialize};
 
@@ -90,6 +91,11 @@
         Arc::new(Registration { phase, ..self.clone() })
     }
 
+    /// Returns whether this life is over.
+    pub fn has_ended(&self) -> bool {
+        self.phase >= Phase::Gone
+    }
+
     /// Creates a report that a life has ended. The life may be unknown here and known to other instances.
     pub fn end_of(name: &str, born: Option<Born>, hall: HallId) -> Registration {
         Registration {
@@ -196,6 +202,30 @@
         self.record(now, registration, true, DeltaMap::set)
     }
 
+    /// Records a departure that is committed, at the leader. It may be unknown here, and the heartbeats of its endpoint too.
+    pub fn record_departure(&mut self, now: Duration, departure: &Departure) -> Change {
+        let phase = if departure.ended { Phase::Gone } else { Phase::Leaving };
+        let heartbeat = match self.entries.get(&departure.endpoint) {
+            Some(held) if held.phase >= phase => return Change::None,
+            // A departure is final, so it counts as later than any heartbeat held.
+            Some(held) => {
+                let sequence = departure.sequence.max(held.sequence + 1);
+                Registration { phase, sequence, ..Registration::clone(held) }
+            }
+            None => {
+                let name = id::name_of(&departure.endpoint, departure.born);
+                let end = Registration::end_of(name, departure.born, departure.hall.clone());
+                Registration { phase, sequence: departure.sequence, ..end }
+            }
+        };
+        self.record_heartbeat_as_leader(now, &heartbeat)
+    }
+
+    /// Returns whether `endpoint` is known to drain or to have ended.
+    pub fn has_departed(&self, endpoint: &EndpointId) -> bool {
+        self.entries.get(endpoint).is_some_and(|held| held.phase >= Phase::Leaving)
+    }
+
     /// Records a heartbeat; `leads` is true at the leader. `put` stores the entries that have changed.
     fn record(
         &mut self,
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -190,11 +190,6 @@
         self.unconfirmed.insert(unconfirmed.registration.endpoint.clone(), unconfirmed);
     }
 
-    /// Returns whether the leader has confirmed all heartbeats of `endpoint` received here.
-    pub(crate) fn is_confirmed(&self, endpoint: &EndpointId) -> bool {
-        !self.unconfirmed.contains_key(endpoint)
-    }
-
     /// Returns the time as of which the loads of other instances hold.
     pub fn remote_loads_at(&self) -> Option<Duration> {
         self.remote_loads_at
--- a/crates/rudder-ledger/src/apply.rs
+++ b/crates/rudder-ledger/src/apply.rs
@@ -4,7 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Answer, Claims, Command, Config, Document, Evacuations, Patch, Quarantine, Stamped, Usage, document};
+use crate::{
+    Answer, Claims, Command, Config, Departures, Document, Evacuations, Patch, Quarantine, Stamped, Usage, document,
+};
 
 /// Everything the voters agree on, but for their own membership.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -28,6 +30,9 @@
     /// Halls whose endpoints get nothing.
     #[serde(default)]
     pub evacuations: Evacuations,
+    /// Endpoints whose departure was acknowledged.
+    #[serde(default)]
+    pub departures: Departures,
 }
 
 impl Ledger {
@@ -49,6 +54,8 @@
             Command::Reported(window) => Answer::Counted(self.usage.end(window)),
             Command::Findings(findings) => Answer::Found(self.quarantine.apply(index, &findings)),
             Command::Evacuate(order) => Answer::Evacuated(self.evacuations.apply(index, order)),
+            Command::Depart(departures) => Answer::Departed(self.departures.apply(index, departures)),
+            Command::ForgetDepartures(forgotten) => Answer::Departed(self.departures.forget(&forgotten)),
         }
     }
 
--- a/crates/rudder-ledger/src/command.rs
+++ b/crates/rudder-ledger/src/command.rs
@@ -5,7 +5,10 @@
 use rudder_model::InstanceId;
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, Change, Changed, Claim, Document, Evacuation, Findings, Outcome, Patch, Standing, Tally, Window};
+use crate::{
+    Attempt, Change, Changed, Claim, Departure, Document, Evacuation, Findings, Forgotten, Outcome, Patch, Standing,
+    Tally, Window,
+};
 
 /// One command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,6 +47,10 @@
     Findings(Findings),
     /// Evacuates a hall, or takes that back.
     Evacuate(Evacuation),
+    /// Endpoints drain or have ended.
+    Depart(Vec<Departure>),
+    /// Drops departures whose endpoints are no longer remembered.
+    ForgetDepartures(Forgotten),
 }
 
 /// A command with the time at which its leader took it in.
@@ -73,4 +80,7 @@
     Found(bool),
     /// Answer to [`Command::Evacuate`]: whether it changed anything. The order stands in either case.
     Evacuated(bool),
+    /// Answer to [`Command::Depart`] and [`Command::ForgetDepartures`]: whether it changed anything. The departures stand in
+    /// either case.
+    Departed(bool),
 }
