perf(core): departures to forget are searched for every two seconds only

The leader went through all departures held on each tick as long as none was to be forgotten: with the 1,800 of a release at the target's size some 0.3 ms of each 50 (worked out, not measured). Records are written as before, and the tests of departures pass.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -226,9 +226,9 @@
     fn forget_departures(&mut self, now: Duration, me: &Me, options: &Options, out: &mut Vec<Effect>) {
         let held = &self.ledger.departures;
         let is_known = |endpoint: &EndpointId| self.registry.has_departed(endpoint);
-        let Some(forgotten) = self.departures.to_forget(now, held, self.ledger.index, is_known) else { return };
+        let Some(forgotten) = self.departures.find_forgotten(now, held, self.ledger.index, is_known) else { return };
         let index = self.append(now, me, Command::ForgetDepartures(forgotten), options, out);
-        self.departures.set_forgetting(now, index);
+        self.departures.set_forgetting(index);
     }
 
     /// Appends a command of the leader itself, which observes the result in the ledger. Returns its log index, or
--- a/crates/rudder-core/src/departures.rs
+++ b/crates/rudder-core/src/departures.rs
@@ -8,7 +8,7 @@
 
 use crate::{control::PendingProposal, registry::Registration};
 
-/// Minimum interval between two records of departures to forget.
+/// Interval between searches for departures to forget, which take time in proportion to all departures held.
 const FORGET_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of departures forgotten in one record: some 20 KB.
 const MAX_FORGOTTEN: usize = 1_000;
@@ -23,8 +23,8 @@
     recording: Option<u64>,
     /// Log index of the record of forgotten departures being committed.
     forgetting: Option<u64>,
-    /// Time of the last such record.
-    forgot_at: Option<Duration>,
+    /// Time of the last search for departures to forget.
+    searched_at: Option<Duration>,
 }
 
 /// Departures for one record, and the proposers that wait for it.
@@ -56,25 +56,26 @@
         self.recording = Some(index);
     }
 
-    /// Returns the departures to forget, those for which `is_known` is false, if a record of them is due.
-    pub(crate) fn to_forget(
-        &self,
+    /// Returns the departures to forget, those for which `is_known` is false, if a search for them is due.
+    pub(crate) fn find_forgotten(
+        &mut self,
         now: Duration,
         held: &Departures,
         as_of: u64,
         is_known: impl Fn(&EndpointId) -> bool,
     ) -> Option<Forgotten> {
-        let is_recent = self.forgot_at.is_some_and(|at| now < at + FORGET_INTERVAL);
+        let is_recent = self.searched_at.is_some_and(|at| now < at + FORGET_INTERVAL);
         if is_recent || self.forgetting.is_some() {
             return None;
         }
+        self.searched_at = Some(now);
         let unknown = held.iter().map(|departure| &departure.endpoint).filter(|endpoint| !is_known(endpoint));
         let endpoints: Vec<EndpointId> = unknown.take(MAX_FORGOTTEN).cloned().collect();
         (!endpoints.is_empty()).then_some(Forgotten { endpoints, as_of })
     }
 
-    pub(crate) fn set_forgetting(&mut self, now: Duration, index: Option<u64>) {
-        (self.forgetting, self.forgot_at) = (index, Some(now));
+    pub(crate) fn set_forgetting(&mut self, index: Option<u64>) {
+        self.forgetting = index;
     }
 
     /// Records that the entry at `index` is applied.
