--- a/crates/rudder-core/tests/departures.rs
+++ b/crates/rudder-core/tests/departures.rs
@@ -52,15 +52,15 @@
 
 impl Deployment {
     fn start(count: usize) -> Deployment {
-        Deployment::start_as(Layout { total: TOTAL, disks: DISKS, ..Layout::default() }, count)
+        Deployment::start_as(&Layout { total: TOTAL, disks: DISKS, ..Layout::default() }, count)
     }
 
-    fn start_as(layout: Layout, count: usize) -> Deployment {
-        let mut mesh = Mesh::start_as(layout);
+    fn start_as(layout: &Layout, count: usize) -> Deployment {
+        let mut mesh = Mesh::start_as(layout.clone());
         mesh.run(SECOND * 4);
         let endpoints: Vec<String> = (0..count).map(|number| format!("e-{number}")).collect();
         for (number, endpoint) in endpoints.iter().enumerate() {
-            mesh.heartbeat(number % TOTAL, 1000, endpoint, Phase::Ready, LAST_HEARTBEAT);
+            mesh.heartbeat(number % layout.total, 1000, endpoint, Phase::Ready, LAST_HEARTBEAT);
         }
         mesh.run(SECOND);
         Deployment { mesh, endpoints }
@@ -123,7 +123,7 @@
     /// Late heartbeats of the departed lives arrive at every instance.
     fn late_heartbeats(&mut self) {
         for endpoint in self.endpoints.clone() {
-            for number in 0..TOTAL {
+            for number in 0..self.mesh.nodes.len() {
                 self.mesh.heartbeat(number, 2000, &endpoint, Phase::Ready, LAST_HEARTBEAT);
             }
         }
@@ -131,7 +131,7 @@
 
     /// Asserts that no running instance sends requests to any of the endpoints.
     fn assert_departed(&self) {
-        for number in (0..TOTAL).filter(|number| self.mesh.nodes[*number].state.is_some()) {
+        for number in (0..self.mesh.nodes.len()).filter(|number| self.mesh.nodes[*number].state.is_some()) {
             for endpoint in &self.endpoints {
                 let phase = self.mesh.phase_at(number, endpoint);
                 assert!(
@@ -226,6 +226,44 @@
     }
 }
 
+/// Guards against a departure that is lost because the leader is suspended between recording and acknowledging it.
+#[test]
+fn a_leader_suspended_before_its_answer_loses_no_departure() {
+    let mut deployment = Deployment::start(1);
+    let leader = deployment.leader();
+    deployment.mesh.heartbeat(leader, 0, "e-0", Phase::Gone, LAST_HEARTBEAT + 1);
+    deployment.mesh.nodes[leader].paused = true;
+    deployment.mesh.run(SECOND * 3);
+    deployment.mesh.wake(leader);
+    deployment.mesh.run(SECOND * 2);
+    if deployment.is_acknowledged() {
+        deployment.assert_departed();
+    }
+}
+
+/// Guards against a departure that only a relay and the leader have heard of.
+#[test]
+fn an_end_told_behind_a_relay_outlasts_the_leader_and_the_relays() {
+    let layout = Layout { total: 60, disks: 5, voters: 5, ..Layout::default() };
+    let mut deployment = Deployment::start_as(&layout, 2);
+    let asked = 59;
+    let relays = deployment.mesh.relays_at(asked);
+    assert!(!relays.is_empty(), "instance {asked} queries the leader");
+    deployment.depart(asked, Phase::Gone);
+    let leader = deployment.leader();
+    deployment.mesh.kill(leader);
+    for relay in relays {
+        let number = deployment.mesh.number_of(&relay).expect("a relay of the mesh");
+        deployment.mesh.kill(number);
+    }
+    deployment.mesh.kill(asked);
+    deployment.mesh.run(SECOND * 5);
+    deployment.assert_departed();
+    deployment.late_heartbeats();
+    deployment.mesh.run(SECOND * 2);
+    deployment.assert_departed();
+}
+
 /// Guards against an acknowledgement before a majority has saved the departure.
 #[test]
 fn a_departure_is_not_acknowledged_while_no_majority_can_save() {
