feat(gateway): the control thread logs what delays it

The logs of a whole fleet's start showed a leader that loses its lease 1.7 s after its election, and could not tell why: a slow disk, a slow link, or its own thread. A tick that is 200 ms late or more now writes control_late: the delay, the events that wait, and the kind of event that took most of the time.

--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -143,6 +143,19 @@
     Stop,
 }
 
+impl Event {
+    /// Its name in logs.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Event::Tick => "tick",
+            Event::Peer { message, .. } => message.kind(),
+            Event::Saved { .. } => "saved",
+            Event::Register { .. } => "heartbeat",
+            _ => "other",
+        }
+    }
+}
+
 /// An endpoint's report of its own state, which lags behind.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Report {
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -619,6 +619,23 @@
         /// Number of instances that may know the leader.
         candidates: u32,
     },
+    /// The control thread ticks late.
+    ControlLate {
+        /// Delay of the tick in milliseconds.
+        late_ms: u64,
+        /// Number of events that wait.
+        queued: usize,
+        /// Number of events handled since the last such line or the last tick in time.
+        events: u32,
+        /// Time that they took, in milliseconds.
+        busy_ms: u64,
+        /// The kind of event that took most of it.
+        busiest: String,
+        /// Number of events of that kind.
+        busiest_events: u32,
+        /// Time that they took, in milliseconds.
+        busiest_ms: u64,
+    },
     /// Settings were read anew.
     Reloaded {
         /// What came of it.
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -265,6 +265,10 @@
             let departure = if *ended { "end" } else { "drain" };
             format!("answers its {departure} with {status} after {took_us} us")
         }
+        What::ControlLate { late_ms, queued, busiest, busiest_events, busiest_ms, .. } => format!(
+            "its control thread ticks {late_ms} ms late, {queued} events wait; {busiest_events} of {busiest} took \
+             {busiest_ms} ms"
+        ),
         What::RegistryTaken { term, endpoints, departed } => {
             format!("takes over {endpoints} endpoints in term {term}, {departed} of them departed")
         }
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -20,6 +20,7 @@
 
 use crate::{
     Options,
+    control_load::ControlLoad,
     duty::DutyTask,
     logging::Log,
     metrics::ControlStatus,
@@ -90,6 +91,7 @@
     /// The wall-clock time at `epoch` that was last reported to the reducer.
     clock_origin: Duration,
     handover: Duration,
+    load: ControlLoad,
 }
 
 /// Opens the data folder and creates the reducer.
@@ -135,6 +137,7 @@
         status: Arc::default(),
         clock_origin,
         handover,
+        load: ControlLoad::default(),
     })
 }
 
@@ -244,7 +247,11 @@
                 Err(RecvTimeoutError::Timeout) => {}
             }
             // Ticks must go on while events keep arriving.
-            if Moment::now() >= next {
+            let now = Moment::now();
+            if now >= next {
+                if let Some(late) = self.load.on_tick(next, now, events.len()) {
+                    self.log.write(late);
+                }
                 self.check_clock();
                 self.reduce(Event::Tick);
                 self.update_status();
@@ -254,6 +261,7 @@
     }
 
     fn reduce(&mut self, event: Event) {
+        let (kind, started) = (event.kind(), Moment::now());
         let now = self.epoch.elapsed();
         let mut effects = Vec::new();
         self.state.reduce(now, event, &mut effects);
@@ -264,6 +272,7 @@
         if !self.batch.is_empty() {
             let _ = self.notices.send(std::mem::take(&mut self.batch));
         }
+        self.load.record(kind, started.elapsed());
     }
 
     /// Queues notices of changes in the view; the proof of a view follows the view.
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod condition;
 pub mod contention;
 pub mod contents;
+pub mod control_load;
 pub mod dialect;
 pub mod driver;
 pub mod duty;
