test(core): the start of a whole fleet before its endpoints; red, listed

The test starts as many instances before 10,000 endpoints in virtual time, with their links, a model of their processors, and heartbeats that come again where they are refused.

--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -4,9 +4,13 @@
 #![allow(dead_code, reason = "each test uses a part")]
 
 pub mod link;
+pub mod processor;
 pub mod receiver;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
@@ -18,7 +22,7 @@
 use rudder_model::{InstanceId, id};
 use rudder_replica::{Durable, Record, Snapshot};
 
-use self::{link::Link, receiver::Receiver};
+use self::{link::Link, processor::Processor, receiver::Receiver};
 
 /// Latency of a message.
 const LINK: Duration = Duration::from_millis(1);
@@ -52,6 +56,8 @@
     pub paused: bool,
     /// Its link to all others.
     pub link: Link,
+    /// Its processor.
+    pub processor: Processor,
     held: Vec<Event>,
     starts: u64,
     saves: Vec<Pending>,
@@ -63,6 +69,8 @@
     /// A call of a duty is about to be written to its connection.
     Call(usize, u64, u64, u64, Box<DutyCall>),
     Saved(usize, u64, u64),
+    /// An instance has handled an event, with these effects.
+    Handled(usize, u64, Vec<Effect>),
 }
 
 /// Number and size of messages sent by an instance.
@@ -102,11 +110,24 @@
     pub duties: DutyOptions,
     /// Rate in bytes per second of the links of instances with a disk, and of the others.
     pub rates: Option<(u64, u64)>,
+    /// Share of a core of the instances with a disk, and of the others; `None` if events take no time.
+    pub cores: Option<(f64, f64)>,
+    /// Changes the options of an instance.
+    pub tune: fn(Options) -> Options,
 }
 
 impl Default for Layout {
     fn default() -> Self {
-        Layout { halls: 3, total: 9, disks: 3, voters: 3, duties: DutyOptions::default(), rates: None }
+        Layout {
+            halls: 3,
+            total: 9,
+            disks: 3,
+            voters: 3,
+            duties: DutyOptions::default(),
+            rates: None,
+            cores: None,
+            tune: |options| options,
+        }
     }
 }
 
@@ -140,6 +161,8 @@
     pub reorder_calls: bool,
     /// A deliberate defect.
     pub defect: Defect,
+    /// Numbers of the instances by name.
+    numbers: HashMap<InstanceId, usize>,
     rng: Pcg32,
     layout: Layout,
     queue: BTreeMap<(Duration, u64), Delivery>,
@@ -240,7 +263,7 @@
 
     /// Starts the instances of a layout.
     pub fn start_as(layout: Layout) -> Mesh {
-        let Layout { halls, total, disks, rates, .. } = layout;
+        let Layout { halls, total, disks, rates, cores, .. } = layout;
         let seeds: Vec<InstanceId> = (0..disks.min(3)).map(name).collect();
         let node = |number: usize| Node {
             name: name(number),
@@ -251,12 +274,14 @@
             stalled: false,
             paused: false,
             link: Link::new(rates.map(|(disk, other)| if number < disks { disk } else { other })),
+            processor: Processor::new(cores.map(|(disk, other)| if number < disks { disk } else { other })),
             held: Vec::new(),
             starts: 0,
             saves: Vec::new(),
         };
         let mut mesh = Mesh {
             nodes: (0..total).map(node).collect(),
+            numbers: (0..total).map(|number| (name(number), number)).collect(),
             now: Duration::from_secs(1),
             documented: BTreeMap::new(),
             evacuated: BTreeMap::new(),
@@ -314,7 +339,7 @@
             },
             ..Options::default()
         };
-        node.state = Some(State::new(now, me, options, node.disk.clone()));
+        node.state = Some(State::new(now, me, (self.layout.tune)(options), node.disk.clone()));
     }
 
     /// Seeds the random faults of the network.
@@ -328,6 +353,7 @@
         self.nodes[number].paused = false;
         self.nodes[number].held.clear();
         self.nodes[number].saves.clear();
+        self.nodes[number].processor.clear();
     }
 
     /// Empties the disk of a stopped instance.
@@ -352,12 +378,45 @@
             }
             return;
         }
-        let Some(state) = &mut self.nodes[number].state else { return };
-        let mut effects = Vec::new();
-        state.reduce(self.now, event, &mut effects);
+        if self.nodes[number].state.is_none() {
+            return;
+        }
+        self.nodes[number].processor.queue(event);
+        self.handle_next(number);
+    }
+
+    /// Handles the events that wait at an instance, until its processor is busy.
+    fn handle_next(&mut self, number: usize) {
+        loop {
+            let node = &mut self.nodes[number];
+            let Some(state) = &mut node.state else { return };
+            let Some(event) = node.processor.begin() else { return };
+            let mut effects = Vec::new();
+            let received = processor::cost_of_event(&event);
+            state.reduce(self.now, event, &mut effects);
+            let Some(time) = node.processor.time(received, &effects) else {
+                for effect in effects {
+                    self.carry_out(number, effect);
+                }
+                continue;
+            };
+            node.processor.busy = true;
+            let starts = node.starts;
+            self.schedule(time, Delivery::Handled(number, starts, effects));
+            return;
+        }
+    }
+
+    /// Carries out the effects of an event whose time is over.
+    fn finish_event(&mut self, number: usize, starts: u64, effects: Vec<Effect>) {
+        if self.nodes[number].starts != starts || self.nodes[number].state.is_none() {
+            return;
+        }
+        self.nodes[number].processor.busy = false;
         for effect in effects {
             self.carry_out(number, effect);
         }
+        self.handle_next(number);
     }
 
     /// Starts a request of `org` at an instance.
@@ -493,7 +552,7 @@
                 let sent = self.sent.entry((number, message.kind())).or_default();
                 sent.messages += 1;
                 sent.bytes += bytes as u64;
-                let target = self.nodes.iter().position(|node| node.name == to);
+                let target = self.numbers.get(&to).copied();
                 let Some(target) = target.filter(|_| !self.nodes[number].cut) else { return };
                 if target != number && self.rng.random_bool(self.loss) {
                     return;
@@ -556,6 +615,7 @@
                 }
             }
             Delivery::Saved(number, starts, save) => self.finish_saves(number, starts, save),
+            Delivery::Handled(number, starts, effects) => self.finish_event(number, starts, effects),
             Delivery::Call(number, starts, ticket, fence, call) => self.call(number, starts, ticket, fence, *call),
         }
     }
