feat(gateway): the traffic thread logs when it is late

In a whole fleet's start no control thread was late, though 38 leaders lost their lease in 49 s. The thread that reads and writes the messages of other instances now writes traffic_late: its delay and what waits on both sides.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -636,6 +636,15 @@
         /// Time that they took, in milliseconds.
         busiest_ms: u64,
     },
+    /// The traffic thread is late: it serves callers, endpoints' heartbeats and the messages of other instances.
+    TrafficLate {
+        /// Delay of its housekeeping in milliseconds.
+        late_ms: u64,
+        /// Message entries from the control thread that wait for it.
+        backlog: usize,
+        /// Events that wait for the control thread.
+        queued: usize,
+    },
     /// Settings were read anew.
     Reloaded {
         /// What came of it.
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -269,6 +269,11 @@
             "its control thread ticks {late_ms} ms late, {queued} events wait; {busiest_events} of {busiest} took \
              {busiest_ms} ms"
         ),
+        What::TrafficLate { late_ms, backlog, queued } => {
+            format!(
+                "its traffic thread is {late_ms} ms late, {backlog} entries wait for it and {queued} events for the other"
+            )
+        }
         What::RegistryTaken { term, endpoints, departed } => {
             format!("takes over {endpoints} endpoints in term {term}, {departed} of them departed")
         }
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -29,6 +29,10 @@
 
 /// Interval of housekeeping: closing idle connections and reporting load.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(60);
+/// Delay of the housekeeping from which on it is logged: half of the shortest election timeout.
+const LOGGED_DELAY: Duration = Duration::from_millis(200);
+/// Minimum interval between two such log lines.
+const DELAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a planned stop waits for its last usage counts to be committed; fits into the rest of the grace period.
 const FINAL_COUNTS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval of reports on scaled services to the reducer; short against the start of an engine.
@@ -154,14 +158,32 @@
     std::process::exit(4);
 }
 
+/// Logs that this thread is late for what was due at `due`.
+fn log_delay<D: Dialect>(shared: &Shared<D>, due: Moment, logged: &mut Option<Moment>) {
+    let now = Moment::now();
+    let late = now.saturating_duration_since(due);
+    if late < LOGGED_DELAY || logged.is_some_and(|at| now < at + DELAY_LOG_INTERVAL) {
+        return;
+    }
+    *logged = Some(now);
+    shared.log.write(What::TrafficLate {
+        late_ms: late.as_millis() as u64,
+        backlog: shared.status.backlog.load(Ordering::Relaxed),
+        queued: shared.events.len(),
+    });
+}
+
 /// Closes idle connections, discards expired state, and reports load and usage to the reducer.
 async fn run_housekeeping<D: Dialect>(shared: Rc<Shared<D>>) {
     let mut reported = Vec::new();
     let mut reported_work = Vec::new();
     let mut described = Moment::now();
     let mut watch = WakeWatch::default();
+    let mut delay_logged = None;
     loop {
+        let due = Moment::now() + HOUSEKEEPING_INTERVAL;
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        log_delay(&shared, due, &mut delay_logged);
         if let Some(span) = watch.look() {
             // Tasks that wait for a time check it again. Attempts check their freshness themselves.
             note_wake();
