fix(core): instances that join a large fleet are served by relays, at a rate that their links carry

Cause: the work that the system's start brings the leader grows with the square of the fleet, and a leader that is late gets more of it. All instances asked the same seed first; each one that held nothing got the whole directory from the leader, again whenever it had grown, and asked another instance when the answer took 0.2 s. Every request carried all heartbeats that had not been confirmed, also to instances that could do nothing with them, and each new endpoint made the next request due at once. Heartbeats refused meanwhile came again 12,500 times a second. The voters' messages waited behind all that.

Ruled out: a late control thread (control_late was written once by none of 38 leaders in 49 s) and slow disks.

Now the leader only records instances that hold no directory while many come, serves the relays first and sends the others to these; a relay sends large updates at the rate of its link and tells others when to come (Defer). The search for a leader begins at different seeds and carries no reports, a request carries 256 heartbeats at most, and heartbeats that no reply confirms expire. An instance that has just started accepts heartbeats and holds them until it has found the leader.

a_fleet_that_starts_before_all_its_endpoints_is_ready_in_time failed before (term 9, 0 of 995 ready after 24 s, 189,685 heartbeats refused) and passes now with one leader.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -15,6 +15,7 @@
     departures::{Batch, DepartureQueue},
     founding::Founding,
     hall_tags::HallTags,
+    joining::{Admission, Joining},
     registry::{Change, Phase, Registration, Registry},
     tree::Directory,
     view::View,
@@ -58,6 +59,7 @@
     founding: Founding,
     registry: Registry,
     watchers: Watchers,
+    joining: Joining,
     /// Tags of the endpoints reported to the instances of each hall.
     tags: HallTags,
     /// Time of the last registry scan.
@@ -90,7 +92,8 @@
             leader_since: None,
             founding: Founding::default(),
             registry: Registry::default(),
-            watchers: Watchers::default(),
+            watchers: Watchers::new(options.transfer_rate),
+            joining: Joining::default(),
             tags: HallTags::default(),
             scanned_at: None,
             bytes_since_snapshot: 0,
@@ -259,7 +262,7 @@
         now: Duration,
         from: InstanceId,
         mut watch: WatchRequest,
-        view: &mut View,
+        (view, options): (&mut View, &Options),
         out: &mut Vec<Effect>,
     ) {
         if !self.replica.leads(now) {
@@ -271,9 +274,14 @@
         if from != self.name {
             clock.record_reading(now, &from, watch.clock);
         }
+        self.record_listing(now, &watch.listing, options);
+        if let Some(answer) = self.admit(now, &watch, options) {
+            out.push(Effect::Send { to: from, message: answer });
+            return;
+        }
         self.watchers.record(now, &watch.listing);
-        self.record_listing(now, &watch.listing);
-        let group = self.record_group(now, &from, watch.group.as_ref());
+        self.watchers.record_directory(&watch);
+        let group = self.record_group(now, &from, watch.group.as_ref(), options);
         self.record_heartbeats(now, &from, &std::mem::take(&mut watch.heartbeats), out);
         let scope = self.registry.scope_for(&watch.listing.hall);
         let load_tags = scope.as_ref().map(|scope| self.tags.of(now, &watch.listing.hall, scope, &self.registry));
@@ -297,6 +305,31 @@
         self.watchers.reply(now, watch, group, source, out);
     }
 
+    /// Decides whether an instance that holds no directory yet is served here. Returns the answer to one that isn't.
+    fn admit(&mut self, now: Duration, watch: &WatchRequest, options: &Options) -> Option<PeerMessage> {
+        let listing = &watch.listing;
+        // The possible next leaders need what only the leader has.
+        if watch.directory > 0 || listing.replica.is_some() {
+            return None;
+        }
+        let holds_directory = |relay: &InstanceId| self.watchers.holds_directory(relay);
+        let mut admission = self.joining.admit(now, watch, (&options.tree, &self.directory), holds_directory);
+        if admission == Admission::Relay(self.name.clone()) {
+            admission = Admission::Serve;
+        }
+        if admission == Admission::Serve {
+            admission = self.watchers.defer(now, watch).map_or(admission, Admission::Defer);
+        }
+        // An instance that is told to come later, or to a relay, is live meanwhile.
+        let (answer, seen) = match admission {
+            Admission::Serve => return None,
+            Admission::Relay(relay) => (PeerMessage::Redirect { leader: Some(relay) }, now + RELAY_GRACE),
+            Admission::Defer(after) => (PeerMessage::Defer { after }, now + after),
+        };
+        self.last_seen.insert(listing.name.clone(), seen);
+        Some(answer)
+    }
+
     /// Records heartbeats received by an instance. A departure is announced to all watchers immediately.
     fn record_heartbeats(
         &mut self,
@@ -414,15 +447,25 @@
         }
     }
 
-    fn record_listing(&mut self, now: Duration, listing: &Listing) {
-        record_live(&mut self.last_seen, &mut self.directory, now, listing);
+    fn record_listing(&mut self, now: Duration, listing: &Listing, options: &Options) {
+        if record_live(&mut self.last_seen, &mut self.directory, now, listing) {
+            self.joining.record(now, &options.tree);
+        }
     }
 
     /// Records the group of a relay. Returns the version of the group that is held; 0 for none.
-    fn record_group(&mut self, now: Duration, relay: &InstanceId, group: Option<&RelayGroup>) -> u64 {
+    fn record_group(
+        &mut self,
+        now: Duration,
+        relay: &InstanceId,
+        group: Option<&RelayGroup>,
+        options: &Options,
+    ) -> u64 {
         let Some((version, members)) = self.watchers.record_group(relay, group) else { return 0 };
         for member in members {
-            record_live(&mut self.last_seen, &mut self.directory, now, member);
+            if record_live(&mut self.last_seen, &mut self.directory, now, member) {
+                self.joining.record(now, &options.tree);
+            }
         }
         *version
     }
@@ -529,20 +572,22 @@
     }
 }
 
-/// Records a sign of life of an instance, without touching the directory unless the listing has changed.
+/// Records a sign of life of an instance, without touching the directory unless the listing has changed. Returns whether
+/// the instance was not live.
 fn record_live(
     last_seen: &mut BTreeMap<InstanceId, Duration>,
     directory: &mut Directory,
     now: Duration,
     listing: &Listing,
-) {
-    match last_seen.get_mut(&listing.name) {
-        Some(seen) => *seen = now.max(*seen),
-        None => drop(last_seen.insert(listing.name.clone(), now)),
+) -> bool {
+    let known = last_seen.get_mut(&listing.name).map(|seen| *seen = now.max(*seen));
+    if known.is_none() {
+        last_seen.insert(listing.name.clone(), now);
     }
     if directory.get(&listing.name) != Some(listing) {
         directory.set(listing.name.clone(), listing.clone());
     }
+    known.is_none()
 }
 
 fn departures_in(command: &Command) -> Vec<Departure> {
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -383,6 +383,11 @@
         /// The leader, if known.
         leader: Option<InstanceId>,
     },
+    /// Answers a request of an instance that the leader cannot serve yet, as many others start at the same time.
+    Defer {
+        /// Time after which the instance is to ask again.
+        after: Duration,
+    },
     /// Proposes a command.
     Propose {
         /// Sequence number of the sender's proposals.
@@ -498,6 +503,7 @@
             PeerMessage::Transfer(_) => "transfer",
             PeerMessage::Notify => "notify",
             PeerMessage::Redirect { .. } => "elsewhere",
+            PeerMessage::Defer { .. } => "defer",
             PeerMessage::Propose { .. } => "propose",
             PeerMessage::Proposed { .. } => "proposed",
             PeerMessage::Attempt { .. } => "attempt",
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -24,6 +24,7 @@
     propose::{Proposals, Purpose},
     registry::{Phase, Registration, Registry},
     transfer::Transfers,
+    upstream::Upstream,
     usage::UsageReporter,
     view::View,
     watchers::Watchers,
@@ -56,6 +57,8 @@
     usage_reporter: UsageReporter,
     proposals: Proposals,
     promises: Promises,
+    /// Time of the start.
+    started: Duration,
     /// Time at which the planned stop began.
     stopping: Option<Duration>,
     exited: bool,
@@ -81,9 +84,11 @@
         if control.is_some() {
             view.registry.set_unscoped();
         }
+        view.upstream = Upstream::new(&me.name);
         view.set_seeds(options.seeds.clone());
         view.clock = Clock::new(me.epoch);
         let transfers = Transfers::new(options.transfer_rate);
+        let watchers = Watchers::new(options.transfer_rate);
         State {
             me,
             options,
@@ -96,11 +101,12 @@
             usage_reporter: UsageReporter::default(),
             proposals: Proposals::default(),
             promises: Promises::default(),
+            started: now,
             stopping: None,
             exited: false,
             hall_orders: HallOrders::default(),
             findings: Findings::default(),
-            watchers: Watchers::default(),
+            watchers,
             transfers,
             permits: Permits::default(),
             origins: Origins::default(),
@@ -245,6 +251,7 @@
         self.send_watch_request(now, out);
         self.answer_hall_orders(now, out);
         self.view.registry.forget_gone(now);
+        self.view.expire_unconfirmed(now, self.options.silence_timeout);
         self.view.prune_limits(now);
         self.permits.tick(now, out);
         self.transfers.tick(now, out);
@@ -285,13 +292,20 @@
         self.send_watch_request(now, out);
     }
 
+    /// Returns whether heartbeats of endpoints are accepted. An instance that starts holds them until it has found the
+    /// leader: endpoints that are refused ask others at once, and all of these may just have started as well.
+    fn accepts_heartbeats(&self, now: Duration) -> bool {
+        let bound = self.options.max_proof_age;
+        self.view.is_fresh(now, bound) || now < self.started + bound
+    }
+
     /// Handles a heartbeat. A departure is acknowledged only once it is committed, as its endpoint may not repeat it: it
     /// must survive the loss of this instance and of the leader.
     fn register(&mut self, now: Duration, ticket: u64, registration: Registration, out: &mut Vec<Effect>) {
         let departure = (registration.phase >= Phase::Leaving).then(|| departure_of(&registration));
         self.view.record_heartbeat(now, registration);
         let Some(departure) = departure else {
-            let accepted = self.view.is_fresh(now, self.options.max_proof_age);
+            let accepted = self.accepts_heartbeats(now);
             out.push(Effect::Registered { ticket, accepted });
             return;
         };
@@ -377,6 +391,7 @@
                 self.view.upstream.on_redirect(&from, leader);
                 self.proposals.retry_soon(now);
             }
+            PeerMessage::Defer { after } => self.view.upstream.on_deferred(&from, now + after),
             PeerMessage::Proposed { ticket, start, answer } => {
                 if start == self.me.start {
                     self.on_proposed(now, ticket, answer, out);
@@ -431,10 +446,15 @@
 
     /// Replies to a watcher from this instance's view.
     fn reply_as_relay(&mut self, now: Duration, from: &InstanceId, mut watch: WatchRequest, out: &mut Vec<Effect>) {
+        if let Some(after) = self.watchers.defer(now, &watch) {
+            out.push(Effect::Send { to: from.clone(), message: PeerMessage::Defer { after } });
+            return;
+        }
         let heartbeats = std::mem::take(&mut watch.heartbeats);
         self.view.record_limits(now, &watch.limits);
         self.view.clock.record_reading(now, from, watch.clock);
         let mut changed = self.watchers.record(now, &watch.listing);
+        self.watchers.record_directory(&watch);
         for registration in heartbeats {
             changed |= registration.phase >= Phase::Leaving;
             self.view.record_heartbeat(now, registration);
@@ -476,7 +496,7 @@
             }
             PeerMessage::WatchRequest(watch) => {
                 self.view.record_limits(now, &watch.limits);
-                control.on_watch(now, from, *watch, &mut self.view, out);
+                control.on_watch(now, from, *watch, (&mut self.view, &self.options), out);
             }
             PeerMessage::Usage(update) if control.leads_since(now).is_some() => self.duties.on_usage(&from, *update),
             PeerMessage::Propose { ticket, start, command } => {
--- a/crates/rudder-core/src/tree.rs
+++ b/crates/rudder-core/src/tree.rs
@@ -47,17 +47,12 @@
         if !self.has_relays(directory) {
             return Vec::new();
         }
-        let mut relays = self.relays_of(&me.hall, directory);
-        if relays.contains(&me.name) {
-            return Vec::new();
-        }
-        // Ranking by the instance's own name spreads the instances of a hall over its relays.
-        relays.sort_by_cached_key(|relay| Reverse(id::rendezvous(&me.name, relay)));
-        relays
+        let relays = self.relays_of(&me.hall, directory);
+        rank_for(&me.name, relays)
     }
 
     /// Returns the relays of `hall`.
-    fn relays_of(&self, hall: &str, directory: &Directory) -> Vec<InstanceId> {
+    pub(crate) fn relays_of(&self, hall: &str, directory: &Directory) -> Vec<InstanceId> {
         let here = directory.values().filter(|listing| *listing.hall == *hall && !listing.stopping);
         let mut ranked: Vec<InstanceId> = here.map(|listing| listing.name.clone()).collect();
         let count = ranked.len().div_ceil(self.askers).max(self.least);
@@ -66,3 +61,13 @@
         ranked
     }
 }
+
+/// Orders the relays of a hall by the preference of its instance `name`; empty if that is one of them.
+pub(crate) fn rank_for(name: &InstanceId, mut relays: Vec<InstanceId>) -> Vec<InstanceId> {
+    if relays.contains(name) {
+        return Vec::new();
+    }
+    // Ranking by the instance's own name spreads the instances of a hall over its relays.
+    relays.sort_by_cached_key(|relay| Reverse(id::rendezvous(name, relay)));
+    relays
+}
--- a/crates/rudder-core/src/upstream.rs
+++ b/crates/rudder-core/src/upstream.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rudder_model::InstanceId;
+use rudder_model::{InstanceId, id};
 
 use crate::{Me, Options};
 
@@ -13,6 +13,8 @@
 const MAX_TRACKED_ROUNDS: u64 = 64;
 /// Number of request intervals after which an unanswered request times out.
 const TIMEOUT_INTERVALS: u32 = 2;
+/// Number of redirects that are followed at once. Two instances that name each other must not be asked in a loop.
+const MAX_REDIRECTS: u32 = 3;
 
 /// The target of a watch request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,11 +60,21 @@
     leader_preferred: bool,
     /// Version of this instance's relay group held by the leader.
     group: u64,
+    /// Redirects followed since the last reply or timeout.
+    redirects: u32,
+    /// The leader has asked this instance to send no request before this time.
+    deferred_until: Option<Duration>,
     /// Instances named in the settings as first contacts.
     pub seeds: Vec<InstanceId>,
 }
 
 impl Upstream {
+    /// Creates the state of the instance `me`. Where it begins its search depends on its name, so that instances that start
+    /// together do not all ask the same one.
+    pub fn new(me: &InstanceId) -> Upstream {
+        Upstream { candidate: id::rendezvous("candidate", me) as usize, ..Upstream::default() }
+    }
+
     /// Returns the leader, if known.
     pub fn leader(&self) -> Option<&InstanceId> {
         self.leader.as_ref()
@@ -118,6 +130,13 @@
         self.last_sent = None;
     }
 
+    /// Makes the next request due as soon as the last one is answered.
+    pub fn request_after_reply(&mut self) {
+        if self.answered_round >= self.round {
+            self.request_soon();
+        }
+    }
+
     /// Makes a request to the leader due immediately, because a relay's copy may predate this moment.
     pub fn request_leader_soon(&mut self) {
         self.prefer_leader();
@@ -131,6 +150,9 @@
 
     /// Returns whether a request is due: the last one was answered and an interval has passed, or it has timed out.
     pub fn is_due(&mut self, now: Duration, options: &Options) -> bool {
+        if self.deferred_until.is_some_and(|until| now < until) {
+            return false;
+        }
         let Some(sent_at) = self.last_sent else { return true };
         let interval =
             if self.targets_relay() { options.watch_interval * options.tree.periods } else { options.watch_interval };
@@ -156,6 +178,7 @@
         let (target, to) = self.next_target(me, bypass, leader);
         self.round += 1;
         self.leader_preferred = false;
+        self.deferred_until = None;
         self.last_sent = Some(now);
         self.sent.insert(self.round, SentRequest { at: now, target });
         self.sent.retain(|round, _| round + MAX_TRACKED_ROUNDS > self.round);
@@ -185,6 +208,7 @@
             return false;
         }
         self.answered_round = round;
+        self.redirects = 0;
         self.group = group;
         if *from == leader && self.is_leader_turn() {
             self.turn += 1;
@@ -201,13 +225,24 @@
             // By its own directory it is no relay, or it has no fresh proof yet.
             self.turn += 1;
         }
-        let Some(leader) = leader else { return };
+        let Some(leader) = leader.filter(|_| self.redirects < MAX_REDIRECTS) else { return };
+        self.redirects += 1;
         self.answered_round = self.round;
         self.leader = Some(leader);
         self.group = 0;
         self.last_sent = None;
     }
 
+    /// Records that `leader` has asked this instance to come again at `until`.
+    pub fn on_deferred(&mut self, leader: &InstanceId, until: Duration) {
+        self.answered_round = self.round;
+        self.redirects = 0;
+        self.leader = Some(leader.clone());
+        self.group = 0;
+        self.last_sent = None;
+        self.deferred_until = Some(until);
+    }
+
     /// Moves on from a relay with an old proof to the leader, which knows the live relays.
     pub fn skip_relay(&mut self) {
         if self.relay().is_some() {
@@ -218,6 +253,7 @@
     /// Records that the last request has timed out.
     fn on_timeout(&mut self) {
         self.turn += 1;
+        self.redirects = 0;
         let target = self.sent.get(&self.round).map(|request| request.target);
         if target != Some(Target::Relay) {
             self.forget_leader();
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -43,6 +43,8 @@
 const LIMIT_PRUNE_INTERVAL: Duration = Duration::from_secs(10);
 /// Interval between log lines of an instance that knows no leader.
 const SEARCH_LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of heartbeats in one request: some 40 KB. The others follow in the next ones.
+const MAX_HEARTBEATS: usize = 256;
 /// A relay whose replies prove nothing more recent than this is skipped.
 const MAX_RELAY_PROOF_AGE: Duration = Duration::from_millis(1500);
 
@@ -118,6 +120,8 @@
 #[derive(Debug)]
 struct Unconfirmed {
     registration: Registration,
+    /// Time of arrival.
+    at: Duration,
     /// The first request that carried it.
     round: Option<u64>,
     /// Order of arrival, which usually tells apart two lives of one name.
@@ -183,13 +187,18 @@
         let change = self.registry.record_heartbeat(now, &registration);
         if change != Change::None {
             self.revision += 1;
-            self.upstream.request_soon();
+            self.upstream.request_after_reply();
         }
         self.heartbeat_count += 1;
-        let unconfirmed = Unconfirmed { registration, round: None, order: self.heartbeat_count };
+        let unconfirmed = Unconfirmed { registration, at: now, round: None, order: self.heartbeat_count };
         self.unconfirmed.insert(unconfirmed.registration.endpoint.clone(), unconfirmed);
     }
 
+    /// Drops heartbeats that no reply has confirmed for `timeout`. Their endpoints have sent others since.
+    pub(crate) fn expire_unconfirmed(&mut self, now: Duration, timeout: Duration) {
+        self.unconfirmed.retain(|_, held| now < held.at + timeout);
+    }
+
     /// Returns the time as of which the loads of other instances hold.
     pub fn remote_loads_at(&self) -> Option<Duration> {
         self.remote_loads_at
@@ -302,8 +311,10 @@
             stopping,
             replica,
         };
-        let heartbeats = self.attach_unconfirmed();
-        let with_loads = target != Target::BypassRelay && self.is_load_exchange_due(now, options);
+        // Whom an instance asks while it knows no leader can do nothing with its reports.
+        let is_search = target != Target::Relay && self.leader().is_none();
+        let heartbeats = if is_search { Vec::new() } else { self.attach_unconfirmed() };
+        let with_loads = !is_search && target != Target::BypassRelay && self.is_load_exchange_due(now, options);
         if with_loads {
             self.loads_sent_at = Some(now);
         }
@@ -324,7 +335,7 @@
             heartbeats,
             loads: with_loads.then(|| watchers.total_loads(&self.own_loads)),
             limits,
-            group: self.to_group(watchers, options),
+            group: self.to_group(watchers, options).filter(|_| !is_search),
             clock: self.clock.reading(now),
             work: if with_loads { watchers.total_work(&self.own_work) } else { Vec::new() },
         };
@@ -368,11 +379,12 @@
         })
     }
 
-    /// Returns the unconfirmed heartbeats in order of arrival and records the current request as carrying them.
+    /// Returns the oldest unconfirmed heartbeats in order of arrival and records the current request as carrying them.
     fn attach_unconfirmed(&mut self) -> Vec<Registration> {
         let round = self.upstream.round();
         let mut pending: Vec<&mut Unconfirmed> = self.unconfirmed.values_mut().collect();
         pending.sort_by_key(|unconfirmed| unconfirmed.order);
+        pending.truncate(MAX_HEARTBEATS);
         for unconfirmed in &mut pending {
             unconfirmed.round.get_or_insert(round);
         }
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -15,8 +15,10 @@
     Effect, Listing, PeerMessage, Registry, RelayGroup, WatchReply, WatchRequest,
     delta_map::Version,
     document_history::{DocumentHistory, Update},
+    joining::defer_time,
     limits::{LimitReport, Limits, PeerSync},
     loads::{self, Loads},
+    pacer::Pacer,
     peer::Load,
     registry::RegistryDelta,
     subset::Scope,
@@ -32,6 +34,10 @@
 /// Time for which an update counts as in flight and is not sent again to the same watcher. When many instances start at
 /// once, copies would delay each other.
 const RESEND_INTERVAL: Duration = Duration::from_millis(400);
+/// Share of the rate of pieces at which updates are sent: that is half of the link, and pieces are rare.
+const UPDATE_SHARE: f64 = 1.5;
+/// Approximate encoded size of an entry of the directory or the registry.
+const ENTRY_BYTES: usize = 100;
 
 /// An instance that sends watch requests to this one.
 #[derive(Clone, Debug)]
@@ -46,6 +52,8 @@
     registry: Sent,
     /// Rate limits already sent to it.
     limits: PeerSync,
+    /// It holds a directory.
+    has_directory: bool,
     /// Its own watchers and the version of that list, if it is a relay.
     group: Option<(u64, Vec<Listing>)>,
 }
@@ -65,7 +73,7 @@
 }
 
 /// The watchers of this instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Watchers {
     instances: BTreeMap<InstanceId, Watcher>,
     loads: Loads,
@@ -77,6 +85,9 @@
     notified_at: Option<Duration>,
     /// An update arrived after the last notification.
     update_pending: bool,
+    pacer: Pacer,
+    /// Bytes per second at which large updates are sent.
+    rate: u64,
 }
 
 /// The state that replies are made from: the leader's own, or a relay's copy.
@@ -115,6 +126,21 @@
 }
 
 impl Watchers {
+    /// Creates an empty set whose large updates are sent at `rate` bytes per second.
+    pub fn new(rate: u64) -> Watchers {
+        Watchers {
+            instances: BTreeMap::new(),
+            loads: Loads::default(),
+            work: WorkTotals::default(),
+            version: 0,
+            documents: DocumentHistory::default(),
+            notified_at: None,
+            update_pending: false,
+            pacer: Pacer::new((rate as f64 * UPDATE_SHARE) as u64),
+            rate,
+        }
+    }
+
     /// Replies to a request of a recorded watcher. A large document update is sent apart from the reply.
     pub fn reply(&mut self, now: Duration, mut watch: WatchRequest, group: u64, source: Source, out: &mut Vec<Effect>) {
         let name = watch.listing.name.clone();
@@ -137,11 +163,15 @@
         let scope = source.scope.as_ref().filter(|_| !source.unscoped);
         let (directory_due, registry_due) = self.are_updates_due(now, &watch);
         let registry = source.registry.delta_since(watch.registry, &watch.listing.hall, scope);
+        let directory = source.directory.delta_since(watch.directory).filter(|_| directory_due);
+        let registry_entries = registry.as_ref().filter(|_| registry_due).map_or(0, |delta| delta.entries.len());
+        let entries = registry_entries + directory.as_ref().map_or(0, |delta| delta.entries.len());
+        let admitted = self.pacer.admit(now, entries * ENTRY_BYTES);
+        let (directory, registry_due) = (directory.filter(|_| admitted), registry_due && admitted);
         let pending = registry
             .as_ref()
             .is_some_and(|delta| delta.has_changes() && !registry_due || delta.version < source.registry.version());
         let registry = registry.filter(|delta| registry_due || !delta.has_changes());
-        let directory = source.directory.delta_since(watch.directory).filter(|_| directory_due);
         let sends_registry = registry.as_ref().is_some_and(RegistryDelta::has_changes);
         self.record_sent(now, &watch, directory.is_some(), sends_registry);
         let update = self.document_for(now, &name, watch.document, source.document);
@@ -220,13 +250,14 @@
                 directory: Sent::default(),
                 registry: Sent::default(),
                 limits: PeerSync::default(),
+                has_directory: false,
                 group: None,
             };
             self.instances.insert(listing.name.clone(), watcher);
             self.version += 1;
             return true;
         };
-        held.last_seen = now;
+        held.last_seen = now.max(held.last_seen);
         if held.listing == *listing {
             return false;
         }
@@ -235,6 +266,30 @@
         true
     }
 
+    /// Records whether a watcher holds a directory.
+    pub(crate) fn record_directory(&mut self, watch: &WatchRequest) {
+        if let Some(held) = self.instances.get_mut(&watch.listing.name) {
+            held.has_directory = watch.directory > 0;
+        }
+    }
+
+    /// Returns the time after which a watcher that holds no directory is to ask again while this instance sends it to others.
+    /// The watcher counts as live until then.
+    pub(crate) fn defer(&mut self, now: Duration, watch: &WatchRequest) -> Option<Duration> {
+        let wait = self.pacer.wait(now);
+        if watch.directory > 0 || wait == Duration::ZERO {
+            return None;
+        }
+        let after = wait + defer_time(watch, self.instances.len());
+        self.record(now + after, &watch.listing);
+        Some(after)
+    }
+
+    /// Returns whether a watcher holds a directory, as its last request told.
+    pub(crate) fn holds_directory(&self, name: &InstanceId) -> bool {
+        self.instances.get(name).is_some_and(|held| held.has_directory)
+    }
+
     /// Records the group of a relay. Returns its version and members, if the members of that version are held.
     pub fn record_group(&mut self, name: &InstanceId, group: Option<&RelayGroup>) -> Option<&(u64, Vec<Listing>)> {
         let held = self.instances.get_mut(name)?;
@@ -325,6 +380,6 @@
     /// Forgets all watchers and loads.
     pub fn clear(&mut self) {
         let documents = std::mem::take(&mut self.documents);
-        *self = Watchers { version: self.version + 1, documents, ..Watchers::default() };
+        *self = Watchers { version: self.version + 1, documents, ..Watchers::new(self.rate) };
     }
 }
