fix(gateway): an endpoint's bytes that are no answer are not read without end

An endpoint could send interim answers without end: 314 MB were read in the 1.5 s of one call. The bytes of a stream without the end of an event were held until the deadline, and searched from their start with each read.

An endpoint may now send 256 KB before the head of its answer is complete, and an event may have as much; beyond that the connection is reset and the endpoint counts as failed.

--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -36,10 +36,15 @@
 /// Terminator of an event.
 const EVENT_END: &[u8] = b"\n\n";
 
+/// Largest event. Bytes beyond it that complete none are no answer.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// Splits a byte stream into complete events and counts them.
 #[derive(Debug, Default)]
 pub struct Events {
     pending: BytesMut,
+    /// Bytes at the start of `pending` that hold no end of an event.
+    searched: usize,
     /// Complete events so far, over all endpoints.
     pub count: u64,
     /// Id of the last complete event that has one.
@@ -50,8 +55,13 @@
     /// Appends bytes and returns the events that they complete.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.pending.extend_from_slice(bytes);
-        let Some(end) = find_last_end(&self.pending) else { return Bytes::new() };
-        let whole = self.pending.split_to(end).freeze();
+        let first = self.searched.saturating_sub(EVENT_END.len());
+        let Some(end) = find_last_end(&self.pending[first..]) else {
+            self.searched = self.pending.len();
+            return Bytes::new();
+        };
+        let whole = self.pending.split_to(first + end).freeze();
+        self.searched = self.pending.len();
         for event in split_events(&whole) {
             self.count += 1;
             self.last = event_id(event).or(self.last);
@@ -64,9 +74,15 @@
         &self.pending
     }
 
+    /// Returns whether the incomplete event at the end is larger than any event.
+    pub fn is_oversized(&self) -> bool {
+        self.pending.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards the incomplete event at the end.
     pub fn drop_pending(&mut self) {
         self.pending.clear();
+        self.searched = 0;
     }
 }
 
@@ -296,6 +312,10 @@
             if let Some(meter) = &mut meter {
                 meter.record(self.events.count - counted, read);
             }
+            if self.events.is_oversized() {
+                call::record_outcome(self.shared, &choice.endpoint, Outcome::Failed);
+                return End::Interrupted;
+            }
             let part = if whole_events { whole } else { bytes };
             if part.is_empty() {
                 continue;
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -5,6 +5,7 @@
     collections::HashMap,
     io,
     net::{IpAddr, SocketAddr},
+    rc::Rc,
     time::Duration,
 };
 
@@ -21,7 +22,7 @@
     task::JoinHandle,
 };
 
-use crate::upstream_io::{InFlightFlag, ResettingStream};
+use crate::upstream_io::{Exchange, ResettingStream};
 
 /// Timeout for opening a connection. TCP resends a lost SYN only after a second, so another endpoint is faster.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
@@ -53,7 +54,7 @@
 pub struct Connection {
     sender: http1::SendRequest<Full<Bytes>>,
     _guard: AbortOnDrop,
-    in_flight: InFlightFlag,
+    exchange: Rc<Exchange>,
     /// Number of requests sent over it.
     pub carried: u32,
 }
@@ -90,7 +91,7 @@
 
     /// Adds a connection whose answer has been read whole.
     pub fn put(&mut self, endpoint: &EndpointId, connection: Connection, keep_alive: Option<Duration>, now: Moment) {
-        connection.in_flight.set(false);
+        connection.exchange.in_flight.set(false);
         if connection.sender.is_closed() || keep_alive.is_some_and(|keep_alive| keep_alive <= CLOSE_MARGIN) {
             return;
         }
@@ -140,15 +141,15 @@
     let opened = tokio::time::timeout(bound, open(origin, address)).await;
     let stream = opened.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())).map_err(fault)?;
     configure_socket(&stream).map_err(fault)?;
-    let in_flight = InFlightFlag::default();
-    let stream = TokioIo::new(ResettingStream::new(stream, in_flight.clone()));
+    let exchange = Rc::new(Exchange::default());
+    let stream = TokioIo::new(ResettingStream::new(stream, exchange.clone()));
     let handshake = http1::Builder::new().max_buf_size(MAX_READ_BUFFER).handshake(stream).await;
     let (sender, connection) = handshake.map_err(|error| fault(std::io::Error::other(error)))?;
     let task = tokio::task::spawn_local(async move {
         // An error reaches the request in flight through the sender.
         let _ = connection.await;
     });
-    Ok(Connection { sender, _guard: AbortOnDrop(task), in_flight, carried: 0 })
+    Ok(Connection { sender, _guard: AbortOnDrop(task), exchange, carried: 0 })
 }
 
 async fn open(origin: IpAddr, address: &str) -> io::Result<TcpStream> {
@@ -192,7 +193,9 @@
     /// Fails if the connection ends first; whether the request ran is then unknown.
     pub async fn send(&mut self, request: Request<Full<Bytes>>) -> hyper::Result<Response<Incoming>> {
         self.carried += 1;
-        self.in_flight.set(true);
-        self.sender.send_request(request).await
+        self.exchange.begin();
+        let response = self.sender.send_request(request).await;
+        self.exchange.on_head();
+        response
     }
 }
--- a/crates/rudder-gateway/src/upstream_io.rs
+++ b/crates/rudder-gateway/src/upstream_io.rs
@@ -1,5 +1,6 @@
-//! The socket of a connection to an endpoint, which is reset instead of closed while a request is in flight: what was not
-//! sent of an abandoned request is discarded, and the endpoint learns of it at once.
+//! The socket of a connection to an endpoint. It is reset instead of closed while a request is in flight: what was not sent of
+//! an abandoned request is discarded, and the endpoint learns of it at once. It fails if an endpoint sends too much before the
+//! head of its answer is complete.
 
 use std::{
     cell::Cell,
@@ -16,26 +17,58 @@
     net::TcpStream,
 };
 
-/// Whether a request is in flight on a connection.
-pub type InFlightFlag = Rc<Cell<bool>>;
+/// Most bytes that an endpoint may send before the head of its answer is complete, interim answers included.
+const MAX_HEAD_BYTES: usize = 256 << 10;
+
+/// The state of the exchange on a connection.
+#[derive(Debug, Default)]
+pub struct Exchange {
+    /// A request is in flight.
+    pub in_flight: Cell<bool>,
+    /// Bytes that the endpoint may still send before the head of its answer is complete; `None` once it is.
+    head_bytes: Cell<Option<usize>>,
+}
+
+impl Exchange {
+    /// Records that a request is sent.
+    pub fn begin(&self) {
+        self.in_flight.set(true);
+        self.head_bytes.set(Some(MAX_HEAD_BYTES));
+    }
+
+    /// Records that the head of the answer is complete.
+    pub fn on_head(&self) {
+        self.head_bytes.set(None);
+    }
+
+    /// Counts bytes that were read.
+    fn on_read(&self, count: usize) -> io::Result<()> {
+        let Some(left) = self.head_bytes.get() else { return Ok(()) };
+        let left = left
+            .checked_sub(count)
+            .ok_or_else(|| io::Error::new(io::ErrorKind::InvalidData, "the endpoint sends bytes that are no answer"))?;
+        self.head_bytes.set(Some(left));
+        Ok(())
+    }
+}
 
 /// A socket that is reset when dropped with a request in flight.
 #[derive(Debug)]
 pub struct ResettingStream {
     stream: TcpStream,
-    in_flight: InFlightFlag,
+    exchange: Rc<Exchange>,
 }
 
 impl ResettingStream {
     /// Wraps a socket.
-    pub fn new(stream: TcpStream, in_flight: InFlightFlag) -> ResettingStream {
-        ResettingStream { stream, in_flight }
+    pub fn new(stream: TcpStream, exchange: Rc<Exchange>) -> ResettingStream {
+        ResettingStream { stream, exchange }
     }
 }
 
 impl Drop for ResettingStream {
     fn drop(&mut self) {
-        if self.in_flight.get() {
+        if self.exchange.in_flight.get() {
             // Without the option the socket is closed in order, which is only slower.
             let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
         }
@@ -44,7 +77,12 @@
 
 impl AsyncRead for ResettingStream {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        match polled {
+            Poll::Ready(Ok(())) => Poll::Ready(self.exchange.on_read(buffer.filled().len() - before)),
+            other => other,
+        }
     }
 }
 
