--- a/crates/rudder-core/tests/joining.rs
+++ b/crates/rudder-core/tests/joining.rs
@@ -206,3 +206,13 @@
     assert!(newcomer.now >= told + after && newcomer.now <= told + after + TICK, "after {:?}", newcomer.now - told);
     assert_eq!(&*to, LEADER);
 }
+
+/// Guards against a leader that is asked once for each request of a caller by instances that have lost touch with it.
+#[test]
+fn callers_of_a_stale_instance_cause_one_request_to_the_leader_at_a_time() {
+    let mut newcomer = Newcomer::start("a");
+    newcomer.find_leader();
+    newcomer.now += Options::default().max_proof_age;
+    let sent: usize = (0..20).map(|_| newcomer.handle(Event::ProveFreshness).len()).sum();
+    assert_eq!(sent, 1);
+}
