refactor(core): one pacer for pieces of transfers and for updates

The pacer of updates did again what the sender of pieces did with an allowance of its own: a rate of bytes that may be exceeded for a short time. Both use Pacer now; what is paced, and at which rate, stands with its user. Watchers no longer keep the rate beside it. The one difference is at the very bound: a piece is also sent when nothing is left and nothing is owed.

--- a/crates/rudder-core/src/transfer/outgoing.rs
+++ b/crates/rudder-core/src/transfer/outgoing.rs
@@ -10,7 +10,7 @@
 use serde_bytes::ByteBuf;
 
 use super::{BlobId, PIECE_BYTES, Transfer, send};
-use crate::Effect;
+use crate::{Effect, pacer::Pacer};
 
 /// Time since its last use after which a message is dropped.
 const HOLD_TIME: Duration = Duration::from_secs(10);
@@ -58,11 +58,7 @@
     served: Vec<Served>,
     /// Requests of receivers that wait for their turn.
     waiting: VecDeque<Request>,
-    /// Bytes per second.
-    rate: u64,
-    /// Bytes that may be sent now; negative after a piece that exceeds them.
-    allowance: f64,
-    refilled_at: Duration,
+    pacer: Pacer,
 }
 
 /// A receiver that is being served.
@@ -79,9 +75,7 @@
             held: BTreeMap::new(),
             served: Vec::new(),
             waiting: VecDeque::new(),
-            rate: rate.max(1),
-            allowance: 0.0,
-            refilled_at: Duration::ZERO,
+            pacer: Pacer::new(rate, BURST_TIME),
         }
     }
 
@@ -140,24 +134,16 @@
 
     /// Admits receivers and sends the pieces that the rate allows.
     fn serve(&mut self, now: Duration, out: &mut Vec<Effect>) {
-        self.refill(now);
         loop {
             self.admit(out);
-            if self.allowance <= 0.0 {
+            if self.pacer.wait(now) > Duration::ZERO {
                 return;
             }
             let Some(position) = self.served.iter().position(|served| served.due) else { return };
-            self.send_piece(position, out);
+            self.send_piece(now, position, out);
         }
     }
 
-    fn refill(&mut self, now: Duration) {
-        let span = now.saturating_sub(self.refilled_at).min(BURST_TIME);
-        self.refilled_at = now;
-        let most = self.rate as f64 * BURST_TIME.as_secs_f64();
-        self.allowance = (self.allowance + self.rate as f64 * span.as_secs_f64()).min(most);
-    }
-
     /// Directs waiting receivers to other holders, and begins to serve as many of the rest as are served at a time.
     fn admit(&mut self, out: &mut Vec<Effect>) {
         for _ in 0..self.waiting.len() {
@@ -176,14 +162,14 @@
     }
 
     /// Sends the piece that the receiver at `position` asks for. With its last one it becomes a holder.
-    fn send_piece(&mut self, position: usize, out: &mut Vec<Effect>) {
+    fn send_piece(&mut self, now: Duration, position: usize, out: &mut Vec<Effect>) {
         let served = &mut self.served[position];
         served.due = false;
         let Request { from, id, offset, .. } = &served.request;
         let Some(held) = self.held.get_mut(id) else { return };
         let end = (offset + PIECE_BYTES).min(held.bytes.len());
         let bytes = ByteBuf::from(&held.bytes[*offset..end]);
-        self.allowance -= bytes.len() as f64;
+        self.pacer.record(now, bytes.len());
         send(from, Transfer::Piece { id: *id, offset: *offset, bytes }, out);
         if end == held.bytes.len() {
             held.holders.push(Holder { name: from.clone(), directed: 0 });
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -36,6 +36,12 @@
 const RESEND_INTERVAL: Duration = Duration::from_millis(400);
 /// Share of the rate of pieces at which updates are sent: that is half of the link, and pieces are rare.
 const UPDATE_SHARE: f64 = 1.5;
+/// Largest rate of updates in bytes per second: coding takes time, too.
+const MAX_UPDATE_RATE: u64 = 8 << 20;
+/// Updates of up to this many bytes are not paced.
+const SMALL_UPDATE: usize = 8 << 10;
+/// Updates are sent while those before them take up to this long; well below [`RESEND_INTERVAL`].
+const MAX_AHEAD: Duration = Duration::from_millis(150);
 /// Approximate encoded size of an entry of the directory or the registry.
 const ENTRY_BYTES: usize = 100;
 
@@ -85,9 +91,8 @@
     notified_at: Option<Duration>,
     /// An update arrived after the last notification.
     update_pending: bool,
+    /// Paces large updates of the directory and the registry.
     pacer: Pacer,
-    /// Bytes per second at which large updates are sent.
-    rate: u64,
 }
 
 /// The state that replies are made from: the leader's own, or a relay's copy.
@@ -126,7 +131,7 @@
 }
 
 impl Watchers {
-    /// Creates an empty set whose large updates are sent at `rate` bytes per second.
+    /// Creates an empty set, at an instance that sends pieces of large messages at `rate` bytes per second.
     pub fn new(rate: u64) -> Watchers {
         Watchers {
             instances: BTreeMap::new(),
@@ -136,8 +141,7 @@
             documents: DocumentHistory::default(),
             notified_at: None,
             update_pending: false,
-            pacer: Pacer::new((rate as f64 * UPDATE_SHARE) as u64),
-            rate,
+            pacer: Pacer::new(((rate as f64 * UPDATE_SHARE) as u64).min(MAX_UPDATE_RATE), MAX_AHEAD),
         }
     }
 
@@ -166,7 +170,7 @@
         let directory = source.directory.delta_since(watch.directory).filter(|_| directory_due);
         let registry_entries = registry.as_ref().filter(|_| registry_due).map_or(0, |delta| delta.entries.len());
         let entries = registry_entries + directory.as_ref().map_or(0, |delta| delta.entries.len());
-        let admitted = self.pacer.admit(now, entries * ENTRY_BYTES);
+        let admitted = self.admit_update(now, entries * ENTRY_BYTES);
         let (directory, registry_due) = (directory.filter(|_| admitted), registry_due && admitted);
         let pending = registry
             .as_ref()
@@ -212,6 +216,18 @@
         }
     }
 
+    /// Returns whether an update of about `bytes` may be sent now.
+    fn admit_update(&mut self, now: Duration, bytes: usize) -> bool {
+        if bytes <= SMALL_UPDATE {
+            return true;
+        }
+        let admitted = self.pacer.wait(now) == Duration::ZERO;
+        if admitted {
+            self.pacer.record(now, bytes);
+        }
+        admitted
+    }
+
     /// Returns the rate limits to send to a watcher.
     fn limit_changes(&mut self, now: Duration, name: &InstanceId, source: &Source) -> Vec<LimitReport> {
         let Some(held) = self.instances.get_mut(name) else { return Vec::new() };
@@ -379,7 +395,10 @@
 
     /// Forgets all watchers and loads.
     pub fn clear(&mut self) {
-        let documents = std::mem::take(&mut self.documents);
-        *self = Watchers { version: self.version + 1, documents, ..Watchers::new(self.rate) };
+        self.instances.clear();
+        (self.loads, self.work) = (Loads::default(), WorkTotals::default());
+        self.version += 1;
+        (self.notified_at, self.update_pending) = (None, false);
+        self.pacer.clear();
     }
 }
