refactor(core): a newcomer's answer in one match

The leader took an admission apart three times, with a special case for a relay that is the leader itself. What a watcher holds is recorded where its reply is, not in a call of its own at the leader and at relays. The mesh of the tests looks instances up in one way.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -280,7 +280,6 @@
             return;
         }
         self.watchers.record(now, &watch.listing);
-        self.watchers.record_directory(&watch);
         let group = self.record_group(now, &from, watch.group.as_ref(), options);
         self.record_heartbeats(now, &from, &std::mem::take(&mut watch.heartbeats), out);
         let scope = self.registry.scope_for(&watch.listing.hall);
@@ -313,20 +312,18 @@
             return None;
         }
         let holds_directory = |relay: &InstanceId| self.watchers.holds_directory(relay);
-        let mut admission = self.joining.admit(now, watch, (&options.tree, &self.directory), holds_directory);
-        if admission == Admission::Relay(self.name.clone()) {
-            admission = Admission::Serve;
-        }
-        if admission == Admission::Serve {
-            admission = self.watchers.defer(now, watch).map_or(admission, Admission::Defer);
-        }
-        // An instance that is told to come later, or to a relay, is live meanwhile.
-        let (answer, seen) = match admission {
-            Admission::Serve => return None,
-            Admission::Relay(relay) => (PeerMessage::Redirect { leader: Some(relay) }, now + RELAY_GRACE),
-            Admission::Defer(after) => (PeerMessage::Defer { after }, now + after),
+        let (answer, absent) = match self.joining.admit(now, watch, (&options.tree, &self.directory), holds_directory) {
+            Admission::Relay(relay) if relay != self.name => {
+                (PeerMessage::Redirect { leader: Some(relay) }, RELAY_GRACE)
+            }
+            Admission::Defer(after) => (PeerMessage::Defer { after }, after),
+            Admission::Serve | Admission::Relay(_) => {
+                let after = self.watchers.defer(now, watch)?;
+                (PeerMessage::Defer { after }, after)
+            }
         };
-        self.last_seen.insert(listing.name.clone(), seen);
+        // An instance that is told to come later, or to a relay, is live meanwhile.
+        self.last_seen.insert(listing.name.clone(), now + absent);
         Some(answer)
     }
 
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -454,7 +454,6 @@
         self.view.record_limits(now, &watch.limits);
         self.view.clock.record_reading(now, from, watch.clock);
         let mut changed = self.watchers.record(now, &watch.listing);
-        self.watchers.record_directory(&watch);
         for registration in heartbeats {
             changed |= registration.phase >= Phase::Leaving;
             self.view.record_heartbeat(now, registration);
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -246,6 +246,7 @@
 
     fn record_sent(&mut self, now: Duration, watch: &WatchRequest, directory: bool, registry: bool) {
         let Some(held) = self.instances.get_mut(&watch.listing.name) else { return };
+        held.has_directory = watch.directory > 0;
         if directory {
             held.directory = Sent { held: watch.directory, at: Some(now) };
         }
@@ -282,13 +283,6 @@
         true
     }
 
-    /// Records whether a watcher holds a directory.
-    pub(crate) fn record_directory(&mut self, watch: &WatchRequest) {
-        if let Some(held) = self.instances.get_mut(&watch.listing.name) {
-            held.has_directory = watch.directory > 0;
-        }
-    }
-
     /// Returns the time after which a watcher that holds no directory is to ask again while this instance sends it to others.
     /// The watcher counts as live until then.
     pub(crate) fn defer(&mut self, now: Duration, watch: &WatchRequest) -> Option<Duration> {
@@ -301,7 +295,7 @@
         Some(after)
     }
 
-    /// Returns whether a watcher holds a directory, as its last request told.
+    /// Returns whether a watcher holds a directory, as the last of its requests that was answered told.
     pub(crate) fn holds_directory(&self, name: &InstanceId) -> bool {
         self.instances.get(name).is_some_and(|held| held.has_directory)
     }
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -537,7 +537,7 @@
 
     /// Returns the number of the instance called `name`.
     pub fn number_of(&self, name: &str) -> Option<usize> {
-        self.nodes.iter().position(|node| *node.name == *name)
+        self.numbers.get(name).copied()
     }
 
     fn schedule(&mut self, after: Duration, delivery: Delivery) {
