refactor(gateway): one rule for the log lines of late threads

control_late and traffic_late each had the bound, the interval and the arithmetic of its own. A departure that is answered asks the registration whether its life has ended.

--- a/crates/rudder-gateway/src/control_load.rs
+++ b/crates/rudder-gateway/src/control_load.rs
@@ -5,10 +5,7 @@
 use rudder_clock::Moment;
 use rudder_events::What;
 
-/// Delay of a tick from which on it is logged: half of the shortest election timeout.
-const LOGGED_DELAY: Duration = Duration::from_millis(200);
-/// Minimum interval between two log lines.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
+use crate::delay_log::{DelayLog, lateness};
 
 /// Events of one kind.
 #[derive(Clone, Copy, Debug, Default)]
@@ -21,7 +18,7 @@
 #[derive(Debug, Default)]
 pub struct ControlLoad {
     handled: BTreeMap<&'static str, Handled>,
-    logged_at: Option<Moment>,
+    log: DelayLog,
 }
 
 impl ControlLoad {
@@ -35,15 +32,13 @@
     /// Ends the period before a tick that was due at `due`, with `queued` events waiting. Returns a log line if the tick is
     /// late.
     pub fn on_tick(&mut self, due: Moment, now: Moment, queued: usize) -> Option<What> {
-        let late = now.saturating_duration_since(due);
-        if late < LOGGED_DELAY {
+        let Some(late) = lateness(due, now) else {
             self.handled.clear();
             return None;
-        }
-        if self.logged_at.is_some_and(|at| now < at + LOG_INTERVAL) {
+        };
+        if !self.log.take(now) {
             return None;
         }
-        self.logged_at = Some(now);
         let handled = std::mem::take(&mut self.handled);
         let (kind, most) = handled.iter().max_by_key(|(_, handled)| handled.time)?;
         Some(What::ControlLate {
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod contention;
 pub mod contents;
 pub mod control_load;
+pub mod delay_log;
 pub mod dialect;
 pub mod driver;
 pub mod duty;
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -208,7 +208,7 @@
     let (ticket, reply) = shared.tickets.issue();
     let started = Moment::now();
     let departure = (registration.phase >= Phase::Leaving).then(|| registration.endpoint.clone());
-    let ended = registration.phase >= Phase::Gone;
+    let ended = registration.has_ended();
     shared.send_event(Event::Register { ticket, registration });
     let answer = tokio::time::timeout(HEARTBEAT_TIMEOUT, reply).await;
     let accepted = matches!(answer, Ok(Ok(Reply::Registered(true))));
--- a/crates/rudder-gateway/src/run.rs
+++ b/crates/rudder-gateway/src/run.rs
@@ -16,7 +16,9 @@
 };
 
 use crate::{
-    Dialect, Options, driver,
+    Dialect, Options,
+    delay_log::{DelayLog, lateness},
+    driver,
     driver::Notice,
     duty, link_probe,
     logging::Log,
@@ -29,10 +31,6 @@
 
 /// Interval of housekeeping: closing idle connections and reporting load.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(60);
-/// Delay of the housekeeping from which on it is logged: half of the shortest election timeout.
-const LOGGED_DELAY: Duration = Duration::from_millis(200);
-/// Minimum interval between two such log lines.
-const DELAY_LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a planned stop waits for its last usage counts to be committed; fits into the rest of the grace period.
 const FINAL_COUNTS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval of reports on scaled services to the reducer; short against the start of an engine.
@@ -159,13 +157,9 @@
 }
 
 /// Logs that this thread is late for what was due at `due`.
-fn log_delay<D: Dialect>(shared: &Shared<D>, due: Moment, logged: &mut Option<Moment>) {
+fn log_delay<D: Dialect>(shared: &Shared<D>, due: Moment, log: &mut DelayLog) {
     let now = Moment::now();
-    let late = now.saturating_duration_since(due);
-    if late < LOGGED_DELAY || logged.is_some_and(|at| now < at + DELAY_LOG_INTERVAL) {
-        return;
-    }
-    *logged = Some(now);
+    let Some(late) = lateness(due, now).filter(|_| log.take(now)) else { return };
     shared.log.write(What::TrafficLate {
         late_ms: late.as_millis() as u64,
         backlog: shared.status.backlog.load(Ordering::Relaxed),
@@ -179,11 +173,11 @@
     let mut reported_work = Vec::new();
     let mut described = Moment::now();
     let mut watch = WakeWatch::default();
-    let mut delay_logged = None;
+    let mut delay_log = DelayLog::default();
     loop {
         let due = Moment::now() + HOUSEKEEPING_INTERVAL;
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
-        log_delay(&shared, due, &mut delay_logged);
+        log_delay(&shared, due, &mut delay_log);
         if let Some(span) = watch.look() {
             // Tasks that wait for a time check it again. Attempts check their freshness themselves.
             note_wake();
