--- a/review/standins-2/src/bin/first_start.rs
+++ b/review/standins-2/src/bin/first_start.rs
@@ -34,6 +34,7 @@
     limits: r#"{"cpu_quota": 0.25, "cpu_cores": 1, "memory_mb": 110, "max_file_descriptors": 4100, "link_mbps": 1000.0}"#,
     contracts: r#"["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants"]"#,
     failures: 1,
+    heartbeat: 1200,
 };
 
 const DOCUMENT: &str = r#"{"version": 3, "routes": [{"name": "waiver-claim", "host": "app.example",
@@ -71,7 +72,7 @@
         fleet.start(0, false);
         case.record.say(&format!("{}: started again", fleet.machines[0].name));
     }
-    let kind = Kind { service: "league-app", work: Duration::from_millis(15), body: 800 };
+    let kind = Kind::plain("league-app", Duration::from_millis(15), 800);
     let to_replica = |number: u8| {
         Replica::start(fleet.server_ip(number), ZONES[usize::from(number) % 3], kind.clone(), fleet.control())
     };
--- a/review/standins-2/src/bin/planned_stop.rs
+++ b/review/standins-2/src/bin/planned_stop.rs
@@ -42,6 +42,7 @@
     limits: r#"{"cpu_quota": 0.25, "cpu_cores": 1, "memory_mb": 110, "max_file_descriptors": 4100, "link_mbps": 1000.0}"#,
     contracts: r#"["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants"]"#,
     failures: 1,
+    heartbeat: 1200,
 };
 
 const DOCUMENT: &str = r#"{"version": 3, "routes": [{"name": "waiver-claim", "host": "app.example",
@@ -85,7 +86,7 @@
     let mut fleet = Fleet::new(SITE, &zones, DISKS);
     fleet.start_all();
     fleet.configure(DOCUMENT);
-    let kind = Kind { service: "league-app", work: Duration::from_millis(15), body: BODY };
+    let kind = Kind::plain("league-app", Duration::from_millis(15), BODY);
     let to_replica = |number: u8| {
         Replica::start(fleet.server_ip(number), ZONES[usize::from(number) % 3], kind.clone(), fleet.control())
     };
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -33,6 +33,8 @@
     pub contracts: &'static str,
     /// Machines with a disk that may be lost at once.
     pub failures: u32,
+    /// Interval of replicas' heartbeats in milliseconds.
+    pub heartbeat: u32,
 }
 
 /// One machine with its process.
@@ -118,7 +120,7 @@
     }
 
     fn settings(&self, number: usize, bootstrap: bool) -> String {
-        let Site { zones, bounds, limits, contracts, failures } = &self.site;
+        let Site { zones, bounds, limits, contracts, failures, heartbeat } = &self.site;
         let Machine { name, ip, zone, disk, folder, .. } = &self.machines[number];
         let region = zones.iter().find(|(held, _)| held == zone).map_or("", |(_, region)| *region);
         let regions: Vec<String> = zones.iter().map(|(zone, region)| format!("\"{zone}\": \"{region}\"")).collect();
@@ -131,7 +133,7 @@
 "listen_addresses": {{"frontend": "{ip}:{FRONTEND}", "ready": "{ip}:{READY}", "control_plane": "{ip}:{CONTROL}",
 "directory_service": "{ip}:{DIRECTORY}"}}, "internal_port_range": [7340, 7355], "seed_nodes": [{seeds}],
 "bootstrap": {bootstrap}, "failure_counted": {disk}, "limits": {limits}, "data_directory": "{data}",
-"discovery_source": "self_registration", "entry_type": "registry", "heartbeat_interval_ms": 1200,
+"discovery_source": "self_registration", "entry_type": "registry", "heartbeat_interval_ms": {heartbeat},
 "contracts": {contracts},
 "fault_tolerance": {{"machine_failures": {failures}, "zones": 0, "region_failures": 0}},
 "bounds": {bounds}, "config_mode": "highest"}}"#,
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -95,11 +95,16 @@
     request(to, &text, patience)
 }
 
-/// A caller's GET with key and deadline.
+/// A caller's GET with the key of the first tenant and a deadline.
 pub fn to_call(path: &str, id: &str, deadline: Duration) -> String {
+    to_call_with_key("key-1", path, id, deadline)
+}
+
+/// A caller's GET with a key and a deadline.
+pub fn to_call_with_key(key: &str, path: &str, id: &str, deadline: Duration) -> String {
     let deadline = deadline.as_millis();
     format!(
         "GET {path} HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline}\r\n\
-         Authorization: Bearer key-1\r\n\r\n"
+         Authorization: Bearer {key}\r\n\r\n"
     )
 }
--- a/review/standins-2/src/replica.rs
+++ b/review/standins-2/src/replica.rs
@@ -1,17 +1,21 @@
-//! Replicas of a plain service: sound ones, that register themselves, run a request at once and answer it whole.
+//! Sound replicas: they register themselves, run a request at once and answer it whole, or as a stream of events that goes on
+//! after the event that the request names.
 
 use std::{
     io::{BufRead as _, BufReader, Read as _, Write as _},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64, atomic::Ordering},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
 
-use crate::http;
+use crate::{http, socket};
 
-/// Interval of heartbeats.
-const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Interval of heartbeats on most deployments.
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 /// How long a replica waits for the acknowledgement of a heartbeat before it calls the next machine.
 const PATIENCE: Duration = Duration::from_secs(1);
 
@@ -24,8 +28,12 @@
     pub path: String,
     /// The machine that it came from.
     pub from: IpAddr,
+    /// The tenant that it is run for.
+    pub tenant: String,
     /// When it arrived.
     pub at: Instant,
+    /// The last event that the client had, if the request takes up a stream.
+    pub last_event: Option<u64>,
     /// The answer was handed to the connection whole.
     pub answered: bool,
 }
@@ -37,8 +45,28 @@
     pub service: &'static str,
     /// Time that a request takes.
     pub work: Duration,
-    /// Length of an answer's body in bytes.
-    pub body: usize,
+    /// Its answers.
+    pub answers: Answers,
+    /// Version of its software.
+    pub version: &'static str,
+    /// Interval of its heartbeats.
+    pub heartbeat: Duration,
+}
+
+/// The answers of a replica.
+#[derive(Clone, Copy)]
+pub enum Answers {
+    /// A body of so many bytes.
+    Whole(usize),
+    /// So many events, one after each pause; each tells the version that wrote it.
+    Events(u64, Duration),
+}
+
+impl Kind {
+    /// A replica of a plain service whose answers have so many bytes.
+    pub fn plain(service: &'static str, work: Duration, body: usize) -> Kind {
+        Kind { service, work, answers: Answers::Whole(body), version: "v1", heartbeat: HEARTBEAT }
+    }
 }
 
 struct State {
@@ -49,6 +77,9 @@
     control: Vec<SocketAddr>,
     sequence: AtomicU64,
     runs: Mutex<Vec<Run>>,
+    /// Machines that have no path to it.
+    cut: Mutex<Vec<IpAddr>>,
+    open: Mutex<Vec<TcpStream>>,
 }
 
 /// A replica.
@@ -63,20 +94,33 @@
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let id = format!("i-{:08x}", u32::from(ip).wrapping_mul(2_654_435_761) ^ u32::from(address.port()));
-        let state = State { id, zone, kind, address, control, sequence: AtomicU64::new(0), runs: Mutex::default() };
+        let state = State {
+            id,
+            zone,
+            kind,
+            address,
+            control,
+            sequence: AtomicU64::new(0),
+            runs: Mutex::default(),
+            cut: Mutex::default(),
+            open: Mutex::default(),
+        };
         let replica = Replica { state: Arc::new(state) };
         let accepting = replica.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                let Some(stream) = accepting.admit(stream) else { continue };
                 let serving = accepting.clone();
                 thread::spawn(move || serving.serve(&stream));
             }
         });
         let beating = replica.clone();
         thread::spawn(move || {
+            let mut due = Instant::now();
             loop {
                 beating.beat();
-                thread::sleep(HEARTBEAT);
+                due += beating.state.kind.heartbeat;
+                thread::sleep(due.saturating_duration_since(Instant::now()));
             }
         });
         replica
@@ -87,6 +131,11 @@
         &self.state.id
     }
 
+    /// Version of its software.
+    pub fn version(&self) -> &'static str {
+        self.state.kind.version
+    }
+
     /// Its zone.
     pub fn zone(&self) -> &'static str {
         self.state.zone
@@ -94,7 +143,35 @@
 
     /// The requests that it ran.
     pub fn runs(&self) -> Vec<Run> {
-        self.state.runs.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.state.runs).clone()
+    }
+
+    /// Cuts these machines off from the replica, or none: their connections are reset, open ones and new ones.
+    pub fn cut_off(&self, machines: &[IpAddr]) {
+        let mut cut = lock(&self.state.cut);
+        machines.clone_into(&mut cut);
+        let mut open = lock(&self.state.open);
+        let streams = std::mem::take(&mut *open);
+        for stream in streams {
+            let peer = stream.peer_addr().map(|peer| peer.ip());
+            match peer {
+                Ok(peer) if machines.contains(&peer) => socket::reset(stream),
+                Ok(_) => open.push(stream),
+                Err(_) => {}
+            }
+        }
+    }
+
+    /// Takes a new connection, unless its machine is cut off.
+    fn admit(&self, stream: TcpStream) -> Option<TcpStream> {
+        let peer = stream.peer_addr().ok()?.ip();
+        let cut = lock(&self.state.cut);
+        if cut.contains(&peer) {
+            socket::reset(stream);
+            return None;
+        }
+        lock(&self.state.open).push(stream.try_clone().ok()?);
+        Some(stream)
     }
 
     /// Sends a heartbeat to one machine after the other until it is acknowledged.
@@ -102,8 +179,8 @@
         let State { id, zone, kind, address, control, sequence, .. } = &*self.state;
         let number = sequence.fetch_add(1, Ordering::Relaxed) + 1;
         let body = format!(
-            r#"{{"service":"{}","address":"{address}","zone":"{zone}","version":"v1","capacity_slots":6,"state":"ready","warmup_left_ms":0,"sequence":{number}}}"#,
-            kind.service
+            r#"{{"service":"{}","address":"{address}","zone":"{zone}","version":"{}","capacity_slots":6,"state":"ready","warmup_left_ms":0,"sequence":{number}}}"#,
+            kind.service, kind.version
         );
         let path = format!("/hatchrudder/instances/{id}/heartbeat");
         for attempt in 0..control.len() {
@@ -143,23 +220,58 @@
             );
             return stream.write_all(text.as_bytes()).is_ok();
         }
-        let run = Run { id: attempt.to_owned(), path: path.to_owned(), from, at: Instant::now(), answered: false };
-        let lock = || runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let last_event = http::find_header(head, "last-event-id").and_then(|last| last.parse().ok());
+        let run = Run {
+            id: attempt.to_owned(),
+            path: path.to_owned(),
+            from,
+            tenant: http::find_header(head, "tenant").unwrap_or_default().to_owned(),
+            at: Instant::now(),
+            last_event,
+            answered: false,
+        };
         let number = {
-            let mut held = lock();
+            let mut held = lock(runs);
             held.push(run);
             held.len() - 1
         };
         thread::sleep(kind.work);
-        let head = format!(
-            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nReplica-Signature: sig-{id}-{attempt}\r\nContent-Length: {}\r\n\r\n",
-            kind.body
-        );
-        let body = to_body(kind.body);
-        let written = stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body)).is_ok();
-        lock()[number].answered = written;
-        written
+        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nReplica-Signature: sig-{id}-{attempt}\r\n");
+        let written = match kind.answers {
+            Answers::Whole(length) => {
+                let head = format!("{head}Content-Length: {length}\r\n\r\n");
+                stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&to_body(length)))
+            }
+            Answers::Events(count, pause) => {
+                let events = last_event.unwrap_or(0) + 1..=count;
+                write_events(stream, &head, kind.version, events, pause)
+            }
+        };
+        lock(runs)[number].answered = written.is_ok();
+        written.is_ok()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Writes a stream of events in chunks.
+fn write_events(
+    mut stream: &TcpStream,
+    head: &str,
+    version: &str,
+    events: std::ops::RangeInclusive<u64>,
+    pause: Duration,
+) -> std::io::Result<()> {
+    let head = format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    stream.write_all(head.as_bytes())?;
+    for number in events {
+        let event = format!("id: {number}\ndata: {version} writes {number}\n\n");
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        thread::sleep(pause);
     }
+    stream.write_all(b"0\r\n\r\n")
 }
 
 /// A body of `length` bytes.
--- a/review/standins-2/src/socket.rs
+++ b/review/standins-2/src/socket.rs
@@ -4,7 +4,7 @@
     ffi::c_int,
     io,
     net::{SocketAddrV4, TcpStream},
-    os::fd::{AsRawFd as _, FromRawFd as _, OwnedFd},
+    os::fd::{AsRawFd, FromRawFd as _, OwnedFd},
 };
 
 const AF_INET: c_int = 2;
@@ -12,6 +12,7 @@
 const SOCK_CLOEXEC: c_int = 0o2_000_000;
 const SOL_SOCKET: c_int = 1;
 const SO_RCVBUF: c_int = 8;
+const SO_LINGER: c_int = 13;
 const IPPROTO_TCP: c_int = 6;
 const TCP_MAXSEG: c_int = 2;
 
@@ -30,12 +31,21 @@
     fn connect(socket: c_int, address: *const Address, length: u32) -> c_int;
 }
 
-fn set(socket: &OwnedFd, level: c_int, name: c_int, value: c_int) -> io::Result<()> {
+fn set(socket: &impl AsRawFd, level: c_int, name: c_int, value: c_int) -> io::Result<()> {
     // SAFETY: the descriptor is open, and the value is an integer of the length given.
     let result = unsafe { setsockopt(socket.as_raw_fd(), level, name, &raw const value, 4) };
     if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
 }
 
+/// Resets a connection.
+pub fn reset(stream: TcpStream) {
+    // Lingering is on, and for no time: the last handle's end resets the connection.
+    let linger: [c_int; 2] = [1, 0];
+    // SAFETY: the descriptor is open, and the value is a whole `struct linger`.
+    let _ = unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+}
+
 /// Connects over segments of at most `segment` bytes with a receive buffer of `window` bytes, as over a narrow link.
 pub fn connect_narrow(to: SocketAddrV4, segment: i32, window: i32) -> io::Result<TcpStream> {
     // SAFETY: plain system calls; the descriptor that the first one returns is owned from there on.
