--- a/review/standins-2/src/bin/planned_stop.rs
+++ b/review/standins-2/src/bin/planned_stop.rs
@@ -21,9 +21,9 @@
 const STOPPED: usize = 4;
 const CLIENTS: usize = 4;
 /// Length of an answer in bytes.
-const BODY: usize = 500_000;
+const BODY: usize = 600_000;
 /// Bytes that a client's link carries in a second.
-const LINK: u64 = 75_000;
+const LINK: u64 = 90_000;
 /// Bytes of a segment on that link, and of its window.
 const SEGMENT: i32 = 1460;
 const WINDOW: i32 = 4096;
