--- a/review/standins-2/src/case.rs
+++ b/review/standins-2/src/case.rs
@@ -1,6 +1,9 @@
 //! How a case runs: its arguments, its exit code, and the end of all processes that it started.
 
 use std::{
+    ffi::c_int,
+    io,
+    os::unix::process::CommandExt as _,
     panic::{AssertUnwindSafe, catch_unwind},
     process::{Command, Stdio, exit},
     sync::{Mutex, PoisonError},
@@ -13,6 +16,13 @@
 /// Longest time that a case may run.
 const LONGEST: Duration = Duration::from_secs(112);
 
+const PR_SET_PDEATHSIG: c_int = 1;
+const SIGKILL: usize = 9;
+
+unsafe extern "C" {
+    fn prctl(option: c_int, argument: usize) -> c_int;
+}
+
 /// Processes that this one has started and that may still run.
 static PROCESSES: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
@@ -68,6 +78,18 @@
     }
 }
 
+/// Lets a process that is about to start end with this one, also where this one is killed. Only for starts by the main
+/// thread, whose end counts as the end of its process.
+pub fn end_with_parent(command: &mut Command) {
+    let prepare = || {
+        // SAFETY: a plain system call on integers.
+        let result = unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
+        if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+    };
+    // SAFETY: between fork and exec only that system call is made.
+    unsafe { command.pre_exec(prepare) };
+}
+
 /// Notes a process to end with the case.
 pub fn note_process(id: u32) {
     PROCESSES.lock().unwrap_or_else(PoisonError::into_inner).push(id);
--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -94,6 +94,7 @@
             command.envs(std::env::var(name).ok().map(|value| (name, value)));
         }
         command.stdin(Stdio::null()).stdout(log.try_clone().expect("a second handle")).stderr(log);
+        case::end_with_parent(&mut command);
         let child = command.spawn().expect("the program of the deploy file starts");
         case::note_process(child.id());
         machine.child = Some(child);
