--- a/crates/rudder-core/src/effect.rs
+++ b/crates/rudder-core/src/effect.rs
@@ -7,7 +7,12 @@
 use rudder_model::{EndpointId, InstanceId, Refusal, RequestId};
 use rudder_replica::{Record, Snapshot};
 
-use crate::{DutyCall, PeerMessage, duties::Fence, origins::Origin, permits::PermitAnswer};
+use crate::{
+    DutyCall, PeerMessage,
+    duties::Fence,
+    origins::{Evidence, Origin},
+    permits::PermitAnswer,
+};
 
 /// An output of the reducer.
 #[derive(Clone, Debug)]
@@ -76,6 +81,8 @@
         ticket: u64,
         /// What began the stream.
         origin: Origin,
+        /// What the answer rests on.
+        evidence: Evidence,
     },
     /// Answer a permit request for an endpoint with a rate limit.
     Permitted {
--- a/crates/rudder-core/src/origins.rs
+++ b/crates/rudder-core/src/origins.rs
@@ -53,6 +53,17 @@
     Unknown,
 }
 
+/// What an answer about an origin rests on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Evidence {
+    /// Versions of the service that are known here.
+    pub versions: usize,
+    /// Holders that were asked.
+    pub asked: usize,
+    /// Holders that answered.
+    pub answered: usize,
+}
+
 #[derive(Debug)]
 struct Remembered {
     origin: StreamOrigin,
@@ -66,8 +77,8 @@
 struct Question {
     service: Arc<str>,
     until: Duration,
-    /// Holders that have not answered.
-    left: usize,
+    asked: usize,
+    answered: usize,
 }
 
 /// The origins of streams known to this instance.
@@ -121,11 +132,13 @@
         out: &mut Vec<Effect>,
     ) {
         if let Some(version) = self.version_of(stream) {
-            out.push(Effect::OriginFound { ticket, origin: Origin::Version(version) });
+            let evidence = Evidence { versions: count_versions(&view.registry, &service), ..Evidence::default() };
+            out.push(Effect::OriginFound { ticket, origin: Origin::Version(version), evidence });
             return;
         }
         let holders = holders_of(stream, me, &view.directory);
-        self.questions.insert(ticket, Question { service, until: now + ANSWER_TIMEOUT, left: holders.len() });
+        self.questions
+            .insert(ticket, Question { service, until: now + ANSWER_TIMEOUT, asked: holders.len(), answered: 0 });
         if holders.is_empty() {
             self.give_up(ticket, &view.registry, out);
         }
@@ -143,11 +156,12 @@
         out: &mut Vec<Effect>,
     ) {
         let Some(question) = self.questions.get_mut(&ticket) else { return };
-        question.left = question.left.saturating_sub(1);
+        question.answered += 1;
         if let Some(version) = version {
+            let evidence = question.evidence(registry);
             self.questions.remove(&ticket);
-            out.push(Effect::OriginFound { ticket, origin: Origin::Version(version) });
-        } else if question.left == 0 {
+            out.push(Effect::OriginFound { ticket, origin: Origin::Version(version), evidence });
+        } else if question.answered >= question.asked {
             self.give_up(ticket, registry, out);
         }
     }
@@ -155,9 +169,9 @@
     /// Answers a question to which no holder knows the answer.
     fn give_up(&mut self, ticket: u64, registry: &Registry, out: &mut Vec<Effect>) {
         let Some(question) = self.questions.remove(&ticket) else { return };
-        let several = has_several_versions(registry, &question.service);
-        let origin = if several { Origin::Unknown } else { Origin::Only };
-        out.push(Effect::OriginFound { ticket, origin });
+        let evidence = question.evidence(registry);
+        let origin = if evidence.versions > 1 { Origin::Unknown } else { Origin::Only };
+        out.push(Effect::OriginFound { ticket, origin, evidence });
     }
 
     /// Ends questions that nobody has answered and drops old entries.
@@ -188,11 +202,22 @@
     }
 }
 
+impl Question {
+    fn evidence(&self, registry: &Registry) -> Evidence {
+        let versions = count_versions(registry, &self.service);
+        Evidence { versions, asked: self.asked, answered: self.answered }
+    }
+}
+
 /// Returns whether endpoints of several versions of a service are known, those that have ended lately included.
 fn has_several_versions(registry: &Registry, service: &str) -> bool {
-    let mut versions = registry.iter().filter(|held| *held.service == *service).map(|held| &held.version);
-    let first = versions.next();
-    versions.any(|version| Some(version) != first)
+    count_versions(registry, service) > 1
+}
+
+/// Returns the number of versions of a service whose endpoints are known, those that have ended lately included.
+fn count_versions(registry: &Registry, service: &str) -> usize {
+    let versions = registry.iter().filter(|held| *held.service == *service).map(|held| &held.version);
+    versions.collect::<BTreeSet<_>>().len()
 }
 
 /// Tells the holders of streams, in one message to each.
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -21,6 +21,23 @@
     pub what: What,
 }
 
+/// How a stream that went whole to its caller ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamEnd {
+    /// Events that the caller got.
+    pub events: u64,
+    /// Events whose id does not rise over the one before.
+    pub repeated: u64,
+    /// The end was marked; otherwise the endpoint closed its connection.
+    pub framed: bool,
+}
+
+/// Whether a count is left out of a line.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde asks for")]
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 /// What happened. Request ids are written in hexadecimal, as callers see them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
@@ -437,6 +454,9 @@
         total_ms: u64,
         /// Longest time between two parts, in milliseconds.
         pause_ms: u64,
+        /// How a stream ended.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        stream: Option<StreamEnd>,
     },
     /// The instance answered a request itself.
     CallRefused {
@@ -488,6 +508,9 @@
         /// preempts pauses until it runs again.
         #[serde(default)]
         pause_ms: u64,
+        /// Events whose id does not rise over the one before.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        repeated: u64,
     },
     /// The machine was suspended.
     Woke {
@@ -591,6 +614,18 @@
         version: Option<Arc<str>>,
         /// It is not known and one of several, so the stream may not go on.
         several: bool,
+        /// Versions of the service that are known here.
+        #[serde(default)]
+        versions: usize,
+        /// Instances that were asked for the version.
+        #[serde(default)]
+        asked: usize,
+        /// Instances that answered.
+        #[serde(default)]
+        answered: usize,
+        /// Age of the proof that the endpoints known here are the newest, in milliseconds; absent without a proof.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        endpoints_ms: Option<u64>,
     },
     /// A configuration document came from an operator.
     DocumentPut {
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::{Line, What};
+use crate::{Line, StreamEnd, What};
 
 /// Changes of state this long before a request, in microseconds, are told with it.
 const BEFORE: u64 = 5_000_000;
@@ -62,12 +62,14 @@
         What::StreamTakenUp { began, version: Some(version), .. } => {
             format!("its stream was begun by {began} at version {version}, and goes on there")
         }
-        What::StreamTakenUp { began, several: true, .. } => {
-            format!("nobody knows which version began its stream, {began}, so it may not go on")
-        }
-        What::StreamTakenUp { began, .. } => {
-            format!("its stream was begun by {began}, and its service has one version")
-        }
+        What::StreamTakenUp { began, several: true, versions, asked, answered, .. } => format!(
+            "nobody knows which version began its stream, {began}, so it may not go on ({versions} known here, {answered} of \
+             {asked} instances answered)"
+        ),
+        What::StreamTakenUp { began, versions, asked, answered, .. } => format!(
+            "its stream was begun by {began}, and its service has one version ({versions} known here, {answered} of {asked} \
+             instances answered)"
+        ),
         _ => String::new(),
     }
 }
@@ -124,10 +126,7 @@
         What::CallFailed { endpoint, attempt, why, ran, .. } => {
             format!("attempt {attempt} at {endpoint} failed: {why}; ran: {ran:?}")
         }
-        What::CallAnswered { endpoint, status, first_ms, total_ms, pause_ms, .. } => format!(
-            "{endpoint} answered {status}: first byte after {first_ms} ms, all after {total_ms} ms, \
-             longest pause {pause_ms} ms"
-        ),
+        What::CallAnswered { .. } => to_answered_sentence(what),
         What::CallRefused { route, level, status, why, ran, retry_ms, scheduled, position, .. } => {
             let route = route.as_ref().map_or(String::new(), |route| format!(" on route {route}"));
             let level = level.map_or(String::new(), |level| format!(" of priority level {level}"));
@@ -204,6 +203,21 @@
     )
 }
 
+/// The sentence of [`What::CallAnswered`]; empty for other events.
+fn to_answered_sentence(what: &What) -> String {
+    let What::CallAnswered { endpoint, status, first_ms, total_ms, pause_ms, stream, .. } = what else {
+        return String::new();
+    };
+    let stream = stream.map_or(String::new(), |StreamEnd { events, repeated, framed }| {
+        let end = if framed { "" } else { ", ended by a closed connection" };
+        format!(", {events} events of which {repeated} repeated{end}")
+    });
+    format!(
+        "{endpoint} answered {status}: first byte after {first_ms} ms, all after {total_ms} ms, longest pause \
+         {pause_ms} ms{stream}"
+    )
+}
+
 /// The sentence of [`What::CallSent`]; empty for other events.
 fn to_sent_sentence(what: &What) -> String {
     let What::CallSent {
--- a/crates/rudder-events/src/lib.rs
+++ b/crates/rudder-events/src/lib.rs
@@ -6,6 +6,6 @@
 pub mod explain;
 pub mod timeline;
 
-pub use event::{Line, What};
+pub use event::{Line, StreamEnd, What};
 pub use explain::{explain, explain_duty};
 pub use timeline::timeline;
--- a/crates/rudder-gateway/src/call/origin.rs
+++ b/crates/rudder-gateway/src/call/origin.rs
@@ -38,7 +38,7 @@
 pub async fn find_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, began: &str) -> bool {
     let first = call.route.shares.first().map(|share| &share.service);
     let Some(service) = progress.service.as_ref().or(first) else { return false };
-    let origin = shared.ask_origin(stream_tag(began), service.clone()).await;
+    let (origin, evidence) = shared.ask_origin(stream_tag(began), service.clone()).await;
     shared.log.write(What::StreamTakenUp {
         request: call.id.clone(),
         began: began.to_owned(),
@@ -47,6 +47,10 @@
             Origin::Only | Origin::Unknown => None,
         },
         several: origin == Origin::Unknown,
+        versions: evidence.versions,
+        asked: evidence.asked,
+        answered: evidence.answered,
+        endpoints_ms: shared.endpoints_age().map(|age| age.as_millis() as u64),
     });
     shared.metrics.record_taken_up(&origin);
     match origin {
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -209,5 +209,6 @@
         first_ms: total_ms,
         total_ms,
         pause_ms: 0,
+        stream: None,
     });
 }
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -334,7 +334,9 @@
             Effect::Registered { ticket, accepted } => {
                 self.batch.push(Notice::Reply(ticket, Reply::Registered(accepted)));
             }
-            Effect::OriginFound { ticket, origin } => self.batch.push(Notice::Reply(ticket, Reply::Origin(origin))),
+            Effect::OriginFound { ticket, origin, evidence } => {
+                self.batch.push(Notice::Reply(ticket, Reply::Origin(origin, evidence)));
+            }
             Effect::Permitted { ticket, answer } => self.batch.push(Notice::Reply(ticket, Reply::Permit(answer))),
             Effect::Log(what) => self.log.write(what),
             Effect::Call { ticket, fence, age, call } => {
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 
 use rudder_clock::Moment;
 use rudder_core::{CallOutcome, origins::Origin};
+use rudder_events::StreamEnd;
 use rudder_route::admission::{LEVELS, Level, Reason, level_index};
 
 use crate::{Dialect, RouteKind, condition::ConditionCounts, plan::Route, shared::Shared};
@@ -254,6 +255,8 @@
     ended_under: Counter,
     hops: Family<OutcomeLabel, Counter>,
     taken_up: Family<OutcomeLabel, Counter>,
+    stream_ends: Family<OutcomeLabel, Counter>,
+    repeated_events: Counter,
     held_back: Counter,
     over_share: Counter,
     refused_reports: Family<ReasonLabel, Counter>,
@@ -319,6 +322,8 @@
             ended_under: Counter::default(),
             hops: Family::default(),
             taken_up: Family::default(),
+            stream_ends: Family::default(),
+            repeated_events: Counter::default(),
             held_back: Counter::default(),
             over_share: Counter::default(),
             refused_reports: Family::default(),
@@ -377,6 +382,10 @@
         registry.register("hops", help, self.hops.clone());
         let help = "Streams that were to go on, by what is known of the version that began them";
         registry.register("streams_taken_up", help, self.taken_up.clone());
+        let help = "Streams that went whole to their callers, by what marked their end: framing or a closed connection";
+        registry.register("stream_ends", help, self.stream_ends.clone());
+        let help = "Events of streams whose id does not rise over the one before";
+        registry.register("repeated_events", help, self.repeated_events.clone());
         let help = "Requests that a choice took to an endpoint which took no more: it warms up, rests, leaves, or its hall is evacuated";
         registry.register("held_back", help, self.held_back.clone());
         let help = "Requests refused because their organisation is over its share";
@@ -556,6 +565,13 @@
         self.taken_up.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    /// Counts a stream that went whole to its caller.
+    pub fn record_stream_end(&self, end: StreamEnd) {
+        let outcome = if end.framed { "framed" } else { "closed" };
+        self.stream_ends.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.repeated_events.inc_by(end.repeated);
+    }
+
     /// Counts a request passed between instances.
     pub fn record_hop(&self, outcome: HopOutcome) {
         let outcome = match outcome {
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -14,7 +14,7 @@
 use rudder_core::{
     Event, Listing, Phase, Registration,
     limits::LimitReport,
-    origins::{Origin, StreamTag},
+    origins::{Evidence, Origin, StreamTag},
     peer::Load,
     permits::PermitAnswer,
     usage::StartedRequest,
@@ -94,7 +94,7 @@
     /// The answer of the holder of an endpoint's rate limit.
     Permit(PermitAnswer),
     /// What is known of the version that began a stream.
-    Origin(Origin),
+    Origin(Origin, Evidence),
 }
 
 /// Tasks that wait for a reply of the reducer.
@@ -389,12 +389,12 @@
     }
 
     /// Asks which version began a stream of a service.
-    pub async fn ask_origin(&self, stream: StreamTag, service: Arc<str>) -> Origin {
+    pub async fn ask_origin(&self, stream: StreamTag, service: Arc<str>) -> (Origin, Evidence) {
         let (ticket, reply) = self.tickets.issue();
         self.send_event(Event::AskOrigin { ticket, stream, service });
         match reply.await {
-            Ok(Reply::Origin(origin)) => origin,
-            _ => Origin::Unknown,
+            Ok(Reply::Origin(origin, evidence)) => (origin, evidence),
+            _ => (Origin::Unknown, Evidence::default()),
         }
     }
 
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use rudder_clock::{Moment, sleep_until, timeout_at};
-use rudder_events::What;
+use rudder_events::{StreamEnd, What};
 use rudder_model::Ran;
 use rudder_route::condition::FirstEvent;
 use tokio::sync::mpsc;
@@ -49,6 +49,8 @@
     pub count: u64,
     /// Id of the last complete event that has one.
     pub last: Option<u64>,
+    /// Complete events whose id does not rise over the one before.
+    pub repeated: u64,
 }
 
 impl Events {
@@ -64,7 +66,9 @@
         self.searched = self.pending.len();
         for event in split_events(&whole) {
             self.count += 1;
-            self.last = event_id(event).or(self.last);
+            let id = event_id(event);
+            self.repeated += u64::from(id.is_some() && id <= self.last);
+            self.last = id.or(self.last);
         }
         whole
     }
@@ -174,6 +178,7 @@
             sender,
             first_byte: None,
             pauses: PauseMeter::default(),
+            framed: true,
         };
         relay.run(source).await;
         drop(relay);
@@ -191,6 +196,8 @@
     sender: mpsc::Sender<Result<Bytes, Interrupted>>,
     first_byte: Option<Moment>,
     pauses: PauseMeter,
+    /// The end of the part that is forwarded is marked otherwise than by the end of its connection.
+    framed: bool,
 }
 
 impl<D: Dialect> Relay<'_, D> {
@@ -249,7 +256,7 @@
     /// Forwards what one endpoint sends until its part of the stream ends.
     async fn relay(&mut self, answer: EndpointAnswer) -> End {
         let EndpointAnswer { choice, response, head, connection, mut flight, sent, resumed } = answer;
-        let is_framed = is_framed(response.headers());
+        self.framed = is_framed(response.headers());
         let mut body = response.into_body();
         let whole_events = self.call.route.resumable || self.has_copy();
         // A stream that cannot be resumed is not abandoned.
@@ -329,7 +336,7 @@
             }
         }
         // Without framing, a connection that closes before the first event is all that shows that the endpoint ended.
-        let is_empty = !is_framed && self.events.count == 0 && self.call.last_event.is_none();
+        let is_empty = !self.framed && self.events.count == 0 && self.call.last_event.is_none();
         if is_empty || !self.events.pending().is_empty() {
             call::record_outcome(self.shared, &choice.endpoint, Outcome::Failed);
             return End::Interrupted;
@@ -342,6 +349,7 @@
     /// Forwards what another instance sends until its part of the stream ends.
     async fn relay_hop(&mut self, answer: HopAnswer) -> End {
         let (mut body, _connection) = answer.into_body();
+        self.framed = true;
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -492,6 +500,9 @@
     fn log_answered(&self, endpoint: &rudder_model::EndpointId) {
         let since = |at: Moment| at.saturating_duration_since(self.call.arrived).as_millis() as u64;
         self.record_end(RequestOutcome::Answered);
+        let Events { count: events, repeated, .. } = self.events;
+        let end = StreamEnd { events, repeated, framed: self.framed };
+        self.shared.metrics.record_stream_end(end);
         self.shared.log.write(What::CallAnswered {
             request: self.call.id.clone(),
             endpoint: endpoint.clone(),
@@ -499,6 +510,7 @@
             first_ms: self.first_byte.map_or(0, since),
             total_ms: since(Moment::now()),
             pause_ms: self.pauses.longest.as_millis() as u64,
+            stream: Some(end),
         });
     }
 
@@ -509,6 +521,7 @@
             why: why.to_owned(),
             events: self.events.count,
             pause_ms: self.pauses.longest_at(Moment::now()).as_millis() as u64,
+            repeated: self.events.repeated,
         });
     }
 }
