--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -17,6 +17,7 @@
     hall_tags::HallTags,
     joining::{Admission, Joining},
     registry::{Change, Phase, Registration, Registry},
+    releases::{Leadership, ReleaseTracker},
     tree::Directory,
     view::View,
     watchers::{Source, Watchers},
@@ -50,6 +51,7 @@
     /// Proposals that wait to be applied, by log index.
     pending: BTreeMap<u64, Vec<PendingProposal>>,
     departures: DepartureQueue,
+    releases: ReleaseTracker,
     /// Live instances; maintained by the leader.
     directory: Directory,
     /// Time of the last sign of life of each of them.
@@ -87,6 +89,7 @@
             name: me.name.clone(),
             pending: BTreeMap::new(),
             departures: DepartureQueue::default(),
+            releases: ReleaseTracker::default(),
             directory: Directory::default(),
             last_seen: BTreeMap::new(),
             leader_since: None,
@@ -133,6 +136,7 @@
         if self.replica.leads(now) {
             self.expire(now, options);
             self.forget_departures(now, me, options, out);
+            self.record_releases(now, me, options, out);
             self.watchers.tick(now, out);
             self.announce(now, view, out);
             let spares = self.to_spares();
@@ -234,6 +238,20 @@
         self.departures.set_forgetting(index);
     }
 
+    /// Appends a record of the steps that versions of endpoints' software take, if there are any.
+    fn record_releases(&mut self, now: Duration, me: &Me, options: &Options, out: &mut Vec<Effect>) {
+        let Some(since) = self.leader_since else { return };
+        let held = &self.ledger.releases;
+        let is_replicated = self.directory.keys().all(|name| self.watchers.holds_releases(name, held.index()));
+        let leadership = Leadership { since, lease: options.liveness_timeout, is_replicated };
+        let steps = self.releases.find_steps(now, leadership, held, &self.registry);
+        if steps.is_empty() {
+            return;
+        }
+        let index = self.append(now, me, Command::SetStages(steps), options, out);
+        self.releases.set_recording(index.filter(|index| *index > self.ledger.index));
+    }
+
     /// Appends a command of the leader itself, which observes the result in the ledger. Returns its log index, or
     /// `None` if this instance does not lead.
     pub(crate) fn append(
@@ -296,6 +314,7 @@
             load_tags,
             quarantine: &self.ledger.quarantine,
             evacuations: &self.ledger.evacuations,
+            releases: &self.ledger.releases,
             remote_loads: &[],
             remote_work: &[],
             limits,
@@ -417,6 +436,7 @@
         self.leader_since = leads.then_some(now);
         self.pending.clear();
         self.departures = DepartureQueue::default();
+        self.releases = ReleaseTracker::default();
         out.push(Effect::Log(What::Leads { leads, term: self.replica.term() }));
         if leads {
             // Starting from the last known directory keeps instances listed across a change of leader.
@@ -528,7 +548,8 @@
                 let departures = departures_in(&stamped.command);
                 let answer = self.ledger.apply(entry.index, stamped);
                 let departed = self.leader_since.is_some() && self.record_committed(now, &departures);
-                let notify = departed || configures || matches!(answer, Answer::Found(true) | Answer::Evacuated(true));
+                let is_news = matches!(answer, Answer::Found(true) | Answer::Evacuated(true) | Answer::StagesSet(true));
+                let notify = departed || configures || is_news;
                 if notify && self.leader_since.is_some() {
                     self.watchers.notify(now, None, out);
                 }
@@ -536,6 +557,7 @@
             }
         };
         self.departures.on_applied(entry.index);
+        self.releases.on_applied(entry.index);
         let (Some(proposers), Some(answer)) = (self.pending.remove(&entry.index), answer) else { return };
         // The entry at this index may come from another leader.
         for proposer in proposers.into_iter().filter(|proposer| proposer.term == entry.term) {
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -110,8 +110,8 @@
         ticket: u64,
         /// The stream.
         stream: StreamTag,
-        /// Its service.
-        service: Arc<str>,
+        /// The services that may have begun it.
+        services: Vec<Arc<str>>,
     },
     /// A request needs a permit for an endpoint with a rate limit; answered by [`crate::Effect::Permitted`].
     AskPermit {
--- a/crates/rudder-core/src/lib.rs
+++ b/crates/rudder-core/src/lib.rs
@@ -18,7 +18,7 @@
 //! - [`loads`]: in-flight requests at endpoints, over all instances;
 //! - [`work`]: work by organisation, over all instances;
 //! - [`limits`]: rate limits reported by endpoints; [`permits`]: permits to send to such endpoints;
-//! - [`origins`]: the versions that began streams;
+//! - [`origins`]: the versions that began streams; `releases`: the versions in service, in the log;
 //! - `founding`: founding of the log;
 //! - [`clock`]: the time of day that all instances agree on;
 //! - [`usage`]: request counts by organisation, reported to the leader;
@@ -54,6 +54,7 @@
 pub mod reach;
 pub mod reduce;
 pub mod registry;
+mod releases;
 pub mod subset;
 pub mod transfer;
 pub mod tree;
--- a/crates/rudder-core/src/origins.rs
+++ b/crates/rudder-core/src/origins.rs
@@ -1,10 +1,14 @@
-//! The software versions that began streams. Events of two versions of an endpoint's software do not fit together, so a
-//! stream that breaks off may only go on at the version that began it, also at an instance that has never seen it.
+//! What began streams: a version of a service's software. Events of two versions do not fit together, so a stream that
+//! breaks off may only go on at the version that began it, also at an instance that has never seen it.
 //!
-//! The instance that passes on the first event of a stream remembers its version. While several versions of a service are
-//! known, it also tells two holders, chosen by rendezvous hashing over the live instances, in different halls if there
-//! are several; when the second version becomes known, it tells them of the streams before. Whoever is asked to let a
-//! stream go on asks the holders. The state is soft and kept only as long as a caller may take a stream up.
+//! The instance that passes on the first event of a stream remembers its version. While several versions of a service may
+//! have begun streams ([`rudder_ledger::release`]), it also tells two holders, chosen by rendezvous hashing over the live
+//! instances, one of them with a disk; when the second version becomes known, it tells them of the streams before. Whoever
+//! is asked to let a stream go on asks the holders. What they remember is soft state and kept only as long as a caller may
+//! take a stream up.
+//!
+//! Not knowing a version proves nothing: holders may be lost, late, or have started since. A version counts as the only one
+//! by the replicated state alone, and only while that is proved to be recent.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -12,19 +16,20 @@
     time::Duration,
 };
 
+use rudder_ledger::{Releases, Software};
 use rudder_model::{InstanceId, id};
 use serde::{Deserialize, Serialize};
 
-use crate::{Effect, Me, PeerMessage, registry::Registry, tree::Directory, view::View};
+use crate::{Effect, Listing, Me, PeerMessage, tree::Directory, view::View};
 
 /// How long the origin of a stream is remembered: longer than any caller waits.
 const RETENTION: Duration = Duration::from_secs(60);
 /// Most streams remembered, which bounds the memory to a few megabytes.
 const MAX_STREAMS: usize = 50_000;
-/// How long to wait for the holders.
+/// How long to wait for the holders, or for a proof of the versions in service.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
-/// Instances that remember a stream beside the one that began it.
-const HOLDERS: usize = 2;
+/// Instances with a disk that are asked, as the directory may have changed since one of them was told.
+const ASKED_DISKS: usize = 3;
 /// Interval between removals of old entries.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -36,19 +41,17 @@
 pub struct StreamOrigin {
     /// The stream.
     pub stream: StreamTag,
-    /// The service.
-    pub service: Arc<str>,
     /// The version of the endpoint's software.
-    pub version: Arc<str>,
+    pub software: Software,
 }
 
 /// What is known of the version that began a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Origin {
     /// This version.
-    Version(Arc<str>),
-    /// Its service has had one version for as long as the stream can have been running.
-    Only,
+    Known(Software),
+    /// This version, as no other can have begun a stream of the services.
+    Only(Software),
     /// One of several versions.
     Unknown,
 }
@@ -56,36 +59,58 @@
 /// What an answer about an origin rests on.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
-    /// Versions of the service that are known here.
+    /// Versions that may have begun the stream, as known here.
     pub versions: usize,
-    /// Holders that were asked.
+    /// These are proved to be complete.
+    pub current: bool,
+    /// Instances that were asked.
     pub asked: usize,
-    /// Holders that answered.
+    /// Instances that answered.
     pub answered: usize,
 }
 
 #[derive(Debug)]
 struct Remembered {
-    origin: StreamOrigin,
+    software: Software,
     at: Duration,
     /// It was begun here, and its holders are not told yet.
     untold: bool,
 }
 
-/// A question that the holders have not answered.
+/// A question about the origin of a stream.
+#[derive(Clone, Debug)]
+pub(crate) struct OriginQuestion {
+    /// Identifies the question in the effect that answers it.
+    pub(crate) ticket: u64,
+    /// The stream.
+    pub(crate) stream: StreamTag,
+    /// The services that may have begun it.
+    pub(crate) services: Vec<Arc<str>>,
+}
+
+/// A question that is not answered yet.
 #[derive(Debug)]
-struct Question {
-    service: Arc<str>,
-    until: Duration,
+struct Pending {
+    services: Vec<Arc<str>>,
+    arrived: Duration,
     asked: usize,
     answered: usize,
 }
 
+/// What the reducer knows beside the origins.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Surroundings<'a> {
+    pub(crate) me: &'a Me,
+    pub(crate) view: &'a View,
+    /// Age of the proof beyond which the versions in service are not relied on.
+    pub(crate) lease: Duration,
+}
+
 /// The origins of streams known to this instance.
 #[derive(Debug, Default)]
 pub struct Origins {
     streams: BTreeMap<StreamTag, Remembered>,
-    questions: BTreeMap<u64, Question>,
+    pending: BTreeMap<u64, Pending>,
     pruned_at: Duration,
 }
 
@@ -95,12 +120,12 @@
         &mut self,
         now: Duration,
         origin: StreamOrigin,
-        (me, view): (&Me, &View),
+        around: Surroundings,
         out: &mut Vec<Effect>,
     ) {
-        let untold = !has_several_versions(&view.registry, &origin.service);
+        let untold = !has_several_versions(&around.view.releases, &origin.software.service);
         if !untold {
-            tell(me, &view.directory, vec![origin.clone()], out);
+            tell(around, vec![origin.clone()], out);
         }
         self.remember(now, origin, untold);
     }
@@ -112,74 +137,75 @@
         }
     }
 
-    fn remember(&mut self, now: Duration, origin: StreamOrigin, untold: bool) {
+    fn remember(&mut self, now: Duration, StreamOrigin { stream, software }: StreamOrigin, untold: bool) {
         if self.streams.len() < MAX_STREAMS {
-            self.streams.entry(origin.stream).or_insert(Remembered { origin, at: now, untold });
+            self.streams.entry(stream).or_insert(Remembered { software, at: now, untold });
         }
     }
 
-    /// Returns the version that began a stream, as an answer to another instance.
-    pub(crate) fn version_of(&self, stream: StreamTag) -> Option<Arc<str>> {
-        self.streams.get(&stream).map(|held| held.origin.version.clone())
+    /// Returns what began a stream, as an answer to another instance.
+    pub(crate) fn software_of(&self, stream: StreamTag) -> Option<Software> {
+        self.streams.get(&stream).map(|held| held.software.clone())
     }
 
-    /// Looks up what began a stream, and asks its holders if it is not known here.
-    pub(crate) fn ask(
-        &mut self,
-        now: Duration,
-        (ticket, stream, service): (u64, StreamTag, Arc<str>),
-        (me, view): (&Me, &View),
-        out: &mut Vec<Effect>,
-    ) {
-        if let Some(version) = self.version_of(stream) {
-            let evidence = Evidence { versions: count_versions(&view.registry, &service), ..Evidence::default() };
-            out.push(Effect::OriginFound { ticket, origin: Origin::Version(version), evidence });
+    /// Looks up what began a stream. Unless it is known here or follows from the versions in service, asks its holders.
+    pub(crate) fn ask(&mut self, now: Duration, question: OriginQuestion, around: Surroundings, out: &mut Vec<Effect>) {
+        let OriginQuestion { ticket, stream, services } = question;
+        let mut pending = Pending { services, arrived: now, asked: 0, answered: 0 };
+        if let Some(software) = self.software_of(stream) {
+            let evidence = pending.evidence(around);
+            out.push(Effect::OriginFound { ticket, origin: Origin::Known(software), evidence });
             return;
         }
-        let holders = holders_of(stream, me, &view.directory);
-        self.questions
-            .insert(ticket, Question { service, until: now + ANSWER_TIMEOUT, asked: holders.len(), answered: 0 });
-        if holders.is_empty() {
-            self.give_up(ticket, &view.registry, out);
+        if let Some(only) = pending.only_version(around) {
+            let evidence = pending.evidence(around);
+            out.push(Effect::OriginFound { ticket, origin: Origin::Only(only), evidence });
+            return;
         }
+        let holders = possible_holders(stream, around.me, &around.view.directory);
+        pending.asked = holders.len();
+        self.pending.insert(ticket, pending);
         for to in holders {
-            out.push(Effect::Send { to, message: PeerMessage::AskOrigin { ticket, start: me.start, stream } });
+            out.push(Effect::Send { to, message: PeerMessage::AskOrigin { ticket, start: around.me.start, stream } });
         }
+        self.settle(now, ticket, around, out);
     }
 
     /// Handles a holder's answer.
     pub(crate) fn on_answer(
         &mut self,
-        ticket: u64,
-        version: Option<Arc<str>>,
-        registry: &Registry,
+        now: Duration,
+        (ticket, software): (u64, Option<Software>),
+        around: Surroundings,
         out: &mut Vec<Effect>,
     ) {
-        let Some(question) = self.questions.get_mut(&ticket) else { return };
-        question.answered += 1;
-        if let Some(version) = version {
-            let evidence = question.evidence(registry);
-            self.questions.remove(&ticket);
-            out.push(Effect::OriginFound { ticket, origin: Origin::Version(version), evidence });
-        } else if question.answered >= question.asked {
-            self.give_up(ticket, registry, out);
-        }
+        let Some(pending) = self.pending.get_mut(&ticket) else { return };
+        pending.answered += 1;
+        let Some(software) = software else { return self.settle(now, ticket, around, out) };
+        let evidence = pending.evidence(around);
+        self.pending.remove(&ticket);
+        out.push(Effect::OriginFound { ticket, origin: Origin::Known(software), evidence });
     }
 
-    /// Answers a question to which no holder knows the answer.
-    fn give_up(&mut self, ticket: u64, registry: &Registry, out: &mut Vec<Effect>) {
-        let Some(question) = self.questions.remove(&ticket) else { return };
-        let evidence = question.evidence(registry);
-        let origin = if evidence.versions > 1 { Origin::Unknown } else { Origin::Only };
+    /// Answers a question if nothing more can become known.
+    fn settle(&mut self, now: Duration, ticket: u64, around: Surroundings, out: &mut Vec<Effect>) {
+        let Some(pending) = self.pending.get(&ticket) else { return };
+        let evidence = pending.evidence(around);
+        let only = pending.only_version(around);
+        let is_final = evidence.current && pending.answered >= pending.asked;
+        if only.is_none() && !is_final && now < pending.arrived + ANSWER_TIMEOUT {
+            return;
+        }
+        self.pending.remove(&ticket);
+        let origin = only.map_or(Origin::Unknown, Origin::Only);
         out.push(Effect::OriginFound { ticket, origin, evidence });
     }
 
-    /// Ends questions that nobody has answered and drops old entries.
-    pub(crate) fn tick(&mut self, now: Duration, view: &View, out: &mut Vec<Effect>) {
-        let late: Vec<u64> =
-            self.questions.iter().filter(|(_, question)| now >= question.until).map(|(ticket, _)| *ticket).collect();
-        for ticket in late {
-            self.give_up(ticket, &view.registry, out);
+    /// Settles questions and drops old entries.
+    pub(crate) fn tick(&mut self, now: Duration, around: Surroundings, out: &mut Vec<Effect>) {
+        let tickets: Vec<u64> = self.pending.keys().copied().collect();
+        for ticket in tickets {
+            self.settle(now, ticket, around, out);
         }
         if now >= self.pruned_at + PRUNE_INTERVAL {
             self.pruned_at = now;
@@ -188,43 +214,56 @@
     }
 
     /// Tells the holders of untold streams whose service has several versions by now.
-    pub(crate) fn on_registry(&mut self, (me, view): (&Me, &View), out: &mut Vec<Effect>) {
-        let services: BTreeSet<Arc<str>> =
-            self.streams.values().filter(|held| held.untold).map(|held| held.origin.service.clone()).collect();
-        for service in services.into_iter().filter(|service| has_several_versions(&view.registry, service)) {
-            let untold = self.streams.values_mut().filter(|held| held.untold && held.origin.service == service);
-            let origins = untold.map(|held| {
+    pub(crate) fn on_releases(&mut self, around: Surroundings, out: &mut Vec<Effect>) {
+        let releases = &around.view.releases;
+        let untold = self.streams.values().filter(|held| held.untold).map(|held| held.software.service.clone());
+        let services: BTreeSet<Arc<str>> = untold.collect();
+        for service in services.into_iter().filter(|service| has_several_versions(releases, service)) {
+            let untold = self.streams.iter_mut().filter(|(_, held)| held.untold && held.software.service == service);
+            let origins = untold.map(|(stream, held)| {
                 held.untold = false;
-                held.origin.clone()
+                StreamOrigin { stream: *stream, software: held.software.clone() }
             });
-            tell(me, &view.directory, origins.collect(), out);
+            tell(around, origins.collect(), out);
         }
     }
 }
 
-impl Question {
-    fn evidence(&self, registry: &Registry) -> Evidence {
-        let versions = count_versions(registry, &self.service);
-        Evidence { versions, asked: self.asked, answered: self.answered }
+impl Pending {
+    fn evidence(&self, around: Surroundings) -> Evidence {
+        Evidence {
+            versions: self.versions(&around.view.releases).count(),
+            current: around.view.knows_releases(self.arrived, around.lease),
+            asked: self.asked,
+            answered: self.answered,
+        }
+    }
+
+    /// Returns the version that alone may have begun the stream, if that is proved.
+    fn only_version(&self, around: Surroundings) -> Option<Software> {
+        if !around.view.knows_releases(self.arrived, around.lease) {
+            return None;
+        }
+        let mut versions = self.versions(&around.view.releases);
+        versions.next().filter(|_| versions.next().is_none())
     }
-}
 
-/// Returns whether endpoints of several versions of a service are known, those that have ended lately included.
-fn has_several_versions(registry: &Registry, service: &str) -> bool {
-    count_versions(registry, service) > 1
+    fn versions<'a>(&'a self, releases: &'a Releases) -> impl Iterator<Item = Software> {
+        self.services.iter().flat_map(|service| {
+            releases.of(service).map(|version| Software { service: service.clone(), version: version.clone() })
+        })
+    }
 }
 
-/// Returns the number of versions of a service whose endpoints are known, those that have ended lately included.
-fn count_versions(registry: &Registry, service: &str) -> usize {
-    let versions = registry.iter().filter(|held| *held.service == *service).map(|held| &held.version);
-    versions.collect::<BTreeSet<_>>().len()
+fn has_several_versions(releases: &Releases, service: &str) -> bool {
+    releases.of(service).nth(1).is_some()
 }
 
 /// Tells the holders of streams, in one message to each.
-fn tell(me: &Me, directory: &Directory, origins: Vec<StreamOrigin>, out: &mut Vec<Effect>) {
+fn tell(around: Surroundings, origins: Vec<StreamOrigin>, out: &mut Vec<Effect>) {
     let mut told: BTreeMap<InstanceId, Vec<StreamOrigin>> = BTreeMap::new();
     for origin in origins {
-        for holder in holders_of(origin.stream, me, directory) {
+        for holder in holders_of(origin.stream, around.me, &around.view.directory) {
             told.entry(holder).or_default().push(origin.clone());
         }
     }
@@ -233,15 +272,38 @@
     }
 }
 
-/// Returns the holders of a stream without this instance: the first by rendezvous hashing, and the first of another hall
-/// if there is one.
+/// Returns the holders of a stream without this instance: the first of all by rendezvous hashing, and the first of the
+/// others, if possible one with a disk and of another hall.
 fn holders_of(stream: StreamTag, me: &Me, directory: &Directory) -> Vec<InstanceId> {
-    let key = id::number_key(stream);
-    let weight = |name: &str| id::rendezvous_key(key, id::node_key(name));
-    let live = || directory.values().filter(|listing| !listing.stopping);
-    let Some(first) = live().max_by_key(|listing| weight(&listing.name)) else { return Vec::new() };
-    let others = live().filter(|listing| listing.name != first.name);
-    let second = others.max_by_key(|listing| (listing.hall != first.hall, weight(&listing.name)));
-    let holders = [Some(first), second].into_iter().flatten().take(HOLDERS);
+    let Some(first) = first_holder(stream, directory) else { return Vec::new() };
+    let others = live(directory).filter(|listing| listing.name != first.name);
+    let rank = |listing: &&Listing| (listing.replica.is_some(), listing.hall != first.hall, weight(stream, listing));
+    let holders = [Some(first), others.max_by_key(rank)].into_iter().flatten();
     holders.filter(|listing| listing.name != me.name).map(|listing| listing.name.clone()).collect()
 }
+
+/// Returns the instances that may hold a stream without this one: its holders by the present directory, and the first
+/// ones with a disk.
+fn possible_holders(stream: StreamTag, me: &Me, directory: &Directory) -> Vec<InstanceId> {
+    let mut holders = holders_of(stream, me, directory);
+    let mut disks: Vec<&Listing> = live(directory).filter(|listing| listing.replica.is_some()).collect();
+    disks.sort_by_key(|listing| std::cmp::Reverse(weight(stream, listing)));
+    for listing in disks.into_iter().take(ASKED_DISKS) {
+        if listing.name != me.name && !holders.contains(&listing.name) {
+            holders.push(listing.name.clone());
+        }
+    }
+    holders
+}
+
+fn first_holder(stream: StreamTag, directory: &Directory) -> Option<&Listing> {
+    live(directory).max_by_key(|listing| weight(stream, listing))
+}
+
+fn live(directory: &Directory) -> impl Iterator<Item = &Listing> {
+    directory.values().filter(|listing| !listing.stopping)
+}
+
+fn weight(stream: StreamTag, listing: &Listing) -> u64 {
+    id::rendezvous_key(id::number_key(stream), id::node_key(&listing.name))
+}
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -4,7 +4,9 @@
 
 use std::{sync::Arc, time::Duration};
 
-use rudder_ledger::{Answer, Attempt, Command, Delta, Document, Evacuations, Patch, QuarantineNews, packing};
+use rudder_ledger::{
+    Answer, Attempt, Command, Delta, Document, Evacuations, Patch, QuarantineNews, Releases, Software, packing,
+};
 use rudder_model::{EndpointId, EndpointTag, HallId, InstanceId, ModelId, Refusal, RequestId, Start};
 use rudder_replica::{Envelope, Members, ReplicaId};
 pub use rudder_route::admission::LEVELS;
@@ -66,6 +68,8 @@
     pub quarantine: u64,
     /// Log index of the evacuation state held by the sender.
     pub evacuations: u64,
+    /// Log index of the sender's state of versions of endpoints' software.
+    pub releases: u64,
     /// Endpoint heartbeats received by the sender and not yet confirmed by a reply.
     pub heartbeats: Vec<Registration>,
     /// Non-empty loads of the sender and of its watchers. `None` if the request bypasses the relay that the sender
@@ -127,6 +131,8 @@
     pub quarantine: Option<QuarantineNews>,
     /// All halls that are or were evacuated, if the watcher's state is older.
     pub evacuations: Option<Evacuations>,
+    /// Versions of endpoints' software in service, if the watcher's state is older.
+    pub releases: Option<Releases>,
     /// Loads of all instances except the watcher and its own watchers; `None` if the request carried no loads.
     pub loads: Option<Vec<Load>>,
     /// Rate limits reported by endpoints; sent together with the loads.
@@ -368,8 +374,8 @@
         ticket: u64,
         /// Number of the questioner's start.
         start: Start,
-        /// The version that began the stream, if the holder knows it.
-        version: Option<Arc<str>>,
+        /// What began the stream, if the holder knows it.
+        software: Option<Software>,
     },
     /// A document update that is too large for a reply, in packed form.
     Document(PackedUpdate),
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -18,7 +18,7 @@
     homes::Homes,
     idempotency,
     orders::Orders,
-    origins::Origins,
+    origins::{OriginQuestion, Origins, Surroundings},
     peer::{FromPool, PackedUpdate},
     permits::Permits,
     propose::{Proposals, Purpose},
@@ -71,8 +71,8 @@
     transfers: Transfers,
     permits: Permits,
     origins: Origins,
-    /// Revision of the view of which the holders of streams were told.
-    origins_revision: u64,
+    /// Log index of the versions in service as of which the holders of streams were told.
+    told_releases: u64,
 }
 
 impl State {
@@ -110,7 +110,7 @@
             transfers,
             permits: Permits::default(),
             origins: Origins::default(),
-            origins_revision: 0,
+            told_releases: 0,
         }
     }
 
@@ -204,9 +204,12 @@
             Event::AskPermit { ticket, request } => {
                 self.permits.ask(now, &self.me, &self.view, (ticket, request), out);
             }
-            Event::StreamBegun(origin) => self.origins.record_begun(now, origin, (&self.me, &self.view), out),
-            Event::AskOrigin { ticket, stream, service } => {
-                self.origins.ask(now, (ticket, stream, service), (&self.me, &self.view), out);
+            Event::StreamBegun(origin) => {
+                self.with_origins(|origins, around| origins.record_begun(now, origin, around, out));
+            }
+            Event::AskOrigin { ticket, stream, services } => {
+                let question = OriginQuestion { ticket, stream, services };
+                self.with_origins(|origins, around| origins.ask(now, question, around, out));
             }
             Event::RequestsStarted(started) => {
                 if let Some(usage) = &self.options.duties.usage {
@@ -255,10 +258,10 @@
         self.view.prune_limits(now);
         self.permits.tick(now, out);
         self.transfers.tick(now, out);
-        self.origins.tick(now, &self.view, out);
-        if self.origins_revision != self.view.revision {
-            self.origins_revision = self.view.revision;
-            self.origins.on_registry((&self.me, &self.view), out);
+        self.with_origins(|origins, around| origins.tick(now, around, out));
+        if self.told_releases != self.view.releases.index() {
+            self.told_releases = self.view.releases.index();
+            self.with_origins(|origins, around| origins.on_releases(around, out));
         }
         self.homes.tick(now, &self.me, &self.view, &self.options, out);
         self.with_calls(now, out, Calls::tick);
@@ -268,6 +271,11 @@
         self.finish_stop(now, out);
     }
 
+    fn with_origins(&mut self, handle: impl FnOnce(&mut Origins, Surroundings)) {
+        let around = Surroundings { me: &self.me, view: &self.view, lease: self.options.liveness_timeout };
+        handle(&mut self.origins, around);
+    }
+
     /// Proposes the findings since the last tick.
     fn propose_findings(&mut self, now: Duration) {
         if self.findings.is_empty() {
@@ -372,12 +380,12 @@
             }
             PeerMessage::StreamsBegun(origins) => self.origins.record_told(now, origins),
             PeerMessage::AskOrigin { ticket, start, stream } => {
-                let version = self.origins.version_of(stream);
-                out.push(Effect::Send { to: from, message: PeerMessage::Origin { ticket, start, version } });
+                let software = self.origins.software_of(stream);
+                out.push(Effect::Send { to: from, message: PeerMessage::Origin { ticket, start, software } });
             }
-            PeerMessage::Origin { ticket, start, version } => {
+            PeerMessage::Origin { ticket, start, software } => {
                 if start == self.me.start {
-                    self.origins.on_answer(ticket, version, &self.view.registry, out);
+                    self.with_origins(|origins, around| origins.on_answer(now, (ticket, software), around, out));
                 }
             }
             PeerMessage::Document(update) => self.on_document(now, &update, out),
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -13,7 +13,7 @@
 };
 
 use rudder_events::What;
-use rudder_ledger::{Config, Delta, Document, Evacuations, Quarantine, QuarantineNews};
+use rudder_ledger::{Config, Delta, Document, Evacuations, Quarantine, QuarantineNews, Releases, Software, Stage};
 use rudder_model::{
     Endpoint, EndpointId, EndpointTag, HallId, InstanceId, Kind, Mark, Object, OrgId, Promise, Promises, RequestId, id,
 };
@@ -33,6 +33,8 @@
 
 /// Maximum number of instance names in one log event.
 const MAX_LOGGED_NAMES: usize = 4;
+/// Maximum number of versions in one log event.
+const MAX_LOGGED_VERSIONS: usize = 16;
 /// Interval between load exchanges for each endpoint, which limits them to 10,000 entries per second in each direction.
 const LOAD_INTERVAL_PER_ENDPOINT: Duration = Duration::from_micros(100);
 /// Factor on that interval when there are relays, so that loads for 20 watchers fit a relay's link of 10 Mbit/s.
@@ -75,11 +77,15 @@
     pub quarantine: Arc<Quarantine>,
     /// Halls whose endpoints receive no requests.
     pub evacuations: Arc<Evacuations>,
+    /// Versions of endpoints' software that may have begun streams.
+    pub releases: Arc<Releases>,
+    /// Time as of which these are proved to be complete.
+    releases_proved: Option<Duration>,
     /// Loads of all other instances.
     pub remote_loads: Vec<Load>,
     /// Work by organisation of all other instances.
     pub remote_work: Vec<WorkReport>,
-    /// Incremented on every change of the directory, document, registry, quarantine or evacuations.
+    /// Incremented on every change of the directory, document, registry, quarantine, evacuations or releases.
     pub revision: u64,
     /// Incremented on every change of `remote_loads`.
     pub load_revision: u64,
@@ -161,6 +167,11 @@
         self.registry_proved
     }
 
+    /// Returns whether the versions in service are proved to be complete as of `lease` before `at`.
+    pub fn knows_releases(&self, at: Duration, lease: Duration) -> bool {
+        self.releases_proved.is_some_and(|proved| at < proved + lease)
+    }
+
     /// Sets the instances named in the settings as first contacts.
     pub fn set_seeds(&mut self, seeds: Vec<InstanceId>) {
         self.upstream.seeds = seeds;
@@ -332,6 +343,7 @@
             registry: self.registry.version(),
             quarantine: self.quarantine.index(),
             evacuations: self.evacuations.index(),
+            releases: self.releases.index(),
             heartbeats,
             loads: with_loads.then(|| watchers.total_loads(&self.own_loads)),
             limits,
@@ -372,6 +384,7 @@
             load_tags: None,
             quarantine: &self.quarantine,
             evacuations: &self.evacuations,
+            releases: &self.releases,
             remote_loads: &self.remote_loads,
             remote_work: &self.remote_work,
             limits: &self.limits,
@@ -437,6 +450,7 @@
         urgent |= self.apply_quarantine(reply.quarantine);
         let moved = self.apply_evacuations(reply.evacuations, out);
         (changed, urgent) = (changed || moved, urgent || moved);
+        urgent |= self.apply_releases(reply.releases, out);
         self.confirm(reply.round, *from == reply.leader);
         let held = self.document.as_ref().map_or(0, |document| document.version);
         // Time counts from the start of this process, so an earlier proof has no representation and is discarded.
@@ -453,6 +467,7 @@
             // A newer reply came first. The rest of this one is not applied, so it proves nothing.
             return Changes { changed, urgent };
         }
+        self.releases_proved = self.releases_proved.max(proof);
         if reply.complete && held >= reply.latest_document && !reply.pending {
             self.proved = self.proved.max(proof);
         }
@@ -545,6 +560,17 @@
         applied
     }
 
+    /// Applies a newer state of the versions in service. Returns whether it was newer.
+    fn apply_releases(&mut self, update: Option<Releases>, out: &mut Vec<Effect>) -> bool {
+        let Some(update) = update else { return false };
+        let applied = Arc::make_mut(&mut self.releases).take(update);
+        if applied {
+            self.revision += 1;
+            out.push(Effect::Log(to_log(&self.releases)));
+        }
+        applied
+    }
+
     fn apply_delta(&mut self, delta: Delta) -> bool {
         let (kind, name) = (delta.kind, delta.name.clone());
         let before = self.org_keys(kind, &name);
@@ -613,3 +639,17 @@
         }
     }
 }
+
+fn to_log(releases: &Releases) -> What {
+    let name = |(software, stage): (Software, Stage)| {
+        let Software { service, version } = software;
+        let stage = format!("{stage:?}").to_lowercase();
+        format!("{service} {version} {stage}")
+    };
+    What::Releases {
+        index: releases.index(),
+        count: releases.iter().count(),
+        versions: releases.iter().take(MAX_LOGGED_VERSIONS).map(name).collect(),
+        full: releases.is_full(),
+    }
+}
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use rudder_ledger::{Config, Document, Evacuations, Quarantine};
+use rudder_ledger::{Config, Document, Evacuations, Quarantine, Releases};
 use rudder_model::{EndpointTag, InstanceId};
 use rudder_route::shares::WorkReport;
 
@@ -60,6 +60,8 @@
     limits: PeerSync,
     /// It holds a directory.
     has_directory: bool,
+    /// Log index of the versions in service that it holds.
+    releases: u64,
     /// Its own watchers and the version of that list, if it is a relay.
     group: Option<(u64, Vec<Listing>)>,
 }
@@ -120,6 +122,8 @@
     pub quarantine: &'a Quarantine,
     /// Halls whose endpoints receive no requests.
     pub evacuations: &'a Evacuations,
+    /// Versions of endpoints' software in service.
+    pub releases: &'a Releases,
     /// Loads of instances that are neither watchers nor watchers of watchers.
     pub remote_loads: &'a [Load],
     /// Work by organisation of the same instances.
@@ -204,6 +208,7 @@
             scope: source.scope,
             quarantine: source.quarantine.news_after(watch.quarantine),
             evacuations: source.evacuations.news_after(watch.evacuations),
+            releases: source.releases.news_after(watch.releases),
             loads,
             limits,
             group,
@@ -247,6 +252,7 @@
     fn record_sent(&mut self, now: Duration, watch: &WatchRequest, directory: bool, registry: bool) {
         let Some(held) = self.instances.get_mut(&watch.listing.name) else { return };
         held.has_directory = watch.directory > 0;
+        held.releases = watch.releases;
         if directory {
             held.directory = Sent { held: watch.directory, at: Some(now) };
         }
@@ -268,6 +274,7 @@
                 registry: Sent::default(),
                 limits: PeerSync::default(),
                 has_directory: false,
+                releases: 0,
                 group: None,
             };
             self.instances.insert(listing.name.clone(), watcher);
@@ -300,6 +307,11 @@
         self.instances.get(name).is_some_and(|held| held.has_directory)
     }
 
+    /// Returns whether a watcher holds the versions in service as of log index `index`, as its last request told.
+    pub(crate) fn holds_releases(&self, name: &InstanceId, index: u64) -> bool {
+        self.instances.get(name).is_some_and(|held| held.releases >= index)
+    }
+
     /// Records the group of a relay. Returns its version and members, if the members of that version are held.
     pub fn record_group(&mut self, name: &InstanceId, group: Option<&RelayGroup>) -> Option<&(u64, Vec<Listing>)> {
         let held = self.instances.get_mut(name)?;
--- a/crates/rudder-core/tests/fleet.rs
+++ b/crates/rudder-core/tests/fleet.rs
@@ -15,9 +15,10 @@
 use rand::{Rng, RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg32;
 use rudder_core::{
-    Event, Phase,
+    Event, Phase, State,
     options::{DutyOptions, UsageOptions},
 };
+use rudder_ledger::Stage;
 
 const TOTAL: usize = 120;
 const HALLS: usize = 3;
@@ -35,9 +36,13 @@
 const SPAN: Duration = Duration::from_secs(20);
 /// Interval between checks of all instances.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval between releases of a new version of endpoints' software.
+const RELEASE_INTERVAL: Duration = Duration::from_secs(3);
 /// Number of requests started between two checks.
 const REQUESTS_PER_CHECK: usize = 3;
 const ORG: &str = "acme";
+/// The service of all endpoints.
+const SERVICE: &str = "model";
 /// Time of day at virtual time zero.
 const ORIGIN: Duration = Duration::from_secs(1_000_000);
 /// Time from the last fault until all windows then open are reported.
@@ -119,6 +124,8 @@
     count: u64,
     /// Number of requests started.
     started: u64,
+    /// Endpoints of new versions are started, and their versions checked.
+    releases: bool,
     rng: Pcg32,
 }
 
@@ -141,6 +148,7 @@
             versions: vec![(0, 0); TOTAL],
             count: 1,
             started: 0,
+            releases: false,
             rng: Pcg32::seed_from_u64(seed),
         }
     }
@@ -154,6 +162,10 @@
             }
             self.end_due();
             self.start_requests();
+            if self.releases {
+                self.beat_versions(self.mesh.now.saturating_sub(began));
+                self.check_only_versions()?;
+            }
             self.mesh.run(CHECK_INTERVAL);
             self.check()?;
         }
@@ -177,6 +189,37 @@
         }
     }
 
+    /// Sends a heartbeat of one endpoint of each version that is released by now.
+    fn beat_versions(&mut self, after: Duration) {
+        let count = 1 + after.as_secs() / RELEASE_INTERVAL.as_secs();
+        for release in 0..count {
+            let number = self.rng.random_range(0..TOTAL);
+            let sequence = after.as_millis() as u64 + 1;
+            self.mesh.version_beat(number, &format!("r-{release}"), &format!("v{release}"), sequence);
+        }
+    }
+
+    /// Checks that no instance that takes a version for the only one lacks one at which another lets streams begin.
+    fn check_only_versions(&self) -> Result<(), String> {
+        let running = |number: &usize| self.mesh.nodes[*number].state.is_some() && !self.mesh.nodes[*number].paused;
+        let states = (0..TOTAL).filter(running).filter_map(|number| self.mesh.nodes[number].state.as_ref());
+        let states: Vec<&State> = states.collect();
+        for state in &states {
+            let mut held = state.view.releases.of(SERVICE);
+            let (Some(only), None) = (held.next(), held.next()) else { continue };
+            if !state.view.knows_releases(self.mesh.now, state.options.liveness_timeout) {
+                continue;
+            }
+            let in_use = states.iter().flat_map(|state| state.view.releases.iter());
+            let other = in_use.filter(|(_, stage)| *stage == Stage::Admitted).find(|(known, _)| known.version != *only);
+            if let Some((other, _)) = other {
+                let name = &state.me.name;
+                return Err(format!("{name} takes {only} for the only version, and {} is in use", other.version));
+            }
+        }
+        Ok(())
+    }
+
     fn begin(&mut self, step: &Step) {
         let ends = self.mesh.now + step.lasts;
         match step.action {
@@ -404,6 +447,19 @@
     }
 }
 
+/// Guards against a version that counts as the only one while streams begin at another.
+#[test]
+fn no_version_in_use_is_unknown_to_an_instance_with_a_recent_proof() {
+    let (first, count) = (env_or("RUDDER_SEED", 1), env_or("RUDDER_TESTS", 6));
+    for seed in first..first + count {
+        let mut fleet = Fleet::start(seed);
+        fleet.releases = true;
+        if let Err(violation) = fleet.play(&draw_schedule(seed)) {
+            panic!("seed {seed}: {violation}");
+        }
+    }
+}
+
 /// Guards against a proof from a reply that comes after a newer one and whose registry update is not applied.
 #[test]
 fn a_reply_that_comes_out_of_order_proves_nothing() {
--- a/crates/rudder-core/tests/joining.rs
+++ b/crates/rudder-core/tests/joining.rs
@@ -97,6 +97,7 @@
         scope: None,
         quarantine: None,
         evacuations: None,
+        releases: None,
         loads: None,
         limits: Vec::new(),
         group: 0,
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -16,9 +16,9 @@
 use rand_pcg::Pcg32;
 use rudder_core::{
     CallOutcome, DutyCall, Effect, Event, Listing, Me, Options, PeerMessage, Phase, Registration, State, WatchReply,
-    WatchRequest, options::DutyOptions, permits::PermitAnswer, usage::StartedRequest,
+    WatchRequest, options::DutyOptions, origins::Origin, permits::PermitAnswer, usage::StartedRequest,
 };
-use rudder_ledger::Document;
+use rudder_ledger::{Document, Releases};
 use rudder_model::{InstanceId, id};
 use rudder_replica::{Durable, Record, Snapshot};
 
@@ -143,6 +143,8 @@
     pub evacuated: BTreeMap<u64, bool>,
     /// Answers to heartbeats by ticket.
     pub registered: BTreeMap<u64, bool>,
+    /// Answers to questions about the origin of a stream by ticket.
+    pub origins: BTreeMap<u64, Origin>,
     /// Answers to permit requests by ticket.
     pub permitted: BTreeMap<u64, PermitAnswer>,
     /// Messages sent, by instance and kind.
@@ -227,6 +229,7 @@
         registry: 0,
         quarantine: 0,
         evacuations: 0,
+        releases: 0,
         heartbeats: Vec::new(),
         loads: Some(Vec::new()),
         limits: Vec::new(),
@@ -286,6 +289,7 @@
             documented: BTreeMap::new(),
             evacuated: BTreeMap::new(),
             registered: BTreeMap::new(),
+            origins: BTreeMap::new(),
             permitted: BTreeMap::new(),
             sent: BTreeMap::new(),
             halls,
@@ -519,6 +523,17 @@
         self.send_event(number, Event::Register { ticket: 900 + sequence, registration });
     }
 
+    /// Sends a heartbeat of an endpoint with software of `version` to an instance.
+    pub fn version_beat(&mut self, number: usize, endpoint: &str, version: &str, sequence: u64) {
+        let registration = Registration { version: version.into(), sequence, ..registration(endpoint, "hall-0") };
+        self.send_event(number, Event::Register { ticket: 0, registration });
+    }
+
+    /// Returns the versions in service as an instance holds them.
+    pub fn releases_at(&self, number: usize) -> Option<&Releases> {
+        self.nodes[number].state.as_ref().map(|state| &*state.view.releases)
+    }
+
     /// Returns the messages of one kind sent by an instance.
     pub fn sent_by(&self, number: usize, kind: &'static str) -> Traffic {
         self.sent.get(&(number, kind)).copied().unwrap_or_default()
@@ -583,6 +598,7 @@
             Effect::Documented { ticket, version } => drop(self.documented.insert(ticket, version)),
             Effect::Evacuated { ticket, decided } => drop(self.evacuated.insert(ticket, decided)),
             Effect::Registered { ticket, accepted } => drop(self.registered.insert(ticket, accepted)),
+            Effect::OriginFound { ticket, origin, .. } => drop(self.origins.insert(ticket, origin)),
             Effect::Permitted { ticket, answer } => drop(self.permitted.insert(ticket, answer)),
             _ => {}
         }
--- /dev/null
+++ b/crates/rudder-core/tests/origins.rs
@@ -0,0 +1,208 @@
+//! Which version began a stream: an instance that does not know is not sure that there is one version only.
+
+mod mesh;
+
+use std::{sync::Arc, time::Duration};
+
+use mesh::{Layout, Mesh};
+use rudder_core::{
+    Event,
+    origins::{Origin, StreamOrigin},
+};
+use rudder_ledger::{Software, Stage};
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+const SECOND: Duration = Duration::from_secs(1);
+const TOTAL: usize = 9;
+/// Instances with a disk, which are the first ones.
+const DISKS: usize = 3;
+/// An instance without a disk that begins streams.
+const BEGINNER: usize = 7;
+/// One that is asked to let them go on.
+const ASKED: usize = 5;
+const STREAM: u64 = 77;
+/// Longer than the time until a version without endpoints is retired, and then dropped.
+const RETENTION: Duration = Duration::from_secs(65);
+
+fn software(version: &str) -> Software {
+    Software { service: "model".into(), version: version.into() }
+}
+
+/// Instances before endpoints of several versions that send heartbeats.
+struct Deployment {
+    mesh: Mesh,
+    versions: Vec<&'static str>,
+    sequence: u64,
+    tickets: u64,
+}
+
+impl Deployment {
+    fn start(versions: &[&'static str]) -> Deployment {
+        let mut mesh = Mesh::start_as(Layout { total: TOTAL, disks: DISKS, ..Layout::default() });
+        mesh.run(SECOND * 4);
+        let mut deployment = Deployment { mesh, versions: Vec::new(), sequence: 0, tickets: 0 };
+        for version in versions {
+            deployment.release(version);
+        }
+        deployment
+    }
+
+    /// Starts an endpoint of a version, and waits until streams may begin there.
+    fn release(&mut self, version: &'static str) {
+        self.versions.push(version);
+        self.run(SECOND * 4);
+        assert!(self.is_admitted(BEGINNER, version), "{version} is in service");
+    }
+
+    /// Advances time; endpoints send a heartbeat every second.
+    fn run(&mut self, span: Duration) {
+        let end = self.mesh.now + span;
+        while self.mesh.now < end {
+            self.sequence += 1;
+            for (number, version) in self.versions.iter().enumerate() {
+                let endpoint = format!("e-{version}");
+                self.mesh.version_beat(number % TOTAL, &endpoint, version, self.sequence);
+            }
+            self.mesh.run(SECOND.min(end.saturating_sub(self.mesh.now)));
+        }
+    }
+
+    fn is_admitted(&self, number: usize, version: &str) -> bool {
+        self.mesh.releases_at(number).is_some_and(|releases| releases.is_admitted("model", version))
+    }
+
+    fn stage(&self, version: &str) -> Option<Stage> {
+        self.mesh.releases_at(ASKED).and_then(|releases| releases.stage(&software(version)))
+    }
+
+    fn begin(&mut self, version: &str) {
+        let origin = StreamOrigin { stream: STREAM, software: software(version) };
+        self.mesh.send_event(BEGINNER, Event::StreamBegun(origin));
+        self.mesh.run(MILLISECOND * 20);
+    }
+
+    /// Asks an instance what began the stream.
+    fn ask(&mut self, number: usize) -> Origin {
+        self.tickets += 1;
+        let services: Vec<Arc<str>> = vec!["model".into()];
+        self.mesh.send_event(number, Event::AskOrigin { ticket: self.tickets, stream: STREAM, services });
+        self.mesh.run(MILLISECOND * 400);
+        self.mesh.origins.get(&self.tickets).cloned().expect("an answer within the timeout")
+    }
+}
+
+macro_rules! cases {
+    ($($(#[$meta:meta])* $name:ident: $versions:expr, $test:expr;)*) => {
+        $(
+            $(#[$meta])*
+            #[test]
+            fn $name() {
+                let test: fn(&mut Deployment) = $test;
+                test(&mut Deployment::start(&$versions));
+            }
+        )*
+    };
+}
+
+cases! {
+    /// Guards against refusals while one version serves.
+    a_stream_of_the_only_version_goes_on: ["v1"], |deployment| {
+        assert_eq!(deployment.ask(ASKED), Origin::Only(software("v1")));
+    };
+    /// Guards against a stream whose version only its holders know.
+    holders_know_a_stream_of_one_of_two_versions: ["v1", "v2"], |deployment| {
+        deployment.begin("v2");
+        deployment.mesh.kill(BEGINNER);
+        assert_eq!(deployment.ask(ASKED), Origin::Known(software("v2")));
+    };
+    /// Guards against a stream that goes on at the version that was heard of first after a start.
+    a_version_that_is_not_heard_of_after_a_start_counts: ["v1", "v2"], |deployment| {
+        deployment.begin("v2");
+        deployment.mesh.restart_all();
+        deployment.versions = vec!["v1"];
+        for _ in 0..20 {
+            deployment.run(MILLISECOND * 200);
+            assert_eq!(deployment.ask(ASKED), Origin::Unknown);
+        }
+    };
+    /// Guards against a stream that goes on at the version that is left.
+    a_version_that_ended_before_a_start_counts: ["v1", "v2"], |deployment| {
+        deployment.begin("v1");
+        deployment.versions = vec!["v2"];
+        deployment.run(SECOND * 10);
+        deployment.mesh.restart_all();
+        deployment.run(SECOND * 4);
+        assert_eq!(deployment.ask(ASKED), Origin::Unknown);
+    };
+    /// Guards against refusals after a start where one version has served alone.
+    the_only_version_is_known_after_a_start: ["v1"], |deployment| {
+        deployment.mesh.restart_all();
+        deployment.run(SECOND * 4);
+        assert_eq!(deployment.ask(ASKED), Origin::Only(software("v1")));
+    };
+    /// Guards against an instance that has lost touch and takes what it knows for all there is.
+    an_old_state_shows_no_only_version: ["v1"], |deployment| {
+        deployment.mesh.nodes[ASKED].cut = true;
+        deployment.run(SECOND * 2);
+        assert_eq!(deployment.ask(ASKED), Origin::Unknown);
+        deployment.mesh.nodes[ASKED].cut = false;
+        deployment.run(SECOND * 2);
+        assert_eq!(deployment.ask(ASKED), Origin::Only(software("v1")));
+    };
+    /// Guards against an instance that was suspended while a second version came.
+    an_instance_that_was_suspended_shows_no_only_version: ["v1"], |deployment| {
+        deployment.mesh.nodes[ASKED].paused = true;
+        deployment.release("v2");
+        deployment.begin("v2");
+        deployment.mesh.kill(BEGINNER);
+        deployment.mesh.wake(ASKED);
+        assert_eq!(deployment.ask(ASKED), Origin::Known(software("v2")));
+    };
+    /// Guards against a new version in use before an instance with a valid proof knows of it.
+    a_version_is_admitted_once_every_live_instance_counts_it: ["v1"], |deployment| {
+        deployment.versions.push("v2");
+        for _ in 0..400 {
+            deployment.mesh.run(MILLISECOND * 5);
+            deployment.sequence += 1;
+            let sequence = deployment.sequence;
+            deployment.mesh.version_beat(BEGINNER, "e-v2", "v2", sequence);
+            if !(0..TOTAL).any(|number| deployment.is_admitted(number, "v2")) {
+                continue;
+            }
+            let counts = |number: &usize| deployment.mesh.releases_at(*number).is_some_and(|held| held.of("model").count() == 2);
+            assert!((0..TOTAL).all(|number| counts(&number)));
+            return;
+        }
+        panic!("v2 is never admitted");
+    };
+    /// Guards against versions that stay in the log, and against one dropped while its streams may still go on.
+    a_version_without_endpoints_is_retired_and_dropped: ["v1", "v2"], |deployment| {
+        deployment.versions = vec!["v2"];
+        deployment.run(SECOND * 50);
+        assert_eq!(deployment.stage("v1"), Some(Stage::Admitted));
+        deployment.run(RETENTION);
+        assert_eq!(deployment.stage("v1"), Some(Stage::Retired));
+        deployment.run(RETENTION);
+        assert_eq!(deployment.stage("v1"), None);
+        assert_eq!(deployment.ask(ASKED), Origin::Only(software("v2")));
+    };
+    /// Guards against a version that comes back and stays out of use.
+    a_retired_version_is_admitted_again: ["v1", "v2"], |deployment| {
+        deployment.versions = vec!["v2"];
+        deployment.run(SECOND * 110);
+        assert_eq!(deployment.stage("v1"), Some(Stage::Retired));
+        deployment.versions = vec!["v1", "v2"];
+        deployment.run(SECOND * 2);
+        assert_eq!(deployment.stage("v1"), Some(Stage::Admitted));
+    };
+    /// Guards against retirements by a new leader whose registry is still empty.
+    versions_stay_admitted_across_a_restart: ["v1", "v2"], |deployment| {
+        deployment.mesh.restart_all();
+        for _ in 0..40 {
+            deployment.mesh.run(MILLISECOND * 100);
+            let held = deployment.stage("v1");
+            assert!(held.is_none_or(|stage| stage == Stage::Admitted), "{held:?}");
+        }
+        assert!(deployment.is_admitted(ASKED, "v1") && deployment.is_admitted(ASKED, "v2"));
+    };
+}
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -604,6 +604,17 @@
         /// Sequence number of the heartbeat that said so.
         sequence: u64,
     },
+    /// The versions of endpoints' software in service, by stage, have changed here.
+    Releases {
+        /// Log index of the change.
+        index: u64,
+        /// Number of versions over all services.
+        count: usize,
+        /// Service, version and stage of some of them.
+        versions: Vec<String>,
+        /// No further version is recorded.
+        full: bool,
+    },
     /// The version that began a stream was asked for, so that the stream can go on.
     StreamTakenUp {
         /// The request.
@@ -614,9 +625,12 @@
         version: Option<Arc<str>>,
         /// It is not known and one of several, so the stream may not go on.
         several: bool,
-        /// Versions of the service that are known here.
+        /// Versions of the service that may have begun it, as known here.
         #[serde(default)]
         versions: usize,
+        /// These are proved to be complete.
+        #[serde(default)]
+        current: bool,
         /// Instances that were asked for the version.
         #[serde(default)]
         asked: usize,
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -59,6 +59,10 @@
             let how = if *patched { "a patch" } else { "a whole document" };
             format!("configuration {version} of {size} bytes is in force by {how} of {received}, {before} before")
         }
+        What::Releases { index, count, versions, full } => {
+            let full = if *full { "; no further one is recorded" } else { "" };
+            format!("versions in service as of {index}, {count} in all: {}{full}", versions.join(", "))
+        }
         What::StreamTakenUp { began, version: Some(version), .. } => {
             format!("its stream was begun by {began} at version {version}, and goes on there")
         }
@@ -66,10 +70,6 @@
             "nobody knows which version began its stream, {began}, so it may not go on ({versions} known here, {answered} of \
              {asked} instances answered)"
         ),
-        What::StreamTakenUp { began, versions, asked, answered, .. } => format!(
-            "its stream was begun by {began}, and its service has one version ({versions} known here, {answered} of {asked} \
-             instances answered)"
-        ),
         _ => String::new(),
     }
 }
@@ -302,7 +302,7 @@
         What::EndpointsReached { after } => format!("reaches endpoints again after {after:?}"),
         What::Fresh { fresh: true, .. } => "can prove its configuration the newest again".to_owned(),
         What::Fresh { fresh: false, .. } => "can no longer prove its configuration the newest".to_owned(),
-        What::Documented { .. } | What::StreamTakenUp { .. } => to_version_sentence(what),
+        What::Documented { .. } | What::StreamTakenUp { .. } | What::Releases { .. } => to_version_sentence(what),
         What::PatchUnfit { held } => format!("a change does not fit configuration {held}; the whole is asked for"),
         What::Directory { live, came, went } => {
             format!("knows {live} live instances; came: {}; went: {}", came.join(", "), went.join(", "))
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -461,8 +461,10 @@
         policy: &shared.options.policy,
         now: Moment::now(),
     };
+    let view = shared.view.borrow();
     let eligible = Eligibility {
-        version: progress.version.as_deref(),
+        version: progress.software.as_ref().map(|software| &*software.version),
+        admitted: call.route.resumable.then_some(&*view.releases),
         tried: &progress.tried,
         residency: call.residency.as_deref(),
         unlimited: progress.unlimited_only,
@@ -475,6 +477,9 @@
     let others = call.route.shares.iter().map(|share| &share.service);
     let mut unavailable = Unavailable::Absent;
     for service in std::iter::once(by_weight).chain(others) {
+        if progress.software.as_ref().is_some_and(|software| software.service != *service) {
+            continue;
+        }
         let candidates = shared.candidate_cache.borrow_mut().of(service, &roster, &inputs);
         let eligible = Eligibility {
             reserved: reserved_room(shared, call, service, plan.level(&call.route, service)),
--- a/crates/rudder-gateway/src/call/hop.rs
+++ b/crates/rudder-gateway/src/call/hop.rs
@@ -7,11 +7,12 @@
 
 use std::{net::IpAddr, rc::Rc, sync::Arc};
 
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode, request};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, request};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use rudder_clock::{Moment, timeout_at};
 use rudder_events::What;
+use rudder_ledger::Software;
 use rudder_model::{InstanceId, Ran};
 
 use super::{
@@ -31,6 +32,8 @@
 pub const HOP: HeaderName = HeaderName::from_static("hatchrudder-hop");
 /// Names the software version that began the stream of which the request asks for the rest.
 pub const HOP_VERSION: HeaderName = HeaderName::from_static("hatchrudder-hop-version");
+/// Names the service of that version.
+pub const HOP_SERVICE: HeaderName = HeaderName::from_static("hatchrudder-hop-service");
 /// Instances that are tried for one request.
 const MAX_INSTANCES: usize = 4;
 /// The reason of a refusal if neither this instance nor another one reaches an endpoint.
@@ -48,7 +51,7 @@
     /// Attempts that may have run before.
     pub runs: u32,
     /// The software version that has begun its stream.
-    pub version: Option<Arc<str>>,
+    pub software: Option<Software>,
 }
 
 /// Another instance's answer, of which only the head has been read.
@@ -73,7 +76,7 @@
 /// # Errors
 /// Rejects a marked request that comes from no known instance.
 pub(super) fn read_hop<D: Dialect>(shared: &Shared<D>, parts: &mut request::Parts) -> Result<Option<Hop>, Refusal> {
-    let version = parts.headers.remove(HOP_VERSION);
+    let software = read_software(&mut parts.headers);
     let Some(value) = parts.headers.remove(HOP) else { return Ok(None) };
     let peer = parts.extensions.get::<PeerAddress>();
     let from = peer.and_then(|PeerAddress(address)| shared.instance_at(*address));
@@ -83,8 +86,14 @@
         return Err(misdirected("it was passed on by no known instance"));
     };
     shared.metrics.record_hop(HopOutcome::Received);
-    let version = version.and_then(|version| version.to_str().ok().map(Arc::from));
-    Ok(Some(Hop { from, runs, version }))
+    Ok(Some(Hop { from, runs, software }))
+}
+
+/// Reads and removes the version that began a request's stream.
+fn read_software(headers: &mut HeaderMap) -> Option<Software> {
+    let mut read = |name| headers.remove(name)?.to_str().ok().map(Arc::from);
+    let (service, version) = (read(HOP_SERVICE), read(HOP_VERSION));
+    Some(Software { service: service?, version: version? })
 }
 
 /// Whether the next step for a request is to pass it on: this instance is isolated, or all endpoints were tried and some
@@ -189,9 +198,12 @@
     *request.headers_mut() = call.headers.clone();
     dialect.write_hop(request.headers_mut(), left, last_event);
     request.headers_mut().insert(HOP, HeaderValue::from(progress.possible_runs));
-    let version = progress.version.as_deref().and_then(|version| HeaderValue::from_str(version).ok());
-    if let Some(version) = version {
-        request.headers_mut().insert(HOP_VERSION, version);
+    if let Some(Software { service, version }) = &progress.software {
+        let values = (HeaderValue::from_str(service), HeaderValue::from_str(version));
+        if let (Ok(service), Ok(version)) = values {
+            request.headers_mut().insert(HOP_SERVICE, service);
+            request.headers_mut().insert(HOP_VERSION, version);
+        }
     }
     request
 }
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -36,6 +36,7 @@
 use hyper::body::Incoming;
 use rudder_clock::Moment;
 use rudder_events::What;
+use rudder_ledger::Software;
 use rudder_model::{EndpointId, id::name_of};
 use rudder_route::returns::Return;
 
@@ -191,13 +192,13 @@
     yield_draw: f64,
     service: Option<Arc<str>>,
     /// The software version that has begun the stream, of which events were passed on.
-    version: Option<Arc<str>>,
+    software: Option<Software>,
 }
 
 impl Progress {
     /// Returns whether the version that has begun the stream is known.
     pub fn has_version(&self) -> bool {
-        self.version.is_some()
+        self.software.is_some()
     }
 
     /// The progress of a request that came by `hop`, if it was passed on.
@@ -209,7 +210,7 @@
             // The instance that passed it on has counted it.
             begun: runs > 0,
             yield_draw: rand::random(),
-            version: hop.and_then(|hop| hop.version.clone()),
+            software: hop.and_then(|hop| hop.software.clone()),
             ..Progress::default()
         }
     }
@@ -281,6 +282,11 @@
 }
 
 impl Call {
+    /// Identifies the stream that the call begins or takes up: the id of the attempt that brought its first event.
+    pub fn stream_id(&self) -> &str {
+        self.resumes.as_deref().unwrap_or(&self.id)
+    }
+
     /// How long an endpoint may stay silent before a repeatable request is sent to another one.
     pub fn silence_timeout(&self) -> Duration {
         let streams = self.route.kind == RouteKind::Stream;
--- a/crates/rudder-gateway/src/call/origin.rs
+++ b/crates/rudder-gateway/src/call/origin.rs
@@ -1,12 +1,11 @@
 //! Keeps a stream at the software version that began it, as events of two versions do not fit together.
 
-use std::sync::Arc;
-
 use rudder_core::{
     Event,
     origins::{Origin, StreamOrigin},
 };
 use rudder_events::What;
+use rudder_ledger::Software;
 use rudder_model::id::stream_tag;
 
 use super::{Call, Progress, Refusal, refusal::not_run};
@@ -24,49 +23,44 @@
     call: &Call,
     progress: &mut Progress,
 ) -> Result<(), Refusal> {
-    if call.last_event.is_none() || !call.route.resumable || progress.version.is_some() {
+    if call.last_event.is_none() || !call.route.resumable || progress.software.is_some() {
         return Ok(());
     }
-    let began = call.resumes.as_deref().unwrap_or(&call.id);
-    if find_version(shared, call, progress, began).await {
+    if find_version(shared, call, progress).await {
         return Ok(());
     }
     Err(not_run(UNKNOWN_VERSION, shared.options.retry_after))
 }
 
-/// Finds the version that began the stream of the attempt `began`. Returns false if the stream must not go on.
-pub async fn find_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, began: &str) -> bool {
-    let first = call.route.shares.first().map(|share| &share.service);
-    let Some(service) = progress.service.as_ref().or(first) else { return false };
-    let (origin, evidence) = shared.ask_origin(stream_tag(began), service.clone()).await;
+/// Finds the version that began the stream of a call. Returns false if the stream must not go on.
+pub async fn find_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress) -> bool {
+    let services = call.route.shares.iter().map(|share| share.service.clone()).collect();
+    let (origin, evidence) = shared.ask_origin(stream_tag(call.stream_id()), services).await;
+    shared.metrics.record_taken_up(&origin);
+    progress.software = match origin {
+        Origin::Known(software) | Origin::Only(software) => Some(software),
+        Origin::Unknown => None,
+    };
     shared.log.write(What::StreamTakenUp {
         request: call.id.clone(),
-        began: began.to_owned(),
-        version: match &origin {
-            Origin::Version(version) => Some(version.clone()),
-            Origin::Only | Origin::Unknown => None,
-        },
-        several: origin == Origin::Unknown,
+        began: call.stream_id().to_owned(),
+        version: progress.software.as_ref().map(|software| software.version.clone()),
+        several: progress.software.is_none(),
         versions: evidence.versions,
+        current: evidence.current,
         asked: evidence.asked,
         answered: evidence.answered,
         endpoints_ms: shared.endpoints_age().map(|age| age.as_millis() as u64),
     });
-    shared.metrics.record_taken_up(&origin);
-    match origin {
-        Origin::Version(version) => progress.version = Some(version),
-        Origin::Only => {}
-        Origin::Unknown => return false,
-    }
-    true
+    progress.software.is_some()
 }
 
 /// Records the version of a stream whose first event is about to be passed on.
 pub fn record_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, choice: &Choice) {
-    if progress.version.is_some() || !call.route.resumable {
+    if progress.software.is_some() || !call.route.resumable {
         return;
     }
-    progress.version = Some(choice.version.clone());
-    let (service, version): (Arc<str>, Arc<str>) = (choice.service.clone(), choice.version.clone());
-    shared.send_event(Event::StreamBegun(StreamOrigin { stream: stream_tag(&call.id), service, version }));
+    let software = Software { service: choice.service.clone(), version: choice.version.clone() };
+    progress.software = Some(software.clone());
+    shared.send_event(Event::StreamBegun(StreamOrigin { stream: stream_tag(call.stream_id()), software }));
 }
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -13,6 +13,7 @@
 
 use rudder_clock::Moment;
 use rudder_core::Registration;
+use rudder_ledger::Releases;
 use rudder_model::{Born, EndpointId, HallId, RegionId};
 
 pub use self::candidates::{CandidateCache, Candidates, Lane};
@@ -116,6 +117,8 @@
 pub struct Eligibility<'a> {
     /// The software version that must serve the request, if it has begun.
     pub version: Option<&'a str>,
+    /// The versions in service, of which only admitted ones may begin the request; `None` if any may.
+    pub admitted: Option<&'a Releases>,
     /// Endpoints already tried, which are excluded.
     pub tried: &'a [EndpointId],
     /// The regions to which the request is restricted, if any.
@@ -132,10 +135,19 @@
 }
 
 impl Eligibility<'_> {
+    fn allows_version(&self, registration: &Registration) -> bool {
+        let Registration { service, version, .. } = registration;
+        match (self.version, self.admitted) {
+            (Some(begun), _) => *begun == **version,
+            (None, Some(releases)) => releases.is_admitted(service, version),
+            (None, None) => true,
+        }
+    }
+
     /// Whether the request may be sent to this endpoint now.
     pub fn allows(&self, inputs: &Inputs, registration: &Registration) -> bool {
         !self.tried.contains(&registration.endpoint)
-            && self.version.is_none_or(|version| *registration.version == *version)
+            && self.allows_version(registration)
             && inputs.placement.allows(self.residency, &registration.hall)
             && !(self.unlimited && inputs.limits.rate(&registration.endpoint).is_some())
             && inputs.bears_one_more(registration)
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -287,6 +287,7 @@
                 entries: view.directory.values().cloned().collect(),
                 quarantine: view.quarantine.clone(),
                 evacuations: view.evacuations.clone(),
+                releases: view.releases.clone(),
             };
             log_endpoints(&self.log, &self.endpoints, &endpoints);
             self.endpoints = endpoints;
--- a/crates/rudder-gateway/src/metrics.rs
+++ b/crates/rudder-gateway/src/metrics.rs
@@ -558,8 +558,8 @@
     /// Counts a stream that was to go on, by what is known of the version that began it.
     pub fn record_taken_up(&self, origin: &Origin) {
         let outcome = match origin {
-            Origin::Version(_) => "version",
-            Origin::Only => "only",
+            Origin::Known(_) => "version",
+            Origin::Only(_) => "only",
             Origin::Unknown => "unknown",
         };
         self.taken_up.get_or_create(&OutcomeLabel { outcome }).inc();
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -20,7 +20,7 @@
     usage::StartedRequest,
 };
 use rudder_events::What;
-use rudder_ledger::{Document, Evacuations, Quarantine};
+use rudder_ledger::{Document, Evacuations, Quarantine, Releases};
 use rudder_model::{EndpointId, InstanceId};
 use rudder_route::{admission::Level, returns::ReturnSettings};
 use tokio::sync::{oneshot, watch};
@@ -73,6 +73,8 @@
     pub quarantine: Arc<Quarantine>,
     /// Evacuated halls, whose endpoints receive no requests.
     pub evacuations: Arc<Evacuations>,
+    /// Versions of endpoints' software in service.
+    pub releases: Arc<Releases>,
 }
 
 impl PublishedView {
@@ -388,10 +390,10 @@
         serving && self.current_plan().is_some() && is_current
     }
 
-    /// Asks which version began a stream of a service.
-    pub async fn ask_origin(&self, stream: StreamTag, service: Arc<str>) -> (Origin, Evidence) {
+    /// Asks which version of one of these services began a stream.
+    pub async fn ask_origin(&self, stream: StreamTag, services: Vec<Arc<str>>) -> (Origin, Evidence) {
         let (ticket, reply) = self.tickets.issue();
-        self.send_event(Event::AskOrigin { ticket, stream, service });
+        self.send_event(Event::AskOrigin { ticket, stream, services });
         match reply.await {
             Ok(Reply::Origin(origin, evidence)) => (origin, evidence),
             _ => (Origin::Unknown, Evidence::default()),
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -475,8 +475,7 @@
         if self.events.count == 0 || self.progress.has_version() {
             return true;
         }
-        let began = self.call.id.clone();
-        call::origin::find_version(self.shared, &self.call, &mut self.progress, &began).await
+        call::origin::find_version(self.shared, &self.call, &mut self.progress).await
     }
 
     /// Passes the rest of the stream to another instance; `None` if time runs out.
--- a/crates/rudder-ledger/src/apply.rs
+++ b/crates/rudder-ledger/src/apply.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Answer, Claims, Command, Config, Departures, Document, Evacuations, Patch, Quarantine, Stamped, Usage, document,
+    Answer, Claims, Command, Config, Departures, Document, Evacuations, Patch, Quarantine, Releases, Stamped, Usage,
+    document,
 };
 
 /// Everything the voters agree on, but for their own membership.
@@ -33,6 +34,9 @@
     /// Endpoints whose departure was acknowledged.
     #[serde(default)]
     pub departures: Departures,
+    /// Versions of endpoints' software that may have begun streams.
+    #[serde(default)]
+    pub releases: Releases,
 }
 
 impl Ledger {
@@ -56,6 +60,7 @@
             Command::Evacuate(order) => Answer::Evacuated(self.evacuations.apply(index, order)),
             Command::Depart(departures) => Answer::Departed(self.departures.apply(index, departures)),
             Command::ForgetDepartures(forgotten) => Answer::Departed(self.departures.forget(&forgotten)),
+            Command::SetStages(changes) => Answer::StagesSet(self.releases.apply(index, changes)),
         }
     }
 
--- a/crates/rudder-ledger/src/command.rs
+++ b/crates/rudder-ledger/src/command.rs
@@ -6,8 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    Attempt, Change, Changed, Claim, Departure, Document, Evacuation, Findings, Forgotten, Outcome, Patch, Standing,
-    Tally, Window,
+    Attempt, Change, Changed, Claim, Departure, Document, Evacuation, Findings, Forgotten, Outcome, Patch, StageChange,
+    Standing, Tally, Window,
 };
 
 /// One command of the replicated log.
@@ -51,6 +51,8 @@
     Depart(Vec<Departure>),
     /// Drops departures whose endpoints are no longer remembered.
     ForgetDepartures(Forgotten),
+    /// Versions of endpoints' software take steps.
+    SetStages(Vec<StageChange>),
 }
 
 /// A command with the time at which its leader took it in.
@@ -83,4 +85,6 @@
     /// Answer to [`Command::Depart`] and [`Command::ForgetDepartures`]: whether it changed anything. The departures stand in
     /// either case.
     Departed(bool),
+    /// Answer to [`Command::SetStages`]: whether it changed anything.
+    StagesSet(bool),
 }
--- a/crates/rudder-ledger/src/lib.rs
+++ b/crates/rudder-ledger/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod packing;
 pub mod patch;
 pub mod quarantine;
+pub mod release;
 pub mod snapshot;
 pub mod usage;
 
@@ -24,4 +25,5 @@
 pub use evacuation::{Evacuation, Evacuations};
 pub use patch::Patch;
 pub use quarantine::{EndedUnder, Findings, Quarantine, QuarantineNews};
+pub use release::{Releases, Software, Stage, StageChange};
 pub use usage::{Count, Counts, Source, Tally, Usage, Window};
