feat(store): notes, records that outlive a killed process without a sync

Which version began a stream is kept in memory by two holders, and all of it is lost when all processes are killed at one moment. A write that has returned survives that without a sync.

A folder without notes opens as before.

--- a/crates/rudder-store/src/open.rs
+++ b/crates/rudder-store/src/open.rs
@@ -11,6 +11,7 @@
 use crate::{
     Medium as _, Store,
     frame::{self, Frame},
+    notes,
     write::{self, FileRecord},
 };
 
@@ -63,24 +64,53 @@
     pub durable: Durable,
     /// Number of bytes of an incomplete last write that were truncated.
     pub cut: usize,
+    /// The notes of the folder.
+    pub notes: notes::Outcome,
 }
 
-/// Opens `folder` for the instance `name`; a folder without a state file is initialised with `fresh_id`.
+/// Opens `folder` like [`open_with`], with the default limits of notes.
 ///
 /// # Errors
-/// If the folder cannot be read or written, is corrupt, or belongs to another instance.
+/// As [`open_with`].
 pub fn open(folder: &Path, name: &str, fresh_id: ReplicaId) -> Result<Outcome, Error> {
+    open_with(folder, name, fresh_id, notes::Options::default())
+}
+
+/// Opens `folder` for the instance `name`; a folder without a state file is initialised with `fresh_id`.
+///
+/// # Errors
+/// If the folder cannot be read or written, is corrupt, or belongs to another instance. Notes cause no error.
+pub fn open_with(
+    folder: &Path,
+    name: &str,
+    fresh_id: ReplicaId,
+    note_options: notes::Options,
+) -> Result<Outcome, Error> {
+    let state = open_state(folder, name, fresh_id)?;
+    let notes = notes::open(folder, note_options, notes::wall_clock());
+    Ok(Outcome { store: state.store, id: state.id, durable: state.durable, cut: state.cut, notes })
+}
+
+/// The recovered state of a data folder without its notes.
+struct State {
+    store: Store,
+    id: ReplicaId,
+    durable: Durable,
+    cut: usize,
+}
+
+fn open_state(folder: &Path, name: &str, fresh_id: ReplicaId) -> Result<State, Error> {
     fs::create_dir_all(folder).map_err(|source| io_error("create", folder, source))?;
     let generations = list_generations(folder)?;
     let Some(generation) = generations.last().copied() else {
         let store = write::create(folder, 1, fresh_id, name, &Snapshot::default(), &[])?;
-        return Ok(Outcome { store, id: fresh_id, durable: Durable::default(), cut: 0 });
+        return Ok(State { store, id: fresh_id, durable: Durable::default(), cut: 0 });
     };
-    let outcome = read(folder, generation, name)?;
+    let state = read(folder, generation, name)?;
     for older in &generations[..generations.len() - 1] {
         let _ = fs::remove_file(write::state_path(folder, *older));
     }
-    Ok(outcome)
+    Ok(state)
 }
 
 fn list_generations(folder: &Path) -> Result<Vec<u64>, Error> {
@@ -97,7 +127,7 @@
     Ok(generations)
 }
 
-fn read(folder: &Path, generation: u64, name: &str) -> Result<Outcome, Error> {
+fn read(folder: &Path, generation: u64, name: &str) -> Result<State, Error> {
     let path = write::state_path(folder, generation);
     let bytes = fs::read(&path).map_err(|source| io_error("read", &path, source))?;
     let mut durable = Durable::default();
@@ -127,7 +157,7 @@
         file.sync().map_err(|source| io_error("sync", &path, source))?;
     }
     let store = Store { folder: folder.to_owned(), id, name: owner, generation, file, length: end as u64 };
-    Ok(Outcome { store, id, durable, cut: bytes.len() - end })
+    Ok(State { store, id, durable, cut: bytes.len() - end })
 }
 
 fn apply(durable: &mut Durable, identity: &mut Option<(ReplicaId, String)>, record: FileRecord) {
