feat(store): the disk thread writes notes behind the saves that wait

Job::Note appends a note without a sync. Saves that wait are executed and synced first, and a save that arrives meanwhile waits for 64 notes at most. A disk that refuses notes is logged with its error, reported once by Report::NotesLost and, once a note is written, by Report::NotesResumed with the number lost between; saves go on. While a save waits for space, notes are removed to make room, and new ones are lost instead of queueing up.

Callers pass the notes on and ignore the two reports, as none writes notes yet.

--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -153,12 +153,13 @@
     let Some(folder) = &options.data else { return Ok((None, None)) };
     let outcome = rudder_store::open(folder, name, rand::random()).wrap_err("open the data folder")?;
     let (sender, jobs) = unbounded();
-    let (store, events) = (outcome.store, events.clone());
+    let (store, notes, events) = (outcome.store, outcome.notes.notes, events.clone());
     let run = move || {
-        disk::run(store, &jobs, |report| {
+        disk::run(store, notes, &jobs, |report| {
             let event = match report {
                 Report::Saved(number) => Event::Saved { number },
                 Report::Full => Event::DiskFull,
+                Report::NotesLost(_) | Report::NotesResumed(_) => return true,
             };
             events.send(event).is_ok()
         });
--- a/crates/rudder-node/src/start.rs
+++ b/crates/rudder-node/src/start.rs
@@ -154,12 +154,13 @@
         spdlog::warn!("{}: cut {} bytes of an unfinished write", settings.name.get_ref(), outcome.cut);
     }
     let (sender, jobs) = bounded(65_536);
-    let (store, inputs): (Store, _) = (outcome.store, inputs.clone());
+    let (store, notes, inputs): (Store, _, _) = (outcome.store, outcome.notes.notes, inputs.clone());
     thread::Builder::new().name("disk".to_owned()).spawn(move || {
-        disk::run(store, &jobs, |report| {
+        disk::run(store, notes, &jobs, |report| {
             let event = match report {
                 Report::Saved(number) => Event::Saved { number },
                 Report::Full => Event::DiskFull,
+                Report::NotesLost(_) | Report::NotesResumed(_) => return true,
             };
             inputs.send(Input::Event(event)).is_ok()
         });
--- a/crates/rudder-store/tests/notes.rs
+++ b/crates/rudder-store/tests/notes.rs
@@ -1,7 +1,7 @@
 //! Notes: recovery without a sync, the bounds of generations, and a disk that is full or fails.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     fs::{self, File},
     io,
     path::Path,
@@ -9,9 +9,12 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use crossbeam_channel::unbounded;
 use rudder_replica::{Entry, Payload, Record, Snapshot};
 use rudder_store::{
-    Medium, Notes, frame,
+    Medium, Notes, Store,
+    disk::{self, Job, Report},
+    frame,
     notes::{self, Error, Options},
     open,
 };
@@ -305,3 +308,131 @@
         }
     }
 }
+
+/// Executes `jobs` with notes on a [`Limited`] disk, and returns the reports.
+fn run_jobs(folder: &Path, waiting: Vec<Job>) -> Vec<Report> {
+    let (sender, jobs) = unbounded();
+    for job in waiting {
+        sender.send(job).expect("a receiver");
+    }
+    drop(sender);
+    let store = open(folder, "node", 7).expect("a valid folder").store;
+    let reports = RefCell::new(Vec::new());
+    disk::run(store, open_limited(folder), &jobs, |report| {
+        reports.borrow_mut().push(report);
+        true
+    });
+    reports.into_inner()
+}
+
+#[test]
+fn a_disk_that_refuses_notes_is_reported_once_and_the_log_still_saves() {
+    for kind in [io::ErrorKind::StorageFull, io::ErrorKind::Other, io::ErrorKind::ReadOnlyFilesystem] {
+        let folder = tempfile::tempdir().expect("a temporary folder");
+        SPACE.set(Err(kind));
+        let mut jobs: Vec<Job> = (1..=50).map(|number| Job::Note(note(number))).collect();
+        jobs.insert(10, Job::Append(1, vec![entry(1)]));
+        jobs.push(Job::Append(2, vec![entry(2)]));
+        let reports = run_jobs(folder.path(), jobs);
+        assert_eq!(reports, [Report::Saved(2), Report::NotesLost(1)]);
+        assert_eq!(open(folder.path(), "node", 8).expect("a valid folder").durable.entries.len(), 2);
+    }
+}
+
+#[test]
+fn notes_that_are_written_again_are_reported_with_the_number_lost() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    SPACE.set(Err(io::ErrorKind::StorageFull));
+    let store = open(folder.path(), "node", 7).expect("a fresh folder").store;
+    let (sender, jobs) = unbounded();
+    let send_notes = |count| (0..count).for_each(|number| sender.send(Job::Note(note(number))).expect("a receiver"));
+    send_notes(3);
+    sender.send(Job::Append(1, vec![entry(1)])).expect("a receiver");
+    let reports = RefCell::new(Vec::new());
+    disk::run(store, open_limited(folder.path()), &jobs, |report| {
+        reports.borrow_mut().push(report);
+        match report {
+            Report::NotesLost(_) => sender.send(Job::Append(2, vec![entry(2)])).expect("a receiver"),
+            Report::Saved(2) => {
+                SPACE.set(Ok(1000));
+                send_notes(2);
+            }
+            _ => {}
+        }
+        !matches!(report, Report::NotesResumed(_))
+    });
+    let expected = [Report::Saved(1), Report::NotesLost(1), Report::Saved(2), Report::NotesResumed(2)];
+    assert_eq!(reports.into_inner(), expected);
+}
+
+#[test]
+fn saves_do_not_wait_for_many_notes() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    SPACE.set(Ok(usize::MAX));
+    let store = open(folder.path(), "node", 7).expect("a fresh folder").store;
+    let (sender, jobs) = unbounded();
+    let send_save = |number| sender.send(Job::Append(number, vec![entry(number)])).expect("a receiver");
+    for number in 1..=10_000 {
+        sender.send(Job::Note(note(number))).expect("a receiver");
+    }
+    send_save(1);
+    let written = RefCell::new(Vec::new());
+    disk::run(store, open_limited(folder.path()), &jobs, |report| {
+        let Report::Saved(number) = report else { panic!("{report:?}") };
+        written.borrow_mut().push(notes::open::<File>(folder.path(), Options::default(), wall_clock()).records.len());
+        // A save that arrives while the notes are being written.
+        send_save(number + 1);
+        number < 10
+    });
+    let written = written.into_inner();
+    assert_eq!(written[0], 0, "no note is written before a save that waits");
+    let most = written.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert!(most.is_some_and(|most| (1..=64).contains(&most)), "notes written before each save: {written:?}");
+}
+
+#[test]
+fn waiting_notes_are_written_in_order_after_the_channel_is_disconnected() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    SPACE.set(Ok(usize::MAX));
+    let reports = run_jobs(folder.path(), (1..=1000).map(|number| Job::Note(note(number))).collect());
+    assert!(reports.is_empty(), "{reports:?}");
+    let outcome: notes::Outcome = notes::open(folder.path(), Options::default(), wall_clock());
+    assert_eq!(outcome.records, notes(1..=1000));
+}
+
+#[test]
+fn notes_make_room_for_the_log() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    write_notes(folder.path(), BEGIN, 1..=5);
+    let path = folder.path().join("log");
+    let store = Store::with_medium(folder.path(), 7, "node", <Limited as Medium>::create(&path).expect("create"));
+    let (sender, jobs) = unbounded();
+    sender.send(Job::Append(1, vec![entry(1)])).expect("a receiver");
+    SPACE.set(Ok(10));
+    let reports = RefCell::new(Vec::new());
+    disk::run(store, open_limited(folder.path()), &jobs, |report| {
+        reports.borrow_mut().push(report);
+        match report {
+            Report::Full => {
+                assert_eq!(open_notes(folder.path(), BEGIN).records.len(), 5);
+                // Notes that arrive while the log waits are lost, and a save is kept.
+                sender.send(Job::Note(note(6))).expect("a receiver");
+                sender.send(Job::Append(2, vec![entry(2)])).expect("a receiver");
+            }
+            Report::NotesLost(_) => {
+                assert!(!folder.path().join("notes").exists());
+                SPACE.set(Ok(1000));
+            }
+            Report::Saved(2) => sender.send(Job::Note(note(7))).expect("a receiver"),
+            _ => {}
+        }
+        !matches!(report, Report::NotesResumed(_))
+    });
+    let expected = [Report::Full, Report::NotesLost(5), Report::Saved(1), Report::Saved(2), Report::NotesResumed(1)];
+    assert_eq!(reports.into_inner(), expected);
+    assert_eq!(notes::open::<File>(folder.path(), Options::default(), wall_clock()).records, notes(7..=7));
+}
+
+fn wall_clock() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock after 1970")
+}
