fix(gateway): a stream's body is whole only if the relay says so

Cause: AnswerBody::Parts took a dropped sender for the end of the body; only a relay that got as far as sending Interrupted broke it off.

Fix: the relay marks the end with Part::End. A body whose sender is dropped before it fails with Interrupted, which closes the caller's connection. So the default of every path that was forgotten is an answer that does not look complete.

That such a task has ended on a real process was not seen; the fault was found by reading.

--- a/crates/rudder-gateway/src/body.rs
+++ b/crates/rudder-gateway/src/body.rs
@@ -14,13 +14,22 @@
 #[error("the answer broke off")]
 pub struct Interrupted;
 
+/// A part of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// Bytes of it.
+    Data(Bytes),
+    /// All of it has been sent.
+    End,
+}
+
 /// The body of a response.
 #[derive(Debug)]
 pub enum AnswerBody {
     /// The whole body; `None` once it has been read.
     Whole(Option<Bytes>),
-    /// Parts of a stream.
-    Parts(mpsc::Receiver<Result<Bytes, Interrupted>>),
+    /// Parts of a stream. Its sender marks the end: a sender that is dropped before [`Part::End`] has broken off.
+    Parts(mpsc::Receiver<Part>),
 }
 
 impl AnswerBody {
@@ -36,10 +45,19 @@
     type Error = Interrupted;
 
     fn poll_frame(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Interrupted>>> {
-        match self.get_mut() {
-            AnswerBody::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            AnswerBody::Parts(parts) => parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data))),
-        }
+        let body = self.get_mut();
+        let parts = match body {
+            AnswerBody::Whole(bytes) => return Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            AnswerBody::Parts(parts) => parts,
+        };
+        parts.poll_recv(context).map(|part| match part {
+            Some(Part::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Part::End) => {
+                *body = AnswerBody::Whole(None);
+                None
+            }
+            None => Some(Err(Interrupted)),
+        })
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     Dialect,
-    body::{AnswerBody, Interrupted},
+    body::{AnswerBody, Part},
     buffers::Reservation,
     call::{self, Call, EndpointAnswer, HopAnswer, Progress, ResumePoint},
     choose::Choice,
@@ -193,7 +193,7 @@
     call: Call,
     progress: Progress,
     events: Events,
-    sender: mpsc::Sender<Result<Bytes, Interrupted>>,
+    sender: mpsc::Sender<Part>,
     first_byte: Option<Moment>,
     pauses: PauseMeter,
     /// The end of the part that is forwarded is marked otherwise than by the end of its connection.
@@ -219,7 +219,10 @@
             let why = match &end {
                 End::Complete => {
                     call::record_answered(self.shared, &self.call);
-                    return self.log_answered(&place);
+                    self.log_answered(&place);
+                    // An error means that the caller has left.
+                    let _ = self.sender.send(Part::End).await;
+                    return;
                 }
                 End::CallerLeft => {
                     self.record_end(RequestOutcome::CallerLeft);
@@ -245,9 +248,8 @@
                 _ => None,
             };
             let Some(next) = next else {
-                self.record_end(RequestOutcome::Interrupted);
-                let _ = self.sender.send(Err(Interrupted)).await;
-                return;
+                // A sender that is dropped without an end breaks the body off.
+                return self.record_end(RequestOutcome::Interrupted);
             };
             source = next;
         }
@@ -412,7 +414,8 @@
             () = self.sender.closed() => return Err(End::CallerLeft),
         };
         fits.map_err(|_| End::DeadlineExceeded)?.map_err(|_| End::DeadlineExceeded)?;
-        self.sender.send(Ok(hold.keep(part.to_vec(), Some(self.call.cut.clone())))).await.map_err(|_| End::CallerLeft)
+        let bytes = hold.keep(part.to_vec(), Some(self.call.cut.clone()));
+        self.sender.send(Part::Data(bytes)).await.map_err(|_| End::CallerLeft)
     }
 
     /// Returns true if the stream depends on a copy of its memory at another endpoint. A resumable stream does not.
