fix(gateway): the close of a connection ends an answer only if its endpoint goes on

Cause: such a body ends with its connection, and the kernel closes the connections of a killed process in order, so the close was taken for the end.

Fix: where nothing else marks the end, a connection is opened to the endpoint after the close. If it fails, or ends within 20 ms, or another life of the endpoint is known, the answer is Interrupted: a stream is resumed after its last whole event where the route allows it and broken off otherwise, a plain request is retried or answered 502. A timeout proves nothing and leaves the answer whole. Framed answers, and those that can have no body, open no connection; a Transfer-Encoding whose last coding is not chunked no longer counts as framing.

An endpoint that closes its listener, finishes its last stream and ends is taken for killed. Its stream is resumed after the last event and is whole (tested); on a route that cannot be resumed it is broken off, as nothing tells it from a cut one. Answers of other instances are always chunked. Endpoints behind a listener of another process, such as a proxy, are not covered.

--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -46,7 +46,7 @@
 pub use hop::{Hop, HopAnswer, must_pass_on, pass_on};
 pub use refusal::{Refusal, Subject};
 pub use send::take_retry_after;
-pub use termination::{record_answered, record_if_terminated, to_hex};
+pub use termination::{confirms_end, record_answered, record_if_terminated, to_hex};
 
 use crate::{
     Dialect, Route, RouteKind,
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -18,6 +18,7 @@
     record_answered, record_begun, record_if_terminated,
     refusal::{ALL_FULL, final_refusal, outcome_unknown, promises_not_run},
     strip_hop_headers, take_retry,
+    termination::confirms_end,
 };
 use crate::{
     Dialect, RouteKind,
@@ -28,6 +29,7 @@
     metrics::RequestOutcome,
     shared::Shared,
     stream::{self, Source},
+    upstream::is_framed,
 };
 
 /// Largest answer in bytes that is buffered before it is forwarded.
@@ -167,12 +169,14 @@
     answer: EndpointAnswer,
 ) -> Result<Response<AnswerBody>, Failure> {
     let EndpointAnswer { choice, response, head, connection, flight, .. } = answer;
+    let framed = is_framed(&response);
     let (mut parts, body) = response.into_parts();
     let whole = async {
-        tokio::select! {
-            read = read_whole(&shared.buffers, body, MAX_BUFFERED_ANSWER, BodyKind::Answer(call.cut.clone())) => read.ok(),
-            () = shared.wait_replaced(&choice.endpoint) => None,
-        }
+        let bytes = tokio::select! {
+            read = read_whole(&shared.buffers, body, MAX_BUFFERED_ANSWER, BodyKind::Answer(call.cut.clone())) => read.ok()?,
+            () = shared.wait_replaced(&choice.endpoint) => return None,
+        };
+        (framed || confirms_end(shared, &choice).await).then_some(bytes)
     };
     let collected = timeout_at(call.deadline, whole).await;
     drop(flight);
--- a/crates/rudder-gateway/src/call/termination.rs
+++ b/crates/rudder-gateway/src/call/termination.rs
@@ -53,6 +53,13 @@
         && link_probe::reaches_another(shared, &choice.endpoint, broke).await
 }
 
+/// Whether the close of its connection is the end of an answer whose end nothing else marks. A process that is killed closes
+/// its connections in order too, so the close is an end only if the endpoint goes on; other endpoints tell nothing of that.
+pub async fn confirms_end<D: Dialect>(shared: &Shared<D>, choice: &Choice) -> bool {
+    let origin = shared.options.listeners.origin();
+    !shared.is_replaced(&choice.endpoint) && upstream::keeps_connections(origin, &choice.address).await
+}
+
 /// Records that an endpoint answered a request completely, and reports it if endpoints terminated while serving its
 /// content.
 pub fn record_answered<D: Dialect>(shared: &Shared<D>, call: &Call) {
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -3,12 +3,13 @@
 //! Only complete events of a resumable stream are forwarded, so that the next endpoint can resume after the last one.
 //! Long, fast streams have their memory copied to another endpoint while they run. That endpoint resumes the stream
 //! when the first one terminates, also on routes that allow one run, since it continues the same run. A stream that
-//! breaks off and cannot be resumed closes its caller's connection, so that it does not look complete.
+//! breaks off and cannot be resumed closes its caller's connection, so that it does not look complete. So does a stream that
+//! ends with its connection if its endpoint has ended too.
 
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Response, header};
+use http::Response;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use rudder_clock::{Moment, sleep_until, timeout_at};
@@ -29,6 +30,7 @@
     link_probe,
     metrics::{PauseMeter, RequestOutcome},
     shared::Shared,
+    upstream::is_framed,
 };
 
 /// Parts of a stream that may be queued for a slow caller.
@@ -112,11 +114,6 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
-/// Whether the end of a body is marked otherwise than by the end of its connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// How an endpoint's part of a stream ended.
 enum End {
     /// The stream is complete.
@@ -258,7 +255,7 @@
     /// Forwards what one endpoint sends until its part of the stream ends.
     async fn relay(&mut self, answer: EndpointAnswer) -> End {
         let EndpointAnswer { choice, response, head, connection, mut flight, sent, resumed } = answer;
-        self.framed = is_framed(response.headers());
+        self.framed = is_framed(&response);
         let mut body = response.into_body();
         let whole_events = self.call.route.resumable || self.has_copy();
         // A stream that cannot be resumed is not abandoned.
@@ -339,7 +336,8 @@
         }
         // Without framing, a connection that closes before the first event is all that shows that the endpoint ended.
         let is_empty = !self.framed && self.events.count == 0 && self.call.last_event.is_none();
-        if is_empty || !self.events.pending().is_empty() {
+        let is_cut = is_empty || !self.events.pending().is_empty();
+        if is_cut || !(self.framed || call::confirms_end(self.shared, &choice).await) {
             call::record_outcome(self.shared, &choice.endpoint, Outcome::Failed);
             return End::Interrupted;
         }
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -10,9 +10,15 @@
 };
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{
+    Request, Response,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use http_body_util::Full;
-use hyper::{body::Incoming, client::conn::http1};
+use hyper::{
+    body::{Body as _, Incoming},
+    client::conn::http1,
+};
 use hyper_util::rt::TokioIo;
 use rudder_clock::Moment;
 use rudder_model::EndpointId;
@@ -30,6 +36,9 @@
 const MAX_READ_BUFFER: usize = 64 << 10;
 /// Timeout of the probe whether an endpoint refuses connections.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a connection that an endpoint accepted is watched. A process that is killed may close its listener after its other
+/// connections; those that still wait to be accepted are reset then.
+const ACCEPTED_WATCH: Duration = Duration::from_millis(20);
 /// How long a connection may be idle before reuse if its endpoint names no keep-alive time.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// A connection is not reused this close to the end of its keep-alive time.
@@ -169,6 +178,28 @@
     matches!(probe, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
+/// Returns true unless connections from `origin` to `address` fail, or end at once, so that the process there has ended. A
+/// timeout proves nothing.
+pub async fn keeps_connections(origin: IpAddr, address: &str) -> bool {
+    let stream = match tokio::time::timeout(PROBE_TIMEOUT, open(origin, address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) => return false,
+        Err(_) => return true,
+    };
+    let peeked = tokio::time::timeout(ACCEPTED_WATCH, stream.peek(&mut [0])).await;
+    !matches!(peeked, Ok(Ok(0) | Err(_)))
+}
+
+/// Returns true if the end of an answer's body is marked otherwise than by the close of its connection.
+pub fn is_framed(response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    if let Some(codings) = headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+        let last = codings.to_str().ok().and_then(|codings| codings.rsplit(',').next());
+        return last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"));
+    }
+    headers.contains_key(CONTENT_LENGTH) || response.body().is_end_stream()
+}
+
 /// Disables Nagle's algorithm and enables the detection of dead peers.
 ///
 /// # Errors
