fix(gateway): what a second source repeats of a stream is dropped

Cause: events were counted by id, and those that do not rise were reported, but all were passed on.

Fix: where only whole events are forwarded (streams that can be resumed, and those with a copy), a source that goes on after event N has its events up to N dropped; they are counted in `repeated`, no longer in `events`. N is the last id that was passed on, or else the caller's Last-Event-Id. An event without an id goes with the one before it, if that lies before N; after N itself it is passed on, as the caller may lack it. A first source without a Last-Event-Id is passed on unchanged, whatever its ids. What a copy sends is now forwarded by whole events too, as it cannot be dropped otherwise.

This needs ids that rise, which Last-Event-Id rests on already. Gaps are not looked for: ids need not follow each other.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -26,7 +26,7 @@
 pub struct StreamEnd {
     /// Events that the caller got.
     pub events: u64,
-    /// Events whose id does not rise over the one before.
+    /// Events whose id does not rise over the one before, including those that were dropped.
     pub repeated: u64,
     /// The end was marked; otherwise the endpoint closed its connection.
     pub framed: bool,
@@ -508,7 +508,7 @@
         /// preempts pauses until it runs again.
         #[serde(default)]
         pause_ms: u64,
-        /// Events whose id does not rise over the one before.
+        /// Events whose id does not rise over the one before, including those that were dropped.
         #[serde(default, skip_serializing_if = "is_zero")]
         repeated: u64,
     },
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -210,7 +210,7 @@
     };
     let stream = stream.map_or(String::new(), |StreamEnd { events, repeated, framed }| {
         let end = if framed { "" } else { ", ended by a closed connection" };
-        format!(", {events} events of which {repeated} repeated{end}")
+        format!(", {events} events, {repeated} repeated{end}")
     });
     format!(
         "{endpoint} answered {status}: first byte after {first_ms} ms, all after {total_ms} ms, longest pause \
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -1,6 +1,7 @@
 //! Forwards streams of server-sent events, and resumes them at another endpoint where the route allows it.
 //!
-//! Only complete events of a resumable stream are forwarded, so that the next endpoint can resume after the last one.
+//! Only complete events of a resumable stream are forwarded, so that the next endpoint can resume after the last one. What
+//! it repeats of the events that the caller has is dropped.
 //! Long, fast streams have their memory copied to another endpoint while they run. That endpoint resumes the stream
 //! when the first one terminates, also on routes that allow one run, since it continues the same run. A stream that
 //! breaks off and cannot be resumed closes its caller's connection, so that it does not look complete. So does a stream that
@@ -47,16 +48,26 @@
     pending: BytesMut,
     /// Bytes at the start of `pending` that hold no end of an event.
     searched: usize,
-    /// Complete events so far, over all endpoints.
+    /// Complete events that are passed on so far, over all endpoints.
     pub count: u64,
     /// Id of the last complete event that has one.
     pub last: Option<u64>,
-    /// Complete events whose id does not rise over the one before.
+    /// Complete events whose id does not rise over the one before, including those that are dropped.
     pub repeated: u64,
+    /// The caller has the events up to this id, which are dropped.
+    had: Option<u64>,
+    /// The current source repeats: its last event is one before `had`.
+    repeats: bool,
 }
 
 impl Events {
-    /// Appends bytes and returns the events that they complete.
+    /// Begins the events of a source that goes on after the event with id `last`. Those up to it are dropped from now on.
+    pub fn resume_after(&mut self, last: Option<u64>) {
+        self.had = last;
+        self.repeats = false;
+    }
+
+    /// Appends bytes and returns the events that they complete, without those that the caller has.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.pending.extend_from_slice(bytes);
         let first = self.searched.saturating_sub(EVENT_END.len());
@@ -66,13 +77,35 @@
         };
         let whole = self.pending.split_to(first + end).freeze();
         self.searched = self.pending.len();
+        if self.had.is_none() {
+            split_events(&whole).for_each(|event| self.count_event(event_id(event)));
+            return whole;
+        }
+        let mut kept = BytesMut::with_capacity(whole.len());
         for event in split_events(&whole) {
-            self.count += 1;
             let id = event_id(event);
-            self.repeated += u64::from(id.is_some() && id <= self.last);
-            self.last = id.or(self.last);
+            if self.is_had(id) {
+                self.repeated += 1;
+                continue;
+            }
+            self.count_event(id);
+            kept.extend_from_slice(event);
+        }
+        kept.freeze()
+    }
+
+    fn count_event(&mut self, id: Option<u64>) {
+        self.count += 1;
+        self.repeated += u64::from(id.is_some() && id <= self.last);
+        self.last = id.or(self.last);
+    }
+
+    /// Whether the caller has an event. One without an id belongs to the one before it.
+    fn is_had(&mut self, id: Option<u64>) -> bool {
+        if id.is_some() {
+            self.repeats = id < self.had;
         }
-        whole
+        self.repeats || (id.is_some() && id == self.had)
     }
 
     /// Bytes of the incomplete event at the end.
@@ -257,7 +290,10 @@
         let EndpointAnswer { choice, response, head, connection, mut flight, sent, resumed } = answer;
         self.framed = is_framed(&response);
         let mut body = response.into_body();
-        let whole_events = self.call.route.resumable || self.has_copy();
+        let whole_events = self.call.route.resumable || self.has_copy() || resumed;
+        if whole_events {
+            self.skip_had();
+        }
         // A stream that cannot be resumed is not abandoned.
         let may_abandon = self.shared.options.policy.guard.impatience && self.call.route.resumable;
         let timeout = may_abandon.then(|| self.call.silence_timeout());
@@ -350,6 +386,9 @@
     async fn relay_hop(&mut self, answer: HopAnswer) -> End {
         let (mut body, _connection) = answer.into_body();
         self.framed = true;
+        if self.call.route.resumable {
+            self.skip_had();
+        }
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -378,6 +417,16 @@
         if self.events.pending().is_empty() { End::Complete } else { End::Interrupted }
     }
 
+    /// Drops what the next source repeats of the events that the caller has. Only whole events can be dropped.
+    fn skip_had(&mut self) {
+        self.events.resume_after(self.last_event());
+    }
+
+    /// Id of the last event that the caller has.
+    fn last_event(&self) -> Option<u64> {
+        self.events.last.or(self.call.last_event)
+    }
+
     fn record_first_byte(&mut self, now: Moment) {
         self.first_byte = Some(now);
         let after = now.saturating_duration_since(self.call.arrived);
@@ -445,7 +494,7 @@
         while has_retry {
             link_probe::wait_verdict(self.shared).await;
             self.events.drop_pending();
-            let last = self.events.last.or(self.call.last_event);
+            let last = self.last_event();
             if call::must_pass_on(self.shared, &self.call, &self.progress) {
                 has_retry = match self.pass_on(last).await? {
                     Ok(answer) if answer.response.status().is_success() => return Some(Source::Instance(answer)),
