fix(gateway): a stream that breaks off is reset for callers of HTTP/1.0

Cause: HTTP/1.0 has no chunks, so a stream ends with its connection, and a connection whose body failed was closed in order.

Fix: the caller's socket is a ResettingStream. While a request of HTTP/1.0 is in flight and its connection does not end well, it is reset: also if the caller is cut off for slowness or a slow head. Connections of HTTP/1.1 are closed as before, so that their callers keep all that was sent.

--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use eyre::{Context as _, Result};
-use http::{Request, Response, header::CONNECTION};
+use http::{Request, Response, Version, header::CONNECTION};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rudder_clock::Moment;
@@ -19,6 +19,7 @@
     plan::Limits,
     shared::{Shared, Stage},
     upstream,
+    upstream_io::{Exchange, ResettingStream},
 };
 
 /// Length of the queue of connections to accept.
@@ -73,8 +74,12 @@
     let limits = shared.current_plan().map_or_else(Limits::default, |plan| plan.limits);
     let timer = Rc::new(HeadTimer::default());
     let cut = Disconnect::default();
+    let exchange = Rc::new(Exchange::default());
+    let stream = ResettingStream::new(stream, exchange.clone());
     let service = service_fn(|mut request: Request<Incoming>| {
         timer.on_head();
+        // HTTP/1.0 has no chunks, so that an orderly close would make a stream that breaks off look whole.
+        exchange.in_flight.set(request.version() < Version::HTTP_11);
         request.extensions_mut().insert(cut.clone());
         if let Some(peer) = peer {
             request.extensions_mut().insert(peer);
@@ -96,7 +101,7 @@
     let mut stages = shared.stage.subscribe();
     let closing = stages.wait_for(|stage| *stage == Stage::Closing);
     tokio::select! {
-        _ = connection.as_mut() => return,
+        ended = connection.as_mut() => return exchange.on_end(ended.is_ok()),
         () = timer.expired(limits.head_time) => return,
         () = cut.notified() => return,
         _ = closing => {}
@@ -104,7 +109,7 @@
     // Finishes the request in flight; an idle connection closes now.
     connection.as_mut().graceful_shutdown();
     tokio::select! {
-        _ = connection => {}
+        ended = connection => exchange.on_end(ended.is_ok()),
         () = cut.notified() => {}
     }
 }
--- a/crates/rudder-gateway/src/upstream_io.rs
+++ b/crates/rudder-gateway/src/upstream_io.rs
@@ -1,6 +1,6 @@
 //! The socket of a connection to an endpoint. It is reset instead of closed while a request is in flight: what was not sent of
 //! an abandoned request is discarded, and the endpoint learns of it at once. It fails if an endpoint sends too much before the
-//! head of its answer is complete.
+//! head of its answer is complete. The socket of a caller of HTTP/1.0 is reset likewise if its answer breaks off.
 
 use std::{
     cell::Cell,
@@ -41,6 +41,11 @@
         self.head_bytes.set(None);
     }
 
+    /// Records that the connection has ended, and whether its last answer is whole.
+    pub fn on_end(&self, whole: bool) {
+        self.in_flight.set(self.in_flight.get() && !whole);
+    }
+
     /// Counts bytes that were read.
     fn on_read(&self, count: usize) -> io::Result<()> {
         let Some(left) = self.head_bytes.get() else { return Ok(()) };
