--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -1,14 +1,16 @@
 //! Forwards streams of server-sent events, and resumes them at another endpoint where the route allows it.
 //!
-//! Only complete events of a resumable stream are forwarded, so that the next endpoint can resume after the last one.
+//! Only complete events of a resumable stream are forwarded, so that the next endpoint can resume after the last one. What
+//! it repeats of the events that the caller has is dropped.
 //! Long, fast streams have their memory copied to another endpoint while they run. That endpoint resumes the stream
 //! when the first one terminates, also on routes that allow one run, since it continues the same run. A stream that
-//! breaks off and cannot be resumed closes its caller's connection, so that it does not look complete.
+//! breaks off and cannot be resumed closes its caller's connection, so that it does not look complete. So does a stream that
+//! ends with its connection if its endpoint has ended too.
 
 use std::{rc::Rc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Response, header};
+use http::Response;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use rudder_clock::{Moment, sleep_until, timeout_at};
@@ -19,7 +21,7 @@
 
 use crate::{
     Dialect,
-    body::{AnswerBody, Interrupted},
+    body::{AnswerBody, Part},
     buffers::Reservation,
     call::{self, Call, EndpointAnswer, HopAnswer, Progress, ResumePoint},
     choose::Choice,
@@ -29,6 +31,7 @@
     link_probe,
     metrics::{PauseMeter, RequestOutcome},
     shared::Shared,
+    upstream::is_framed,
 };
 
 /// Parts of a stream that may be queued for a slow caller.
@@ -45,16 +48,26 @@
     pending: BytesMut,
     /// Bytes at the start of `pending` that hold no end of an event.
     searched: usize,
-    /// Complete events so far, over all endpoints.
+    /// Complete events that are passed on so far, over all endpoints.
     pub count: u64,
     /// Id of the last complete event that has one.
     pub last: Option<u64>,
-    /// Complete events whose id does not rise over the one before.
+    /// Complete events whose id does not rise over the one before, including those that are dropped.
     pub repeated: u64,
+    /// The caller has the events up to this id, which are dropped.
+    had: Option<u64>,
+    /// The current source repeats: its last event is one before `had`.
+    repeats: bool,
 }
 
 impl Events {
-    /// Appends bytes and returns the events that they complete.
+    /// Begins the events of a source that goes on after the event with id `last`. Those up to it are dropped from now on.
+    pub fn resume_after(&mut self, last: Option<u64>) {
+        self.had = last;
+        self.repeats = false;
+    }
+
+    /// Appends bytes and returns the events that they complete, without those that the caller has.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.pending.extend_from_slice(bytes);
         let first = self.searched.saturating_sub(EVENT_END.len());
@@ -64,13 +77,35 @@
         };
         let whole = self.pending.split_to(first + end).freeze();
         self.searched = self.pending.len();
+        if self.had.is_none() {
+            split_events(&whole).for_each(|event| self.count_event(event_id(event)));
+            return whole;
+        }
+        let mut kept = BytesMut::with_capacity(whole.len());
         for event in split_events(&whole) {
-            self.count += 1;
             let id = event_id(event);
-            self.repeated += u64::from(id.is_some() && id <= self.last);
-            self.last = id.or(self.last);
+            if self.is_had(id) {
+                self.repeated += 1;
+                continue;
+            }
+            self.count_event(id);
+            kept.extend_from_slice(event);
+        }
+        kept.freeze()
+    }
+
+    fn count_event(&mut self, id: Option<u64>) {
+        self.count += 1;
+        self.repeated += u64::from(id.is_some() && id <= self.last);
+        self.last = id.or(self.last);
+    }
+
+    /// Whether the caller has an event. One without an id belongs to the one before it.
+    fn is_had(&mut self, id: Option<u64>) -> bool {
+        if id.is_some() {
+            self.repeats = id < self.had;
         }
-        whole
+        self.repeats || (id.is_some() && id == self.had)
     }
 
     /// Bytes of the incomplete event at the end.
@@ -112,11 +147,6 @@
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
 
-/// Whether the end of a body is marked otherwise than by the end of its connection.
-fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(header::CONTENT_LENGTH) || headers.contains_key(header::TRANSFER_ENCODING)
-}
-
 /// How an endpoint's part of a stream ended.
 enum End {
     /// The stream is complete.
@@ -193,7 +223,7 @@
     call: Call,
     progress: Progress,
     events: Events,
-    sender: mpsc::Sender<Result<Bytes, Interrupted>>,
+    sender: mpsc::Sender<Part>,
     first_byte: Option<Moment>,
     pauses: PauseMeter,
     /// The end of the part that is forwarded is marked otherwise than by the end of its connection.
@@ -219,7 +249,10 @@
             let why = match &end {
                 End::Complete => {
                     call::record_answered(self.shared, &self.call);
-                    return self.log_answered(&place);
+                    self.log_answered(&place);
+                    // An error means that the caller has left.
+                    let _ = self.sender.send(Part::End).await;
+                    return;
                 }
                 End::CallerLeft => {
                     self.record_end(RequestOutcome::CallerLeft);
@@ -245,9 +278,8 @@
                 _ => None,
             };
             let Some(next) = next else {
-                self.record_end(RequestOutcome::Interrupted);
-                let _ = self.sender.send(Err(Interrupted)).await;
-                return;
+                // A sender that is dropped without an end breaks the body off.
+                return self.record_end(RequestOutcome::Interrupted);
             };
             source = next;
         }
@@ -256,9 +288,12 @@
     /// Forwards what one endpoint sends until its part of the stream ends.
     async fn relay(&mut self, answer: EndpointAnswer) -> End {
         let EndpointAnswer { choice, response, head, connection, mut flight, sent, resumed } = answer;
-        self.framed = is_framed(response.headers());
+        self.framed = is_framed(&response);
         let mut body = response.into_body();
-        let whole_events = self.call.route.resumable || self.has_copy();
+        let whole_events = self.call.route.resumable || self.has_copy() || resumed;
+        if whole_events {
+            self.skip_had();
+        }
         // A stream that cannot be resumed is not abandoned.
         let may_abandon = self.shared.options.policy.guard.impatience && self.call.route.resumable;
         let timeout = may_abandon.then(|| self.call.silence_timeout());
@@ -337,7 +372,8 @@
         }
         // Without framing, a connection that closes before the first event is all that shows that the endpoint ended.
         let is_empty = !self.framed && self.events.count == 0 && self.call.last_event.is_none();
-        if is_empty || !self.events.pending().is_empty() {
+        let is_cut = is_empty || !self.events.pending().is_empty();
+        if is_cut || !(self.framed || call::confirms_end(self.shared, &choice).await) {
             call::record_outcome(self.shared, &choice.endpoint, Outcome::Failed);
             return End::Interrupted;
         }
@@ -350,6 +386,9 @@
     async fn relay_hop(&mut self, answer: HopAnswer) -> End {
         let (mut body, _connection) = answer.into_body();
         self.framed = true;
+        if self.call.route.resumable {
+            self.skip_had();
+        }
         loop {
             let frame = tokio::select! {
                 frame = body.frame() => frame,
@@ -378,6 +417,16 @@
         if self.events.pending().is_empty() { End::Complete } else { End::Interrupted }
     }
 
+    /// Drops what the next source repeats of the events that the caller has. Only whole events can be dropped.
+    fn skip_had(&mut self) {
+        self.events.resume_after(self.last_event());
+    }
+
+    /// Id of the last event that the caller has.
+    fn last_event(&self) -> Option<u64> {
+        self.events.last.or(self.call.last_event)
+    }
+
     fn record_first_byte(&mut self, now: Moment) {
         self.first_byte = Some(now);
         let after = now.saturating_duration_since(self.call.arrived);
@@ -412,7 +461,8 @@
             () = self.sender.closed() => return Err(End::CallerLeft),
         };
         fits.map_err(|_| End::DeadlineExceeded)?.map_err(|_| End::DeadlineExceeded)?;
-        self.sender.send(Ok(hold.keep(part.to_vec(), Some(self.call.cut.clone())))).await.map_err(|_| End::CallerLeft)
+        let bytes = hold.keep(part.to_vec(), Some(self.call.cut.clone()));
+        self.sender.send(Part::Data(bytes)).await.map_err(|_| End::CallerLeft)
     }
 
     /// Returns true if the stream depends on a copy of its memory at another endpoint. A resumable stream does not.
@@ -444,7 +494,7 @@
         while has_retry {
             link_probe::wait_verdict(self.shared).await;
             self.events.drop_pending();
-            let last = self.events.last.or(self.call.last_event);
+            let last = self.last_event();
             if call::must_pass_on(self.shared, &self.call, &self.progress) {
                 has_retry = match self.pass_on(last).await? {
                     Ok(answer) if answer.response.status().is_success() => return Some(Source::Instance(answer)),
