fix(core): a version that nobody knows yet is recorded at its first heartbeat, and requests wait for that

The leader looked for new versions every 200 ms, so a service whose first endpoint had just registered refused streams that may be resumed for up to 350 ms: six tests of platform/tests/framing.rs failed with 503, "no endpoint of its service is in use".

A heartbeat of a version that is not admitted makes the scan due at once, as does an announced one; and a request whose endpoints all have a new version waits for it for 400 ms at most.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -356,6 +356,9 @@
     ) {
         let mut departed = false;
         for registration in heartbeats {
+            if !self.ledger.releases.is_admitted(&registration.service, &registration.version) {
+                self.releases.scan_soon();
+            }
             departed |= self.registry.record_heartbeat_as_leader(now, registration) == Change::Leave;
         }
         if departed {
--- a/crates/rudder-core/src/releases.rs
+++ b/crates/rudder-core/src/releases.rs
@@ -46,6 +46,8 @@
     /// When endpoints of each version were last registered.
     last_seen: BTreeMap<Software, Duration>,
     scanned_at: Option<Duration>,
+    /// A version that is not admitted has been heard of since the last scan.
+    is_due: bool,
 }
 
 impl ReleaseTracker {
@@ -57,11 +59,12 @@
         held: &Releases,
         registry: &Registry,
     ) -> Vec<StageChange> {
+        let is_waiting = self.is_due || held.iter().any(|(_, stage)| stage == Stage::Announced);
         let is_recent = self.scanned_at.is_some_and(|at| now < at + SCAN_INTERVAL);
-        if is_recent || self.recording.is_some() {
+        if is_recent && !is_waiting || self.recording.is_some() {
             return Vec::new();
         }
-        self.scanned_at = Some(now);
+        (self.scanned_at, self.is_due) = (Some(now), false);
         self.update(now, held, registry);
         let known: BTreeSet<Software> =
             held.iter().map(|(software, _)| software).chain(self.last_seen.keys().cloned()).collect();
@@ -121,6 +124,11 @@
         }
     }
 
+    /// Makes the next scan due at once.
+    pub(crate) fn scan_soon(&mut self) {
+        self.is_due = true;
+    }
+
     pub(crate) fn set_recording(&mut self, index: Option<u64>) {
         self.recording = index;
     }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -38,6 +38,9 @@
 /// How long a request waits for the newest endpoints at an instance that may have missed a departure.
 const UPDATE_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a request whose endpoints all have a new version of their software waits until it may begin there.
+const ADMISSION_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Sends a request until it is answered or no retry is left.
 pub(super) async fn send<D: Dialect>(shared: &Rc<Shared<D>>, call: Call) -> Result<Response<AnswerBody>, Refusal> {
     if !shared.reachability.borrow().is_isolated() {
@@ -48,6 +51,9 @@
     let resume = ResumePoint { last_event: call.last_event, from_copy: false };
     shared.update_endpoints(UPDATE_TIMEOUT).await;
     check_taken_up(shared, &call, &mut progress).await?;
+    if call.route.resumable && !progress.has_version() {
+        shared.wait_admitted(&call.route, ADMISSION_TIMEOUT).await;
+    }
     let mut fallback: Option<Response<AnswerBody>> = None;
     loop {
         link_probe::wait_verdict(shared).await;
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -208,6 +208,8 @@
     pub budget: RefCell<Budget>,
     /// Idle connections to endpoints.
     pub pool: RefCell<Pool>,
+    /// Notifies of each newer view.
+    published: watch::Sender<()>,
     /// Notifies of endpoints that a later life has replaced.
     pub replaced: watch::Sender<()>,
     /// The stage of a planned stop.
@@ -277,6 +279,7 @@
             conditions: Rc::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
+            published: watch::Sender::new(()),
             replaced: watch::Sender::new(()),
             stage: watch::Sender::new(Stage::Serving),
             begun: RefCell::default(),
@@ -383,6 +386,25 @@
         matches!(tokio::time::timeout(bound, known).await, Ok(Ok(_)))
     }
 
+    /// Waits up to `bound` until requests of a route may begin at one of the known endpoints, if a version of these is new.
+    pub async fn wait_admitted(&self, route: &Route, bound: Duration) {
+        if self.can_begin(route) {
+            return;
+        }
+        let mut changes = self.published.subscribe();
+        let admitted = changes.wait_for(|_| self.can_begin(route));
+        // Without an endpoint of an admitted version the request is refused.
+        let _ = tokio::time::timeout(bound, admitted).await;
+    }
+
+    /// Returns false if all endpoints of a route's services have versions at which no resumable stream may begin yet.
+    fn can_begin(&self, route: &Route) -> bool {
+        let (roster, view) = (self.roster.borrow(), self.view.borrow());
+        let known = || route.shares.iter().flat_map(|share| roster.of(&share.service));
+        let mut ready = known().filter(|known| known.phase == Phase::Ready).peekable();
+        ready.peek().is_none() || ready.any(|known| view.releases.is_admitted(&known.service, &known.version))
+    }
+
     /// Returns true while this instance serves callers.
     pub fn is_ready(&self) -> bool {
         let serving = *self.stage.borrow() == Stage::Serving;
@@ -440,6 +462,7 @@
         }
         *self.view.borrow_mut() = Rc::new(published);
         self.candidate_cache.borrow_mut().clear();
+        self.published.send_replace(());
     }
 
     /// The live instance at this address, if there is one.
