feat(core): holders with a disk note what began streams, so that these go on after all processes were killed

One of a stream's two holders has a disk, where there is one, and appends what it is told to the data folder without a sync: a killed process leaves that to the kernel. A loss of power may take it, and the stream is refused then. Whoever asks also asks the first three instances with a disk, as the directory is still incomplete after a start. An instance that is a holder of its own stream notes it as well. A service without any recorded version is waited for instead of refused at once.

--- a/crates/rudder-core/src/effect.rs
+++ b/crates/rudder-core/src/effect.rs
@@ -10,7 +10,7 @@
 use crate::{
     DutyCall, PeerMessage,
     duties::Fence,
-    origins::{Evidence, Origin},
+    origins::{Evidence, Origin, StreamOrigin},
     permits::PermitAnswer,
 };
 
@@ -84,6 +84,8 @@
         /// What the answer rests on.
         evidence: Evidence,
     },
+    /// Append what began streams to the data folder. Nothing waits for it, and it need not be synced.
+    NoteOrigins(Vec<StreamOrigin>),
     /// Answer a permit request for an endpoint with a rate limit.
     Permitted {
         /// Identifies the request.
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -104,6 +104,15 @@
     Limit(LimitReport),
     /// The first event of a stream that may be resumed was passed on to its caller.
     StreamBegun(StreamOrigin),
+    /// What began streams, as noted before this start.
+    OriginsNoted(Vec<StreamOrigin>),
+    /// Notes could not be written, or can be again.
+    NotesLost {
+        /// Number of notes lost.
+        count: u64,
+        /// They can be written again.
+        resumed: bool,
+    },
     /// Asks which version began a stream.
     AskOrigin {
         /// Identifies the question in the effect that answers it.
--- a/crates/rudder-core/src/origins.rs
+++ b/crates/rudder-core/src/origins.rs
@@ -5,7 +5,8 @@
 //! have begun streams ([`rudder_ledger::release`]), it also tells two holders, chosen by rendezvous hashing over the live
 //! instances, one of them with a disk; when the second version becomes known, it tells them of the streams before. Whoever
 //! is asked to let a stream go on asks the holders. What they remember is soft state and kept only as long as a caller may
-//! take a stream up.
+//! take a stream up. Holders with a disk also note it there without a sync, so that it outlasts the end of all processes; what
+//! a loss of power takes of it is not known any more.
 //!
 //! Not knowing a version proves nothing: holders may be lost, late, or have started since. A version counts as the only one
 //! by the replicated state alone, and only while that is proved to be recent.
@@ -30,6 +31,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Instances with a disk that are asked, as the directory may have changed since one of them was told.
 const ASKED_DISKS: usize = 3;
+/// Most streams in one note on the disk.
+const MAX_NOTED: usize = 1_000;
 /// Interval between removals of old entries.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -130,8 +133,24 @@
         self.remember(now, origin, untold);
     }
 
-    /// Records streams of which this instance is a holder.
-    pub(crate) fn record_told(&mut self, now: Duration, origins: Vec<StreamOrigin>) {
+    /// Records streams of which this instance is a holder, and has them noted if it has a disk.
+    pub(crate) fn record_told(
+        &mut self,
+        now: Duration,
+        origins: Vec<StreamOrigin>,
+        has_disk: bool,
+        out: &mut Vec<Effect>,
+    ) {
+        for noted in origins.chunks(MAX_NOTED).filter(|_| has_disk) {
+            out.push(Effect::NoteOrigins(noted.to_vec()));
+        }
+        for origin in origins {
+            self.remember(now, origin, false);
+        }
+    }
+
+    /// Records streams that were noted before this start.
+    pub(crate) fn restore(&mut self, now: Duration, origins: Vec<StreamOrigin>) {
         for origin in origins {
             self.remember(now, origin, false);
         }
@@ -171,7 +190,7 @@
         self.settle(now, ticket, around, out);
     }
 
-    /// Handles a holder's answer.
+    /// Handles an instance's answer.
     pub(crate) fn on_answer(
         &mut self,
         now: Duration,
@@ -192,7 +211,8 @@
         let Some(pending) = self.pending.get(&ticket) else { return };
         let evidence = pending.evidence(around);
         let only = pending.only_version(around);
-        let is_final = evidence.current && pending.answered >= pending.asked;
+        // The first version of a service may be on its way.
+        let is_final = evidence.current && evidence.versions > 1 && pending.answered >= pending.asked;
         if only.is_none() && !is_final && now < pending.arrived + ANSWER_TIMEOUT {
             return;
         }
@@ -259,11 +279,11 @@
     releases.of(service).nth(1).is_some()
 }
 
-/// Tells the holders of streams, in one message to each.
+/// Tells the holders of streams, in one message to each. This instance may be one of them.
 fn tell(around: Surroundings, origins: Vec<StreamOrigin>, out: &mut Vec<Effect>) {
     let mut told: BTreeMap<InstanceId, Vec<StreamOrigin>> = BTreeMap::new();
     for origin in origins {
-        for holder in holders_of(origin.stream, around.me, &around.view.directory) {
+        for holder in holders_of(origin.stream, &around.view.directory) {
             told.entry(holder).or_default().push(origin.clone());
         }
     }
@@ -272,27 +292,28 @@
     }
 }
 
-/// Returns the holders of a stream without this instance: the first of all by rendezvous hashing, and the first of the
-/// others, if possible one with a disk and of another hall.
-fn holders_of(stream: StreamTag, me: &Me, directory: &Directory) -> Vec<InstanceId> {
+/// Returns the holders of a stream: the first of all instances by rendezvous hashing, and the first of the others, if
+/// possible one with a disk and of another hall.
+fn holders_of(stream: StreamTag, directory: &Directory) -> Vec<InstanceId> {
     let Some(first) = first_holder(stream, directory) else { return Vec::new() };
     let others = live(directory).filter(|listing| listing.name != first.name);
     let rank = |listing: &&Listing| (listing.replica.is_some(), listing.hall != first.hall, weight(stream, listing));
     let holders = [Some(first), others.max_by_key(rank)].into_iter().flatten();
-    holders.filter(|listing| listing.name != me.name).map(|listing| listing.name.clone()).collect()
+    holders.map(|listing| listing.name.clone()).collect()
 }
 
 /// Returns the instances that may hold a stream without this one: its holders by the present directory, and the first
 /// ones with a disk.
 fn possible_holders(stream: StreamTag, me: &Me, directory: &Directory) -> Vec<InstanceId> {
-    let mut holders = holders_of(stream, me, directory);
+    let mut holders = holders_of(stream, directory);
     let mut disks: Vec<&Listing> = live(directory).filter(|listing| listing.replica.is_some()).collect();
     disks.sort_by_key(|listing| std::cmp::Reverse(weight(stream, listing)));
     for listing in disks.into_iter().take(ASKED_DISKS) {
-        if listing.name != me.name && !holders.contains(&listing.name) {
+        if !holders.contains(&listing.name) {
             holders.push(listing.name.clone());
         }
     }
+    holders.retain(|holder| *holder != me.name);
     holders
 }
 
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -207,6 +207,8 @@
             Event::StreamBegun(origin) => {
                 self.with_origins(|origins, around| origins.record_begun(now, origin, around, out));
             }
+            Event::OriginsNoted(origins) => self.origins.restore(now, origins),
+            Event::NotesLost { count, resumed } => out.push(Effect::Log(What::NotesLost { count, resumed })),
             Event::AskOrigin { ticket, stream, services } => {
                 let question = OriginQuestion { ticket, stream, services };
                 self.with_origins(|origins, around| origins.ask(now, question, around, out));
@@ -378,7 +380,9 @@
                 }
                 self.propose_hall_orders();
             }
-            PeerMessage::StreamsBegun(origins) => self.origins.record_told(now, origins),
+            PeerMessage::StreamsBegun(origins) => {
+                self.origins.record_told(now, origins, self.control.is_some(), out);
+            }
             PeerMessage::AskOrigin { ticket, start, stream } => {
                 let software = self.origins.software_of(stream);
                 out.push(Effect::Send { to: from, message: PeerMessage::Origin { ticket, start, software } });
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -16,7 +16,11 @@
 use rand_pcg::Pcg32;
 use rudder_core::{
     CallOutcome, DutyCall, Effect, Event, Listing, Me, Options, PeerMessage, Phase, Registration, State, WatchReply,
-    WatchRequest, options::DutyOptions, origins::Origin, permits::PermitAnswer, usage::StartedRequest,
+    WatchRequest,
+    options::DutyOptions,
+    origins::{Origin, StreamOrigin},
+    permits::PermitAnswer,
+    usage::StartedRequest,
 };
 use rudder_ledger::{Document, Releases};
 use rudder_model::{InstanceId, id};
@@ -56,6 +60,8 @@
     pub paused: bool,
     /// Its link to all others.
     pub link: Link,
+    /// What it has noted beside its disk's durable state. A kill leaves it.
+    pub notes: Vec<StreamOrigin>,
     /// Its processor.
     pub processor: Processor,
     held: Vec<Event>,
@@ -277,6 +283,7 @@
             stalled: false,
             paused: false,
             link: Link::new(rates.map(|(disk, other)| if number < disks { disk } else { other })),
+            notes: Vec::new(),
             processor: Processor::new(cores.map(|(disk, other)| if number < disks { disk } else { other })),
             held: Vec::new(),
             starts: 0,
@@ -344,6 +351,8 @@
             ..Options::default()
         };
         node.state = Some(State::new(now, me, (self.layout.tune)(options), node.disk.clone()));
+        let noted = Event::OriginsNoted(node.notes.clone());
+        self.send_event(number, noted);
     }
 
     /// Seeds the random faults of the network.
@@ -598,6 +607,7 @@
             Effect::Documented { ticket, version } => drop(self.documented.insert(ticket, version)),
             Effect::Evacuated { ticket, decided } => drop(self.evacuated.insert(ticket, decided)),
             Effect::Registered { ticket, accepted } => drop(self.registered.insert(ticket, accepted)),
+            Effect::NoteOrigins(origins) => self.nodes[number].notes.extend(origins),
             Effect::OriginFound { ticket, origin, .. } => drop(self.origins.insert(ticket, origin)),
             Effect::Permitted { ticket, answer } => drop(self.permitted.insert(ticket, answer)),
             _ => {}
--- a/crates/rudder-core/tests/origins.rs
+++ b/crates/rudder-core/tests/origins.rs
@@ -81,6 +81,14 @@
         self.mesh.run(MILLISECOND * 20);
     }
 
+    /// Ends all instances with a loss of power, which takes what was not synced, and starts them again.
+    fn lose_power(&mut self) {
+        for node in &mut self.mesh.nodes {
+            node.notes.clear();
+        }
+        self.mesh.restart_all();
+    }
+
     /// Asks an instance what began the stream.
     fn ask(&mut self, number: usize) -> Origin {
         self.tickets += 1;
@@ -118,19 +126,35 @@
     /// Guards against a stream that goes on at the version that was heard of first after a start.
     a_version_that_is_not_heard_of_after_a_start_counts: ["v1", "v2"], |deployment| {
         deployment.begin("v2");
-        deployment.mesh.restart_all();
+        deployment.lose_power();
         deployment.versions = vec!["v1"];
         for _ in 0..20 {
             deployment.run(MILLISECOND * 200);
             assert_eq!(deployment.ask(ASKED), Origin::Unknown);
         }
     };
+    /// Guards against streams that are all refused after a start.
+    holders_with_a_disk_know_a_stream_after_a_start: ["v1", "v2"], |deployment| {
+        deployment.begin("v2");
+        deployment.mesh.restart_all();
+        deployment.run(SECOND * 4);
+        for number in 0..TOTAL {
+            assert_eq!(deployment.ask(number), Origin::Known(software("v2")));
+        }
+    };
+    /// Guards against streams whose holders are told only of those that begin later.
+    streams_of_the_first_version_are_known_after_a_second_came: ["v1"], |deployment| {
+        deployment.begin("v1");
+        deployment.release("v2");
+        deployment.mesh.kill(BEGINNER);
+        assert_eq!(deployment.ask(ASKED), Origin::Known(software("v1")));
+    };
     /// Guards against a stream that goes on at the version that is left.
     a_version_that_ended_before_a_start_counts: ["v1", "v2"], |deployment| {
         deployment.begin("v1");
         deployment.versions = vec!["v2"];
         deployment.run(SECOND * 10);
-        deployment.mesh.restart_all();
+        deployment.lose_power();
         deployment.run(SECOND * 4);
         assert_eq!(deployment.ask(ASKED), Origin::Unknown);
     };
--- a/crates/rudder-core/tests/world/mod.rs
+++ b/crates/rudder-core/tests/world/mod.rs
@@ -397,6 +397,7 @@
             | Effect::Order { .. }
             | Effect::Call { .. }
             | Effect::Log(_)
+            | Effect::NoteOrigins(_)
             | Effect::OriginFound { .. }
             | Effect::Documented { .. }
             | Effect::Evacuated { .. }
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -615,6 +615,13 @@
         /// No further version is recorded.
         full: bool,
     },
+    /// Notes on the disk, such as what began streams, could not be written, or can be again.
+    NotesLost {
+        /// Number of notes lost.
+        count: u64,
+        /// They can be written again.
+        resumed: bool,
+    },
     /// The version that began a stream was asked for, so that the stream can go on.
     StreamTakenUp {
         /// The request.
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -303,6 +303,10 @@
         What::Fresh { fresh: true, .. } => "can prove its configuration the newest again".to_owned(),
         What::Fresh { fresh: false, .. } => "can no longer prove its configuration the newest".to_owned(),
         What::Documented { .. } | What::StreamTakenUp { .. } | What::Releases { .. } => to_version_sentence(what),
+        What::NotesLost { count, resumed: false } => {
+            format!("lost {count} notes that could not be written to the disk")
+        }
+        What::NotesLost { count, .. } => format!("writes notes to the disk again, after {count} more were lost"),
         What::PatchUnfit { held } => format!("a change does not fit configuration {held}; the whole is asked for"),
         What::Directory { live, came, went } => {
             format!("knows {live} live instances; came: {}; went: {}", came.join(", "), went.join(", "))
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -9,13 +9,17 @@
 use eyre::{Context as _, Result};
 use rudder_clock::Moment;
 use rudder_core::{
-    Effect, Event, Me, PeerMessage, Registration, State, clock, limits::LimitReport, options::DutyOptions, peer::Load,
+    Effect, Event, Me, PeerMessage, Registration, State, clock, limits::LimitReport, options::DutyOptions,
+    origins::StreamOrigin, peer::Load,
 };
 use rudder_events::What;
 use rudder_model::InstanceId;
 use rudder_replica::{Durable, ReplicaId};
 use rudder_route::{scale::ScaleOptions, shares::WorkReport};
-use rudder_store::disk::{self, Job, Report};
+use rudder_store::{
+    disk::{self, Job, Report},
+    notes,
+};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::{
@@ -152,6 +156,7 @@
 fn open_disk(options: &Options, name: &str, events: &Sender<Event>) -> Result<Disk> {
     let Some(folder) = &options.data else { return Ok((None, None)) };
     let outcome = rudder_store::open(folder, name, rand::random()).wrap_err("open the data folder")?;
+    restore_notes(&outcome.notes, events);
     let (sender, jobs) = unbounded();
     let (store, notes, events) = (outcome.store, outcome.notes.notes, events.clone());
     let run = move || {
@@ -159,7 +164,8 @@
             let event = match report {
                 Report::Saved(number) => Event::Saved { number },
                 Report::Full => Event::DiskFull,
-                Report::NotesLost(_) | Report::NotesResumed(_) => return true,
+                Report::NotesLost(count) => Event::NotesLost { count, resumed: false },
+                Report::NotesResumed(count) => Event::NotesLost { count, resumed: true },
             };
             events.send(event).is_ok()
         });
@@ -168,6 +174,27 @@
     Ok((Some(sender), Some((outcome.id, outcome.durable))))
 }
 
+/// Passes the notes of the data folder to the reducer.
+fn restore_notes(notes: &notes::Outcome, events: &Sender<Event>) {
+    for error in &notes.errors {
+        spdlog::warn!("notes of the data folder: {error}");
+    }
+    if notes.cut > 0 {
+        spdlog::warn!("cut {} bytes of unfinished notes", notes.cut);
+    }
+    let mut origins = Vec::new();
+    for record in &notes.records {
+        match rmp_serde::from_slice::<Vec<StreamOrigin>>(record) {
+            Ok(noted) => origins.extend(noted),
+            Err(error) => spdlog::warn!("a note of the data folder cannot be read: {error}"),
+        }
+    }
+    if !origins.is_empty() {
+        // The receiver is this thread's own, so that it cannot be gone.
+        let _ = events.send(Event::OriginsNoted(origins));
+    }
+}
+
 fn core_options(options: &Options) -> rudder_core::Options {
     rudder_core::Options {
         seeds: options.seeds.clone(),
@@ -339,6 +366,10 @@
             Effect::OriginFound { ticket, origin, evidence } => {
                 self.batch.push(Notice::Reply(ticket, Reply::Origin(origin, evidence)));
             }
+            Effect::NoteOrigins(origins) => {
+                let note = rmp_serde::to_vec(&origins).expect("origins hold only plain data");
+                self.save(Job::Note(note));
+            }
             Effect::Permitted { ticket, answer } => self.batch.push(Notice::Reply(ticket, Reply::Permit(answer))),
             Effect::Log(what) => self.log.write(what),
             Effect::Call { ticket, fence, age, call } => {
--- a/crates/rudder-node/src/control.rs
+++ b/crates/rudder-node/src/control.rs
@@ -167,7 +167,9 @@
                 }
             }
             // Documents, heartbeats, duties and rate limits come in through the gateway, which drives the reducer itself.
-            Effect::OriginFound { .. }
+            // No stream of this entry may be resumed elsewhere.
+            Effect::NoteOrigins(_)
+            | Effect::OriginFound { .. }
             | Effect::Documented { .. }
             | Effect::Registered { .. }
             | Effect::Permitted { .. }
--- a/crates/rudder-node/src/start.rs
+++ b/crates/rudder-node/src/start.rs
@@ -160,7 +160,8 @@
             let event = match report {
                 Report::Saved(number) => Event::Saved { number },
                 Report::Full => Event::DiskFull,
-                Report::NotesLost(_) | Report::NotesResumed(_) => return true,
+                Report::NotesLost(count) => Event::NotesLost { count, resumed: false },
+                Report::NotesResumed(count) => Event::NotesLost { count, resumed: true },
             };
             inputs.send(Input::Event(event)).is_ok()
         });
