feat(soak): the judge sees streams of two versions over all tries of a caller

The rule ORDER was broken on real processes, and nothing here looked for it: the history had no streams that callers take up, and no versions.

The history keeps the tries of each stream, and the id and the version of each event that came complete. Order is broken by events of two versions, by an event that comes twice, is left out or goes back, and by an answer that looks whole before the last event; none is allowed. Streams taken up and streams that went on are counted and printed. There is no bound on their share: the history does not tell which machines were in touch. Rested, Limited and Drained judge the tries like calls; Budget counts them as calls.

--- a/crates/hatchrudder/src/command/soak.rs
+++ b/crates/hatchrudder/src/command/soak.rs
@@ -14,7 +14,7 @@
     soak::{self, Report},
 };
 use pico_args::Arguments;
-use rudder_soak::{Schedule, Size, shrink::shrink};
+use rudder_soak::{Schedule, Size, Verdict, shrink::shrink};
 use signal_hook::{
     consts::signal::{SIGINT, SIGTERM},
     flag,
@@ -130,6 +130,8 @@
     for (promise, tested) in &report.verdict.tested {
         println!("  {promise:?}: tested {tested} times");
     }
+    let Verdict { taken_up, gone_on, .. } = report.verdict;
+    println!("  streams: {taken_up} taken up, {gone_on} went on");
     for broken in report.verdict.broken.iter().take(PRINTED) {
         println!("  BROKEN {:?}: {}", broken.promise, broken.what);
     }
--- a/crates/rudder-soak/src/check.rs
+++ b/crates/rudder-soak/src/check.rs
@@ -1,10 +1,13 @@
 //! The judgement: which promises were tested how often, and which were broken, from what was seen outside alone.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{
     History,
-    history::{Arrival, Call, Kind, Outcome, Pushback},
+    history::{Arrival, Call, Event, Kind, Outcome, Pushback, Stream},
 };
 
 /// The time over which requests at a cold endpoint are counted.
@@ -15,6 +18,8 @@
 pub enum Promise {
     /// Each caller gets the whole answer to its own call, or an end that does not look whole.
     OwnAnswer,
+    /// A stream is written by one software version over all tries of its caller, each event once and in order.
+    Order,
     /// What may not be repeated runs at most once.
     AtMostOnce,
     /// What is called "not run" did not run and never will.
@@ -152,6 +157,10 @@
     pub tested: BTreeMap<Promise, usize>,
     /// What was broken.
     pub broken: Vec<Broken>,
+    /// Streams that broke off and were taken up.
+    pub taken_up: usize,
+    /// Of these, streams of which more events came.
+    pub gone_on: usize,
 }
 
 impl Verdict {
@@ -174,6 +183,7 @@
         let arrived = arrivals.get(call.id.as_str()).map(Vec::as_slice).unwrap_or_default();
         check_call(call, arrived, &mut verdict);
     }
+    check_streams(history, &mut verdict);
     check_drains(history, bounds, &mut verdict);
     check_pushbacks(history, bounds, &mut verdict);
     check_limits(history, bounds, &mut verdict);
@@ -211,14 +221,68 @@
     }
 }
 
+fn check_streams(history: &History, verdict: &mut Verdict) {
+    for stream in &history.streams {
+        let disorder = find_disorder(stream);
+        verdict.test(Promise::Order, disorder.is_none(), || {
+            format!("{}: {}", disorder.unwrap_or_default(), to_story(stream))
+        });
+        let Some(first) = stream.tries.iter().position(|held| !held.events.is_empty()) else { continue };
+        let later = &stream.tries[first + 1..];
+        verdict.taken_up += usize::from(!later.is_empty());
+        verdict.gone_on += usize::from(later.iter().any(|held| !held.events.is_empty()));
+    }
+}
+
+/// What is wrong with the events of a stream.
+fn find_disorder(stream: &Stream) -> Option<String> {
+    let mut versions: BTreeSet<&str> = BTreeSet::new();
+    let mut last = 0;
+    for held in &stream.tries {
+        for Event { id, version } in &held.events {
+            if *id != last + 1 {
+                return Some(format!("event {id} of {} follows event {last}", held.id));
+            }
+            last = *id;
+            versions.insert(version);
+        }
+        if held.whole && held.status == Some(200) && last != stream.last {
+            return Some(format!("{} looks whole after event {last} of {}", held.id, stream.last));
+        }
+    }
+    (versions.len() > 1).then(|| format!("events of {}", Vec::from_iter(versions).join(" and ")))
+}
+
+/// What each try of a stream brought.
+fn to_story(stream: &Stream) -> String {
+    let mut parts = Vec::new();
+    for held in &stream.tries {
+        let status = held.status.map_or_else(|| "nothing".to_owned(), |status| status.to_string());
+        parts.push(format!("{} at instance {} from {:?} got {status}", held.id, held.instance, held.sent));
+        for events in held.events.chunk_by(|one, next| one.version == next.version) {
+            let (Some(from), Some(to)) = (events.first(), events.last()) else { continue };
+            parts.push(format!("{} to {} of {}", from.id, to.id, from.version));
+        }
+    }
+    parts.join(", ")
+}
+
+/// The instance and the time of each call and each try of a stream, by its id.
+fn find_sent(history: &History) -> BTreeMap<&str, (usize, Duration)> {
+    let calls = history.calls.iter().map(|call| (call.id.as_str(), (call.instance, call.sent)));
+    let tries = history.streams.iter().flat_map(|stream| &stream.tries);
+    calls.chain(tries.map(|held| (held.id.as_str(), (held.instance, held.sent)))).collect()
+}
+
 /// Tells which arrivals came from an instance that was not there, or not long enough to have learned what is new.
 fn find_away<'a>(history: &'a History, bounds: &Bounds) -> impl Fn(&Arrival) -> bool + use<'a> {
-    let instances: BTreeMap<&str, usize> = history.calls.iter().map(|call| (call.id.as_str(), call.instance)).collect();
+    let calls = find_sent(history);
     let touch = bounds.touch;
     move |arrival| {
-        let Some(instance) = arrival.sender.as_ref().or(instances.get(arrival.call.as_str())) else { return false };
+        let called = || calls.get(arrival.call.as_str()).map(|(instance, _)| *instance);
+        let Some(instance) = arrival.sender.or_else(called) else { return false };
         let near = |from: Duration, until: Duration| from <= arrival.at && arrival.at <= until + touch;
-        history.absences.iter().any(|absence| absence.instance == *instance && near(absence.from, absence.until))
+        history.absences.iter().any(|absence| absence.instance == instance && near(absence.from, absence.until))
     }
 }
 
@@ -280,11 +344,11 @@
 }
 
 fn find_exchanges(history: &History) -> Vec<Exchange<'_>> {
-    let calls: BTreeMap<&str, &Call> = history.calls.iter().map(|call| (call.id.as_str(), call)).collect();
+    let calls = find_sent(history);
     let mut met: BTreeMap<(usize, &str), Vec<(&Arrival, Duration)>> = BTreeMap::new();
     for arrival in &history.arrivals {
-        let Some(call) = calls.get(arrival.call.as_str()) else { continue };
-        met.entry((arrival.sender.unwrap_or(call.instance), &arrival.life)).or_default().push((arrival, call.sent));
+        let Some((instance, sent)) = calls.get(arrival.call.as_str()) else { continue };
+        met.entry((arrival.sender.unwrap_or(*instance), &arrival.life)).or_default().push((arrival, *sent));
     }
     met.into_iter().map(|((instance, life), arrivals)| Exchange { instance, life, arrivals }).collect()
 }
@@ -454,7 +518,7 @@
         .map(|arrival| arrival.at)
         .collect();
     again.sort_unstable();
-    let mut sent: Vec<Duration> = history.calls.iter().map(|call| call.sent).collect();
+    let mut sent: Vec<Duration> = find_sent(history).into_values().map(|(_, sent)| sent).collect();
     sent.sort_unstable();
     let within = |times: &[Duration], from: Duration, to: Duration| {
         times.partition_point(|at| *at <= to) - times.partition_point(|at| *at < from)
--- a/crates/rudder-soak/src/history.rs
+++ b/crates/rudder-soak/src/history.rs
@@ -87,6 +87,43 @@
     pub limit: Option<f64>,
 }
 
+/// An event of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its id.
+    pub id: u64,
+    /// The software version of the endpoint that wrote it.
+    pub version: String,
+}
+
+/// One try of a caller to get a stream, or the rest of it.
+#[derive(Clone, Debug)]
+pub struct Try {
+    /// The id of the call.
+    pub id: String,
+    /// The instance it went to.
+    pub instance: usize,
+    /// When it was sent.
+    pub sent: Duration,
+    /// When it ended for its caller.
+    pub ended: Duration,
+    /// HTTP status; `None` where no answer came.
+    pub status: Option<u16>,
+    /// The events that came complete, in order.
+    pub events: Vec<Event>,
+    /// The answer looked whole.
+    pub whole: bool,
+}
+
+/// A stream that its caller takes up again when it breaks off.
+#[derive(Clone, Debug)]
+pub struct Stream {
+    /// Its tries, in order.
+    pub tries: Vec<Try>,
+    /// The id of the last event of the whole stream; the first has 1.
+    pub last: u64,
+}
+
 /// What an endpoint asks of the instance that it answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pushback {
@@ -209,6 +246,8 @@
 pub struct History {
     /// Calls.
     pub calls: Vec<Call>,
+    /// Streams that callers take up again.
+    pub streams: Vec<Stream>,
     /// What reached endpoints.
     pub arrivals: Vec<Arrival>,
     /// Acknowledged leaves.
--- a/crates/rudder-soak/tests/check.rs
+++ b/crates/rudder-soak/tests/check.rs
@@ -1,12 +1,12 @@
 //! The judge sees each promise broken: one break of each, put into a history in which all are kept.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use rudder_soak::{
     Bounds, History, Promise, check,
     history::{
-        Absence, Arrival, Call, Cold, Evacuation, Isolation, Kind, Leave, Limit, Outcome, OwnEnd, Pushback, Removal,
-        Stop, Version,
+        Absence, Arrival, Call, Cold, Evacuation, Event, Isolation, Kind, Leave, Limit, Outcome, OwnEnd, Pushback,
+        Removal, Stop, Stream, Try, Version,
     },
 };
 
@@ -45,6 +45,24 @@
     }
 }
 
+/// A try of a stream that brought events written by one version.
+fn held_try(number: usize, status: Option<u16>, ids: Range<u64>, whole: bool) -> Try {
+    let events = ids.map(|id| Event { id, version: "v1".to_owned() }).collect();
+    let sent = at(3.0 + number as f64);
+    Try { id: format!("s-{number}"), instance: number, sent, ended: sent + at(0.5), status, events, whole }
+}
+
+/// A stream that breaks off, is refused once and goes on to its end.
+fn taken_up() -> Stream {
+    let tries = vec![
+        held_try(0, Some(200), 1..5, false),
+        held_try(1, Some(503), 1..1, true),
+        held_try(2, None, 1..1, false),
+        held_try(3, Some(200), 5..9, true),
+    ];
+    Stream { tries, last: 8 }
+}
+
 /// Calls of each kind every second for half a minute, all served, and one of each other event.
 fn kept() -> History {
     let mut history = History { calm: at(20.0), last: Some(3), ..History::default() };
@@ -55,6 +73,7 @@
             history.calls.push(call(&id, kind, f64::from(second), GOOD));
         }
     }
+    history.streams.push(taken_up());
     history.leaves.push(Leave { life: "e-2".to_owned(), at: at(5.0) });
     history.arrivals.push(arrival("Once-0", "e-2", 1.0));
     history.arrivals.pop();
@@ -109,6 +128,30 @@
     an_answer_of_another_call: OwnAnswer, |history| {
         history.calls[4].outcome = Outcome::Answered { status: 200, whole: true, right: false };
     };
+    a_stream_taken_up_at_another_version: Order, |history| {
+        for event in &mut history.streams[0].tries[3].events {
+            event.version = "v2".to_owned();
+        }
+    };
+    a_stream_of_two_versions_in_one_answer: Order, |history| {
+        history.streams[0].tries[0].events[3].version = "v2".to_owned();
+    };
+    an_event_that_comes_twice: Order, |history| history.streams[0].tries[3] = held_try(3, Some(200), 4..9, true);
+    an_event_that_is_left_out: Order, |history| history.streams[0].tries[3] = held_try(3, Some(200), 6..9, true);
+    a_stream_without_its_first_event: Order, |history| {
+        history.streams[0].tries.remove(0);
+    };
+    events_that_go_back: Order, |history| history.streams[0].tries[0].events.swap(1, 2);
+    a_stream_that_is_whole_before_its_last_event: Order, |history| {
+        history.streams[0].tries[3] = held_try(3, Some(200), 5..8, true);
+    };
+    a_stream_that_is_whole_without_events: Order, |history| {
+        history.streams[0].tries = vec![held_try(0, Some(200), 1..1, true)];
+    };
+    a_try_of_a_stream_at_an_endpoint_that_left: Drained, |history| {
+        history.streams[0].tries[3].sent = at(7.4);
+        history.arrivals.push(arrival("s-3", "e-2", 7.5));
+    };
     a_call_that_runs_twice: AtMostOnce, |history| history.arrivals.push(arrival("Once-3", "e-9", 3.2));
     a_call_called_not_run_that_ran: NotRun, |history| {
         history.calls[1].outcome = Outcome::Answered { status: 503, whole: true, right: false };
@@ -183,6 +226,33 @@
     };
 }
 
+/// What breaks off is no promise broken, whatever its version.
+#[test]
+fn streams_that_end_early_break_nothing_while_their_events_fit() {
+    let spoil = |history: &mut History| {
+        history.streams[0].tries.truncate(3);
+        let mut other = taken_up();
+        for event in other.tries.iter_mut().flat_map(|held| &mut held.events) {
+            event.version = "v2".to_owned();
+        }
+        history.streams.push(other);
+        history.streams.push(Stream { tries: vec![held_try(0, None, 1..1, false)], last: 8 });
+    };
+    assert_eq!(broken_by(spoil), Vec::new());
+}
+
+#[test]
+fn streams_that_are_taken_up_and_that_go_on_are_counted() {
+    let mut history = kept();
+    let mut refused = taken_up();
+    refused.tries.truncate(2);
+    let begun_late =
+        Stream { tries: vec![held_try(0, None, 1..1, false), held_try(1, Some(200), 1..9, true)], last: 8 };
+    history.streams.extend([refused, begun_late]);
+    let verdict = check(&history, &Bounds::default());
+    assert_eq!((verdict.taken_up, verdict.gone_on), (2, 1));
+}
+
 /// A pause of 2.5 s over a leave: the instance's proof was 2.98 s old when it sent, within its bound.
 #[test]
 fn an_instance_that_was_away_may_not_have_learned_of_a_leave() {
@@ -234,5 +304,5 @@
     last.expect("it is there").pushback = Some(Pushback::Backoff(at(1.0)));
     let verdict = check(&history, &Bounds::default());
     assert_eq!(verdict.broken, Vec::new());
-    assert_eq!(verdict.tested.len(), 16, "{:?}", verdict.tested);
+    assert_eq!(verdict.tested.len(), 17, "{:?}", verdict.tested);
 }
