feat(soak): releases, and ends of all processes amid them

Replicas of the soak had one version, and no fault ended all processes at one moment, so no schedule could lead to a stream of two versions.

The files in soak/seeds are as they were and have no releases.

--- a/crates/rudder-soak/src/schedule.rs
+++ b/crates/rudder-soak/src/schedule.rs
@@ -1,6 +1,6 @@
 //! Schedules: which fault begins when. Drawn from a seed, written and read as TOML.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use eyre::{Context as _, Result, ensure};
 use rand::{RngExt as _, SeedableRng as _};
@@ -17,6 +17,18 @@
 const SPAN_MOST: u64 = 3_500;
 /// Time between two losses of a disk: a voter with an empty folder has to be caught up before the next is lost.
 const WIPE_GAP: u64 = 9_000;
+/// The stream of random numbers that releases are drawn from: the other faults of a seed do not depend on them.
+const RELEASE_STREAM: u128 = 1;
+/// The first release begins so long after the time without faults at most, in milliseconds.
+const RELEASE_FIRST: u64 = 3_000;
+/// Time between two releases, in milliseconds.
+const RELEASE_GAP: RangeInclusive<u64> = 5_000..=10_000;
+/// Time between the replacements of two endpoints in a release, in milliseconds.
+const RELEASE_STEP: RangeInclusive<u64> = 100..=800;
+/// Time from the beginning of a release to the end of all processes, in milliseconds.
+const KILL_ALL_AFTER: RangeInclusive<u64> = 200..=5_000;
+/// Time for which all processes are down, in milliseconds.
+const KILL_ALL_DOWN: RangeInclusive<u64> = 200..=1_500;
 /// Settings with more processes than this are refused: a few dozen are what one machine bears.
 const PROCESSES_MOST: usize = 60;
 /// Settings with more endpoints than this are refused.
@@ -82,6 +94,11 @@
         /// Until their start.
         down: u64,
     },
+    /// All instances are killed at once.
+    KillAll {
+        /// Until their start.
+        down: u64,
+    },
     /// A process is killed, and its data folder is empty when it starts again.
     Wipe {
         /// Which.
@@ -130,6 +147,15 @@
         #[serde(default)]
         unheard: bool,
     },
+    /// Endpoints are replaced, one after the other, by ones of a new software version: each starts before the old one leaves.
+    Release {
+        /// The first.
+        endpoint: usize,
+        /// How many.
+        count: usize,
+        /// Time between two.
+        gap: u64,
+    },
     /// An endpoint runs requests and says nothing.
     Mute {
         /// Which.
@@ -262,6 +288,7 @@
         match self {
             Fault::Kill { .. } => "kill",
             Fault::KillCore { .. } => "kill_core",
+            Fault::KillAll { .. } => "kill_all",
             Fault::Wipe { .. } => "wipe",
             Fault::Pause { .. } => "pause",
             Fault::Suspend { .. } => "suspend",
@@ -269,6 +296,7 @@
             Fault::Reload { .. } => "reload",
             Fault::Crash { .. } => "crash",
             Fault::Leave { .. } => "leave",
+            Fault::Release { .. } => "release",
             Fault::Mute { .. } => "mute",
             Fault::Lose { .. } => "lose",
             Fault::Cut { .. } => "cut",
@@ -367,6 +395,25 @@
     }
 }
 
+/// Draws releases, amid some of which all processes are killed.
+fn draw_releases(seed: u64, size: Size, end: u64) -> Vec<Entry> {
+    let mut rng = Pcg64::new(u128::from(seed), RELEASE_STREAM);
+    let mut entries = Vec::new();
+    let mut at = CALM_START + rng.random_range(0..=RELEASE_FIRST);
+    while at < end {
+        let endpoint = rng.random_range(0..size.endpoints);
+        let count = rng.random_range(1..size.endpoints);
+        entries.push(Entry { at, fault: Fault::Release { endpoint, count, gap: rng.random_range(RELEASE_STEP) } });
+        let killed = at + rng.random_range(KILL_ALL_AFTER);
+        let down = rng.random_range(KILL_ALL_DOWN);
+        if rng.random() && killed < end {
+            entries.push(Entry { at: killed, fault: Fault::KillAll { down } });
+        }
+        at += rng.random_range(RELEASE_GAP);
+    }
+    entries
+}
+
 impl Schedule {
     /// Draws a schedule; `only` names the faults that may stand in it, all where it is empty.
     pub fn draw(seed: u64, size: Size, only: &[String]) -> Schedule {
@@ -375,12 +422,12 @@
         let mut at = CALM_START;
         let mut entries = Vec::new();
         while at < end {
-            let fault = draw.fault(at);
-            if only.is_empty() || only.iter().any(|name| name == fault.name()) {
-                entries.push(Entry { at, fault });
-            }
+            entries.push(Entry { at, fault: draw.fault(at) });
             at += draw.rng.random_range(0..=GAP_MOST);
         }
+        entries.extend(draw_releases(seed, size, end));
+        entries.retain(|entry| only.is_empty() || only.iter().any(|name| name == entry.fault.name()));
+        entries.sort_by_key(|entry| entry.at);
         Schedule { seed, size, entries }
     }
 
@@ -424,6 +471,7 @@
             | Fault::Isolate { instance, .. } => instance < instances,
             Fault::Crash { endpoint, .. }
             | Fault::Leave { endpoint, .. }
+            | Fault::Release { endpoint, .. }
             | Fault::Mute { endpoint, .. }
             | Fault::Lose { endpoint, .. }
             | Fault::Cut { endpoint, .. }
--- a/crates/rudder-soak/tests/schedule.rs
+++ b/crates/rudder-soak/tests/schedule.rs
@@ -22,7 +22,7 @@
         let wipes: Vec<u64> = wipes.map(|entry| entry.at).collect();
         assert!(wipes.windows(2).all(|pair| pair[1] >= pair[0] + 9_000), "{wipes:?}");
     }
-    assert_eq!(names.len(), 24, "{names:?}");
+    assert_eq!(names.len(), 26, "{names:?}");
 }
 
 #[test]
@@ -31,6 +31,20 @@
     assert_eq!(Schedule::from_toml(&text).expect("it was written so"), draw(3));
 }
 
+/// The faults of a seed as they were drawn before there were releases.
+const WITHOUT_RELEASES: &str = include_str!("data/seed-1.toml");
+
+#[test]
+fn releases_leave_the_other_faults_of_a_seed_as_they_were() {
+    let before = Schedule::from_toml(WITHOUT_RELEASES).expect("it can be read");
+    let drawn = Schedule::draw(before.seed, before.size, &[]).entries;
+    assert!(drawn.is_sorted_by_key(|entry| entry.at), "{drawn:?}");
+    let is_release = |entry: &Entry| matches!(entry.fault, Fault::Release { .. } | Fault::KillAll { .. });
+    let (releases, others): (Vec<Entry>, Vec<Entry>) = drawn.into_iter().partition(is_release);
+    assert!(!releases.is_empty());
+    assert_eq!(others, before.entries);
+}
+
 macro_rules! refused {
     ($($name:ident: $from:expr, $to:expr, $why:expr;)*) => {
         $(#[test] fn $name() {
@@ -44,6 +58,8 @@
 
 refused! {
     an_instance_that_there_is_not: "instance = 1", "instance = 9", "the stop at 3000 ms";
+    a_release_of_an_endpoint_that_there_is_not: "kind = \"stop\"\ninstance = 1",
+        "kind = \"release\"\nendpoint = 6\ncount = 1\ngap = 100", "the release at 3000 ms";
     a_fault_that_is_not_known: "\"stop\"", "\"sleep\"", "read the schedule";
     more_instances_than_a_machine_bears: "instances = 5", "instances = 500", "--instances";
     too_few_endpoints: "endpoints = 6", "endpoints = 1", "--endpoints";
