--- a/crates/rudder-soak/tests/schedule.rs
+++ b/crates/rudder-soak/tests/schedule.rs
@@ -1,5 +1,10 @@
 //! Schedules: the same from the same seed, the same after they are written and read, refused where they cannot run, shortened.
 
+use std::{
+    fs,
+    path::{Path, PathBuf},
+};
+
 use rudder_soak::{Entry, Fault, Schedule, Size, shrink::shrink};
 
 fn draw(seed: u64) -> Schedule {
@@ -31,6 +36,19 @@
     assert_eq!(Schedule::from_toml(&text).expect("it was written so"), draw(3));
 }
 
+/// Guards against schedules that showed a fault and can no longer be played.
+#[test]
+fn committed_schedules_can_be_read() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../soak/seeds");
+    let paths = fs::read_dir(folder).expect("a folder").map(|entry| entry.expect("an entry").path());
+    let files: Vec<PathBuf> = paths.filter(|path| path.extension().is_some_and(|end| end == "toml")).collect();
+    assert!(files.len() >= 3, "{files:?}");
+    for path in files {
+        let text = fs::read_to_string(&path).expect("a file");
+        Schedule::from_toml(&text).unwrap_or_else(|error| panic!("{}: {error:#}", path.display()));
+    }
+}
+
 /// The faults of a seed as they were drawn before there were releases.
 const WITHOUT_RELEASES: &str = include_str!("data/seed-1.toml");
 
