--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -185,7 +185,7 @@
     let mut origins = Vec::new();
     for record in &notes.records {
         match rmp_serde::from_slice::<Vec<StreamOrigin>>(record) {
-            Ok(noted) => origins.extend(noted),
+            Ok(read) => origins.extend(read),
             Err(error) => spdlog::warn!("a note of the data folder cannot be read: {error}"),
         }
     }
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -392,7 +392,7 @@
             return;
         }
         let mut changes = self.published.subscribe();
-        let admitted = changes.wait_for(|_| self.can_begin(route));
+        let admitted = changes.wait_for(|()| self.can_begin(route));
         // Without an endpoint of an admitted version the request is refused.
         let _ = tokio::time::timeout(bound, admitted).await;
     }
