--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -551,8 +551,7 @@
                 let departures = departures_in(&stamped.command);
                 let answer = self.ledger.apply(entry.index, stamped);
                 let departed = self.leader_since.is_some() && self.record_committed(now, &departures);
-                let is_news = matches!(answer, Answer::Found(true) | Answer::Evacuated(true) | Answer::StagesSet(true));
-                let notify = departed || configures || is_news;
+                let notify = departed || configures || matches!(answer, Answer::Found(true) | Answer::Evacuated(true));
                 if notify && self.leader_since.is_some() {
                     self.watchers.notify(now, None, out);
                 }
--- a/crates/rudder-core/src/origins.rs
+++ b/crates/rudder-core/src/origins.rs
@@ -17,7 +17,7 @@
     time::Duration,
 };
 
-use rudder_ledger::{Releases, Software};
+use rudder_ledger::{Releases, Software, Stage};
 use rudder_model::{InstanceId, id};
 use serde::{Deserialize, Serialize};
 
@@ -211,8 +211,8 @@
         let Some(pending) = self.pending.get(&ticket) else { return };
         let evidence = pending.evidence(around);
         let only = pending.only_version(around);
-        // The first version of a service may be on its way.
-        let is_final = evidence.current && evidence.versions > 1 && pending.answered >= pending.asked;
+        // The first version of a service may be on its way, and a newer proof may leave one version.
+        let is_final = pending.is_proved(around) && evidence.versions > 1 && pending.answered >= pending.asked;
         if only.is_none() && !is_final && now < pending.arrived + ANSWER_TIMEOUT {
             return;
         }
@@ -252,7 +252,7 @@
 impl Pending {
     fn evidence(&self, around: Surroundings) -> Evidence {
         Evidence {
-            versions: self.versions(&around.view.releases).count(),
+            versions: self.versions(around).len(),
             current: around.view.knows_releases(self.arrived, around.lease),
             asked: self.asked,
             answered: self.answered,
@@ -264,14 +264,22 @@
         if !around.view.knows_releases(self.arrived, around.lease) {
             return None;
         }
-        let mut versions = self.versions(&around.view.releases);
-        versions.next().filter(|_| versions.next().is_none())
+        let versions = self.versions(around);
+        let mut versions = versions.iter();
+        versions.next().filter(|_| versions.next().is_none()).cloned()
     }
 
-    fn versions<'a>(&'a self, releases: &'a Releases) -> impl Iterator<Item = Software> {
-        self.services.iter().flat_map(|service| {
-            releases.of(service).map(|version| Software { service: service.clone(), version: version.clone() })
-        })
+    /// Returns whether the versions in service are proved as of a time after the stream began.
+    fn is_proved(&self, around: Surroundings) -> bool {
+        around.view.releases_proved().is_some_and(|proved| proved >= self.arrived)
+    }
+
+    /// Returns the versions that may have begun the stream. With a proof from before, one that is announced there may have
+    /// been admitted since.
+    fn versions(&self, around: Surroundings) -> Vec<Software> {
+        let (releases, is_proved) = (&around.view.releases, self.is_proved(around));
+        let held = releases.iter().filter(|(software, _)| self.services.contains(&software.service));
+        held.filter(|(_, stage)| !is_proved || *stage != Stage::Announced).map(|(software, _)| software).collect()
     }
 }
 
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -167,6 +167,11 @@
         self.registry_proved
     }
 
+    /// Returns the time as of which the versions in service are proved to be complete.
+    pub(crate) fn releases_proved(&self) -> Option<Duration> {
+        self.releases_proved
+    }
+
     /// Returns whether the versions in service are proved to be complete as of `lease` before `at`.
     pub fn knows_releases(&self, at: Duration, lease: Duration) -> bool {
         self.releases_proved.is_some_and(|proved| at < proved + lease)
@@ -450,7 +455,8 @@
         urgent |= self.apply_quarantine(reply.quarantine);
         let moved = self.apply_evacuations(reply.evacuations, out);
         (changed, urgent) = (changed || moved, urgent || moved);
-        urgent |= self.apply_releases(reply.releases, out);
+        // Requests wait for a new version, so nobody is notified.
+        self.apply_releases(reply.releases, out);
         self.confirm(reply.round, *from == reply.leader);
         let held = self.document.as_ref().map_or(0, |document| document.version);
         // Time counts from the start of this process, so an earlier proof has no representation and is discarded.
@@ -560,15 +566,13 @@
         applied
     }
 
-    /// Applies a newer state of the versions in service. Returns whether it was newer.
-    fn apply_releases(&mut self, update: Option<Releases>, out: &mut Vec<Effect>) -> bool {
-        let Some(update) = update else { return false };
-        let applied = Arc::make_mut(&mut self.releases).take(update);
-        if applied {
+    /// Applies a newer state of the versions in service.
+    fn apply_releases(&mut self, update: Option<Releases>, out: &mut Vec<Effect>) {
+        let Some(update) = update else { return };
+        if Arc::make_mut(&mut self.releases).take(update) {
             self.revision += 1;
             out.push(Effect::Log(to_log(&self.releases)));
         }
-        applied
     }
 
     fn apply_delta(&mut self, delta: Delta) -> bool {
--- a/crates/rudder-core/tests/origins.rs
+++ b/crates/rudder-core/tests/origins.rs
@@ -20,6 +20,8 @@
 const BEGINNER: usize = 7;
 /// One that is asked to let them go on.
 const ASKED: usize = 5;
+/// One that is suspended, so that it does not report what it holds.
+const SUSPENDED: usize = 4;
 const STREAM: u64 = 77;
 /// Longer than the time until a version without endpoints is retired, and then dropped.
 const RETENTION: Duration = Duration::from_secs(65);
@@ -182,6 +184,16 @@
         deployment.mesh.wake(ASKED);
         assert_eq!(deployment.ask(ASKED), Origin::Known(software("v2")));
     };
+    /// Guards against streams that are refused for a version at which none can have begun yet.
+    a_version_that_is_only_announced_began_no_stream: ["v1"], |deployment| {
+        deployment.begin("v1");
+        deployment.mesh.kill(BEGINNER);
+        deployment.mesh.nodes[SUSPENDED].paused = true;
+        deployment.mesh.version_beat(ASKED, "e-v2", "v2", 1);
+        deployment.mesh.run(MILLISECOND * 600);
+        assert_eq!(deployment.stage("v2"), Some(Stage::Announced));
+        assert_eq!(deployment.ask(ASKED), Origin::Only(software("v1")));
+    };
     /// Guards against a new version in use before an instance with a valid proof knows of it.
     a_version_is_admitted_once_every_live_instance_counts_it: ["v1"], |deployment| {
         deployment.versions.push("v2");
