test(core): streams whose version is taken for the only one, forgotten or kept out of use

Seven tests of rudder-core/tests/origins.rs fail on: a service's first version beside another service of the route, a route that was moved, a stream that began anew under one id, a stream of more than 60 s, one that went on as the only version's, notes that fill the memory of origins, and versions of one service that keep another one out of use. Nothing is fixed here.

--- a/crates/rudder-core/tests/origins.rs
+++ b/crates/rudder-core/tests/origins.rs
@@ -6,7 +6,7 @@
 
 use mesh::{Layout, Mesh};
 use rudder_core::{
-    Event,
+    Event, Registration,
     origins::{Origin, StreamOrigin},
 };
 use rudder_ledger::{Software, Stage};
@@ -81,6 +81,22 @@
         self.mesh.run(MILLISECOND * 20);
     }
 
+    /// Sends a heartbeat of an endpoint of another service, with version w1.
+    fn beat_other(&mut self, number: usize) {
+        self.sequence += 1;
+        let registration = Registration {
+            service: "other".into(),
+            version: "w1".into(),
+            sequence: self.sequence,
+            ..mesh::registration("o-1", "hall-0")
+        };
+        self.mesh.send_event(number, Event::Register { ticket: 0, registration });
+    }
+
+    fn admits_other(&self, number: usize) -> bool {
+        self.mesh.releases_at(number).is_some_and(|releases| releases.is_admitted("other", "w1"))
+    }
+
     /// Ends all instances with a loss of power, which takes what was not synced, and starts them again.
     fn lose_power(&mut self) {
         for node in &mut self.mesh.nodes {
@@ -91,8 +107,13 @@
 
     /// Asks an instance what began the stream.
     fn ask(&mut self, number: usize) -> Origin {
+        self.ask_of(number, &["model"])
+    }
+
+    /// Asks an instance which version of a route's services began the stream.
+    fn ask_of(&mut self, number: usize, services: &[&str]) -> Origin {
         self.tickets += 1;
-        let services: Vec<Arc<str>> = vec!["model".into()];
+        let services: Vec<Arc<str>> = services.iter().map(|service| Arc::from(*service)).collect();
         self.mesh.send_event(number, Event::AskOrigin { ticket: self.tickets, stream: STREAM, services });
         self.mesh.run(MILLISECOND * 400);
         self.mesh.origins.get(&self.tickets).cloned().expect("an answer within the timeout")
@@ -229,4 +250,80 @@
         }
         assert!(deployment.is_admitted(ASKED, "v1") && deployment.is_admitted(ASKED, "v2"));
     };
+    /// Guards against the first version of a route's second service, which is admitted before all instances count it.
+    the_first_version_of_a_second_service_of_a_route_counts: ["v1"], |deployment| {
+        deployment.mesh.nodes[ASKED].cut = true;
+        for _ in 0..10 {
+            deployment.beat_other(BEGINNER);
+            deployment.mesh.run(MILLISECOND * 20);
+        }
+        assert!(deployment.admits_other(BEGINNER), "streams begin at w1 of the other service");
+        let origin = deployment.ask_of(ASKED, &["model", "other"]);
+        assert_eq!(origin, Origin::Unknown, "a stream may have begun at w1 of the other service");
+    };
+    /// Guards against a stream that goes on at the service to which its route was moved.
+    a_stream_of_a_service_that_its_route_has_left_does_not_go_on_elsewhere: ["v1"], |deployment| {
+        for _ in 0..10 {
+            deployment.beat_other(BEGINNER);
+            deployment.run(MILLISECOND * 200);
+        }
+        assert!(deployment.admits_other(ASKED));
+        deployment.begin("v1");
+        let origin = deployment.ask_of(ASKED, &["other"]);
+        assert!(!matches!(origin, Origin::Only(_)), "{origin:?}, and v1 of model has begun it");
+    };
+    /// Guards against a stream of a call that was passed on, brought no event, and began anew at another version.
+    a_stream_that_begins_anew_goes_on_at_its_later_version: ["v1", "v2"], |deployment| {
+        deployment.begin("v1");
+        deployment.mesh.kill(BEGINNER);
+        deployment.run(SECOND);
+        let anew = StreamOrigin { stream: STREAM, software: software("v2") };
+        deployment.mesh.send_event(BEGINNER - 1, Event::StreamBegun(anew));
+        deployment.run(SECOND);
+        let origin = deployment.ask(ASKED);
+        assert_ne!(origin, Origin::Known(software("v1")), "the caller has events of v2");
+    };
+    /// Guards against notes of old streams that leave no room for new ones after a start.
+    notes_of_old_streams_leave_room_for_new_ones: ["v1", "v2"], |deployment| {
+        for number in 0..DISKS {
+            let old = |stream: u64| StreamOrigin { stream: 1_000_000 + stream, software: software("v1") };
+            deployment.mesh.nodes[number].notes = (0..50_000).map(old).collect();
+        }
+        deployment.mesh.restart_all();
+        deployment.run(SECOND * 5);
+        deployment.begin("v2");
+        (DISKS..TOTAL).for_each(|number| deployment.mesh.kill(number));
+        deployment.mesh.run(SECOND * 2);
+        assert_eq!(deployment.ask(0), Origin::Known(software("v2")));
+    };
+    /// Guards against a stream that lasts, and is forgotten before its end.
+    a_stream_of_more_than_a_minute_is_known: ["v1", "v2"], |deployment| {
+        deployment.begin("v2");
+        deployment.run(SECOND * 70);
+        deployment.mesh.kill(BEGINNER);
+        assert_eq!(deployment.ask(ASKED), Origin::Known(software("v2")));
+    };
+    /// Guards against a stream that went on and is then forgotten with the instance that began it.
+    a_stream_that_went_on_as_the_only_one_is_known_after_a_release: ["v1"], |deployment| {
+        deployment.begin("v1");
+        deployment.mesh.kill(BEGINNER);
+        assert_eq!(deployment.ask(ASKED), Origin::Only(software("v1")));
+        deployment.run(SECOND * 2);
+        deployment.versions.push("v2");
+        deployment.run(SECOND * 4);
+        assert_eq!(deployment.ask(ASKED), Origin::Known(software("v1")));
+    };
+    /// Guards against a service that is out of use as the endpoints of another one name too many versions.
+    versions_of_one_service_leave_room_for_another: ["v1"], |deployment| {
+        for number in 0..1_100 {
+            deployment.mesh.version_beat(number % TOTAL, &format!("p-{number}"), &format!("pod-{number}"), 1);
+        }
+        deployment.run(SECOND * 5);
+        for _ in 0..10 {
+            deployment.beat_other(BEGINNER);
+            deployment.run(MILLISECOND * 200);
+        }
+        let count = deployment.mesh.releases_at(ASKED).map(|releases| releases.iter().count());
+        assert!(deployment.admits_other(ASKED), "{count:?} versions are held");
+    };
 }
