--- a/crates/rudder-core/tests/origins.rs
+++ b/crates/rudder-core/tests/origins.rs
@@ -272,6 +272,17 @@
         let origin = deployment.ask_of(ASKED, &["other"]);
         assert!(!matches!(origin, Origin::Only(_)), "{origin:?}, and v1 of model has begun it");
     };
+    /// Guards against streams of a split route that nobody is told of, as each of its services has one version only.
+    holders_know_a_stream_of_one_of_two_services_of_a_route: ["v1"], |deployment| {
+        for _ in 0..10 {
+            deployment.beat_other(BEGINNER);
+            deployment.run(MILLISECOND * 200);
+        }
+        assert!(deployment.admits_other(ASKED));
+        deployment.begin("v1");
+        let origin = deployment.ask_of(ASKED, &["model", "other"]);
+        assert_eq!(origin, Origin::Known(software("v1")));
+    };
     /// Guards against a stream of a call that was passed on, brought no event, and began anew at another version.
     a_stream_that_begins_anew_goes_on_at_its_later_version: ["v1", "v2"], |deployment| {
         deployment.begin("v1");
