fix(core): versions of one service neither pass unannounced nor keep out those of others

The bound is 64 for each of 256 services. - An instance that restarts and joins through a relay passed for one that holds the state, by what it had reported before (by reading).

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -242,7 +242,7 @@
     fn record_releases(&mut self, now: Duration, me: &Me, options: &Options, out: &mut Vec<Effect>) {
         let Some(since) = self.leader_since else { return };
         let held = &self.ledger.releases;
-        let is_replicated = self.directory.keys().all(|name| self.watchers.holds_releases(name, held.index()));
+        let is_replicated = self.directory.values().all(|listing| self.watchers.holds_releases(listing, held.index()));
         let leadership = Leadership { since, lease: options.liveness_timeout, is_replicated };
         let steps = self.releases.find_steps(now, leadership, held, &self.registry);
         if steps.is_empty() {
--- a/crates/rudder-core/src/releases.rs
+++ b/crates/rudder-core/src/releases.rs
@@ -1,8 +1,8 @@
 //! Steps of versions of endpoints' software, at the leader (see [`rudder_ledger::release`]).
 //!
 //! A version that joins others is announced first, and admitted once every instance that may act on its state holds the
-//! announcement: either all live instances have reported so, or a state without it is too old to act on. The first versions
-//! of a service are admitted at once, as no stream can have begun before. A version without endpoints is retired, and
+//! announcement: either all live instances have reported so, or a state without it is too old to act on. The very first
+//! versions are admitted at once, as an instance without any acts on none. A version without endpoints is retired, and
 //! dropped once its streams have ended.
 
 use std::{
@@ -103,9 +103,9 @@
         let entered = self.entered.get(software).map_or(now, |entered| entered.at);
         let is_past = |since: Duration, span: Duration| now >= since + span;
         let Some(stage) = held.stage(software) else {
-            let is_first = held.of(&software.service).next().is_none();
+            let is_first = held.iter().next().is_none();
             let stage = if is_first { Stage::Admitted } else { Stage::Announced };
-            return Some(stage).filter(|_| is_live && !held.is_full());
+            return Some(stage).filter(|_| is_live && !held.is_full(&software.service));
         };
         match stage {
             Stage::Announced if is_live => {
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -654,6 +654,6 @@
         index: releases.index(),
         count: releases.iter().count(),
         versions: releases.iter().take(MAX_LOGGED_VERSIONS).map(name).collect(),
-        full: releases.is_full(),
+        full: releases.iter().any(|(software, _)| releases.is_full(&software.service)),
     }
 }
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -308,8 +308,9 @@
     }
 
     /// Returns whether a watcher holds the versions in service as of log index `index`, as its last request told.
-    pub(crate) fn holds_releases(&self, name: &InstanceId, index: u64) -> bool {
-        self.instances.get(name).is_some_and(|held| held.releases >= index)
+    pub(crate) fn holds_releases(&self, listing: &Listing, index: u64) -> bool {
+        let held = self.instances.get(&listing.name).filter(|held| held.listing.start == listing.start);
+        held.is_some_and(|held| held.releases >= index)
     }
 
     /// Records the group of a relay. Returns its version and members, if the members of that version are held.
--- a/crates/rudder-ledger/src/release.rs
+++ b/crates/rudder-ledger/src/release.rs
@@ -9,8 +9,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Maximum number of versions held. More are not recorded, so no resumable stream begins at them.
-const MAX_RELEASES: usize = 1_024;
+/// Maximum number of versions of a service, and of services. More are not recorded, so no resumable stream begins there.
+const MAX_VERSIONS: usize = 64;
+const MAX_SERVICES: usize = 256;
 
 /// A version of the software of a service's endpoints.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -99,13 +100,13 @@
         changed
     }
 
-    /// Returns whether no further version is recorded.
-    pub fn is_full(&self) -> bool {
-        self.services.values().map(BTreeMap::len).sum::<usize>() >= MAX_RELEASES
+    /// Returns whether no further version of a service is recorded.
+    pub fn is_full(&self, service: &str) -> bool {
+        self.services.get(service).map_or(self.services.len() >= MAX_SERVICES, |held| held.len() >= MAX_VERSIONS)
     }
 
     fn set(&mut self, software: Software, stage: Stage) -> bool {
-        if self.is_full() && self.stage(&software).is_none() {
+        if self.is_full(&software.service) && self.stage(&software).is_none() {
             return false;
         }
         let versions = self.services.entry(software.service).or_default();
--- a/crates/rudder-ledger/tests/release.rs
+++ b/crates/rudder-ledger/tests/release.rs
@@ -59,12 +59,17 @@
         assert_eq!(held.news_after(5).map(|news| news.index()), Some(6));
         assert_eq!(held.news_after(6), None);
     };
-    /// Guards against memory that a sender of invented versions could take.
-    the_number_of_versions_is_bounded: |held| {
+    /// Guards against memory that a sender of invented versions or services could take, at the expense of others.
+    the_numbers_of_versions_and_services_are_bounded: |held| {
         for number in 0..2_000 {
             held.apply(number + 1, vec![step(&format!("v{number}"), Admitted)]);
         }
-        assert_eq!(held.iter().count(), 1_024);
+        assert_eq!(held.iter().count(), 64);
         assert!(held.apply(9_000, vec![step("v1", Retired)]), "those held still take steps");
+        for number in 0..2_000 {
+            let software = Software { service: format!("s{number}").as_str().into(), version: "v1".into() };
+            held.apply(10_000 + number, vec![StageChange { software, stage: Some(Admitted) }]);
+        }
+        assert_eq!(held.iter().count(), 64 + 255);
     };
 }
