fix(core): a stream is held to its service also over a split and a moved route

What counts is the number of versions over all services that may have begun the stream: those of its route, and for a minute those that the route has left here.

Beside it: a stream that begins anew is remembered by its later version; one that went on at the only version is known where it went on; restored notes leave room for new streams and the newest are kept; a stream is remembered for ten minutes unless there are many.

--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -103,7 +103,12 @@
     /// An endpoint reported its rate limit in an answer to this instance.
     Limit(LimitReport),
     /// The first event of a stream that may be resumed was passed on to its caller.
-    StreamBegun(StreamOrigin),
+    StreamBegun {
+        /// What began it.
+        origin: StreamOrigin,
+        /// The services that might have begun it.
+        services: Arc<[Arc<str>]>,
+    },
     /// What began streams, as noted before this start.
     OriginsNoted(Vec<StreamOrigin>),
     /// Notes could not be written, or can be again.
@@ -120,7 +125,7 @@
         /// The stream.
         stream: StreamTag,
         /// The services that may have begun it.
-        services: Vec<Arc<str>>,
+        services: Arc<[Arc<str>]>,
     },
     /// A request needs a permit for an endpoint with a rate limit; answered by [`crate::Effect::Permitted`].
     AskPermit {
--- a/crates/rudder-core/src/origins.rs
+++ b/crates/rudder-core/src/origins.rs
@@ -1,9 +1,9 @@
 //! What began streams: a version of a service's software. Events of two versions do not fit together, so a stream that
 //! breaks off may only go on at the version that began it, also at an instance that has never seen it.
 //!
-//! The instance that passes on the first event of a stream remembers its version. While several versions of a service may
-//! have begun streams ([`rudder_ledger::release`]), it also tells two holders, chosen by rendezvous hashing over the live
-//! instances, one of them with a disk; when the second version becomes known, it tells them of the streams before. Whoever
+//! The instance that passes on the first event of a stream remembers its version. While the services of its route have
+//! several versions that may have begun streams ([`rudder_ledger::release`]), it also tells two holders, chosen by rendezvous
+//! hashing over the live instances, one of them with a disk; when a second version comes, it tells them of earlier streams. Whoever
 //! is asked to let a stream go on asks the holders. What they remember is soft state and kept only as long as a caller may
 //! take a stream up. Holders with a disk also note it there without a sync, so that it outlasts the end of all processes; what
 //! a loss of power takes of it is not known any more.
@@ -11,11 +11,7 @@
 //! Not knowing a version proves nothing: holders may be lost, late, or have started since. A version counts as the only one
 //! by the replicated state alone, and only while that is proved to be recent.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use rudder_ledger::{Releases, Software, Stage};
 use rudder_model::{InstanceId, id};
@@ -23,14 +19,18 @@
 
 use crate::{Effect, Listing, Me, PeerMessage, tree::Directory, view::View};
 
-/// How long the origin of a stream is remembered: longer than any caller waits.
-const RETENTION: Duration = Duration::from_secs(60);
+/// How long the origin of a stream is remembered from its beginning: longer than any stream lasts.
+const RETENTION: Duration = Duration::from_secs(600);
+/// The same while many streams are remembered.
+const MIN_RETENTION: Duration = Duration::from_secs(60);
 /// Most streams remembered, which bounds the memory to a few megabytes.
 const MAX_STREAMS: usize = 50_000;
 /// How long to wait for the holders, or for a proof of the versions in service.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Instances with a disk that are asked, as the directory may have changed since one of them was told.
 const ASKED_DISKS: usize = 3;
+/// Most streams restored from notes, which leaves room for those that begin after the start.
+const MAX_RESTORED: usize = MAX_STREAMS / 2;
 /// Most streams in one note on the disk.
 const MAX_NOTED: usize = 1_000;
 /// Interval between removals of old entries.
@@ -76,8 +76,8 @@
 struct Remembered {
     software: Software,
     at: Duration,
-    /// It was begun here, and its holders are not told yet.
-    untold: bool,
+    /// The services that may have begun it, if it was begun here and its holders are not told yet.
+    untold: Option<Arc<[Arc<str>]>>,
 }
 
 /// A question about the origin of a stream.
@@ -88,13 +88,14 @@
     /// The stream.
     pub(crate) stream: StreamTag,
     /// The services that may have begun it.
-    pub(crate) services: Vec<Arc<str>>,
+    pub(crate) services: Arc<[Arc<str>]>,
 }
 
 /// A question that is not answered yet.
 #[derive(Debug)]
 struct Pending {
-    services: Vec<Arc<str>>,
+    stream: StreamTag,
+    services: Arc<[Arc<str>]>,
     arrived: Duration,
     asked: usize,
     answered: usize,
@@ -122,15 +123,15 @@
     pub(crate) fn record_begun(
         &mut self,
         now: Duration,
-        origin: StreamOrigin,
+        (origin, services): (StreamOrigin, Arc<[Arc<str>]>),
         around: Surroundings,
         out: &mut Vec<Effect>,
     ) {
-        let untold = !has_several_versions(&around.view.releases, &origin.software.service);
-        if !untold {
+        let is_told = has_several_versions(&around.view.releases, &services);
+        if is_told {
             tell(around, vec![origin.clone()], out);
         }
-        self.remember(now, origin, untold);
+        self.remember(now, origin, Some(services).filter(|_| !is_told));
     }
 
     /// Records streams of which this instance is a holder, and has them noted if it has a disk.
@@ -145,20 +146,27 @@
             out.push(Effect::NoteOrigins(noted.to_vec()));
         }
         for origin in origins {
-            self.remember(now, origin, false);
+            self.remember(now, origin, None);
         }
     }
 
-    /// Records streams that were noted before this start.
+    /// Records streams that were noted before this start, the newest ones if they are too many.
     pub(crate) fn restore(&mut self, now: Duration, origins: Vec<StreamOrigin>) {
-        for origin in origins {
-            self.remember(now, origin, false);
+        let excess = origins.len().saturating_sub(MAX_RESTORED);
+        for origin in origins.into_iter().skip(excess) {
+            self.remember(now, origin, None);
         }
     }
 
-    fn remember(&mut self, now: Duration, StreamOrigin { stream, software }: StreamOrigin, untold: bool) {
-        if self.streams.len() < MAX_STREAMS {
-            self.streams.entry(stream).or_insert(Remembered { software, at: now, untold });
+    /// Remembers a stream. It may have begun anew, without an event of the earlier run.
+    fn remember(
+        &mut self,
+        now: Duration,
+        StreamOrigin { stream, software }: StreamOrigin,
+        untold: Option<Arc<[Arc<str>]>>,
+    ) {
+        if self.streams.len() < MAX_STREAMS || self.streams.contains_key(&stream) {
+            self.streams.insert(stream, Remembered { software, at: now, untold });
         }
     }
 
@@ -170,15 +178,15 @@
     /// Looks up what began a stream. Unless it is known here or follows from the versions in service, asks its holders.
     pub(crate) fn ask(&mut self, now: Duration, question: OriginQuestion, around: Surroundings, out: &mut Vec<Effect>) {
         let OriginQuestion { ticket, stream, services } = question;
-        let mut pending = Pending { services, arrived: now, asked: 0, answered: 0 };
+        let mut pending = Pending { stream, services, arrived: now, asked: 0, answered: 0 };
         if let Some(software) = self.software_of(stream) {
             let evidence = pending.evidence(around);
             out.push(Effect::OriginFound { ticket, origin: Origin::Known(software), evidence });
             return;
         }
-        if let Some(only) = pending.only_version(around) {
-            let evidence = pending.evidence(around);
-            out.push(Effect::OriginFound { ticket, origin: Origin::Only(only), evidence });
+        if pending.only_version(around).is_some() {
+            self.pending.insert(ticket, pending);
+            self.settle(now, ticket, around, out);
             return;
         }
         let holders = possible_holders(stream, around.me, &around.view.directory);
@@ -216,7 +224,11 @@
         if only.is_none() && !is_final && now < pending.arrived + ANSWER_TIMEOUT {
             return;
         }
-        self.pending.remove(&ticket);
+        if let (Some(software), Some(Pending { stream, services, .. })) = (&only, self.pending.remove(&ticket)) {
+            // The instance that began it may be gone when another version comes.
+            let origin = StreamOrigin { stream, software: software.clone() };
+            self.record_begun(now, (origin, services), around, out);
+        }
         let origin = only.map_or(Origin::Unknown, Origin::Only);
         out.push(Effect::OriginFound { ticket, origin, evidence });
     }
@@ -229,23 +241,22 @@
         }
         if now >= self.pruned_at + PRUNE_INTERVAL {
             self.pruned_at = now;
-            self.streams.retain(|_, held| now < held.at + RETENTION);
+            let is_crowded = self.streams.len() > MAX_STREAMS / 2;
+            let retention = if is_crowded { MIN_RETENTION } else { RETENTION };
+            self.streams.retain(|_, held| now < held.at + retention);
         }
     }
 
-    /// Tells the holders of untold streams whose service has several versions by now.
+    /// Tells the holders of untold streams that one of several versions may have begun by now.
     pub(crate) fn on_releases(&mut self, around: Surroundings, out: &mut Vec<Effect>) {
         let releases = &around.view.releases;
-        let untold = self.streams.values().filter(|held| held.untold).map(|held| held.software.service.clone());
-        let services: BTreeSet<Arc<str>> = untold.collect();
-        for service in services.into_iter().filter(|service| has_several_versions(releases, service)) {
-            let untold = self.streams.iter_mut().filter(|(_, held)| held.untold && held.software.service == service);
-            let origins = untold.map(|(stream, held)| {
-                held.untold = false;
-                StreamOrigin { stream: *stream, software: held.software.clone() }
-            });
-            tell(around, origins.collect(), out);
+        let mut origins = Vec::new();
+        for (stream, held) in &mut self.streams {
+            if held.untold.take_if(|services| has_several_versions(releases, services)).is_some() {
+                origins.push(StreamOrigin { stream: *stream, software: held.software.clone() });
+            }
         }
+        tell(around, origins, out);
     }
 }
 
@@ -283,8 +294,9 @@
     }
 }
 
-fn has_several_versions(releases: &Releases, service: &str) -> bool {
-    releases.of(service).nth(1).is_some()
+/// Returns whether streams of a route with these services may have been begun by several versions.
+fn has_several_versions(releases: &Releases, services: &[Arc<str>]) -> bool {
+    services.iter().flat_map(|service| releases.of(service)).nth(1).is_some()
 }
 
 /// Tells the holders of streams, in one message to each. This instance may be one of them.
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -204,8 +204,8 @@
             Event::AskPermit { ticket, request } => {
                 self.permits.ask(now, &self.me, &self.view, (ticket, request), out);
             }
-            Event::StreamBegun(origin) => {
-                self.with_origins(|origins, around| origins.record_begun(now, origin, around, out));
+            Event::StreamBegun { origin, services } => {
+                self.with_origins(|origins, around| origins.record_begun(now, (origin, services), around, out));
             }
             Event::OriginsNoted(origins) => self.origins.restore(now, origins),
             Event::NotesLost { count, resumed } => out.push(Effect::Log(What::NotesLost { count, resumed })),
--- a/crates/rudder-gateway/src/call/origin.rs
+++ b/crates/rudder-gateway/src/call/origin.rs
@@ -1,5 +1,8 @@
 //! Keeps a stream at the software version that began it, as events of two versions do not fit together.
 
+use std::sync::Arc;
+
+use rudder_clock::Moment;
 use rudder_core::{
     Event,
     origins::{Origin, StreamOrigin},
@@ -34,7 +37,7 @@
 
 /// Finds the version that began the stream of a call. Returns false if the stream must not go on.
 pub async fn find_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress) -> bool {
-    let services = call.route.shares.iter().map(|share| share.service.clone()).collect();
+    let services = possible_services(shared, call);
     let (origin, evidence) = shared.ask_origin(stream_tag(call.stream_id()), services).await;
     shared.metrics.record_taken_up(&origin);
     progress.software = match origin {
@@ -62,5 +65,17 @@
     }
     let software = Software { service: choice.service.clone(), version: choice.version.clone() };
     progress.software = Some(software.clone());
-    shared.send_event(Event::StreamBegun(StreamOrigin { stream: stream_tag(call.stream_id()), software }));
+    let origin = StreamOrigin { stream: stream_tag(call.stream_id()), software };
+    shared.send_event(Event::StreamBegun { origin, services: possible_services(shared, call) });
+}
+
+/// Returns the services that may have begun the stream of a call: those of its route, and those that the route has left.
+fn possible_services<D: Dialect>(shared: &Shared<D>, call: &Call) -> Arc<[Arc<str>]> {
+    let mut services: Vec<Arc<str>> = call.route.shares.iter().map(|share| share.service.clone()).collect();
+    for service in shared.former_services.borrow().of(&call.host, call.uri.path(), Moment::now()) {
+        if !services.contains(service) {
+            services.push(service.clone());
+        }
+    }
+    services.into()
 }
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -39,6 +39,7 @@
     contention::Contention,
     contents::{Contents, REFUSED_FOR},
     dialect::EntriesQuery,
+    former_services::FormerServices,
     health::Health,
     limits::{Permit, RateLimits},
     loads::EndpointLoads,
@@ -208,6 +209,8 @@
     pub budget: RefCell<Budget>,
     /// Idle connections to endpoints.
     pub pool: RefCell<Pool>,
+    /// Services that routes have left.
+    pub former_services: RefCell<FormerServices>,
     /// Notifies of each newer view.
     published: watch::Sender<()>,
     /// Notifies of endpoints that a later life has replaced.
@@ -279,6 +282,7 @@
             conditions: Rc::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
+            former_services: RefCell::default(),
             published: watch::Sender::new(()),
             replaced: watch::Sender::new(()),
             stage: watch::Sender::new(Stage::Serving),
@@ -413,7 +417,7 @@
     }
 
     /// Asks which version of one of these services began a stream.
-    pub async fn ask_origin(&self, stream: StreamTag, services: Vec<Arc<str>>) -> (Origin, Evidence) {
+    pub async fn ask_origin(&self, stream: StreamTag, services: Arc<[Arc<str>]>) -> (Origin, Evidence) {
         let (ticket, reply) = self.tickets.issue();
         self.send_event(Event::AskOrigin { ticket, stream, services });
         match reply.await {
@@ -654,6 +658,9 @@
                 self.returns.borrow_mut().retain(&plan);
                 self.shedding.borrow_mut().retain(|service| plan.services.contains_key(service));
                 self.arrivals.borrow_mut().retain(|service| plan.services.contains_key(service));
+                if let Some(before) = &*self.plan.borrow() {
+                    self.former_services.borrow_mut().record(before, &plan, Moment::now());
+                }
                 *self.plan.borrow_mut() = Some(Rc::new(plan));
             }
             // The instance that proposed it could parse it, but may run another version.
