fix(gateway): an endpoint that resets connections counts as ended where only its close marks the end of an answer

An endpoint at its bound of connections resets further ones too: a whole answer without framing of such a one is taken for broken off, which loses an answer; the other way round a broken one would be given out as whole.

--- a/crates/rudder-gateway/src/call/termination.rs
+++ b/crates/rudder-gateway/src/call/termination.rs
@@ -57,7 +57,7 @@
 /// its connections in order too, so the close is an end only if the endpoint goes on; other endpoints tell nothing of that.
 pub async fn confirms_end<D: Dialect>(shared: &Shared<D>, choice: &Choice) -> bool {
     let origin = shared.options.listeners.origin();
-    !shared.is_replaced(&choice.endpoint) && upstream::keeps_listening(origin, &choice.address).await
+    !shared.is_replaced(&choice.endpoint) && upstream::keeps_connections(origin, &choice.address).await
 }
 
 /// Records that an endpoint answered a request completely, and reports it if endpoints terminated while serving its
--- a/crates/rudder-gateway/src/upstream.rs
+++ b/crates/rudder-gateway/src/upstream.rs
@@ -39,9 +39,6 @@
 /// How long a connection that an endpoint accepted is watched. A process that is killed may close its listener after its other
 /// connections; those that still wait to be accepted are reset then.
 const ACCEPTED_WATCH: Duration = Duration::from_millis(20);
-/// Connections by which an endpoint is asked whether it listens. An endpoint with too many connections resets further ones,
-/// but refuses none.
-const LISTENING_PROBES: usize = 2;
 /// How long a connection may be idle before reuse if its endpoint names no keep-alive time.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// A connection is not reused this close to the end of its keep-alive time.
@@ -181,21 +178,16 @@
     matches!(probe, Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused)
 }
 
-/// Returns true unless connections from `origin` to `address` are refused, also after the process there may just have been
-/// killed. A timeout proves nothing.
-pub async fn keeps_listening(origin: IpAddr, address: &str) -> bool {
-    for _ in 0..LISTENING_PROBES {
-        let stream = match tokio::time::timeout(PROBE_TIMEOUT, open(origin, address)).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => return false,
-            Ok(Err(_)) | Err(_) => return true,
-        };
-        let peeked = tokio::time::timeout(ACCEPTED_WATCH, stream.peek(&mut [0])).await;
-        if !matches!(peeked, Ok(Ok(0) | Err(_))) {
-            return true;
-        }
-    }
-    true
+/// Returns true unless connections from `origin` to `address` fail, or end at once, so that the process there has ended. A
+/// timeout proves nothing.
+pub async fn keeps_connections(origin: IpAddr, address: &str) -> bool {
+    let stream = match tokio::time::timeout(PROBE_TIMEOUT, open(origin, address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(_)) => return false,
+        Err(_) => return true,
+    };
+    let peeked = tokio::time::timeout(ACCEPTED_WATCH, stream.peek(&mut [0])).await;
+    !matches!(peeked, Ok(Ok(0) | Err(_)))
 }
 
 /// Returns true if the end of an answer's body is marked otherwise than by the close of its connection.
