fix(core): the reply to a search for the leader confirms no heartbeat

A new life of an endpoint whose heartbeat arrives while there is no leader stayed unknown at the others until its next heartbeat; until then they used the earlier life.

Cause: View::confirm took a reply to any round since the first that carried a heartbeat for its confirmation. A request sent without a known leader carries none, yet the new leader may answer it. A trace of the test on the code before: the heartbeat is carried first in round 18, to the killed leader, and is dropped by the new leader's reply to round 23, which was a search.

a_life_that_begins_during_a_change_of_leader_is_known failed before:

assertion `left == right` failed: instance 2 left: (Some(Ready), None) right: (Some(Replaced), Some(Ready))

A search is now a target of its own, recorded with the request as the other targets are, and a reply to one confirms no heartbeats. All other requests carry the oldest unconfirmed ones, so that one carried once is in each of them until it is confirmed or expires.

All else that a reply proves or confirms rests on what a search carries as well (the listing and the versions held) or is held to be unknown if it doesn't (the relay's group).

--- a/crates/rudder-core/src/upstream.rs
+++ b/crates/rudder-core/src/upstream.rs
@@ -19,8 +19,11 @@
 /// The target of a watch request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Target {
-    /// The leader, or an instance that may know it.
+    /// The leader.
     Leader,
+    /// An instance that may know the leader, which this one does not. It can do nothing with reports, so the request
+    /// carries none.
+    Search,
     /// A relay.
     Relay,
     /// The leader, bypassing the relay that this instance reports its loads to.
@@ -191,6 +194,7 @@
         }
         match self.relay() {
             Some(relay) if !self.leader_preferred && !bypass => (Target::Relay, Some(relay.clone())),
+            _ if self.leader.is_none() => (Target::Search, leader),
             _ if self.relays.is_empty() => (Target::Leader, leader),
             _ => (Target::BypassRelay, leader),
         }
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -327,8 +327,7 @@
             stopping,
             replica,
         };
-        // Whom an instance asks while it knows no leader can do nothing with its reports.
-        let is_search = target != Target::Relay && self.leader().is_none();
+        let is_search = target == Target::Search;
         let heartbeats = if is_search { Vec::new() } else { self.attach_unconfirmed() };
         let with_loads = !is_search && target != Target::BypassRelay && self.is_load_exchange_due(now, options);
         if with_loads {
@@ -457,7 +456,7 @@
         (changed, urgent) = (changed || moved, urgent || moved);
         // Requests wait for a new version, so nobody is notified.
         self.apply_releases(reply.releases, out);
-        self.confirm(reply.round, *from == reply.leader);
+        self.confirm(reply.round, request.target, *from == reply.leader);
         let held = self.document.as_ref().map_or(0, |document| document.version);
         // Time counts from the start of this process, so an earlier proof has no representation and is discarded.
         let age = reply.age;
@@ -506,8 +505,12 @@
         Changes { changed, urgent }
     }
 
-    /// Removes heartbeats confirmed by a reply to the request of `round`. Only the leader can confirm a departure.
-    fn confirm(&mut self, round: u64, by_leader: bool) {
+    /// Removes heartbeats confirmed by a reply to the request of `round` to `target`. Only the leader can confirm a
+    /// departure.
+    fn confirm(&mut self, round: u64, target: Target, by_leader: bool) {
+        if target == Target::Search {
+            return;
+        }
         self.unconfirmed.retain(|_, held| {
             let carried = held.round.is_some_and(|first| first <= round);
             !carried || (held.registration.phase >= Phase::Leaving && !by_leader)
--- a/crates/rudder-core/tests/lives.rs
+++ b/crates/rudder-core/tests/lives.rs
@@ -85,7 +85,8 @@
         mesh.run(SECOND / 2);
         assert_eq!(phases(mesh), REPLACED);
     };
-    /// The heartbeat arrives while there is no leader.
+    /// The heartbeat arrives while there is no leader. The reply to a search for one, which carries no heartbeats, must not
+    /// confirm it, or the leader learns of the life with the endpoint's next heartbeat only.
     a_life_that_begins_during_a_change_of_leader_is_known: |mesh| {
         let leader = mesh.leader().expect("one leads");
         mesh.kill(leader);
