fix(gateway): a planned stop waits until callers' connections have ended, not only their requests

The stop waited for `open_requests` to be 0. A request ends when its response is handed to the HTTP server, and a stream's relay when its last part is queued; what the server had not written to the socket by then was dropped with the runtime. It now waits for the connections of callers. Each is counted from its accept until its socket is closed, which comes after the last byte was written; the kernel delivers what is in the socket's buffer. The bound stays 0.92 of the grace; idle connections still close at once.

--- a/crates/rudder-gateway/src/serve.rs
+++ b/crates/rudder-gateway/src/serve.rs
@@ -40,6 +40,24 @@
     Metrics,
 }
 
+/// Counts a caller's connection as open until it is dropped.
+struct OpenConnection<D: Dialect> {
+    shared: Rc<Shared<D>>,
+}
+
+impl<D: Dialect> OpenConnection<D> {
+    fn new(shared: &Rc<Shared<D>>) -> OpenConnection<D> {
+        shared.open_connections.set(shared.open_connections.get() + 1);
+        OpenConnection { shared: shared.clone() }
+    }
+}
+
+impl<D: Dialect> Drop for OpenConnection<D> {
+    fn drop(&mut self) {
+        self.shared.open_connections.set(self.shared.open_connections.get() - 1);
+    }
+}
+
 /// Listens at `address`.
 ///
 /// # Errors
@@ -70,6 +88,7 @@
         // The caller has disconnected, or can safely retry elsewhere since nothing was read from it.
         return;
     }
+    let _open = (via == Listener::Callers).then(|| OpenConnection::new(&shared));
     let peer = stream.peer_addr().map(|peer| PeerAddress(peer.ip())).ok();
     let limits = shared.current_plan().map_or_else(Limits::default, |plan| plan.limits);
     let timer = Rc::new(HeadTimer::default());
@@ -98,11 +117,12 @@
         .pipeline_flush(false)
         .serve_connection(TimedIo::new(TokioIo::new(stream), timer.clone()), service);
     let mut connection = std::pin::pin!(connection);
+    let mut head_expired = std::pin::pin!(timer.expired(limits.head_time));
     let mut stages = shared.stage.subscribe();
     let closing = stages.wait_for(|stage| *stage == Stage::Closing);
     tokio::select! {
         ended = connection.as_mut() => return exchange.on_end(ended.is_ok()),
-        () = timer.expired(limits.head_time) => return,
+        () = head_expired.as_mut() => return,
         () = cut.notified() => return,
         _ = closing => {}
     }
@@ -110,6 +130,7 @@
     connection.as_mut().graceful_shutdown();
     tokio::select! {
         ended = connection => exchange.on_end(ended.is_ok()),
+        () = head_expired => {}
         () = cut.notified() => {}
     }
 }
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -221,6 +221,8 @@
     pub begun: RefCell<Vec<StartedRequest>>,
     /// Open requests of callers.
     pub open_requests: Cell<u64>,
+    /// Open connections of callers. An answer may be on its way on one of them after its request has ended.
+    pub open_connections: Cell<u64>,
     /// The log.
     pub log: Log,
     /// Counters and histograms.
@@ -288,6 +290,7 @@
             stage: watch::Sender::new(Stage::Serving),
             begun: RefCell::default(),
             open_requests: Cell::new(0),
+            open_connections: Cell::new(0),
             log,
             metrics: Metrics::default(),
             status,
--- a/crates/rudder-gateway/src/stop.rs
+++ b/crates/rudder-gateway/src/stop.rs
@@ -1,4 +1,4 @@
-//! A planned stop: leaves the lists at once, serves callers with an old list, and drains open requests.
+//! A planned stop: leaves the lists at once, serves callers with an old list, and drains callers' connections.
 
 use std::{rc::Rc, time::Duration};
 
@@ -20,9 +20,9 @@
 const MAX_ACCEPT_TIME: Duration = Duration::from_millis(2800);
 /// Share of the grace period during which new requests are accepted at most.
 const MAX_ACCEPT_SHARE: f64 = 0.35;
-/// Share of the grace period after which open requests are cut off.
+/// Share of the grace period after which open connections are cut off.
 const DRAIN_SHARE: f64 = 0.92;
-/// Interval at which the number of open requests is polled.
+/// Interval at which the number of open connections is polled.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Performs a planned stop and returns when the process should end.
@@ -36,7 +36,7 @@
     tokio::time::sleep(entries_expire.min(MAX_ACCEPT_TIME).min(options.grace.mul_f64(MAX_ACCEPT_SHARE))).await;
     shared.stage.send_replace(Stage::Closing);
     tokio::time::sleep(IDLE_CLOSE_TIME).await;
-    while shared.open_requests.get() > 0 && began.elapsed() < drain_limit {
+    while shared.open_connections.get() > 0 && began.elapsed() < drain_limit {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     shared.log.write(What::Stopped);
