fix(core): a seed that ends before there is a log founds it at its next start

Cause: only the seed with the lowest address founds the log, once all seeds have said that they know of none. That it is to do so stood in its settings alone. The killed one had a data folder with its identity and nothing else, so that its next start had no order to found; the others, started with `bootstrap` true, leave it to the lowest. All answer that they know of no log, and nobody asks.

A start with `bootstrap` false takes it up where there is still no log. This adds no second founder: it is the same seed with the same replica id, it still needs the word of all seeds of the first start that they know of no log, and the log that it founds is on its disk before it can win an election. An emptied folder has no order, so it founds nothing, and among other seeds than those of the first start the order does not hold, as they may have another log.

Without the comparison of the seeds, a_seed_killed_before_it_founded_the_log_founds_none_among_other_seeds fails ("left: Some(0) right: None").

A process that is killed before its data folder has a state file, and is started again with `bootstrap` false, still founds nothing: it cannot be told from one whose disk was emptied.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -83,6 +83,7 @@
         } else {
             Ledger::try_from_bytes(data).expect("snapshot in the format of this version")
         };
+        let founding = Founding::new(options, &durable);
         Control {
             replica: Replica::new(id, me.name.clone(), options.replica.clone(), durable, now),
             ledger,
@@ -93,7 +94,7 @@
             directory: Directory::default(),
             last_seen: BTreeMap::new(),
             leader_since: None,
-            founding: Founding::default(),
+            founding,
             registry: Registry::default(),
             watchers: Watchers::new(options.transfer_rate),
             joining: Joining::default(),
@@ -131,7 +132,7 @@
     pub(crate) fn tick(&mut self, now: Duration, me: &Me, view: &View, options: &Options, out: &mut Vec<Effect>) {
         let mut outputs = Vec::new();
         self.replica.tick(now, &mut outputs);
-        self.found_log(now, me, options, &mut outputs, out);
+        self.found_log(now, me, &mut outputs, out);
         self.update_role(now, view, options, out);
         if self.replica.leads(now) {
             self.expire(now, options);
@@ -411,18 +412,11 @@
     }
 
     /// Founds the log if this instance is the one to do so.
-    fn found_log(
-        &mut self,
-        now: Duration,
-        me: &Me,
-        options: &Options,
-        outputs: &mut Vec<Output>,
-        out: &mut Vec<Effect>,
-    ) {
+    fn found_log(&mut self, now: Duration, me: &Me, outputs: &mut Vec<Output>, out: &mut Vec<Effect>) {
         if self.is_founded() {
             return;
         }
-        let Some(members) = self.founding.tick(now, me, options, self.replica.id(), out) else { return };
+        let Some(members) = self.founding.tick(now, me, self.replica.id(), out) else { return };
         let data = Ledger::default().try_to_bytes().expect("an empty state is serializable");
         self.replica.found(members, data, outputs);
         self.founding.note_started(self.replica.term());
--- a/crates/rudder-core/src/founding.rs
+++ b/crates/rudder-core/src/founding.rs
@@ -1,10 +1,13 @@
 //! Bootstrap of the replicated log: the founder with the lowest name starts it, once all founders have reported that their
-//! data folders are empty.
+//! data folders are empty. A founder that ends before there is a log takes this up at its next start.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use rudder_model::InstanceId;
-use rudder_replica::{Member, Members, ReplicaId};
+use rudder_replica::{Durable, Member, Members, ReplicaId};
 
 use crate::{Effect, Me, Options, PeerMessage};
 
@@ -14,7 +17,10 @@
 /// State of the bootstrap at a founder.
 #[derive(Debug, Default)]
 pub(crate) struct Founding {
-    founders: BTreeMap<InstanceId, ReplicaId>,
+    /// Who founds the log; nobody in a start that is not to found one.
+    founders: Vec<InstanceId>,
+    /// The founders that have answered.
+    replicas: BTreeMap<InstanceId, ReplicaId>,
     /// Another founder knows a log, so none is started here.
     log_exists: bool,
     last_asked: Option<Duration>,
@@ -23,10 +29,18 @@
 }
 
 impl Founding {
+    /// The founders are those of the settings, or else those of an earlier start before whose end there was no log. Other
+    /// seeds than in that start may have founded another log, so that it is not taken up among them.
+    pub(crate) fn new(options: &Options, durable: &Durable) -> Founding {
+        let is_same = || durable.founders.iter().collect::<BTreeSet<_>>() == options.seeds.iter().collect();
+        let founders = if options.founders.is_empty() && is_same() { &durable.founders } else { &options.founders };
+        Founding { founders: founders.clone(), ..Founding::default() }
+    }
+
     /// Records the answer of another founder.
     pub(crate) fn note(&mut self, from: InstanceId, replica: ReplicaId, knows_log: bool) {
         self.log_exists |= knows_log;
-        self.founders.insert(from, replica);
+        self.replicas.insert(from, replica);
     }
 
     /// True if this process started the log and `term` is that of the first election, so there was no leader before.
@@ -40,32 +54,31 @@
         &mut self,
         now: Duration,
         me: &Me,
-        options: &Options,
         replica: ReplicaId,
         out: &mut Vec<Effect>,
     ) -> Option<Members> {
-        let first = options.founders.iter().min() == Some(&me.name);
+        let first = self.founders.iter().min() == Some(&me.name);
         if !first || self.log_exists {
             return None;
         }
-        self.founders.insert(me.name.clone(), replica);
+        self.replicas.insert(me.name.clone(), replica);
         let member = |name: &InstanceId| {
-            let id = *self.founders.get(name)?;
+            let id = *self.replicas.get(name)?;
             Some((id, Member { name: name.clone(), voter: true }))
         };
-        if let Some(members) = options.founders.iter().map(member).collect() {
+        if let Some(members) = self.founders.iter().map(member).collect() {
             return Some(members);
         }
-        self.ask(now, me, options, replica, out);
+        self.ask(now, me, replica, out);
         None
     }
 
-    fn ask(&mut self, now: Duration, me: &Me, options: &Options, replica: ReplicaId, out: &mut Vec<Effect>) {
+    fn ask(&mut self, now: Duration, me: &Me, replica: ReplicaId, out: &mut Vec<Effect>) {
         if self.last_asked.is_some_and(|last| now < last + ASK_INTERVAL) {
             return;
         }
         self.last_asked = Some(now);
-        for founder in options.founders.iter().filter(|name| **name != me.name) {
+        for founder in self.founders.iter().filter(|name| **name != me.name) {
             let message = PeerMessage::Founding { replica, members: None, ask: true };
             out.push(Effect::Send { to: founder.clone(), message });
         }
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -176,7 +176,8 @@
     queue: BTreeMap<(Duration, u64), Delivery>,
     count: u64,
     ticked: Duration,
-    founding: bool,
+    /// Instances that start are told to found the log.
+    pub founding: bool,
 }
 
 /// Returns the name of the instance with this number.
@@ -350,6 +351,11 @@
             },
             ..Options::default()
         };
+        if let Some((_, durable)) = &mut node.disk
+            && let Some(record) = durable.to_founding(&options.founders)
+        {
+            durable.take(record);
+        }
         node.state = Some(State::new(now, me, (self.layout.tune)(options), node.disk.clone()));
         let noted = Event::OriginsNoted(node.notes.clone());
         self.send_event(number, noted);
--- a/crates/rudder-core/tests/seeds.rs
+++ b/crates/rudder-core/tests/seeds.rs
@@ -66,3 +66,76 @@
     assert!(mesh.leader().is_some());
     assert_eq!(stale(&mesh), Vec::<usize>::new(), "instances that have not found the leader");
 }
+
+/// Guards against a first start that never ends: the only seed that founds the log was killed before it had done so, and
+/// its next start, without the order to found, left this to nobody.
+#[test]
+fn a_seed_killed_before_it_founded_the_log_does_so_after_its_restart() {
+    let mut mesh = Mesh::start(9, 3);
+    mesh.kill(0);
+    mesh.run(Duration::from_secs(1));
+    assert_eq!(mesh.leader(), None, "nobody else founds the log");
+    mesh.boot(0);
+    mesh.run(Duration::from_secs(4));
+    assert!(mesh.leader().is_some(), "no log was founded");
+    assert_eq!(stale(&mesh), Vec::<usize>::new(), "instances that have not found the leader");
+}
+
+/// Guards against a second log: an unfinished order to found a log does not outlive a change of the seeds.
+#[test]
+fn a_seed_killed_before_it_founded_the_log_founds_none_among_other_seeds() {
+    let mut mesh = Mesh::start(9, 6);
+    mesh.kill(0);
+    mesh.run(Duration::from_secs(1));
+    restart_all(&mut mesh, [0, 4, 5]);
+    mesh.run(Duration::from_secs(4));
+    assert_eq!(mesh.leader(), None);
+}
+
+/// Guards against a first start with an emptied disk that founds a log without the order to do so.
+#[test]
+fn a_seed_emptied_before_it_founded_the_log_founds_none() {
+    let mut mesh = Mesh::start(9, 3);
+    mesh.kill(0);
+    mesh.run(Duration::from_secs(1));
+    mesh.wipe(0);
+    mesh.boot(0);
+    mesh.run(Duration::from_secs(4));
+    assert_eq!(mesh.leader(), None);
+}
+
+/// Starts the seed that founded the log with an emptied disk after a loss of all processes, first beside one seed that
+/// has the log, then beside both.
+fn check_no_second_log(founding: bool) {
+    let mut mesh = Mesh::start(9, 3);
+    mesh.run(Duration::from_secs(4));
+    mesh.put(0, 1, 7, "{}");
+    mesh.run(Duration::from_secs(1));
+    assert!((0..9).all(|number| mesh.version_at(number) == 7));
+    for number in 0..9 {
+        mesh.kill(number);
+    }
+    mesh.wipe(0);
+    mesh.founding = founding;
+    mesh.boot(0);
+    mesh.boot(1);
+    mesh.run(Duration::from_secs(4));
+    assert_eq!(mesh.leader(), None, "one of three disks is no majority");
+    mesh.boot(2);
+    mesh.run(Duration::from_secs(4));
+    assert!(mesh.leader().is_some());
+    assert_eq!([0, 1, 2].map(|number| mesh.version_at(number)), [7; 3]);
+}
+
+macro_rules! emptied_seeds {
+    ($($(#[$doc:meta])* $name:ident: $founding:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { check_no_second_log($founding); })*
+    };
+}
+
+emptied_seeds! {
+    /// Guards against a second log where the seed that founded the first one has lost its disk.
+    an_emptied_seed_of_a_founded_log_founds_no_second_one: false;
+    /// Guards against the same where its settings still say that it is to found.
+    an_emptied_seed_that_is_told_to_found_founds_no_second_log: true;
+}
--- a/crates/rudder-gateway/src/driver.rs
+++ b/crates/rudder-gateway/src/driver.rs
@@ -155,7 +155,8 @@
 
 fn open_disk(options: &Options, name: &str, events: &Sender<Event>) -> Result<Disk> {
     let Some(folder) = &options.data else { return Ok((None, None)) };
-    let outcome = rudder_store::open(folder, name, rand::random()).wrap_err("open the data folder")?;
+    let outcome = rudder_store::open_as_founder(folder, name, rand::random(), &founders(options))
+        .wrap_err("open the data folder")?;
     restore_notes(&outcome.notes, events);
     let (sender, jobs) = unbounded();
     let (store, notes, events) = (outcome.store, outcome.notes.notes, events.clone());
@@ -195,10 +196,14 @@
     }
 }
 
+fn founders(options: &Options) -> Vec<InstanceId> {
+    if options.bootstrap { options.seeds.clone() } else { Vec::new() }
+}
+
 fn core_options(options: &Options) -> rudder_core::Options {
     rudder_core::Options {
         seeds: options.seeds.clone(),
-        founders: if options.bootstrap { options.seeds.clone() } else { Vec::new() },
+        founders: founders(options),
         watch_interval: options.poll_interval,
         max_proof_age: options.max_proof_age,
         liveness_timeout: Duration::from_millis(800),
--- a/crates/rudder-replica/src/message.rs
+++ b/crates/rudder-replica/src/message.rs
@@ -103,6 +103,8 @@
     },
     /// An entry; it replaces any entry of its index and all after it.
     Entry(Entry),
+    /// The instances that were to found the log, until there is one.
+    Founders(Vec<InstanceId>),
 }
 
 /// What a replica asks of its surroundings, in order.
--- a/crates/rudder-replica/src/replica.rs
+++ b/crates/rudder-replica/src/replica.rs
@@ -80,6 +80,8 @@
     pub snapshot: Snapshot,
     /// The entries after it.
     pub entries: Vec<Entry>,
+    /// The instances that were to found the log, until there is one.
+    pub founders: Vec<InstanceId>,
 }
 
 impl Durable {
@@ -92,13 +94,23 @@
                 self.entries.truncate(kept as usize);
                 self.entries.push(entry);
             }
+            Record::Founders(founders) => self.founders = founders,
         }
     }
 
+    /// Returns the record that a start as one of `founders` adds, so that a later start can found the log; `None` if there
+    /// is a log, or if nothing is new.
+    pub fn to_founding(&self, founders: &[InstanceId]) -> Option<Record> {
+        let is_founded = self.snapshot.index > 0 || !self.entries.is_empty();
+        let is_new = !founders.is_empty() && founders != self.founders;
+        (is_new && !is_founded).then(|| Record::Founders(founders.to_vec()))
+    }
+
     /// Installs a snapshot that replaced all that was held; the records after it follow.
     pub fn replace(&mut self, snapshot: Snapshot) {
         self.snapshot = snapshot;
         self.entries.clear();
+        self.founders.clear();
     }
 }
 
--- a/crates/rudder-store/src/lib.rs
+++ b/crates/rudder-store/src/lib.rs
@@ -15,5 +15,5 @@
 
 pub use medium::Medium;
 pub use notes::Notes;
-pub use open::{open, open_with};
+pub use open::{open, open_as_founder, open_with};
 pub use write::Store;
--- a/crates/rudder-store/src/open.rs
+++ b/crates/rudder-store/src/open.rs
@@ -6,7 +6,8 @@
     path::{Path, PathBuf},
 };
 
-use rudder_replica::{Durable, ReplicaId, Snapshot};
+use rudder_model::InstanceId;
+use rudder_replica::{Durable, Record, ReplicaId, Snapshot};
 
 use crate::{
     Medium as _, Store,
@@ -60,7 +61,7 @@
     pub store: Store,
     /// The replica's id.
     pub id: ReplicaId,
-    /// The recovered term, vote, snapshot and entries.
+    /// The recovered state.
     pub durable: Durable,
     /// Number of bytes of an incomplete last write that were truncated.
     pub cut: usize,
@@ -76,6 +77,20 @@
     open_with(folder, name, fresh_id, notes::Options::default())
 }
 
+/// Opens `folder` like [`open`], and records `founders` in it until there is a log. A fresh folder has them from its first
+/// moment, as a process may end at any later one.
+///
+/// # Errors
+/// As [`open_with`].
+pub fn open_as_founder(
+    folder: &Path,
+    name: &str,
+    fresh_id: ReplicaId,
+    founders: &[InstanceId],
+) -> Result<Outcome, Error> {
+    open_all(folder, name, fresh_id, founders, notes::Options::default())
+}
+
 /// Opens `folder` for the instance `name`; a folder without a state file is initialised with `fresh_id`.
 ///
 /// # Errors
@@ -86,7 +101,17 @@
     fresh_id: ReplicaId,
     note_options: notes::Options,
 ) -> Result<Outcome, Error> {
-    let state = open_state(folder, name, fresh_id)?;
+    open_all(folder, name, fresh_id, &[], note_options)
+}
+
+fn open_all(
+    folder: &Path,
+    name: &str,
+    fresh_id: ReplicaId,
+    founders: &[InstanceId],
+    note_options: notes::Options,
+) -> Result<Outcome, Error> {
+    let state = open_state(folder, name, fresh_id, founders)?;
     let notes = notes::open(folder, note_options, notes::wall_clock());
     Ok(Outcome { store: state.store, id: state.id, durable: state.durable, cut: state.cut, notes })
 }
@@ -99,14 +124,31 @@
     cut: usize,
 }
 
-fn open_state(folder: &Path, name: &str, fresh_id: ReplicaId) -> Result<State, Error> {
+impl State {
+    fn append(&mut self, record: Record) -> Result<(), write::Error> {
+        self.store.append(std::slice::from_ref(&record))?;
+        self.store.sync()?;
+        self.durable.take(record);
+        Ok(())
+    }
+}
+
+fn open_state(folder: &Path, name: &str, fresh_id: ReplicaId, founders: &[InstanceId]) -> Result<State, Error> {
     fs::create_dir_all(folder).map_err(|source| io_error("create", folder, source))?;
     let generations = list_generations(folder)?;
     let Some(generation) = generations.last().copied() else {
-        let store = write::create(folder, 1, fresh_id, name, &Snapshot::default(), &[])?;
-        return Ok(State { store, id: fresh_id, durable: Durable::default(), cut: 0 });
+        let mut durable = Durable::default();
+        let record = durable.to_founding(founders);
+        let store = write::create(folder, 1, fresh_id, name, &Snapshot::default(), record.as_slice())?;
+        if let Some(record) = record {
+            durable.take(record);
+        }
+        return Ok(State { store, id: fresh_id, durable, cut: 0 });
     };
-    let state = read(folder, generation, name)?;
+    let mut state = read(folder, generation, name)?;
+    if let Some(record) = state.durable.to_founding(founders) {
+        state.append(record)?;
+    }
     for older in &generations[..generations.len() - 1] {
         let _ = fs::remove_file(write::state_path(folder, *older));
     }
--- a/crates/rudder-store/tests/store.rs
+++ b/crates/rudder-store/tests/store.rs
@@ -2,8 +2,9 @@
 
 use std::{fs, io, path::Path};
 
+use rudder_model::InstanceId;
 use rudder_replica::{Entry, Payload, Record, Snapshot};
-use rudder_store::{Medium, Store, frame, open, open::Error, write};
+use rudder_store::{Medium, Store, frame, open, open::Error, open_as_founder, write};
 
 fn entry(index: u64) -> Record {
     Record::Entry(Entry { index, term: 1, payload: Payload::Command(vec![index as u8; 20].into()) })
@@ -24,8 +25,9 @@
 }
 
 macro_rules! folder_tests {
-    ($($name:ident: |$folder:ident| $body:block)*) => {
-        $(#[test]
+    ($($(#[$doc:meta])* $name:ident: |$folder:ident| $body:block)*) => {
+        $($(#[$doc])*
+        #[test]
         fn $name() {
             let temporary = tempfile::tempdir().expect("a temporary folder");
             let $folder = temporary.path();
@@ -83,6 +85,32 @@
         assert_eq!((outcome.id, outcome.durable.term, outcome.durable.entries.len()), (8, 0, 0));
     }
 
+    /// Guards against a founder that was killed before there was a log and has forgotten at its next start what it was for.
+    founders_are_recorded_until_there_is_a_log: |folder| {
+        let founders = ["node", "other"].map(InstanceId::from);
+        assert_eq!(open_as_founder(folder, "node", 7, &founders).expect("a fresh folder").durable.founders, founders);
+        let mut outcome = open(folder, "node", 8).expect("a valid folder");
+        assert_eq!((outcome.id, outcome.durable.founders.as_slice()), (7, founders.as_slice()));
+        let snapshot = Snapshot { index: 1, term: 1, ..Snapshot::default() };
+        outcome.store.replace(&snapshot, &[]).expect("replace");
+        let durable = open_as_founder(folder, "node", 8, &founders).expect("a valid folder").durable;
+        assert_eq!((durable.snapshot.index, durable.founders.len()), (1, 0));
+    }
+
+    a_folder_without_a_log_takes_new_founders: |folder| {
+        for names in [&["node"][..], &["node", "other"]] {
+            let founders: Vec<InstanceId> = names.iter().map(|&name| name.into()).collect();
+            open_as_founder(folder, "node", 7, &founders).expect("a valid folder");
+            assert_eq!(open(folder, "node", 8).expect("a valid folder").durable.founders, founders);
+        }
+    }
+
+    an_emptied_folder_has_no_founders: |folder| {
+        open_as_founder(folder, "node", 7, &["node".into()]).expect("a fresh folder");
+        fs::remove_file(state_path(folder)).expect("remove");
+        assert!(open(folder, "node", 8).expect("an empty folder").durable.founders.is_empty());
+    }
+
     a_folder_of_another_instance_is_refused: |folder| {
         write_entries(folder, 1);
         assert!(matches!(open(folder, "other", 8), Err(Error::OtherOwner { .. })));
