fix(core): a stream of a moved route does not go on at its new service after a restart

Callers whose streams had broken off got 200 and text joined of two services, unannounced, where their route had been moved within the last minute and the instance that they reached had started since.

Cause: the services that a route has left were remembered by each process alone. An instance that has started since knows the newest document only; the one version of the new service then counted as the only one that can have begun the stream.

A document now carries the services of its routes for streams by place, as digests. The log compares them with those of the document before and holds what was added or removed for a minute, with the versions in service, so that it is committed and proved together with these. Whoever is asked counts the services of such moves, and instances tell the holders of earlier streams when one arrives. A route with a longer prefix that is added, or one that is removed, counts too; neither did before, also where no instance had restarted.

The listed test of rudder-core asked about a service without any move: the reducer cannot tell that from a stream that nobody ever began. It is restated with a move and a restart of all, asks every instance, and has variants for a loss of power, added and removed routes, other places, too many moves, and their end.

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -138,6 +138,7 @@
             self.expire(now, options);
             self.forget_departures(now, me, options, out);
             self.record_releases(now, me, options, out);
+            self.forget_moves(now, me, options, out);
             self.watchers.tick(now, out);
             self.announce(now, view, out);
             let spares = self.to_spares();
@@ -253,6 +254,13 @@
         self.releases.set_recording(index.filter(|index| *index > self.ledger.index));
     }
 
+    /// Appends a record that drops the moves of routes after which all streams have ended, if there are any.
+    fn forget_moves(&mut self, now: Duration, me: &Me, options: &Options, out: &mut Vec<Effect>) {
+        let Some(until) = self.releases.find_old_moves(now, &self.ledger.releases) else { return };
+        let index = self.append(now, me, Command::ForgetMoves(until), options, out);
+        self.releases.set_recording(index.filter(|index| *index > self.ledger.index));
+    }
+
     /// Appends a command of the leader itself, which observes the result in the ledger. Returns its log index, or
     /// `None` if this instance does not lead.
     pub(crate) fn append(
--- a/crates/rudder-core/src/document_history.rs
+++ b/crates/rudder-core/src/document_history.rs
@@ -1,8 +1,9 @@
 //! Recent versions of the configuration document, from which patches to the newest are made.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
 use rudder_ledger::{Document, Patch, document::Body};
+use rudder_model::ShareTag;
 
 use crate::peer::{DocumentUpdate, PackedUpdate};
 
@@ -31,12 +32,13 @@
 struct Version {
     number: u64,
     encoded: Vec<u8>,
+    shares: Arc<[ShareTag]>,
 }
 
 impl Version {
     fn to_document(&self) -> Option<Document> {
         let body = Body::from_encoded(self.encoded.clone()).ok()?;
-        Some(Document { version: self.number, body: body.into() })
+        Some(Document { version: self.number, body: body.into(), shares: self.shares.clone() })
     }
 }
 
@@ -54,7 +56,8 @@
         if self.versions.back().is_some_and(|last| last.number >= newest.version) {
             return;
         }
-        self.versions.push_back(Version { number: newest.version, encoded: newest.body.encoded().to_vec() });
+        let (encoded, shares) = (newest.body.encoded().to_vec(), newest.shares.clone());
+        self.versions.push_back(Version { number: newest.version, encoded, shares });
         self.updates.clear();
         let bytes = |versions: &VecDeque<Version>| versions.iter().map(|held| held.encoded.len()).sum::<usize>();
         while self.versions.len() > MAX_VERSIONS || (self.versions.len() > 2 && bytes(&self.versions) > MAX_OLD_BYTES) {
--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -10,7 +10,7 @@
     CallOutcome, PeerMessage, Stored,
     duties::scaling::ServiceState,
     limits::LimitReport,
-    origins::{StreamOrigin, StreamTag},
+    origins::{StreamOrigin, StreamRoute, StreamTag},
     peer::Load,
     permits::PermitRequest,
     registry::Registration,
@@ -106,8 +106,8 @@
     StreamBegun {
         /// What began it.
         origin: StreamOrigin,
-        /// The services that might have begun it.
-        services: Arc<[Arc<str>]>,
+        /// Its route.
+        route: Arc<StreamRoute>,
     },
     /// What began streams, as noted before this start.
     OriginsNoted(Vec<StreamOrigin>),
@@ -124,8 +124,8 @@
         ticket: u64,
         /// The stream.
         stream: StreamTag,
-        /// The services that may have begun it.
-        services: Arc<[Arc<str>]>,
+        /// Its route.
+        route: Arc<StreamRoute>,
     },
     /// A request needs a permit for an endpoint with a rate limit; answered by [`crate::Effect::Permitted`].
     AskPermit {
--- a/crates/rudder-core/src/origins.rs
+++ b/crates/rudder-core/src/origins.rs
@@ -4,7 +4,8 @@
 //! The instance that passes on the first event of a stream remembers its version. While the services of its route have
 //! several versions that may have begun streams ([`rudder_ledger::release`]), it also tells two holders, chosen by rendezvous
 //! hashing over the live instances, one of them with a disk; when a second version comes, it tells them of earlier streams. Whoever
-//! is asked to let a stream go on asks the holders. What they remember is soft state and kept only as long as a caller may
+//! is asked to let a stream go on asks the holders. Services that its route had a short while ago count too, as told by the
+//! log ([`rudder_ledger::Moves`]), since an instance that started later knows the newest document only. What holders remember is soft state and kept only as long as a caller may
 //! take a stream up. Holders with a disk also note it there without a sync, so that it outlasts the end of all processes; what
 //! a loss of power takes of it is not known any more.
 //!
@@ -13,8 +14,8 @@
 
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
-use rudder_ledger::{Releases, Software, Stage};
-use rudder_model::{InstanceId, id};
+use rudder_ledger::{Moves, Releases, Software, Stage};
+use rudder_model::{InstanceId, PlaceTag, id};
 use serde::{Deserialize, Serialize};
 
 use crate::{Effect, Listing, Me, PeerMessage, tree::Directory, view::View};
@@ -76,8 +77,36 @@
 struct Remembered {
     software: Software,
     at: Duration,
-    /// The services that may have begun it, if it was begun here and its holders are not told yet.
-    untold: Option<Arc<[Arc<str>]>>,
+    /// Its route, if it was begun here and its holders are not told yet.
+    untold: Option<Arc<StreamRoute>>,
+}
+
+/// The route of a stream, which tells what may have begun it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StreamRoute {
+    /// The services of the routes that match its requests now.
+    pub services: Vec<Arc<str>>,
+    /// The places of all routes that may have matched them before.
+    pub places: Vec<PlaceTag>,
+}
+
+impl StreamRoute {
+    /// Returns whether a service may have begun a stream of this route.
+    fn may_begin_at(&self, service: &Arc<str>, moves: &Moves) -> bool {
+        let was_moved = || self.places.iter().any(|place| moves.contains(id::share_tag(*place, service)));
+        self.services.contains(service) || moves.has_excess() || (!moves.is_empty() && was_moved())
+    }
+
+    /// Returns the versions that may have begun a stream of this route, with their stages.
+    fn versions<'a>(&'a self, releases: &'a Releases) -> impl Iterator<Item = (Software, Stage)> + 'a {
+        let services = releases.services().filter(|service| self.may_begin_at(service, releases.moves()));
+        services.flat_map(|service| releases.stages(service))
+    }
+
+    /// Returns whether several versions may have begun a stream of this route.
+    fn has_several_versions(&self, releases: &Releases) -> bool {
+        self.versions(releases).nth(1).is_some()
+    }
 }
 
 /// A question about the origin of a stream.
@@ -87,15 +116,15 @@
     pub(crate) ticket: u64,
     /// The stream.
     pub(crate) stream: StreamTag,
-    /// The services that may have begun it.
-    pub(crate) services: Arc<[Arc<str>]>,
+    /// Its route.
+    pub(crate) route: Arc<StreamRoute>,
 }
 
 /// A question that is not answered yet.
 #[derive(Debug)]
 struct Pending {
     stream: StreamTag,
-    services: Arc<[Arc<str>]>,
+    route: Arc<StreamRoute>,
     arrived: Duration,
     asked: usize,
     answered: usize,
@@ -123,15 +152,15 @@
     pub(crate) fn record_begun(
         &mut self,
         now: Duration,
-        (origin, services): (StreamOrigin, Arc<[Arc<str>]>),
+        (origin, route): (StreamOrigin, Arc<StreamRoute>),
         around: Surroundings,
         out: &mut Vec<Effect>,
     ) {
-        let is_told = has_several_versions(&around.view.releases, &services);
+        let is_told = route.has_several_versions(&around.view.releases);
         if is_told {
             tell(around, vec![origin.clone()], out);
         }
-        self.remember(now, origin, Some(services).filter(|_| !is_told));
+        self.remember(now, origin, Some(route).filter(|_| !is_told));
     }
 
     /// Records streams of which this instance is a holder, and has them noted if it has a disk.
@@ -163,7 +192,7 @@
         &mut self,
         now: Duration,
         StreamOrigin { stream, software }: StreamOrigin,
-        untold: Option<Arc<[Arc<str>]>>,
+        untold: Option<Arc<StreamRoute>>,
     ) {
         if self.streams.len() < MAX_STREAMS || self.streams.contains_key(&stream) {
             self.streams.insert(stream, Remembered { software, at: now, untold });
@@ -177,8 +206,8 @@
 
     /// Looks up what began a stream. Unless it is known here or follows from the versions in service, asks its holders.
     pub(crate) fn ask(&mut self, now: Duration, question: OriginQuestion, around: Surroundings, out: &mut Vec<Effect>) {
-        let OriginQuestion { ticket, stream, services } = question;
-        let mut pending = Pending { stream, services, arrived: now, asked: 0, answered: 0 };
+        let OriginQuestion { ticket, stream, route } = question;
+        let mut pending = Pending { stream, route, arrived: now, asked: 0, answered: 0 };
         if let Some(software) = self.software_of(stream) {
             let evidence = pending.evidence(around);
             out.push(Effect::OriginFound { ticket, origin: Origin::Known(software), evidence });
@@ -224,10 +253,10 @@
         if only.is_none() && !is_final && now < pending.arrived + ANSWER_TIMEOUT {
             return;
         }
-        if let (Some(software), Some(Pending { stream, services, .. })) = (&only, self.pending.remove(&ticket)) {
+        if let (Some(software), Some(Pending { stream, route, .. })) = (&only, self.pending.remove(&ticket)) {
             // The instance that began it may be gone when another version comes.
             let origin = StreamOrigin { stream, software: software.clone() };
-            self.record_begun(now, (origin, services), around, out);
+            self.record_begun(now, (origin, route), around, out);
         }
         let origin = only.map_or(Origin::Unknown, Origin::Only);
         out.push(Effect::OriginFound { ticket, origin, evidence });
@@ -252,7 +281,7 @@
         let releases = &around.view.releases;
         let mut origins = Vec::new();
         for (stream, held) in &mut self.streams {
-            if held.untold.take_if(|services| has_several_versions(releases, services)).is_some() {
+            if held.untold.take_if(|route| route.has_several_versions(releases)).is_some() {
                 origins.push(StreamOrigin { stream: *stream, software: held.software.clone() });
             }
         }
@@ -289,16 +318,11 @@
     /// been admitted since.
     fn versions(&self, around: Surroundings) -> Vec<Software> {
         let (releases, is_proved) = (&around.view.releases, self.is_proved(around));
-        let held = releases.iter().filter(|(software, _)| self.services.contains(&software.service));
+        let held = self.route.versions(releases);
         held.filter(|(_, stage)| !is_proved || *stage != Stage::Announced).map(|(software, _)| software).collect()
     }
 }
 
-/// Returns whether streams of a route with these services may have been begun by several versions.
-fn has_several_versions(releases: &Releases, services: &[Arc<str>]) -> bool {
-    services.iter().flat_map(|service| releases.of(service)).nth(1).is_some()
-}
-
 /// Tells the holders of streams, in one message to each. This instance may be one of them.
 fn tell(around: Surroundings, origins: Vec<StreamOrigin>, out: &mut Vec<Effect>) {
     let mut told: BTreeMap<InstanceId, Vec<StreamOrigin>> = BTreeMap::new();
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -204,13 +204,13 @@
             Event::AskPermit { ticket, request } => {
                 self.permits.ask(now, &self.me, &self.view, (ticket, request), out);
             }
-            Event::StreamBegun { origin, services } => {
-                self.with_origins(|origins, around| origins.record_begun(now, (origin, services), around, out));
+            Event::StreamBegun { origin, route } => {
+                self.with_origins(|origins, around| origins.record_begun(now, (origin, route), around, out));
             }
             Event::OriginsNoted(origins) => self.origins.restore(now, origins),
             Event::NotesLost { count, resumed } => out.push(Effect::Log(What::NotesLost { count, resumed })),
-            Event::AskOrigin { ticket, stream, services } => {
-                let question = OriginQuestion { ticket, stream, services };
+            Event::AskOrigin { ticket, stream, route } => {
+                let question = OriginQuestion { ticket, stream, route };
                 self.with_origins(|origins, around| origins.ask(now, question, around, out));
             }
             Event::RequestsStarted(started) => {
--- a/crates/rudder-core/src/releases.rs
+++ b/crates/rudder-core/src/releases.rs
@@ -16,7 +16,8 @@
 
 /// Interval between scans of the registry.
 const SCAN_INTERVAL: Duration = Duration::from_millis(200);
-/// How long a version without endpoints stays admitted, and then retired; longer than any stream lasts.
+/// How long a version without endpoints stays admitted, and then retired, and how long moves of routes are held; longer than
+/// any stream lasts.
 const RETENTION: Duration = Duration::from_secs(60);
 
 /// What the leader knows of its followers.
@@ -46,6 +47,10 @@
     /// When endpoints of each version were last registered.
     last_seen: BTreeMap<Software, Duration>,
     scanned_at: Option<Duration>,
+    /// When this leader first saw the moves of routes recorded at a log index.
+    moves_seen: BTreeMap<u64, Duration>,
+    /// Log index of the versions in service when the moves were last looked through.
+    moves_index: u64,
     /// A version that is not admitted has been heard of since the last scan.
     is_due: bool,
 }
@@ -79,6 +84,21 @@
         steps
     }
 
+    /// Returns the log index up to which moves of routes are to be dropped now, if there are any. There are none while
+    /// another record is being committed.
+    pub(crate) fn find_old_moves(&mut self, now: Duration, held: &Releases) -> Option<u64> {
+        if self.moves_index != held.index() {
+            self.moves_index = held.index();
+            let indexes: BTreeSet<u64> = held.moves().indexes().collect();
+            self.moves_seen.retain(|index, _| indexes.contains(index));
+            for index in indexes {
+                self.moves_seen.entry(index).or_insert(now);
+            }
+        }
+        let old = self.moves_seen.iter().filter(|(_, seen)| now >= **seen + RETENTION);
+        old.map(|(index, _)| *index).max().filter(|_| self.recording.is_none())
+    }
+
     fn update(&mut self, now: Duration, held: &Releases, registry: &Registry) {
         // Thousands of endpoints have few versions.
         let live = registry.iter().filter(|known| known.phase < Phase::Gone && !known.service.is_empty());
--- a/crates/rudder-core/src/view.rs
+++ b/crates/rudder-core/src/view.rs
@@ -658,5 +658,6 @@
         count: releases.iter().count(),
         versions: releases.iter().take(MAX_LOGGED_VERSIONS).map(name).collect(),
         full: releases.iter().any(|(software, _)| releases.is_full(&software.service)),
+        moves: releases.moves().len(),
     }
 }
--- a/crates/rudder-core/tests/origins.rs
+++ b/crates/rudder-core/tests/origins.rs
@@ -7,9 +7,10 @@
 use mesh::{Layout, Mesh};
 use rudder_core::{
     Event, Registration,
-    origins::{Origin, StreamOrigin},
+    origins::{Origin, StreamOrigin, StreamRoute},
 };
-use rudder_ledger::{Software, Stage};
+use rudder_ledger::{Document, Software, Stage};
+use rudder_model::id;
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -26,8 +27,25 @@
 /// Longer than the time until a version without endpoints is retired, and then dropped.
 const RETENTION: Duration = Duration::from_secs(65);
 
-fn to_names(services: &[&str]) -> Arc<[Arc<str>]> {
-    services.iter().map(|service| Arc::from(*service)).collect()
+/// The place of the route for streams.
+const HOST: &str = "h.example";
+const PREFIX: &str = "/resume/";
+/// A place within it, which may have a route of its own.
+const INNER: &str = "/resume/inner/";
+
+/// The route of a request at `path`, whose services now are these.
+fn route_at(path: &str, services: &[&str]) -> Arc<StreamRoute> {
+    let services = services.iter().map(|service| Arc::from(*service)).collect();
+    Arc::new(StreamRoute { services, places: id::place_tags(HOST, path).collect() })
+}
+
+/// A document whose routes for streams are at these places.
+fn document(version: u64, routes: &[(&str, &str)]) -> Document {
+    let share = |(prefix, service): &(&str, &str)| {
+        let place = id::place_tags(HOST, prefix).last().expect("a place");
+        id::share_tag(place, service)
+    };
+    Document::with_shares(version, format!("{routes:?}").into_bytes(), routes.iter().map(share).collect())
 }
 
 fn software(version: &str) -> Software {
@@ -88,7 +106,8 @@
     /// Begins the stream at an instance, on a route with these services.
     fn begin_at(&mut self, number: usize, version: &str, services: &[&str]) {
         let origin = StreamOrigin { stream: STREAM, software: software(version) };
-        self.mesh.send_event(number, Event::StreamBegun { origin, services: to_names(services) });
+        let route = route_at(PREFIX, services);
+        self.mesh.send_event(number, Event::StreamBegun { origin, route });
         self.mesh.run(MILLISECOND * 20);
     }
 
@@ -104,6 +123,22 @@
         self.mesh.send_event(number, Event::Register { ticket: 0, registration });
     }
 
+    /// Starts an endpoint of another service, and waits until streams may begin there.
+    fn release_other(&mut self) {
+        for _ in 0..10 {
+            self.beat_other(BEGINNER);
+            self.run(MILLISECOND * 200);
+        }
+        assert!(self.admits_other(ASKED));
+    }
+
+    /// Puts a document with these routes for streams in force.
+    fn configure(&mut self, version: u64, routes: &[(&str, &str)]) {
+        self.mesh.send_event(0, Event::PutDocument { ticket: 0, document: document(version, routes) });
+        self.run(SECOND);
+        assert_eq!(self.mesh.version_at(ASKED), version);
+    }
+
     fn admits_other(&self, number: usize) -> bool {
         self.mesh.releases_at(number).is_some_and(|releases| releases.is_admitted("other", "w1"))
     }
@@ -123,9 +158,13 @@
 
     /// Asks an instance which version of a route's services began the stream.
     fn ask_of(&mut self, number: usize, services: &[&str]) -> Origin {
+        self.ask_route(number, route_at(PREFIX, services))
+    }
+
+    /// Asks an instance which version began the stream, which is of this route.
+    fn ask_route(&mut self, number: usize, route: Arc<StreamRoute>) -> Origin {
         self.tickets += 1;
-        let services = to_names(services);
-        self.mesh.send_event(number, Event::AskOrigin { ticket: self.tickets, stream: STREAM, services });
+        self.mesh.send_event(number, Event::AskOrigin { ticket: self.tickets, stream: STREAM, route });
         self.mesh.run(MILLISECOND * 400);
         self.mesh.origins.get(&self.tickets).cloned().expect("an answer within the timeout")
     }
@@ -285,16 +324,92 @@
         let origin = deployment.ask_of(ASKED, &["model", "other"]);
         assert_eq!(origin, Origin::Unknown, "a stream may have begun at w1 of the other service");
     };
-    /// Guards against a stream that goes on at the service to which its route was moved.
+    /// Guards against an instance that has started since a route was moved and takes its new service for the only one.
     a_stream_of_a_service_that_its_route_has_left_does_not_go_on_elsewhere: ["v1"], |deployment| {
-        for _ in 0..10 {
-            deployment.beat_other(BEGINNER);
-            deployment.run(MILLISECOND * 200);
+        deployment.release_other();
+        deployment.configure(1, &[(PREFIX, "model")]);
+        deployment.begin("v1");
+        deployment.configure(2, &[(PREFIX, "other")]);
+        deployment.mesh.restart_all();
+        deployment.run(SECOND * 4);
+        for number in 0..TOTAL {
+            let origin = deployment.ask_of(number, &["other"]);
+            assert!(!matches!(origin, Origin::Only(_)), "{origin:?}, and v1 of model has begun it");
         }
-        assert!(deployment.admits_other(ASKED));
+    };
+    /// Guards against the same where power was lost, and with it what the holders noted.
+    a_moved_route_counts_after_a_loss_of_power: ["v1"], |deployment| {
+        deployment.release_other();
+        deployment.configure(1, &[(PREFIX, "model")]);
         deployment.begin("v1");
-        let origin = deployment.ask_of(ASKED, &["other"]);
-        assert!(!matches!(origin, Origin::Only(_)), "{origin:?}, and v1 of model has begun it");
+        deployment.configure(2, &[(PREFIX, "other")]);
+        deployment.lose_power();
+        deployment.run(SECOND * 4);
+        assert_eq!(deployment.ask_of(ASKED, &["other"]), Origin::Unknown);
+    };
+    /// Guards against streams that are refused where the instance that began them was up when their route was moved.
+    holders_know_a_stream_whose_route_was_moved: ["v1"], |deployment| {
+        deployment.release_other();
+        deployment.configure(1, &[(PREFIX, "model")]);
+        deployment.begin("v1");
+        deployment.configure(2, &[(PREFIX, "other")]);
+        deployment.mesh.kill(BEGINNER);
+        assert_eq!(deployment.ask_of(ASKED, &["other"]), Origin::Known(software("v1")));
+    };
+    /// Guards against a stream that goes on at the service of a longer route that was added while it ran.
+    a_stream_does_not_go_on_at_a_route_that_was_added_for_its_path: ["v1"], |deployment| {
+        deployment.release_other();
+        deployment.configure(1, &[(PREFIX, "model")]);
+        deployment.begin("v1");
+        deployment.configure(2, &[(PREFIX, "model"), (INNER, "other")]);
+        deployment.lose_power();
+        deployment.run(SECOND * 4);
+        let route = route_at(INNER, &["model", "other"]);
+        assert_eq!(deployment.ask_route(ASKED, route), Origin::Unknown);
+    };
+    /// Guards against a stream that goes on at the service of a shorter route after its own route was removed.
+    a_stream_does_not_go_on_at_the_route_that_is_left_for_its_path: ["v1"], |deployment| {
+        deployment.release_other();
+        deployment.configure(1, &[(INNER, "model"), (PREFIX, "other")]);
+        deployment.begin("v1");
+        deployment.configure(2, &[(PREFIX, "other")]);
+        deployment.lose_power();
+        deployment.run(SECOND * 4);
+        assert_eq!(deployment.ask_route(ASKED, route_at(INNER, &["other"])), Origin::Unknown);
+    };
+    /// Guards against refusals at places that a change of the configuration did not touch.
+    a_move_of_another_route_does_not_count: ["v1"], |deployment| {
+        deployment.release_other();
+        deployment.configure(1, &[(PREFIX, "model"), ("/else/", "model")]);
+        deployment.configure(2, &[(PREFIX, "model"), ("/else/", "other")]);
+        deployment.mesh.restart_all();
+        deployment.run(SECOND * 4);
+        assert_eq!(deployment.ask(ASKED), Origin::Only(software("v1")));
+    };
+    /// Guards against moves that count for longer than streams last.
+    a_move_is_dropped_after_a_while: ["v1"], |deployment| {
+        deployment.release_other();
+        deployment.configure(1, &[(PREFIX, "model")]);
+        deployment.configure(2, &[(PREFIX, "other")]);
+        deployment.run(RETENTION);
+        let count = |deployment: &Deployment| deployment.mesh.releases_at(ASKED).map(|releases| releases.moves().len());
+        assert_eq!(count(deployment), Some(0));
+        deployment.beat_other(BEGINNER);
+        deployment.run(SECOND);
+        assert!(matches!(deployment.ask_of(ASKED, &["other"]), Origin::Only(_)));
+    };
+    /// Guards against a stream that goes on as the moves of routes are too many to be held.
+    too_many_moves_leave_no_only_version: ["v1"], |deployment| {
+        deployment.release_other();
+        let names: Vec<String> = (0..3_000).map(|number| format!("/route-{number}/")).collect();
+        let mut routes: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "model")).collect();
+        routes.push((PREFIX, "model"));
+        deployment.configure(1, &routes);
+        deployment.begin("v1");
+        deployment.configure(2, &[(PREFIX, "other")]);
+        deployment.lose_power();
+        deployment.run(SECOND * 4);
+        assert_eq!(deployment.ask_of(ASKED, &["other"]), Origin::Unknown);
     };
     /// Guards against streams of a split route that nobody is told of, as each of its services has one version only.
     holders_know_a_stream_of_one_of_two_services_of_a_route: ["v1"], |deployment| {
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -614,6 +614,9 @@
         versions: Vec<String>,
         /// No further version is recorded.
         full: bool,
+        /// Number of recent moves of routes.
+        #[serde(default)]
+        moves: usize,
     },
     /// Notes on the disk, such as what began streams, could not be written, or can be again.
     NotesLost {
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -59,9 +59,10 @@
             let how = if *patched { "a patch" } else { "a whole document" };
             format!("configuration {version} of {size} bytes is in force by {how} of {received}, {before} before")
         }
-        What::Releases { index, count, versions, full } => {
+        What::Releases { index, count, versions, full, moves } => {
             let full = if *full { "; no further one is recorded" } else { "" };
-            format!("versions in service as of {index}, {count} in all: {}{full}", versions.join(", "))
+            let moves = if *moves > 0 { format!("; {moves} recent moves of routes") } else { String::new() };
+            format!("versions in service as of {index}, {count} in all: {}{full}{moves}", versions.join(", "))
         }
         What::StreamTakenUp { began, version: Some(version), .. } => {
             format!("its stream was begun by {began} at version {version}, and goes on there")
--- a/crates/rudder-gateway/src/call/origin.rs
+++ b/crates/rudder-gateway/src/call/origin.rs
@@ -2,17 +2,16 @@
 
 use std::sync::Arc;
 
-use rudder_clock::Moment;
 use rudder_core::{
     Event,
-    origins::{Origin, StreamOrigin},
+    origins::{Origin, StreamOrigin, StreamRoute},
 };
 use rudder_events::What;
 use rudder_ledger::Software;
-use rudder_model::id::stream_tag;
+use rudder_model::id;
 
 use super::{Call, Progress, Refusal, refusal::not_run};
-use crate::{Dialect, choose::Choice, shared::Shared};
+use crate::{Dialect, RouteKind, choose::Choice, shared::Shared};
 
 /// The reason of a refusal if a stream was begun by one of several versions, and nobody knows by which.
 const UNKNOWN_VERSION: &str = "the version that began the stream is not known";
@@ -37,8 +36,8 @@
 
 /// Finds the version that began the stream of a call. Returns false if the stream must not go on.
 pub async fn find_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress) -> bool {
-    let services = possible_services(shared, call);
-    let (origin, evidence) = shared.ask_origin(stream_tag(call.stream_id()), services).await;
+    let route = stream_route(shared, call);
+    let (origin, evidence) = shared.ask_origin(id::stream_tag(call.stream_id()), route).await;
     shared.metrics.record_taken_up(&origin);
     progress.software = match origin {
         Origin::Known(software) | Origin::Only(software) => Some(software),
@@ -65,17 +64,22 @@
     }
     let software = Software { service: choice.service.clone(), version: choice.version.clone() };
     progress.software = Some(software.clone());
-    let origin = StreamOrigin { stream: stream_tag(call.stream_id()), software };
-    shared.send_event(Event::StreamBegun { origin, services: possible_services(shared, call) });
+    let origin = StreamOrigin { stream: id::stream_tag(call.stream_id()), software };
+    shared.send_event(Event::StreamBegun { origin, route: stream_route(shared, call) });
 }
 
-/// Returns the services that may have begun the stream of a call: those of its route, and those that the route has left.
-fn possible_services<D: Dialect>(shared: &Shared<D>, call: &Call) -> Arc<[Arc<str>]> {
-    let mut services: Vec<Arc<str>> = call.route.shares.iter().map(|share| share.service.clone()).collect();
-    for service in shared.former_services.borrow().of(&call.host, call.uri.path(), Moment::now()) {
-        if !services.contains(service) {
-            services.push(service.clone());
+/// Returns what may have begun the stream of a call. A route with a longer prefix may have been added since, so all routes
+/// that match the call count.
+fn stream_route<D: Dialect>(shared: &Shared<D>, call: &Call) -> Arc<StreamRoute> {
+    let (host, path) = (&*call.host, call.uri.path());
+    let plan = shared.current_plan();
+    let matching =
+        plan.iter().flat_map(|plan| plan.matching(host, path)).filter(|route| route.kind == RouteKind::Stream);
+    let mut services: Vec<Arc<str>> = Vec::new();
+    for share in matching.chain([&call.route]).flat_map(|route| &route.shares) {
+        if !services.contains(&share.service) {
+            services.push(share.service.clone());
         }
     }
-    services.into()
+    Arc::new(StreamRoute { services, places: id::place_tags(host, path).collect() })
 }
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -25,7 +25,6 @@
 pub mod dialect;
 pub mod driver;
 pub mod duty;
-pub mod former_services;
 pub mod head_timer;
 pub mod health;
 pub mod lanes;
--- a/crates/rudder-gateway/src/operate.rs
+++ b/crates/rudder-gateway/src/operate.rs
@@ -88,7 +88,7 @@
         }
     };
     let (ticket, reply) = shared.tickets.issue();
-    let document = Document::new(plan.version, body.to_vec());
+    let document = Document::with_shares(plan.version, body.to_vec(), plan.stream_shares());
     drop(body);
     shared.send_event(Event::PutDocument { ticket, document });
     let version_held = match tokio::time::timeout(DECISION_TIMEOUT, reply).await {
--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -6,6 +6,7 @@
     time::Duration,
 };
 
+use rudder_model::{ShareTag, id};
 use rudder_route::scale::Bounds;
 
 use crate::placement::Residency;
@@ -288,7 +289,23 @@
 
     /// The route of a request: the one of its host with the longest matching prefix.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.routes.get(host)?.iter().find(|route| path.starts_with(&*route.prefix))
+        self.matching(host, path).next()
+    }
+
+    /// The routes that a request matches, longest prefix first. The first one is its route.
+    pub fn matching<'a>(&'a self, host: &str, path: &str) -> impl Iterator<Item = &'a Arc<Route>> {
+        let routes = self.routes.get(host).into_iter().flatten();
+        routes.filter(move |route| path.starts_with(&*route.prefix))
+    }
+
+    /// The services of the routes for streams, by place.
+    pub fn stream_shares(&self) -> Vec<ShareTag> {
+        let mut shares = Vec::new();
+        for route in self.routes().filter(|route| route.kind == RouteKind::Stream) {
+            let Some(place) = id::place_tags(&route.host, &route.prefix).last() else { continue };
+            shares.extend(route.shares.iter().map(|share| id::share_tag(place, &share.service)));
+        }
+        shares
     }
 
     /// The union of the regions that the routes of `host` are restricted to; `None` if one of them is unrestricted or
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -14,7 +14,7 @@
 use rudder_core::{
     Event, Listing, Phase, Registration,
     limits::LimitReport,
-    origins::{Evidence, Origin, StreamTag},
+    origins::{Evidence, Origin, StreamRoute, StreamTag},
     peer::Load,
     permits::PermitAnswer,
     usage::StartedRequest,
@@ -39,7 +39,6 @@
     contention::Contention,
     contents::{Contents, REFUSED_FOR},
     dialect::EntriesQuery,
-    former_services::FormerServices,
     health::Health,
     limits::{Permit, RateLimits},
     loads::EndpointLoads,
@@ -209,8 +208,6 @@
     pub budget: RefCell<Budget>,
     /// Idle connections to endpoints.
     pub pool: RefCell<Pool>,
-    /// Services that routes have left.
-    pub former_services: RefCell<FormerServices>,
     /// Notifies of each newer view.
     published: watch::Sender<()>,
     /// Notifies of endpoints that a later life has replaced.
@@ -284,7 +281,6 @@
             conditions: Rc::default(),
             budget: RefCell::new(budget),
             pool: RefCell::default(),
-            former_services: RefCell::default(),
             published: watch::Sender::new(()),
             replaced: watch::Sender::new(()),
             stage: watch::Sender::new(Stage::Serving),
@@ -419,10 +415,10 @@
         serving && self.current_plan().is_some() && is_current
     }
 
-    /// Asks which version of one of these services began a stream.
-    pub async fn ask_origin(&self, stream: StreamTag, services: Arc<[Arc<str>]>) -> (Origin, Evidence) {
+    /// Asks which version began a stream of a route.
+    pub async fn ask_origin(&self, stream: StreamTag, route: Arc<StreamRoute>) -> (Origin, Evidence) {
         let (ticket, reply) = self.tickets.issue();
-        self.send_event(Event::AskOrigin { ticket, stream, services });
+        self.send_event(Event::AskOrigin { ticket, stream, route });
         match reply.await {
             Ok(Reply::Origin(origin, evidence)) => (origin, evidence),
             _ => (Origin::Unknown, Evidence::default()),
@@ -661,9 +657,6 @@
                 self.returns.borrow_mut().retain(&plan);
                 self.shedding.borrow_mut().retain(|service| plan.services.contains_key(service));
                 self.arrivals.borrow_mut().retain(|service| plan.services.contains_key(service));
-                if let Some(before) = &*self.plan.borrow() {
-                    self.former_services.borrow_mut().record(before, &plan, Moment::now());
-                }
                 *self.plan.borrow_mut() = Some(Rc::new(plan));
             }
             // The instance that proposed it could parse it, but may run another version.
--- a/crates/rudder-ledger/src/apply.rs
+++ b/crates/rudder-ledger/src/apply.rs
@@ -61,13 +61,14 @@
             Command::Depart(departures) => Answer::Departed(self.departures.apply(index, departures)),
             Command::ForgetDepartures(forgotten) => Answer::Departed(self.departures.forget(&forgotten)),
             Command::SetStages(changes) => Answer::StagesSet(self.releases.apply(index, changes)),
+            Command::ForgetMoves(until) => Answer::StagesSet(self.releases.forget_moves(index, until)),
         }
     }
 
     /// Holds the document with the highest version; an equal one changes nothing, whatever it contains.
     fn take_document(&mut self, document: Document) -> u64 {
         if document::is_newer(self.document.as_ref(), document.version) {
-            self.document = Some(document);
+            self.replace_document(document);
         }
         self.document_version()
     }
@@ -75,11 +76,21 @@
     /// Holds the document that a patch makes of the one held, if it fits and makes a higher version.
     fn apply_patch(&mut self, patch: &Patch) -> u64 {
         if document::is_newer(self.document.as_ref(), patch.version) {
-            self.document = self.document.take().map(|held| patch.apply(&held).unwrap_or(held));
+            let patched = self.document.as_ref().and_then(|held| patch.apply(held));
+            if let Some(document) = patched {
+                self.replace_document(document);
+            }
         }
         self.document_version()
     }
 
+    fn replace_document(&mut self, document: Document) {
+        if let Some(before) = &self.document {
+            self.releases.record_moves(self.index, &before.shares, &document.shares);
+        }
+        self.document = Some(document);
+    }
+
     fn document_version(&self) -> u64 {
         self.document.as_ref().map_or(0, |held| held.version)
     }
--- a/crates/rudder-ledger/src/command.rs
+++ b/crates/rudder-ledger/src/command.rs
@@ -53,6 +53,8 @@
     ForgetDepartures(Forgotten),
     /// Versions of endpoints' software take steps.
     SetStages(Vec<StageChange>),
+    /// Drops the moves of routes up to this log index.
+    ForgetMoves(u64),
 }
 
 /// A command with the time at which its leader took it in.
@@ -85,6 +87,6 @@
     /// Answer to [`Command::Depart`] and [`Command::ForgetDepartures`]: whether it changed anything. The departures stand in
     /// either case.
     Departed(bool),
-    /// Answer to [`Command::SetStages`]: whether it changed anything.
+    /// Answer to [`Command::SetStages`] and [`Command::ForgetMoves`]: whether it changed anything.
     StagesSet(bool),
 }
--- a/crates/rudder-ledger/src/document.rs
+++ b/crates/rudder-ledger/src/document.rs
@@ -5,6 +5,7 @@
     sync::{Arc, OnceLock},
 };
 
+use rudder_model::ShareTag;
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error as _};
 use serde_bytes::ByteBuf;
 
@@ -17,12 +18,22 @@
     pub version: u64,
     /// Its content, as it was sent.
     pub body: Arc<Body>,
+    /// The services of its routes for streams, by place, in ascending order (see [`rudder_model::id::share_tag`]).
+    #[serde(default)]
+    pub shares: Arc<[ShareTag]>,
 }
 
 impl Document {
-    /// A document of `version` with `body`.
+    /// A document of `version` with `body`, without routes for streams.
     pub fn new(version: u64, body: Vec<u8>) -> Document {
-        Document { version, body: Arc::new(Body::from(body)) }
+        Document::with_shares(version, body, Vec::new())
+    }
+
+    /// The same with the services of its routes for streams, in any order.
+    pub fn with_shares(version: u64, body: Vec<u8>, mut shares: Vec<ShareTag>) -> Document {
+        shares.sort_unstable();
+        shares.dedup();
+        Document { version, body: Arc::new(Body::from(body)), shares: shares.into() }
     }
 }
 
--- a/crates/rudder-ledger/src/patch.rs
+++ b/crates/rudder-ledger/src/patch.rs
@@ -6,6 +6,7 @@
 
 use std::{collections::HashMap, ops::Range};
 
+use rudder_model::ShareTag;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
 use xxhash_rust::xxh3::xxh3_64;
@@ -36,6 +37,12 @@
     parts: Vec<Part>,
     /// Digest of the newer content.
     digest: u64,
+    /// Shares of routes that only the older version has.
+    #[serde(default)]
+    left: Vec<ShareTag>,
+    /// Shares of routes that only the newer version has.
+    #[serde(default)]
+    joined: Vec<ShareTag>,
 }
 
 impl Patch {
@@ -54,7 +61,14 @@
                 (_, None) => parts.push(Part::New(ByteBuf::from(piece))),
             }
         }
-        Patch { base: older.version, version: newer.version, parts, digest: xxh3_64(&newer.body) }
+        Patch {
+            base: older.version,
+            version: newer.version,
+            parts,
+            digest: xxh3_64(&newer.body),
+            left: difference(&older.shares, &newer.shares).collect(),
+            joined: difference(&newer.shares, &older.shares).collect(),
+        }
     }
 
     /// About its size in bytes.
@@ -63,7 +77,8 @@
             Part::Kept(..) => size_of::<Part>(),
             Part::New(bytes) => size_of::<Part>() + bytes.len(),
         };
-        self.parts.iter().map(bytes).sum()
+        let shares = self.left.len() + self.joined.len();
+        self.parts.iter().map(bytes).sum::<usize>() + shares * size_of::<ShareTag>()
     }
 
     /// The newer version; `None` where `older` is not the version that the patch starts from.
@@ -78,10 +93,17 @@
                 Part::New(bytes) => body.extend_from_slice(bytes),
             }
         }
-        (xxh3_64(&body) == self.digest).then(|| Document::new(self.version, body))
+        let mut shares: Vec<ShareTag> = difference(&older.shares, &self.left).collect();
+        shares.extend_from_slice(&self.joined);
+        (xxh3_64(&body) == self.digest).then(|| Document::with_shares(self.version, body, shares))
     }
 }
 
+/// The shares of `of` that `without` lacks, both in ascending order.
+pub(crate) fn difference(of: &[ShareTag], without: &[ShareTag]) -> impl Iterator<Item = ShareTag> {
+    of.iter().copied().filter(|share| without.binary_search(share).is_err())
+}
+
 /// The pieces of a document, in order.
 fn pieces(body: &[u8]) -> impl Iterator<Item = Range<usize>> + '_ {
     let mut start = 0;
--- a/crates/rudder-ledger/src/release.rs
+++ b/crates/rudder-ledger/src/release.rs
@@ -7,8 +7,11 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use rudder_model::ShareTag;
 use serde::{Deserialize, Serialize};
 
+use crate::Moves;
+
 /// Maximum number of versions of a service, and of services. More are not recorded, so no resumable stream begins there.
 const MAX_VERSIONS: usize = 64;
 const MAX_SERVICES: usize = 256;
@@ -49,6 +52,9 @@
     services: BTreeMap<Arc<str>, BTreeMap<Arc<str>, Stage>>,
     /// Log index of the last change.
     index: u64,
+    /// Moves of routes after which streams of two services may be asked for at one place.
+    #[serde(default)]
+    moves: Moves,
 }
 
 impl Releases {
@@ -66,6 +72,38 @@
         })
     }
 
+    /// Returns the services with versions that may have begun streams.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.services.keys()
+    }
+
+    /// Returns the recent moves of routes.
+    pub fn moves(&self) -> &Moves {
+        &self.moves
+    }
+
+    /// Records the moves of routes from one document to the next, whose shares are in ascending order.
+    pub(crate) fn record_moves(&mut self, index: u64, before: &[ShareTag], after: &[ShareTag]) {
+        if self.moves.record(index, before, after) {
+            self.index = index;
+        }
+    }
+
+    /// Drops the moves up to log index `until`. Returns whether there were any.
+    pub(crate) fn forget_moves(&mut self, index: u64, until: u64) -> bool {
+        let changed = self.moves.forget(until);
+        if changed {
+            self.index = index;
+        }
+        changed
+    }
+
+    /// Returns the versions of a service with their stages.
+    pub fn stages<'a>(&'a self, service: &'a Arc<str>) -> impl Iterator<Item = (Software, Stage)> + 'a {
+        let versions = self.services.get(service).into_iter().flatten();
+        versions.map(|(version, stage)| (Software { service: service.clone(), version: version.clone() }, *stage))
+    }
+
     /// Returns the versions of a service that may have begun streams.
     pub fn of(&self, service: &str) -> impl Iterator<Item = &Arc<str>> {
         self.services.get(service).into_iter().flat_map(BTreeMap::keys)
--- a/crates/rudder-model/src/id.rs
+++ b/crates/rudder-model/src/id.rs
@@ -36,12 +36,19 @@
 /// Short form of a request's content, to tell that a request comes again under another id. Two of 10,000 contents share one
 /// with a chance of 3 in a million million.
 pub type ContentTag = u64;
+/// Short form of a place: a host and a path prefix.
+pub type PlaceTag = u64;
+/// Short form of a service of the route at a place. Two of 10,000 share one with a chance of 3 in a million million.
+pub type ShareTag = u64;
 /// SHA-256 of a key or a request body.
 pub type Digest = [u8; 32];
 
 /// Marks the name of a plain service where models and services share a name space.
 pub const SERVICE_PREFIX: &str = "service/";
 
+/// Maximum number of path prefixes that are told apart.
+const MAX_PLACES: usize = 16;
+
 /// Builds the id of the `count`-th request of a process start.
 pub fn request_id(start: Start, count: u64) -> RequestId {
     (RequestId::from(start) << 64) | RequestId::from(count)
@@ -111,6 +118,23 @@
     xxhash_rust::xxh3::xxh3_64(service.as_bytes()) as ServiceTag
 }
 
+/// The short forms of the places that begin a path, shortest first: its host, and the prefixes that end with a slash. Of
+/// these only the first [`MAX_PLACES`] count, so that a long path is no burden.
+pub fn place_tags<'a>(host: &'a str, path: &'a str) -> impl Iterator<Item = PlaceTag> + 'a {
+    let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+    hasher.update(&(host.len() as u64).to_le_bytes());
+    let segments = path.split_inclusive('/').filter(|segment| segment.ends_with('/')).take(MAX_PLACES);
+    std::iter::once(host).chain(segments).map(move |part| {
+        hasher.update(part.as_bytes());
+        hasher.digest()
+    })
+}
+
+/// The short form of a service of the route at a place.
+pub fn share_tag(place: PlaceTag, service: &str) -> ShareTag {
+    xxhash_rust::xxh3::xxh3_64_with_seed(service.as_bytes(), place)
+}
+
 /// The short form of what `caller` asks for. Each field is hashed with its length, so that none runs into the next.
 pub fn content_tag(caller: &str, method: &str, host: &str, target: &str, body: &[u8]) -> ContentTag {
     let mut hasher = xxhash_rust::xxh3::Xxh3::new();
--- a/crates/rudder-model/src/lib.rs
+++ b/crates/rudder-model/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod refusal;
 
 pub use id::{
-    Born, ClassId, ContentTag, Digest, EndpointId, EndpointTag, HallId, InstanceId, ModelId, OrgId, OrgTag, RegionId,
-    RequestId, ServiceTag, Start,
+    Born, ClassId, ContentTag, Digest, EndpointId, EndpointTag, HallId, InstanceId, ModelId, OrgId, OrgTag, PlaceTag,
+    RegionId, RequestId, ServiceTag, ShareTag, Start,
 };
 pub use id::{content_tag, part_tag};
 pub use label::{Labels, Match};
