fix(gateway): a stream that was passed on is recorded by the instance whose caller has its events

A stream could be joined of two versions after a connection between two instances was lost: an instance without links passed the request to a second one, which recorded the version with the first event that it sent back. If that event never arrived, the first instance let the stream begin anew at another version, under the same id; the second instance still answered for the stream from its own memory, and holders took whichever record came last.

The instance that passes events on to the caller records the version now. The second one binds the stream to the version whose head it forwards and names it beside the head.

--- a/crates/rudder-gateway/src/call/hop.rs
+++ b/crates/rudder-gateway/src/call/hop.rs
@@ -30,7 +30,8 @@
 
 /// Marks a request passed on by another instance: the number of attempts that may have run so far.
 pub const HOP: HeaderName = HeaderName::from_static("hatchrudder-hop");
-/// Names the software version that began the stream of which the request asks for the rest.
+/// Names the software version that began the stream of which the request asks for the rest, and in an answer the one that
+/// begins the stream.
 pub const HOP_VERSION: HeaderName = HeaderName::from_static("hatchrudder-hop-version");
 /// Names the service of that version.
 pub const HOP_SERVICE: HeaderName = HeaderName::from_static("hatchrudder-hop-service");
@@ -61,6 +62,8 @@
     pub instance: InstanceId,
     /// The response; its body is still to be read.
     pub response: Response<Incoming>,
+    /// The software version that begins its stream.
+    pub software: Option<Software>,
     connection: Connection,
 }
 
@@ -89,13 +92,23 @@
     Ok(Some(Hop { from, runs, software }))
 }
 
-/// Reads and removes the version that began a request's stream.
-fn read_software(headers: &mut HeaderMap) -> Option<Software> {
+/// Reads and removes the version that began, or begins, a stream.
+pub fn read_software(headers: &mut HeaderMap) -> Option<Software> {
     let mut read = |name| headers.remove(name)?.to_str().ok().map(Arc::from);
     let (service, version) = (read(HOP_SERVICE), read(HOP_VERSION));
     Some(Software { service: service?, version: version? })
 }
 
+/// Names the version that began, or begins, a stream.
+pub fn write_software(headers: &mut HeaderMap, software: &Software) {
+    let Software { service, version } = software;
+    let values = (HeaderValue::from_str(service), HeaderValue::from_str(version));
+    if let (Ok(service), Ok(version)) = values {
+        headers.insert(HOP_SERVICE, service);
+        headers.insert(HOP_VERSION, version);
+    }
+}
+
 /// Whether the next step for a request is to pass it on: this instance is isolated, or all endpoints were tried and some
 /// of them could not be reached.
 pub fn must_pass_on<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &Progress) -> bool {
@@ -152,13 +165,14 @@
             record_unfit(shared, call, &instance, "it reaches no endpoint either");
             Ok(None)
         }
-        Ok(Ok(response)) => {
+        Ok(Ok(mut response)) => {
             if promises_not_run(response.status()) {
                 progress.possible_runs = runs;
             }
             shared.neighbours.borrow_mut().record(&instance, true, Moment::now());
             shared.metrics.record_hop(HopOutcome::Answered);
-            Ok(Some(HopAnswer { instance, response, connection }))
+            let software = read_software(response.headers_mut());
+            Ok(Some(HopAnswer { instance, response, software, connection }))
         }
         Ok(Err(_)) => {
             shared.neighbours.borrow_mut().record(&instance, false, Moment::now());
@@ -198,12 +212,8 @@
     *request.headers_mut() = call.headers.clone();
     dialect.write_hop(request.headers_mut(), left, last_event);
     request.headers_mut().insert(HOP, HeaderValue::from(progress.possible_runs));
-    if let Some(Software { service, version }) = &progress.software {
-        let values = (HeaderValue::from_str(service), HeaderValue::from_str(version));
-        if let (Ok(service), Ok(version)) = values {
-            request.headers_mut().insert(HOP_SERVICE, service);
-            request.headers_mut().insert(HOP_VERSION, version);
-        }
+    if let Some(software) = &progress.software {
+        write_software(request.headers_mut(), software);
     }
     request
 }
--- a/crates/rudder-gateway/src/call/origin.rs
+++ b/crates/rudder-gateway/src/call/origin.rs
@@ -57,13 +57,25 @@
     progress.software.is_some()
 }
 
-/// Records the version of a stream whose first event is about to be passed on.
-pub fn record_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, choice: &Choice) {
+/// Keeps a stream for another instance at the version that `choice` has, and returns it. The other instance is told once, with
+/// the head of the answer.
+pub fn bind_version(call: &Call, progress: &mut Progress, choice: &Choice) -> Option<Software> {
+    if call.hop.is_none() || !call.route.resumable {
+        return None;
+    }
+    Some(progress.software.get_or_insert_with(|| choice.software()).clone())
+}
+
+/// Records the version of a stream whose first event is about to be passed on to its caller. A stream for another instance is
+/// recorded there: its events may be lost on the way, after which it begins anew.
+pub fn record_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, software: Software) {
     if progress.software.is_some() || !call.route.resumable {
         return;
     }
-    let software = Software { service: choice.service.clone(), version: choice.version.clone() };
     progress.software = Some(software.clone());
+    if call.hop.is_some() {
+        return;
+    }
     let origin = StreamOrigin { stream: id::stream_tag(call.stream_id()), software };
     shared.send_event(Event::StreamBegun { origin, route: stream_route(shared, call) });
 }
--- a/crates/rudder-gateway/src/call/send.rs
+++ b/crates/rudder-gateway/src/call/send.rs
@@ -60,7 +60,7 @@
         if must_pass_on(shared, &call, &progress) {
             let failure = match pass_on(shared, &call, &mut progress, call.last_event).await {
                 Ok(answer) if call.route.kind == RouteKind::Stream && answer.response.status().is_success() => {
-                    return Ok(stream::start(shared, call, progress, Source::Instance(answer)));
+                    return Ok(stream::start(shared, call, progress, Source::from(answer)));
                 }
                 Ok(answer) => match relay_hop(shared, &call, answer).await {
                     Ok(response) => return Ok(response),
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -13,7 +13,7 @@
 
 use rudder_clock::Moment;
 use rudder_core::Registration;
-use rudder_ledger::Releases;
+use rudder_ledger::{Releases, Software};
 use rudder_model::{Born, EndpointId, HallId, RegionId};
 
 pub use self::candidates::{CandidateCache, Candidates, Lane};
@@ -203,6 +203,13 @@
     pub fetch_from: Option<Arc<str>>,
 }
 
+impl Choice {
+    /// The version of its software, with its service.
+    pub fn software(&self) -> Software {
+        Software { service: self.service.clone(), version: self.version.clone() }
+    }
+}
+
 /// Why no endpoint can be chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unavailable {
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -167,7 +167,7 @@
     /// An endpoint.
     Endpoint(Box<EndpointAnswer>),
     /// Another instance, to which the request was passed.
-    Instance(HopAnswer),
+    Instance(Box<HopAnswer>),
 }
 
 impl From<EndpointAnswer> for Source {
@@ -176,7 +176,21 @@
     }
 }
 
+impl From<HopAnswer> for Source {
+    fn from(answer: HopAnswer) -> Source {
+        Source::Instance(Box::new(answer))
+    }
+}
+
 impl Source {
+    /// The endpoint, unless it is another instance.
+    fn choice(&self) -> Option<&Choice> {
+        match self {
+            Source::Endpoint(answer) => Some(&answer.choice),
+            Source::Instance(_) => None,
+        }
+    }
+
     fn response(&self) -> &Response<Incoming> {
         match self {
             Source::Endpoint(answer) => &answer.response,
@@ -189,7 +203,7 @@
 pub fn start<D: Dialect>(
     shared: &Rc<Shared<D>>,
     call: Call,
-    progress: Progress,
+    mut progress: Progress,
     source: Source,
 ) -> Response<AnswerBody> {
     let (sender, receiver) = mpsc::channel(MAX_QUEUED_PARTS);
@@ -197,6 +211,10 @@
     *response.status_mut() = source.response().status();
     *response.headers_mut() = source.response().headers().clone();
     call::strip_hop_headers(response.headers_mut());
+    let bound = source.choice().and_then(|choice| call::origin::bind_version(&call, &mut progress, choice));
+    if let Some(software) = bound {
+        call::hop::write_software(response.headers_mut(), &software);
+    }
     let shared = shared.clone();
     shared.open_requests.set(shared.open_requests.get() + 1);
     tokio::task::spawn_local(async move {
@@ -243,7 +261,7 @@
                 }
                 Source::Instance(answer) => {
                     let instance = answer.instance.clone();
-                    (None, instance, self.relay_hop(answer).await)
+                    (None, instance, self.relay_hop(*answer).await)
                 }
             };
             let why = match &end {
@@ -362,7 +380,7 @@
             if part.is_empty() {
                 continue;
             }
-            call::origin::record_version(self.shared, &self.call, &mut self.progress, &choice);
+            call::origin::record_version(self.shared, &self.call, &mut self.progress, choice.software());
             if let Err(end) = self.forward(&part).await {
                 return end;
             }
@@ -384,6 +402,7 @@
 
     /// Forwards what another instance sends until its part of the stream ends.
     async fn relay_hop(&mut self, answer: HopAnswer) -> End {
+        let software = answer.software.clone();
         let (mut body, _connection) = answer.into_body();
         self.framed = true;
         if self.call.route.resumable {
@@ -410,6 +429,9 @@
             if part.is_empty() {
                 continue;
             }
+            if let Some(software) = &software {
+                call::origin::record_version(self.shared, &self.call, &mut self.progress, software.clone());
+            }
             if let Err(end) = self.forward(&part).await {
                 return end;
             }
@@ -497,7 +519,7 @@
             let last = self.last_event();
             if call::must_pass_on(self.shared, &self.call, &self.progress) {
                 has_retry = match self.pass_on(last).await? {
-                    Ok(answer) if answer.response.status().is_success() => return Some(Source::Instance(answer)),
+                    Ok(answer) if answer.response.status().is_success() => return Some(Source::from(answer)),
                     Ok(_) => false,
                     Err(failure) => call::take_retry_after(self.shared, &self.call, &mut self.progress, &failure),
                 };
