fix(gateway): a service without weight gets no requests while the others are down

Callers' requests ran at a service whose weight is 0 while all endpoints of the route's other services were down, which no configuration allows.

Cause: an endpoint is chosen at the service drawn by weight, and where that has none to offer at all other services of the route, whatever their weight. For an instance whose registry is still empty, the first service heard of took all.

--- a/crates/rudder-gateway/src/plan.rs
+++ b/crates/rudder-gateway/src/plan.rs
@@ -50,7 +50,7 @@
     pub pause: Option<Duration>,
     /// Priority; 0 is the highest.
     pub tier: u8,
-    /// The services that its requests are distributed over.
+    /// The services that its requests are distributed over; in a plan those that have a weight.
     pub shares: Vec<Share>,
     /// Maximum number of attempts of a request, each at another endpoint.
     pub attempts: u32,
@@ -231,15 +231,16 @@
         Plan { version, limits, ..Plan::default() }
     }
 
-    /// Adds a route.
+    /// Adds a route. A service without weight gets none of its requests, also where no other one can serve them.
     ///
     /// # Errors
     /// When the route is invalid or conflicts with another one.
-    pub fn add_route(&mut self, route: Route) -> Result<(), Fault> {
+    pub fn add_route(&mut self, mut route: Route) -> Result<(), Fault> {
         if let Some(share) = route.shares.iter().find(|share| !self.services.contains_key(&share.service)) {
             return Err(Fault::UnknownService { route: route.name.to_string(), service: share.service.to_string() });
         }
-        if route.shares.iter().all(|share| share.weight == 0) {
+        route.shares.retain(|share| share.weight > 0);
+        if route.shares.is_empty() {
             return Err(Fault::NoWeight(route.name.to_string()));
         }
         if route.timeout.is_zero() {
