fix(gateway): requests bound to regions are passed on to instances of these alone

Requests of an organisation or a route bound to a region went through instances of other regions, with their bodies, while the instances that callers had reached were without links to endpoints.

Cause: the choice of an endpoint respects the regions of a request, the choice of the instance that it is passed to did not ask for them.

Instances outside the regions are no targets now; without any other one the request is refused as not run.

--- a/crates/rudder-gateway/src/call/hop.rs
+++ b/crates/rudder-gateway/src/call/hop.rs
@@ -127,7 +127,7 @@
     progress: &mut Progress,
     last_event: Option<u64>,
 ) -> Result<HopAnswer, Failure> {
-    for (instance, address) in shared.hop_targets::<MAX_INSTANCES>() {
+    for (instance, address) in shared.hop_targets::<MAX_INSTANCES>(&call.residency) {
         let left = call.deadline.saturating_duration_since(Moment::now());
         if left.is_zero() {
             return Err(Failure::DeadlineExceeded);
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -45,7 +45,7 @@
     logging::Log,
     metrics::{ControlStatus, Metrics},
     neighbours::Neighbours,
-    placement::Placement,
+    placement::{Placement, Residency},
     prefill::PrefillSpeeds,
     reachability::Reachability,
     recent::{self, Tally},
@@ -475,11 +475,16 @@
         view.entries.iter().find(|listing| is_at(&listing.name)).map(|listing| listing.name.clone())
     }
 
-    /// The instances to which a request may be passed on, in the order to try them, with their addresses for callers.
-    pub fn hop_targets<const COUNT: usize>(&self) -> Vec<(InstanceId, String)> {
+    /// The instances to which a request may be passed on, in the order to try them, with their addresses for callers. One that
+    /// is restricted to regions stays within them.
+    pub fn hop_targets<const COUNT: usize>(&self, residency: &Residency) -> Vec<(InstanceId, String)> {
         let view = self.view.borrow();
-        let others = view.entries.iter().filter(|listing| listing.takes_callers() && listing.name != self.name);
         let (neighbours, placement) = (self.neighbours.borrow(), self.placement.borrow());
+        let others = view.entries.iter().filter(|listing| {
+            listing.takes_callers()
+                && listing.name != self.name
+                && placement.allows(residency.as_deref(), &listing.hall)
+        });
         let selected = neighbours.select::<COUNT>(others, &self.options.hall, &placement, Moment::now());
         let with_address = |listing: &&Listing| Some((listing.name.clone(), listing.address.clone()?));
         selected.iter().filter_map(with_address).collect()
