--- a/crates/rudder-ledger/src/moves.rs
+++ b/crates/rudder-ledger/src/moves.rs
@@ -9,7 +9,7 @@
 use crate::patch::difference;
 
 /// Maximum number of moves. Beyond it any service may have begun a stream.
-const MAX_MOVES: usize = 1_024;
+const MAX_MOVES: usize = 512;
 
 /// Shares of routes that were added or removed by recent documents.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
