fix(core): callers of a stale instance share one request for a newer proof

An instance whose proof was old asked the leader once for each request of its callers, each while the one before was under way: 20 requests for 20 callers. It is the overload that feeds itself of the fleet's start: the leader is late, so more is asked of it.

A request for a proof now waits for the one under way and is sent when that is answered, as its own proof has to be newer. One that is lost delays the next by 50 ms.

--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -194,7 +194,7 @@
             Event::Evacuate { ticket, hall, begins } => {
                 let until = now + DOCUMENT_TIMEOUT;
                 self.hall_orders.add(HallOrder { ticket, hall, begins, arrived: now, deadline: until });
-                self.view.upstream.request_leader_soon();
+                self.view.upstream.request_proof();
                 self.send_watch_request(now, out);
             }
             Event::Register { ticket, registration } => self.register(now, ticket, registration, out),
@@ -229,7 +229,7 @@
             Event::ClockStepped(origin) => self.view.clock.set_local(now, origin),
             Event::CallEnded { ticket, outcome } => self.duties.on_called(now, ticket, outcome),
             Event::ProveFreshness => {
-                self.view.upstream.request_leader_soon();
+                self.view.upstream.request_proof();
                 self.send_watch_request(now, out);
             }
             Event::Seeds(seeds) => self.view.set_seeds(seeds),
@@ -379,6 +379,9 @@
                     self.watchers.notify(now, None, out);
                 }
                 self.propose_hall_orders();
+                if self.view.upstream.wants_proof() {
+                    self.send_watch_request(now, out);
+                }
             }
             PeerMessage::StreamsBegun(origins) => {
                 self.origins.record_told(now, origins, self.control.is_some(), out);
--- a/crates/rudder-core/src/upstream.rs
+++ b/crates/rudder-core/src/upstream.rs
@@ -13,6 +13,8 @@
 const MAX_TRACKED_ROUNDS: u64 = 64;
 /// Number of request intervals after which an unanswered request times out.
 const TIMEOUT_INTERVALS: u32 = 2;
+/// Minimum time between two requests for a newer proof, unless the first one was answered. Many callers may need one at once.
+const MIN_PROOF_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of redirects that are followed at once. Two instances that name each other must not be asked in a loop.
 const MAX_REDIRECTS: u32 = 3;
 
@@ -61,6 +63,8 @@
     turn: usize,
     /// The next request goes to the leader even if there are relays.
     leader_preferred: bool,
+    /// Callers wait for a newer proof than the request under way can give.
+    proof_wanted: bool,
     /// Version of this instance's relay group held by the leader.
     group: u64,
     /// Redirects followed since the last reply or timeout.
@@ -140,10 +144,22 @@
         }
     }
 
-    /// Makes a request to the leader due immediately, because a relay's copy may predate this moment.
-    pub fn request_leader_soon(&mut self) {
+    /// Makes a request to the leader due, because a relay's copy may predate this moment: immediately, or once the one under
+    /// way is answered.
+    pub fn request_proof(&mut self) {
         self.prefer_leader();
-        self.request_soon();
+        self.proof_wanted = true;
+    }
+
+    /// Returns whether callers wait for a newer proof.
+    pub fn wants_proof(&self) -> bool {
+        self.proof_wanted
+    }
+
+    /// Returns whether a request that may give a proof as of its sending was sent a moment ago and is not answered.
+    fn awaits_proof(&self, now: Duration) -> bool {
+        let pending = self.sent(self.round).filter(|_| self.answered_round < self.round);
+        pending.is_some_and(|request| request.target != Target::Relay && now < request.at + MIN_PROOF_INTERVAL)
     }
 
     /// Sends the next request, when it is due, to the leader.
@@ -156,6 +172,9 @@
         if self.deferred_until.is_some_and(|until| now < until) {
             return false;
         }
+        if self.proof_wanted && !self.awaits_proof(now) {
+            return true;
+        }
         let Some(sent_at) = self.last_sent else { return true };
         let interval =
             if self.targets_relay() { options.watch_interval * options.tree.periods } else { options.watch_interval };
@@ -181,6 +200,7 @@
         let (target, to) = self.next_target(me, bypass, leader);
         self.round += 1;
         self.leader_preferred = false;
+        self.proof_wanted = false;
         self.deferred_until = None;
         self.last_sent = Some(now);
         self.sent.insert(self.round, SentRequest { at: now, target });
