fix(core): the leader serves instances that join itself while that takes little time

Cause: since the leader sends newcomers to relays wherever there are more than 24 instances. With 92 it could have sent everyone what it lacks in 0.24 s; the relays have to be served first, are known to be only one request later, and send over links of 10 Mbit/s.

The leader now serves all newcomers if it can send each of them the directory and the registry within 0.4 s at the rate of its link, once no more come; the period after which none is expected is one request interval instead of two.

tests/restart.rs failed before (60 and 92 instances: all ready 0.53, 0.54, 0.70 and 0.85 s after the election or restart, 0.42 s being the time for a first token) and passes now. a_fleet_that_starts_before_all_its_endpoints_is_ready_in_time: 5.85 s (5.8 s).

--- a/crates/rudder-core/src/control.rs
+++ b/crates/rudder-core/src/control.rs
@@ -339,17 +339,20 @@
         if watch.directory > 0 || listing.replica.is_some() {
             return None;
         }
+        let live = self.directory.len();
+        let can_serve = self.watchers.can_serve(live, live + self.registry.len());
         let holds_directory = |relay: &InstanceId| self.watchers.holds_directory(relay);
-        let (answer, absent) = match self.joining.admit(now, watch, (&options.tree, &self.directory), holds_directory) {
-            Admission::Relay(relay) if relay != self.name => {
-                (PeerMessage::Redirect { leader: Some(relay) }, RELAY_GRACE)
-            }
-            Admission::Defer(after) => (PeerMessage::Defer { after }, after),
-            Admission::Serve | Admission::Relay(_) => {
-                let after = self.watchers.defer(now, watch)?;
-                (PeerMessage::Defer { after }, after)
-            }
-        };
+        let (answer, absent) =
+            match self.joining.admit(now, watch, (&options.tree, &self.directory), can_serve, holds_directory) {
+                Admission::Relay(relay) if relay != self.name => {
+                    (PeerMessage::Redirect { leader: Some(relay) }, RELAY_GRACE)
+                }
+                Admission::Defer(after) => (PeerMessage::Defer { after }, after),
+                Admission::Serve | Admission::Relay(_) => {
+                    let after = self.watchers.defer(now, watch)?;
+                    (PeerMessage::Defer { after }, after)
+                }
+            };
         // An instance that is told to come later, or to a relay, is live meanwhile.
         self.last_seen.insert(listing.name.clone(), now + absent);
         Some(answer)
--- a/crates/rudder-core/src/joining.rs
+++ b/crates/rudder-core/src/joining.rs
@@ -1,8 +1,8 @@
 //! Instances that join, at the leader: whom it serves, defers or sends to a relay.
 //!
 //! An instance that holds nothing yet needs the whole directory. When hundreds start together, the leader would send it to
-//! each of them, and again as it grows. So it only records them while they keep coming; then it serves the relays, and
-//! these serve the others.
+//! each of them, and again as it grows. So it only records them while they keep coming; then it serves all, if that takes
+//! little time at the rate of its link, or else the relays, which serve the others.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -14,7 +14,7 @@
 };
 
 /// Time without many new instances after which all that start together count as known.
-const SETTLE_TIME: Duration = Duration::from_millis(200);
+const SETTLE_TIME: Duration = Duration::from_millis(100);
 /// Time after which a deferred instance is to ask again, for each live instance: all of them may be deferred.
 const DEFER_TIME_EACH: Duration = Duration::from_millis(1);
 
@@ -62,19 +62,27 @@
         }
     }
 
-    /// Decides on a request of an instance that holds no directory. `holds_directory` returns whether a relay does.
+    /// Decides on a request of an instance that holds no directory. With `can_serve`, the leader needs no relays to serve all.
+    /// `holds_directory` returns whether a relay does.
     pub(crate) fn admit(
         &mut self,
         now: Duration,
         watch: &WatchRequest,
         (tree, directory): (&Tree, &Directory),
+        can_serve: bool,
         holds_directory: impl Fn(&InstanceId) -> bool,
     ) -> Admission {
         if !tree.has_relays(directory) {
             return Admission::Serve;
         }
-        if self.crowded_at.is_some_and(|at| now < at + SETTLE_TIME) {
-            return Admission::Defer(defer_time(watch, directory.len()));
+        let deferral = defer_time(watch, directory.len());
+        let unsettled = self.crowded_at.map_or(Duration::ZERO, |at| (at + SETTLE_TIME).saturating_sub(now));
+        if unsettled > Duration::ZERO {
+            // Those that are served here may come together.
+            return Admission::Defer(if can_serve { deferral.min(unsettled) } else { deferral });
+        }
+        if can_serve {
+            return Admission::Serve;
         }
         let listing = &watch.listing;
         let ranked = rank_for(&listing.name, self.relays_of(&listing.hall, tree, directory));
@@ -83,7 +91,7 @@
         }
         match ranked.into_iter().take(PREFERRED_RELAYS).find(|relay| holds_directory(relay)) {
             Some(relay) => Admission::Relay(relay),
-            None => Admission::Defer(defer_time(watch, directory.len())),
+            None => Admission::Defer(deferral),
         }
     }
 
--- a/crates/rudder-core/src/pacer.rs
+++ b/crates/rudder-core/src/pacer.rs
@@ -23,9 +23,14 @@
         self.busy_until.saturating_sub(now + self.ahead)
     }
 
+    /// Returns how long bytes take at the rate.
+    pub(crate) fn time_for(&self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / self.rate as f64)
+    }
+
     /// Records bytes that are sent.
     pub(crate) fn record(&mut self, now: Duration, bytes: usize) {
-        self.busy_until = now.max(self.busy_until) + Duration::from_secs_f64(bytes as f64 / self.rate as f64);
+        self.busy_until = now.max(self.busy_until) + self.time_for(bytes);
     }
 
     /// Forgets what was sent.
--- a/crates/rudder-core/src/registry/mod.rs
+++ b/crates/rudder-core/src/registry/mod.rs
@@ -182,6 +182,11 @@
         self.entries.version()
     }
 
+    /// Number of endpoints, including those that have ended.
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
     /// All endpoints, including those that have ended.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Registration>> {
         self.entries.values()
--- a/crates/rudder-core/src/watchers.rs
+++ b/crates/rudder-core/src/watchers.rs
@@ -42,6 +42,9 @@
 const SMALL_UPDATE: usize = 8 << 10;
 /// Updates are sent while those before them take up to this long; well below [`RESEND_INTERVAL`].
 const MAX_AHEAD: Duration = Duration::from_millis(150);
+/// Longest time in which the leader sends all newcomers what they lack, without relays. Within it none of them is dropped, and
+/// relays, which need an update of their own first, would hardly be faster.
+const MAX_SERVING_TIME: Duration = Duration::from_millis(400);
 /// Approximate encoded size of an entry of the directory or the registry.
 const ENTRY_BYTES: usize = 100;
 
@@ -290,6 +293,11 @@
         true
     }
 
+    /// Returns whether this instance can soon have sent `entries` of the directory and the registry to each of `count` watchers.
+    pub(crate) fn can_serve(&self, count: usize, entries: usize) -> bool {
+        self.pacer.time_for(count * entries * ENTRY_BYTES) <= MAX_SERVING_TIME
+    }
+
     /// Returns the time after which a watcher that holds no directory is to ask again while this instance sends it to others.
     /// The watcher counts as live until then.
     pub(crate) fn defer(&mut self, now: Duration, watch: &WatchRequest) -> Option<Duration> {
