fix(core): a stream of an endpoint that was upgraded in place does not go on at its earlier version

What callers would have seen: a stream that is taken up goes on at another version than the one that began it, answered 200 and to its end. An endpoint had ended without a word and started again under its id and address with other software.

Cause: a stream is recorded with the version of its endpoint's last heartbeat, as no answer names one. Until the first heartbeat of the next life that is the version of the last one, and it stayed recorded for as long as the stream could be taken up.

The instance that began a stream now remembers the life of its endpoint until silence would have been noticed. If a later life has another version by then, the stream counts as begun by an unknown version, and its holders and their notes are told. A restart with the same version changes nothing.

--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -108,6 +108,8 @@
         origin: StreamOrigin,
         /// Its route.
         route: Arc<StreamRoute>,
+        /// The life of the endpoint that began it, if the endpoint was asked by this instance.
+        endpoint: Option<EndpointId>,
     },
     /// What began streams, as noted before this start.
     OriginsNoted(Vec<StreamOrigin>),
--- a/crates/rudder-core/src/lives.rs
+++ b/crates/rudder-core/src/lives.rs
@@ -73,6 +73,11 @@
         Standing::Stale
     }
 
+    /// Returns the latest life of a name that reports start times.
+    pub(crate) fn latest(&self, name: &str) -> Option<&EndpointId> {
+        self.latest.get(name).map(|life| &life.endpoint)
+    }
+
     /// Sets the latest life of a name.
     pub fn set(&mut self, life: &Registration) {
         let Some(born) = life.born else { return };
--- a/crates/rudder-core/src/origins.rs
+++ b/crates/rudder-core/src/origins.rs
@@ -5,17 +5,26 @@
 //! several versions that may have begun streams ([`rudder_ledger::release`]), it also tells two holders, chosen by rendezvous
 //! hashing over the live instances, one of them with a disk; when a second version comes, it tells them of earlier streams. Whoever
 //! is asked to let a stream go on asks the holders. Services that its route had a short while ago count too, as told by the
-//! log ([`rudder_ledger::Moves`]), since an instance that started later knows the newest document only. What holders remember is soft state and kept only as long as a caller may
-//! take a stream up. Holders with a disk also note it there without a sync, so that it outlasts the end of all processes; what
-//! a loss of power takes of it is not known any more.
+//! log ([`rudder_ledger::Moves`]), since an instance that started later knows the newest document only.
+//!
+//! What holders remember is soft state and kept only as long as a caller may take a stream up. Holders with a disk also note
+//! it there without a sync, so that it outlasts the end of all processes; what a loss of power takes of it is not known any
+//! more.
+//!
+//! The version is the one in the endpoint's last heartbeat. An endpoint may have started again since, with other software,
+//! so a stream whose endpoint turns out to have done so shortly after counts as begun by an unknown version.
 //!
 //! Not knowing a version proves nothing: holders may be lost, late, or have started since. A version counts as the only one
 //! by the replicated state alone, and only while that is proved to be recent.
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use rudder_ledger::{Moves, Releases, Software, Stage};
-use rudder_model::{InstanceId, PlaceTag, id};
+use rudder_model::{EndpointId, InstanceId, PlaceTag, id};
 use serde::{Deserialize, Serialize};
 
 use crate::{Effect, Listing, Me, PeerMessage, tree::Directory, view::View};
@@ -45,8 +54,8 @@
 pub struct StreamOrigin {
     /// The stream.
     pub stream: StreamTag,
-    /// The version of the endpoint's software.
-    pub software: Software,
+    /// The version of the endpoint's software; `None` if the endpoint may have had another one than it was thought to have.
+    pub software: Option<Software>,
 }
 
 /// What is known of the version that began a stream.
@@ -75,12 +84,21 @@
 
 #[derive(Debug)]
 struct Remembered {
-    software: Software,
+    software: Option<Software>,
     at: Duration,
     /// Its route, if it was begun here and its holders are not told yet.
     untold: Option<Arc<StreamRoute>>,
 }
 
+/// A stream that was begun here, and whose endpoint may still turn out to have started again before.
+#[derive(Debug)]
+struct Unconfirmed {
+    stream: StreamTag,
+    endpoint: EndpointId,
+    software: Software,
+    at: Duration,
+}
+
 /// The route of a stream, which tells what may have begun it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StreamRoute {
@@ -144,6 +162,8 @@
 pub struct Origins {
     streams: BTreeMap<StreamTag, Remembered>,
     pending: BTreeMap<u64, Pending>,
+    /// In order of their beginning.
+    unconfirmed: VecDeque<Unconfirmed>,
     pruned_at: Duration,
 }
 
@@ -163,6 +183,41 @@
         self.remember(now, origin, Some(route).filter(|_| !is_told));
     }
 
+    /// Records the life of an endpoint that is thought to have begun a stream, with this version.
+    pub(crate) fn record_endpoint(
+        &mut self,
+        now: Duration,
+        stream: StreamTag,
+        endpoint: EndpointId,
+        software: Software,
+    ) {
+        if self.unconfirmed.len() < MAX_STREAMS {
+            self.unconfirmed.push_back(Unconfirmed { stream, endpoint, software, at: now });
+        }
+    }
+
+    /// Forgets the versions of streams whose endpoints have started again with other software, which may have begun them.
+    fn forget_upgraded(&mut self, now: Duration, around: Surroundings, out: &mut Vec<Effect>) {
+        let registry = &around.view.registry;
+        // The first heartbeat of the next life is known by then.
+        let is_confirmed = |begun: &Unconfirmed| now >= begun.at + registry.silence();
+        while self.unconfirmed.front().is_some_and(is_confirmed) {
+            self.unconfirmed.pop_front();
+        }
+        let mut origins = Vec::new();
+        for begun in &self.unconfirmed {
+            let held = self.streams.get_mut(&begun.stream);
+            // A stream that began anew has a version of its own.
+            let Some(held) = held.filter(|held| held.software.as_ref() == Some(&begun.software)) else { continue };
+            if !registry.is_upgraded(&begun.endpoint, &begun.software) {
+                continue;
+            }
+            held.software = None;
+            origins.push(StreamOrigin { stream: begun.stream, software: None });
+        }
+        tell(around, origins, out);
+    }
+
     /// Records streams of which this instance is a holder, and has them noted if it has a disk.
     pub(crate) fn record_told(
         &mut self,
@@ -201,7 +256,7 @@
 
     /// Returns what began a stream, as an answer to another instance.
     pub(crate) fn software_of(&self, stream: StreamTag) -> Option<Software> {
-        self.streams.get(&stream).map(|held| held.software.clone())
+        self.streams.get(&stream).and_then(|held| held.software.clone())
     }
 
     /// Looks up what began a stream. Unless it is known here or follows from the versions in service, asks its holders.
@@ -255,7 +310,7 @@
         }
         if let (Some(software), Some(Pending { stream, route, .. })) = (&only, self.pending.remove(&ticket)) {
             // The instance that began it may be gone when another version comes.
-            let origin = StreamOrigin { stream, software: software.clone() };
+            let origin = StreamOrigin { stream, software: Some(software.clone()) };
             self.record_begun(now, (origin, route), around, out);
         }
         let origin = only.map_or(Origin::Unknown, Origin::Only);
@@ -268,6 +323,7 @@
         for ticket in tickets {
             self.settle(now, ticket, around, out);
         }
+        self.forget_upgraded(now, around, out);
         if now >= self.pruned_at + PRUNE_INTERVAL {
             self.pruned_at = now;
             let is_crowded = self.streams.len() > MAX_STREAMS / 2;
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -204,7 +204,10 @@
             Event::AskPermit { ticket, request } => {
                 self.permits.ask(now, &self.me, &self.view, (ticket, request), out);
             }
-            Event::StreamBegun { origin, route } => {
+            Event::StreamBegun { origin, route, endpoint } => {
+                if let (Some(endpoint), Some(software)) = (endpoint, origin.software.clone()) {
+                    self.origins.record_endpoint(now, origin.stream, endpoint, software);
+                }
                 self.with_origins(|origins, around| origins.record_begun(now, (origin, route), around, out));
             }
             Event::OriginsNoted(origins) => self.origins.restore(now, origins),
--- a/crates/rudder-core/src/registry/mod.rs
+++ b/crates/rudder-core/src/registry/mod.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use rudder_ledger::Departure;
+use rudder_ledger::{Departure, Software};
 use rudder_model::{Born, EndpointId, HallId, id};
 use serde::{Deserialize, Serialize};
 
@@ -226,6 +226,18 @@
         self.record_heartbeat_as_leader(now, &heartbeat)
     }
 
+    /// Time without heartbeats after which an endpoint counts as silent.
+    pub(crate) fn silence(&self) -> Duration {
+        self.silence
+    }
+
+    /// Returns whether the endpoint of a life is known to have other software by now, in this life or in a later one.
+    pub(crate) fn is_upgraded(&self, life: &EndpointId, software: &Software) -> bool {
+        let Some(held) = self.entries.get(life) else { return false };
+        let latest = self.lives.latest(held.name()).and_then(|latest| self.entries.get(latest)).unwrap_or(held);
+        latest.version != software.version
+    }
+
     /// Returns whether `endpoint` is known to drain or to have ended.
     pub fn has_departed(&self, endpoint: &EndpointId) -> bool {
         self.entries.get(endpoint).is_some_and(|held| held.phase >= Phase::Leaving)
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -544,6 +544,19 @@
         self.send_event(number, Event::Register { ticket: 0, registration });
     }
 
+    /// Sends a heartbeat of the life of endpoint "e-1" that began at `born`, with software of `version`.
+    pub fn upgraded_beat(&mut self, number: usize, born: u64, version: &str, sequence: u64) {
+        let life = id::life_id("e-1", Some(born));
+        let registration = Registration {
+            born: Some(born),
+            version: version.into(),
+            address: "at-e-1".into(),
+            sequence,
+            ..registration(&life, "hall-0")
+        };
+        self.send_event(number, Event::Register { ticket: 0, registration });
+    }
+
     /// Returns the versions in service as an instance holds them.
     pub fn releases_at(&self, number: usize) -> Option<&Releases> {
         self.nodes[number].state.as_ref().map(|state| &*state.view.releases)
--- a/crates/rudder-core/tests/origins.rs
+++ b/crates/rudder-core/tests/origins.rs
@@ -10,7 +10,7 @@
     origins::{Origin, StreamOrigin, StreamRoute},
 };
 use rudder_ledger::{Document, Software, Stage};
-use rudder_model::id;
+use rudder_model::{EndpointId, id};
 
 const MILLISECOND: Duration = Duration::from_millis(1);
 const SECOND: Duration = Duration::from_secs(1);
@@ -27,6 +27,11 @@
 /// Longer than the time until a version without endpoints is retired, and then dropped.
 const RETENTION: Duration = Duration::from_secs(65);
 
+/// The start of an endpoint, as it tells it.
+const BORN: u64 = 1_792_914_332_612;
+/// Longer than the time for which the streams of an endpoint that has started again may be its next life's.
+const CONFIRMED: Duration = Duration::from_secs(15);
+
 /// The place of the route for streams.
 const HOST: &str = "h.example";
 const PREFIX: &str = "/resume/";
@@ -105,12 +110,27 @@
 
     /// Begins the stream at an instance, on a route with these services.
     fn begin_at(&mut self, number: usize, version: &str, services: &[&str]) {
-        let origin = StreamOrigin { stream: STREAM, software: software(version) };
+        self.send_begun(number, version, services, None);
+    }
+
+    fn send_begun(&mut self, number: usize, version: &str, services: &[&str], endpoint: Option<EndpointId>) {
+        let origin = StreamOrigin { stream: STREAM, software: Some(software(version)) };
         let route = route_at(PREFIX, services);
-        self.mesh.send_event(number, Event::StreamBegun { origin, route });
+        self.mesh.send_event(number, Event::StreamBegun { origin, route, endpoint });
         self.mesh.run(MILLISECOND * 20);
     }
 
+    /// Begins a stream at the endpoint whose life that began at `BORN` is known, with v1; its next life says that it has
+    /// `version` the given time later.
+    fn begin_before_upgrade(&mut self, later: Duration, version: &str) {
+        self.mesh.upgraded_beat(0, BORN, "v1", 1);
+        self.run(SECOND);
+        self.send_begun(BEGINNER, "v1", &["model"], Some(id::life_id("e-1", Some(BORN))));
+        self.run(later);
+        self.mesh.upgraded_beat(1, BORN + 900, version, 1);
+        self.run(SECOND);
+    }
+
     /// Sends a heartbeat of an endpoint of another service, with version w1.
     fn beat_other(&mut self, number: usize) {
         self.sequence += 1;
@@ -432,10 +452,34 @@
         let origin = deployment.ask(ASKED);
         assert_ne!(origin, Origin::Known(software("v1")), "the caller has events of v2");
     };
+    /// Guards against the version of an endpoint's last life counting for a stream that its next life may have begun.
+    a_stream_of_an_endpoint_that_was_upgraded_has_no_known_version: ["v1", "v2"], |deployment| {
+        deployment.begin_before_upgrade(MILLISECOND * 500, "v2");
+        for number in [BEGINNER, ASKED] {
+            assert_eq!(deployment.ask(number), Origin::Unknown);
+        }
+    };
+    /// Guards against the same after all processes have ended, which leaves the notes of the version.
+    a_stream_of_an_endpoint_that_was_upgraded_has_no_known_version_after_a_kill: ["v1", "v2"], |deployment| {
+        deployment.begin_before_upgrade(MILLISECOND * 500, "v2");
+        deployment.mesh.restart_all();
+        deployment.run(SECOND * 5);
+        assert_eq!(deployment.ask(ASKED), Origin::Unknown);
+    };
+    /// Guards against streams that are refused because their endpoint has crashed and started again.
+    a_stream_of_an_endpoint_that_started_again_is_known: ["v1", "v2"], |deployment| {
+        deployment.begin_before_upgrade(MILLISECOND * 500, "v1");
+        assert_eq!(deployment.ask(ASKED), Origin::Known(software("v1")));
+    };
+    /// Guards against streams that are refused as their endpoint is upgraded long after they began.
+    a_stream_that_began_long_before_an_upgrade_is_known: ["v1", "v2"], |deployment| {
+        deployment.begin_before_upgrade(CONFIRMED, "v2");
+        assert_eq!(deployment.ask(ASKED), Origin::Known(software("v1")));
+    };
     /// Guards against notes of old streams that leave no room for new ones after a start.
     notes_of_old_streams_leave_room_for_new_ones: ["v1", "v2"], |deployment| {
         for number in 0..DISKS {
-            let old = |stream: u64| StreamOrigin { stream: 1_000_000 + stream, software: software("v1") };
+            let old = |stream: u64| StreamOrigin { stream: 1_000_000 + stream, software: Some(software("v1")) };
             deployment.mesh.nodes[number].notes = (0..50_000).map(old).collect();
         }
         deployment.mesh.restart_all();
--- a/crates/rudder-gateway/src/call/origin.rs
+++ b/crates/rudder-gateway/src/call/origin.rs
@@ -8,7 +8,7 @@
 };
 use rudder_events::What;
 use rudder_ledger::Software;
-use rudder_model::id;
+use rudder_model::{EndpointId, id};
 
 use super::{Call, Progress, Refusal, refusal::not_run};
 use crate::{Dialect, RouteKind, choose::Choice, shared::Shared};
@@ -67,8 +67,14 @@
 }
 
 /// Records the version of a stream whose first event is about to be passed on to its caller. A stream for another instance is
-/// recorded there: its events may be lost on the way, after which it begins anew.
-pub fn record_version<D: Dialect>(shared: &Shared<D>, call: &Call, progress: &mut Progress, software: Software) {
+/// recorded there: its events may be lost on the way, after which it begins anew. `endpoint` is the one that this instance asked.
+pub fn record_version<D: Dialect>(
+    shared: &Shared<D>,
+    call: &Call,
+    progress: &mut Progress,
+    software: Software,
+    endpoint: Option<&EndpointId>,
+) {
     if progress.software.is_some() || !call.route.resumable {
         return;
     }
@@ -76,8 +82,9 @@
     if call.hop.is_some() {
         return;
     }
-    let origin = StreamOrigin { stream: id::stream_tag(call.stream_id()), software };
-    shared.send_event(Event::StreamBegun { origin, route: stream_route(shared, call) });
+    let origin = StreamOrigin { stream: id::stream_tag(call.stream_id()), software: Some(software) };
+    let route = stream_route(shared, call);
+    shared.send_event(Event::StreamBegun { origin, route, endpoint: endpoint.cloned() });
 }
 
 /// Returns what may have begun the stream of a call. A route with a longer prefix may have been added since, so all routes
--- a/crates/rudder-gateway/src/stream.rs
+++ b/crates/rudder-gateway/src/stream.rs
@@ -380,7 +380,8 @@
             if part.is_empty() {
                 continue;
             }
-            call::origin::record_version(self.shared, &self.call, &mut self.progress, choice.software());
+            let (software, endpoint) = (choice.software(), Some(&choice.endpoint));
+            call::origin::record_version(self.shared, &self.call, &mut self.progress, software, endpoint);
             if let Err(end) = self.forward(&part).await {
                 return end;
             }
@@ -430,7 +431,7 @@
                 continue;
             }
             if let Some(software) = &software {
-                call::origin::record_version(self.shared, &self.call, &mut self.progress, software.clone());
+                call::origin::record_version(self.shared, &self.call, &mut self.progress, software.clone(), None);
             }
             if let Err(end) = self.forward(&part).await {
                 return end;
