--- a/crates/rudder-ledger/src/release.rs
+++ b/crates/rudder-ledger/src/release.rs
@@ -65,11 +65,7 @@
 
     /// Returns all versions with their stages.
     pub fn iter(&self) -> impl Iterator<Item = (Software, Stage)> {
-        self.services.iter().flat_map(|(service, versions)| {
-            versions
-                .iter()
-                .map(move |(version, stage)| (Software { service: service.clone(), version: version.clone() }, *stage))
-        })
+        self.services().flat_map(|service| self.stages(service))
     }
 
     /// Returns the services with versions that may have begun streams.
