--- a/crates/rudder-core/tests/fleet_start.rs
+++ b/crates/rudder-core/tests/fleet_start.rs
@@ -34,8 +34,6 @@
 const FIRST_DOCUMENT: Duration = Duration::from_millis(600);
 /// Bytes of the document of several hundred organisations.
 const DOCUMENT_BYTES: usize = 85_000;
-/// Interval between requests to the leader.
-const WATCH_INTERVAL: Duration = Duration::from_millis(100);
 const STEP: Duration = Duration::from_millis(10);
 
 /// An endpoint and its heartbeats.
@@ -158,21 +156,9 @@
     }
 }
 
-/// The times of real instances.
+/// The times of real instances before endpoints that send heartbeats at long intervals.
 fn tune(options: Options) -> Options {
-    Options {
-        watch_interval: WATCH_INTERVAL,
-        liveness_timeout: Duration::from_millis(800),
-        max_proof_age: PROOF,
-        silence_timeout: HEARTBEAT * 2 + Duration::from_millis(2600),
-        replica: rudder_replica::Options {
-            heartbeat: Duration::from_millis(75),
-            election: Duration::from_millis(400),
-            lease: Duration::from_millis(300),
-            ..options.replica
-        },
-        ..options
-    }
+    Options { silence_timeout: HEARTBEAT * 2 + Duration::from_millis(2600), ..mesh::with_real_times(options) }
 }
 
 fn ticket(number: usize, sequence: u64) -> u64 {
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -137,6 +137,22 @@
     }
 }
 
+/// Sets the times of real instances.
+pub fn with_real_times(options: Options) -> Options {
+    Options {
+        watch_interval: Duration::from_millis(100),
+        liveness_timeout: Duration::from_millis(800),
+        max_proof_age: Duration::from_millis(3500),
+        replica: rudder_replica::Options {
+            heartbeat: Duration::from_millis(75),
+            election: Duration::from_millis(400),
+            lease: Duration::from_millis(300),
+            ..options.replica
+        },
+        ..options
+    }
+}
+
 /// A simulated system of instances.
 pub struct Mesh {
     /// The instances; the first ones have disks.
--- a/crates/rudder-core/tests/restart.rs
+++ b/crates/rudder-core/tests/restart.rs
@@ -7,7 +7,7 @@
 use mesh::{Layout, Mesh};
 use rand::SeedableRng as _;
 use rand_pcg::Pcg32;
-use rudder_core::{Options, Phase};
+use rudder_core::Phase;
 
 /// Bytes per second of the links of instances with a disk, and of the others.
 const LINKS: (u64, u64) = (125_000_000, 1_250_000);
@@ -35,8 +35,15 @@
 
 impl Service {
     fn start(total: usize, disks: usize, endpoints: usize) -> Service {
-        let layout =
-            Layout { total, disks, voters: disks, rates: Some(LINKS), cores: Some(CORES), tune, ..Layout::default() };
+        let layout = Layout {
+            total,
+            disks,
+            voters: disks,
+            rates: Some(LINKS),
+            cores: Some(CORES),
+            tune: mesh::with_real_times,
+            ..Layout::default()
+        };
         let mut service = Service { mesh: Mesh::start_as(layout), endpoints, disks, beats: 0 };
         service.mesh.run(SETTLE);
         let mut rng = Pcg32::seed_from_u64(1);
@@ -103,22 +110,6 @@
     }
 }
 
-/// The times of real instances.
-fn tune(options: Options) -> Options {
-    Options {
-        watch_interval: Duration::from_millis(100),
-        liveness_timeout: Duration::from_millis(800),
-        max_proof_age: PROOF,
-        replica: rudder_replica::Options {
-            heartbeat: Duration::from_millis(75),
-            election: Duration::from_millis(400),
-            lease: Duration::from_millis(300),
-            ..options.replica
-        },
-        ..options
-    }
-}
-
 /// Guards against a leader that has everyone wait for relays which hold nothing themselves, after all have lost power.
 fn all_are_ready_soon_after_a_loss_of_power(total: usize, disks: usize, endpoints: usize) {
     let mut service = Service::start(total, disks, endpoints);
