feat(events): a sent request's line tells whether its endpoint is known to be brittle

The log did not tell an instance that was never told from one that was and sent too much. call_sent now says how many rejections a second the endpoint is known to bear, and explain prints it.

--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -332,6 +332,9 @@
         /// Requests a second that the endpoint takes from all instances together, as far as is known here.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         limit: Option<f64>,
+        /// Rejections a second, over all instances, beyond which the endpoint falls over, as far as is known here.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        brittle: Option<f64>,
         /// Lasting time per output token of the engine, in microseconds, as known here, in a contended service.
         #[serde(default, skip_serializing_if = "Option::is_none")]
         token_us: Option<u64>,
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -238,6 +238,7 @@
         fetch_from,
         keeper,
         limit,
+        brittle,
         token_us,
         prefill_speed,
         pace,
@@ -262,10 +263,11 @@
         _ => String::new(),
     };
     let limited = limit.map_or(String::new(), |rate| format!(", within its limit of {rate} requests a second"));
+    let fragile = brittle.map_or(String::new(), |borne| format!(", where it bears {borne} rejections a second"));
     format!(
         "sent to {endpoint} on {connection} connection, attempt {attempt}: {calls} requests known there, \
          {ahead} prompt tokens ahead of its {unread} (others' part {others_ms} ms old), {left_ms} ms left\
-         {ranked}{predicted}{queue}{fetched}{kept}{limited}{timed}"
+         {ranked}{predicted}{queue}{fetched}{kept}{limited}{fragile}{timed}"
     )
 }
 
--- a/crates/rudder-gateway/src/brittle.rs
+++ b/crates/rudder-gateway/src/brittle.rs
@@ -30,11 +30,19 @@
     pub instances: u32,
 }
 
+/// The last answer of a brittle endpoint.
+#[derive(Clone, Copy, Debug)]
+struct LastAnswer {
+    /// Rejections in a second that it bears.
+    rejections: f64,
+    /// Whether it rejected the request, so that the next one is sent alone.
+    rejected: bool,
+}
+
 /// Endpoints known to be brittle.
 #[derive(Debug, Default)]
 pub struct BrittleEndpoints {
-    /// Whether each rejected the last request, so that the next one is sent alone.
-    rejected: HashMap<EndpointId, bool>,
+    answers: HashMap<EndpointId, LastAnswer>,
 }
 
 impl BrittleEndpoints {
@@ -49,23 +57,28 @@
         draw: f64,
     ) -> Option<Duration> {
         let Some(rejections) = rejections else {
-            self.rejected.remove(endpoint);
+            self.answers.remove(endpoint);
             return None;
         };
-        self.rejected.insert(endpoint.clone(), rejected);
+        self.answers.insert(endpoint.clone(), LastAnswer { rejections, rejected });
         rejected.then(|| pause_after(rejections, instances, draw))
     }
 
     /// Whether `endpoint` is brittle.
     pub fn is_brittle(&self, endpoint: &str) -> bool {
-        self.rejected.contains_key(endpoint)
+        self.answers.contains_key(endpoint)
+    }
+
+    /// Rejections in a second that `endpoint` bears, if it is brittle.
+    pub fn rejections(&self, endpoint: &str) -> Option<f64> {
+        self.answers.get(endpoint).map(|answer| answer.rejections)
     }
 
     /// Whether one more request may be sent to `endpoint` without the risk of a rejection. An instance may use its share of
     /// the slots, and more of them while each instance could send one that the others do not know of yet.
     pub fn allows(&self, endpoint: &str, used: Use) -> bool {
-        let Some(rejected) = self.rejected.get(endpoint) else { return true };
-        if *rejected {
+        let Some(answer) = self.answers.get(endpoint) else { return true };
+        if answer.rejected {
             return used.own == 0;
         }
         let share = (used.slots / used.instances.max(1)).max(1);
@@ -74,7 +87,7 @@
 
     /// Drops endpoints that are not `known` any more.
     pub fn retain(&mut self, known: impl Fn(&EndpointId) -> bool) {
-        self.rejected.retain(|endpoint, _| known(endpoint));
+        self.answers.retain(|endpoint, _| known(endpoint));
     }
 }
 
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -414,6 +414,7 @@
         fetch_from: choice.fetch_from.as_deref().map(str::to_owned),
         keeper: choice.backup.as_ref().map(|backup| backup.endpoint.clone()),
         limit: shared.limits.borrow().rate(&choice.endpoint).map(RequestRate::per_second),
+        brittle: shared.brittle.borrow().rejections(&choice.endpoint),
         token_us: speed.map(|speed| speed.token_time.as_micros() as u64),
         prefill_speed: speed.map(|speed| round(speed.prefill_speed)),
         pace: speed.map(|speed| round(speed.pace)),
--- a/crates/rudder-gateway/tests/logging.rs
+++ b/crates/rudder-gateway/tests/logging.rs
@@ -70,6 +70,7 @@
         fetch_from: None,
         keeper: None,
         limit: None,
+        brittle: None,
         token_us: None,
         prefill_speed: None,
         pace: None,
