--- a/crates/rudder-core/src/event.rs
+++ b/crates/rudder-core/src/event.rs
@@ -12,7 +12,7 @@
     limits::LimitReport,
     origins::{StreamOrigin, StreamRoute, StreamTag},
     peer::Load,
-    permits::PermitRequest,
+    permits::{LoanReturn, PermitRequest},
     registry::Registration,
     usage::StartedRequest,
 };
@@ -100,7 +100,7 @@
     Loads(Vec<Load>),
     /// Recent work of this instance by organisation, for services whose capacity is short.
     Work(Vec<WorkReport>),
-    /// An endpoint reported its rate limit in an answer to this instance.
+    /// An endpoint reported a limit in an answer to this instance.
     Limit(LimitReport),
     /// The first event of a stream that may be resumed was passed on to its caller.
     StreamBegun {
@@ -129,13 +129,15 @@
         /// Its route.
         route: Arc<StreamRoute>,
     },
-    /// A request needs a permit for an endpoint with a rate limit; answered by [`crate::Effect::Permitted`].
+    /// A request needs a permit for an endpoint with a limit; answered by [`crate::Effect::Permitted`].
     AskPermit {
         /// Identifies the request.
         ticket: u64,
         /// The permit request.
         request: PermitRequest,
     },
+    /// A request to an endpoint that bears few rejections has ended, or such an endpoint rejected one.
+    ReturnLoan(LoanReturn),
     /// State of the services that are scaled; sent a few times per second at the leader.
     Services(Vec<ServiceState>),
     /// Requests started to run at endpoints.
--- a/crates/rudder-core/src/limits.rs
+++ b/crates/rudder-core/src/limits.rs
@@ -1,4 +1,5 @@
-//! Rate limits that endpoints name in their answers, shared between all instances.
+//! Limits that endpoints name in their answers and that apply to all instances together: rates of requests, and of
+//! rejections.
 //!
 //! An instance sends the limits that it and its downstream instances learned to its upstream, a relay or the leader, and
 //! receives those of all others. The latest report on an endpoint wins. Every exchange carries the recent changes, and every
@@ -19,7 +20,21 @@
 /// others seems a little later than it is, and must not override what the endpoint reported meanwhile.
 const SAME_RATE_MARGIN: Duration = Duration::from_secs(1);
 
-/// The last report on an endpoint's rate limit.
+/// What a limit bounds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum LimitKind {
+    /// Requests.
+    #[default]
+    Requests,
+    /// Requests that the endpoint rejects for lack of room: it falls over if there are more.
+    Rejections,
+}
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
+/// The last report on a limit of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitReport {
     /// The endpoint.
@@ -28,9 +43,15 @@
     pub rate: Option<RequestRate>,
     /// Time since the endpoint reported it, in milliseconds.
     pub age_ms: u32,
+    /// What the limit bounds.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub kind: LimitKind,
 }
 
-/// The latest report on one endpoint.
+/// Identifies a limit.
+type LimitKey = (EndpointTag, LimitKind);
+
+/// The latest report on one limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Known {
     rate: Option<RequestRate>,
@@ -43,9 +64,9 @@
 }
 
 impl Known {
-    fn to_report(self, endpoint: EndpointTag, now: Duration) -> LimitReport {
+    fn to_report(self, (endpoint, kind): LimitKey, now: Duration) -> LimitReport {
         let age = now.saturating_sub(self.at).as_millis();
-        LimitReport { endpoint, rate: self.rate, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
+        LimitReport { endpoint, rate: self.rate, age_ms: u32::try_from(age).unwrap_or(u32::MAX), kind }
     }
 }
 
@@ -56,10 +77,10 @@
     last_full: Option<Duration>,
 }
 
-/// The limits of all endpoints.
+/// All limits of all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
-    known: BTreeMap<EndpointTag, Known>,
+    known: BTreeMap<LimitKey, Known>,
     edition: u64,
 }
 
@@ -74,9 +95,9 @@
         self.edition
     }
 
-    /// The limit of an endpoint, if it has one.
-    pub fn rate(&self, endpoint: EndpointTag) -> Option<RequestRate> {
-        self.known.get(&endpoint)?.rate
+    /// The limit of this kind of an endpoint, if it has one.
+    pub fn rate(&self, endpoint: EndpointTag, kind: LimitKind) -> Option<RequestRate> {
+        self.known.get(&(endpoint, kind))?.rate
     }
 
     /// Records a report of this instance or of a downstream one.
@@ -91,7 +112,8 @@
 
     fn record(&mut self, now: Duration, report: LimitReport, is_own: bool) {
         let at = now.saturating_sub(Duration::from_millis(u64::from(report.age_ms)));
-        let before = self.known.get(&report.endpoint).copied();
+        let key = (report.endpoint, report.kind);
+        let before = self.known.get(&key).copied();
         let is_same = before.is_some_and(|known| known.rate == report.rate);
         let margin = if is_same { SAME_RATE_MARGIN } else { Duration::ZERO };
         if before.is_some_and(|known| at <= known.at + margin) {
@@ -100,13 +122,13 @@
             return;
         }
         let changed = before.filter(|_| is_same).map_or(now, |known| known.changed);
-        self.known.insert(report.endpoint, Known { rate: report.rate, at, changed, is_own });
+        self.known.insert(key, Known { rate: report.rate, at, changed, is_own });
         self.edition += u64::from(!is_same);
     }
 
     /// All known limits.
     pub fn reports(&self, now: Duration) -> impl Iterator<Item = LimitReport> {
-        self.known.iter().map(move |(endpoint, known)| known.to_report(*endpoint, now))
+        self.known.iter().map(move |(key, known)| known.to_report(*key, now))
     }
 
     /// The reports to send upstream now.
@@ -126,12 +148,12 @@
         }
         let is_due = |known: &Known| is_included(known) && (full || now < known.changed + CHANGE_PERIOD);
         let changes = self.known.iter().filter(|(_, known)| is_due(known));
-        changes.map(|(endpoint, known)| known.to_report(*endpoint, now)).collect()
+        changes.map(|(key, known)| known.to_report(*key, now)).collect()
     }
 
     /// Drops old reports of endpoints for which `is_known` is false, and of limits that have ended.
     pub fn expire(&mut self, now: Duration, is_known: impl Fn(EndpointTag) -> bool) {
         let is_old = |known: &Known| now >= known.at + RETENTION;
-        self.known.retain(|endpoint, known| !is_old(known) || known.rate.is_some() && is_known(*endpoint));
+        self.known.retain(|(endpoint, _), known| !is_old(known) || known.rate.is_some() && is_known(*endpoint));
     }
 }
--- a/crates/rudder-core/src/peer.rs
+++ b/crates/rudder-core/src/peer.rs
@@ -18,7 +18,7 @@
     delta_map::{MapDelta, Version},
     limits::LimitReport,
     origins::{StreamOrigin, StreamTag},
-    permits::{PermitAnswer, PermitRequest},
+    permits::{LoanReturn, PermitAnswer, PermitRequest},
     registry::{Registration, RegistryDelta},
     subset::Scope,
     transfer::Transfer,
@@ -447,7 +447,7 @@
     /// Answers [`PeerMessage::Usage`] once the counts are committed.
     #[serde(rename = "UsageTaken")]
     UsageAck(UsageAck),
-    /// Asks the holder of an endpoint's rate limit for a permit to send to the endpoint.
+    /// Asks the holder of an endpoint's limit for a permit to send to the endpoint.
     AskPermit {
         /// Sequence number of the sender's permit requests.
         ticket: u64,
@@ -465,6 +465,13 @@
         /// The answer.
         answer: PermitAnswer,
     },
+    /// Returns a loan to the holder of an endpoint that bears few rejections, or reports a rejection.
+    ReturnLoan {
+        /// Number of the sender's start.
+        start: Start,
+        /// The loan.
+        loan: LoanReturn,
+    },
 }
 
 impl PeerMessage {
@@ -520,6 +527,7 @@
             PeerMessage::UsageAck(_) => "usage_taken",
             PeerMessage::AskPermit { .. } => "ask_permit",
             PeerMessage::Permit { .. } => "permit",
+            PeerMessage::ReturnLoan { .. } => "return_loan",
         }
     }
 }
--- a/crates/rudder-core/src/permits.rs
+++ b/crates/rudder-core/src/permits.rs
@@ -1,6 +1,7 @@
-//! Permits to send to endpoints that name a rate limit.
+//! Permits to send to endpoints that name a limit, of requests or of rejections.
 //!
-//! The limit applies to all instances together, so one of them, the holder, grants the permits. Rendezvous hashing selects
+//! The limit applies to all instances together, so one of them, the holder, grants the permits. A permit for an endpoint
+//! that bears few rejections is a loan of the room for one request, which the request returns at its end. Rendezvous hashing selects
 //! it among the instances of the endpoint's hall, which are reached over the same links. The state is soft. A holder grants
 //! only while the others list it as live, and a new one starts without permits, so that both together stay within the
 //! limit. Two holders grant at the same time only after an instance has joined, until all instances list it. Without an
@@ -8,11 +9,19 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rudder_model::{EndpointTag, HallId, InstanceId, id};
-use rudder_route::rate_limit::{RateLimiter, Tier};
+use rudder_model::{EndpointTag, HallId, InstanceId, Start, id};
+use rudder_route::{
+    concurrency_limit::ConcurrencyLimiter,
+    rate_limit::{RateLimiter, Tier},
+};
 use serde::{Deserialize, Serialize};
 
-use crate::{Effect, Me, Options, PeerMessage, delta_map::Version, limits::LimitReport, view::View};
+use crate::{
+    Effect, Me, Options, PeerMessage,
+    delta_map::Version,
+    limits::{LimitKind, LimitReport},
+    view::View,
+};
 
 /// How long to wait for the holder's answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
@@ -23,7 +32,7 @@
 /// How long the limiter of an endpoint is kept after the last request for it.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// Asks the holder whether requests may be sent to an endpoint that has a rate limit.
+/// Asks the holder whether requests may be sent to an endpoint that has a limit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PermitRequest {
     /// The limit as known to the requester.
@@ -32,10 +41,30 @@
     pub hall: HallId,
     /// Priority of the request; 0 is the highest.
     pub tier: Tier,
-    /// Number of permits wanted: the requests that the requester recently sent to the endpoint, at least one.
+    /// Number of permits wanted: the requests that the requester recently sent to the endpoint, at least one. A loan is
+    /// for one request.
     pub wanted: u32,
+    /// Longest time until a loan is returned.
+    #[serde(default, skip_serializing_if = "Duration::is_zero")]
+    pub span: Duration,
 }
 
+/// Returns a loan, or reports a rejection by an endpoint that bears few.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoanReturn {
+    /// The ticket of the permit request; `None` for a request that was sent before the limit was known.
+    pub ticket: Option<u64>,
+    /// The endpoint.
+    pub endpoint: EndpointTag,
+    /// The endpoint's hall.
+    pub hall: HallId,
+    /// The endpoint rejected the request.
+    pub rejected: bool,
+}
+
+/// Identifies a loan: the borrower, its start and the ticket of its permit request.
+type LoanId = (InstanceId, Start, u64);
+
 /// The answer to a [`PermitRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PermitAnswer {
@@ -48,15 +77,24 @@
 /// The permits of one endpoint, at its holder.
 #[derive(Debug, Default)]
 struct EndpointLimiter {
-    limiter: RateLimiter,
+    rate: RateLimiter,
+    loans: ConcurrencyLimiter<LoanId>,
     last_request: Duration,
 }
 
+/// A request to a holder that was not answered yet.
+#[derive(Debug)]
+struct Pending {
+    deadline: Duration,
+    /// Takes the loan back if the answer comes too late.
+    loan: Option<LoanReturn>,
+}
+
 /// Permits requested and granted by one instance.
 #[derive(Debug, Default)]
 pub struct Permits {
-    /// Deadlines of the requests in flight, by ticket.
-    pending: BTreeMap<u64, Duration>,
+    /// Requests in flight by ticket.
+    pending: BTreeMap<u64, Pending>,
     limiters: BTreeMap<EndpointTag, EndpointLimiter>,
     /// Cached holders by endpoint.
     holders: BTreeMap<EndpointTag, InstanceId>,
@@ -74,11 +112,18 @@
         (ticket, request): (u64, PermitRequest),
         out: &mut Vec<Effect>,
     ) {
-        let Some(holder) = self.holder(view, &request) else {
+        let PermitRequest { limit, hall, .. } = &request;
+        let Some(holder) = self.holder(view, limit.endpoint, hall) else {
             out.push(Effect::Permitted { ticket, answer: PermitAnswer::Denied(RETRY_AFTER_TIMEOUT) });
             return;
         };
-        self.pending.insert(ticket, now + ANSWER_TIMEOUT);
+        let loan = (limit.kind == LimitKind::Rejections).then(|| LoanReturn {
+            ticket: Some(ticket),
+            endpoint: limit.endpoint,
+            hall: hall.clone(),
+            rejected: false,
+        });
+        self.pending.insert(ticket, Pending { deadline: now + ANSWER_TIMEOUT, loan });
         let message = PeerMessage::AskPermit { ticket, start: me.start, request };
         out.push(Effect::Send { to: holder, message });
     }
@@ -88,22 +133,55 @@
         &mut self,
         now: Duration,
         me: &Me,
-        view: &View,
-        options: &Options,
+        (view, options): (&View, &Options),
+        loan: LoanId,
         request: &PermitRequest,
     ) -> PermitAnswer {
-        let is_holder = self.holder(view, request).is_some_and(|holder| holder == me.name);
+        let LimitReport { endpoint: tag, kind, .. } = request.limit;
+        let is_holder = self.holder(view, tag, &request.hall).is_some_and(|holder| holder == me.name);
         // Others may have dropped this instance from their lists and use another holder.
         if !is_holder || !view.is_listed(now, options.liveness_timeout) {
             return PermitAnswer::Denied(RETRY_AFTER_NOT_HOLDER);
         }
         let wanted = request.wanted.max(1);
-        let Some(rate) = view.limits.rate(request.limit.endpoint) else { return PermitAnswer::Granted(wanted) };
-        let endpoint = self.limiters.entry(request.limit.endpoint).or_default();
+        let Some(rate) = view.limits.rate(tag, kind) else { return PermitAnswer::Granted(wanted) };
+        let endpoint = self.limiters.entry(tag).or_default();
         endpoint.last_request = now;
-        match endpoint.limiter.try_take(now, rate, request.tier, wanted) {
-            Ok(count) => PermitAnswer::Granted(count),
-            Err(retry) => PermitAnswer::Denied(retry),
+        let granted = match kind {
+            LimitKind::Requests => endpoint.rate.try_take(now, rate, request.tier, wanted),
+            LimitKind::Rejections => endpoint.loans.try_lend(now, rate, (loan, request.span), request.tier).map(|()| 1),
+        };
+        granted.map_or_else(PermitAnswer::Denied, PermitAnswer::Granted)
+    }
+
+    /// Sends the end of a loan to the holder.
+    pub(crate) fn return_loan(&mut self, me: &Me, view: &View, loan: LoanReturn, out: &mut Vec<Effect>) {
+        let Some(holder) = self.holder(view, loan.endpoint, &loan.hall) else { return };
+        out.push(Effect::Send { to: holder, message: PeerMessage::ReturnLoan { start: me.start, loan } });
+    }
+
+    /// Takes back a loan of `from`, as the holder.
+    pub(crate) fn on_return(
+        &mut self,
+        now: Duration,
+        view: &View,
+        (from, start): (InstanceId, Start),
+        loan: &LoanReturn,
+    ) {
+        let key = loan.ticket.map(|ticket| (from, start, ticket));
+        let rejections = view.limits.rate(loan.endpoint, LimitKind::Rejections);
+        match (rejections, &key) {
+            (Some(rejections), _) if loan.rejected => {
+                let endpoint = self.limiters.entry(loan.endpoint).or_default();
+                endpoint.last_request = now;
+                endpoint.loans.record_rejection(now, rejections, key.as_ref());
+            }
+            (_, Some(key)) => {
+                if let Some(endpoint) = self.limiters.get_mut(&loan.endpoint) {
+                    endpoint.loans.end(now, key);
+                }
+            }
+            (_, None) => {}
         }
     }
 
@@ -115,28 +193,32 @@
     }
 
     /// Denies requests that the holder didn't answer in time, and drops unused limiters.
-    pub(crate) fn tick(&mut self, now: Duration, out: &mut Vec<Effect>) {
+    pub(crate) fn tick(&mut self, now: Duration, me: &Me, view: &View, out: &mut Vec<Effect>) {
         self.limiters.retain(|_, endpoint| now < endpoint.last_request + RETENTION);
-        self.pending.retain(|ticket, deadline| {
-            let is_pending = now < *deadline;
+        let mut loans = Vec::new();
+        self.pending.retain(|ticket, pending| {
+            let is_pending = now < pending.deadline;
             if !is_pending {
                 out.push(Effect::Permitted { ticket: *ticket, answer: PermitAnswer::Denied(RETRY_AFTER_TIMEOUT) });
+                loans.extend(pending.loan.take());
             }
             is_pending
         });
+        for loan in loans {
+            self.return_loan(me, view, loan, out);
+        }
     }
 
-    fn holder(&mut self, view: &View, request: &PermitRequest) -> Option<InstanceId> {
+    fn holder(&mut self, view: &View, endpoint: EndpointTag, hall: &HallId) -> Option<InstanceId> {
         let version = view.directory.version();
         if self.holders_version != version {
             self.holders.clear();
             self.holders_version = version;
         }
-        let endpoint = request.limit.endpoint;
         if let Some(holder) = self.holders.get(&endpoint) {
             return Some(holder.clone());
         }
-        let holder = find_holder(view, endpoint, &request.hall)?;
+        let holder = find_holder(view, endpoint, hall)?;
         self.holders.insert(endpoint, holder.clone());
         Some(holder)
     }
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -204,6 +204,7 @@
             Event::AskPermit { ticket, request } => {
                 self.permits.ask(now, &self.me, &self.view, (ticket, request), out);
             }
+            Event::ReturnLoan(loan) => self.permits.return_loan(&self.me, &self.view, loan, out),
             Event::StreamBegun { origin, route, endpoint } => {
                 if let (Some(endpoint), Some(software)) = (endpoint, origin.software.clone()) {
                     self.origins.record_endpoint(now, origin.stream, endpoint, software);
@@ -261,7 +262,7 @@
         self.view.registry.forget_gone(now);
         self.view.expire_unconfirmed(now, self.options.silence_timeout);
         self.view.prune_limits(now);
-        self.permits.tick(now, out);
+        self.permits.tick(now, &self.me, &self.view, out);
         self.transfers.tick(now, out);
         self.with_origins(|origins, around| origins.tick(now, around, out));
         if self.told_releases != self.view.releases.index() {
@@ -429,7 +430,8 @@
             PeerMessage::UsageAck(ack) => self.usage_reporter.on_ack(&from, ack),
             PeerMessage::AskPermit { ticket, start, request } => {
                 self.view.limits.record_received(now, request.limit);
-                let answer = self.permits.answer(now, &self.me, &self.view, &self.options, &request);
+                let (around, loan) = ((&self.view, &self.options), (from.clone(), start, ticket));
+                let answer = self.permits.answer(now, &self.me, around, loan, &request);
                 out.push(Effect::Send { to: from, message: PeerMessage::Permit { ticket, start, answer } });
             }
             PeerMessage::Permit { ticket, start, answer } => {
@@ -437,6 +439,7 @@
                     self.permits.on_answer(ticket, answer, out);
                 }
             }
+            PeerMessage::ReturnLoan { start, loan } => self.permits.on_return(now, &self.view, (from, start), &loan),
             PeerMessage::WatchRequest(watch) if self.can_relay_to(now, &from) => {
                 self.reply_as_relay(now, &from, *watch, out);
             }
--- a/crates/rudder-core/tests/limits.rs
+++ b/crates/rudder-core/tests/limits.rs
@@ -6,7 +6,7 @@
 
 use rudder_core::{
     Event, Phase,
-    limits::LimitReport,
+    limits::{LimitKind, LimitReport},
     permits::{PermitAnswer, PermitRequest},
 };
 use rudder_model::{EndpointTag, RequestRate, id};
@@ -29,12 +29,12 @@
 
 fn report(requests: Option<f64>) -> LimitReport {
     let rate = requests.and_then(RequestRate::try_from_per_second);
-    LimitReport { endpoint: tag(), rate, age_ms: 0 }
+    LimitReport { endpoint: tag(), rate, age_ms: 0, kind: LimitKind::Requests }
 }
 
 fn rate_at(mesh: &Mesh, number: usize) -> Option<f64> {
     let state = mesh.nodes[number].state.as_ref()?;
-    state.view.limits.rate(tag()).map(RequestRate::per_second)
+    state.view.limits.rate(tag(), LimitKind::Requests).map(RequestRate::per_second)
 }
 
 /// Starts instances in three halls, with an endpoint that has reported its limit to one of them.
@@ -85,7 +85,13 @@
         }
         self.tickets += 1;
         self.asked.push((self.tickets, number));
-        let request = PermitRequest { limit: report(Some(LIMIT)), hall: "hall-0".into(), tier: 0, wanted: 1 };
+        let request = PermitRequest {
+            limit: report(Some(LIMIT)),
+            hall: "hall-0".into(),
+            tier: 0,
+            wanted: 1,
+            span: Duration::ZERO,
+        };
         self.mesh.send_event(number, Event::AskPermit { ticket: self.tickets, request });
     }
 
--- a/crates/rudder-events/src/event.rs
+++ b/crates/rudder-events/src/event.rs
@@ -228,6 +228,13 @@
         /// Requests a second that it takes from all instances together; `None` where it names no limit any more.
         per_second: Option<f64>,
     },
+    /// An endpoint named, in an answer, other rejections than before beyond which it falls over.
+    BrittleNamed {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// Rejections a second that it bears from all instances together; `None` where it names none any more.
+        per_second: Option<f64>,
+    },
     /// A service begins or ends to refuse requests in favour of more urgent ones that all instances refuse.
     Shedding {
         /// The service.
@@ -834,6 +841,7 @@
             | What::AskedToRest { endpoint, .. }
             | What::SaidLeaving { endpoint }
             | What::LimitNamed { endpoint, .. }
+            | What::BrittleNamed { endpoint, .. }
             | What::Suspect { endpoint, .. }
             | What::Restored { endpoint }
             | What::Ordered { endpoint, .. } => Some(endpoint),
--- a/crates/rudder-events/src/explain.rs
+++ b/crates/rudder-events/src/explain.rs
@@ -75,6 +75,27 @@
     }
 }
 
+/// What an endpoint said of itself in an answer.
+fn to_notice_sentence(what: &What) -> String {
+    match what {
+        What::AskedToRest { endpoint, rest_ms } => format!("was asked by {endpoint} to send nothing for {rest_ms} ms"),
+        What::SaidLeaving { endpoint } => format!("was told by {endpoint} that it leaves"),
+        What::LimitNamed { endpoint, per_second: Some(rate) } => {
+            format!("was told by {endpoint} that it takes {rate} requests a second from all instances")
+        }
+        What::LimitNamed { endpoint, per_second: None } => {
+            format!("was told by {endpoint} that it has no limit any more")
+        }
+        What::BrittleNamed { endpoint, per_second: Some(rate) } => {
+            format!("was told by {endpoint} that it falls over after more than {rate} rejections a second")
+        }
+        What::BrittleNamed { endpoint, per_second: None } => {
+            format!("was told by {endpoint} that rejections do not make it fall over any more")
+        }
+        _ => String::new(),
+    }
+}
+
 fn to_sentence(what: &What) -> String {
     match what {
         What::Arrived { class, org, model, .. } => format!("arrived for {model}, class {class}, organisation {org}"),
@@ -159,13 +180,8 @@
         What::Suspect { endpoint, ended, failed } => {
             format!("leaves {endpoint} out: {failed} of its last {ended} requests failed, over all instances")
         }
-        What::AskedToRest { endpoint, rest_ms } => format!("was asked by {endpoint} to send nothing for {rest_ms} ms"),
-        What::SaidLeaving { endpoint } => format!("was told by {endpoint} that it leaves"),
-        What::LimitNamed { endpoint, per_second: Some(rate) } => {
-            format!("was told by {endpoint} that it takes {rate} requests a second from all instances")
-        }
-        What::LimitNamed { endpoint, per_second: None } => {
-            format!("was told by {endpoint} that it has no limit any more")
+        What::AskedToRest { .. } | What::SaidLeaving { .. } | What::LimitNamed { .. } | What::BrittleNamed { .. } => {
+            to_notice_sentence(what)
         }
         What::Ejected { endpoint, why, pause } => format!("leaves {endpoint} out for {pause:?}: {why}"),
         What::DutyHeld { .. } | What::WindowClosed { .. } | What::EnginesWanted { .. } | What::DutyCalled { .. } => {
--- a/crates/rudder-gateway/src/call/attempt.rs
+++ b/crates/rudder-gateway/src/call/attempt.rs
@@ -7,7 +7,7 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use rudder_clock::{Moment, timeout_at};
-use rudder_core::Event;
+use rudder_core::{Event, limits::LimitKind};
 use rudder_events::What;
 use rudder_model::{EndpointId, Ran, RequestRate};
 use rudder_route::admission::Reason;
@@ -18,16 +18,16 @@
         backlog_at, check_admission, check_still_allowed, expected_wait, is_other_sooner, record_demand,
         record_without_choice, take_retry_for_silent,
     },
-    rate_limit::take_permit,
+    permission::{report_rejection, take_permission},
     record_begun, record_if_terminated,
     send::MAX_BUFFERED_ANSWER,
 };
 use crate::{
     Dialect,
     choose::{self, Choice, Eligibility, Inputs, Unavailable},
-    dialect::{AnswerHead, LimitNotice, Pushback},
+    dialect::{LimitNotice, Pushback},
     health::Outcome,
-    limits::{Permit, Recorded},
+    limits::{Permission, Recorded},
     link_probe,
     loads::{Demand, InFlight},
     returns::{capacity_refusal, reserved_room},
@@ -142,17 +142,14 @@
                     return Err(capacity_refusal(shared, call, Reason::Blocked.text(), retry, retry));
                 }
             }
-            let is_brittle = shared.has_brittle(&call.route);
-            let why =
-                if is_brittle { NO_ROOM } else { unavailable_reason(call, progress, unavailable, blocked.is_some()) };
-            return Ok(Err(Failure::NotSent(why)));
+            return Ok(Err(Failure::NotSent(unavailable_reason(call, progress, unavailable, blocked.is_some()))));
         }
     };
     if progress.sent == 0 {
         check_admission(shared, call, &choice)?;
     }
-    let permit = match take_permit(shared, call, &choice).await {
-        Ok(permit) => permit,
+    let permission = match take_permission(shared, call, &choice).await {
+        Ok(permission) => permission,
         Err(why) => {
             progress.unsent_attempts += 1;
             log_failure(shared, call, progress, &choice, why, Ran::No);
@@ -172,7 +169,7 @@
         }
     };
     check_still_allowed(shared, call, progress)?;
-    Ok(send_over(shared, call, progress, (choice, permit), connection, resume).await)
+    Ok(send_over(shared, call, progress, (choice, permission), connection, resume).await)
 }
 
 /// The refusal of a request whose engines have no room. The more urgent the route, the shorter its target, so urgent
@@ -205,7 +202,7 @@
     shared: &Rc<Shared<D>>,
     call: &Call,
     progress: &mut Progress,
-    (choice, permit): (Choice, Option<Permit>),
+    (choice, permission): (Choice, Permission),
     mut connection: Connection,
     resume: ResumePoint,
 ) -> Result<EndpointAnswer, Failure> {
@@ -214,7 +211,7 @@
     if left.is_zero() {
         return Err(Failure::DeadlineExceeded);
     }
-    if !shared.try_reserve(&choice, permit, now) {
+    if !shared.try_reserve(&choice, &permission, now) {
         return_connection(shared, &choice.endpoint, connection, None);
         return Err(Failure::NotSent("the endpoint takes no more for now"));
     }
@@ -244,7 +241,7 @@
         unread: choice.unread,
         held: prompt.map_or(0, |prompt| prompt.tokens + prompt.expected_answer()),
     };
-    let flight = InFlight::start(&shared.loads, &choice.endpoint, demand);
+    let mut flight = InFlight::start(&shared.loads, &choice.endpoint, demand);
     let response = wait_for_head(shared, call, progress, &choice, &mut connection, request).await?;
     link_probe::record_answer(shared, &connection);
     let (parts, body) = response.into_parts();
@@ -259,12 +256,17 @@
     if let Some(pushback) = head.pushback {
         record_pushback(shared, &choice.endpoint, pushback);
     }
-    if head.id_matches {
-        record_brittle(shared, &choice, &head);
+    for (kind, notice) in [(LimitKind::Requests, head.limit), (LimitKind::Rejections, head.brittle)] {
+        // A missing limit in an answer to another request does not lift the limit.
+        if head.id_matches || notice != LimitNotice::Unlimited {
+            record_limit(shared, &choice.endpoint, (kind, notice), now);
+        }
     }
-    // A missing limit in an answer to another request does not lift the limit.
-    if head.id_matches || head.limit != LimitNotice::Unlimited {
-        record_limit(shared, &choice.endpoint, head.limit, now);
+    let is_rejected = head.id_matches && head.not_run && !head.misdirected;
+    match permission.loan {
+        Some(loan) if is_rejected => loan.reject(),
+        None if is_rejected => report_rejection(shared, &choice),
+        loan => flight.loan = loan,
     }
     if !head.id_matches {
         record_outcome(shared, &choice.endpoint, Outcome::Failed);
@@ -295,21 +297,14 @@
     shared.candidate_cache.borrow_mut().clear();
 }
 
-/// Records whether an endpoint bears few rejections, and backs off if it rejected the request.
-fn record_brittle<D: Dialect>(shared: &Shared<D>, choice: &Choice, head: &AnswerHead) {
-    let instances = shared.admission.borrow().senders() as u32;
-    let rejected = head.not_run && !head.misdirected;
-    let mut brittle = shared.brittle.borrow_mut();
-    let pause = brittle.record_answer(&choice.endpoint, head.brittle, rejected, instances, rand::random());
-    drop(brittle);
-    if let Some(pause) = pause {
-        record_pushback(shared, &choice.endpoint, Pushback::Backoff(pause));
-    }
-}
-
-/// Records the rate limit that an endpoint reported in its answer to a request sent at `sent`.
-fn record_limit<D: Dialect>(shared: &Shared<D>, endpoint: &EndpointId, notice: LimitNotice, sent: Moment) {
-    let recorded = shared.limits.borrow_mut().record_answer(endpoint, notice, sent, Moment::now());
+/// Records what an endpoint reported of a limit in its answer to a request sent at `sent`.
+fn record_limit<D: Dialect>(
+    shared: &Shared<D>,
+    endpoint: &EndpointId,
+    (kind, notice): (LimitKind, LimitNotice),
+    sent: Moment,
+) {
+    let recorded = shared.limits.borrow_mut().record_answer(endpoint, kind, notice, sent, Moment::now());
     let Some(Recorded { changed, report }) = recorded else { return };
     shared.send_event(Event::Limit(report));
     if !changed {
@@ -319,7 +314,10 @@
     shared.metrics.record_limit_change();
     shared.metrics.set_limited(shared.limits.borrow().count());
     let per_second = report.rate.map(RequestRate::per_second);
-    shared.log.write(What::LimitNamed { endpoint: endpoint.clone(), per_second });
+    shared.log.write(match kind {
+        LimitKind::Requests => What::LimitNamed { endpoint: endpoint.clone(), per_second },
+        LimitKind::Rejections => What::BrittleNamed { endpoint: endpoint.clone(), per_second },
+    });
 }
 
 /// Waits for the head of an answer. A repeatable request is abandoned after the silence timeout if a retry is
@@ -394,6 +392,7 @@
     let speed = uses_speed.then(|| shared.conditions.borrow().speed(&choice.endpoint, &choice.service, Moment::now()));
     let backlog = (call.prompt.is_some() && !shared.uses_admission(&choice.service))
         .then(|| backlog_at(shared, choice, shared.level(&call.route, &choice.service)));
+    let limit_of = |kind| shared.limits.borrow().rate(&choice.endpoint, kind).map(RequestRate::per_second);
     shared.log.write(What::CallSent {
         request: call.id.clone(),
         endpoint: choice.endpoint.clone(),
@@ -413,8 +412,8 @@
         left_ms: left.as_millis() as u64,
         fetch_from: choice.fetch_from.as_deref().map(str::to_owned),
         keeper: choice.backup.as_ref().map(|backup| backup.endpoint.clone()),
-        limit: shared.limits.borrow().rate(&choice.endpoint).map(RequestRate::per_second),
-        brittle: shared.brittle.borrow().rejections(&choice.endpoint),
+        limit: limit_of(LimitKind::Requests),
+        brittle: limit_of(LimitKind::Rejections),
         token_us: speed.map(|speed| speed.token_time.as_micros() as u64),
         prefill_speed: speed.map(|speed| round(speed.prefill_speed)),
         pace: speed.map(|speed| round(speed.pace)),
@@ -443,7 +442,6 @@
     let (contention, admission) = (shared.contention.borrow(), shared.admission.borrow());
     let (placement, slow_start, limits) =
         (shared.placement.borrow(), shared.slow_start.borrow(), shared.limits.borrow());
-    let brittle = shared.brittle.borrow();
     let inputs = Inputs {
         loads: &loads,
         work_age: shared.work_age(),
@@ -455,7 +453,6 @@
         placement: &placement,
         slow_start: &slow_start,
         limits: &limits,
-        brittle: &brittle,
         admission: &admission,
         hall: &shared.options.hall,
         plan: &plan,
--- a/crates/rudder-gateway/src/call/copies.rs
+++ b/crates/rudder-gateway/src/call/copies.rs
@@ -8,7 +8,7 @@
     Call, EndpointAnswer, Progress, ResumePoint,
     attempt::{connect, log_failure, record_outcome, send_over},
     checks::{check_still_allowed, take_from_budget},
-    rate_limit::take_permit,
+    permission::take_permission,
     termination::is_content_suspect,
 };
 use crate::{Dialect, choose::Choice, health::Outcome, shared::Shared};
@@ -52,11 +52,11 @@
         fetch_from: None,
         ..before.clone()
     };
-    let permit = take_permit(shared, call, &choice).await.ok()?;
+    let permission = take_permission(shared, call, &choice).await.ok()?;
     let connection = connect(shared, call, &choice).await.ok()?;
     check_still_allowed(shared, call, progress).ok()?;
     let resume = ResumePoint { last_event: Some(last_event), from_copy: true };
-    let answer = send_over(shared, call, progress, (choice, permit), connection, resume).await.ok()?;
+    let answer = send_over(shared, call, progress, (choice, permission), connection, resume).await.ok()?;
     if answer.response.status().is_success() && !answer.head.not_run {
         shared.metrics.record_resume();
         return Some(answer);
--- a/crates/rudder-gateway/src/call/mod.rs
+++ b/crates/rudder-gateway/src/call/mod.rs
@@ -11,7 +11,7 @@
 //! - [`hop`]: passes a request to another instance if this one reaches no endpoint;
 //! - [`attempt`](mod@attempt): one attempt, from the choice of an endpoint to the head of its answer;
 //! - [`fairness`]: fair shares between organisations;
-//! - [`rate_limit`]: permits for endpoints that have a rate limit;
+//! - [`permission`]: permits and loans for endpoints that have a limit;
 //! - [`copies`]: resumes a stream from a copy of its memory after its endpoint has terminated;
 //! - [`termination`]: endpoints that terminate during a request;
 //! - [`refusal`]: error answers of the instance itself.
@@ -23,7 +23,7 @@
 pub mod fairness;
 pub mod hop;
 pub mod origin;
-mod rate_limit;
+mod permission;
 pub mod refusal;
 pub mod send;
 pub mod termination;
--- a/crates/rudder-gateway/src/choose/candidates.rs
+++ b/crates/rudder-gateway/src/choose/candidates.rs
@@ -141,11 +141,11 @@
     }
 }
 
-/// Work at the endpoints whose slots bound what they take: one with a rate limit may take no more while slots are free.
+/// Work at the endpoints whose slots bound what they take: one with a limit may take no more while slots are free.
 fn usage_of(endpoints: &[Arc<Registration>], inputs: &Inputs) -> Usage {
     let mut usage = Usage::default();
     for registration in endpoints {
-        if inputs.limits.rate(&registration.endpoint).is_some() {
+        if inputs.limits.is_limited(&registration.endpoint) {
             continue;
         }
         let calls = inputs.loads.at(&registration.endpoint).calls;
--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -23,7 +23,6 @@
     Plan, Policy,
     admission::Admissions,
     backoff::Backoff,
-    brittle::{BrittleEndpoints, Use},
     condition::Conditions,
     contention::Contention,
     dialect::Prompt,
@@ -58,10 +57,8 @@
     pub placement: &'a Placement,
     /// Slow start of cold endpoints.
     pub slow_start: &'a SlowStartState,
-    /// Rate limits of endpoints.
+    /// Limits of endpoints.
     pub limits: &'a RateLimits,
-    /// Endpoints that bear few rejections.
-    pub brittle: &'a BrittleEndpoints,
     /// Admission to contended services.
     pub admission: &'a Admissions,
     /// This instance's hall.
@@ -83,21 +80,6 @@
         contention.timing && contention.condition && self.contention.is_paced(service, self.now)
     }
 
-    /// Whether one more request would hardly be rejected, if the endpoint bears few rejections.
-    fn bears_one_more(&self, registration: &Registration) -> bool {
-        let endpoint = &registration.endpoint;
-        if !self.brittle.is_brittle(endpoint) {
-            return true;
-        }
-        let used = Use {
-            slots: registration.slots,
-            own: self.loads.own_at(endpoint),
-            known: self.loads.at(endpoint).calls,
-            instances: self.admission.senders() as u32,
-        };
-        self.brittle.allows(endpoint, used)
-    }
-
     /// How many requests this instance may send to an endpoint while it warms up.
     pub fn allowance(&self, registration: &Registration) -> Allowance {
         let warm_up = self.plan.services.get(&registration.service).and_then(|service| service.warm_up);
@@ -123,7 +105,7 @@
     pub tried: &'a [EndpointId],
     /// The regions to which the request is restricted, if any.
     pub residency: Option<&'a [RegionId]>,
-    /// Exclude endpoints with a rate limit.
+    /// Exclude endpoints with a limit.
     pub unlimited: bool,
     /// Requests of this instance that are due at the service and for which this one leaves room.
     pub reserved: f64,
@@ -149,8 +131,7 @@
         !self.tried.contains(&registration.endpoint)
             && self.allows_version(registration)
             && inputs.placement.allows(self.residency, &registration.hall)
-            && !(self.unlimited && inputs.limits.rate(&registration.endpoint).is_some())
-            && inputs.bears_one_more(registration)
+            && !(self.unlimited && inputs.limits.is_limited(&registration.endpoint))
             && inputs.slow_start.has_room(&registration.endpoint, inputs.allowance(registration), inputs.now)
     }
 }
--- a/crates/rudder-gateway/src/dialect.rs
+++ b/crates/rudder-gateway/src/dialect.rs
@@ -170,11 +170,11 @@
     pub pushback: Option<Pushback>,
     /// What the endpoint reports of its rate limit.
     pub limit: LimitNotice,
-    /// Rejections in a second, over all instances, beyond which the endpoint falls over, if it reports that.
-    pub brittle: Option<f64>,
+    /// What the endpoint reports of the rejections in a second, over all instances, beyond which it falls over.
+    pub brittle: LimitNotice,
 }
 
-/// What an answer reports of its endpoint's rate limit, which all instances share.
+/// What an answer reports of a limit of its endpoint, which all instances share.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum LimitNotice {
     /// Nothing usable.
--- a/crates/rudder-gateway/src/lib.rs
+++ b/crates/rudder-gateway/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod arrivals;
 pub mod backoff;
 pub mod body;
-pub mod brittle;
 pub mod budget;
 pub mod buffers;
 pub mod call;
--- a/crates/rudder-gateway/src/limits.rs
+++ b/crates/rudder-gateway/src/limits.rs
@@ -1,16 +1,21 @@
-//! Rate limits that endpoints announce in their answers, in requests per second from all instances together.
+//! Limits that endpoints announce in their answers, in requests or rejections per second, over all instances together.
 //!
-//! Each request to such an endpoint needs a permit from the endpoint's holder ([`rudder_core::permits`]). An instance with
-//! many requests asks for several permits at once. After a denial, it does not use the endpoint until the time to retry,
-//! or until the limit changes.
+//! Each request to such an endpoint needs a permit from the endpoint's holder ([`rudder_core::permits`]), or a loan where
+//! rejections are limited. An instance with many requests asks for several permits at once. After a denial, it does not
+//! use the endpoint until the time to retry, or until the limit changes.
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
+use crossbeam_channel::Sender;
 use rudder_clock::Moment;
-use rudder_core::limits::LimitReport;
+use rudder_core::{
+    Event,
+    limits::{LimitKind, LimitReport},
+    permits::LoanReturn,
+};
 use rudder_model::{EndpointId, EndpointTag, RequestRate, id};
 use rudder_route::rate_limit::Tier;
 
@@ -18,10 +23,15 @@
 
 /// Lifetime of a permit from the time of its request. Used later, it would add to the permits that others get by then.
 const PERMIT_LIFE: Duration = Duration::from_millis(500);
+/// Lifetime of a loan until its request is sent. Used later, its rejection could come after the holder has taken it for
+/// accepted.
+const LOAN_LIFE: Duration = Duration::from_millis(200);
 /// Period for which permits are requested in advance.
 const PERMIT_HORIZON: Duration = Duration::from_millis(250);
 /// Interval at which an unchanged limit is reported to the reducer.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// All kinds of limits.
+const KINDS: [LimitKind; 2] = [LimitKind::Requests, LimitKind::Rejections];
 /// Time that the limit of an unknown endpoint is kept after its last update.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -39,6 +49,59 @@
     }
 }
 
+/// The room for one request at an endpoint that bears few rejections. It is returned on drop.
+#[derive(Debug)]
+pub struct Loan {
+    /// When the request must have been sent.
+    until: Moment,
+    /// Returns it; `None` if it was not granted.
+    end: Option<LoanReturn>,
+    events: Sender<Event>,
+}
+
+impl Loan {
+    /// A loan asked for at `asked`, which `end` returns.
+    pub fn new(end: LoanReturn, asked: Moment, events: Sender<Event>) -> Loan {
+        Loan { until: asked + LOAN_LIFE, end: Some(end), events }
+    }
+
+    /// Whether it permits a request to `endpoint` now.
+    pub fn holds(&self, endpoint: &str, now: Moment) -> bool {
+        let tag = id::endpoint_tag(endpoint);
+        self.end.as_ref().is_some_and(|end| end.endpoint == tag) && now < self.until
+    }
+
+    /// Returns it because the endpoint rejected the request.
+    pub fn reject(mut self) {
+        if let Some(end) = &mut self.end {
+            end.rejected = true;
+        }
+    }
+
+    /// Drops it without returning it: it was denied.
+    pub fn discard(mut self) {
+        self.end = None;
+    }
+}
+
+impl Drop for Loan {
+    fn drop(&mut self) {
+        if let Some(end) = self.end.take() {
+            // Without the control thread there is nobody to return it to.
+            let _ = self.events.send(Event::ReturnLoan(end));
+        }
+    }
+}
+
+/// What permits one request to an endpoint.
+#[derive(Debug, Default)]
+pub struct Permission {
+    /// For an endpoint whose requests are limited.
+    pub permit: Option<Permit>,
+    /// For an endpoint whose rejections are limited.
+    pub loan: Option<Loan>,
+}
+
 /// Granted permits that have not been used yet.
 #[derive(Clone, Copy, Debug)]
 struct SparePermits {
@@ -47,7 +110,7 @@
     until: Moment,
 }
 
-/// The limit of one endpoint.
+/// One limit of one endpoint.
 #[derive(Debug)]
 struct EndpointLimit {
     /// The limit; `None` after it was lifted.
@@ -68,9 +131,9 @@
         EndpointLimit { rate, as_of, reported: None, retry_at: None, spare: None, used: VecDeque::new() }
     }
 
-    fn to_report(&self, endpoint: EndpointTag, now: Moment) -> LimitReport {
+    fn to_report(&self, (endpoint, kind): LimitKey, now: Moment) -> LimitReport {
         let age = now.saturating_duration_since(self.as_of).as_millis();
-        LimitReport { endpoint, rate: self.rate, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
+        LimitReport { endpoint, rate: self.rate, age_ms: u32::try_from(age).unwrap_or(u32::MAX), kind }
     }
 }
 
@@ -83,37 +146,41 @@
     pub report: LimitReport,
 }
 
-/// The rate limits of all endpoints.
+/// Identifies a limit.
+type LimitKey = (EndpointTag, LimitKind);
+
+/// The limits of all endpoints.
 #[derive(Debug, Default)]
 pub struct RateLimits {
-    limits: HashMap<EndpointTag, EndpointLimit>,
+    limits: HashMap<LimitKey, EndpointLimit>,
 }
 
 impl RateLimits {
-    /// Records the rate limit in an answer of `endpoint` to a request sent at `sent`. Returns the update if it has to be
+    /// Records what an answer of `endpoint` to a request sent at `sent` says of a limit. Returns the update if it has to be
     /// reported.
     pub fn record_answer(
         &mut self,
         endpoint: &EndpointId,
+        kind: LimitKind,
         notice: LimitNotice,
         sent: Moment,
         now: Moment,
     ) -> Option<Recorded> {
-        let tag = id::endpoint_tag(endpoint);
-        let announced = self.limits.get(&tag).map(|limit| limit.as_of);
+        let key = (id::endpoint_tag(endpoint), kind);
+        let announced = self.limits.get(&key).map(|limit| limit.as_of);
         let (rate, as_of) = match notice {
             LimitNotice::Limited(rate) => (Some(rate), now),
             // Answers may be reordered: one to a request sent before the limit was announced does not lift it.
             LimitNotice::Unlimited if announced.is_some_and(|announced| announced < sent) => (None, sent),
             LimitNotice::Unlimited | LimitNotice::Unknown => return None,
         };
-        let changed = self.set(tag, rate, as_of);
-        let limit = self.limits.get_mut(&tag)?;
+        let changed = self.set(key, rate, as_of);
+        let limit = self.limits.get_mut(&key)?;
         if !changed && limit.reported.is_some_and(|reported| now < reported + REPORT_INTERVAL) {
             return None;
         }
         limit.reported = Some(now);
-        Some(Recorded { changed, report: limit.to_report(tag, now) })
+        Some(Recorded { changed, report: limit.to_report(key, now) })
     }
 
     /// Records a report from other instances, whose age counts from `now`.
@@ -125,14 +192,15 @@
             let is_same = limit.rate == report.rate;
             as_of <= if is_same { limit.as_of + REPORT_INTERVAL } else { limit.as_of }
         };
-        if !self.limits.get(&report.endpoint).is_some_and(is_outdated) {
-            self.set(report.endpoint, report.rate, as_of);
+        let key = (report.endpoint, report.kind);
+        if !self.limits.get(&key).is_some_and(is_outdated) {
+            self.set(key, report.rate, as_of);
         }
     }
 
     /// Returns whether the limit changed.
-    fn set(&mut self, endpoint: EndpointTag, rate: Option<RequestRate>, as_of: Moment) -> bool {
-        let limit = self.limits.entry(endpoint).or_insert_with(|| EndpointLimit::new(None, as_of));
+    fn set(&mut self, key: LimitKey, rate: Option<RequestRate>, as_of: Moment) -> bool {
+        let limit = self.limits.entry(key).or_insert_with(|| EndpointLimit::new(None, as_of));
         let changed = limit.rate != rate;
         (limit.rate, limit.as_of) = (rate, as_of);
         if changed {
@@ -141,39 +209,46 @@
         changed
     }
 
-    /// The rate limit of `endpoint`, if any.
-    pub fn rate(&self, endpoint: &str) -> Option<RequestRate> {
-        self.limited(endpoint)?.rate
+    /// The limit of this kind of `endpoint`, if any.
+    pub fn rate(&self, endpoint: &str, kind: LimitKind) -> Option<RequestRate> {
+        self.limited(endpoint, kind)?.rate
+    }
+
+    /// Whether `endpoint` has a limit of any kind.
+    pub fn is_limited(&self, endpoint: &str) -> bool {
+        KINDS.into_iter().any(|kind| self.limited(endpoint, kind).is_some())
     }
 
-    /// The report of the rate limit of `endpoint` to its holder, if any.
-    pub fn report(&self, endpoint: &str, now: Moment) -> Option<LimitReport> {
-        self.limited(endpoint).map(|limit| limit.to_report(id::endpoint_tag(endpoint), now))
+    /// The report of a limit of `endpoint` to its holder, if any.
+    pub fn report(&self, endpoint: &str, kind: LimitKind, now: Moment) -> Option<LimitReport> {
+        self.limited(endpoint, kind).map(|limit| limit.to_report((id::endpoint_tag(endpoint), kind), now))
     }
 
     /// When permits for `endpoint` may be requested again; `None` if they may be requested now.
     pub fn retry_at(&self, endpoint: &str, now: Moment) -> Option<Moment> {
-        self.limited(endpoint)?.retry_at.filter(|retry_at| now < *retry_at)
+        let retries = KINDS.into_iter().filter_map(|kind| self.limited(endpoint, kind)?.retry_at);
+        retries.filter(|retry_at| now < *retry_at).max()
     }
 
-    fn limited(&self, endpoint: &str) -> Option<&EndpointLimit> {
+    fn limited(&self, endpoint: &str, kind: LimitKind) -> Option<&EndpointLimit> {
         if self.limits.is_empty() {
             return None;
         }
-        self.limits.get(&id::endpoint_tag(endpoint)).filter(|limit| limit.rate.is_some())
+        self.limits.get(&(id::endpoint_tag(endpoint), kind)).filter(|limit| limit.rate.is_some())
     }
 
     /// Number of permits to request: as many as were used in the last `PERMIT_HORIZON`, and at least one.
     pub fn wanted(&self, endpoint: &str, now: Moment) -> u32 {
         let is_recent = |used: &&Moment| now < **used + PERMIT_HORIZON;
-        let used = self.limited(endpoint).map_or(0, |limit| limit.used.iter().filter(is_recent).count());
+        let used =
+            self.limited(endpoint, LimitKind::Requests).map_or(0, |limit| limit.used.iter().filter(is_recent).count());
         u32::try_from(used).unwrap_or(u32::MAX).max(1)
     }
 
     /// Takes a spare permit that was granted for a request of the same or a lower priority.
     pub fn take_spare(&mut self, endpoint: &str, tier: Tier, now: Moment) -> Option<Permit> {
         let tag = id::endpoint_tag(endpoint);
-        let limit = self.limits.get_mut(&tag)?;
+        let limit = self.limits.get_mut(&(tag, LimitKind::Requests))?;
         let spare = limit.spare.as_mut().filter(|spare| spare.count > 0 && tier <= spare.tier && now < spare.until)?;
         spare.count -= 1;
         let until = spare.until;
@@ -184,7 +259,7 @@
     /// Takes one of `count` permits granted for a request made at `asked`, and keeps the others as spare ones.
     pub fn take_granted(&mut self, endpoint: &str, tier: Tier, count: u32, asked: Moment) -> Permit {
         let (tag, until) = (id::endpoint_tag(endpoint), asked + PERMIT_LIFE);
-        if let Some(limit) = self.limits.get_mut(&tag) {
+        if let Some(limit) = self.limits.get_mut(&(tag, LimitKind::Requests)) {
             limit.spare = Some(SparePermits { tier, count: count.saturating_sub(1), until });
             record_use(&mut limit.used, asked);
         }
@@ -192,13 +267,13 @@
     }
 
     /// Records a denial: no permit is to be requested before `retry_at`.
-    pub fn record_denial(&mut self, endpoint: &str, retry_at: Moment) {
-        if let Some(limit) = self.limits.get_mut(&id::endpoint_tag(endpoint)) {
+    pub fn record_denial(&mut self, endpoint: &str, kind: LimitKind, retry_at: Moment) {
+        if let Some(limit) = self.limits.get_mut(&(id::endpoint_tag(endpoint), kind)) {
             limit.retry_at = Some(retry_at);
         }
     }
 
-    /// Number of endpoints with a rate limit.
+    /// Number of limits of endpoints.
     pub fn count(&self) -> usize {
         self.limits.values().filter(|limit| limit.rate.is_some()).count()
     }
@@ -210,7 +285,7 @@
             return;
         }
         let tags: HashSet<EndpointTag> = known.map(|endpoint| id::endpoint_tag(endpoint)).collect();
-        self.limits.retain(|tag, limit| now < limit.as_of + RETENTION || tags.contains(tag));
+        self.limits.retain(|(tag, _), limit| now < limit.as_of + RETENTION || tags.contains(tag));
     }
 }
 
--- a/crates/rudder-gateway/src/loads.rs
+++ b/crates/rudder-gateway/src/loads.rs
@@ -13,6 +13,7 @@
 use rudder_model::{EndpointId, EndpointTag, id};
 use rudder_route::admission::{self, Level};
 
+use crate::limits::Loan;
 use crate::recent::{RecentOutcomes, SPAN, Tally};
 
 /// Weight of a service's mix of priorities in that of an endpoint, in requests: an instance has few of its own at one.
@@ -227,6 +228,8 @@
 /// A request in flight at an endpoint. It is removed from the loads on drop.
 #[derive(Debug)]
 pub struct InFlight {
+    /// Its loan, if the endpoint bears few rejections.
+    pub loan: Option<Loan>,
     loads: Rc<RefCell<EndpointLoads>>,
     endpoint: EndpointId,
     demand: Demand,
@@ -245,7 +248,7 @@
         *borrowed.unread_mixes.entry(endpoint.clone()).or_default().count(demand.level) += demand.unread;
         *borrowed.service_unread.entry(demand.service.clone()).or_default().count(demand.level) += demand.unread;
         drop(borrowed);
-        InFlight { loads: loads.clone(), endpoint: endpoint.clone(), demand }
+        InFlight { loan: None, loads: loads.clone(), endpoint: endpoint.clone(), demand }
     }
 
     /// Records the first output, so that the prompt has been processed.
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -13,7 +13,7 @@
 use rudder_clock::Moment;
 use rudder_core::{
     Event, Listing, Phase, Registration,
-    limits::LimitReport,
+    limits::{LimitKind, LimitReport},
     origins::{Evidence, Origin, StreamRoute, StreamTag},
     peer::Load,
     permits::PermitAnswer,
@@ -21,7 +21,7 @@
 };
 use rudder_events::What;
 use rudder_ledger::{Document, Evacuations, Quarantine, Releases};
-use rudder_model::{EndpointId, InstanceId};
+use rudder_model::{EndpointId, HallId, InstanceId};
 use rudder_route::{admission::Level, returns::ReturnSettings};
 use tokio::sync::{oneshot, watch};
 
@@ -30,7 +30,6 @@
     admission::Admissions,
     arrivals::Arrivals,
     backoff::Backoff,
-    brittle::BrittleEndpoints,
     budget::Budget,
     buffers::BufferQuota,
     call::to_hex,
@@ -40,7 +39,7 @@
     contents::{Contents, REFUSED_FOR},
     dialect::EntriesQuery,
     health::Health,
-    limits::{Permit, RateLimits},
+    limits::{Permission, RateLimits},
     loads::EndpointLoads,
     logging::Log,
     metrics::{ControlStatus, Metrics},
@@ -178,8 +177,6 @@
     pub backoff: RefCell<Backoff>,
     /// Rate limits of endpoints.
     pub limits: RefCell<RateLimits>,
-    /// Endpoints that bear few rejections.
-    pub brittle: RefCell<BrittleEndpoints>,
     /// Outcomes by content, and the quarantine.
     pub contents: RefCell<Contents>,
     /// Prefill speed of engines.
@@ -275,7 +272,6 @@
             health: RefCell::default(),
             backoff: RefCell::default(),
             limits: RefCell::default(),
-            brittle: RefCell::default(),
             contents: RefCell::new(Contents::new(started)),
             prefill: RefCell::default(),
             conditions: Rc::default(),
@@ -455,7 +451,6 @@
         self.loads.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.conditions.borrow_mut().set_roster(roster.clone());
         self.health.borrow_mut().retain(|endpoint| roster.knows(endpoint));
-        self.brittle.borrow_mut().retain(|endpoint| roster.knows(endpoint));
         self.limits.borrow_mut().retain(roster.endpoints(), Moment::now());
         self.metrics.set_limited(self.limits.borrow().count());
         let before = self.roster.replace(roster.clone());
@@ -535,8 +530,8 @@
     }
 
     /// Checks again that the chosen endpoint accepts a request, and counts it towards the endpoint's warm-up share.
-    pub fn try_reserve(&self, choice: &Choice, permit: Option<Permit>, now: Moment) -> bool {
-        let taken = self.accepts_requests(choice, permit, now) && self.try_take_ramp_share(choice, now);
+    pub fn try_reserve(&self, choice: &Choice, permission: &Permission, now: Moment) -> bool {
+        let taken = self.accepts_requests(choice, permission, now) && self.try_take_ramp_share(choice, now);
         if !taken {
             self.metrics.record_held_back();
         }
@@ -544,10 +539,9 @@
     }
 
     /// Returns true if the chosen endpoint and its hall accept requests.
-    fn accepts_requests(&self, choice: &Choice, permit: Option<Permit>, now: Moment) -> bool {
-        // While the connection was opened, a limit may have been reported or the permit may have expired.
-        let is_permitted = permit.is_some_and(|permit| permit.holds(&choice.endpoint, now));
-        if !is_permitted && self.limits.borrow().rate(&choice.endpoint).is_some() {
+    fn accepts_requests(&self, choice: &Choice, permission: &Permission, now: Moment) -> bool {
+        // While the connection was opened, a limit may have been reported or the permission may have expired.
+        if !self.is_permitted(choice, permission, now) {
             return false;
         }
         if self.backoff.borrow().is_blocked(&choice.endpoint, now) {
@@ -560,6 +554,21 @@
         registration.phase <= Phase::Silent && self.placement.borrow().is_open(&registration.hall)
     }
 
+    /// Returns true if the limits of the chosen endpoint allow the request.
+    fn is_permitted(&self, choice: &Choice, permission: &Permission, now: Moment) -> bool {
+        let (limits, endpoint) = (self.limits.borrow(), &choice.endpoint);
+        let has_permit = permission.permit.is_some_and(|permit| permit.holds(endpoint, now));
+        let has_loan = permission.loan.as_ref().is_some_and(|loan| loan.holds(endpoint, now));
+        (has_permit || limits.rate(endpoint, LimitKind::Requests).is_none())
+            && (has_loan || limits.rate(endpoint, LimitKind::Rejections).is_none())
+    }
+
+    /// The hall of an endpoint; this instance's if the endpoint is unknown.
+    pub fn hall_of(&self, endpoint: &EndpointId) -> HallId {
+        let roster = self.roster.borrow();
+        roster.get(endpoint).map_or_else(|| self.options.hall.clone(), |registration| registration.hall.clone())
+    }
+
     /// Counts a request towards this instance's share of the chosen endpoint's capacity during warm-up.
     fn try_take_ramp_share(&self, choice: &Choice, now: Moment) -> bool {
         let roster = self.roster.borrow();
@@ -592,13 +601,6 @@
         soonest.map(|until| until.saturating_duration_since(now))
     }
 
-    /// Whether a request of the route may go to an endpoint that bears few rejections.
-    pub fn has_brittle(&self, route: &Route) -> bool {
-        let (roster, brittle) = (self.roster.borrow(), self.brittle.borrow());
-        let endpoints = route.shares.iter().flat_map(|share| roster.of(&share.service));
-        endpoints.into_iter().any(|registration| brittle.is_brittle(&registration.endpoint))
-    }
-
     /// Records the rate limits of endpoints that all instances share, as of `at`.
     pub fn apply_limits(&self, reports: &[LimitReport], at: Moment) {
         let mut limits = self.limits.borrow_mut();
--- a/crates/rudder-gateway/tests/admission.rs
+++ b/crates/rudder-gateway/tests/admission.rs
@@ -6,7 +6,7 @@
 
 use rudder_core::{
     Registration,
-    limits::LimitReport,
+    limits::{LimitKind, LimitReport},
     peer::{LEVELS, Load, LoadDetail},
 };
 use rudder_gateway::{
@@ -130,7 +130,8 @@
     let mut scene = Scene::new([1, 1, 0, 0]);
     for engine in &scene.engines {
         let endpoint = id::endpoint_tag(&engine.endpoint);
-        let report = LimitReport { endpoint, rate: RequestRate::try_from_per_second(4.0), age_ms: 0 };
+        let report =
+            LimitReport { endpoint, rate: RequestRate::try_from_per_second(4.0), age_ms: 0, kind: LimitKind::Requests };
         scene.known.limits.record_report(report, scene.known.now);
     }
     scene.known.admission.record_refused(&"svc".into(), 0, Reason::Blocked, scene.known.now);
--- a/crates/rudder-gateway/tests/candidates.rs
+++ b/crates/rudder-gateway/tests/candidates.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use rudder_core::{Phase, Registration};
+use rudder_core::{Phase, Registration, limits::LimitKind};
 use rudder_gateway::{
     choose::{CandidateCache, Candidates},
     dialect::LimitNotice,
@@ -111,13 +111,13 @@
     let (mut known, roster) = (Known::default(), roster(&engines(3)));
     let (mut candidate_cache, service, now) = (CandidateCache::default(), "svc".into(), known.now);
     let limit = LimitNotice::Limited(RequestRate::try_from_per_second(1.0).expect("a rate"));
-    known.limits.record_answer(&"e-1".into(), limit, now, now);
+    known.limits.record_answer(&"e-1".into(), LimitKind::Requests, limit, now, now);
     let mut count_after = |millis: u64, known: &mut Known| {
         known.now = now + Duration::from_millis(millis);
         candidate_cache.of(&service, &roster, &known.inputs()).bulk.endpoints.len()
     };
     assert_eq!(count_after(0, &mut known), 3);
-    known.limits.record_denial("e-1", now + Duration::from_millis(300));
+    known.limits.record_denial("e-1", LimitKind::Requests, now + Duration::from_millis(300));
     assert_eq!(count_after(201, &mut known), 2);
     assert_eq!(count_after(299, &mut known), 2);
     assert_eq!(count_after(301, &mut known), 3);
--- a/crates/rudder-gateway/tests/limits.rs
+++ b/crates/rudder-gateway/tests/limits.rs
@@ -2,9 +2,17 @@
 
 use std::time::Duration;
 
+use crossbeam_channel::{Receiver, unbounded};
 use rudder_clock::Moment;
-use rudder_core::limits::LimitReport;
-use rudder_gateway::{dialect::LimitNotice, limits::RateLimits};
+use rudder_core::{
+    Event,
+    limits::{LimitKind, LimitReport},
+    permits::LoanReturn,
+};
+use rudder_gateway::{
+    dialect::LimitNotice,
+    limits::{Loan, RateLimits},
+};
 use rudder_model::{EndpointId, RequestRate, id};
 
 const NONE: LimitNotice = LimitNotice::Unlimited;
@@ -24,17 +32,17 @@
         let endpoint: EndpointId = "e-1".into();
         let (mut limits, start) = (RateLimits::default(), Moment::now());
         for (sent, received, notice) in &self.answers {
-            let before = limits.rate(&endpoint);
+            let before = limits.rate(&endpoint, LimitKind::Requests);
             let at = |millis: &u64| start + Duration::from_millis(*millis);
-            let recorded = limits.record_answer(&endpoint, *notice, at(sent), at(received));
+            let recorded = limits.record_answer(&endpoint, LimitKind::Requests, *notice, at(sent), at(received));
             assert_eq!(
                 recorded.is_some_and(|recorded| recorded.changed),
-                limits.rate(&endpoint) != before,
+                limits.rate(&endpoint, LimitKind::Requests) != before,
                 "{notice:?} after {received} ms"
             );
         }
-        assert_eq!(limits.rate(&endpoint).map(RequestRate::per_second), self.expected);
-        assert_eq!(limits.rate("e-2"), None, "other endpoints have no limit");
+        assert_eq!(limits.rate(&endpoint, LimitKind::Requests).map(RequestRate::per_second), self.expected);
+        assert_eq!(limits.rate("e-2", LimitKind::Requests), None, "other endpoints have no limit");
     }
 }
 
@@ -67,13 +75,13 @@
 /// Rate limits after the endpoint has just announced 40 requests per second.
 fn limited_to_forty(now: Moment) -> RateLimits {
     let mut limits = RateLimits::default();
-    limits.record_answer(&ENDPOINT.into(), limited(40.0), now, now);
+    limits.record_answer(&ENDPOINT.into(), LimitKind::Requests, limited(40.0), now, now);
     limits
 }
 
 fn report(requests: Option<f64>, age_ms: u32) -> LimitReport {
     let rate = requests.and_then(RequestRate::try_from_per_second);
-    LimitReport { endpoint: id::endpoint_tag(ENDPOINT), rate, age_ms }
+    LimitReport { endpoint: id::endpoint_tag(ENDPOINT), rate, age_ms, kind: LimitKind::Requests }
 }
 
 #[test]
@@ -115,7 +123,7 @@
     let now = Moment::now();
     let mut limits = limited_to_forty(now);
     let until = now + millis(300);
-    limits.record_denial(ENDPOINT, until);
+    limits.record_denial(ENDPOINT, LimitKind::Requests, until);
     assert_eq!(limits.retry_at(ENDPOINT, now), Some(until));
     assert_eq!(limits.retry_at(ENDPOINT, until), None);
     limits.record_report(report(Some(40.0), 0), now + millis(5));
@@ -130,7 +138,7 @@
             let now = Moment::now();
             let mut limits = limited_to_forty(now);
             limits.record_report($report, now + millis($after));
-            assert_eq!(limits.rate(ENDPOINT).map(RequestRate::per_second), $expected);
+            assert_eq!(limits.rate(ENDPOINT, LimitKind::Requests).map(RequestRate::per_second), $expected);
         })*
     };
 }
@@ -148,8 +156,8 @@
     let now = Moment::now();
     let mut limits = limited_to_forty(now);
     limits.record_report(report(Some(40.0), 0), now + millis(20));
-    limits.record_answer(&ENDPOINT.into(), NONE, now + millis(10), now + millis(25));
-    assert_eq!(limits.rate(ENDPOINT), None);
+    limits.record_answer(&ENDPOINT.into(), LimitKind::Requests, NONE, now + millis(10), now + millis(25));
+    assert_eq!(limits.rate(ENDPOINT, LimitKind::Requests), None);
 }
 
 /// An endpoint that is unknown for a moment keeps its limit.
@@ -163,3 +171,77 @@
         assert_eq!(limits.count(), expected, "after {seconds} s, known: {is_known}");
     }
 }
+
+/// Guards against a limit on rejections that ends with the one on requests, or the other way round.
+#[test]
+fn limits_of_two_kinds_are_independent() {
+    let now = Moment::now();
+    let mut limits = limited_to_forty(now);
+    limits.record_answer(&ENDPOINT.into(), LimitKind::Rejections, limited(5.0), now, now);
+    limits.record_answer(&ENDPOINT.into(), LimitKind::Requests, NONE, now + millis(5), now + millis(10));
+    assert_eq!(limits.rate(ENDPOINT, LimitKind::Requests), None);
+    assert_eq!(limits.rate(ENDPOINT, LimitKind::Rejections).map(RequestRate::per_second), Some(5.0));
+    assert!(limits.is_limited(ENDPOINT));
+    let until = now + millis(300);
+    limits.record_denial(ENDPOINT, LimitKind::Rejections, until);
+    assert_eq!(limits.retry_at(ENDPOINT, now), Some(until));
+}
+
+/// Guards against a full or misdirected answer that ends what an endpoint said of its rejections.
+#[test]
+fn an_answer_without_a_usable_notice_keeps_the_limit_on_rejections() {
+    let now = Moment::now();
+    let mut limits = RateLimits::default();
+    limits.record_answer(&ENDPOINT.into(), LimitKind::Rejections, limited(5.0), now, now);
+    limits.record_answer(
+        &ENDPOINT.into(),
+        LimitKind::Rejections,
+        LimitNotice::Unknown,
+        now + millis(5),
+        now + millis(9),
+    );
+    assert!(limits.is_limited(ENDPOINT));
+}
+
+fn loan(now: Moment) -> (Loan, Receiver<Event>) {
+    let (events, returned) = unbounded();
+    let end = LoanReturn { ticket: Some(7), endpoint: id::endpoint_tag(ENDPOINT), hall: "a".into(), rejected: false };
+    (Loan::new(end, now, events), returned)
+}
+
+/// Whether each returned loan was rejected.
+fn rejections(returned: &Receiver<Event>) -> Vec<bool> {
+    let rejected = |event| if let Event::ReturnLoan(loan) = event { Some(loan.rejected) } else { None };
+    returned.try_iter().filter_map(rejected).collect()
+}
+
+macro_rules! returns {
+    ($($(#[$meta:meta])* $name:ident: $end:expr => $expected:expr;)*) => {
+        $($(#[$meta])* #[test] fn $name() {
+            let (loan, returned) = loan(Moment::now());
+            let end: fn(Loan) = $end;
+            end(loan);
+            let expected: &[bool] = &$expected;
+            assert_eq!(rejections(&returned), expected);
+        })*
+    };
+}
+
+returns! {
+    /// Guards against room that is lost with each request that ends early.
+    a_dropped_loan_is_returned: drop => [false];
+    /// Guards against a holder that does not learn of rejections.
+    a_rejected_loan_is_returned_as_such: Loan::reject => [true];
+    /// Guards against the return of a loan that was never granted.
+    a_denied_loan_is_not_returned: Loan::discard => [];
+}
+
+/// Guards against requests that are sent when the holder takes them for accepted.
+#[test]
+fn a_loan_must_be_used_soon_and_for_its_endpoint() {
+    let now = Moment::now();
+    let (loan, _returned) = loan(now);
+    assert!(loan.holds(ENDPOINT, now + millis(199)));
+    assert!(!loan.holds(ENDPOINT, now + millis(200)));
+    assert!(!loan.holds("e-2", now));
+}
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -9,10 +9,9 @@
     peer::{Load, LoadDetail, PaceSum, TokenTime},
 };
 use rudder_gateway::{
-    Plan, Policy, Route, RouteKind, admission::Admissions, backoff::Backoff, brittle::BrittleEndpoints, choose::Inputs,
-    condition::Conditions, contention::Contention, health::Health, limits::RateLimits, loads::EndpointLoads,
-    placement::Placement, plan::Share, policy::GuardPolicy, prefill::PrefillSpeeds, roster::Roster,
-    slow_start::SlowStartState,
+    Plan, Policy, Route, RouteKind, admission::Admissions, backoff::Backoff, choose::Inputs, condition::Conditions,
+    contention::Contention, health::Health, limits::RateLimits, loads::EndpointLoads, placement::Placement,
+    plan::Share, policy::GuardPolicy, prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
 };
 use rudder_model::{HallId, id};
 use rudder_route::condition::EngineSpeed;
@@ -79,7 +78,6 @@
     pub placement: Placement,
     pub slow_start: SlowStartState,
     pub limits: RateLimits,
-    pub brittle: BrittleEndpoints,
     pub admission: Admissions,
     pub hall: HallId,
     pub plan: Plan,
@@ -101,7 +99,6 @@
             placement: Placement::default(),
             slow_start: SlowStartState::new("me".into(), now),
             limits: RateLimits::default(),
-            brittle: BrittleEndpoints::default(),
             admission: Admissions::new(&GuardPolicy::default(), 7, now),
             hall: "a".into(),
             plan: Plan::default(),
@@ -163,7 +160,6 @@
             placement: &self.placement,
             slow_start: &self.slow_start,
             limits: &self.limits,
-            brittle: &self.brittle,
             admission: &self.admission,
             hall: &self.hall,
             plan: &self.plan,
--- a/crates/rudder-route/src/lib.rs
+++ b/crates/rudder-route/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod admit;
+pub mod concurrency_limit;
 pub mod condition;
 pub mod decay;
 pub mod endpoint;
@@ -28,6 +29,7 @@
 pub mod shares;
 pub mod slow_start;
 pub mod usage;
+pub mod waiting;
 
 pub use endpoint::{EndpointSpec, EndpointState};
 pub use options::Options;
