--- a/crates/rudder-core/src/permits.rs
+++ b/crates/rudder-core/src/permits.rs
@@ -44,7 +44,7 @@
     /// Number of permits wanted: the requests that the requester recently sent to the endpoint, at least one. A loan is
     /// for one request.
     pub wanted: u32,
-    /// Longest time until a loan is returned.
+    /// Longest time until a loan is returned; zero for permits, which are not.
     #[serde(default, skip_serializing_if = "Duration::is_zero")]
     pub span: Duration,
 }
--- a/crates/rudder-gateway/src/call/permission.rs
+++ b/crates/rudder-gateway/src/call/permission.rs
@@ -1,5 +1,7 @@
 //! Permits and loans for requests to endpoints that have a limit.
 
+use std::time::Duration;
+
 use rudder_clock::Moment;
 use rudder_core::{
     Event,
@@ -102,6 +104,9 @@
     let limits = shared.limits.borrow();
     let limit = limits.report(&choice.endpoint, kind, now)?;
     let wanted = limits.wanted(&choice.endpoint, now);
-    let span = call.deadline.saturating_duration_since(now);
+    let span = match kind {
+        LimitKind::Requests => Duration::ZERO,
+        LimitKind::Rejections => call.deadline.saturating_duration_since(now),
+    };
     Some(PermitRequest { limit, hall: shared.hall_of(&choice.endpoint), tier: call.route.tier, wanted, span })
 }
