--- a/crates/rudder-route/examples/concurrency_limits.rs
+++ b/crates/rudder-route/examples/concurrency_limits.rs
@@ -47,6 +47,8 @@
 /// Each instance has an equal share of the slots, one at least, and pauses after a rejection.
 struct EqualShares {
     share: usize,
+    /// Instances that may send.
+    senders: usize,
     borne: f64,
     own: Vec<usize>,
     retry_at: Vec<Duration>,
@@ -59,7 +61,7 @@
     fn new(instances: usize, borne: f64, seed: u64) -> Self {
         let (own, retry_at) = (vec![0; instances], vec![Duration::ZERO; instances]);
         let share = (SLOTS / instances).max(1);
-        EqualShares { share, borne, own, retry_at, rng: Pcg64::seed_from_u64(seed) }
+        EqualShares { share, senders: instances, borne, own, retry_at, rng: Pcg64::seed_from_u64(seed) }
     }
 
     fn may_send(&mut self, instance: usize, now: Duration) -> bool {
@@ -71,7 +73,7 @@
     fn end(&mut self, instance: usize, now: Duration, rejected: bool) {
         self.own[instance] -= 1;
         if rejected {
-            self.retry_at[instance] = now + pause(self.own.len(), self.borne, &mut self.rng);
+            self.retry_at[instance] = now + pause(self.senders, self.borne, &mut self.rng);
         }
     }
 }
@@ -83,7 +85,7 @@
     const NAME: &'static str = "a slot each for a few";
 
     fn new(instances: usize, borne: f64, seed: u64) -> Self {
-        NamedSenders(EqualShares::new(instances, borne, seed))
+        NamedSenders(EqualShares { senders: SLOTS, ..EqualShares::new(instances, borne, seed) })
     }
 
     fn may_send(&mut self, instance: usize, now: Duration) -> bool {
@@ -91,10 +93,7 @@
     }
 
     fn end(&mut self, instance: usize, now: Duration, rejected: bool) {
-        self.0.own[instance] -= 1;
-        if rejected {
-            self.0.retry_at[instance] = now + pause(SLOTS, self.0.borne, &mut self.0.rng);
-        }
+        self.0.end(instance, now, rejected);
     }
 }
 
--- a/crates/rudder-route/src/concurrency_limit.rs
+++ b/crates/rudder-route/src/concurrency_limit.rs
@@ -13,8 +13,7 @@
 
 use rudder_model::RequestRate;
 
-pub use crate::waiting::Tier;
-use crate::waiting::WaitingTiers;
+use crate::waiting::{Tier, WaitingTiers};
 
 /// Time over which an endpoint counts its rejections.
 const REJECTION_WINDOW: Duration = Duration::from_secs(1);
@@ -29,8 +28,6 @@
 const RAISE_INTERVAL: Duration = Duration::from_secs(10);
 /// Shortest such time.
 const MIN_RAISE_INTERVAL: Duration = Duration::from_secs(2);
-/// A tier counts as waiting for this long after it was denied.
-const WAITING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Weight of a new loan in the mean time that loans are held.
 const HOLD_WEIGHT: f64 = 0.2;
 /// Bounds of the spacing of retries while all loans are out.
@@ -139,7 +136,7 @@
         while self.rejections.front().is_some_and(|at| now >= *at + REJECTION_WINDOW + REJECTION_SLACK) {
             self.rejections.pop_front();
         }
-        self.waiting.expire(now, WAITING_TIMEOUT);
+        self.waiting.expire(now, RETRY_INTERVAL.end);
     }
 
     /// When one more loan cannot cause more rejections than the endpoint bears; `None` if it cannot now.
--- a/crates/rudder-route/src/rate_limit.rs
+++ b/crates/rudder-route/src/rate_limit.rs
@@ -18,8 +18,6 @@
 /// Longest interval between grants. An endpoint announces a higher rate only in its answers, so one whose rate is zero
 /// still gets a request now and then.
 const MAX_INTERVAL: Duration = Duration::from_secs(20);
-/// A tier counts as waiting for this long after it was denied.
-const WAITING_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Limits the rate of requests to one endpoint.
 #[derive(Clone, Debug, Default)]
@@ -37,7 +35,7 @@
     pub fn try_take(&mut self, now: Duration, rate: RequestRate, tier: Tier, wanted: u32) -> Result<u32, Duration> {
         let interval = rate.interval().min(MAX_INTERVAL);
         self.refill(now, interval);
-        self.waiting.expire(now, WAITING_TIMEOUT.max(interval));
+        self.waiting.expire(now, interval);
         if self.tokens < 1.0 || self.waiting.must_yield(tier) {
             let missing = interval.mul_f64((1.0 - self.tokens).max(0.0));
             return Err(self.waiting.record_denial(now, tier, now + missing, interval));
--- a/crates/rudder-route/src/waiting.rs
+++ b/crates/rudder-route/src/waiting.rs
@@ -2,6 +2,8 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+/// A tier counts as waiting for this long after it was denied.
+const WAITING_TIMEOUT: Duration = Duration::from_secs(1);
 /// Requests granted to more urgent tiers before a waiting tier gets its turn.
 const MAX_PASSED_OVER: u32 = 9;
 /// Retries of denied requests are spread over at most this time.
@@ -27,9 +29,9 @@
 }
 
 impl WaitingTiers {
-    /// Drops tiers that were last denied `timeout` ago.
-    pub fn expire(&mut self, now: Duration, timeout: Duration) {
-        self.waiting.retain(|_, waiting| now < waiting.denied + timeout);
+    /// Drops tiers that have not been denied for a while, which is longer if grants are longer apart.
+    pub fn expire(&mut self, now: Duration, interval: Duration) {
+        self.waiting.retain(|_, waiting| now < waiting.denied + WAITING_TIMEOUT.max(interval));
     }
 
     /// True if a more urgent tier is waiting and this one has not been passed over often enough.
--- a/crates/rudder-route/tests/concurrency_limit.rs
+++ b/crates/rudder-route/tests/concurrency_limit.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rudder_model::RequestRate;
-use rudder_route::concurrency_limit::{ConcurrencyLimiter, Tier};
+use rudder_route::{concurrency_limit::ConcurrencyLimiter, waiting::Tier};
 
 const SPAN: Duration = Duration::from_secs(10);
 /// Time after which a loan without a rejection is confirmed, and more.
