refactor: permits and loans wait for their holder in one function

take_permit and take_loan each read the answer, counted it and recorded the denial. The return of a loan was put together at the borrower's gateway and in its reducer: PermitRequest::to_return serves both. A loan's id is a struct. Behaviour is unchanged.

--- a/crates/rudder-core/src/permits.rs
+++ b/crates/rudder-core/src/permits.rs
@@ -1,11 +1,12 @@
 //! Permits to send to endpoints that name a limit, of requests or of rejections.
 //!
 //! The limit applies to all instances together, so one of them, the holder, grants the permits. A permit for an endpoint
-//! that bears few rejections is a loan of the room for one request, which the request returns at its end. Rendezvous hashing selects
-//! it among the instances of the endpoint's hall, which are reached over the same links. The state is soft. A holder grants
-//! only while the others list it as live, and a new one starts without permits, so that both together stay within the
-//! limit. Two holders grant at the same time only after an instance has joined, until all instances list it. Without an
-//! answer of the holder nothing is sent.
+//! that bears few rejections is a loan of the room for one request, which the request returns at its end.
+//!
+//! Rendezvous hashing selects the holder among the instances of the endpoint's hall, which are reached over the same links.
+//! The state is soft. A holder grants only while the others list it as live, and a new one starts without permits, so that
+//! both together stay within the limit. Two holders grant at the same time only after an instance has joined, until all
+//! instances list it. Without an answer of the holder nothing is sent.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -49,6 +50,13 @@
     pub span: Duration,
 }
 
+impl PermitRequest {
+    /// The return of the loan that is asked for with `ticket`.
+    pub fn to_return(&self, ticket: u64) -> LoanReturn {
+        LoanReturn { ticket: Some(ticket), endpoint: self.limit.endpoint, hall: self.hall.clone(), rejected: false }
+    }
+}
+
 /// Returns a loan, or reports a rejection by an endpoint that bears few.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoanReturn {
@@ -62,8 +70,16 @@
     pub rejected: bool,
 }
 
-/// Identifies a loan: the borrower, its start and the ticket of its permit request.
-type LoanId = (InstanceId, Start, u64);
+/// Identifies a loan.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LoanId {
+    /// The borrower.
+    pub(crate) borrower: InstanceId,
+    /// Number of its start.
+    pub(crate) start: Start,
+    /// Ticket of its permit request.
+    pub(crate) ticket: u64,
+}
 
 /// The answer to a [`PermitRequest`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -112,17 +128,12 @@
         (ticket, request): (u64, PermitRequest),
         out: &mut Vec<Effect>,
     ) {
-        let PermitRequest { limit, hall, .. } = &request;
-        let Some(holder) = self.holder(view, limit.endpoint, hall) else {
+        let LimitReport { endpoint, kind, .. } = request.limit;
+        let Some(holder) = self.holder(view, endpoint, &request.hall) else {
             out.push(Effect::Permitted { ticket, answer: PermitAnswer::Denied(RETRY_AFTER_TIMEOUT) });
             return;
         };
-        let loan = (limit.kind == LimitKind::Rejections).then(|| LoanReturn {
-            ticket: Some(ticket),
-            endpoint: limit.endpoint,
-            hall: hall.clone(),
-            rejected: false,
-        });
+        let loan = (kind == LimitKind::Rejections).then(|| request.to_return(ticket));
         self.pending.insert(ticket, Pending { deadline: now + ANSWER_TIMEOUT, loan });
         let message = PeerMessage::AskPermit { ticket, start: me.start, request };
         out.push(Effect::Send { to: holder, message });
@@ -168,7 +179,7 @@
         (from, start): (InstanceId, Start),
         loan: &LoanReturn,
     ) {
-        let key = loan.ticket.map(|ticket| (from, start, ticket));
+        let key = loan.ticket.map(|ticket| LoanId { borrower: from, start, ticket });
         let rejections = view.limits.rate(loan.endpoint, LimitKind::Rejections);
         match (rejections, &key) {
             (Some(rejections), _) if loan.rejected => {
--- a/crates/rudder-core/src/reduce.rs
+++ b/crates/rudder-core/src/reduce.rs
@@ -20,7 +20,7 @@
     orders::Orders,
     origins::{OriginQuestion, Origins, Surroundings},
     peer::{FromPool, PackedUpdate},
-    permits::Permits,
+    permits::{LoanId, Permits},
     propose::{Proposals, Purpose},
     registry::{Phase, Registration, Registry},
     transfer::Transfers,
@@ -430,8 +430,8 @@
             PeerMessage::UsageAck(ack) => self.usage_reporter.on_ack(&from, ack),
             PeerMessage::AskPermit { ticket, start, request } => {
                 self.view.limits.record_received(now, request.limit);
-                let (around, loan) = ((&self.view, &self.options), (from.clone(), start, ticket));
-                let answer = self.permits.answer(now, &self.me, around, loan, &request);
+                let loan = LoanId { borrower: from.clone(), start, ticket };
+                let answer = self.permits.answer(now, &self.me, (&self.view, &self.options), loan, &request);
                 out.push(Effect::Send { to: from, message: PeerMessage::Permit { ticket, start, answer } });
             }
             PeerMessage::Permit { ticket, start, answer } => {
--- a/crates/rudder-gateway/src/call/permission.rs
+++ b/crates/rudder-gateway/src/call/permission.rs
@@ -9,6 +9,8 @@
     permits::{LoanReturn, PermitAnswer, PermitRequest},
 };
 
+use tokio::sync::oneshot;
+
 use super::Call;
 use crate::{
     Dialect,
@@ -44,38 +46,47 @@
     }
     let (ticket, reply) = shared.tickets.issue();
     shared.send_event(Event::AskPermit { ticket, request });
-    let Ok(Reply::Permit(answer)) = reply.await else { return Err("the control thread has ended") };
-    match answer {
-        PermitAnswer::Granted(count) => {
-            shared.metrics.record_permit(PermitOutcome::Granted);
-            Ok(Some(shared.limits.borrow_mut().take_granted(endpoint, tier, count, asked)))
-        }
-        PermitAnswer::Denied(retry) => {
-            record_denial(shared, choice, LimitKind::Requests, Moment::now() + retry);
-            Err("its rate limit is used up")
-        }
-    }
+    let count = wait_for_grant(shared, choice, LimitKind::Requests, reply).await?;
+    Ok(Some(shared.limits.borrow_mut().take_granted(endpoint, tier, count, asked)))
 }
 
 async fn take_loan<D: Dialect>(shared: &Shared<D>, call: &Call, choice: &Choice) -> Result<Option<Loan>, &'static str> {
     let asked = Moment::now();
     let Some(request) = to_request(shared, call, choice, LimitKind::Rejections, asked) else { return Ok(None) };
     let (ticket, reply) = shared.tickets.issue();
-    let (endpoint, hall) = (request.limit.endpoint, request.hall.clone());
-    shared.send_event(Event::AskPermit { ticket, request });
     // A caller that leaves while the holder is asked returns it.
-    let end = LoanReturn { ticket: Some(ticket), endpoint, hall, rejected: false };
-    let loan = Loan::new(end, asked, shared.events.clone());
+    let loan = Loan::new(request.to_return(ticket), asked, shared.events.clone());
+    shared.send_event(Event::AskPermit { ticket, request });
+    match wait_for_grant(shared, choice, LimitKind::Rejections, reply).await {
+        Ok(_) => Ok(Some(loan)),
+        Err(why) => {
+            loan.discard();
+            Err(why)
+        }
+    }
+}
+
+/// Waits for the holder's answer and returns the number of permits that it granted.
+async fn wait_for_grant<D: Dialect>(
+    shared: &Shared<D>,
+    choice: &Choice,
+    kind: LimitKind,
+    reply: oneshot::Receiver<Reply>,
+) -> Result<u32, &'static str> {
     let Ok(Reply::Permit(answer)) = reply.await else { return Err("the control thread has ended") };
     match answer {
-        PermitAnswer::Granted(_) => {
+        PermitAnswer::Granted(count) => {
             shared.metrics.record_permit(PermitOutcome::Granted);
-            Ok(Some(loan))
+            Ok(count)
         }
         PermitAnswer::Denied(retry) => {
-            loan.discard();
-            record_denial(shared, choice, LimitKind::Rejections, Moment::now() + retry);
-            Err("all the room that it is known to have is taken")
+            shared.metrics.record_permit(PermitOutcome::Denied);
+            shared.limits.borrow_mut().record_denial(&choice.endpoint, kind, Moment::now() + retry);
+            shared.candidate_cache.borrow_mut().clear();
+            Err(match kind {
+                LimitKind::Requests => "its rate limit is used up",
+                LimitKind::Rejections => "all the room that it is known to have is taken",
+            })
         }
     }
 }
@@ -88,12 +99,6 @@
     shared.send_event(Event::ReturnLoan(LoanReturn { ticket: None, endpoint: limit.endpoint, hall, rejected: true }));
 }
 
-fn record_denial<D: Dialect>(shared: &Shared<D>, choice: &Choice, kind: LimitKind, retry_at: Moment) {
-    shared.metrics.record_permit(PermitOutcome::Denied);
-    shared.limits.borrow_mut().record_denial(&choice.endpoint, kind, retry_at);
-    shared.candidate_cache.borrow_mut().clear();
-}
-
 fn to_request<D: Dialect>(
     shared: &Shared<D>,
     call: &Call,
