--- a/crates/rudder-gateway/src/choose/mod.rs
+++ b/crates/rudder-gateway/src/choose/mod.rs
@@ -28,7 +28,7 @@
     dialect::Prompt,
     health::Health,
     lanes::LaneKind,
-    limits::RateLimits,
+    limits::EndpointLimits,
     loads::EndpointLoads,
     placement::Placement,
     plan::Route,
@@ -58,7 +58,7 @@
     /// Slow start of cold endpoints.
     pub slow_start: &'a SlowStartState,
     /// Limits of endpoints.
-    pub limits: &'a RateLimits,
+    pub limits: &'a EndpointLimits,
     /// Admission to contended services.
     pub admission: &'a Admissions,
     /// This instance's hall.
--- a/crates/rudder-gateway/src/limits.rs
+++ b/crates/rudder-gateway/src/limits.rs
@@ -151,11 +151,11 @@
 
 /// The limits of all endpoints.
 #[derive(Debug, Default)]
-pub struct RateLimits {
+pub struct EndpointLimits {
     limits: HashMap<LimitKey, EndpointLimit>,
 }
 
-impl RateLimits {
+impl EndpointLimits {
     /// Records what an answer of `endpoint` to a request sent at `sent` says of a limit. Returns the update if it has to be
     /// reported.
     pub fn record_answer(
--- a/crates/rudder-gateway/src/shared.rs
+++ b/crates/rudder-gateway/src/shared.rs
@@ -39,7 +39,7 @@
     contents::{Contents, REFUSED_FOR},
     dialect::EntriesQuery,
     health::Health,
-    limits::{Permission, RateLimits},
+    limits::{EndpointLimits, Permission},
     loads::EndpointLoads,
     logging::Log,
     metrics::{ControlStatus, Metrics},
@@ -176,7 +176,7 @@
     /// Endpoints that have asked for a backoff or are leaving.
     pub backoff: RefCell<Backoff>,
     /// Rate limits of endpoints.
-    pub limits: RefCell<RateLimits>,
+    pub limits: RefCell<EndpointLimits>,
     /// Outcomes by content, and the quarantine.
     pub contents: RefCell<Contents>,
     /// Prefill speed of engines.
--- a/crates/rudder-gateway/tests/limits.rs
+++ b/crates/rudder-gateway/tests/limits.rs
@@ -11,7 +11,7 @@
 };
 use rudder_gateway::{
     dialect::LimitNotice,
-    limits::{Loan, RateLimits},
+    limits::{EndpointLimits, Loan},
 };
 use rudder_model::{EndpointId, RequestRate, id};
 
@@ -30,7 +30,7 @@
 impl Case {
     fn run(&self) {
         let endpoint: EndpointId = "e-1".into();
-        let (mut limits, start) = (RateLimits::default(), Moment::now());
+        let (mut limits, start) = (EndpointLimits::default(), Moment::now());
         for (sent, received, notice) in &self.answers {
             let before = limits.rate(&endpoint, LimitKind::Requests);
             let at = |millis: &u64| start + Duration::from_millis(*millis);
@@ -73,8 +73,8 @@
 }
 
 /// Rate limits after the endpoint has just announced 40 requests per second.
-fn limited_to_forty(now: Moment) -> RateLimits {
-    let mut limits = RateLimits::default();
+fn limited_to_forty(now: Moment) -> EndpointLimits {
+    let mut limits = EndpointLimits::default();
     limits.record_answer(&ENDPOINT.into(), LimitKind::Requests, limited(40.0), now, now);
     limits
 }
@@ -191,7 +191,7 @@
 #[test]
 fn an_answer_without_a_usable_notice_keeps_the_limit_on_rejections() {
     let now = Moment::now();
-    let mut limits = RateLimits::default();
+    let mut limits = EndpointLimits::default();
     limits.record_answer(&ENDPOINT.into(), LimitKind::Rejections, limited(5.0), now, now);
     limits.record_answer(
         &ENDPOINT.into(),
--- a/crates/rudder-gateway/tests/support/mod.rs
+++ b/crates/rudder-gateway/tests/support/mod.rs
@@ -10,7 +10,7 @@
 };
 use rudder_gateway::{
     Plan, Policy, Route, RouteKind, admission::Admissions, backoff::Backoff, choose::Inputs, condition::Conditions,
-    contention::Contention, health::Health, limits::RateLimits, loads::EndpointLoads, placement::Placement,
+    contention::Contention, health::Health, limits::EndpointLimits, loads::EndpointLoads, placement::Placement,
     plan::Share, policy::GuardPolicy, prefill::PrefillSpeeds, roster::Roster, slow_start::SlowStartState,
 };
 use rudder_model::{HallId, id};
@@ -77,7 +77,7 @@
     pub contention: Contention,
     pub placement: Placement,
     pub slow_start: SlowStartState,
-    pub limits: RateLimits,
+    pub limits: EndpointLimits,
     pub admission: Admissions,
     pub hall: HallId,
     pub plan: Plan,
@@ -98,7 +98,7 @@
             contention: Contention::default(),
             placement: Placement::default(),
             slow_start: SlowStartState::new("me".into(), now),
-            limits: RateLimits::default(),
+            limits: EndpointLimits::default(),
             admission: Admissions::new(&GuardPolicy::default(), 7, now),
             hall: "a".into(),
             plan: Plan::default(),
