refactor(core): one set of the holder's faults in the tests

Numbers, spans and assertions are unchanged, but for borrowers_are_killed, which looked up the holder again after a second and could have started another instance than it killed; it now starts those that it killed.

--- a/crates/rudder-core/tests/limits.rs
+++ b/crates/rudder-core/tests/limits.rs
@@ -11,7 +11,10 @@
 };
 use rudder_model::{EndpointTag, RequestRate, id};
 
-use mesh::Mesh;
+use mesh::{
+    Mesh,
+    holders::{self, Load},
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Interval between two steps of the simulation.
@@ -60,10 +63,9 @@
     granted: Vec<Duration>,
 }
 
-impl Demand {
-    fn start(total: usize) -> Demand {
-        let retry_at = vec![Duration::ZERO; total];
-        Demand { mesh: start(total), asked: Vec::new(), tickets: 0, retry_at, granted: Vec::new() }
+impl Load for Demand {
+    fn mesh(&mut self) -> &mut Mesh {
+        &mut self.mesh
     }
 
     fn run(&mut self, span: Duration) {
@@ -76,6 +78,13 @@
             self.take_answers();
         }
     }
+}
+
+impl Demand {
+    fn start(total: usize) -> Demand {
+        let retry_at = vec![Duration::ZERO; total];
+        Demand { mesh: start(total), asked: Vec::new(), tickets: 0, retry_at, granted: Vec::new() }
+    }
 
     fn ask(&mut self, number: usize) {
         let node = &self.mesh.nodes[number];
@@ -108,12 +117,6 @@
         }
     }
 
-    /// The holder, which is the instance with the most answers.
-    fn holder(&self) -> usize {
-        let count = |number: &usize| self.mesh.sent_by(*number, "permit").messages;
-        (0..self.retry_at.len()).max_by_key(count).expect("there are some")
-    }
-
     fn check(&self) {
         let within =
             |first: &Duration| self.granted.iter().filter(|at| (*first..*first + WINDOW).contains(*at)).count();
@@ -153,64 +156,17 @@
 faults! {
     nine_instances_stay_within_the_limit: 9, |_| {};
     sixty_instances_stay_within_the_limit: 60, |_| {};
-    the_holder_is_killed: 9, |demand| {
-        let holder = demand.holder();
-        demand.mesh.kill(holder);
-    };
-    the_holder_of_sixty_is_killed: 60, |demand| {
-        let holder = demand.holder();
-        demand.mesh.kill(holder);
-    };
-    the_holder_is_killed_and_comes_back: 9, |demand| {
-        let holder = demand.holder();
-        demand.mesh.kill(holder);
-        demand.run(SECOND);
-        demand.mesh.boot(holder);
-    };
-    holders_are_killed_in_series: 9, |demand| {
-        for _ in 0..3 {
-            let holder = demand.holder();
-            demand.mesh.kill(holder);
-            demand.run(SECOND * 2);
-            demand.mesh.boot(holder);
-        }
-    };
-    the_holder_is_paused_briefly: 9, |demand| {
-        let holder = demand.holder();
-        demand.mesh.nodes[holder].paused = true;
-        demand.run(SECOND / 2);
-        demand.mesh.wake(holder);
-    };
-    the_holder_is_paused_for_long: 9, |demand| {
-        let holder = demand.holder();
-        demand.mesh.nodes[holder].paused = true;
-        demand.run(SECOND * 4);
-        demand.mesh.wake(holder);
-    };
-    /// It continues to grant to itself while the others list it.
-    the_holder_is_cut_off: 9, |demand| {
-        let holder = demand.holder();
-        demand.mesh.nodes[holder].cut = true;
-        demand.run(SECOND * 4);
-        demand.mesh.nodes[holder].cut = false;
-    };
-    the_leader_is_killed: 9, |demand| {
-        let leader = demand.mesh.leader().expect("one leads");
-        demand.mesh.kill(leader);
-        demand.run(SECOND * 3);
-        demand.mesh.boot(leader);
-    };
+    the_holder_is_killed: 9, holders::kill;
+    the_holder_of_sixty_is_killed: 60, holders::kill;
+    the_holder_is_killed_and_comes_back: 9, |demand| holders::kill_for(demand, SECOND);
+    holders_are_killed_in_series: 9, holders::kill_in_series;
+    the_holder_is_paused_briefly: 9, |demand| holders::pause(demand, SECOND / 2);
+    the_holder_is_paused_for_long: 9, |demand| holders::pause(demand, SECOND * 4);
+    the_holder_is_cut_off: 9, holders::cut_off;
+    the_leader_is_killed: 9, holders::kill_leader;
     all_are_killed: 9, |demand| demand.mesh.restart_all();
-    messages_are_lost: 9, |demand| {
-        demand.mesh.loss = 0.2;
-        demand.run(SECOND * 6);
-        demand.mesh.loss = 0.0;
-    };
-    messages_are_late: 9, |demand| {
-        demand.mesh.delay = Duration::from_millis(120);
-        demand.run(SECOND * 6);
-        demand.mesh.delay = Duration::ZERO;
-    };
+    messages_are_lost: 9, holders::lose_messages;
+    messages_are_late: 9, |demand| holders::delay_messages(demand, Duration::from_millis(120));
 }
 
 /// Checks the limit known at all instances.
--- a/crates/rudder-core/tests/loans.rs
+++ b/crates/rudder-core/tests/loans.rs
@@ -11,7 +11,10 @@
 };
 use rudder_model::{EndpointTag, RequestRate, id};
 
-use mesh::Mesh;
+use mesh::{
+    Mesh,
+    holders::{self, Load},
+};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Interval between two steps of the simulation.
@@ -62,16 +65,9 @@
     accepted: Vec<Duration>,
 }
 
-impl Demand {
-    fn start(total: usize, borne: f64) -> Demand {
-        let mut mesh = Mesh::start(total, 3);
-        mesh.run(SECOND * 3);
-        mesh.heartbeat(0, 1, "e-1", Phase::Ready, 1);
-        mesh.run(SECOND);
-        mesh.send_event(total - 1, Event::Limit(report(borne)));
-        mesh.run(PROPAGATION);
-        let callers = vec![Caller::Idle(Duration::ZERO); total];
-        Demand { mesh, callers, tickets: 0, borne, room: ROOM.0, rejected: Vec::new(), accepted: Vec::new() }
+impl Load for Demand {
+    fn mesh(&mut self) -> &mut Mesh {
+        &mut self.mesh
     }
 
     fn run(&mut self, span: Duration) {
@@ -83,6 +79,19 @@
             self.mesh.run(STEP);
         }
     }
+}
+
+impl Demand {
+    fn start(total: usize, borne: f64) -> Demand {
+        let mut mesh = Mesh::start(total, 3);
+        mesh.run(SECOND * 3);
+        mesh.heartbeat(0, 1, "e-1", Phase::Ready, 1);
+        mesh.run(SECOND);
+        mesh.send_event(total - 1, Event::Limit(report(borne)));
+        mesh.run(PROPAGATION);
+        let callers = vec![Caller::Idle(Duration::ZERO); total];
+        Demand { mesh, callers, tickets: 0, borne, room: ROOM.0, rejected: Vec::new(), accepted: Vec::new() }
+    }
 
     fn step(&mut self, number: usize) -> Caller {
         let (node, now) = (&self.mesh.nodes[number], self.mesh.now);
@@ -141,12 +150,6 @@
         }
     }
 
-    /// The holder, which is the instance with the most answers.
-    fn holder(&self) -> usize {
-        let count = |number: &usize| self.mesh.sent_by(*number, "permit").messages;
-        (0..self.callers.len()).max_by_key(count).expect("there are some")
-    }
-
     fn check_rejections(&self) {
         let within =
             |first: &Duration| self.rejected.iter().filter(|at| (*first..*first + SECOND).contains(*at)).count();
@@ -193,71 +196,27 @@
     three_hundred_instances_stay_within_what_is_borne: 300, |_| {};
     nearly_a_thousand_instances_stay_within_what_is_borne: 995, |_| {};
     /// The next holder knows nothing of the loans.
-    the_holder_is_killed: 24, |demand| {
-        let holder = demand.holder();
-        demand.mesh.kill(holder);
-    };
-    the_holder_of_sixty_is_killed: 60, |demand| {
-        let holder = demand.holder();
-        demand.mesh.kill(holder);
-    };
-    the_holder_is_killed_and_comes_back: 24, |demand| {
-        let holder = demand.holder();
-        demand.mesh.kill(holder);
-        demand.run(SECOND);
-        demand.mesh.boot(holder);
-    };
-    holders_are_killed_in_series: 24, |demand| {
-        for _ in 0..3 {
-            let holder = demand.holder();
-            demand.mesh.kill(holder);
-            demand.run(SECOND * 2);
-            demand.mesh.boot(holder);
-        }
-    };
-    the_holder_is_paused_for_long: 24, |demand| {
-        let holder = demand.holder();
-        demand.mesh.nodes[holder].paused = true;
-        demand.run(SECOND * 4);
-        demand.mesh.wake(holder);
-    };
-    /// It continues to lend to itself while the others list it.
-    the_holder_is_cut_off: 24, |demand| {
-        let holder = demand.holder();
-        demand.mesh.nodes[holder].cut = true;
-        demand.run(SECOND * 4);
-        demand.mesh.nodes[holder].cut = false;
-    };
-    the_leader_is_killed: 24, |demand| {
-        let leader = demand.mesh.leader().expect("one leads");
-        demand.mesh.kill(leader);
-        demand.run(SECOND * 3);
-        demand.mesh.boot(leader);
-    };
+    the_holder_is_killed: 24, holders::kill;
+    the_holder_of_sixty_is_killed: 60, holders::kill;
+    the_holder_is_killed_and_comes_back: 24, |demand| holders::kill_for(demand, SECOND);
+    holders_are_killed_in_series: 24, holders::kill_in_series;
+    the_holder_is_paused_for_long: 24, |demand| holders::pause(demand, SECOND * 4);
+    the_holder_is_cut_off: 24, holders::cut_off;
+    the_leader_is_killed: 24, holders::kill_leader;
     borrowers_are_killed: 24, |demand| {
-        for number in 0..8 {
-            if number != demand.holder() {
-                demand.mesh.kill(number);
-            }
+        let holder = holders::find(demand);
+        let borrowers: Vec<usize> = (0..8).filter(|number| *number != holder).collect();
+        for number in &borrowers {
+            demand.mesh.kill(*number);
         }
         demand.run(SECOND);
-        for number in 0..8 {
-            if number != demand.holder() {
-                demand.mesh.boot(number);
-            }
+        for number in borrowers {
+            demand.mesh.boot(number);
         }
     };
     all_instances_are_killed: 24, |demand| demand.mesh.restart_all();
-    messages_are_lost: 24, |demand| {
-        demand.mesh.loss = 0.2;
-        demand.run(SECOND * 6);
-        demand.mesh.loss = 0.0;
-    };
-    messages_are_late: 24, |demand| {
-        demand.mesh.delay = Duration::from_millis(60);
-        demand.run(SECOND * 6);
-        demand.mesh.delay = Duration::ZERO;
-    };
+    messages_are_lost: 24, holders::lose_messages;
+    messages_are_late: 24, |demand| holders::delay_messages(demand, Duration::from_millis(60));
     the_endpoint_loses_and_regains_room_again_and_again: 24, |demand| {
         for _ in 0..5 {
             demand.room = ROOM.0;
--- a/crates/rudder-core/tests/mesh/mod.rs
+++ b/crates/rudder-core/tests/mesh/mod.rs
@@ -3,6 +3,7 @@
 //! have a rate.
 #![allow(dead_code, reason = "each test uses a part")]
 
+pub mod holders;
 pub mod link;
 pub mod processor;
 pub mod receiver;
